feat(workspace): types, configuration, adapters, stand-ins and the peer protocol

Cause: nothing existed. A router needs its vocabulary, its outside contracts and something to run against before it can decide anything.

--- /dev/null
+++ b/crates/adapters/src/http_engine.rs
@@ -0,0 +1,184 @@
+//! A model engine over HTTP: JSON calls, answers as one JSON piece a line.
+
+use crate::engine::{
+    CacheEvent, EngineCallError, FencedOrder, GenerateCall, KvBlock, LoadReport, ModelEngine,
+    OrderReply, Piece, PieceEvent,
+};
+use crate::http_client::{HttpClient, HttpError};
+use bridgevane_types::{AttemptNumber, RequestId};
+use bytes::{Buf, BytesMut};
+use futures_util::Stream;
+use http_body_util::BodyStream;
+use hyper::body::Incoming;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+/// How long a call with a short answer may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The longest line of an answer.
+const MAX_LINE_BYTES: usize = 64 << 10;
+
+/// The engine at an address.
+#[derive(Clone, Debug)]
+pub struct HttpEngine {
+    http: HttpClient,
+}
+
+#[derive(Serialize)]
+struct CancelBody {
+    request: String,
+    attempt: AttemptNumber,
+}
+
+#[derive(Serialize)]
+struct AfterBody {
+    sequence: u64,
+}
+
+impl HttpEngine {
+    /// The engine at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            http: HttpClient::new(address),
+        }
+    }
+}
+
+fn engine_error(error: HttpError) -> EngineCallError {
+    match error {
+        HttpError::NotConnected => EngineCallError::NotReached,
+        HttpError::Broken | HttpError::TimedOut => EngineCallError::Cut,
+        HttpError::Malformed => EngineCallError::Malformed,
+        HttpError::Status { status: 501, .. } => EngineCallError::Unsupported,
+        HttpError::Status { status, .. } if status < 500 || status == 503 => {
+            EngineCallError::Refused
+        }
+        HttpError::Status { .. } => EngineCallError::Cut,
+    }
+}
+
+/// The pieces of one answer.
+#[derive(Debug)]
+pub struct HttpPieces {
+    body: BodyStream<Incoming>,
+    buffer: BytesMut,
+    is_ended: bool,
+}
+
+impl HttpPieces {
+    /// Takes a whole line from the buffer.
+    fn take_line(&mut self) -> Option<Result<Piece, EngineCallError>> {
+        let end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+        let line = self.buffer.split_to(end);
+        self.buffer.advance(1);
+        let piece: Result<Piece, _> = serde_json::from_slice(&line);
+        if let Ok(piece) = &piece {
+            self.is_ended = matches!(piece.event, PieceEvent::End(_));
+        }
+        Some(piece.map_err(|_| EngineCallError::Malformed))
+    }
+}
+
+impl Stream for HttpPieces {
+    type Item = Result<Piece, EngineCallError>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        loop {
+            if self.is_ended {
+                return Poll::Ready(None);
+            }
+            if let Some(piece) = self.take_line() {
+                return Poll::Ready(Some(piece));
+            }
+            if self.buffer.len() > MAX_LINE_BYTES {
+                self.is_ended = true;
+                return Poll::Ready(Some(Err(EngineCallError::Malformed)));
+            }
+            match ready!(Pin::new(&mut self.body).poll_next(context)) {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.buffer.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(_)) | None => {
+                    self.is_ended = true;
+                    return Poll::Ready(Some(Err(EngineCallError::Cut)));
+                }
+            }
+        }
+    }
+}
+
+impl ModelEngine for HttpEngine {
+    type Pieces = HttpPieces;
+
+    async fn generate(&self, call: GenerateCall) -> Result<HttpPieces, EngineCallError> {
+        let response = self
+            .http
+            .post_streaming("/engine/generate", &call)
+            .await
+            .map_err(engine_error)?;
+        Ok(HttpPieces {
+            body: BodyStream::new(response.into_body()),
+            buffer: BytesMut::new(),
+            is_ended: false,
+        })
+    }
+
+    async fn cancel(
+        &self,
+        request: RequestId,
+        attempt: AttemptNumber,
+    ) -> Result<(), EngineCallError> {
+        let body = CancelBody {
+            request: request.to_string(),
+            attempt,
+        };
+        self.http
+            .post_json("/engine/cancel", &body, CALL_TIMEOUT)
+            .await
+            .map_err(engine_error)
+    }
+
+    async fn load(&self) -> Result<LoadReport, EngineCallError> {
+        self.http
+            .post_json("/engine/load", &(), CALL_TIMEOUT)
+            .await
+            .map_err(engine_error)
+    }
+
+    async fn cache_events(&self, sequence: u64) -> Result<Vec<CacheEvent>, EngineCallError> {
+        self.http
+            .post_json(
+                "/engine/cache-events",
+                &AfterBody { sequence },
+                CALL_TIMEOUT,
+            )
+            .await
+            .map_err(engine_error)
+    }
+
+    async fn export_kv(&self, blocks: Vec<u64>) -> Result<Vec<KvBlock>, EngineCallError> {
+        self.http
+            .post_json("/engine/kv/export", &blocks, CALL_TIMEOUT)
+            .await
+            .map_err(engine_error)
+    }
+
+    async fn import_kv(&self, blocks: Vec<KvBlock>) -> Result<(), EngineCallError> {
+        self.http
+            .post_json("/engine/kv/import", &blocks, CALL_TIMEOUT)
+            .await
+            .map_err(engine_error)
+    }
+
+    async fn order(&self, order: FencedOrder) -> Result<OrderReply, EngineCallError> {
+        self.http
+            .post_json("/engine/order", &order, CALL_TIMEOUT)
+            .await
+            .map_err(engine_error)
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/lib.rs
@@ -0,0 +1,25 @@
+//! Adapters to the platform, model engines and plain services.
+//!
+//! Each outside system stands behind one small trait; the HTTP adapters beside the
+//! traits hold no logic but the translation of calls, answers and errors.
+
+mod engine;
+mod http_client;
+mod http_engine;
+mod http_plain;
+mod http_platform;
+mod plain;
+mod platform;
+
+pub use engine::{
+    CacheChange, CacheEvent, EndReason, EngineCallError, FencedOrder, GenerateCall, KvBlock,
+    LoadReport, ModelEngine, Order, OrderReply, Piece, PieceEvent,
+};
+pub use http_client::{HttpClient, HttpError};
+pub use http_engine::HttpEngine;
+pub use http_plain::HttpPlainService;
+pub use http_platform::HttpPlatform;
+pub use plain::{PlainAnswer, PlainCall, PlainCallError, PlainService};
+pub use platform::{
+    KeyValue, KvCas, KvError, KvLease, KvValue, LeaseId, Revision, VmEntry, VmList, WeightStore,
+};
--- /dev/null
+++ b/crates/config/src/delta.rs
@@ -0,0 +1,152 @@
+//! Sections and deltas: what changes travels, not the whole document.
+//!
+//! A document of the design size is some 150 KB; at 2,900 changes a day, sending it
+//! whole would take 5 KB/s of each daemon's 2 KB/s. A section is one class, customer,
+//! kind or service; a delta holds the sections that changed.
+
+use crate::document::Document;
+use bridgevane_types::ConfigVersion;
+use derive_more::{Display, Error};
+use std::collections::BTreeMap;
+
+/// The document cut into sections: path (`customer.ravaton`) to TOML text.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Sections(pub BTreeMap<String, String>);
+
+/// One changed section.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SectionChange {
+    /// The section's path.
+    pub path: String,
+    /// Its new text; none: it was removed.
+    pub text: Option<String>,
+}
+
+/// What leads from one version to a later one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Delta {
+    /// The version that it applies to.
+    pub from: ConfigVersion,
+    /// The version that it gives.
+    pub to: ConfigVersion,
+    /// The changed sections.
+    pub changes: Vec<SectionChange>,
+    /// Digest of all sections of the later version.
+    pub digest: u64,
+}
+
+/// Why a delta or sections can't be used.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum DeltaError {
+    /// The delta starts at another version than the one at hand.
+    #[display("the delta starts at version {from}, version {have} is at hand")]
+    WrongBase {
+        /// Where the delta starts.
+        from: ConfigVersion,
+        /// What is at hand.
+        have: ConfigVersion,
+    },
+    /// The result isn't what the sender had.
+    #[display("the digest of the result differs from the sender's")]
+    DigestMismatch,
+    /// A section isn't valid TOML of the document.
+    #[display("the sections don't form a valid document")]
+    Malformed,
+}
+
+impl Sections {
+    /// Cuts `document`.
+    ///
+    /// # Errors
+    /// [`DeltaError::Malformed`] when the document can't be written as TOML.
+    pub fn of(document: &Document) -> Result<Self, DeltaError> {
+        let table = toml::Table::try_from(document).map_err(|_| DeltaError::Malformed)?;
+        let mut sections = BTreeMap::new();
+        for (family, entries) in table {
+            let toml::Value::Table(entries) = entries else {
+                return Err(DeltaError::Malformed);
+            };
+            for (name, value) in entries {
+                let text = toml::to_string(&value).map_err(|_| DeltaError::Malformed)?;
+                sections.insert(format!("{family}.{name}"), text);
+            }
+        }
+        Ok(Self(sections))
+    }
+
+    /// Puts the document together again.
+    ///
+    /// # Errors
+    /// [`DeltaError::Malformed`] when the sections don't form a checked document.
+    pub fn document(&self) -> Result<Document, DeltaError> {
+        let mut table = toml::Table::new();
+        for (path, text) in &self.0 {
+            let (family, name) = path.split_once('.').ok_or(DeltaError::Malformed)?;
+            let value: toml::Table = toml::from_str(text).map_err(|_| DeltaError::Malformed)?;
+            let entries = table
+                .entry(family.to_owned())
+                .or_insert_with(|| toml::Value::Table(toml::Table::new()));
+            let entries = entries.as_table_mut().ok_or(DeltaError::Malformed)?;
+            entries.insert(name.to_owned(), toml::Value::Table(value));
+        }
+        let document: Document = table.try_into().map_err(|_| DeltaError::Malformed)?;
+        document.check().map_err(|_| DeltaError::Malformed)?;
+        Ok(document)
+    }
+
+    /// A digest of all sections.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        for (path, text) in &self.0 {
+            hasher.update(path.as_bytes());
+            hasher.update(&[0]);
+            hasher.update(text.as_bytes());
+            hasher.update(&[0]);
+        }
+        hasher.digest()
+    }
+
+    /// The delta that leads from these sections, of version `from`, to `later` of version `to`.
+    pub fn delta_to(&self, later: &Sections, from: ConfigVersion, to: ConfigVersion) -> Delta {
+        let removed = self
+            .0
+            .keys()
+            .filter(|path| !later.0.contains_key(*path))
+            .map(|path| SectionChange {
+                path: path.clone(),
+                text: None,
+            });
+        let changed = later
+            .0
+            .iter()
+            .filter(|(path, text)| self.0.get(*path) != Some(text))
+            .map(|(path, text)| SectionChange {
+                path: path.clone(),
+                text: Some(text.clone()),
+            });
+        Delta {
+            from,
+            to,
+            changes: removed.chain(changed).collect(),
+            digest: later.digest(),
+        }
+    }
+
+    /// The sections after `delta`.
+    ///
+    /// # Errors
+    /// [`DeltaError::DigestMismatch`] when the result isn't what the sender had.
+    pub fn apply(&self, delta: &Delta) -> Result<Sections, DeltaError> {
+        let mut sections = self.clone();
+        for change in &delta.changes {
+            match &change.text {
+                Some(text) => sections.0.insert(change.path.clone(), text.clone()),
+                None => sections.0.remove(&change.path),
+            };
+        }
+        if sections.digest() != delta.digest {
+            return Err(DeltaError::DigestMismatch);
+        }
+        Ok(sections)
+    }
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,18 @@
+//! The operators' configuration document: its format, checks, sections and deltas.
+//!
+//! The document is TOML. [`Document::parse`] reads and checks it and reports every
+//! problem at once. [`Envelope`] is what the platform's key-value service holds: the
+//! document with its version and the operations that made it.
+
+mod check;
+mod delta;
+mod document;
+mod envelope;
+
+pub use check::{ConfigProblem, ConfigProblems};
+pub use delta::{Delta, DeltaError, SectionChange, Sections};
+pub use document::{
+    ClassConfig, CustomerConfig, Document, EngineConfig, KindConfig, RouteConfig, ServiceConfig,
+    ServiceKind,
+};
+pub use envelope::{AcceptedOperation, Envelope, EnvelopeError, OperationStatus};
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Coordination parts: membership, configuration replicas, leases, fences, budgets
--- /dev/null
+++ b/crates/protocol/src/greeting.rs
@@ -0,0 +1,128 @@
+//! The greeting: version, identity and proof of the shared key.
+
+use crate::codec::{FrameCodec, FrameError};
+use crate::generated::{Frame, Hello, Proof, frame::Body};
+use bytes::Bytes;
+use derive_more::{Display, Error, From};
+use futures_util::{SinkExt, StreamExt};
+use hmac::{Hmac, Mac};
+use prost::Message;
+use sha2::Sha256;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_util::codec::Framed;
+
+/// The version that this code speaks.
+pub const PROTOCOL_VERSION: u32 = 1;
+/// The oldest version that it still understands.
+pub const MIN_PROTOCOL_VERSION: u32 = 1;
+
+/// Which side of a connection proves: a proof can't be reflected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// The side that connected.
+    Caller,
+    /// The side that was connected to.
+    Listener,
+}
+
+impl Role {
+    fn other(self) -> Self {
+        match self {
+            Self::Caller => Self::Listener,
+            Self::Listener => Self::Caller,
+        }
+    }
+}
+
+/// Why a greeting failed.
+#[derive(Debug, Display, Error, From)]
+pub enum GreetingError {
+    /// A frame could not be read or written.
+    #[display("{_0}")]
+    #[from]
+    Frame(FrameError),
+    /// The connection ended during the greeting.
+    #[display("the connection ended during the greeting")]
+    Ended,
+    /// Another frame came where the greeting was due.
+    #[display("a frame other than the greeting came first")]
+    Unexpected,
+    /// The other side's version isn't understood here.
+    #[display("protocol version {_0} is not understood here")]
+    #[from(ignore)]
+    Version(#[error(not(source))] u32),
+    /// The other side doesn't know the shared key.
+    #[display("the other side doesn't know the shared key")]
+    WrongKey,
+}
+
+fn mac(key: &[u8], role: Role, caller: &Hello, listener: &Hello) -> Hmac<Sha256> {
+    // HMAC takes keys of any length.
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("any key length is accepted");
+    mac.update(&[role as u8]);
+    for hello in [caller, listener] {
+        let bytes = hello.encode_to_vec();
+        mac.update(&(bytes.len() as u32).to_be_bytes());
+        mac.update(&bytes);
+    }
+    mac
+}
+
+/// The proof that `role` gives over both greetings.
+pub fn prove(key: &[u8], role: Role, caller: &Hello, listener: &Hello) -> Bytes {
+    let tag = mac(key, role, caller, listener).finalize().into_bytes();
+    Bytes::copy_from_slice(&tag)
+}
+
+async fn receive<S>(frames: &mut Framed<S, FrameCodec>) -> Result<Frame, GreetingError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let frame = frames.next().await.ok_or(GreetingError::Ended)?;
+    Ok(frame?)
+}
+
+/// Greets as `role` and checks the other side; gives the other side's greeting.
+///
+/// # Errors
+/// [`GreetingError`]; the connection must then be closed.
+pub async fn greet<S>(
+    frames: &mut Framed<S, FrameCodec>,
+    role: Role,
+    own: Hello,
+    key: &[u8],
+) -> Result<Hello, GreetingError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let hello = Frame {
+        body: Some(Body::Hello(own.clone())),
+    };
+    frames.send(hello).await?;
+    let Some(Body::Hello(other)) = receive(frames).await?.body else {
+        return Err(GreetingError::Unexpected);
+    };
+    if other.protocol_version < MIN_PROTOCOL_VERSION {
+        return Err(GreetingError::Version(other.protocol_version));
+    }
+    let (caller, listener) = match role {
+        Role::Caller => (&own, &other),
+        Role::Listener => (&other, &own),
+    };
+    let proof = Proof {
+        mac: prove(key, role, caller, listener),
+    };
+    let expected = mac(key, role.other(), caller, listener);
+    frames
+        .send(Frame {
+            body: Some(Body::Proof(proof)),
+        })
+        .await?;
+    let Some(Body::Proof(proof)) = receive(frames).await?.body else {
+        return Err(GreetingError::Unexpected);
+    };
+    expected
+        .verify_slice(&proof.mac)
+        .map_err(|_| GreetingError::WrongKey)?;
+    Ok(other)
+}
--- /dev/null
+++ b/crates/protogen/src/main.rs
@@ -0,0 +1,7 @@
+//! Writes the message code of bridgevane-protocol anew.
+
+use bridgevane_protogen::{GenerateError, generate, protocol_package};
+
+fn main() -> Result<(), GenerateError> {
+    generate(&protocol_package().join("src/generated"))
+}
--- /dev/null
+++ b/crates/standins/src/engine_server.rs
@@ -0,0 +1,396 @@
+//! The engine stand-in: [`EngineModel`] driven by the clock, behind HTTP.
+
+use crate::answer_text::{answer_length, prompt_blocks, prompt_tokens, token_text};
+use crate::engine_model::{EngineModel, EngineSpec, Job, ModelEvent};
+use crate::fault::Fault;
+use axum::body::{Body, Bytes};
+use axum::extract::State;
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::post;
+use axum::{Json, Router};
+use bridgevane_adapters::{
+    CacheEvent, EndReason, FencedOrder, GenerateCall, KvBlock, LoadReport, OrderReply, Piece,
+    PieceEvent,
+};
+use bridgevane_types::{AttemptNumber, DurationMs, FenceToken, RequestId, Tokens};
+use derive_more::{Display, Error};
+use serde::Deserialize;
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Duration, Instant};
+
+/// What an engine stand-in is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineStandinSettings {
+    /// Speed and size.
+    pub spec: EngineSpec,
+    /// Whether it refuses orders with an old fencing token.
+    pub checks_fence: bool,
+}
+
+type Key = (RequestId, AttemptNumber);
+type PieceSender = mpsc::UnboundedSender<Result<Bytes, BrokenStream>>;
+
+/// The stream broke.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("the stream broke")]
+struct BrokenStream;
+
+struct Stream {
+    prompt: String,
+    sender: PieceSender,
+    cut_after: Option<u64>,
+}
+
+struct Engine {
+    model: EngineModel,
+    streams: HashMap<Key, Stream>,
+    reports: VecDeque<(Instant, LoadReport)>,
+    report_sequence: u64,
+    fault: Fault,
+    highest_fence: FenceToken,
+    highest_generation: u64,
+    orders: Vec<FencedOrder>,
+}
+
+/// The engine stand-in.
+#[derive(Clone)]
+pub struct EngineStandin {
+    engine: Arc<Mutex<Engine>>,
+    wake: Arc<Notify>,
+    started: Instant,
+    settings: EngineStandinSettings,
+}
+
+/// Load reports that are kept to serve them late.
+const MAX_REPORTS: usize = 512;
+/// How often a load report is made.
+const REPORT_EVERY: Duration = Duration::from_millis(50);
+
+#[derive(Deserialize)]
+struct CancelBody {
+    request: String,
+    attempt: AttemptNumber,
+}
+
+#[derive(Deserialize)]
+struct AfterBody {
+    sequence: u64,
+}
+
+impl EngineStandin {
+    /// An idle engine; its steps run as a task of the current runtime.
+    pub fn new(settings: EngineStandinSettings) -> Self {
+        let engine = Engine {
+            model: EngineModel::new(settings.spec),
+            streams: HashMap::new(),
+            reports: VecDeque::new(),
+            report_sequence: 0,
+            fault: Fault::default(),
+            highest_fence: FenceToken(0),
+            highest_generation: 0,
+            orders: Vec::new(),
+        };
+        let standin = Self {
+            engine: Arc::new(Mutex::new(engine)),
+            wake: Arc::new(Notify::new()),
+            started: Instant::now(),
+            settings,
+        };
+        tokio::spawn(standin.clone().run_steps());
+        tokio::spawn(standin.clone().make_reports());
+        standin
+    }
+
+    /// The stand-in's routes.
+    pub fn router(&self) -> Router {
+        Router::new()
+            .route("/engine/generate", post(generate))
+            .route("/engine/cancel", post(cancel))
+            .route("/engine/load", post(load))
+            .route("/engine/cache-events", post(cache_events))
+            .route("/engine/kv/export", post(export_kv))
+            .route("/engine/kv/import", post(import_kv))
+            .route("/engine/order", post(order))
+            .route("/standin/fault", post(set_fault))
+            .with_state(self.clone())
+    }
+
+    /// Sets what is wrong.
+    pub fn set_fault(&self, fault: Fault) {
+        let mut engine = self.lock();
+        engine.fault = fault;
+        let slowdown = if fault.slowdown > 0.0 {
+            fault.slowdown
+        } else {
+            1.0
+        };
+        engine.model.set_slowdown(slowdown);
+        if fault.crash {
+            engine.model.clear();
+            for (_, stream) in engine.streams.drain() {
+                let _ = stream.sender.send(Err(BrokenStream));
+            }
+        }
+    }
+
+    /// Tokens that it made so far.
+    pub fn decoded_tokens(&self) -> Tokens {
+        self.lock().model.decoded_tokens()
+    }
+
+    /// Orders that it took.
+    pub fn orders(&self) -> Vec<FencedOrder> {
+        self.lock().orders.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Engine> {
+        self.engine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_us(&self) -> u64 {
+        self.started.elapsed().as_micros() as u64
+    }
+
+    async fn run_steps(self) {
+        let mut events = Vec::new();
+        loop {
+            let step_ends_us = self.lock().model.step_ends_us();
+            let Some(step_ends_us) = step_ends_us else {
+                self.wake.notified().await;
+                continue;
+            };
+            let deadline = self.started + Duration::from_micros(step_ends_us);
+            tokio::time::sleep_until(deadline).await;
+            let mut engine = self.lock();
+            if engine.model.step_ends_us() != Some(step_ends_us) {
+                continue;
+            }
+            events.clear();
+            engine.model.step(step_ends_us, &mut events);
+            engine.deliver(&events);
+        }
+    }
+
+    async fn make_reports(self) {
+        loop {
+            {
+                let mut engine = self.lock();
+                engine.report_sequence += 1;
+                let mut report = engine.model.load();
+                report.sequence = engine.report_sequence;
+                engine.reports.push_back((Instant::now(), report));
+                if engine.reports.len() > MAX_REPORTS {
+                    engine.reports.pop_front();
+                }
+            }
+            tokio::time::sleep(REPORT_EVERY).await;
+        }
+    }
+
+    /// Waits as the fault says; refuses when it is down.
+    async fn admit(&self) -> Result<(), StatusCode> {
+        let fault = self.lock().fault;
+        if fault.is_down || fault.crash {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if fault.delay_ms.0 > 0 {
+            tokio::time::sleep(fault.delay_ms.as_std()).await;
+        }
+        Ok(())
+    }
+}
+
+impl Engine {
+    fn deliver(&mut self, events: &[ModelEvent]) {
+        for event in events {
+            let (key, offset) = match event {
+                ModelEvent::Token {
+                    request,
+                    attempt,
+                    offset,
+                }
+                | ModelEvent::End {
+                    request,
+                    attempt,
+                    offset,
+                    ..
+                } => ((*request, *attempt), *offset),
+            };
+            let Some(stream) = self.streams.get(&key) else {
+                continue;
+            };
+            let content = match event {
+                ModelEvent::Token { .. } => PieceEvent::Token(token_text(&stream.prompt, offset)),
+                ModelEvent::End { reason, .. } => PieceEvent::End(*reason),
+            };
+            let is_end = matches!(content, PieceEvent::End(_));
+            let is_cut = stream.cut_after.is_some_and(|limit| offset >= limit);
+            let sent = if is_cut {
+                stream.sender.send(Err(BrokenStream))
+            } else {
+                stream.sender.send(Ok(line(key, offset, content)))
+            };
+            if is_end || is_cut {
+                self.streams.remove(&key);
+            }
+            if is_cut || sent.is_err() {
+                self.streams.remove(&key);
+                self.model.cancel(key.0, key.1);
+            }
+        }
+    }
+
+    fn begin_faults(&mut self, key: Key, call: &GenerateCall, sender: &PieceSender) -> Option<u64> {
+        let first = PieceEvent::Token(token_text(&call.prompt, call.resume_from.0));
+        if Fault::take_one(&mut self.fault.cross_pieces) {
+            let other = (RequestId(key.0.0 ^ 1), key.1);
+            let _ = sender.send(Ok(line(other, 0, first.clone())));
+        }
+        if Fault::take_one(&mut self.fault.duplicate_pieces) {
+            let _ = sender.send(Ok(line(key, call.resume_from.0, first)));
+        }
+        self.fault.cut_after_tokens.take()
+    }
+}
+
+/// One piece as a line of the answer.
+fn line(key: Key, offset: u64, event: PieceEvent) -> Bytes {
+    let piece = Piece {
+        request: key.0,
+        attempt: key.1,
+        offset: Tokens(offset),
+        event,
+    };
+    let mut text = serde_json::to_vec(&piece).unwrap_or_default();
+    text.push(b'\n');
+    Bytes::from(text)
+}
+
+/// The job of a call.
+fn job(call: &GenerateCall) -> Job {
+    let length = answer_length(&call.prompt);
+    let is_limited = length > call.max_tokens.0;
+    Job {
+        request: call.request,
+        attempt: call.attempt,
+        priority: call.priority,
+        blocks: prompt_blocks(&call.prompt),
+        prompt_tokens: prompt_tokens(&call.prompt),
+        resume_from: call.resume_from.0,
+        total_tokens: length.min(call.max_tokens.0),
+        end: if is_limited {
+            EndReason::Length
+        } else {
+            EndReason::Stop
+        },
+    }
+}
+
+async fn generate(
+    State(standin): State<EngineStandin>,
+    Json(call): Json<GenerateCall>,
+) -> Result<Response, StatusCode> {
+    standin.admit().await?;
+    let (sender, receiver) = mpsc::unbounded_channel();
+    {
+        let mut engine = standin.lock();
+        let key = (call.request, call.attempt);
+        let cut_after = engine.begin_faults(key, &call, &sender);
+        let now_us = standin.now_us();
+        engine.model.submit(now_us, job(&call));
+        let prompt = call.prompt;
+        let stream = Stream {
+            prompt,
+            sender,
+            cut_after,
+        };
+        engine.streams.insert(key, stream);
+    }
+    standin.wake.notify_one();
+    let pieces = tokio_stream::wrappers::UnboundedReceiverStream::new(receiver);
+    Ok(Body::from_stream(pieces).into_response())
+}
+
+async fn cancel(
+    State(standin): State<EngineStandin>,
+    Json(body): Json<CancelBody>,
+) -> Result<Json<()>, StatusCode> {
+    standin.admit().await?;
+    let request: RequestId = body.request.parse().map_err(|_| StatusCode::BAD_REQUEST)?;
+    let mut engine = standin.lock();
+    engine.model.cancel(request, body.attempt);
+    engine.streams.remove(&(request, body.attempt));
+    Ok(Json(()))
+}
+
+async fn load(State(standin): State<EngineStandin>) -> Result<Json<LoadReport>, StatusCode> {
+    standin.admit().await?;
+    let engine = standin.lock();
+    let wanted = Instant::now() - engine.fault.load_lag_ms.as_std();
+    let found = engine.reports.iter().rev().find(|(at, _)| *at <= wanted);
+    let Some((at, report)) = found.or(engine.reports.front()) else {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let age_ms = DurationMs(at.elapsed().as_millis() as u64);
+    Ok(Json(LoadReport { age_ms, ..*report }))
+}
+
+async fn cache_events(
+    State(standin): State<EngineStandin>,
+    Json(body): Json<AfterBody>,
+) -> Result<Json<Vec<CacheEvent>>, StatusCode> {
+    standin.admit().await?;
+    let mut engine = standin.lock();
+    let mut events = engine.model.cache_events_after(body.sequence);
+    let lost = events.len().min(engine.fault.lose_cache_events as usize);
+    engine.fault.lose_cache_events -= lost as u32;
+    events.drain(..lost);
+    Ok(Json(events))
+}
+
+async fn export_kv(
+    State(standin): State<EngineStandin>,
+    Json(blocks): Json<Vec<u64>>,
+) -> Result<Json<Vec<KvBlock>>, StatusCode> {
+    standin.admit().await?;
+    let tokens = Tokens(standin.settings.spec.block_tokens);
+    let cached = standin.lock().model.cached_among(&blocks);
+    let exported = cached.into_iter().map(|block| KvBlock { block, tokens });
+    Ok(Json(exported.collect()))
+}
+
+async fn import_kv(
+    State(standin): State<EngineStandin>,
+    Json(blocks): Json<Vec<KvBlock>>,
+) -> Result<Json<()>, StatusCode> {
+    standin.admit().await?;
+    let blocks: Vec<u64> = blocks.into_iter().map(|block| block.block).collect();
+    standin.lock().model.import(&blocks);
+    Ok(Json(()))
+}
+
+async fn order(
+    State(standin): State<EngineStandin>,
+    Json(order): Json<FencedOrder>,
+) -> Result<Json<OrderReply>, StatusCode> {
+    standin.admit().await?;
+    let mut engine = standin.lock();
+    let is_old = order.fence < engine.highest_fence;
+    if standin.settings.checks_fence && is_old {
+        return Ok(Json(OrderReply::Fenced));
+    }
+    if order.generation < engine.highest_generation {
+        return Ok(Json(OrderReply::Fenced));
+    }
+    engine.highest_fence = engine.highest_fence.max(order.fence);
+    engine.highest_generation = order.generation;
+    engine.orders.push(order);
+    Ok(Json(OrderReply::Done))
+}
+
+async fn set_fault(State(standin): State<EngineStandin>, Json(fault): Json<Fault>) {
+    standin.set_fault(fault);
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,21 @@
+//! Stand-ins of the platform, model engines and plain services.
+//!
+//! They answer the same contracts as the real systems, on loopback, with faults that
+//! tests and the demo switch on. [`EngineModel`] is the pure part of the engine: the
+//! HTTP stand-in drives it by the clock, benchmarks drive it in virtual time.
+
+mod answer_text;
+mod engine_model;
+mod engine_server;
+mod fault;
+mod plain_server;
+mod platform_server;
+mod serving;
+
+pub use answer_text::{answer_length, prompt_blocks, prompt_tokens, token_text};
+pub use engine_model::{EngineModel, EngineSpec, Job, ModelEvent};
+pub use engine_server::{EngineStandin, EngineStandinSettings};
+pub use fault::Fault;
+pub use plain_server::PlainStandin;
+pub use platform_server::{PlatformSettings, PlatformStandin};
+pub use serving::{Served, StandinError, serve};
--- /dev/null
+++ b/crates/standins/src/plain_server.rs
@@ -0,0 +1,118 @@
+//! The plain service stand-in: it counts how often each call ran.
+
+use crate::fault::Fault;
+use axum::body::Bytes;
+use axum::extract::{Request, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::{any, post};
+use axum::{Json, Router};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+#[derive(Default)]
+struct Plain {
+    runs_of_key: BTreeMap<String, u64>,
+    answers: BTreeMap<String, u64>,
+    runs: u64,
+    fault: Fault,
+}
+
+/// The plain service stand-in.
+#[derive(Clone, Default)]
+pub struct PlainStandin {
+    plain: Arc<Mutex<Plain>>,
+    deduplicates: bool,
+}
+
+impl PlainStandin {
+    /// A service that recognises a repeated key by itself, or doesn't.
+    pub fn new(deduplicates: bool) -> Self {
+        Self {
+            plain: Arc::default(),
+            deduplicates,
+        }
+    }
+
+    /// The stand-in's routes.
+    pub fn router(&self) -> Router {
+        Router::new()
+            .route("/standin/fault", post(set_fault))
+            .route("/standin/runs", post(read_runs))
+            .fallback(any(call))
+            .with_state(self.clone())
+    }
+
+    /// How often each key ran.
+    pub fn runs_of_key(&self) -> BTreeMap<String, u64> {
+        self.lock().runs_of_key.clone()
+    }
+
+    /// Sets what is wrong.
+    pub fn set_fault(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Plain> {
+        self.plain.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs a call; the second value tells whether its answer gets lost.
+    fn run(&self, key: Option<&str>) -> (u64, bool) {
+        let mut plain = self.lock();
+        let repeated = key.and_then(|key| plain.answers.get(key).copied());
+        if let (true, Some(answer)) = (self.deduplicates, repeated) {
+            return (answer, false);
+        }
+        plain.runs += 1;
+        let run = plain.runs;
+        if let Some(key) = key {
+            *plain.runs_of_key.entry(key.to_owned()).or_default() += 1;
+            plain.answers.insert(key.to_owned(), run);
+        }
+        (run, Fault::take_one(&mut plain.fault.lose_answers))
+    }
+}
+
+async fn call(State(standin): State<PlainStandin>, request: Request) -> Response {
+    let fault = standin.lock().fault;
+    if fault.is_down {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let key = idempotency_key(&request);
+    let path = request.uri().path().to_owned();
+    let body: Bytes = match axum::body::to_bytes(request.into_body(), 1 << 20).await {
+        Ok(body) => body,
+        Err(_) => return StatusCode::PAYLOAD_TOO_LARGE.into_response(),
+    };
+    let (run, is_answer_lost) = standin.run(key.as_deref());
+    if fault.delay_ms.0 > 0 {
+        tokio::time::sleep(fault.delay_ms.as_std()).await;
+    }
+    if is_answer_lost {
+        return cut_answer();
+    }
+    Json(json!({ "path": path, "run": run, "bytes": body.len() })).into_response()
+}
+
+fn idempotency_key(request: &Request) -> Option<String> {
+    let value = request.headers().get("idempotency-key")?;
+    value.to_str().ok().map(str::to_owned)
+}
+
+/// An answer whose connection breaks before its end.
+fn cut_answer() -> Response {
+    let cut = futures_util::stream::once(async {
+        Err::<Bytes, _>(std::io::Error::from(std::io::ErrorKind::ConnectionReset))
+    });
+    axum::body::Body::from_stream(cut).into_response()
+}
+
+async fn set_fault(State(standin): State<PlainStandin>, Json(fault): Json<Fault>) {
+    standin.set_fault(fault);
+}
+
+async fn read_runs(State(standin): State<PlainStandin>) -> Json<BTreeMap<String, u64>> {
+    Json(standin.runs_of_key())
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,20 @@
+//! Identifiers, sizes, rates and outcomes that every bridgevane package shares.
+//!
+//! Every identifier, size and rate is a newtype with `Display` and `FromStr`,
+//! so that a value of one meaning can't be passed where another is expected.
+
+mod ids;
+mod outcome;
+mod sizes;
+mod time;
+
+pub use ids::{
+    AttemptNumber, ClassName, ConfigVersion, CustomerId, DataCentreId, EngineId, FenceToken,
+    IdempotencyKey, Incarnation, KindName, ModelName, OperationId, OperatorName, RequestId,
+    ServiceName, VmId,
+};
+pub use outcome::{Outcome, RefusalCode};
+pub use sizes::{
+    Bytes, BytesPerSecond, CallsPerSecond, Share, Slots, Tier, Tokens, TokensPerSecond,
+};
+pub use time::{DurationMs, TimeMs};
