feat(decisions): one pool's admission, order, routing, limits, retries, resumption

Cause: who is served, when and where has to be decided by the same code in the daemon, tests and benchmarks.

Change: a pure Pool (time and observations in, effects out) made of small modules with settings beside them: fair queue by customer, guaranteed shares, ageing, preemption of the cheapest lower-tier work, lagged reports corrected by own work, prefix hints, learnt concurrency, health by comparison and silence (statig), retry budgets, request life (statig). Decisions go to a log; the promises are predicates over it.

Conclusion: lands as the interface for the daemon; no claim about quality.

--- /dev/null
+++ b/crates/decisions/src/lib.rs
@@ -0,0 +1,27 @@
+//! Pure decisions: which engine serves a request, when it runs, whether it is refused.
+//!
+//! Time, randomness and observations are passed in, effects are passed out, so that the
+//! daemon, the tests and the benchmarks run the same code. [`Pool`] decides for one service
+//! in one data centre; the parts that it is made of are in `modules`, each with its settings
+//! in `configs`.
+
+pub mod configs;
+mod context;
+mod decision_log;
+mod effect;
+mod event;
+mod index;
+mod modules;
+mod policy;
+mod pool;
+mod promises;
+
+pub use context::Context;
+pub use decision_log::{Decision, DecisionLog, DecisionRecord, NoLog, Recorder};
+pub use effect::{CancelCause, Effect};
+pub use event::{AttemptEnd, Offer, Policy};
+pub use index::{ClassIx, CustomerIx, EngineIx, KindIx};
+pub use modules::engine_health::HealthState;
+pub use policy::{ClassPolicy, CustomerPolicy, EnginePolicy, PoolPolicy};
+pub use pool::{ClassView, EngineView, Pool, RequestView};
+pub use promises::{BrokenPromise, check_promises};
--- /dev/null
+++ b/crates/decisions/src/modules/customer_limits.rs
@@ -0,0 +1,81 @@
+//! Limits by customer: output tokens a second and requests in flight.
+
+use crate::index::CustomerIx;
+use crate::policy::CustomerPolicy;
+use bridgevane_types::{DurationMs, TimeMs};
+
+/// Seconds of its rate that a customer may use at once.
+const BURST_S: f64 = 10.0;
+/// How long a caller waits when only the concurrency limit is reached.
+const CONCURRENCY_RETRY_MS: u64 = 1_000;
+
+#[derive(Clone, Debug, Default)]
+struct Usage {
+    in_flight: u32,
+    spent_tokens: f64,
+    updated_at: TimeMs,
+}
+
+/// What customers use now.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CustomerLimits {
+    usage: Vec<Usage>,
+}
+
+impl CustomerLimits {
+    fn usage(&mut self, customer: CustomerIx) -> &mut Usage {
+        if self.usage.len() <= customer.at() {
+            self.usage.resize_with(customer.at() + 1, Usage::default);
+        }
+        &mut self.usage[customer.at()]
+    }
+
+    /// Takes a request in, or tells when to come back.
+    pub(crate) fn admit(
+        &mut self,
+        now: TimeMs,
+        customer: CustomerIx,
+        policy: &CustomerPolicy,
+        expected_tokens: f64,
+    ) -> Result<(), DurationMs> {
+        let usage = self.usage(customer);
+        if policy
+            .concurrency_limit
+            .is_some_and(|limit| usage.in_flight >= limit.0)
+        {
+            return Err(DurationMs(CONCURRENCY_RETRY_MS));
+        }
+        if let Some(rate) = policy.rate_limit_tps {
+            let elapsed_s = now.since(usage.updated_at).0 as f64 / 1000.0;
+            usage.spent_tokens = (usage.spent_tokens - elapsed_s * rate.0).max(0.0);
+            usage.updated_at = now;
+            let excess = usage.spent_tokens + expected_tokens - BURST_S * rate.0;
+            // A single answer longer than the whole burst is let through when nothing is owed.
+            if excess > 0.0 && usage.spent_tokens > 0.0 {
+                return Err(DurationMs((excess / rate.0.max(0.001) * 1000.0) as u64));
+            }
+            usage.spent_tokens += expected_tokens;
+        }
+        usage.in_flight += 1;
+        Ok(())
+    }
+
+    /// Gives a request back, with the tokens that it really took.
+    pub(crate) fn release(&mut self, customer: CustomerIx, expected_tokens: f64, tokens: f64) {
+        let usage = self.usage(customer);
+        usage.in_flight = usage.in_flight.saturating_sub(1);
+        usage.spent_tokens = (usage.spent_tokens + tokens - expected_tokens).max(0.0);
+    }
+
+    /// Counts a request that was taken in elsewhere.
+    pub(crate) fn adopt(&mut self, customer: CustomerIx) {
+        self.usage(customer).in_flight += 1;
+    }
+
+    /// Requests in flight of a customer.
+    pub(crate) fn in_flight(&self, customer: CustomerIx) -> u32 {
+        self.usage
+            .get(customer.at())
+            .map_or(0, |usage| usage.in_flight)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/pool/dispatch.rs
@@ -0,0 +1,305 @@
+//! Which waiting request goes next, and to which engine.
+
+use super::entry::Running;
+use super::{Engine, Pool};
+use crate::context::Context;
+use crate::decision_log::{Decision, DecisionLog};
+use crate::effect::Effect;
+use crate::event::Offer;
+use crate::index::{ClassIx, EngineIx};
+use crate::modules::request_life::LifeEvent;
+use bridgevane_types::{RequestId, Tokens};
+use rand::RngExt;
+
+/// The class that goes next, and on what ground.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Turn {
+    class: ClassIx,
+    is_aged: bool,
+    is_owed: bool,
+}
+
+/// An engine with what it would have to process.
+#[derive(Clone, Copy, Debug)]
+struct Choice {
+    engine: EngineIx,
+    cached_tokens: u64,
+    cost_ms: f64,
+}
+
+impl Pool {
+    /// Sends waiting requests while there is room.
+    pub(super) fn dispatch_all<L: DecisionLog>(&mut self, context: &mut Context<'_, L>) {
+        while self.queued > 0 {
+            let Some(turn) = self.next_turn(context) else {
+                return;
+            };
+            let Some(request) = self.classes[turn.class.at()].queue.peek() else {
+                return;
+            };
+            let Some(choice) = self.choose_engine(context, request) else {
+                return;
+            };
+            self.send(context, turn, request, choice);
+        }
+    }
+
+    /// The class that goes next: one whose longest wait is reached, else one that is owed
+    /// its guaranteed part, else the most important; within a tier the earliest deadline.
+    fn next_turn<L: DecisionLog>(&self, context: &Context<'_, L>) -> Option<Turn> {
+        if let Some(class) = self.aged_class(context) {
+            return Some(Turn {
+                class,
+                is_aged: true,
+                is_owed: false,
+            });
+        }
+        let is_owed = |class: &&ClassIx| {
+            let waiting = &self.classes[class.at()];
+            !waiting.queue.is_empty() && waiting.share.is_owed()
+        };
+        if let Some(class) = self.class_order.iter().find(is_owed) {
+            return Some(Turn {
+                class: *class,
+                is_aged: false,
+                is_owed: true,
+            });
+        }
+        let mut best: Option<(ClassIx, u64)> = None;
+        for class in &self.class_order {
+            let Some(head) = self.classes[class.at()].queue.peek() else {
+                continue;
+            };
+            let tier = self.class_policy(*class).tier;
+            if best.is_some_and(|(other, _)| self.class_policy(other).tier < tier) {
+                break;
+            }
+            let deadline = self.requests.get(&head).map_or(0, |entry| entry.deadline.0);
+            if best.is_none_or(|(_, earliest)| deadline < earliest) {
+                best = Some((*class, deadline));
+            }
+        }
+        best.map(|(class, _)| Turn {
+            class,
+            is_aged: false,
+            is_owed: false,
+        })
+    }
+
+    fn aged_class<L: DecisionLog>(&self, context: &Context<'_, L>) -> Option<ClassIx> {
+        let aged_running: u32 = self.classes.iter().map(|class| class.aged_running).sum();
+        let per_aged = f64::from(context.settings.admission.slots_per_aged);
+        let allowed = (self.total_slots / per_aged).max(1.0) as u32;
+        if aged_running >= allowed {
+            return None;
+        }
+        let is_aged = |class: &&ClassIx| {
+            let Some(head) = self.classes[class.at()].queue.peek() else {
+                return false;
+            };
+            let Some(entry) = self.requests.get(&head) else {
+                return false;
+            };
+            let waited_ms = context.now.since(entry.waits_since).0;
+            let is_lowest_running = self.classes[class.at()].aged_running == 0;
+            is_lowest_running && waited_ms >= self.max_wait_ms(**class, context.settings)
+        };
+        // The most important class never needs it: it goes first by its tier.
+        self.class_order.iter().skip(1).find(is_aged).copied()
+    }
+
+    /// The cheapest engine with room: prompt tokens to process, then load.
+    fn choose_engine<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        request: RequestId,
+    ) -> Option<Choice> {
+        let entry = self.requests.get(&request)?;
+        let avoid = entry.avoid;
+        let tokens = entry.offer.prompt_tokens.0 + entry.delivered;
+        let mut best: Option<Choice> = None;
+        if context.settings.routing.is_cache_aware {
+            let memory_ms = context.settings.routing.block_memory_ms;
+            let holders = self
+                .cache
+                .holders_of(context.now, &entry.offer.blocks, memory_ms);
+            for (engine, blocks) in holders.into_iter().flatten() {
+                let cached_tokens = cached_tokens(&entry.offer, blocks);
+                let choice = self.price(context, engine, tokens, cached_tokens, avoid);
+                best = cheaper(best, choice);
+            }
+        }
+        let count = self.engines.len() as u32;
+        // Ties go to the first engine seen, so each look starts elsewhere.
+        let start = self.rng.random_range(0..count.max(1));
+        let looks = context
+            .settings
+            .routing
+            .choices
+            .map_or(count, |choices| choices.min(count));
+        let is_sampled = looks < count;
+        for look in 0..looks {
+            let at = if is_sampled {
+                self.rng.random_range(0..count)
+            } else {
+                (start + look) % count
+            };
+            best = cheaper(best, self.price(context, EngineIx(at), tokens, 0, avoid));
+        }
+        if best.is_none() && is_sampled {
+            // None of the sampled engines has room: take any that has.
+            for look in 0..count {
+                let at = EngineIx((start + look) % count);
+                best = cheaper(best, self.price(context, at, tokens, 0, avoid));
+            }
+        }
+        best
+    }
+
+    fn price<L: DecisionLog>(
+        &self,
+        context: &Context<'_, L>,
+        at: EngineIx,
+        tokens: u64,
+        cached_tokens: u64,
+        avoid: Option<EngineIx>,
+    ) -> Option<Choice> {
+        const COST_OF_AVOIDED_MS: f64 = 100_000.0;
+        let engine = self.engines.get(at.at())?;
+        if self.free_slots(context.settings, engine) == 0 {
+            return None;
+        }
+        let uncached = tokens.saturating_sub(cached_tokens);
+        let prefill_ms = self.estimates.prefill_ms(uncached);
+        let queueing_ms = prefill_ms * f64::from(engine.prefilling);
+        let load = f64::from(engine.load.total()) / f64::from(engine.limit.slots().max(1));
+        let avoided_ms = if avoid == Some(at) {
+            COST_OF_AVOIDED_MS
+        } else {
+            0.0
+        };
+        let load_ms = load * context.settings.routing.load_cost_ms;
+        Some(Choice {
+            engine: at,
+            cached_tokens,
+            cost_ms: prefill_ms + queueing_ms + load_ms + avoided_ms,
+        })
+    }
+
+    /// Sends `request`, the head of its class's queue, to the chosen engine.
+    fn send<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        turn: Turn,
+        request: RequestId,
+        choice: Choice,
+    ) {
+        let class = &mut self.classes[turn.class.at()];
+        class.queue.pop();
+        self.queued -= 1;
+        self.start(context, turn, request, choice);
+    }
+
+    /// Sends `request`, which stands in no queue, to an engine whose slot was just cleared.
+    pub(super) fn send_to<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        request: RequestId,
+        engine: EngineIx,
+    ) {
+        let Some(class) = self.requests.get(&request).map(|entry| entry.offer.class) else {
+            return;
+        };
+        let turn = Turn {
+            class,
+            is_aged: false,
+            is_owed: false,
+        };
+        let choice = Choice {
+            engine,
+            cached_tokens: 0,
+            cost_ms: 0.0,
+        };
+        self.start(context, turn, request, choice);
+    }
+
+    fn start<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        turn: Turn,
+        request: RequestId,
+        choice: Choice,
+    ) {
+        let Some(entry) = self.requests.get(&request) else {
+            return;
+        };
+        let charged_ms = self.work_ms(entry);
+        let policy = &self.policy.classes[turn.class.at()];
+        let tier = policy.tier;
+        let Some(entry) = self.requests.get_mut(&request) else {
+            return;
+        };
+        entry.life.handle(LifeEvent::Dispatch);
+        let attempt = entry.life.attempt();
+        let is_protected = turn.is_aged || turn.is_owed;
+        let can_be_victim = entry.offer.is_preemptible && !is_protected;
+        let victim_cost = can_be_victim.then(|| entry.resume_cost());
+        let tokens = entry.offer.prompt_tokens.0 + entry.delivered;
+        entry.running = Some(Running {
+            engine: choice.engine,
+            since: context.now,
+            uncached_tokens: tokens.saturating_sub(choice.cached_tokens),
+            is_aged: turn.is_aged,
+            victim_cost,
+            heard_at: context.now,
+            charged_ms,
+        });
+        if let Some(cost) = victim_cost {
+            self.victims.insert(tier, cost, request);
+        }
+        let class = &mut self.classes[turn.class.at()];
+        class.aged_running += u32::from(turn.is_aged);
+        class.used_since_tick_ms += charged_ms;
+        if policy.min_share.0 > 0.0 {
+            class.share.charge(charged_ms);
+        }
+        occupy(&mut self.engines[choice.engine.at()], context.now, request);
+        self.started.push_back((request, attempt));
+        context.record(Decision::Dispatched {
+            request,
+            attempt,
+            engine: choice.engine,
+            cached_tokens: Tokens(choice.cached_tokens),
+            is_protected,
+        });
+        context.effects.push(Effect::Dispatch {
+            request,
+            attempt,
+            engine: choice.engine,
+            priority: tier,
+            resume_from: Tokens(entry.delivered),
+        });
+    }
+}
+
+fn occupy(engine: &mut Engine, now: bridgevane_types::TimeMs, request: RequestId) {
+    if engine.load.in_flight() == 0 {
+        engine.heard_at = now;
+    }
+    engine.load.add(now);
+    engine.limit.note_use(engine.load.total());
+    engine.prefilling += 1;
+    engine.running.push(request);
+}
+
+fn cached_tokens(offer: &Offer, blocks: u32) -> u64 {
+    (u64::from(blocks) * u64::from(offer.block_tokens)).min(offer.prompt_tokens.0)
+}
+
+fn cheaper(best: Option<Choice>, choice: Option<Choice>) -> Option<Choice> {
+    match (best, choice) {
+        (Some(best), Some(choice)) if best.cost_ms <= choice.cost_ms => Some(best),
+        (best, None) => best,
+        (_, choice) => choice,
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/pool/entry.rs
@@ -0,0 +1,74 @@
+//! A request inside a pool.
+
+use crate::event::Offer;
+use crate::index::EngineIx;
+use crate::modules::request_life::{LifeEvent, RequestLife};
+use bridgevane_types::TimeMs;
+
+/// A running attempt.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Running {
+    pub(super) engine: EngineIx,
+    pub(super) since: TimeMs,
+    /// Prompt and delivered tokens that the engine had to process first.
+    pub(super) uncached_tokens: u64,
+    /// Runs because its class's longest wait was reached.
+    pub(super) is_aged: bool,
+    /// The cost under which it stands among the preemptible; none: it isn't there.
+    pub(super) victim_cost: Option<u64>,
+    pub(super) heard_at: TimeMs,
+    /// Slot-milliseconds that were charged for it.
+    pub(super) charged_ms: f64,
+}
+
+/// A request.
+pub(super) struct Entry {
+    pub(super) offer: Offer,
+    pub(super) life: RequestLife,
+    pub(super) arrived_at: TimeMs,
+    /// When it last began to wait.
+    pub(super) waits_since: TimeMs,
+    pub(super) deadline: TimeMs,
+    pub(super) delivered: u64,
+    pub(super) expected_tokens: f64,
+    pub(super) running: Option<Running>,
+    /// The engine that failed it last: another one is preferred.
+    pub(super) avoid: Option<EngineIx>,
+    /// Some attempt may have run.
+    pub(super) may_have_run: bool,
+    pub(super) preemptions: u32,
+}
+
+impl Entry {
+    pub(super) fn new(offer: Offer, now: TimeMs, deadline: TimeMs, expected_tokens: f64) -> Self {
+        Self {
+            offer,
+            life: RequestLife::new(),
+            arrived_at: now,
+            waits_since: now,
+            deadline,
+            delivered: 0,
+            expected_tokens,
+            running: None,
+            avoid: None,
+            may_have_run: false,
+            preemptions: 0,
+        }
+    }
+
+    /// Puts the request back to waiting.
+    pub(super) fn return_to_queue(&mut self, now: TimeMs) {
+        self.life.handle(LifeEvent::Return);
+        self.waits_since = now;
+        self.running = None;
+    }
+
+    /// Tokens that a resumption would have to process: prompt and what was delivered.
+    pub(super) fn resume_cost(&self) -> u64 {
+        // Each preemption makes the next one dearer, so that no request is cut for ever.
+        const COST_OF_PREEMPTION: u64 = 4_096;
+        const COARSE: u64 = 64;
+        let tokens = self.offer.prompt_tokens.0 + self.delivered / COARSE * COARSE;
+        tokens + u64::from(self.preemptions) * COST_OF_PREEMPTION
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/pool/maintain.rs
@@ -0,0 +1,240 @@
+//! What happens as time passes: credits, health checks, limits, late requests.
+
+use super::Pool;
+use crate::context::Context;
+use crate::decision_log::DecisionLog;
+use crate::index::{ClassIx, EngineIx};
+use crate::modules::engine_health::{HealthContext, HealthEvent, HealthState};
+use crate::modules::request_life::LifeState;
+use bridgevane_types::{DurationMs, RefusalCode};
+
+impl Pool {
+    pub(super) fn maintain<L: DecisionLog>(&mut self, context: &mut Context<'_, L>) {
+        let elapsed_ms = context.now.since(self.ticked_at).0;
+        self.ticked_at = context.now;
+        self.accrue_shares(context);
+        self.measure_use(elapsed_ms);
+        self.check_engines(context);
+        self.check_started(context);
+        self.dispatch_all(context);
+        self.rescue_waiting(context);
+    }
+
+    fn accrue_shares<L: DecisionLog>(&mut self, context: &Context<'_, L>) {
+        for (class, policy) in self.classes.iter_mut().zip(&self.policy.classes) {
+            let guaranteed_slots = policy.min_share.0 * self.total_slots;
+            let is_waiting = !class.queue.is_empty();
+            class
+                .share
+                .accrue(context.now, guaranteed_slots, is_waiting);
+        }
+    }
+
+    /// Follows how many slots each class uses, for the estimate of what it leaves.
+    fn measure_use(&mut self, elapsed_ms: u64) {
+        if elapsed_ms == 0 {
+            return;
+        }
+        for class in &mut self.classes {
+            class
+                .use_rate
+                .add(class.used_since_tick_ms / elapsed_ms as f64);
+            class.used_since_tick_ms = 0.0;
+        }
+    }
+
+    fn check_engines<L: DecisionLog>(&mut self, context: &mut Context<'_, L>) {
+        let check_every_ms = context.settings.engine_health.check_every_ms;
+        if context.now.since(self.checked_at).0 < check_every_ms {
+            return;
+        }
+        self.checked_at = context.now;
+        let median_ms = self.median_between_tokens_ms();
+        for at in 0..self.engines.len() as u32 {
+            self.check_engine(context, EngineIx(at), median_ms);
+        }
+        self.adjust_limits(context);
+        self.count_slots();
+    }
+
+    fn median_between_tokens_ms(&self) -> f64 {
+        let mut gaps: Vec<f64> = self
+            .engines
+            .iter()
+            .filter(|engine| engine.health.state() == HealthState::Active)
+            .map(|engine| engine.between_tokens_ms.value())
+            .collect();
+        if gaps.is_empty() {
+            return self.estimates.between_tokens_ms();
+        }
+        let middle = gaps.len() / 2;
+        *gaps.select_nth_unstable_by(middle, f64::total_cmp).1
+    }
+
+    fn check_engine<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        at: EngineIx,
+        median_ms: f64,
+    ) {
+        let config = &context.settings.engine_health;
+        let engine = &mut self.engines[at.at()];
+        engine.load.sample(context.now);
+        let mut health_context = HealthContext {
+            now: context.now,
+            config,
+        };
+        engine.health.handle(&mut health_context, HealthEvent::Tick);
+        if engine.running.is_empty() {
+            return;
+        }
+        let silent_ms = context.now.since(engine.heard_at).0 as f64;
+        let is_prefilling_only = engine.prefilling as usize >= engine.running.len();
+        let silence_ms = (median_ms * config.silence_factor).max(config.min_silence_ms as f64);
+        let is_silent = silent_ms > silence_ms && !is_prefilling_only;
+        let is_slow = engine.between_tokens_ms.value() > median_ms * config.slow_factor;
+        let event = if is_slow || is_silent {
+            HealthEvent::Slow {
+                may_eject: self.may_eject(config.max_ejected_share),
+            }
+        } else {
+            HealthEvent::Normal
+        };
+        self.tell_health(context, at, event);
+    }
+
+    /// Whether one more engine may be out.
+    fn may_eject(&self, max_ejected_share: f64) -> bool {
+        let is_out = |health: HealthState| health != HealthState::Active;
+        let out = self
+            .engines
+            .iter()
+            .filter(|e| is_out(e.health.state()))
+            .count()
+            + 1;
+        out as f64 <= (self.engines.len() as f64 * max_ejected_share).max(1.0)
+            && self.engines.len() > 1
+    }
+
+    fn adjust_limits<L: DecisionLog>(&mut self, context: &Context<'_, L>) {
+        let targets = self
+            .policy
+            .classes
+            .iter()
+            .filter_map(|c| c.between_tokens_target_ms);
+        let target_ms = targets.min().map(|target| target.0 as f64);
+        for engine in &mut self.engines {
+            let gap_ms = engine.between_tokens_ms.value();
+            let config = &context.settings.concurrency;
+            engine.limit.adjust(context.now, config, gap_ms, target_ms);
+        }
+    }
+
+    /// Attempts whose first token is overdue count against their engine, and are moved.
+    fn check_started<L: DecisionLog>(&mut self, context: &mut Context<'_, L>) {
+        while let Some((request, attempt)) = self.started.front().copied() {
+            let entry = self.requests.get(&request);
+            let is_current = |entry: &&super::Entry| {
+                entry.life.state() == LifeState::Started && entry.life.attempt() == attempt
+            };
+            let Some(entry) = entry.filter(is_current) else {
+                self.started.pop_front();
+                continue;
+            };
+            let Some(running) = entry.running else {
+                self.started.pop_front();
+                continue;
+            };
+            let config = &context.settings.engine_health;
+            let usual_ms = self.estimates.prefill_ms(running.uncached_tokens)
+                + self.estimates.between_tokens_ms();
+            let overdue_ms = (usual_ms * config.silence_factor).max(config.min_silence_ms as f64);
+            if (context.now.since(running.since).0 as f64) < overdue_ms {
+                return;
+            }
+            self.started.pop_front();
+            let may_eject = self.may_eject(config.max_ejected_share);
+            if !entry.offer.is_preemptible {
+                continue;
+            }
+            self.tell_health(context, running.engine, HealthEvent::Slow { may_eject });
+        }
+    }
+
+    /// Waiting requests that run out of time make room or are given up, at once.
+    fn rescue_waiting<L: DecisionLog>(&mut self, context: &mut Context<'_, L>) {
+        for at in 0..self.class_order.len() {
+            let class = self.class_order[at];
+            while self.rescue_head(context, class) {}
+            self.give_up_hopeless(context, class);
+        }
+    }
+
+    /// Acts on the head of a class's queue; true when it left the queue.
+    fn rescue_head<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        class: ClassIx,
+    ) -> bool {
+        let Some(head) = self.classes[class.at()].queue.peek() else {
+            return false;
+        };
+        let Some(entry) = self.requests.get(&head) else {
+            self.classes[class.at()].queue.pop();
+            self.queued -= 1;
+            return true;
+        };
+        let target_ms = self.class_policy(class).first_token_target_ms.0 as f64;
+        let waited_ms = context.now.since(entry.waits_since).0 as f64;
+        let delivered = entry.delivered;
+        let prefill_ms = self
+            .estimates
+            .prefill_ms(entry.offer.prompt_tokens.0 + delivered);
+        let admission = &context.settings.admission;
+        let is_at_risk = waited_ms + prefill_ms > target_ms * admission.preempt_at_share;
+        if is_at_risk && self.preempt_for(context, class) {
+            return true;
+        }
+        // A request that ran before is never given up: its caller has part of the answer.
+        let is_late = waited_ms > target_ms * (1.0 + admission.late_grace_share);
+        if is_late && delivered == 0 && !self.is_next_aged(class) {
+            self.give_up(context, head, RefusalCode::CannotMeetTarget, target_ms);
+            return true;
+        }
+        false
+    }
+
+    /// Whether the head of the class's queue is the one that its longest wait protects.
+    fn is_next_aged(&self, class: ClassIx) -> bool {
+        let is_lowest = self.class_order.first() != Some(&class);
+        is_lowest && self.classes[class.at()].aged_running == 0
+    }
+
+    /// The newest waiting requests are given up while those before them take all the time.
+    fn give_up_hopeless<L: DecisionLog>(&mut self, context: &mut Context<'_, L>, class: ClassIx) {
+        const MAX_AT_ONCE: usize = 8;
+        for _ in 0..MAX_AT_ONCE {
+            if self.classes[class.at()].queue.len() <= 1 {
+                return;
+            }
+            let Some(newest) = self.classes[class.at()].queue.newest() else {
+                return;
+            };
+            let Some(entry) = self.requests.get(&newest) else {
+                return;
+            };
+            let admission = &context.settings.admission;
+            let target_ms = self.class_policy(class).first_token_target_ms.0 as f64;
+            let latest_ms = target_ms * (1.0 + admission.late_grace_share);
+            let customer = entry.offer.customer;
+            let waited_ms = context.now.since(entry.waits_since).0 as f64;
+            let expected_ms = waited_ms + self.expected_wait_ms(context, class, customer);
+            if expected_ms <= latest_ms {
+                return;
+            }
+            let retry_after = DurationMs((expected_ms - target_ms) as u64);
+            let code = RefusalCode::CannotMeetTarget;
+            self.give_up(context, newest, code, retry_after.0 as f64);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/pool/mod.rs
@@ -0,0 +1,259 @@
+//! The decisions of one pool: the engines of one service in one data centre.
+
+mod admit;
+mod attempt;
+mod dispatch;
+mod entry;
+mod maintain;
+mod recover;
+mod room;
+mod view;
+
+pub use view::{ClassView, EngineView, RequestView};
+
+use crate::configs::Settings;
+use crate::context::Context;
+use crate::decision_log::DecisionLog;
+use crate::event::{AttemptEnd, Offer, Policy};
+use crate::index::{ClassIx, CustomerIx, EngineIx};
+use crate::modules::concurrency::ConcurrencyLimit;
+use crate::modules::customer_limits::CustomerLimits;
+use crate::modules::engine_health::{EngineHealth, HealthState};
+use crate::modules::engine_load::EngineLoad;
+use crate::modules::estimates::Estimates;
+use crate::modules::ewma::Ewma;
+use crate::modules::fair_queue::FairQueue;
+use crate::modules::guaranteed_share::GuaranteedShare;
+use crate::modules::prefix_cache::PrefixCache;
+use crate::modules::retry_budget::RetryBudget;
+use crate::modules::victims::Victims;
+use crate::policy::{ClassPolicy, PoolPolicy};
+use bridgevane_types::{AttemptNumber, DurationMs, RequestId, TimeMs, Tokens};
+use entry::Entry;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{HashMap, VecDeque};
+
+/// An engine of the pool.
+struct Engine {
+    limit: ConcurrencyLimit,
+    health: EngineHealth,
+    load: EngineLoad,
+    is_drained: bool,
+    between_tokens_ms: Ewma,
+    /// Attempts that have given no token yet.
+    prefilling: u32,
+    /// When the engine last gave a token or got its first work.
+    heard_at: TimeMs,
+    /// Requests that run on it by this pool's decision.
+    running: Vec<RequestId>,
+}
+
+/// A class of the pool.
+struct Class {
+    queue: FairQueue,
+    share: GuaranteedShare,
+    retries: RetryBudget,
+    /// Requests that run because the class's longest wait was reached.
+    aged_running: u32,
+    /// Slot-milliseconds dispatched a millisecond: the class's use of the pool.
+    use_rate: Ewma,
+    used_since_tick_ms: f64,
+}
+
+/// Decides for one pool.
+pub struct Pool {
+    policy: PoolPolicy,
+    engines: Vec<Engine>,
+    classes: Vec<Class>,
+    /// Classes by tier, the most important first.
+    class_order: Vec<ClassIx>,
+    requests: HashMap<RequestId, Entry>,
+    customers: CustomerLimits,
+    estimates: Estimates,
+    cache: PrefixCache,
+    victims: Victims,
+    /// Running attempts without a first token, oldest first.
+    started: VecDeque<(RequestId, AttemptNumber)>,
+    rng: Pcg64Mcg,
+    queued: usize,
+    ticked_at: TimeMs,
+    checked_at: TimeMs,
+    total_slots: f64,
+}
+
+impl Pool {
+    /// An idle pool; `seed` drives the choice among equal engines.
+    pub fn new(policy: PoolPolicy, settings: &Settings, seed: u64) -> Self {
+        let mut pool = Self {
+            policy: PoolPolicy::default(),
+            engines: Vec::new(),
+            classes: Vec::new(),
+            class_order: Vec::new(),
+            requests: HashMap::new(),
+            customers: CustomerLimits::default(),
+            estimates: Estimates::new(&settings.estimates),
+            cache: PrefixCache::default(),
+            victims: Victims::new(),
+            started: VecDeque::new(),
+            rng: Pcg64Mcg::new(u128::from(seed) << 64 | 0xcafe_f00d),
+            queued: 0,
+            ticked_at: TimeMs(0),
+            checked_at: TimeMs(0),
+            total_slots: 0.0,
+        };
+        pool.set_policy(policy, settings);
+        pool
+    }
+
+    /// Follows a changed configuration. Requests in flight keep their class and engine.
+    pub fn set_policy(&mut self, policy: PoolPolicy, settings: &Settings) {
+        for (at, engine) in policy.engines.iter().enumerate() {
+            match self.engines.get_mut(at) {
+                Some(known) => {
+                    known.limit.set_max(engine.slots.0);
+                    known.is_drained = engine.is_drained;
+                }
+                None => self.engines.push(Engine {
+                    limit: ConcurrencyLimit::new(engine.slots.0),
+                    health: EngineHealth::new(),
+                    load: EngineLoad::new(),
+                    is_drained: engine.is_drained,
+                    between_tokens_ms: Ewma::new(
+                        settings.estimates.initial_between_tokens_ms,
+                        settings.estimates.weight,
+                    ),
+                    prefilling: 0,
+                    heard_at: TimeMs(0),
+                    running: Vec::new(),
+                }),
+            }
+        }
+        while self.classes.len() < policy.classes.len() {
+            self.classes.push(Class {
+                queue: FairQueue::default(),
+                share: GuaranteedShare::default(),
+                retries: RetryBudget::new(&settings.retry),
+                aged_running: 0,
+                use_rate: Ewma::new(0.0, 0.05),
+                used_since_tick_ms: 0.0,
+            });
+        }
+        self.estimates
+            .set_kinds(policy.kinds.iter().map(|kind| kind.1.0 as f64));
+        self.class_order = (0..policy.classes.len() as u16).map(ClassIx).collect();
+        self.class_order
+            .sort_by_key(|class| policy.classes[class.at()].tier);
+        self.policy = policy;
+        self.count_slots();
+    }
+
+    /// The policy in force.
+    pub fn policy(&self) -> &PoolPolicy {
+        &self.policy
+    }
+
+    /// Notes that `engine` holds `block` in its prefix cache.
+    pub fn cache_stored(&mut self, now: TimeMs, settings: &Settings, engine: EngineIx, block: u64) {
+        self.cache
+            .stored(now, block, engine, settings.routing.max_blocks);
+    }
+
+    /// Notes that `engine` dropped `block` from its prefix cache.
+    pub fn cache_evicted(&mut self, engine: EngineIx, block: u64) {
+        self.cache.evicted(block, engine);
+    }
+
+    fn class_policy(&self, class: ClassIx) -> &ClassPolicy {
+        &self.policy.classes[class.at()]
+    }
+
+    /// The wait after which a class counts as starving.
+    fn max_wait_ms(&self, class: ClassIx, settings: &Settings) -> u64 {
+        let policy = self.class_policy(class);
+        let by_target =
+            policy.first_token_target_ms.0 as f64 * settings.admission.default_max_wait_share;
+        policy
+            .max_wait_ms
+            .map_or(by_target as u64, |max_wait| max_wait.0)
+    }
+
+    /// Slots of `engine` that are free for new work.
+    fn free_slots(&self, settings: &Settings, engine: &Engine) -> u32 {
+        if engine.is_drained {
+            return 0;
+        }
+        let limit = match engine.health.state() {
+            HealthState::Active => engine.limit.slots(),
+            HealthState::Probation => settings.engine_health.probation_slots,
+            HealthState::Ejected => 0,
+        };
+        limit.saturating_sub(engine.load.total())
+    }
+
+    fn count_slots(&mut self) {
+        let usable =
+            |engine: &&Engine| !engine.is_drained && engine.health.state() != HealthState::Ejected;
+        let slots = |engine: &Engine| f64::from(engine.limit.slots());
+        self.total_slots = self.engines.iter().filter(usable).map(slots).sum();
+    }
+
+    fn has_usable_engine(&self) -> bool {
+        self.total_slots > 0.0
+    }
+
+    fn customer_tokens(&self, customer: CustomerIx) -> Option<&crate::policy::CustomerPolicy> {
+        self.policy.customers.get(customer.at())
+    }
+}
+
+impl Policy for Pool {
+    fn offer<L: DecisionLog>(&mut self, context: &mut Context<'_, L>, offer: Offer) {
+        self.admit(context, offer);
+    }
+
+    fn first_token<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        request: RequestId,
+        attempt: AttemptNumber,
+    ) {
+        self.note_first_token(context, request, attempt);
+    }
+
+    fn progress<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        request: RequestId,
+        attempt: AttemptNumber,
+        delivered: Tokens,
+    ) {
+        self.note_progress(context, request, attempt, delivered);
+    }
+
+    fn finished<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        request: RequestId,
+        attempt: AttemptNumber,
+        end: AttemptEnd,
+    ) {
+        self.end_attempt(context, request, attempt, end);
+    }
+
+    fn load_report<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        engine: EngineIx,
+        busy: u32,
+        age_ms: DurationMs,
+    ) {
+        if let Some(engine) = self.engines.get_mut(engine.at()) {
+            engine.load.report(context.now, busy, age_ms);
+        }
+        self.dispatch_all(context);
+    }
+
+    fn tick<L: DecisionLog>(&mut self, context: &mut Context<'_, L>) {
+        self.maintain(context);
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/pool/recover.rs
@@ -0,0 +1,135 @@
+//! Recovery: lost attempts, retries, engines that are slow, silent or gone.
+
+use super::Pool;
+use super::entry::Running;
+use crate::context::Context;
+use crate::decision_log::{Decision, DecisionLog};
+use crate::effect::CancelCause;
+use crate::index::EngineIx;
+use crate::modules::engine_health::{HealthContext, HealthEvent, HealthState};
+use bridgevane_types::{AttemptNumber, RefusalCode, RequestId, Tokens};
+
+/// When to come back after retries ran out.
+const EXHAUSTED_RETRY_MS: f64 = 1_000.0;
+
+impl Pool {
+    /// An attempt that surely did not run: any request may be sent again.
+    pub(super) fn retry_unrun<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        request: RequestId,
+        attempt: AttemptNumber,
+        running: Running,
+    ) {
+        context.record(Decision::Lost {
+            request,
+            attempt,
+            may_have_run: false,
+        });
+        self.retry(context, request, running.engine);
+    }
+
+    /// An attempt that may have run: only a repeatable request is sent again.
+    pub(super) fn retry_lost<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        request: RequestId,
+        attempt: AttemptNumber,
+        running: Running,
+        delivered: Tokens,
+    ) {
+        context.record(Decision::Lost {
+            request,
+            attempt,
+            may_have_run: true,
+        });
+        let Some(entry) = self.requests.get_mut(&request) else {
+            return;
+        };
+        entry.may_have_run = true;
+        entry.delivered = entry.delivered.max(delivered.0);
+        if entry.offer.is_repeatable {
+            self.retry(context, request, running.engine);
+            return;
+        }
+        entry.return_to_queue(context.now);
+        self.give_up(context, request, RefusalCode::OutcomeUnknown, 0.0);
+    }
+
+    fn retry<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        request: RequestId,
+        failed: EngineIx,
+    ) {
+        let Some(entry) = self.requests.get_mut(&request) else {
+            return;
+        };
+        entry.return_to_queue(context.now);
+        entry.avoid = Some(failed);
+        let has_attempts = entry.life.attempts() < context.settings.retry.max_attempts;
+        let class = entry.offer.class;
+        if has_attempts && self.classes[class.at()].retries.take() {
+            self.requeue(request);
+            return;
+        }
+        let code = RefusalCode::RetriesExhausted;
+        self.give_up(context, request, code, EXHAUSTED_RETRY_MS);
+    }
+
+    /// An engine could not be reached or broke off a stream. One broken stream on an engine
+    /// that gives tokens otherwise doesn't take it out.
+    pub(super) fn engine_lost<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        at: EngineIx,
+    ) {
+        let engine = &mut self.engines[at.at()];
+        let silent_ms = context.now.since(engine.heard_at).0;
+        let is_heard = silent_ms < context.settings.engine_health.min_silence_ms / 2;
+        if is_heard && !engine.running.is_empty() && engine.health.state() == HealthState::Active {
+            return;
+        }
+        engine.load.forget_others();
+        self.tell_health(context, at, HealthEvent::Lost);
+    }
+
+    /// Tells an engine's health; moves its work away when it was ejected by that.
+    pub(super) fn tell_health<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        at: EngineIx,
+        event: HealthEvent,
+    ) {
+        let mut health_context = HealthContext {
+            now: context.now,
+            config: &context.settings.engine_health,
+        };
+        let engine = &mut self.engines[at.at()];
+        if !engine.health.handle(&mut health_context, event) {
+            return;
+        }
+        engine
+            .between_tokens_ms
+            .set(self.estimates.between_tokens_ms());
+        self.count_slots();
+        if matches!(event, HealthEvent::Slow { .. }) {
+            self.move_work_from(context, at);
+        }
+    }
+
+    /// Takes repeatable work back from a slow engine; it resumes elsewhere.
+    fn move_work_from<L: DecisionLog>(&mut self, context: &mut Context<'_, L>, at: EngineIx) {
+        let running = self.engines[at.at()].running.clone();
+        for request in running {
+            let Some(entry) = self.requests.get_mut(&request) else {
+                continue;
+            };
+            if !entry.offer.is_repeatable || !entry.offer.is_preemptible {
+                continue;
+            }
+            entry.avoid = Some(at);
+            self.take_back(context, request, CancelCause::Moved, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/pool/room.rs
@@ -0,0 +1,77 @@
+//! Making room for higher tiers by preempting lower ones.
+
+use super::Pool;
+use crate::context::Context;
+use crate::decision_log::{Decision, DecisionLog};
+use crate::effect::{CancelCause, Effect};
+use crate::index::{ClassIx, EngineIx};
+use bridgevane_types::{RequestId, Tier};
+
+impl Pool {
+    /// Takes the slot of the cheapest work of the lowest tier below `class`'s and gives it to
+    /// the head of `class`'s queue; false when there is no such work.
+    pub(super) fn preempt_for<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        class: ClassIx,
+    ) -> bool {
+        let tier = self.class_policy(class).tier;
+        let Some(victim) = self.victims.cheapest_below(tier) else {
+            return false;
+        };
+        let Some(engine) = self.take_back(context, victim, CancelCause::Preempted, Some(tier))
+        else {
+            return false;
+        };
+        let Some(request) = self.classes[class.at()].queue.pop() else {
+            return false;
+        };
+        self.queued -= 1;
+        self.send_to(context, request, engine);
+        true
+    }
+
+    /// Cancels a running attempt and puts its request back before its class's queue; gives
+    /// the engine whose slot is free now.
+    pub(super) fn take_back<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        request: RequestId,
+        cause: CancelCause,
+        for_tier: Option<Tier>,
+    ) -> Option<EngineIx> {
+        let running = self.release_slot(context, request)?;
+        let entry = self.requests.get_mut(&request)?;
+        let attempt = entry.life.attempt();
+        entry.return_to_queue(context.now);
+        // Some of it ran: only a repeatable request is ever taken back.
+        entry.may_have_run = true;
+        entry.preemptions += u32::from(cause == CancelCause::Preempted);
+        context.record(Decision::Cancelled {
+            request,
+            attempt,
+            cause,
+            for_tier,
+        });
+        context.effects.push(Effect::Cancel {
+            request,
+            attempt,
+            engine: running.engine,
+            cause,
+        });
+        self.requeue(request);
+        Some(running.engine)
+    }
+
+    /// Puts a request that ran before back, ahead of those that never did.
+    pub(super) fn requeue(&mut self, request: RequestId) {
+        let Some(entry) = self.requests.get(&request) else {
+            return;
+        };
+        let work_ms = self.work_ms(entry);
+        self.classes[entry.offer.class.at()]
+            .queue
+            .push_returned(request, work_ms);
+        self.queued += 1;
+    }
+}
