--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,66 @@
+//! The command line: one module a subcommand.
+
+pub mod check;
+pub mod serve;
+#[cfg(feature = "standins")]
+pub mod standin;
+
+use argh::FromArgs;
+use std::process::ExitCode;
+
+/// Exit codes, as docs/CLI.md documents them.
+pub mod exit {
+    /// Done.
+    pub const OK: u8 = 0;
+    /// Done, and the answer is no: a broken promise, a refused change.
+    pub const NEGATIVE: u8 = 1;
+    /// Settings, a file or a query are at fault.
+    pub const USAGE: u8 = 2;
+    /// The other side can't be reached.
+    pub const UNREACHABLE: u8 = 3;
+}
+
+/// A router for language-model traffic with priorities and service levels.
+#[derive(Debug, FromArgs)]
+pub struct Arguments {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(serve::ServeArguments),
+    Check(check::CheckArguments),
+    #[cfg(feature = "standins")]
+    Standin(standin::StandinArguments),
+    Version(VersionArguments),
+}
+
+/// Print the version.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "version")]
+struct VersionArguments {}
+
+/// Runs a command.
+pub fn run(arguments: Arguments) -> ExitCode {
+    let code = match arguments.command {
+        Command::Serve(arguments) => serve::run(&arguments),
+        Command::Check(arguments) => check::run(&arguments),
+        #[cfg(feature = "standins")]
+        Command::Standin(arguments) => standin::run(arguments),
+        Command::Version(_) => {
+            println!("bridgevane {}", env!("CARGO_PKG_VERSION"));
+            exit::OK
+        }
+    };
+    ExitCode::from(code)
+}
+
+/// Runs a future on a runtime of several threads.
+pub(crate) fn block_on<T>(future: impl Future<Output = T>) -> Result<T, std::io::Error> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    Ok(runtime.block_on(future))
+}
--- /dev/null
+++ b/src/commands/serve.rs
@@ -0,0 +1,155 @@
+//! `bridgevane serve`: the daemon.
+
+use crate::commands::{block_on, exit};
+use crate::configs::serve::{ServeConfig, SettingSource, variable_of};
+use crate::context::Context;
+use crate::modules::leaving::LeavingSource;
+use crate::modules::{callers, config_follow, http_serve, logging};
+use crate::{event, events::Event};
+use argh::FromArgs;
+use bridgevane_types::Incarnation;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Run the daemon. Each flag has an environment variable: --vm-id is BRIDGEVANE_VM_ID; flags
+/// win. All settings are checked at the start, every fault in one go.
+#[derive(Debug, Default, FromArgs)]
+#[argh(subcommand, name = "serve")]
+pub struct ServeArguments {
+    /// name of this VM
+    #[argh(option)]
+    pub vm_id: Option<String>,
+    /// name of its data centre
+    #[argh(option)]
+    pub data_centre: Option<String>,
+    /// address for callers, such as 0.0.0.0:8080
+    #[argh(option)]
+    pub caller_address: Option<String>,
+    /// address for operators
+    #[argh(option)]
+    pub operator_address: Option<String>,
+    /// address for other daemons
+    #[argh(option)]
+    pub peer_address: Option<String>,
+    /// address of the platform's service
+    #[argh(option)]
+    pub platform_address: Option<String>,
+    /// addresses of other daemons to begin with, with commas between them
+    #[argh(option)]
+    pub peer_seeds: Option<String>,
+    /// key that all daemons share; better set by BRIDGEVANE_PEER_KEY
+    #[argh(option)]
+    pub peer_key: Option<String>,
+    /// operators as name:token with commas between them; better set by
+    /// BRIDGEVANE_OPERATOR_TOKENS
+    #[argh(option)]
+    pub operator_tokens: Option<String>,
+    /// json (default) or text
+    #[argh(option)]
+    pub log_format: Option<String>,
+    /// error, warn, info (default) or debug
+    #[argh(option)]
+    pub log_level: Option<String>,
+    /// print the settings, secrets masked, and stop
+    #[argh(switch)]
+    pub print_settings: bool,
+}
+
+impl SettingSource for ServeArguments {
+    fn text(&self, flag: &'static str) -> Option<String> {
+        let given = match flag {
+            "vm-id" => &self.vm_id,
+            "data-centre" => &self.data_centre,
+            "caller-address" => &self.caller_address,
+            "operator-address" => &self.operator_address,
+            "peer-address" => &self.peer_address,
+            "platform-address" => &self.platform_address,
+            "peer-seeds" => &self.peer_seeds,
+            "peer-key" => &self.peer_key,
+            "operator-tokens" => &self.operator_tokens,
+            "log-format" => &self.log_format,
+            "log-level" => &self.log_level,
+            _ => &None,
+        };
+        given
+            .clone()
+            .or_else(|| std::env::var(variable_of(flag)).ok())
+    }
+}
+
+/// Runs the command; gives the exit code.
+pub fn run(arguments: &ServeArguments) -> u8 {
+    let config = match ServeConfig::read(arguments) {
+        Ok(config) => config,
+        Err(problems) => {
+            eprintln!("{problems}");
+            return exit::USAGE;
+        }
+    };
+    if arguments.print_settings {
+        println!("{config:#?}");
+        return exit::OK;
+    }
+    if let Err(error) = logging::set_up(config.log) {
+        eprintln!("{error}");
+        return exit::USAGE;
+    }
+    let milliseconds = SystemTime::now().duration_since(UNIX_EPOCH);
+    let incarnation = Incarnation(milliseconds.map_or(0, |elapsed| elapsed.as_millis() as u64));
+    match block_on(serve(config, incarnation)) {
+        Ok(Ok(())) => exit::OK,
+        Ok(Err(error)) | Err(error) => {
+            event!(Event::CannotListen, cause = error);
+            exit::USAGE
+        }
+    }
+}
+
+/// Serves until the stop signal, then until every stream has ended.
+async fn serve(config: ServeConfig, incarnation: Incarnation) -> Result<(), std::io::Error> {
+    let context = start(config, incarnation).await?;
+    wait_for_stop().await?;
+    context.leaving.begin(LeavingSource::StopSignal);
+    event!(Event::Stopping, in_progress = context.leaving.in_progress());
+    let drain = context.config.serving.drain_ms.as_std();
+    // Past the longest drain the process ends; the platform would have ended it before.
+    let _ = tokio::time::timeout(drain, context.leaving.idle()).await;
+    event!(Event::Stopped, in_progress = context.leaving.in_progress());
+    Ok(())
+}
+
+/// Starts everything that the daemon does.
+///
+/// # Errors
+/// When an address can't be listened on.
+pub async fn start(
+    mut config: ServeConfig,
+    incarnation: Incarnation,
+) -> Result<Arc<Context>, std::io::Error> {
+    let callers = http_serve::listen(config.caller_address).await?;
+    // A port of 0 takes a free one; the settings then hold what was taken.
+    config.caller_address = callers.local_addr()?;
+    let context = Context::new(config, incarnation);
+    tokio::spawn(config_follow::run(context.clone()));
+    tokio::spawn(http_serve::serve(callers, callers::router(context.clone())));
+    event!(
+        Event::Started,
+        vm = context.config.vm,
+        data_centre = context.config.data_centre,
+        callers = context.config.caller_address,
+        operators = context.config.operator_address,
+        peers = context.config.peers.address,
+    );
+    Ok(context)
+}
+
+async fn wait_for_stop() -> Result<(), std::io::Error> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/commands/standin.rs
@@ -0,0 +1,120 @@
+//! `bridgevane standin`: one stand-in as a process of its own, for tests.
+//!
+//! Stand-ins are behind the cargo feature `standins`, which a production build turns off: a
+//! binary that could pretend to be the platform has no place on a VM.
+
+use crate::commands::{block_on, exit};
+use crate::modules::config_follow::CONFIG_KEY;
+use argh::FromArgs;
+use bridgevane_config::{Document, Envelope};
+use bridgevane_standins::{
+    EngineSpec, EngineStandin, EngineStandinSettings, PlainStandin, PlatformSettings,
+    PlatformStandin, StandinError, serve,
+};
+use bridgevane_types::{ConfigVersion, Slots};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Run a stand-in of the platform, an engine or a plain service, for tests. It prints its
+/// address as its first line.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "standin")]
+pub struct StandinArguments {
+    /// platform, engine or plain
+    #[argh(positional)]
+    role: String,
+    /// address to listen at; port 0 takes a free one
+    #[argh(option)]
+    address: SocketAddr,
+    /// platform: a configuration file to hold from the start
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// engine: sequences that it runs at the same time
+    #[argh(option, default = "16")]
+    slots: u32,
+    /// engine: milliseconds of a step with no sequence
+    #[argh(option, default = "20.0")]
+    step_ms: f64,
+    /// engine: refuse orders with an old fencing token
+    #[argh(switch)]
+    checks_fence: bool,
+    /// plain: recognise a repeated idempotency key
+    #[argh(switch)]
+    deduplicates: bool,
+}
+
+/// Runs the command; gives the exit code.
+pub fn run(arguments: StandinArguments) -> u8 {
+    match block_on(serve_role(arguments)) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error}");
+            exit::USAGE
+        }
+    }
+}
+
+async fn serve_role(arguments: StandinArguments) -> u8 {
+    let router = match arguments.role.as_str() {
+        "platform" => match platform(&arguments) {
+            Some(platform) => platform.router(),
+            None => return exit::USAGE,
+        },
+        "engine" => EngineStandin::new(engine_settings(&arguments)).router(),
+        "plain" => PlainStandin::new(arguments.deduplicates).router(),
+        other => {
+            eprintln!("'{other}' is none of platform, engine, plain");
+            return exit::USAGE;
+        }
+    };
+    match serve_until_killed(arguments.address, router).await {
+        Ok(()) => exit::OK,
+        Err(error) => {
+            eprintln!("{error}");
+            exit::USAGE
+        }
+    }
+}
+
+async fn serve_until_killed(address: SocketAddr, router: axum::Router) -> Result<(), StandinError> {
+    let served = serve(address, router).await?;
+    println!("{}", served.address);
+    std::future::pending::<()>().await;
+    drop(served);
+    Ok(())
+}
+
+fn engine_settings(arguments: &StandinArguments) -> EngineStandinSettings {
+    EngineStandinSettings {
+        spec: EngineSpec {
+            slots: Slots(arguments.slots),
+            step_base_us: arguments.step_ms * 1000.0,
+            ..EngineSpec::default()
+        },
+        checks_fence: arguments.checks_fence,
+    }
+}
+
+fn platform(arguments: &StandinArguments) -> Option<PlatformStandin> {
+    let platform = PlatformStandin::new(PlatformSettings::default());
+    let Some(file) = &arguments.config else {
+        return Some(platform);
+    };
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| eprintln!("{}: {error}", file.display()))
+        .ok()?;
+    let document = Document::parse(&text)
+        .map_err(|problems| eprintln!("{problems}"))
+        .ok()?;
+    let envelope = Envelope {
+        version: ConfigVersion(1),
+        operation: Vec::new(),
+        document,
+    };
+    let stored = envelope
+        .to_text()
+        .map_err(|error| eprintln!("{error}"))
+        .ok()?;
+    platform.put(CONFIG_KEY, &stored);
+    Some(platform)
+}
--- /dev/null
+++ b/src/configs/mod.rs
@@ -0,0 +1,7 @@
+//! Settings: plain typed values with defaults.
+
+pub mod log;
+pub mod operators;
+pub mod peers;
+pub mod serve;
+pub mod serving;
--- /dev/null
+++ b/src/context.rs
@@ -0,0 +1,67 @@
+//! What every module of the daemon shares, handed down instead of globals.
+
+use crate::configs::serve::ServeConfig;
+use crate::modules::burn::Burn;
+use crate::modules::config_in_force::ConfigInForce;
+use crate::modules::leaving::Leaving;
+use crate::modules::metrics::Metrics;
+use crate::modules::pool_directory::PoolDirectory;
+use bridgevane_adapters::HttpPlatform;
+use bridgevane_types::{Incarnation, RequestId, TimeMs};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::time::Instant;
+
+/// The daemon's shared state. Everything behind it is read without locks on the path of a
+/// request.
+pub struct Context {
+    /// Settings.
+    pub config: ServeConfig,
+    /// The platform.
+    pub platform: HttpPlatform,
+    /// The operators' configuration in force here.
+    pub in_force: ConfigInForce,
+    /// Pools of all services.
+    pub pools: PoolDirectory,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Service levels by class.
+    pub burn: Burn,
+    /// Whether this VM leaves.
+    pub leaving: Leaving,
+    /// This life of the VM.
+    pub incarnation: Incarnation,
+    started: Instant,
+    next_request: AtomicU64,
+}
+
+impl Context {
+    /// The state of a daemon that has just started.
+    pub fn new(config: ServeConfig, incarnation: Incarnation) -> Arc<Self> {
+        Arc::new(Self {
+            platform: HttpPlatform::new(config.platform_address),
+            in_force: ConfigInForce::default(),
+            pools: PoolDirectory::default(),
+            metrics: Metrics::new(),
+            burn: Burn::default(),
+            leaving: Leaving::default(),
+            incarnation,
+            started: Instant::now(),
+            next_request: AtomicU64::new(0),
+            config,
+        })
+    }
+
+    /// Now, as the pure parts see it.
+    pub fn now(&self) -> TimeMs {
+        TimeMs(self.started.elapsed().as_millis() as u64)
+    }
+
+    /// A new identifier: this VM, this life of it, and a counter.
+    pub fn new_request_id(&self) -> RequestId {
+        let count = self.next_request.fetch_add(1, Ordering::Relaxed);
+        let name = xxhash_rust::xxh3::xxh3_64(self.config.vm.as_str().as_bytes());
+        let life = name ^ self.incarnation.0.rotate_left(32);
+        RequestId(u128::from(life) << 64 | u128::from(count))
+    }
+}
--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,74 @@
+//! Numbered log events. The catalogue is docs/EVENTS.md; a test compares the two.
+
+use log::Level;
+
+/// Declares events: number, name, level, text.
+macro_rules! events {
+    ($($number:literal $name:ident $level:ident $text:literal;)*) => {
+        /// A logged event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Event {
+            $(#[doc = $text] $name,)*
+        }
+
+        impl Event {
+            /// All events, by number.
+            pub const ALL: &[Event] = &[$(Event::$name,)*];
+
+            /// The event's number.
+            pub fn number(self) -> u32 {
+                match self { $(Event::$name => $number,)* }
+            }
+
+            /// The event's level.
+            pub fn level(self) -> Level {
+                match self { $(Event::$name => Level::$level,)* }
+            }
+
+            /// What it says.
+            pub fn text(self) -> &'static str {
+                match self { $(Event::$name => $text,)* }
+            }
+
+            /// Its name in the code and the catalogue.
+            pub fn name(self) -> &'static str {
+                match self { $(Event::$name => stringify!($name),)* }
+            }
+        }
+    };
+}
+
+events! {
+    1001 Started Info "the daemon serves";
+    1002 Stopping Info "the daemon was told to stop and takes no new work";
+    1003 Stopped Info "all streams have ended and the daemon stops";
+    1004 CannotListen Error "an address can't be listened on";
+    1101 ConfigInForce Info "a configuration version is in force";
+    1102 ConfigRejected Error "a stored or received configuration can't be used";
+    1103 ConfigProposed Info "an operator's change was decided";
+    1201 PlatformAway Warn "the platform's service can't be reached, serving goes on";
+    1202 PlatformBack Info "the platform's service answers again";
+    1301 RequestRefused Debug "a request was refused";
+    1302 RequestFailed Warn "a request failed";
+    1303 PieceDropped Warn "a late, repeated or crossed piece was dropped";
+    1304 CallerSlow Warn "a caller stopped reading and was let go";
+    1401 EngineUnreachable Warn "an engine's load report can't be read";
+    1501 PeerRefused Warn "a connection between daemons was refused";
+    1502 MemberChanged Info "the view of a daemon changed";
+    1503 HomeChanged Info "the home of a pool changed";
+    1601 OperatorCommand Info "an operator's command was carried out or refused";
+}
+
+/// Logs an event with fields: `event!(Event::Started, vm = id)`. Values need `Display`.
+#[macro_export]
+macro_rules! event {
+    ($event:expr $(, $field:ident = $value:expr)* $(,)?) => {{
+        let event: $crate::events::Event = $event;
+        log::log!(
+            target: "bridgevane",
+            event.level(),
+            event = event.number() $(, $field:% = $value)*;
+            "{}", event.text()
+        );
+    }};
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,9 @@
+//! The `bridgevane` binary: parses the command line and dispatches.
+
+use bridgevane::commands::{self, Arguments};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    commands::run(arguments)
+}
--- /dev/null
+++ b/src/modules/burn.rs
@@ -0,0 +1,156 @@
+//! Service levels by class: attainment, goodput, wasted work, burn of the error budget.
+//!
+//! Counts are kept by minute for the longest window, so that windows and the counts of
+//! several daemons can be added up.
+
+use bridgevane_types::{ClassName, DurationMs, Share, TimeMs, Tokens};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Mutex, PoisonError};
+
+/// Milliseconds of one count.
+const MINUTE_MS: u64 = 60_000;
+/// Minutes that are kept: six hours, the longest window.
+const MINUTES: usize = 360;
+
+/// What became of a class's requests in some time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests that got their final answer.
+    pub offered: u64,
+    /// Whole answers within target.
+    pub in_target: u64,
+    /// Whole answers that were late.
+    pub late: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Broken off or failed.
+    pub cut: u64,
+    /// Answers that were resumed at least once.
+    pub resumed: u64,
+    /// Tokens of answers within target.
+    pub good_tokens: u64,
+    /// Tokens computed for nothing, as far as is known here.
+    pub wasted_tokens: u64,
+}
+
+impl Counts {
+    /// Adds the counts of another time or daemon.
+    pub fn add(&mut self, other: &Counts) {
+        self.offered += other.offered;
+        self.in_target += other.in_target;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.cut += other.cut;
+        self.resumed += other.resumed;
+        self.good_tokens += other.good_tokens;
+        self.wasted_tokens += other.wasted_tokens;
+    }
+
+    /// The share served within target; 1 when nothing was asked.
+    pub fn attainment(&self) -> Share {
+        if self.offered == 0 {
+            return Share(1.0);
+        }
+        Share(self.in_target as f64 / self.offered as f64)
+    }
+
+    /// How many times faster than allowed the error budget is used.
+    pub fn burn_rate(&self, objective: Share) -> f64 {
+        let budget = (1.0 - objective.0).max(1e-6);
+        (1.0 - self.attainment().0) / budget
+    }
+}
+
+/// How one request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Whole; the flag tells whether it was within target.
+    Whole {
+        /// First token and gaps were within target.
+        is_in_target: bool,
+        /// It was resumed at least once.
+        is_resumed: bool,
+        /// Its tokens.
+        tokens: Tokens,
+    },
+    /// Refused.
+    Refused,
+    /// Broken off or failed.
+    Cut,
+}
+
+#[derive(Debug, Default)]
+struct ClassBurn {
+    minutes: VecDeque<(u64, Counts)>,
+}
+
+impl ClassBurn {
+    fn current(&mut self, now: TimeMs) -> &mut Counts {
+        let minute = now.0 / MINUTE_MS;
+        let is_current = self.minutes.back().is_some_and(|(at, _)| *at == minute);
+        if !is_current {
+            self.minutes.push_back((minute, Counts::default()));
+            if self.minutes.len() > MINUTES {
+                self.minutes.pop_front();
+            }
+        }
+        let last = self.minutes.len() - 1;
+        &mut self.minutes[last].1
+    }
+}
+
+/// Service levels of this daemon. A request takes the lock once, at its end.
+#[derive(Debug, Default)]
+pub struct Burn {
+    classes: Mutex<BTreeMap<ClassName, ClassBurn>>,
+}
+
+impl Burn {
+    /// Counts a request that ended.
+    pub fn ended(&self, now: TimeMs, class: &ClassName, ended: Ended) {
+        let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
+        let counts = classes.entry(class.clone()).or_default().current(now);
+        counts.offered += 1;
+        match ended {
+            Ended::Whole {
+                is_in_target,
+                is_resumed,
+                tokens,
+            } => {
+                counts.resumed += u64::from(is_resumed);
+                if is_in_target {
+                    counts.in_target += 1;
+                    counts.good_tokens += tokens.0;
+                } else {
+                    counts.late += 1;
+                }
+            }
+            Ended::Refused => counts.refused += 1,
+            Ended::Cut => counts.cut += 1,
+        }
+    }
+
+    /// Counts tokens that were computed for nothing.
+    pub fn wasted(&self, now: TimeMs, class: &ClassName, tokens: Tokens) {
+        let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
+        let counts = classes.entry(class.clone()).or_default().current(now);
+        counts.wasted_tokens += tokens.0;
+    }
+
+    /// The counts of the last `window_ms`, by class.
+    pub fn window(&self, now: TimeMs, window_ms: DurationMs) -> BTreeMap<ClassName, Counts> {
+        let oldest = now.0.saturating_sub(window_ms.0) / MINUTE_MS;
+        let classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
+        let sum = |burn: &ClassBurn| {
+            let mut sum = Counts::default();
+            let recent = burn.minutes.iter().filter(|(minute, _)| *minute >= oldest);
+            recent.for_each(|(_, counts)| sum.add(counts));
+            sum
+        };
+        classes
+            .iter()
+            .map(|(class, burn)| (class.clone(), sum(burn)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/modules/callers.rs
@@ -0,0 +1,442 @@
+//! The callers' HTTP interface.
+
+use crate::context::Context;
+use crate::modules::chat_format::{AnswerFormat, ModelCall, Shape};
+use crate::modules::config_in_force::InForce;
+use crate::modules::model_request::{self, CallerEvent, ModelRequest, Targets};
+use crate::modules::plain_request::{self, PlainRequest};
+use crate::modules::pool_link::NamedOffer;
+use crate::modules::refusal::{BadRequest, Refusal, header_value};
+use axum::body::{Body, Bytes};
+use axum::extract::{Path, Request, State};
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{any, get, post};
+use axum::{Json, Router};
+use bridgevane_adapters::{EndReason, PlainCall};
+use bridgevane_config::{ClassConfig, ServiceKind};
+use bridgevane_types::{
+    ClassName, CustomerId, DurationMs, IdempotencyKey, KindName, Outcome, RefusalCode, RequestId,
+    ServiceName, Tokens,
+};
+use futures_util::{Stream, StreamExt, stream};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use serde_json::{Value, json};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Names the request kind.
+const KIND_HEADER: &str = "x-bridgevane-kind";
+/// Characters that count as one prompt token before the engine has counted.
+const CHARS_PER_TOKEN: u64 = 4;
+/// Characters of a prefix block, as the engines cut prompts.
+const BLOCK_CHARS: usize = 64;
+/// Prompt tokens of a prefix block.
+const BLOCK_TOKENS: u32 = 16;
+/// Blocks that are sent with an offer at most; a longer prompt is thinned out.
+const MAX_BLOCKS: usize = 64;
+
+/// The callers' routes.
+pub fn router(context: Arc<Context>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(chat))
+        .route("/v1/completions", post(completion))
+        .route("/v1/models", get(models))
+        .route("/svc/{service}/{*path}", any(plain))
+        .route("/healthz", get(|| async { "ok" }))
+        .route("/readyz", get(ready))
+        .route("/metrics", get(metrics))
+        .with_state(context)
+}
+
+async fn ready(State(context): State<Arc<Context>>) -> (StatusCode, &'static str) {
+    if context.leaving.is_leaving() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "leaving");
+    }
+    if context.in_force.load().is_none() {
+        return (StatusCode::SERVICE_UNAVAILABLE, "no configuration");
+    }
+    (StatusCode::OK, "ready")
+}
+
+async fn metrics(State(context): State<Arc<Context>>) -> String {
+    context.metrics.page()
+}
+
+/// Who calls, under which configuration.
+struct Caller {
+    request: RequestId,
+    in_force: Arc<InForce>,
+    customer: CustomerId,
+    default_kind: KindName,
+}
+
+/// Checks that the VM takes work and that the key is a customer's.
+fn identify(context: &Context, headers: &HeaderMap) -> Result<Caller, Refusal> {
+    let request = context.new_request_id();
+    if context.leaving.is_leaving() {
+        let code = RefusalCode::Leaving;
+        let retry_after_ms = Some(DurationMs(0));
+        return Err(Refusal::refused(
+            request,
+            code,
+            Outcome::NotRun,
+            retry_after_ms,
+        ));
+    }
+    let Some(in_force) = context.in_force.load() else {
+        return Err(Refusal::bad_request(request, BadRequest::NotReady));
+    };
+    let key = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
+    let known = key.and_then(|key| in_force.customer_of_key(key));
+    let Some((customer, config)) = known else {
+        return Err(Refusal::bad_request(request, BadRequest::UnknownKey));
+    };
+    let customer = customer.clone();
+    let default_kind = config.default_kind.clone();
+    Ok(Caller {
+        request,
+        in_force,
+        customer,
+        default_kind,
+    })
+}
+
+async fn read_body(context: &Context, request: RequestId, body: Body) -> Result<Bytes, Refusal> {
+    let serving = &context.config.serving;
+    let reading = Limited::new(body, serving.max_body_bytes).collect();
+    let read = tokio::time::timeout(serving.body_timeout_ms.as_std(), reading).await;
+    let Ok(read) = read else {
+        return Err(Refusal::bad_request(request, BadRequest::BodyTimeout));
+    };
+    read.map(|body| body.to_bytes()).map_err(|error| {
+        let bad = if error.is::<LengthLimitError>() {
+            BadRequest::BodyTooLarge
+        } else {
+            BadRequest::MalformedBody
+        };
+        Refusal::bad_request(request, bad)
+    })
+}
+
+impl Caller {
+    fn bad(&self, bad: BadRequest) -> Refusal {
+        Refusal::bad_request(self.request, bad)
+    }
+
+    /// The kind that the header names, or the customer's default one, with its class.
+    fn kind(&self, headers: &HeaderMap) -> Result<(KindName, ClassName), Refusal> {
+        let named = headers
+            .get(KIND_HEADER)
+            .and_then(|value| value.to_str().ok());
+        let kind = named.map_or_else(|| self.default_kind.clone(), KindName::from);
+        let config = self.in_force.document.kind.get(&kind);
+        let is_allowed =
+            |customers: &[CustomerId]| customers.is_empty() || customers.contains(&self.customer);
+        match config.filter(|config| is_allowed(&config.customers)) {
+            Some(config) => Ok((kind, config.class.clone())),
+            None => Err(self.bad(BadRequest::KindNotAllowed)),
+        }
+    }
+
+    fn class(&self, class: &ClassName) -> Result<&ClassConfig, Refusal> {
+        let config = self.in_force.document.class.get(class);
+        config.ok_or_else(|| self.bad(BadRequest::KindNotAllowed))
+    }
+}
+
+fn targets(class: &ClassConfig) -> Targets {
+    Targets {
+        first_token_ms: class.first_token_target_ms,
+        between_tokens_ms: class.between_tokens_target_ms,
+    }
+}
+
+/// Hashes of the prompt's prefixes. A long prompt keeps every n-th block, so that an offer
+/// stays small; the hash of a block covers all text before its end.
+fn prefix_blocks(prompt: &str) -> (Vec<u64>, u32) {
+    let bytes = prompt.as_bytes();
+    let count = bytes.len() / BLOCK_CHARS;
+    let step = count.div_ceil(MAX_BLOCKS).max(1);
+    let hash = |block: usize| xxh3_64(&bytes[..block * BLOCK_CHARS]);
+    let blocks = (1..=count / step).map(|at| hash(at * step)).collect();
+    (blocks, BLOCK_TOKENS * step as u32)
+}
+
+async fn chat(State(context): State<Arc<Context>>, request: Request) -> Response {
+    answer_model(context, Shape::Chat, request).await
+}
+
+async fn completion(State(context): State<Arc<Context>>, request: Request) -> Response {
+    answer_model(context, Shape::Completion, request).await
+}
+
+async fn answer_model(context: Arc<Context>, shape: Shape, request: Request) -> Response {
+    match start_model(&context, shape, request).await {
+        Ok((format, call, answers)) if call.is_streaming() => {
+            stream_answer(format, call.includes_usage(), answers).await
+        }
+        Ok((format, _, answers)) => whole_answer(format, answers).await,
+        Err(refusal) => refusal.into_response(),
+    }
+}
+
+/// Checks a model call and starts it.
+async fn start_model(
+    context: &Arc<Context>,
+    shape: Shape,
+    request: Request,
+) -> Result<(AnswerFormat, ModelCall, mpsc::Receiver<CallerEvent>), Refusal> {
+    let (head, body) = request.into_parts();
+    let caller = identify(context, &head.headers)?;
+    let (kind, class) = caller.kind(&head.headers)?;
+    let class_config = caller.class(&class)?;
+    let body = read_body(context, caller.request, body).await?;
+    let parsed = ModelCall::parse(shape, &body);
+    let call = parsed.ok_or_else(|| caller.bad(BadRequest::MalformedBody))?;
+    let served = caller
+        .in_force
+        .document
+        .service_of_model(call.model.as_str());
+    let (service, _) = served.ok_or_else(|| caller.bad(BadRequest::UnknownModel))?;
+    let pool = context.pools.get(service);
+    let pool = pool.ok_or_else(|| caller.bad(BadRequest::NotReady))?;
+    let prompt = call.prompt_text(shape);
+    let prompt_tokens = Tokens((prompt.len() as u64).div_ceil(CHARS_PER_TOKEN).max(1));
+    let (blocks, block_tokens) = prefix_blocks(&prompt);
+    let offer = NamedOffer {
+        service: service.clone(),
+        request: caller.request,
+        class,
+        customer: caller.customer.clone(),
+        kind,
+        prompt_tokens,
+        max_tokens: call.max_tokens(context.config.serving.default_max_tokens),
+        blocks,
+        block_tokens,
+        is_repeatable: true,
+        is_preemptible: true,
+    };
+    let format = AnswerFormat {
+        shape,
+        request: caller.request,
+        model: call.model.clone(),
+        created_s: seconds_since_epoch(),
+        prompt_tokens,
+    };
+    let model_request = ModelRequest {
+        offer,
+        model: call.model.clone(),
+        prompt,
+        targets: targets(class_config),
+    };
+    let answers = model_request::spawn(context.clone(), pool, model_request);
+    Ok((format, call, answers))
+}
+
+fn seconds_since_epoch() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| elapsed.as_secs())
+}
+
+/// A whole answer in one JSON object.
+async fn whole_answer(format: AnswerFormat, mut answers: mpsc::Receiver<CallerEvent>) -> Response {
+    let mut text = String::new();
+    while let Some(event) = answers.recv().await {
+        match event {
+            CallerEvent::Text(piece) => text.push_str(&piece),
+            CallerEvent::End(reason, tokens) => {
+                let id = header_value(&format.request.to_string());
+                let headers = [("x-request-id", id)];
+                return (headers, Json(format.whole(&text, reason, tokens))).into_response();
+            }
+            CallerEvent::Refused(refusal) => return refusal.into_response(),
+        }
+    }
+    let code = RefusalCode::RetriesExhausted;
+    Refusal::refused(format.request, code, Outcome::Unknown, None).into_response()
+}
+
+/// An answer as server-sent events. The status waits for the first event, so that a refusal
+/// has a status of its own.
+async fn stream_answer(
+    format: AnswerFormat,
+    includes_usage: bool,
+    mut answers: mpsc::Receiver<CallerEvent>,
+) -> Response {
+    let first = match answers.recv().await {
+        Some(CallerEvent::Refused(refusal)) => return refusal.into_response(),
+        Some(first) => first,
+        None => {
+            let code = RefusalCode::RetriesExhausted;
+            let refusal = Refusal::refused(format.request, code, Outcome::Unknown, None);
+            return refusal.into_response();
+        }
+    };
+    let headers = [
+        ("x-request-id", header_value(&format.request.to_string())),
+        ("content-type", header_value("text/event-stream")),
+        ("cache-control", header_value("no-cache")),
+    ];
+    let events = stream_events(format, includes_usage, first, answers);
+    (headers, Body::from_stream(events)).into_response()
+}
+
+fn stream_events(
+    format: AnswerFormat,
+    includes_usage: bool,
+    first: CallerEvent,
+    answers: mpsc::Receiver<CallerEvent>,
+) -> impl Stream<Item = Result<Bytes, Infallible>> + Send {
+    let rest = stream::unfold(answers, |mut answers| async move {
+        answers.recv().await.map(|event| (event, answers))
+    });
+    let mut is_first = true;
+    stream::once(async move { first })
+        .chain(rest)
+        .map(move |event| {
+            let was_first = std::mem::replace(&mut is_first, false);
+            Ok(Bytes::from(event_text(
+                &format,
+                includes_usage,
+                event,
+                was_first,
+            )))
+        })
+}
+
+fn event_text(
+    format: &AnswerFormat,
+    includes_usage: bool,
+    event: CallerEvent,
+    is_first: bool,
+) -> String {
+    match event {
+        CallerEvent::Text(text) => data(&format.piece(&text, is_first)),
+        CallerEvent::End(reason, tokens) => last_events(format, includes_usage, reason, tokens),
+        // The answer has begun: the error comes in its place, and no `[DONE]` follows.
+        CallerEvent::Refused(refusal) => data(&refusal.error_object()),
+    }
+}
+
+fn last_events(
+    format: &AnswerFormat,
+    includes_usage: bool,
+    reason: EndReason,
+    tokens: Tokens,
+) -> String {
+    let mut text = data(&format.last_piece(reason));
+    if includes_usage {
+        text.push_str(&data(&format.usage_piece(tokens)));
+    }
+    text.push_str("data: [DONE]\n\n");
+    text
+}
+
+fn data(value: &Value) -> String {
+    format!("data: {value}\n\n")
+}
+
+async fn models(State(context): State<Arc<Context>>, request: Request) -> Response {
+    let caller = match identify(&context, request.headers()) {
+        Ok(caller) => caller,
+        Err(refusal) => return refusal.into_response(),
+    };
+    let services = caller.in_force.document.service.values();
+    let entry =
+        |model| json!({ "id": model, "object": "model", "created": 0, "owned_by": "bridgevane" });
+    let models: Vec<Value> = services.flat_map(|s| s.models.iter()).map(entry).collect();
+    Json(json!({ "object": "list", "data": models })).into_response()
+}
+
+async fn plain(
+    State(context): State<Arc<Context>>,
+    Path((service, path)): Path<(ServiceName, String)>,
+    request: Request,
+) -> Response {
+    match answer_plain(&context, service, path, request).await {
+        Ok(response) => response,
+        Err(refusal) => refusal.into_response(),
+    }
+}
+
+fn text_header(headers: &HeaderMap, name: header::HeaderName) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+async fn answer_plain(
+    context: &Arc<Context>,
+    service: ServiceName,
+    path: String,
+    request: Request,
+) -> Result<Response, Refusal> {
+    let (head, body) = request.into_parts();
+    let caller = identify(context, &head.headers)?;
+    let config = caller.in_force.document.service.get(&service);
+    let config = config
+        .filter(|config| config.kind == ServiceKind::Plain)
+        .ok_or_else(|| caller.bad(BadRequest::UnknownService))?;
+    let path = format!("/{path}");
+    let route = config.route_of(&path);
+    let route = route.ok_or_else(|| caller.bad(BadRequest::UnknownRoute))?;
+    let class_config = caller.class(&route.class)?;
+    let body = read_body(context, caller.request, body).await?;
+    let pool = context.pools.get(&service);
+    let pool = pool.ok_or_else(|| caller.bad(BadRequest::NotReady))?;
+    let query = head.uri.query().map(|query| format!("?{query}"));
+    let idempotency_key = head
+        .headers
+        .get("idempotency-key")
+        .and_then(|value| value.to_str().ok())
+        .map(IdempotencyKey::from);
+    let call = PlainCall {
+        request: caller.request,
+        method: head.method,
+        path: path + &query.unwrap_or_default(),
+        idempotency_key,
+        content_type: text_header(&head.headers, header::CONTENT_TYPE),
+        body,
+    };
+    let offer = NamedOffer {
+        service,
+        request: caller.request,
+        class: route.class.clone(),
+        customer: caller.customer.clone(),
+        kind: caller.default_kind.clone(),
+        prompt_tokens: Tokens(0),
+        max_tokens: Tokens(1),
+        blocks: Vec::new(),
+        block_tokens: 0,
+        is_repeatable: route.repeatable,
+        is_preemptible: false,
+    };
+    let plain_request = PlainRequest {
+        offer,
+        call,
+        targets: targets(class_config),
+    };
+    // In a task of its own: a caller that goes away must not cut the call.
+    let running = tokio::spawn(plain_request::run(context.clone(), pool, plain_request));
+    let unknown = || {
+        let code = RefusalCode::OutcomeUnknown;
+        Refusal::refused(caller.request, code, Outcome::Unknown, None)
+    };
+    let answer = running.await.map_err(|_| unknown())??;
+    let mut response = (answer.status, answer.body).into_response();
+    let headers = response.headers_mut();
+    headers.remove(header::CONTENT_TYPE);
+    if let Some(content_type) = &answer.content_type {
+        headers.insert(header::CONTENT_TYPE, header_value(content_type));
+    }
+    headers.insert("x-request-id", header_value(&caller.request.to_string()));
+    headers.insert(
+        "x-bridgevane-outcome",
+        header_value(&Outcome::Ran.to_string()),
+    );
+    Ok(response)
+}
--- /dev/null
+++ b/src/modules/engine_poll.rs
@@ -0,0 +1,99 @@
+//! Reads load reports and cache events of a pool's engines.
+
+use crate::context::Context;
+use crate::modules::engine_link::EngineLink;
+use crate::modules::pool_actor::PoolMessage;
+use crate::{event, events::Event};
+use bridgevane_adapters::ModelEngine;
+use bridgevane_config::ServiceKind;
+use bridgevane_types::{ConfigVersion, ServiceName};
+use futures_util::future::join_all;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// What is remembered of one engine between reads.
+struct Polled {
+    link: Arc<EngineLink>,
+    cache_sequence: u64,
+    is_reachable: bool,
+}
+
+/// Reads until the pool ends.
+pub async fn run(context: Arc<Context>, service: ServiceName, messages: mpsc::Sender<PoolMessage>) {
+    let mut version = ConfigVersion(0);
+    let mut polled: Vec<Polled> = Vec::new();
+    while !messages.is_closed() {
+        if let Some(in_force) = context.in_force.load()
+            && in_force.version > version
+        {
+            version = in_force.version;
+            polled = engines_of(&context, &service, polled);
+        }
+        join_all(polled.iter_mut().map(|engine| poll(engine, &messages))).await;
+        tokio::time::sleep(context.config.serving.poll_every_ms.as_std()).await;
+    }
+}
+
+/// The engines to read, keeping what is remembered of known ones.
+fn engines_of(context: &Context, service: &ServiceName, known: Vec<Polled>) -> Vec<Polled> {
+    let Some(in_force) = context.in_force.load() else {
+        return known;
+    };
+    let Some(config) = in_force.document.service.get(service) else {
+        return known;
+    };
+    if config.kind != ServiceKind::Model {
+        return Vec::new();
+    }
+    let mut known = known;
+    let mut polled = Vec::new();
+    for (name, engine) in &config.engine {
+        if engine.data_centre != context.config.data_centre {
+            continue;
+        }
+        let same = |old: &Polled| old.link.name == *name && old.link.address == engine.address;
+        let entry = match known.iter().position(same) {
+            Some(found) => known.swap_remove(found),
+            None => Polled {
+                link: Arc::new(EngineLink::new(name.clone(), engine.address)),
+                cache_sequence: 0,
+                is_reachable: true,
+            },
+        };
+        polled.push(entry);
+    }
+    polled
+}
+
+async fn poll(polled: &mut Polled, messages: &mpsc::Sender<PoolMessage>) {
+    match polled.link.model.load().await {
+        Ok(report) => {
+            polled.is_reachable = true;
+            let message = PoolMessage::Load {
+                engine: polled.link.name.clone(),
+                busy: report.running.0 + report.waiting.0,
+                age_ms: report.age_ms,
+            };
+            let _ = messages.send(message).await;
+        }
+        Err(error) => {
+            if polled.is_reachable {
+                event!(
+                    Event::EngineUnreachable,
+                    engine = polled.link.name,
+                    cause = error
+                );
+            }
+            polled.is_reachable = false;
+            return;
+        }
+    }
+    let Ok(events) = polled.link.model.cache_events(polled.cache_sequence).await else {
+        return;
+    };
+    if let Some(last) = events.last() {
+        polled.cache_sequence = last.sequence;
+        let name = polled.link.name.clone();
+        let _ = messages.send(PoolMessage::Cache(name, events)).await;
+    }
+}
--- /dev/null
+++ b/src/modules/logging.rs
@@ -0,0 +1,79 @@
+//! Log lines: one line an event, as JSON or for people.
+
+use crate::configs::log::{LogConfig, LogFormat};
+use derive_more::{Display, Error, From};
+use log::kv::{Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use serde_json::{Map, Value as Json};
+use std::fmt::Write as _;
+use std::time::SystemTime;
+
+/// Logging was set up before.
+#[derive(Debug, Display, Error, From)]
+#[display("logging was set up before")]
+pub struct LoggingError {
+    source: log::SetLoggerError,
+}
+
+/// Gathers an event's fields.
+struct Fields {
+    map: Map<String, Json>,
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let json = match value.to_u64() {
+            Some(number) => Json::from(number),
+            None => Json::from(value.to_string()),
+        };
+        self.map.insert(key.to_string(), json);
+        Ok(())
+    }
+}
+
+fn fields_of(record: &Record<'_>) -> Map<String, Json> {
+    let mut fields = Fields { map: Map::new() };
+    // A field that can't be shown is left out.
+    let _ = record.key_values().visit(&mut fields);
+    fields.map
+}
+
+fn json_line(record: &Record<'_>) -> String {
+    let mut line = Map::new();
+    let at = humantime::format_rfc3339_millis(SystemTime::now());
+    line.insert("at".into(), at.to_string().into());
+    line.insert("level".into(), record.level().as_str().into());
+    line.insert("text".into(), record.args().to_string().into());
+    line.extend(fields_of(record));
+    Json::Object(line).to_string()
+}
+
+fn text_line(record: &Record<'_>) -> String {
+    let at = humantime::format_rfc3339_millis(SystemTime::now());
+    let mut line = format!("{at} {:5} {}", record.level(), record.args());
+    for (key, value) in fields_of(record) {
+        let _ = match value {
+            Json::String(text) => write!(line, " {key}={text}"),
+            other => write!(line, " {key}={other}"),
+        };
+    }
+    line
+}
+
+/// Sends logs to standard error.
+///
+/// # Errors
+/// [`LoggingError`] when logging was set up before.
+pub fn set_up(config: LogConfig) -> Result<(), LoggingError> {
+    let format = config.format;
+    fern::Dispatch::new()
+        .format(move |out, _message, record| match format {
+            LogFormat::Json => out.finish(format_args!("{}", json_line(record))),
+            LogFormat::Text => out.finish(format_args!("{}", text_line(record))),
+        })
+        .level(LevelFilter::Warn)
+        .level_for("bridgevane", config.level)
+        .chain(std::io::stderr())
+        .apply()?;
+    Ok(())
+}
--- /dev/null
+++ b/src/modules/metrics.rs
@@ -0,0 +1,102 @@
+//! Metrics by `opentelemetry`, shown as a Prometheus page.
+
+use bridgevane_types::{ClassName, Tokens};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// First-token buckets in seconds, around the targets of the classes.
+const LATENCY_BUCKETS_S: [f64; 13] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.81, 1.0, 2.0, 5.0, 15.0, 60.0,
+];
+
+/// The daemon's instruments.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    tokens: Counter<u64>,
+    wasted_tokens: Counter<u64>,
+    first_token_s: Histogram<f64>,
+    platform_calls: Counter<u64>,
+    peer_bytes: Counter<u64>,
+}
+
+impl Metrics {
+    /// New instruments with a registry of their own.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        // A fresh registry has no name that could clash.
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a fresh registry accepts the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("bridgevane");
+        Self {
+            requests: meter.u64_counter("bridgevane_requests").build(),
+            tokens: meter.u64_counter("bridgevane_tokens").build(),
+            wasted_tokens: meter.u64_counter("bridgevane_wasted_tokens").build(),
+            first_token_s: meter
+                .f64_histogram("bridgevane_first_token_seconds")
+                .with_boundaries(LATENCY_BUCKETS_S.to_vec())
+                .build(),
+            platform_calls: meter.u64_counter("bridgevane_platform_calls").build(),
+            peer_bytes: meter.u64_counter("bridgevane_peer_bytes").build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// A request got its final answer.
+    pub fn request_ended(&self, class: &ClassName, result: &'static str) {
+        let labels = [class_label(class), KeyValue::new("result", result)];
+        self.requests.add(1, &labels);
+    }
+
+    /// A first token, or a plain answer, reached the caller.
+    pub fn first_token(&self, class: &ClassName, seconds: f64) {
+        self.first_token_s.record(seconds, &[class_label(class)]);
+    }
+
+    /// Tokens reached the caller.
+    pub fn delivered(&self, class: &ClassName, tokens: Tokens) {
+        self.tokens.add(tokens.0, &[class_label(class)]);
+    }
+
+    /// Tokens were computed for nothing.
+    pub fn wasted(&self, cause: &'static str, tokens: Tokens) {
+        self.wasted_tokens
+            .add(tokens.0, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// A call of the platform was made.
+    pub fn platform_call(&self, kind: &'static str) {
+        self.platform_calls.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Bytes went to or came from another daemon.
+    pub fn peer_bytes(&self, direction: &'static str, bytes: u64) {
+        self.peer_bytes
+            .add(bytes, &[KeyValue::new("direction", direction)]);
+    }
+
+    /// The Prometheus page.
+    pub fn page(&self) -> String {
+        let mut page = Vec::new();
+        // Writing into memory doesn't fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut page);
+        String::from_utf8_lossy(&page).into_owned()
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn class_label(class: &ClassName) -> KeyValue {
+    KeyValue::new("class", class.as_str().to_owned())
+}
--- /dev/null
+++ b/src/modules/pool_actor.rs
@@ -0,0 +1,423 @@
+//! A pool as a task: messages in, orders out. No lock is held across a decision.
+
+use crate::context::Context;
+use crate::modules::config_in_force::InForce;
+use crate::modules::engine_link::EngineLink;
+use crate::modules::engine_poll;
+use crate::modules::pool_link::{NamedOffer, OrderSender, PoolOrder, PoolReport};
+use bridgevane_adapters::{CacheChange, CacheEvent};
+use bridgevane_decisions::configs::Settings;
+use bridgevane_decisions::{
+    AttemptEnd, ClassView, Context as DecisionContext, DecisionRecord, Effect, EngineIx,
+    EngineView, Offer, Policy, Pool, PoolPolicy, Recorder, RequestView,
+};
+use bridgevane_types::{
+    AttemptNumber, DurationMs, EngineId, Outcome, RefusalCode, RequestId, ServiceName, Tokens,
+};
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::MissedTickBehavior;
+
+/// Messages that wait for a pool at most; beyond them a caller is refused.
+const MAX_MESSAGES: usize = 16_384;
+
+/// What a pool is told.
+pub enum PoolMessage {
+    /// A request asks to be served.
+    Offer(Box<NamedOffer>, OrderSender),
+    /// A request reports.
+    Report(RequestId, PoolReport),
+    /// A request that already runs is taken over.
+    Adopt {
+        /// The request.
+        offer: Box<NamedOffer>,
+        /// Its engine.
+        engine: EngineId,
+        /// Its attempt.
+        attempt: AttemptNumber,
+        /// Tokens delivered.
+        delivered: Tokens,
+        /// Where its orders go.
+        orders: OrderSender,
+    },
+    /// An engine's load, as of `age_ms` ago.
+    Load {
+        /// The engine.
+        engine: EngineId,
+        /// Requests there.
+        busy: u32,
+        /// Age of the report.
+        age_ms: DurationMs,
+    },
+    /// Changes of an engine's prefix cache.
+    Cache(EngineId, Vec<CacheEvent>),
+    /// A new configuration.
+    Reconfigure(Arc<InForce>),
+    /// An operator drains or undrains an engine on this VM's decisions.
+    View(oneshot::Sender<PoolView>),
+    /// An operator asks about a request.
+    Explain(RequestId, oneshot::Sender<Vec<DecisionRecord>>),
+}
+
+/// What operators see of a pool.
+#[derive(Clone, Debug)]
+pub struct PoolView {
+    /// The service.
+    pub service: ServiceName,
+    /// Requests in flight.
+    pub requests: Vec<RequestView>,
+    /// Engines.
+    pub engines: Vec<EngineView>,
+    /// Classes.
+    pub classes: Vec<ClassView>,
+}
+
+/// The way to a pool.
+#[derive(Clone)]
+pub struct PoolHandle {
+    messages: mpsc::Sender<PoolMessage>,
+}
+
+impl PoolHandle {
+    /// Offers a request; false when the pool has more messages than it can take.
+    pub fn offer(&self, offer: NamedOffer, orders: OrderSender) -> bool {
+        let message = PoolMessage::Offer(Box::new(offer), orders);
+        self.messages.try_send(message).is_ok()
+    }
+
+    /// Reports on a request. Reports must not get lost, so this waits for room.
+    pub async fn report(&self, request: RequestId, report: PoolReport) {
+        // A pool ends only with the daemon.
+        let _ = self
+            .messages
+            .send(PoolMessage::Report(request, report))
+            .await;
+    }
+
+    /// Sends any other message, waiting for room.
+    pub async fn send(&self, message: PoolMessage) {
+        let _ = self.messages.send(message).await;
+    }
+
+    /// Tells the pool a new configuration.
+    pub fn reconfigure(&self, in_force: Arc<InForce>) {
+        let messages = self.messages.clone();
+        tokio::spawn(async move {
+            let _ = messages.send(PoolMessage::Reconfigure(in_force)).await;
+        });
+    }
+
+    /// What operators see.
+    pub async fn view(&self) -> Option<PoolView> {
+        let (sender, receiver) = oneshot::channel();
+        self.messages.send(PoolMessage::View(sender)).await.ok()?;
+        receiver.await.ok()
+    }
+
+    /// The decisions about a request.
+    pub async fn explain(&self, request: RequestId) -> Vec<DecisionRecord> {
+        let (sender, receiver) = oneshot::channel();
+        let message = PoolMessage::Explain(request, sender);
+        if self.messages.send(message).await.is_err() {
+            return Vec::new();
+        }
+        receiver.await.unwrap_or_default()
+    }
+}
+
+/// Starts the pool of `service`.
+pub fn spawn(context: Arc<Context>, service: ServiceName, in_force: Arc<InForce>) -> PoolHandle {
+    let (messages, receiver) = mpsc::channel(MAX_MESSAGES);
+    let settings = Settings::default();
+    let policy = PoolPolicy::new(&in_force.document, &service, &context.config.data_centre);
+    let seed = context.incarnation.0;
+    let max_decisions = context.config.serving.max_decisions;
+    let mut actor = PoolActor {
+        pool: Pool::new(policy, &settings, seed),
+        settings,
+        log: Recorder::new(max_decisions),
+        effects: Vec::new(),
+        orders: HashMap::new(),
+        gone: Vec::new(),
+        links: Vec::new(),
+        service,
+        messages: messages.clone(),
+        context,
+        is_polled: false,
+    };
+    actor.follow(&in_force);
+    tokio::spawn(actor.run(receiver));
+    PoolHandle { messages }
+}
+
+struct PoolActor {
+    context: Arc<Context>,
+    service: ServiceName,
+    pool: Pool,
+    settings: Settings,
+    log: Recorder,
+    effects: Vec<Effect>,
+    orders: HashMap<RequestId, OrderSender>,
+    /// Requests that no longer listen.
+    gone: Vec<RequestId>,
+    links: Vec<Arc<EngineLink>>,
+    messages: mpsc::Sender<PoolMessage>,
+    is_polled: bool,
+}
+
+impl PoolActor {
+    async fn run(mut self, mut messages: mpsc::Receiver<PoolMessage>) {
+        let tick_every = self.context.config.serving.tick_every_ms.as_std();
+        let mut ticks = tokio::time::interval(tick_every);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.decide(|pool, context| pool.tick(context)),
+            }
+        }
+    }
+
+    /// Runs a decision and carries out its effects.
+    fn decide(&mut self, decide: impl FnOnce(&mut Pool, &mut DecisionContext<'_, Recorder>)) {
+        let mut context = DecisionContext {
+            now: self.context.now(),
+            settings: &self.settings,
+            effects: &mut self.effects,
+            log: &mut self.log,
+        };
+        decide(&mut self.pool, &mut context);
+        self.carry_out_all();
+    }
+
+    /// Carries out effects, and ends requests that no longer listen, until none is left.
+    fn carry_out_all(&mut self) {
+        while !self.effects.is_empty() {
+            for effect in std::mem::take(&mut self.effects) {
+                self.carry_out(effect);
+            }
+            for request in std::mem::take(&mut self.gone) {
+                self.orders.remove(&request);
+                let mut context = DecisionContext {
+                    now: self.context.now(),
+                    settings: &self.settings,
+                    effects: &mut self.effects,
+                    log: &mut self.log,
+                };
+                let attempt = AttemptNumber(0);
+                self.pool
+                    .finished(&mut context, request, attempt, AttemptEnd::CallerGone);
+            }
+        }
+    }
+
+    fn handle(&mut self, message: PoolMessage) {
+        match message {
+            PoolMessage::Offer(offer, orders) => self.offer(*offer, orders),
+            PoolMessage::Report(request, report) => self.report(request, report),
+            PoolMessage::Adopt {
+                offer,
+                engine,
+                attempt,
+                delivered,
+                orders,
+            } => self.adopt(&offer, &engine, attempt, delivered, orders),
+            PoolMessage::Load {
+                engine,
+                busy,
+                age_ms,
+            } => {
+                let Some(engine) = self.engine_ix(&engine) else {
+                    return;
+                };
+                self.decide(|pool, context| pool.load_report(context, engine, busy, age_ms));
+            }
+            PoolMessage::Cache(engine, events) => self.cache(&engine, &events),
+            PoolMessage::Reconfigure(in_force) => self.follow(&in_force),
+            PoolMessage::View(reply) => {
+                let _ = reply.send(self.view());
+            }
+            PoolMessage::Explain(request, reply) => {
+                let _ = reply.send(self.log.about(request));
+            }
+        }
+    }
+
+    fn named(&self, offer: &NamedOffer) -> Option<Offer> {
+        let policy = self.pool.policy();
+        Some(Offer {
+            request: offer.request,
+            class: policy.class_ix(&offer.class)?,
+            customer: policy.customer_ix(&offer.customer)?,
+            kind: policy.kind_ix(&offer.kind).unwrap_or_default(),
+            prompt_tokens: offer.prompt_tokens,
+            max_tokens: offer.max_tokens,
+            blocks: offer.blocks.clone(),
+            block_tokens: offer.block_tokens,
+            is_repeatable: offer.is_repeatable,
+            is_preemptible: offer.is_preemptible,
+        })
+    }
+
+    fn offer(&mut self, offer: NamedOffer, orders: OrderSender) {
+        let Some(named) = self.named(&offer) else {
+            // The configuration here doesn't know the class or customer yet.
+            let _ = orders.send(PoolOrder::Refuse {
+                code: RefusalCode::NoEngine,
+                outcome: Outcome::NotRun,
+                retry_after_ms: Some(DurationMs(1_000)),
+            });
+            return;
+        };
+        self.orders.insert(offer.request, orders);
+        self.decide(|pool, context| pool.offer(context, named));
+    }
+
+    fn adopt(
+        &mut self,
+        offer: &NamedOffer,
+        engine: &EngineId,
+        attempt: AttemptNumber,
+        delivered: Tokens,
+        orders: OrderSender,
+    ) {
+        let (Some(named), Some(engine)) = (self.named(offer), self.engine_ix(engine)) else {
+            return;
+        };
+        self.orders.insert(offer.request, orders);
+        let now = self.context.now();
+        self.pool.adopt(now, named, engine, attempt, delivered);
+    }
+
+    fn report(&mut self, request: RequestId, report: PoolReport) {
+        match report {
+            PoolReport::FirstToken(attempt) => {
+                self.decide(|pool, context| pool.first_token(context, request, attempt));
+            }
+            PoolReport::Progress(attempt, delivered) => {
+                self.decide(|pool, context| pool.progress(context, request, attempt, delivered));
+            }
+            PoolReport::Finished(attempt, end) => {
+                self.decide(|pool, context| pool.finished(context, request, attempt, end));
+                if matches!(end, AttemptEnd::Done(_) | AttemptEnd::CallerGone) {
+                    self.orders.remove(&request);
+                }
+            }
+        }
+    }
+
+    fn engine_ix(&self, name: &EngineId) -> Option<EngineIx> {
+        let engines = &self.pool.policy().engines;
+        let at = engines.iter().position(|engine| engine.name == *name)?;
+        Some(EngineIx(at as u32))
+    }
+
+    fn cache(&mut self, engine: &EngineId, events: &[CacheEvent]) {
+        let Some(engine) = self.engine_ix(engine) else {
+            return;
+        };
+        let now = self.context.now();
+        for event in events {
+            match event.change {
+                CacheChange::Stored => {
+                    self.pool
+                        .cache_stored(now, &self.settings, engine, event.block);
+                }
+                CacheChange::Evicted => self.pool.cache_evicted(engine, event.block),
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Dispatch {
+                request,
+                attempt,
+                engine,
+                priority,
+                ..
+            } => {
+                let order = PoolOrder::Dispatch {
+                    attempt,
+                    engine: self.links[engine.at()].clone(),
+                    priority,
+                };
+                self.order(request, order);
+            }
+            Effect::Cancel {
+                request,
+                attempt,
+                cause,
+                ..
+            } => self.order(request, PoolOrder::Cancel { attempt, cause }),
+            Effect::Refuse {
+                request,
+                code,
+                outcome,
+                retry_after_ms,
+            } => {
+                let refusal = PoolOrder::Refuse {
+                    code,
+                    outcome,
+                    retry_after_ms,
+                };
+                self.order(request, refusal);
+                self.orders.remove(&request);
+            }
+        }
+    }
+
+    fn order(&mut self, request: RequestId, order: PoolOrder) {
+        let sent = self.orders.get(&request).map(|orders| orders.send(order));
+        if matches!(sent, Some(Err(_))) {
+            self.gone.push(request);
+        }
+    }
+
+    fn follow(&mut self, in_force: &InForce) {
+        let mut policy = self.pool.policy().clone();
+        let data_centre = &self.context.config.data_centre;
+        policy.update(&in_force.document, &self.service, data_centre);
+        self.follow_links(&policy, in_force);
+        self.pool.set_policy(policy, &self.settings);
+        if !self.is_polled {
+            self.is_polled = true;
+            let poll = engine_poll::run(
+                self.context.clone(),
+                self.service.clone(),
+                self.messages.clone(),
+            );
+            tokio::spawn(poll);
+        }
+    }
+
+    fn follow_links(&mut self, policy: &PoolPolicy, in_force: &InForce) {
+        let Some(service) = in_force.document.service.get(&self.service) else {
+            return;
+        };
+        for (at, engine) in policy.engines.iter().enumerate() {
+            let Some(config) = service.engine.get(&engine.name) else {
+                continue;
+            };
+            let link = || Arc::new(EngineLink::new(engine.name.clone(), config.address));
+            match self.links.get_mut(at) {
+                Some(known) if known.address == config.address => {}
+                Some(known) => *known = link(),
+                None => self.links.push(link()),
+            }
+        }
+    }
+
+    fn view(&self) -> PoolView {
+        PoolView {
+            service: self.service.clone(),
+            requests: self.pool.request_views(self.context.now()),
+            engines: self.pool.engine_views(),
+            classes: self.pool.class_views(),
+        }
+    }
+}
--- /dev/null
+++ b/src/modules/pool_link.rs
@@ -0,0 +1,86 @@
+//! What passes between a request and the pool that decides on it, wherever the pool is.
+
+use crate::modules::engine_link::EngineLink;
+use bridgevane_decisions::{AttemptEnd, CancelCause};
+use bridgevane_types::{
+    AttemptNumber, ClassName, CustomerId, DurationMs, EngineId, KindName, Outcome, RefusalCode,
+    RequestId, ServiceName, Tier, Tokens,
+};
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// A request that asks a pool to be served, by names.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NamedOffer {
+    /// The pool's service.
+    pub service: ServiceName,
+    /// The request.
+    pub request: RequestId,
+    /// Class.
+    pub class: ClassName,
+    /// Customer.
+    pub customer: CustomerId,
+    /// Kind.
+    pub kind: KindName,
+    /// Tokens of the prompt.
+    pub prompt_tokens: Tokens,
+    /// The longest answer.
+    pub max_tokens: Tokens,
+    /// Chained hashes of the prompt's blocks.
+    pub blocks: Vec<u64>,
+    /// Prompt tokens that one block stands for.
+    pub block_tokens: u32,
+    /// Whether it may be sent again when its outcome isn't known.
+    pub is_repeatable: bool,
+    /// Whether a running attempt may be cancelled and resumed.
+    pub is_preemptible: bool,
+}
+
+/// What a pool tells a request to do.
+#[derive(Clone, Debug)]
+pub enum PoolOrder {
+    /// Send an attempt to an engine.
+    Dispatch {
+        /// The attempt.
+        attempt: AttemptNumber,
+        /// The engine.
+        engine: Arc<EngineLink>,
+        /// Priority inside the engine.
+        priority: Tier,
+    },
+    /// Cancel the attempt and wait for the next order.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptNumber,
+        /// Why.
+        cause: CancelCause,
+    },
+    /// Give the final answer now.
+    Refuse {
+        /// Why.
+        code: RefusalCode,
+        /// Whether it ran.
+        outcome: Outcome,
+        /// When to come back.
+        retry_after_ms: Option<DurationMs>,
+    },
+}
+
+/// What a request tells its pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoolReport {
+    /// The attempt's first token came.
+    FirstToken(AttemptNumber),
+    /// The attempt has delivered so many tokens.
+    Progress(AttemptNumber, Tokens),
+    /// The attempt ended.
+    Finished(AttemptNumber, AttemptEnd),
+}
+
+/// Where a pool's orders for one request go.
+pub type OrderSender = mpsc::UnboundedSender<PoolOrder>;
+/// Where a request gets its orders. The pool sends a handful an attempt.
+pub type OrderReceiver = mpsc::UnboundedReceiver<PoolOrder>;
+
+/// An engine's name with its link.
+pub type NamedEngine = (EngineId, Arc<EngineLink>);
--- /dev/null
+++ b/src/modules/refusal.rs
@@ -0,0 +1,177 @@
+//! Final answers that aren't the one asked for: status, typed code, outcome, when to come back.
+
+use axum::Json;
+use axum::http::{HeaderValue, StatusCode, header::RETRY_AFTER};
+use axum::response::{IntoResponse, Response};
+use bridgevane_types::{DurationMs, Outcome, RefusalCode, RequestId};
+use serde_json::{Value, json};
+
+/// What was wrong with a request itself.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum BadRequest {
+    /// No or an unknown bearer key.
+    #[display("invalid_api_key")]
+    UnknownKey,
+    /// The body isn't the JSON that the call takes.
+    #[display("invalid_body")]
+    MalformedBody,
+    /// The body is longer than allowed.
+    #[display("body_too_large")]
+    BodyTooLarge,
+    /// The body did not come in time.
+    #[display("body_timeout")]
+    BodyTimeout,
+    /// No service serves the model.
+    #[display("model_not_found")]
+    UnknownModel,
+    /// No service of this name.
+    #[display("service_not_found")]
+    UnknownService,
+    /// No route of the service matches.
+    #[display("route_not_found")]
+    UnknownRoute,
+    /// The kind isn't declared, or not for this customer.
+    #[display("kind_not_allowed")]
+    KindNotAllowed,
+    /// The idempotency key was used for another call.
+    #[display("idempotency_key_reused")]
+    KeyReused,
+    /// A call with the same idempotency key is in progress.
+    #[display("idempotency_key_in_progress")]
+    KeyInProgress,
+    /// The daemon has no configuration yet.
+    #[display("not_ready")]
+    NotReady,
+}
+
+/// A final answer without the result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The request.
+    pub request: RequestId,
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Typed code.
+    pub code: Code,
+    /// Whether it ran.
+    pub outcome: Outcome,
+    /// When to come back.
+    pub retry_after_ms: Option<DurationMs>,
+}
+
+/// The typed code of a final answer.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum Code {
+    /// The request was at fault.
+    #[display("{_0}")]
+    BadRequest(BadRequest),
+    /// The router refused or gave up.
+    #[display("{_0}")]
+    Refused(RefusalCode),
+}
+
+/// When to come back to a daemon that isn't ready.
+const NOT_READY_RETRY: DurationMs = DurationMs(1_000);
+
+impl Refusal {
+    /// The answer to a request that is at fault: it was not run.
+    pub fn bad_request(request: RequestId, bad: BadRequest) -> Self {
+        let status = match bad {
+            BadRequest::UnknownKey => StatusCode::UNAUTHORIZED,
+            BadRequest::MalformedBody => StatusCode::BAD_REQUEST,
+            BadRequest::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            BadRequest::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            BadRequest::UnknownModel | BadRequest::UnknownService | BadRequest::UnknownRoute => {
+                StatusCode::NOT_FOUND
+            }
+            BadRequest::KindNotAllowed => StatusCode::FORBIDDEN,
+            BadRequest::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            BadRequest::KeyInProgress => StatusCode::CONFLICT,
+            BadRequest::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        let is_temporary = matches!(bad, BadRequest::NotReady | BadRequest::KeyInProgress);
+        Self {
+            request,
+            status,
+            code: Code::BadRequest(bad),
+            outcome: Outcome::NotRun,
+            retry_after_ms: is_temporary.then_some(NOT_READY_RETRY),
+        }
+    }
+
+    /// The answer to a request that the router refused or gave up.
+    pub fn refused(
+        request: RequestId,
+        code: RefusalCode,
+        outcome: Outcome,
+        retry_after_ms: Option<DurationMs>,
+    ) -> Self {
+        let status = match code {
+            RefusalCode::CustomerLimit => StatusCode::TOO_MANY_REQUESTS,
+            RefusalCode::RetriesExhausted | RefusalCode::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            RefusalCode::CannotMeetTarget
+            | RefusalCode::QueueFull
+            | RefusalCode::NoEngine
+            | RefusalCode::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        Self {
+            request,
+            status,
+            code: Code::Refused(code),
+            outcome,
+            retry_after_ms,
+        }
+    }
+
+    /// The error object that client libraries of the API read.
+    pub fn error_object(&self) -> Value {
+        let kind = if self.status.is_client_error() {
+            "invalid_request_error"
+        } else {
+            "server_error"
+        };
+        json!({ "error": {
+            "message": format!("{}: the request was {}", self.code, self.outcome_text()),
+            "type": kind,
+            "code": self.code.to_string(),
+            "param": Value::Null,
+            "outcome": self.outcome,
+            "request_id": self.request.to_string(),
+        }})
+    }
+
+    fn outcome_text(&self) -> &'static str {
+        match self.outcome {
+            Outcome::NotRun => "not run",
+            Outcome::Unknown => "sent, and it isn't known whether it ran",
+            Outcome::Ran => "run in part",
+        }
+    }
+}
+
+/// A header value of text that holds no control characters.
+pub fn header_value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or(HeaderValue::from_static("invalid"))
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let mut response = (self.status, Json(self.error_object())).into_response();
+        let headers = response.headers_mut();
+        headers.insert("x-request-id", header_value(&self.request.to_string()));
+        headers.insert(
+            "x-bridgevane-outcome",
+            header_value(&self.outcome.to_string()),
+        );
+        if let Some(retry_after_ms) = self.retry_after_ms {
+            let seconds = retry_after_ms.as_retry_after_s().to_string();
+            headers.insert(RETRY_AFTER, header_value(&seconds));
+            let exact = retry_after_ms.to_string();
+            headers.insert("retry-after-ms", header_value(&exact));
+        } else {
+            // Client libraries repeat calls by themselves unless told not to.
+            headers.insert("x-should-retry", HeaderValue::from_static("false"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,302 @@
+//! What end-to-end tests share: processes on loopback, ended by their own ids, and calls.
+#![allow(dead_code, missing_docs)]
+
+use bridgevane_adapters::HttpClient;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use serde_json::Value;
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+pub const BINARY: &str = env!("CARGO_BIN_EXE_bridgevane");
+pub const CUSTOMER_KEY: &str = "key-of-grand-bay";
+pub const OPERATOR: &str = "nadia:operator-token-1";
+
+/// A process that is killed when the test ends.
+pub struct Process {
+    child: Child,
+    pub address: SocketAddr,
+    pub operators: SocketAddr,
+    pub peers: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process can be killed");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Sends a signal by the process's own id.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([format!("-{name}"), self.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(status.success());
+    }
+
+    pub fn wait(&mut self) -> std::process::ExitStatus {
+        self.child.wait().expect("the process ends")
+    }
+}
+
+/// Starts a stand-in; its first line is its address.
+pub fn standin(arguments: &[&str]) -> Process {
+    let mut child = Command::new(BINARY)
+        .arg("standin")
+        .args(arguments)
+        .args(["--address", "127.0.0.1:0"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the stand-in starts");
+    let stdout = child.stdout.take().expect("standard output is piped");
+    let mut line = String::new();
+    BufReader::new(stdout)
+        .read_line(&mut line)
+        .expect("a first line");
+    let address = line.trim().parse().expect("an address");
+    Process {
+        child,
+        address,
+        operators: address,
+        peers: address,
+    }
+}
+
+/// Starts a daemon with free ports and waits until it serves.
+pub fn daemon(vm: &str, data_centre: &str, platform: SocketAddr, seeds: &[SocketAddr]) -> Process {
+    let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
+    let mut child = Command::new(BINARY)
+        .args(["serve", "--vm-id", vm, "--data-centre", data_centre])
+        .args(["--caller-address", "127.0.0.1:0"])
+        .args(["--operator-address", "127.0.0.1:0"])
+        .args(["--peer-address", "127.0.0.1:0"])
+        .args(["--platform-address", &platform.to_string()])
+        .env("BRIDGEVANE_PEER_SEEDS", seeds.join(","))
+        .env("BRIDGEVANE_PEER_KEY", "a-key-for-tests-only")
+        .env(
+            "BRIDGEVANE_OPERATOR_TOKENS",
+            format!("{OPERATOR},marco:operator-token-2"),
+        )
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the daemon starts");
+    let stderr = child.stderr.take().expect("standard error is piped");
+    let mut lines = BufReader::new(stderr);
+    let started = loop {
+        let mut line = String::new();
+        lines.read_line(&mut line).expect("a log line");
+        assert!(!line.is_empty(), "the daemon ended before it served");
+        let event: Value = serde_json::from_str(&line).expect("a JSON log line");
+        if event["event"] == 1001 {
+            break event;
+        }
+    };
+    forward(vm.to_owned(), lines);
+    let address = |field: &str| {
+        let text = started[field].as_str().expect("an address field");
+        text.parse().expect("an address")
+    };
+    Process {
+        address: address("callers"),
+        operators: address("operators"),
+        peers: address("peers"),
+        child,
+    }
+}
+
+/// Passes a daemon's further log lines to the test's output.
+fn forward(vm: String, mut lines: BufReader<impl Read + Send + 'static>) {
+    std::thread::spawn(move || {
+        let mut line = String::new();
+        while lines.read_line(&mut line).is_ok_and(|count| count > 0) {
+            eprint!("{vm}: {line}");
+            line.clear();
+        }
+    });
+}
+
+/// An answer as a test reads it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: http::HeaderMap,
+    pub text: String,
+}
+
+impl Answer {
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.text).expect("a JSON answer")
+    }
+
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name).map(|value| value.to_str());
+        value.transpose().expect("a text header").unwrap_or("")
+    }
+
+    /// The text of a streamed answer's pieces.
+    pub fn streamed_text(&self) -> String {
+        let pieces = self
+            .text
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        let json = pieces.filter_map(|piece| serde_json::from_str::<Value>(piece).ok());
+        json.filter_map(|piece| {
+            let choice = &piece["choices"][0];
+            let text = choice["delta"]["content"]
+                .as_str()
+                .or(choice["text"].as_str());
+            text.map(str::to_owned)
+        })
+        .collect()
+    }
+}
+
+/// Sends a request with a bearer token and reads the whole answer.
+pub async fn send(
+    address: SocketAddr,
+    method: http::Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Answer {
+    let client = HttpClient::new(address);
+    let mut request = client.request(method, path);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(body.into())).expect("a request");
+    let response = client.send(request).await.expect("an answer");
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.map(|body| body.to_bytes());
+    let text = body.map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+    Answer {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        text: text.unwrap_or_else(|_| "<cut>".into()),
+    }
+}
+
+pub async fn post(address: SocketAddr, path: &str, body: Value) -> Answer {
+    let key = format!("Bearer {CUSTOMER_KEY}");
+    let headers = [
+        ("authorization", key.as_str()),
+        ("content-type", "application/json"),
+    ];
+    send(
+        address,
+        http::Method::POST,
+        path,
+        &headers,
+        body.to_string(),
+    )
+    .await
+}
+
+/// A streamed chat call.
+pub async fn chat(address: SocketAddr, prompt: &str, max_tokens: u64) -> Answer {
+    let body = serde_json::json!({
+        "model": "tutor",
+        "stream": true,
+        "max_tokens": max_tokens,
+        "messages": [{ "role": "user", "content": prompt }],
+    });
+    post(address, "/v1/chat/completions", body).await
+}
+
+/// Waits until `is_so` holds, polling for a bounded time.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, mut is_so: impl FnMut() -> F) {
+    const TRIES: u32 = 400;
+    for _ in 0..TRIES {
+        if is_so().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    panic!("never came true: {what}");
+}
+
+/// Waits until a daemon takes requests.
+pub async fn ready(process: &Process) {
+    let address = process.address;
+    eventually("the daemon is ready", || async move {
+        let answer = send(address, http::Method::GET, "/readyz", &[], "").await;
+        answer.status == 200
+    })
+    .await;
+}
+
+/// The configuration of one data centre with these engines and plain workers.
+pub fn configuration(data_centre: &str, engines: &[SocketAddr], plain: &[SocketAddr]) -> String {
+    let digest = bridgevane::modules::config_in_force::key_digest(CUSTOMER_KEY);
+    let workers = |service: &str, addresses: &[SocketAddr]| -> String {
+        let worker = |(at, address): (usize, &SocketAddr)| {
+            format!(
+                "[service.{service}.engine.{service}-{at}]\naddress = \"{address}\"\n\
+                 data_centre = \"{data_centre}\"\nslots = 16\n"
+            )
+        };
+        addresses.iter().enumerate().map(worker).collect()
+    };
+    format!(
+        r#"
+[class.booking]
+tier = 0
+first_token_target_ms = 500
+[class.report]
+tier = 1
+first_token_target_ms = 2000
+between_tokens_target_ms = 60
+[class.practice]
+tier = 2
+first_token_target_ms = 5000
+
+[kind.term-report]
+class = "report"
+[kind.practice-plan]
+class = "practice"
+
+[customer.grand-bay]
+key_digest = ["{digest}"]
+default_kind = "term-report"
+
+[service.tutor]
+kind = "model"
+models = ["tutor"]
+{}
+[service.desk]
+kind = "plain"
+{}
+[[service.desk.route]]
+prefix = "/bookings"
+class = "booking"
+[[service.desk.route]]
+prefix = "/attendance"
+class = "booking"
+repeatable = true
+"#,
+        workers("tutor", engines),
+        workers("desk", plain),
+    )
+}
+
+/// Writes a configuration where a stand-in platform can read it.
+pub fn configuration_file(name: &str, text: &str) -> std::path::PathBuf {
+    let directory = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let path = directory.join(format!("{name}.toml"));
+    std::fs::write(&path, text).expect("the configuration can be written");
+    path
+}
