--- /dev/null
+++ b/crates/decisions/benches/decision.rs
@@ -0,0 +1,180 @@
+//! The cost of one decision at several sizes of a pool.
+#![allow(missing_docs)]
+
+use bridgevane_decisions::configs::Settings;
+use bridgevane_decisions::{
+    AttemptEnd, ClassIx, ClassPolicy, Context, CustomerIx, CustomerPolicy, Effect, EnginePolicy,
+    KindIx, NoLog, Offer, Policy, Pool, PoolPolicy,
+};
+use bridgevane_types::{AttemptNumber, DurationMs, RequestId, Share, Slots, Tier, TimeMs, Tokens};
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+
+const CUSTOMERS: u32 = 1_100;
+const TIERS: u8 = 8;
+
+fn policy(engines: u32, slots: u32) -> PoolPolicy {
+    let class = |tier: u8| ClassPolicy {
+        name: format!("class-{tier}").as_str().into(),
+        tier: Tier(tier),
+        first_token_target_ms: DurationMs(810 * u64::from(tier + 1)),
+        between_tokens_target_ms: Some(DurationMs(46)),
+        min_share: Share(0.01),
+        max_wait_ms: None,
+    };
+    let customer = |at: u32| CustomerPolicy {
+        name: format!("customer-{at}").as_str().into(),
+        rate_limit_tps: None,
+        concurrency_limit: None,
+    };
+    let engine = |at: u32| EnginePolicy {
+        name: format!("engine-{at}").as_str().into(),
+        slots: Slots(slots),
+        is_drained: false,
+    };
+    PoolPolicy {
+        classes: (0..TIERS).map(class).collect(),
+        customers: (0..CUSTOMERS).map(customer).collect(),
+        kinds: vec![("kind".into(), Tokens(200))],
+        engines: (0..engines).map(engine).collect(),
+    }
+}
+
+fn offer(id: u64) -> Offer {
+    Offer {
+        request: RequestId(u128::from(id)),
+        class: ClassIx((id % u64::from(TIERS)) as u16),
+        customer: CustomerIx((id % u64::from(CUSTOMERS)) as u32),
+        kind: KindIx(0),
+        prompt_tokens: Tokens(1_000),
+        max_tokens: Tokens(1_024),
+        blocks: (0..16).map(|block| ((id % 500) << 8) | block).collect(),
+        block_tokens: 64,
+        is_repeatable: true,
+        is_preemptible: true,
+    }
+}
+
+struct Bench {
+    pool: Pool,
+    settings: Settings,
+    effects: Vec<Effect>,
+    next: u64,
+    running: std::collections::VecDeque<(RequestId, AttemptNumber)>,
+}
+
+impl Bench {
+    /// A pool with `in_flight` requests that run.
+    fn new(engines: u32, in_flight: u64) -> Self {
+        let settings = Settings::default();
+        let slots = (in_flight as u32).div_ceil(engines) + 1;
+        let mut bench = Self {
+            pool: Pool::new(policy(engines, slots), &settings, 1),
+            settings,
+            effects: Vec::new(),
+            next: 0,
+            running: std::collections::VecDeque::new(),
+        };
+        for _ in 0..in_flight {
+            bench.offer_next();
+        }
+        bench
+    }
+
+    fn decide(&mut self, decide: impl FnOnce(&mut Pool, &mut Context<'_, NoLog>)) {
+        let mut context = Context {
+            now: TimeMs(self.next),
+            settings: &self.settings,
+            effects: &mut self.effects,
+            log: &mut NoLog,
+        };
+        decide(&mut self.pool, &mut context);
+        for effect in self.effects.drain(..) {
+            if let Effect::Dispatch {
+                request, attempt, ..
+            } = effect
+            {
+                self.running.push_back((request, attempt));
+            }
+        }
+    }
+
+    fn offer_next(&mut self) {
+        self.next += 1;
+        let offer = offer(self.next);
+        self.decide(|pool, context| pool.offer(context, offer));
+    }
+
+    /// One request comes, and the oldest one ends: the state stays as large as it was.
+    fn turn(&mut self) {
+        self.offer_next();
+        if let Some((request, attempt)) = self.running.pop_front() {
+            let end = AttemptEnd::Done(Tokens(150));
+            self.decide(|pool, context| pool.finished(context, request, attempt, end));
+        }
+    }
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("offer_and_finish");
+    for engines in [12, 120, 850] {
+        let in_flight = if engines == 850 {
+            10_000
+        } else {
+            u64::from(engines) * 12
+        };
+        let mut bench = Bench::new(engines, in_flight);
+        group.bench_function(BenchmarkId::from_parameter(engines), |bencher| {
+            bencher.iter(|| bench.turn());
+        });
+    }
+    group.finish();
+    let mut group = criterion.benchmark_group("tick");
+    for engines in [12, 120, 850] {
+        let in_flight = if engines == 850 {
+            10_000
+        } else {
+            u64::from(engines) * 12
+        };
+        let mut bench = Bench::new(engines, in_flight);
+        group.bench_function(BenchmarkId::from_parameter(engines), |bencher| {
+            bencher.iter_batched(
+                || (),
+                |()| {
+                    bench.next += 20;
+                    bench.decide(|pool, context| pool.tick(context));
+                },
+                BatchSize::SmallInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+/// The slowest of a hundred decisions, since the mean hides a tail.
+fn tail(criterion: &mut Criterion) {
+    let mut bench = Bench::new(850, 10_000);
+    let mut times_ns: Vec<u64> = Vec::new();
+    criterion.bench_function("offer_and_finish/850/p99_sampled", |bencher| {
+        bencher.iter_custom(|iterations| {
+            let begun = std::time::Instant::now();
+            for _ in 0..iterations {
+                let one = std::time::Instant::now();
+                bench.turn();
+                times_ns.push(one.elapsed().as_nanos() as u64);
+            }
+            begun.elapsed()
+        });
+    });
+    times_ns.sort_unstable();
+    let at = |part: f64| times_ns[((times_ns.len() - 1) as f64 * part) as usize];
+    println!(
+        "offer_and_finish/850: {} samples, p50 {} ns, p99 {} ns, p99.9 {} ns",
+        times_ns.len(),
+        at(0.5),
+        at(0.99),
+        at(0.999),
+    );
+}
+
+criterion_group!(benches, decisions, tail);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/decisions/benches/policies/main.rs
@@ -0,0 +1,208 @@
+//! Compares the product's decisions with baselines over the users' workloads.
+//!
+//! `cargo bench -p bridgevane-decisions --bench policies` prints the table of
+//! docs/BENCHMARKS.md; `-- quick` runs one seed and few loads.
+
+#[path = "../../tests/support/mod.rs"]
+mod support;
+
+use bridgevane_decisions::{Policy, Pool};
+use comfy_table::{Table, presets};
+use support::{Baseline, Chooser, Driver, Fault, RunResult, Setup, Workload, ravaton, solcata};
+
+const SEEDS: [u64; 5] = [11, 23, 37, 41, 59];
+const LOADS: [f64; 5] = [0.7, 1.0, 1.5, 2.0, 3.0];
+
+/// A way to decide.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Decider {
+    /// The product: one home decides for the pool.
+    Home,
+    /// The product without a home: each of so many daemons decides alone.
+    Alone(usize),
+    /// A baseline in each of so many daemons.
+    Base(Chooser, usize),
+}
+
+impl Decider {
+    fn name(self) -> String {
+        match self {
+            Self::Home => "bridgevane, home".into(),
+            Self::Alone(daemons) => format!("bridgevane, {daemons} alone"),
+            Self::Base(chooser, daemons) => format!("{chooser:?}, {daemons}"),
+        }
+    }
+
+    fn run(self, setup: Setup) -> RunResult {
+        match self {
+            Self::Home => pools(setup, 1, None),
+            Self::Alone(daemons) => pools(setup, daemons, Some(2)),
+            Self::Base(chooser, daemons) => {
+                let deciders = (0..daemons as u64)
+                    .map(|seed| Baseline::new(chooser, setup.engines, setup.slots, seed))
+                    .collect();
+                drive(setup, deciders)
+            }
+        }
+    }
+}
+
+fn pools(mut setup: Setup, count: usize, choices: Option<u32>) -> RunResult {
+    setup.settings.routing.choices = choices;
+    let policy = setup.workload.policy(setup.engines, setup.slots);
+    let deciders = (0..count as u64)
+        .map(|seed| Pool::new(policy.clone(), &setup.settings, seed))
+        .collect();
+    drive(setup, deciders)
+}
+
+fn drive<P: Policy>(setup: Setup, deciders: Vec<P>) -> RunResult {
+    Driver::new(setup, deciders).run()
+}
+
+fn faults() -> Vec<Fault> {
+    vec![
+        Fault::Slow {
+            engine: 2,
+            factor: 10.0,
+            from_ms: 30_000,
+            to_ms: 80_000,
+        },
+        Fault::Crash {
+            engine: 5,
+            from_ms: 50_000,
+            to_ms: 70_000,
+        },
+    ]
+}
+
+/// Mean and half the span of a figure over seeds.
+fn spread(figures: &[f64]) -> (f64, f64) {
+    let mean = figures.iter().sum::<f64>() / figures.len() as f64;
+    let least = figures.iter().copied().fold(f64::INFINITY, f64::min);
+    let most = figures.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    (mean, (most - least) / 2.0)
+}
+
+fn row(
+    table: &mut Table,
+    workload: &Workload,
+    load: f64,
+    with_faults: bool,
+    decider: Decider,
+    seeds: &[u64],
+) {
+    let run = |seed: &u64| {
+        let mut setup = Setup::new(workload.clone(), load, *seed);
+        if with_faults {
+            setup.faults = faults();
+        }
+        decider.run(setup)
+    };
+    let results: Vec<RunResult> = seeds.iter().map(run).collect();
+    let figure = |of: &dyn Fn(&RunResult) -> f64| {
+        let figures: Vec<f64> = results.iter().map(of).collect();
+        spread(&figures)
+    };
+    let percent = |(mean, span): (f64, f64)| format!("{:.1} ±{:.1}", mean * 100.0, span * 100.0);
+    let mut cells = vec![
+        workload.name.to_owned(),
+        format!("{load}"),
+        if with_faults {
+            "yes".into()
+        } else {
+            "no".into()
+        },
+        decider.name(),
+    ];
+    for class in 0..workload.classes.len() {
+        cells.push(percent(figure(&|r| r.classes[class].attainment())));
+    }
+    cells.push(percent(figure(&|r| r.goodput_tps / r.bound_tps)));
+    cells.push(format!("{:.0}", figure(&|r| r.goodput_tps).0));
+    cells.push(percent(figure(&|r| r.wasted)));
+    let worst = |class: usize| {
+        let worst = results
+            .iter()
+            .map(|r| r.classes[class].worst_first_token_ms)
+            .max();
+        worst.unwrap_or(0).to_string()
+    };
+    let worst: Vec<String> = (0..workload.classes.len()).map(worst).collect();
+    cells.push(worst.join("/"));
+    let unfinished: u64 = results
+        .iter()
+        .flat_map(|r| &r.classes)
+        .map(|c| c.unfinished)
+        .sum();
+    cells.push(unfinished.to_string());
+    let interrupted = |cause: &str| -> u64 {
+        results
+            .iter()
+            .filter_map(|r| r.interrupted.get(cause))
+            .sum::<u64>()
+            / results.len() as u64
+    };
+    let causes =
+        ["for tier 0", "preempted", "moved", "lost"].map(|cause| interrupted(cause).to_string());
+    cells.push(causes.join("/"));
+    let broken: usize = results.iter().map(|r| r.broken.len()).sum();
+    cells.push(broken.to_string());
+    if broken > 0 && std::env::args().any(|argument| argument == "explain") {
+        for result in &results {
+            result
+                .broken
+                .iter()
+                .take(5)
+                .for_each(|broken| eprintln!("{broken}"));
+        }
+    }
+    table.add_row(cells);
+}
+
+fn main() {
+    let is_quick = std::env::args().any(|argument| argument == "quick");
+    let seeds = if is_quick { &SEEDS[..1] } else { &SEEDS[..] };
+    let loads = if is_quick {
+        &[1.0, 2.0][..]
+    } else {
+        &LOADS[..]
+    };
+    let deciders = [
+        Decider::Home,
+        Decider::Alone(3),
+        Decider::Alone(7),
+        Decider::Base(Chooser::RoundRobin, 1),
+        Decider::Base(Chooser::LeastInFlight, 1),
+        Decider::Base(Chooser::PowerOfTwo, 1),
+        Decider::Base(Chooser::PowerOfTwo, 7),
+    ];
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header([
+        "workload",
+        "load",
+        "faults",
+        "decider",
+        "tier 0 %",
+        "tier 1 %",
+        "tier 2 %",
+        "goodput/bound %",
+        "goodput t/s",
+        "wasted %",
+        "worst wait ms",
+        "unfinished",
+        "preempted for tier 0/for others/moved/lost",
+        "broken",
+    ]);
+    for workload in [ravaton(), solcata()] {
+        for load in loads {
+            for with_faults in [false, true] {
+                for decider in deciders {
+                    row(&mut table, &workload, *load, with_faults, decider, seeds);
+                }
+            }
+        }
+    }
+    println!("{table}");
+}
--- a/crates/decisions/src/configs/engine_health.rs
+++ b/crates/decisions/src/configs/engine_health.rs
@@ -21,6 +21,8 @@
     pub probation_slots: u32,
     /// A running engine that gives no token for this many times its usual gap is silent.
     pub silence_factor: f64,
+    /// How often a running attempt reports, at the latest.
+    pub report_every_ms: u64,
     /// Silence shorter than this never counts.
     pub min_silence_ms: u64,
 }
@@ -30,14 +32,15 @@
         Self {
             slow_factor: 3.0,
             slow_checks: 2,
-            check_every_ms: 200,
+            check_every_ms: 100,
             max_ejected_share: 0.34,
             eject_ms: 5_000,
             max_eject_ms: 60_000,
             probation_tokens: 32,
             probation_slots: 1,
-            silence_factor: 8.0,
-            min_silence_ms: 300,
+            silence_factor: 5.0,
+            report_every_ms: 500,
+            min_silence_ms: 400,
         }
     }
 }
--- a/crates/decisions/src/decision_log.rs
+++ b/crates/decisions/src/decision_log.rs
@@ -71,6 +71,14 @@
         /// Whether any of it may have run.
         may_have_run: bool,
     },
+    /// An engine's use changed: its slots count only while it is active and not drained.
+    #[display("engine {engine} is in use: {is_in_use}")]
+    EngineUse {
+        /// The engine.
+        engine: EngineIx,
+        /// Whether its slots can be given to other work.
+        is_in_use: bool,
+    },
     /// The answer is whole.
     #[display("{request} attempt {attempt} is done, {tokens} tokens")]
     Done {
@@ -94,16 +102,17 @@
 }
 
 impl Decision {
-    /// The request that it is about.
-    pub fn request(&self) -> RequestId {
+    /// The request that it is about; none: it is about an engine.
+    pub fn request(&self) -> Option<RequestId> {
         match self {
+            Self::EngineUse { .. } => None,
             Self::Offered { request, .. }
             | Self::Queued { request, .. }
             | Self::Dispatched { request, .. }
             | Self::Cancelled { request, .. }
             | Self::Lost { request, .. }
             | Self::Done { request, .. }
-            | Self::Refused { request, .. } => *request,
+            | Self::Refused { request, .. } => Some(*request),
         }
     }
 }
@@ -156,7 +165,7 @@
     /// The records about `request`.
     pub fn about(&self, request: RequestId) -> Vec<DecisionRecord> {
         self.records()
-            .filter(|record| record.decision.request() == request)
+            .filter(|record| record.decision.request() == Some(request))
             .copied()
             .collect()
     }
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -62,13 +62,15 @@
         attempt: AttemptNumber,
     );
 
-    /// An attempt has delivered this many tokens of the answer.
+    /// An attempt has delivered this many tokens of the answer, the last one `gap_ms` after the
+    /// one before.
     fn progress<L: DecisionLog>(
         &mut self,
         context: &mut Context<'_, L>,
         request: RequestId,
         attempt: AttemptNumber,
         delivered: Tokens,
+        gap_ms: DurationMs,
     );
 
     /// An attempt ended.
--- a/crates/decisions/src/modules/engine_load.rs
+++ b/crates/decisions/src/modules/engine_load.rs
@@ -10,11 +10,16 @@
 /// Time between two samples.
 const SAMPLE_EVERY_MS: u64 = 100;
 
+/// A report that nothing follows for this long no longer counts: its requests have ended, or
+/// the engine is gone, which its health tells.
+const REPORT_MEMORY_MS: u64 = 5_000;
+
 /// Work on one engine.
 #[derive(Clone, Debug)]
 pub(crate) struct EngineLoad {
     in_flight: u32,
     others: u32,
+    reported_at: TimeMs,
     samples: [u32; SAMPLES],
     /// Number of the newest sample's interval.
     newest: u64,
@@ -25,6 +30,7 @@
         Self {
             in_flight: 0,
             others: 0,
+            reported_at: TimeMs(0),
             samples: [0; SAMPLES],
             newest: 0,
         }
@@ -75,6 +81,14 @@
         let interval = described_at.clamp(oldest, self.newest);
         let own = self.samples[(interval % SAMPLES as u64) as usize];
         self.others = busy.saturating_sub(own);
+        self.reported_at = now;
+    }
+
+    /// Forgets others' work when no report came for long.
+    pub(crate) fn expire(&mut self, now: TimeMs) {
+        if now.since(self.reported_at).0 > REPORT_MEMORY_MS {
+            self.others = 0;
+        }
     }
 
     /// Forgets others' work, as when the engine restarted.
--- a/crates/decisions/src/modules/victims.rs
+++ b/crates/decisions/src/modules/victims.rs
@@ -28,13 +28,18 @@
         self.by_tier[slot(tier)].remove(&(cost, request));
     }
 
-    /// The cheapest of the lowest tier below `tier`.
-    pub(crate) fn cheapest_below(&self, tier: Tier) -> Option<RequestId> {
+    /// The cheapest of the lowest tier below `tier` whose slot is of use.
+    pub(crate) fn cheapest_below(
+        &self,
+        tier: Tier,
+        is_of_use: impl Fn(RequestId) -> bool,
+    ) -> Option<RequestId> {
         self.by_tier[slot(tier) + 1..]
             .iter()
             .rev()
-            .find_map(|tier| tier.first())
+            .flatten()
             .map(|(_, request)| *request)
+            .find(|request| is_of_use(*request))
     }
 }
 
--- a/crates/decisions/src/pool/admit.rs
+++ b/crates/decisions/src/pool/admit.rs
@@ -112,7 +112,7 @@
         let target_ms = self.class_policy(class).first_token_target_ms.0 as f64;
         let prefill_ms = self.estimates.prefill_ms(entry.offer.prompt_tokens.0);
         let expected_ms = self.expected_wait_ms(context, class, customer) + prefill_ms;
-        let preempt_at_ms = target_ms * context.settings.admission.preempt_at_share;
+        let preempt_at_ms = context.settings.admission.preempt_at_ms(target_ms);
         if expected_ms > preempt_at_ms && self.preempt_for(context, class) {
             return;
         }
--- a/crates/decisions/src/pool/attempt.rs
+++ b/crates/decisions/src/pool/attempt.rs
@@ -9,7 +9,7 @@
 use crate::index::EngineIx;
 use crate::modules::engine_health::{HealthContext, HealthEvent, HealthState};
 use crate::modules::request_life::{LifeEvent, LifeState};
-use bridgevane_types::{AttemptNumber, RequestId, Tokens};
+use bridgevane_types::{AttemptNumber, DurationMs, RequestId, Tokens};
 
 impl Pool {
     /// The running entry of this very attempt; reports of earlier attempts find none.
@@ -40,6 +40,7 @@
         running.heard_at = now;
         let took_ms = now.since(running.since).0 as f64;
         let uncached = running.uncached_tokens;
+        let engine_tokens = running.engine_tokens;
         let at = running.engine;
         let blocks = std::mem::take(&mut entry.offer.blocks);
         for block in &blocks {
@@ -51,10 +52,12 @@
         }
         let engine = &mut self.engines[at.at()];
         engine.prefilling = engine.prefilling.saturating_sub(1);
+        engine.prefill_tokens = engine.prefill_tokens.saturating_sub(uncached);
         engine.heard_at = now;
         if engine.health.state() == HealthState::Active {
-            self.estimates.learn_prefill(uncached, took_ms);
+            self.estimates.learn_prefill(engine_tokens, took_ms);
         }
+        self.refresh_cost(context.settings, at);
     }
 
     pub(super) fn note_progress<L: DecisionLog>(
@@ -63,6 +66,7 @@
         request: RequestId,
         attempt: AttemptNumber,
         delivered: Tokens,
+        last_gap_ms: DurationMs,
     ) {
         let now = context.now;
         let Some(entry) = self.running_entry(request, attempt) else {
@@ -78,7 +82,9 @@
         let Some(running) = entry.running.as_mut() else {
             return;
         };
-        let gap_ms = now.since(running.heard_at).0 as f64 / gained as f64;
+        let mean_gap_ms = now.since(running.heard_at).0 as f64 / gained as f64;
+        // The last gap tells of an engine that has just become slow; the mean hides it.
+        let gap_ms = mean_gap_ms.max(last_gap_ms.0 as f64);
         running.heard_at = now;
         let engine = running.engine;
         let old_cost = running.victim_cost;
@@ -90,7 +96,7 @@
             self.victims.remove(tier, old_cost, request);
             self.victims.insert(tier, new_cost, request);
         }
-        self.note_tokens(context, engine, gained, gap_ms);
+        self.note_tokens(context, engine, gained, gap_ms, mean_gap_ms);
     }
 
     /// Learns an engine's speed from `gained` tokens with a mean gap.
@@ -100,6 +106,7 @@
         at: EngineIx,
         gained: u64,
         gap_ms: f64,
+        mean_gap_ms: f64,
     ) {
         let usual_ms = self.estimates.between_tokens_ms();
         let slow_factor = context.settings.engine_health.slow_factor;
@@ -115,8 +122,13 @@
             let event = HealthEvent::GoodTokens(gained);
             engine.health.handle(&mut health_context, event);
         }
-        if engine.health.state() == HealthState::Active {
-            self.estimates.learn_between_tokens(gap_ms);
+        let state = engine.health.state();
+        if state == HealthState::Active && !engine.was_in_use {
+            self.record_use(context);
+            self.count_slots();
+        }
+        if state == HealthState::Active {
+            self.estimates.learn_between_tokens(mean_gap_ms);
         }
     }
 
@@ -150,7 +162,7 @@
             }
             AttemptEnd::Refused => self.retry_unrun(context, request, attempt, running),
             AttemptEnd::Lost { delivered } => {
-                self.engine_lost(context, running.engine);
+                self.stream_lost(context, running.engine);
                 self.retry_lost(context, request, attempt, running, delivered);
             }
             AttemptEnd::CallerGone => {}
@@ -259,10 +271,14 @@
         engine.load.remove(context.now);
         if was_started {
             engine.prefilling = engine.prefilling.saturating_sub(1);
+            engine.prefill_tokens = engine
+                .prefill_tokens
+                .saturating_sub(running.uncached_tokens);
         }
         if let Some(at) = engine.running.iter().position(|id| *id == request) {
             engine.running.swap_remove(at);
         }
+        self.refresh_cost(context.settings, running.engine);
         Some(running)
     }
 }
--- a/crates/decisions/src/pool/dispatch.rs
+++ b/crates/decisions/src/pool/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::effect::Effect;
 use crate::event::Offer;
 use crate::index::{ClassIx, EngineIx};
+use crate::modules::engine_health::HealthState;
 use crate::modules::request_life::LifeEvent;
 use bridgevane_types::{RequestId, Tokens};
 use rand::RngExt;
@@ -38,12 +39,62 @@
                 return;
             };
             let Some(choice) = self.choose_engine(context, request) else {
+                break;
+            };
+            self.send(context, turn, request, choice);
+        }
+        if self.is_probing {
+            self.probe(context);
+        }
+    }
+
+    /// Gives engines on probation the least important waiting work: a slow engine must not
+    /// cost an important request its target.
+    fn probe<L: DecisionLog>(&mut self, context: &mut Context<'_, L>) {
+        for at in 0..self.engines.len() as u32 {
+            let engine = &self.engines[at as usize];
+            let is_probed = engine.health.state() == HealthState::Probation;
+            if !is_probed || self.free_slots(context.settings, engine) == 0 {
+                continue;
+            }
+            let Some(class) = self.class_to_probe_with() else {
+                return;
+            };
+            let Some(request) = self.classes[class.at()].queue.peek() else {
                 return;
             };
+            let turn = Turn {
+                class,
+                is_aged: false,
+                is_owed: false,
+            };
+            let choice = Choice {
+                engine: EngineIx(at),
+                cached_tokens: 0,
+                cost_ms: 0.0,
+            };
             self.send(context, turn, request, choice);
         }
     }
 
+    /// The least important class that waits; the most important one only when nothing else
+    /// runs, or there is no engine but those on probation.
+    fn class_to_probe_with(&self) -> Option<ClassIx> {
+        let is_waiting = |class: &&ClassIx| !self.classes[class.at()].queue.is_empty();
+        let class = self.class_order.iter().rev().find(is_waiting).copied()?;
+        let tier = self.class_policy(class).tier;
+        let is_top = self
+            .class_order
+            .first()
+            .is_some_and(|first| self.class_policy(*first).tier == tier);
+        let has_others = self
+            .engines
+            .iter()
+            .any(|e| e.health.state() == HealthState::Active);
+        let has_lower = self.cheapest_victim(tier).is_some();
+        (!is_top || !has_lower || !has_others).then_some(class)
+    }
+
     /// The class that goes next: one whose longest wait is reached, else one that is owed
     /// its guaranteed part, else the most important; within a tier the earliest deadline.
     fn next_turn<L: DecisionLog>(&self, context: &Context<'_, L>) -> Option<Turn> {
@@ -87,6 +138,9 @@
     }
 
     fn aged_class<L: DecisionLog>(&self, context: &Context<'_, L>) -> Option<ClassIx> {
+        if !context.settings.admission.is_ageing {
+            return None;
+        }
         let aged_running: u32 = self.classes.iter().map(|class| class.aged_running).sum();
         let per_aged = f64::from(context.settings.admission.slots_per_aged);
         let allowed = (self.total_slots / per_aged).max(1.0) as u32;
@@ -125,64 +179,77 @@
                 .holders_of(context.now, &entry.offer.blocks, memory_ms);
             for (engine, blocks) in holders.into_iter().flatten() {
                 let cached_tokens = cached_tokens(&entry.offer, blocks);
-                let choice = self.price(context, engine, tokens, cached_tokens, avoid);
+                let choice = self.price(engine, tokens, cached_tokens, avoid);
                 best = cheaper(best, choice);
             }
         }
-        let count = self.engines.len() as u32;
-        // Ties go to the first engine seen, so each look starts elsewhere.
-        let start = self.rng.random_range(0..count.max(1));
-        let looks = context
-            .settings
-            .routing
-            .choices
-            .map_or(count, |choices| choices.min(count));
-        let is_sampled = looks < count;
-        for look in 0..looks {
-            let at = if is_sampled {
-                self.rng.random_range(0..count)
-            } else {
-                (start + look) % count
-            };
-            best = cheaper(best, self.price(context, EngineIx(at), tokens, 0, avoid));
+        let uncached = match context.settings.routing.choices {
+            None => self.least_loaded(avoid),
+            Some(choices) => self.least_loaded_of(choices, avoid),
+        };
+        let choice = uncached.and_then(|at| self.price(at, tokens, 0, avoid));
+        cheaper(best, choice)
+    }
+
+    /// The engine whose load costs least; ties go to the first one seen, so each look starts
+    /// elsewhere.
+    fn least_loaded(&mut self, avoid: Option<EngineIx>) -> Option<EngineIx> {
+        let count = self.load_costs_ms.len();
+        if count == 0 {
+            return None;
         }
-        if best.is_none() && is_sampled {
-            // None of the sampled engines has room: take any that has.
-            for look in 0..count {
-                let at = EngineIx((start + look) % count);
-                best = cheaper(best, self.price(context, at, tokens, 0, avoid));
+        let start = self.rng.random_range(0..count);
+        let mut least = (f64::INFINITY, None);
+        for at in (start..count).chain(0..start) {
+            let cost_ms = self.load_costs_ms[at];
+            if cost_ms < least.0 && avoid != Some(EngineIx(at as u32)) {
+                least = (cost_ms, Some(EngineIx(at as u32)));
             }
         }
-        best
+        // The engine to avoid is better than none.
+        least.1.or(avoid)
+    }
+
+    /// The least loaded of a few engines drawn at random, or of all when those are full.
+    fn least_loaded_of(&mut self, choices: u32, avoid: Option<EngineIx>) -> Option<EngineIx> {
+        let count = self.load_costs_ms.len();
+        let mut least = (f64::INFINITY, None);
+        for _ in 0..choices.min(count as u32) {
+            let at = self.rng.random_range(0..count);
+            let cost_ms = self.load_costs_ms[at];
+            if cost_ms < least.0 && avoid != Some(EngineIx(at as u32)) {
+                least = (cost_ms, Some(EngineIx(at as u32)));
+            }
+        }
+        match least.1 {
+            Some(at) => Some(at),
+            None => self.least_loaded(avoid),
+        }
     }
 
-    fn price<L: DecisionLog>(
+    /// What serving `tokens` costs at an engine, of which `cached_tokens` are there already.
+    fn price(
         &self,
-        context: &Context<'_, L>,
         at: EngineIx,
         tokens: u64,
         cached_tokens: u64,
         avoid: Option<EngineIx>,
     ) -> Option<Choice> {
         const COST_OF_AVOIDED_MS: f64 = 100_000.0;
-        let engine = self.engines.get(at.at())?;
-        if self.free_slots(context.settings, engine) == 0 {
+        let load_cost_ms = *self.load_costs_ms.get(at.at())?;
+        if !load_cost_ms.is_finite() {
             return None;
         }
         let uncached = tokens.saturating_sub(cached_tokens);
-        let prefill_ms = self.estimates.prefill_ms(uncached);
-        let queueing_ms = prefill_ms * f64::from(engine.prefilling);
-        let load = f64::from(engine.load.total()) / f64::from(engine.limit.slots().max(1));
         let avoided_ms = if avoid == Some(at) {
             COST_OF_AVOIDED_MS
         } else {
             0.0
         };
-        let load_ms = load * context.settings.routing.load_cost_ms;
         Some(Choice {
             engine: at,
             cached_tokens,
-            cost_ms: prefill_ms + queueing_ms + load_ms + avoided_ms,
+            cost_ms: self.estimates.prefill_ms(uncached) + load_cost_ms + avoided_ms,
         })
     }
 
@@ -245,10 +312,14 @@
         let can_be_victim = entry.offer.is_preemptible && !is_protected;
         let victim_cost = can_be_victim.then(|| entry.resume_cost());
         let tokens = entry.offer.prompt_tokens.0 + entry.delivered;
+        let uncached_tokens = tokens.saturating_sub(choice.cached_tokens);
+        let engine = &mut self.engines[choice.engine.at()];
+        engine.prefill_tokens += uncached_tokens;
         entry.running = Some(Running {
             engine: choice.engine,
             since: context.now,
-            uncached_tokens: tokens.saturating_sub(choice.cached_tokens),
+            uncached_tokens,
+            engine_tokens: engine.prefill_tokens,
             is_aged: turn.is_aged,
             victim_cost,
             heard_at: context.now,
@@ -264,6 +335,8 @@
             class.share.charge(charged_ms);
         }
         occupy(&mut self.engines[choice.engine.at()], context.now, request);
+        let delivered = entry.delivered;
+        self.refresh_cost(context.settings, choice.engine);
         self.started.push_back((request, attempt));
         context.record(Decision::Dispatched {
             request,
@@ -277,7 +350,7 @@
             attempt,
             engine: choice.engine,
             priority: tier,
-            resume_from: Tokens(entry.delivered),
+            resume_from: Tokens(delivered),
         });
     }
 }
--- a/crates/decisions/src/pool/entry.rs
+++ b/crates/decisions/src/pool/entry.rs
@@ -12,6 +12,8 @@
     pub(super) since: TimeMs,
     /// Prompt and delivered tokens that the engine had to process first.
     pub(super) uncached_tokens: u64,
+    /// What its engine had to process when it came, this attempt included.
+    pub(super) engine_tokens: u64,
     /// Runs because its class's longest wait was reached.
     pub(super) is_aged: bool,
     /// The cost under which it stands among the preemptible; none: it isn't there.
--- a/crates/decisions/src/pool/maintain.rs
+++ b/crates/decisions/src/pool/maintain.rs
@@ -2,7 +2,7 @@
 
 use super::Pool;
 use crate::context::Context;
-use crate::decision_log::DecisionLog;
+use crate::decision_log::{Decision, DecisionLog};
 use crate::index::{ClassIx, EngineIx};
 use crate::modules::engine_health::{HealthContext, HealthEvent, HealthState};
 use crate::modules::request_life::LifeState;
@@ -54,7 +54,9 @@
             self.check_engine(context, EngineIx(at), median_ms);
         }
         self.adjust_limits(context);
+        self.record_use(context);
         self.count_slots();
+        self.refresh_all_costs(context.settings);
     }
 
     fn median_between_tokens_ms(&self) -> f64 {
@@ -80,6 +82,7 @@
         let config = &context.settings.engine_health;
         let engine = &mut self.engines[at.at()];
         engine.load.sample(context.now);
+        engine.load.expire(context.now);
         let mut health_context = HealthContext {
             now: context.now,
             config,
@@ -89,9 +92,18 @@
             return;
         }
         let silent_ms = context.now.since(engine.heard_at).0 as f64;
-        let is_prefilling_only = engine.prefilling as usize >= engine.running.len();
-        let silence_ms = (median_ms * config.silence_factor).max(config.min_silence_ms as f64);
-        let is_silent = silent_ms > silence_ms && !is_prefilling_only;
+        let streaming = engine
+            .running
+            .len()
+            .saturating_sub(engine.prefilling as usize);
+        let report_ms = config.report_every_ms as f64 / streaming.max(1) as f64;
+        let usual_ms = report_ms.max(median_ms);
+        let silence_ms = (usual_ms * config.silence_factor).max(config.min_silence_ms as f64);
+        let is_silent = silent_ms > silence_ms && streaming > 0;
+        if is_silent && engine.health.state() == HealthState::Ejected {
+            self.move_work_from(context, at, true);
+            return;
+        }
         let is_slow = engine.between_tokens_ms.value() > median_ms * config.slow_factor;
         let event = if is_slow || is_silent {
             HealthEvent::Slow {
@@ -116,6 +128,20 @@
             && self.engines.len() > 1
     }
 
+    /// Notes in the log which engines came into use or fell out of it.
+    pub(super) fn record_use<L: DecisionLog>(&mut self, context: &mut Context<'_, L>) {
+        for (at, engine) in self.engines.iter_mut().enumerate() {
+            let is_in_use = engine.health.state() == HealthState::Active && !engine.is_drained;
+            if is_in_use != engine.was_in_use {
+                engine.was_in_use = is_in_use;
+                context.record(Decision::EngineUse {
+                    engine: EngineIx(at as u32),
+                    is_in_use,
+                });
+            }
+        }
+    }
+
     fn adjust_limits<L: DecisionLog>(&mut self, context: &Context<'_, L>) {
         let targets = self
             .policy
@@ -146,7 +172,7 @@
                 continue;
             };
             let config = &context.settings.engine_health;
-            let usual_ms = self.estimates.prefill_ms(running.uncached_tokens)
+            let usual_ms = self.estimates.prefill_ms(running.engine_tokens)
                 + self.estimates.between_tokens_ms();
             let overdue_ms = (usual_ms * config.silence_factor).max(config.min_silence_ms as f64);
             if (context.now.since(running.since).0 as f64) < overdue_ms {
@@ -191,13 +217,21 @@
             .estimates
             .prefill_ms(entry.offer.prompt_tokens.0 + delivered);
         let admission = &context.settings.admission;
-        let is_at_risk = waited_ms + prefill_ms > target_ms * admission.preempt_at_share;
+        // A stream that broke off makes its caller wait between tokens.
+        let is_mid_stream =
+            delivered > 0 && self.class_policy(class).between_tokens_target_ms.is_some();
+        let is_at_risk =
+            is_mid_stream || waited_ms + prefill_ms > admission.preempt_at_ms(target_ms);
         if is_at_risk && self.preempt_for(context, class) {
             return true;
         }
         // A request that ran before is never given up: its caller has part of the answer.
-        let is_late = waited_ms > target_ms * (1.0 + admission.late_grace_share);
-        if is_late && delivered == 0 && !self.is_next_aged(class) {
+        let mut latest_ms = target_ms * (1.0 + admission.late_grace_share);
+        if self.is_next_aged(class) {
+            // The slot that its longest wait gives it may take as long again to come free.
+            latest_ms += target_ms;
+        }
+        if waited_ms > latest_ms && delivered == 0 {
             self.give_up(context, head, RefusalCode::CannotMeetTarget, target_ms);
             return true;
         }
@@ -232,6 +266,9 @@
             if expected_ms <= latest_ms {
                 return;
             }
+            if self.preempt_for(context, class) {
+                continue;
+            }
             let retry_after = DurationMs((expected_ms - target_ms) as u64);
             let code = RefusalCode::CannotMeetTarget;
             self.give_up(context, newest, code, retry_after.0 as f64);
--- a/crates/decisions/src/pool/mod.rs
+++ b/crates/decisions/src/pool/mod.rs
@@ -39,9 +39,13 @@
     health: EngineHealth,
     load: EngineLoad,
     is_drained: bool,
+    /// What the log was last told of its use.
+    was_in_use: bool,
     between_tokens_ms: Ewma,
     /// Attempts that have given no token yet.
     prefilling: u32,
+    /// Tokens that those attempts have to process.
+    prefill_tokens: u64,
     /// When the engine last gave a token or got its first work.
     heard_at: TimeMs,
     /// Requests that run on it by this pool's decision.
@@ -64,6 +68,9 @@
 pub struct Pool {
     policy: PoolPolicy,
     engines: Vec<Engine>,
+    /// What each engine's load adds to the cost of a request, in milliseconds; infinite
+    /// without a free slot. Kept beside the engines so that a decision reads little memory.
+    load_costs_ms: Vec<f64>,
     classes: Vec<Class>,
     /// Classes by tier, the most important first.
     class_order: Vec<ClassIx>,
@@ -79,6 +86,8 @@
     ticked_at: TimeMs,
     checked_at: TimeMs,
     total_slots: f64,
+    /// Whether some engine is on probation.
+    is_probing: bool,
 }
 
 impl Pool {
@@ -87,6 +96,7 @@
         let mut pool = Self {
             policy: PoolPolicy::default(),
             engines: Vec::new(),
+            load_costs_ms: Vec::new(),
             classes: Vec::new(),
             class_order: Vec::new(),
             requests: HashMap::new(),
@@ -100,6 +110,7 @@
             ticked_at: TimeMs(0),
             checked_at: TimeMs(0),
             total_slots: 0.0,
+            is_probing: false,
         };
         pool.set_policy(policy, settings);
         pool
@@ -118,11 +129,13 @@
                     health: EngineHealth::new(),
                     load: EngineLoad::new(),
                     is_drained: engine.is_drained,
+                    was_in_use: true,
                     between_tokens_ms: Ewma::new(
                         settings.estimates.initial_between_tokens_ms,
                         settings.estimates.weight,
                     ),
                     prefilling: 0,
+                    prefill_tokens: 0,
                     heard_at: TimeMs(0),
                     running: Vec::new(),
                 }),
@@ -145,6 +158,7 @@
             .sort_by_key(|class| policy.classes[class.at()].tier);
         self.policy = policy;
         self.count_slots();
+        self.refresh_all_costs(settings);
     }
 
     /// The policy in force.
@@ -190,11 +204,38 @@
         limit.saturating_sub(engine.load.total())
     }
 
+    fn load_cost_ms(&self, settings: &Settings, engine: &Engine) -> f64 {
+        // An engine on probation gets its work by `probe` alone.
+        let is_probed = engine.health.state() == HealthState::Probation;
+        if is_probed || self.free_slots(settings, engine) == 0 {
+            return f64::INFINITY;
+        }
+        let load = f64::from(engine.load.total()) / f64::from(engine.limit.slots().max(1));
+        load * settings.routing.load_cost_ms + self.estimates.prefill_ms(engine.prefill_tokens)
+    }
+
+    /// Follows a change of one engine.
+    fn refresh_cost(&mut self, settings: &Settings, at: EngineIx) {
+        let cost_ms = self.load_cost_ms(settings, &self.engines[at.at()]);
+        self.load_costs_ms[at.at()] = cost_ms;
+    }
+
+    fn refresh_all_costs(&mut self, settings: &Settings) {
+        self.load_costs_ms.resize(self.engines.len(), f64::INFINITY);
+        for at in 0..self.engines.len() as u32 {
+            self.refresh_cost(settings, EngineIx(at));
+        }
+    }
+
     fn count_slots(&mut self) {
         let usable =
             |engine: &&Engine| !engine.is_drained && engine.health.state() != HealthState::Ejected;
         let slots = |engine: &Engine| f64::from(engine.limit.slots());
         self.total_slots = self.engines.iter().filter(usable).map(slots).sum();
+        self.is_probing = self
+            .engines
+            .iter()
+            .any(|engine| engine.health.state() == HealthState::Probation);
     }
 
     fn has_usable_engine(&self) -> bool {
@@ -226,8 +267,9 @@
         request: RequestId,
         attempt: AttemptNumber,
         delivered: Tokens,
+        gap_ms: DurationMs,
     ) {
-        self.note_progress(context, request, attempt, delivered);
+        self.note_progress(context, request, attempt, delivered, gap_ms);
     }
 
     fn finished<L: DecisionLog>(
@@ -247,8 +289,9 @@
         busy: u32,
         age_ms: DurationMs,
     ) {
-        if let Some(engine) = self.engines.get_mut(engine.at()) {
-            engine.load.report(context.now, busy, age_ms);
+        if let Some(reported) = self.engines.get_mut(engine.at()) {
+            reported.load.report(context.now, busy, age_ms);
+            self.refresh_cost(context.settings, engine);
         }
         self.dispatch_all(context);
     }
--- a/crates/decisions/src/pool/recover.rs
+++ b/crates/decisions/src/pool/recover.rs
@@ -7,6 +7,7 @@
 use crate::effect::CancelCause;
 use crate::index::EngineIx;
 use crate::modules::engine_health::{HealthContext, HealthEvent, HealthState};
+use crate::modules::request_life::LifeState;
 use bridgevane_types::{AttemptNumber, RefusalCode, RequestId, Tokens};
 
 /// When to come back after retries ran out.
@@ -77,9 +78,9 @@
         self.give_up(context, request, code, EXHAUSTED_RETRY_MS);
     }
 
-    /// An engine could not be reached or broke off a stream. One broken stream on an engine
-    /// that gives tokens otherwise doesn't take it out.
-    pub(super) fn engine_lost<L: DecisionLog>(
+    /// An engine broke off a stream. One broken stream on an engine that gives tokens
+    /// otherwise doesn't take it out.
+    pub(super) fn stream_lost<L: DecisionLog>(
         &mut self,
         context: &mut Context<'_, L>,
         at: EngineIx,
@@ -90,7 +91,16 @@
         if is_heard && !engine.running.is_empty() && engine.health.state() == HealthState::Active {
             return;
         }
-        engine.load.forget_others();
+        self.engine_lost(context, at);
+    }
+
+    /// An engine could not be reached.
+    pub(super) fn engine_lost<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        at: EngineIx,
+    ) {
+        self.engines[at.at()].load.forget_others();
         self.tell_health(context, at, HealthEvent::Lost);
     }
 
@@ -106,20 +116,30 @@
             config: &context.settings.engine_health,
         };
         let engine = &mut self.engines[at.at()];
-        if !engine.health.handle(&mut health_context, event) {
+        let is_ejected = engine.health.handle(&mut health_context, event);
+        self.refresh_cost(context.settings, at);
+        if !is_ejected {
             return;
         }
-        engine
+        self.engines[at.at()]
             .between_tokens_ms
             .set(self.estimates.between_tokens_ms());
         self.count_slots();
+        self.record_use(context);
         if matches!(event, HealthEvent::Slow { .. }) {
-            self.move_work_from(context, at);
+            self.move_work_from(context, at, false);
         }
     }
 
-    /// Takes repeatable work back from a slow engine; it resumes elsewhere.
-    fn move_work_from<L: DecisionLog>(&mut self, context: &mut Context<'_, L>, at: EngineIx) {
+    /// Takes repeatable work back from a slow engine; it resumes elsewhere. Answers that stream
+    /// and have no bound on their gaps stay, unless the engine is silent: moving them would
+    /// waste what the engine has computed.
+    pub(super) fn move_work_from<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        at: EngineIx,
+        is_silent: bool,
+    ) {
         let running = self.engines[at.at()].running.clone();
         for request in running {
             let Some(entry) = self.requests.get_mut(&request) else {
@@ -128,6 +148,12 @@
             if !entry.offer.is_repeatable || !entry.offer.is_preemptible {
                 continue;
             }
+            let class = &self.policy.classes[entry.offer.class.at()];
+            let is_patient = class.between_tokens_target_ms.is_none()
+                && entry.life.state() == LifeState::Streaming;
+            if is_patient && !is_silent {
+                continue;
+            }
             entry.avoid = Some(at);
             self.take_back(context, request, CancelCause::Moved, None);
         }
--- a/crates/decisions/src/pool/room.rs
+++ b/crates/decisions/src/pool/room.rs
@@ -5,6 +5,7 @@
 use crate::decision_log::{Decision, DecisionLog};
 use crate::effect::{CancelCause, Effect};
 use crate::index::{ClassIx, EngineIx};
+use crate::modules::engine_health::HealthState;
 use bridgevane_types::{RequestId, Tier};
 
 impl Pool {
@@ -15,8 +16,11 @@
         context: &mut Context<'_, L>,
         class: ClassIx,
     ) -> bool {
+        if !context.settings.admission.is_preempting {
+            return false;
+        }
         let tier = self.class_policy(class).tier;
-        let Some(victim) = self.victims.cheapest_below(tier) else {
+        let Some(victim) = self.cheapest_victim(tier) else {
             return false;
         };
         let Some(engine) = self.take_back(context, victim, CancelCause::Preempted, Some(tier))
@@ -31,6 +35,17 @@
         true
     }
 
+    /// The cheapest work below `tier` on an engine in use: the slots of others are of no use.
+    pub(super) fn cheapest_victim(&self, tier: Tier) -> Option<RequestId> {
+        self.victims.cheapest_below(tier, |request| {
+            let running = self.requests.get(&request).and_then(|entry| entry.running);
+            running.is_some_and(|running| {
+                let engine = &self.engines[running.engine.at()];
+                engine.health.state() == HealthState::Active && !engine.is_drained
+            })
+        })
+    }
+
     /// Cancels a running attempt and puts its request back before its class's queue; gives
     /// the engine whose slot is free now.
     pub(super) fn take_back<L: DecisionLog>(
--- a/crates/decisions/src/pool/view.rs
+++ b/crates/decisions/src/pool/view.rs
@@ -144,6 +144,7 @@
     pub fn adopt(
         &mut self,
         now: TimeMs,
+        settings: &crate::configs::Settings,
         offer: Offer,
         engine: EngineIx,
         attempt: AttemptNumber,
@@ -168,6 +169,7 @@
             engine,
             since: now,
             uncached_tokens: 0,
+            engine_tokens: 0,
             is_aged: false,
             victim_cost,
             heard_at: now,
@@ -179,5 +181,6 @@
         adopted.running.push(request);
         adopted.prefilling += u32::from(state == LifeState::Started);
         self.requests.insert(request, entry);
+        self.refresh_cost(settings, engine);
     }
 }
--- a/crates/decisions/src/promises.rs
+++ b/crates/decisions/src/promises.rs
@@ -2,9 +2,10 @@
 
 use crate::decision_log::{Decision, DecisionRecord};
 use crate::effect::CancelCause;
+use crate::index::EngineIx;
 use bridgevane_types::{Outcome, RefusalCode, RequestId, Tier};
 use derive_more::Display;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// A promise that the log shows broken.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -60,7 +61,7 @@
     tier: Tier,
     is_repeatable: bool,
     is_preemptible: bool,
-    is_running: bool,
+    running_on: Option<EngineIx>,
     is_protected: bool,
     /// An attempt was sent that isn't proved not to have run.
     may_have_run: bool,
@@ -81,8 +82,10 @@
 #[derive(Default)]
 struct Follower {
     requests: HashMap<RequestId, Followed>,
-    /// Preemptible, unprotected running requests by tier.
-    room: HashMap<Tier, usize>,
+    /// Preemptible, unprotected running requests by tier and engine.
+    room: HashMap<(Tier, EngineIx), usize>,
+    /// Engines whose slots are of no use to other work.
+    out_of_use: HashSet<EngineIx>,
     broken: Vec<BrokenPromise>,
 }
 
@@ -100,7 +103,7 @@
                     tier,
                     is_repeatable,
                     is_preemptible,
-                    is_running: false,
+                    running_on: None,
                     is_protected: false,
                     may_have_run: false,
                     is_over: false,
@@ -110,9 +113,17 @@
             Decision::Queued { .. } => {}
             Decision::Dispatched {
                 request,
+                engine,
                 is_protected,
                 ..
-            } => self.dispatched(request, is_protected),
+            } => self.dispatched(request, engine, is_protected),
+            Decision::EngineUse { engine, is_in_use } => {
+                if is_in_use {
+                    self.out_of_use.remove(&engine);
+                } else {
+                    self.out_of_use.insert(engine);
+                }
+            }
             Decision::Cancelled {
                 request,
                 cause,
@@ -141,20 +152,20 @@
         }
     }
 
-    fn dispatched(&mut self, request: RequestId, is_protected: bool) {
+    fn dispatched(&mut self, request: RequestId, engine: EngineIx, is_protected: bool) {
         let Some(followed) = self.requests.get_mut(&request) else {
             return;
         };
-        if followed.is_running {
+        if followed.running_on.is_some() {
             self.broken.push(BrokenPromise::RanTwiceAtOnce { request });
         }
         if followed.may_have_run && !followed.is_repeatable {
             self.broken.push(BrokenPromise::Repeated { request });
         }
-        followed.is_running = true;
+        followed.running_on = Some(engine);
         followed.is_protected = is_protected;
         if followed.is_preemptible && !is_protected {
-            *self.room.entry(followed.tier).or_default() += 1;
+            *self.room.entry((followed.tier, engine)).or_default() += 1;
         }
     }
 
@@ -181,15 +192,17 @@
         let Some(followed) = self.requests.get(&request).copied() else {
             return;
         };
-        if outcome == Outcome::NotRun && (followed.may_have_run || followed.is_running) {
+        if outcome == Outcome::NotRun && (followed.may_have_run || followed.running_on.is_some()) {
             self.broken.push(BrokenPromise::FalseNotRun { request });
         }
         let is_pressure = matches!(code, RefusalCode::CannotMeetTarget | RefusalCode::QueueFull);
         let lower = self
             .room
             .iter()
-            .filter(|(lower, count)| **lower > followed.tier && **count > 0)
-            .map(|(lower, _)| *lower)
+            .filter(|((lower, engine), count)| {
+                *lower > followed.tier && **count > 0 && !self.out_of_use.contains(engine)
+            })
+            .map(|((lower, _), _)| *lower)
             .max();
         if let Some(lower) = lower.filter(|_| is_pressure) {
             self.broken.push(BrokenPromise::RefusedAboveLower {
@@ -205,12 +218,11 @@
         let Some(followed) = self.requests.get_mut(&request) else {
             return;
         };
-        if !followed.is_running {
+        let Some(engine) = followed.running_on.take() else {
             return;
-        }
-        followed.is_running = false;
+        };
         if followed.is_preemptible && !followed.is_protected {
-            let count = self.room.entry(followed.tier).or_default();
+            let count = self.room.entry((followed.tier, engine)).or_default();
             *count = count.saturating_sub(1);
         }
     }
--- a/crates/standins/src/engine_model.rs
+++ b/crates/standins/src/engine_model.rs
@@ -181,7 +181,7 @@
     fn prefill(&mut self, now_us: u64) {
         let step_ms = now_us.saturating_sub(self.step_started_us) as f64 / 1000.0;
         let mut budget = self.spec.prefill_tokens_per_ms * step_ms / self.slowdown;
-        for index in 0..self.running.len() {
+        for index in self.by_priority() {
             let sequence = &mut self.running[index];
             let spent = budget.min(sequence.prefill_left);
             if spent <= 0.0 {
@@ -197,6 +197,13 @@
         }
     }
 
+    /// Running sequences, the most important first, each tier by arrival.
+    fn by_priority(&self) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..self.running.len()).collect();
+        order.sort_by_key(|index| self.running[*index].job.priority);
+        order
+    }
+
     fn decode(&mut self, events: &mut Vec<ModelEvent>) {
         for sequence in &mut self.running {
             if sequence.prefill_left > 0.0 {
@@ -230,8 +237,7 @@
             let Some((_, job)) = self.waiting.pop_first() else {
                 return;
             };
-            let cached = self.cached_tokens(&job.blocks).min(job.prompt_tokens);
-            let uncached = job.prompt_tokens - cached + job.resume_from;
+            let uncached = self.uncached_tokens(&job);
             self.running.push(Sequence {
                 prefill_left: (uncached as f64).max(1.0),
                 produced: job.resume_from,
@@ -240,6 +246,12 @@
         }
     }
 
+    /// Tokens that must be processed before the job's next token comes.
+    pub fn uncached_tokens(&self, job: &Job) -> u64 {
+        let cached = self.cached_tokens(&job.blocks).min(job.prompt_tokens);
+        job.prompt_tokens - cached + job.resume_from
+    }
+
     fn begin_step(&mut self, now_us: u64) {
         self.step_started_us = now_us;
         if self.running.is_empty() {
--- a/src/configs/serving.rs
+++ b/src/configs/serving.rs
@@ -19,8 +19,12 @@
     pub poll_every_ms: DurationMs,
     /// How often pools act on the passing of time.
     pub tick_every_ms: DurationMs,
-    /// A report of progress to the pool covers this many tokens at most.
+    /// A report of progress to the pool covers this many tokens at most...
     pub progress_tokens: u64,
+    /// ...and this much time...
+    pub progress_ms: DurationMs,
+    /// ...and is made at once when a token comes so long after the one before.
+    pub slow_gap_ms: DurationMs,
     /// Decisions that are remembered for `explain request`.
     pub max_decisions: usize,
     /// How long a planned stop waits for streams to end.
@@ -38,6 +42,8 @@
             poll_every_ms: DurationMs(100),
             tick_every_ms: DurationMs(20),
             progress_tokens: 16,
+            progress_ms: DurationMs(500),
+            slow_gap_ms: DurationMs(150),
             max_decisions: 20_000,
             drain_ms: DurationMs(3_600_000),
         }
--- a/src/modules/model_request.rs
+++ b/src/modules/model_request.rs
@@ -4,6 +4,7 @@
 //! continues exactly where the caller's text ends; late, repeated and crossed pieces are
 //! dropped, a gap ends the attempt.
 
+use crate::configs::serving::ServingConfig;
 use crate::context::Context;
 use crate::modules::burn::Ended;
 use crate::modules::engine_link::EngineLink;
@@ -84,6 +85,50 @@
     priority: Tier,
 }
 
+/// What an attempt has reported to its pool.
+struct Reported {
+    started_at: u64,
+    tokens: u64,
+    at: TimeMs,
+    token_at: TimeMs,
+}
+
+impl Reported {
+    fn new(delivered: u64, now: TimeMs) -> Self {
+        Self {
+            started_at: delivered,
+            tokens: delivered,
+            at: now,
+            token_at: now,
+        }
+    }
+
+    /// The report that is due after a token, if any.
+    fn next(
+        &mut self,
+        serving: &ServingConfig,
+        attempt: AttemptNumber,
+        delivered: u64,
+        now: TimeMs,
+    ) -> Option<PoolReport> {
+        let gap_ms = now.since(self.token_at);
+        self.token_at = now;
+        if delivered == self.started_at + 1 {
+            self.at = now;
+            return Some(PoolReport::FirstToken(attempt));
+        }
+        let is_due = delivered >= self.tokens + serving.progress_tokens
+            || now.since(self.at) >= serving.progress_ms
+            || gap_ms >= serving.slow_gap_ms;
+        if !is_due {
+            return None;
+        }
+        self.tokens = delivered;
+        self.at = now;
+        Some(PoolReport::Progress(attempt, Tokens(delivered), gap_ms))
+    }
+}
+
 struct Runner {
     context: Arc<Context>,
     pool: PoolHandle,
@@ -266,7 +311,7 @@
                 () = self.caller.closed() => return AttemptResult::CallerGone,
             }
         };
-        let mut reported = self.delivered;
+        let mut reported = Reported::new(self.delivered, self.context.now());
         loop {
             tokio::select! {
                 piece = pieces.next() => {
@@ -318,7 +363,7 @@
         &mut self,
         attempt: &Attempt,
         piece: Option<Result<Piece, EngineCallError>>,
-        reported: &mut u64,
+        reported: &mut Reported,
     ) -> Option<AttemptResult> {
         let lost = AttemptEnd::Lost {
             delivered: Tokens(self.delivered),
@@ -345,7 +390,7 @@
         &mut self,
         attempt: &Attempt,
         text: String,
-        reported: &mut u64,
+        reported: &mut Reported,
     ) -> Option<AttemptResult> {
         self.delivered += 1;
         self.delivered_text.push_str(&text);
@@ -358,15 +403,13 @@
             let seconds = now.since(self.arrived_at).0 as f64 / 1000.0;
             self.context.metrics.first_token(self.class(), seconds);
         }
-        let is_first_of_attempt = *reported + 1 == self.delivered;
-        if is_first_of_attempt {
-            let report = PoolReport::FirstToken(attempt.number);
-            self.pool.report(self.id(), report).await;
-        }
-        let due = *reported + self.context.config.serving.progress_tokens;
-        if self.delivered >= due {
-            *reported = self.delivered;
-            let report = PoolReport::Progress(attempt.number, Tokens(self.delivered));
+        let report = reported.next(
+            &self.context.config.serving,
+            attempt.number,
+            self.delivered,
+            now,
+        );
+        if let Some(report) = report {
             self.pool.report(self.id(), report).await;
         }
         None
--- a/src/modules/pool_actor.rs
+++ b/src/modules/pool_actor.rs
@@ -290,7 +290,8 @@
         };
         self.orders.insert(offer.request, orders);
         let now = self.context.now();
-        self.pool.adopt(now, named, engine, attempt, delivered);
+        self.pool
+            .adopt(now, &self.settings, named, engine, attempt, delivered);
     }
 
     fn report(&mut self, request: RequestId, report: PoolReport) {
@@ -298,8 +299,10 @@
             PoolReport::FirstToken(attempt) => {
                 self.decide(|pool, context| pool.first_token(context, request, attempt));
             }
-            PoolReport::Progress(attempt, delivered) => {
-                self.decide(|pool, context| pool.progress(context, request, attempt, delivered));
+            PoolReport::Progress(attempt, delivered, gap_ms) => {
+                self.decide(|pool, context| {
+                    pool.progress(context, request, attempt, delivered, gap_ms);
+                });
             }
             PoolReport::Finished(attempt, end) => {
                 self.decide(|pool, context| pool.finished(context, request, attempt, end));
--- a/src/modules/pool_link.rs
+++ b/src/modules/pool_link.rs
@@ -71,8 +71,8 @@
 pub enum PoolReport {
     /// The attempt's first token came.
     FirstToken(AttemptNumber),
-    /// The attempt has delivered so many tokens.
-    Progress(AttemptNumber, Tokens),
+    /// The attempt has delivered so many tokens, the last one so long after the one before.
+    Progress(AttemptNumber, Tokens, DurationMs),
     /// The attempt ended.
     Finished(AttemptNumber, AttemptEnd),
 }
