feat(coordination): membership, configuration replica, leases, key registry, budgets, rollout

Cause: daemons don't know of each other; homes of pools and keys, configuration relay and leaving need a view of who lives, without a consensus group or a store of our own.

Change: pure parts. Membership by heartbeats among ring successors, suspicion confirmed by a second watcher (subjective and objective down of the Sentinel paper; its election is not taken), refutation, incarnations, revival after a cut, forgiveness after an own pause. Configuration replica with deltas that only rises. Lease holder's own deadline. Key registry: one run for each idempotency key; a dead home's keys answer "unknown" until the platform no longer lists it. Call budget with full-jitter pauses. Rollout as a statig machine whose stored state another node carries on.

--- /dev/null
+++ b/crates/coordination/src/configs/key_registry.rs
@@ -0,0 +1,24 @@
+//! Settings of the key registry.
+
+use bridgevane_types::DurationMs;
+
+/// How long and how many keys are remembered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyRegistryConfig {
+    /// A key is remembered for this long after its call ended.
+    pub remember_ms: DurationMs,
+    /// Keys that are remembered at most; beyond them new keyed calls are refused.
+    pub max_keys: usize,
+    /// Largest answer that is kept to be given again.
+    pub max_answer_bytes: usize,
+}
+
+impl Default for KeyRegistryConfig {
+    fn default() -> Self {
+        Self {
+            remember_ms: DurationMs(600_000),
+            max_keys: 50_000,
+            max_answer_bytes: 1_024,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/configs/mod.rs
@@ -0,0 +1,9 @@
+//! Settings of the coordination parts, one file a part.
+
+mod call_budget;
+mod key_registry;
+mod membership;
+
+pub use call_budget::CallBudgetConfig;
+pub use key_registry::KeyRegistryConfig;
+pub use membership::MembershipConfig;
--- /dev/null
+++ b/crates/coordination/src/modules/key_registry.rs
@@ -0,0 +1,258 @@
+//! At most one run for each idempotency key.
+//!
+//! The home of a key remembers who runs its call and how it ended. Nothing of it is stored
+//! elsewhere: when a home dies, the next one answers "unknown" for keys that the dead one
+//! may have known, and never lets them run again, until the platform no longer lists the
+//! dead VM and the memory of its keys would have ended. A daemon that has just started asks
+//! the home before it about keys that it doesn't know.
+
+use crate::configs::KeyRegistryConfig;
+use crate::modules::rendezvous::home_of;
+use bridgevane_types::{RequestId, TimeMs, VmId};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// A call that asks to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// Service, customer and key.
+    pub key: String,
+    /// Digest of the call: the same key with another call is refused.
+    pub call_digest: u64,
+    /// The request.
+    pub request: RequestId,
+    /// The daemon that would run it.
+    pub runner: VmId,
+    /// Whether the endpoint recognises a repeated key by itself.
+    pub endpoint_deduplicates: bool,
+}
+
+/// An answer that can be given again.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type, empty if none.
+    pub content_type: String,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// What the home says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Run it.
+    Run,
+    /// It runs for another request.
+    Running,
+    /// It ran, with this answer.
+    Done(StoredAnswer),
+    /// It may have run.
+    Unknown,
+    /// The key was used for another call.
+    Mismatch,
+    /// Ask this daemon: it was the home before.
+    AskBefore(VmId),
+    /// No more keys can be remembered: the call did not run.
+    Full,
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyEnd {
+    /// It did not run: the key is free again.
+    NotRun,
+    /// It ran, with this answer.
+    Done(StoredAnswer),
+    /// It may have run.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    Running { runner: VmId },
+    Done(StoredAnswer),
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    call_digest: u64,
+    request: RequestId,
+    state: State,
+}
+
+/// A daemon that was lost.
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    /// When the platform's list stopped showing it; none: it shows it still, or is away.
+    delisted_at: Option<TimeMs>,
+}
+
+/// The keys whose home this daemon is.
+#[derive(Clone, Debug)]
+pub struct KeyRegistry {
+    config: KeyRegistryConfig,
+    own: VmId,
+    started_at: TimeMs,
+    entries: HashMap<String, Entry>,
+    ended: VecDeque<(TimeMs, String)>,
+    lost: BTreeMap<VmId, Lost>,
+}
+
+impl KeyRegistry {
+    /// An empty registry of a daemon that starts now.
+    pub fn new(config: KeyRegistryConfig, own: VmId, now: TimeMs) -> Self {
+        Self {
+            config,
+            own,
+            started_at: now,
+            entries: HashMap::new(),
+            ended: VecDeque::new(),
+            lost: BTreeMap::new(),
+        }
+    }
+
+    /// Decides on a claim; `members` are the live daemons, this one included.
+    pub fn claim(&mut self, now: TimeMs, claim: Claim, members: &[VmId]) -> Verdict {
+        self.expire(now);
+        if let Some(entry) = self.entries.get(&claim.key) {
+            return known(entry, &claim);
+        }
+        if claim.endpoint_deduplicates {
+            return self.let_run(claim);
+        }
+        if self.is_doubtful(&claim.key, members) {
+            return Verdict::Unknown;
+        }
+        if let Some(before) = self.home_before(now, &claim.key, members) {
+            return Verdict::AskBefore(before);
+        }
+        self.let_run(claim)
+    }
+
+    /// Takes the verdict of the home before this one on a claim that it was asked about.
+    pub fn told_before(&mut self, claim: Claim, verdict: Verdict) -> Verdict {
+        match verdict {
+            Verdict::Run => self.let_run(claim),
+            Verdict::AskBefore(_) => Verdict::Unknown,
+            other => other,
+        }
+    }
+
+    fn let_run(&mut self, claim: Claim) -> Verdict {
+        if self.entries.len() >= self.config.max_keys {
+            return Verdict::Full;
+        }
+        let state = State::Running {
+            runner: claim.runner,
+        };
+        let entry = Entry {
+            call_digest: claim.call_digest,
+            request: claim.request,
+            state,
+        };
+        self.entries.insert(claim.key, entry);
+        Verdict::Run
+    }
+
+    /// Notes how the call of a key ended. Only the request that ran it can tell.
+    pub fn ended(&mut self, now: TimeMs, key: &str, request: RequestId, end: KeyEnd) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        if entry.request != request {
+            return;
+        }
+        match end {
+            KeyEnd::NotRun => {
+                self.entries.remove(key);
+                return;
+            }
+            KeyEnd::Done(answer) if answer.body.len() <= self.config.max_answer_bytes => {
+                entry.state = State::Done(answer);
+            }
+            KeyEnd::Done(answer) => {
+                // Too large to give again: that it ran is what matters.
+                let body = Vec::new();
+                entry.state = State::Done(StoredAnswer { body, ..answer });
+            }
+            KeyEnd::Unknown => entry.state = State::Unknown,
+        }
+        self.ended.push_back((now, key.to_owned()));
+    }
+
+    /// A daemon was lost: what it ran may have run, and what it was home of isn't known here.
+    pub fn member_lost(&mut self, now: TimeMs, vm: &VmId) {
+        self.lost.insert(vm.clone(), Lost { delisted_at: None });
+        for (key, entry) in &mut self.entries {
+            if matches!(&entry.state, State::Running { runner } if runner == vm) {
+                entry.state = State::Unknown;
+                self.ended.push_back((now, key.clone()));
+            }
+        }
+    }
+
+    /// Follows the platform's list: daemons that it shows no longer are really gone.
+    pub fn listed(&mut self, now: TimeMs, listed: &[VmId]) {
+        for (vm, lost) in &mut self.lost {
+            if listed.contains(vm) {
+                lost.delisted_at = None;
+            } else {
+                lost.delisted_at.get_or_insert(now);
+            }
+        }
+        let remember_ms = self.config.remember_ms;
+        self.lost.retain(|_, lost| {
+            lost.delisted_at
+                .is_none_or(|at| now.since(at) < remember_ms)
+        });
+    }
+
+    /// Whether a lost daemon was the key's home, so that the key may be known to it alone.
+    fn is_doubtful(&self, key: &str, members: &[VmId]) -> bool {
+        let gone = |vm: &&VmId| !members.contains(vm);
+        let lost = self.lost.keys().filter(gone);
+        let home = home_of(key, members.iter().chain(lost));
+        home.is_some_and(|home| !members.contains(home))
+    }
+
+    /// The daemon that was the key's home before this one started, if that was lately.
+    fn home_before(&self, now: TimeMs, key: &str, members: &[VmId]) -> Option<VmId> {
+        if now.since(self.started_at) >= self.config.remember_ms {
+            return None;
+        }
+        let others = members.iter().filter(|vm| **vm != self.own);
+        home_of(key, others).cloned()
+    }
+
+    fn expire(&mut self, now: TimeMs) {
+        while let Some((at, key)) = self.ended.front() {
+            if now.since(*at) < self.config.remember_ms {
+                return;
+            }
+            self.entries.remove(key);
+            self.ended.pop_front();
+        }
+    }
+
+    /// Keys that are remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+fn known(entry: &Entry, claim: &Claim) -> Verdict {
+    if entry.call_digest != claim.call_digest {
+        return Verdict::Mismatch;
+    }
+    match &entry.state {
+        State::Running { .. } => Verdict::Running,
+        State::Done(answer) => Verdict::Done(answer.clone()),
+        State::Unknown => Verdict::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/modules/mod.rs
@@ -0,0 +1,9 @@
+//! The coordination parts, one module each.
+
+pub(crate) mod call_budget;
+pub(crate) mod config_replica;
+pub(crate) mod held_lease;
+pub(crate) mod key_registry;
+pub(crate) mod membership;
+pub(crate) mod rendezvous;
+pub(crate) mod rollout;
