--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -31,7 +31,7 @@
 pub use modules::call_budget::{CallBudget, CallKind};
 pub use modules::config_replica::{ConfigAnswer, ConfigReplica, NotAccepted};
 pub use modules::held_lease::HeldLease;
-pub use modules::key_registry::{Claim, KeyEnd, KeyRegistry, StoredAnswer, Verdict};
+pub use modules::key_registry::{Claim, KeyEnd, KeyMember, KeyRegistry, StoredAnswer, Verdict};
 pub use modules::membership::{
     Member, MemberState, MemberUpdate, Membership, MembershipEffect, Standing,
 };
--- a/crates/coordination/src/modules/key_registry.rs
+++ b/crates/coordination/src/modules/key_registry.rs
@@ -4,13 +4,24 @@
 //! elsewhere: when a home dies, the next one answers "unknown" for keys that the dead one
 //! may have known, and never lets them run again, until the platform no longer lists the
 //! dead VM and the memory of its keys would have ended. A daemon that has just started asks
-//! the home before it about keys that it doesn't know.
+//! the home among the older daemons about keys that it doesn't know; that one may have
+//! started lately too and asks in turn. Whoever finds no older daemon says that no memory is
+//! left, and what is stored outside decides whether there ever was any.
 
 use crate::configs::KeyRegistryConfig;
 use crate::modules::rendezvous::home_of;
-use bridgevane_types::{RequestId, TimeMs, VmId};
+use bridgevane_types::{Incarnation, RequestId, TimeMs, VmId};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+/// A live daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyMember {
+    /// The VM.
+    pub vm: VmId,
+    /// Its life: an older daemon has a lower one.
+    pub incarnation: Incarnation,
+}
+
 /// A call that asks to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Claim {
@@ -52,6 +63,8 @@
     Mismatch,
     /// Ask this daemon: it was the home before.
     AskBefore(VmId),
+    /// No older daemon is left: nobody here can know the key.
+    NoMemory,
     /// No more keys can be remembered: the call did not run.
     Full,
 }
@@ -92,7 +105,7 @@
 #[derive(Clone, Debug)]
 pub struct KeyRegistry {
     config: KeyRegistryConfig,
-    own: VmId,
+    own: KeyMember,
     started_at: TimeMs,
     entries: HashMap<String, Entry>,
     ended: VecDeque<(TimeMs, String)>,
@@ -101,7 +114,7 @@
 
 impl KeyRegistry {
     /// An empty registry of a daemon that starts now.
-    pub fn new(config: KeyRegistryConfig, own: VmId, now: TimeMs) -> Self {
+    pub fn new(config: KeyRegistryConfig, own: KeyMember, now: TimeMs) -> Self {
         Self {
             config,
             own,
@@ -113,7 +126,7 @@
     }
 
     /// Decides on a claim; `members` are the live daemons, this one included.
-    pub fn claim(&mut self, now: TimeMs, claim: Claim, members: &[VmId]) -> Verdict {
+    pub fn claim(&mut self, now: TimeMs, claim: Claim, members: &[KeyMember]) -> Verdict {
         self.expire(now);
         if let Some(entry) = self.entries.get(&claim.key) {
             return known(entry, &claim);
@@ -124,17 +137,21 @@
         if self.is_doubtful(&claim.key, members) {
             return Verdict::Unknown;
         }
-        if let Some(before) = self.home_before(now, &claim.key, members) {
-            return Verdict::AskBefore(before);
+        if now.since(self.started_at) >= self.config.remember_ms {
+            return self.let_run(claim);
+        }
+        match self.home_before(&claim.key, members) {
+            Some(before) => Verdict::AskBefore(before),
+            None => Verdict::NoMemory,
         }
-        self.let_run(claim)
     }
 
-    /// Takes the verdict of the home before this one on a claim that it was asked about.
+    /// Takes the verdict of the home before this one on a claim that it was asked about, or,
+    /// where none is left, what is stored outside about it.
     pub fn told_before(&mut self, claim: Claim, verdict: Verdict) -> Verdict {
         match verdict {
             Verdict::Run => self.let_run(claim),
-            Verdict::AskBefore(_) => Verdict::Unknown,
+            Verdict::AskBefore(_) | Verdict::NoMemory => Verdict::Unknown,
             other => other,
         }
     }
@@ -209,20 +226,19 @@
     }
 
     /// Whether a lost daemon was the key's home, so that the key may be known to it alone.
-    fn is_doubtful(&self, key: &str, members: &[VmId]) -> bool {
-        let gone = |vm: &&VmId| !members.contains(vm);
-        let lost = self.lost.keys().filter(gone);
-        let home = home_of(key, members.iter().chain(lost));
-        home.is_some_and(|home| !members.contains(home))
+    fn is_doubtful(&self, key: &str, members: &[KeyMember]) -> bool {
+        let is_live = |vm: &VmId| members.iter().any(|member| member.vm == *vm);
+        let lost = self.lost.keys().filter(|vm| !is_live(vm));
+        let live = members.iter().map(|member| &member.vm);
+        home_of(key, live.chain(lost)).is_some_and(|home| !is_live(home))
     }
 
-    /// The daemon that was the key's home before this one started, if that was lately.
-    fn home_before(&self, now: TimeMs, key: &str, members: &[VmId]) -> Option<VmId> {
-        if now.since(self.started_at) >= self.config.remember_ms {
-            return None;
-        }
-        let others = members.iter().filter(|vm| **vm != self.own);
-        home_of(key, others).cloned()
+    /// The key's home among the daemons that are older than this one.
+    fn home_before(&self, key: &str, members: &[KeyMember]) -> Option<VmId> {
+        let own = (self.own.incarnation, &self.own.vm);
+        let is_older = |member: &&KeyMember| (member.incarnation, &member.vm) < own;
+        let older = members.iter().filter(is_older).map(|member| &member.vm);
+        home_of(key, older).cloned()
     }
 
     fn expire(&mut self, now: TimeMs) {
--- a/crates/coordination/src/modules/membership.rs
+++ b/crates/coordination/src/modules/membership.rs
@@ -164,6 +164,15 @@
         live
     }
 
+    /// The lives of the live nodes, in the order of [`Membership::live`].
+    pub fn live_incarnations(&self) -> Vec<Incarnation> {
+        let of = |vm: &VmId| match self.members.get(vm) {
+            Some(member) => member.incarnation,
+            None => self.own.incarnation,
+        };
+        self.live().iter().map(of).collect()
+    }
+
     /// All known nodes but this one.
     pub fn members(&self) -> impl Iterator<Item = (&VmId, &Member)> {
         self.members.iter()
--- a/crates/coordination/tests/parts.rs
+++ b/crates/coordination/tests/parts.rs
@@ -3,11 +3,13 @@
 use bridgevane_config::{Delta, SectionChange, Sections};
 use bridgevane_coordination::configs::{CallBudgetConfig, KeyRegistryConfig};
 use bridgevane_coordination::{
-    CallBudget, CallKind, Claim, ConfigAnswer, ConfigReplica, HeldLease, KeyEnd, KeyRegistry,
-    NotAccepted, Rollout, RolloutObservation, RolloutPlan, RolloutStage, StoredAnswer, Verdict,
-    home_of,
+    CallBudget, CallKind, Claim, ConfigAnswer, ConfigReplica, HeldLease, KeyEnd, KeyMember,
+    KeyRegistry, NotAccepted, Rollout, RolloutObservation, RolloutPlan, RolloutStage, StoredAnswer,
+    Verdict, home_of,
+};
+use bridgevane_types::{
+    ConfigVersion, DurationMs, FenceToken, Incarnation, RequestId, TimeMs, VmId,
 };
-use bridgevane_types::{ConfigVersion, DurationMs, FenceToken, RequestId, TimeMs, VmId};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -101,24 +103,46 @@
     assert!(successor.is_past_earlier_orders(TimeMs(13_000), order));
 }
 
-fn vms(count: usize) -> Vec<VmId> {
-    (0..count)
-        .map(|at| VmId::from(format!("vm-{at}").as_str()))
-        .collect()
+/// Daemons, each younger than the one before.
+fn vms(count: usize) -> Vec<KeyMember> {
+    let member = |at: usize| KeyMember {
+        vm: VmId::from(format!("vm-{at}").as_str()),
+        incarnation: Incarnation(at as u64 + 1),
+    };
+    (0..count).map(member).collect()
+}
+
+fn names(members: &[KeyMember]) -> Vec<VmId> {
+    members.iter().map(|member| member.vm.clone()).collect()
+}
+
+fn home<'a>(key: &str, members: &'a [KeyMember]) -> &'a KeyMember {
+    let home = home_of(key, members.iter().map(|member| &member.vm));
+    let is_home = |member: &&KeyMember| Some(&member.vm) == home;
+    members.iter().find(is_home).expect("there are members")
+}
+
+/// A key whose home is the last of the members.
+fn key_of_last(members: &[KeyMember]) -> String {
+    let keys = (0..).map(|at| format!("key-{at}"));
+    let is_last = |key: &String| Some(home(key, members)) == members.last();
+    keys.into_iter()
+        .find(is_last)
+        .expect("some key has its home there")
 }
 
-fn claim(key: &str, request: u128, runner: &VmId) -> Claim {
+fn claim(key: &str, request: u128, runner: &KeyMember) -> Claim {
     Claim {
         key: key.into(),
         call_digest: 1,
         request: RequestId(request),
-        runner: runner.clone(),
+        runner: runner.vm.clone(),
         endpoint_deduplicates: false,
     }
 }
 
 /// A registry that started long ago.
-fn old_registry(own: &VmId) -> KeyRegistry {
+fn old_registry(own: &KeyMember) -> KeyRegistry {
     KeyRegistry::new(KeyRegistryConfig::default(), own.clone(), TimeMs(0))
 }
 
@@ -180,7 +204,7 @@
         registry.claim(LATER, claim("k", 1, &members[1]), &members),
         Verdict::Run
     );
-    registry.member_lost(LATER, &members[1]);
+    registry.member_lost(LATER, &members[1].vm);
     let again = claim("k", 2, &members[2]);
     assert_eq!(registry.claim(LATER, again, &members), Verdict::Unknown);
 }
@@ -188,22 +212,19 @@
 #[test]
 fn keys_of_a_dead_home_never_run_again_while_it_may_have_known_them() {
     let members = vms(3);
-    let key = (0..)
-        .map(|at| format!("key-{at}"))
-        .find(|key| home_of(key, members.iter()) == Some(&members[2]))
-        .expect("some key has its home there");
+    let key = key_of_last(&members);
     let left = &members[..2];
-    let heir = home_of(&key, left.iter()).expect("a home").clone();
+    let heir = home(&key, left).clone();
     let mut registry = old_registry(&heir);
-    registry.member_lost(LATER, &members[2]);
+    registry.member_lost(LATER, &members[2].vm);
     assert_eq!(
         registry.claim(LATER, claim(&key, 2, &heir), left),
         Verdict::Unknown
     );
     // The platform still lists it: it may live behind a cut, however long that lasts.
-    registry.listed(LATER, &members);
+    registry.listed(LATER, &names(&members));
     let much_later = LATER + DurationMs(86_400_000);
-    registry.listed(much_later, &members);
+    registry.listed(much_later, &names(&members));
     assert_eq!(
         registry.claim(much_later, claim(&key, 3, &heir), left),
         Verdict::Unknown
@@ -218,10 +239,10 @@
         Verdict::Run
     );
     // Delisted, and the memory of its keys has ended.
-    registry.listed(much_later, left);
+    registry.listed(much_later, &names(left));
     let remember_ms = KeyRegistryConfig::default().remember_ms;
     let free = much_later + remember_ms;
-    registry.listed(free, left);
+    registry.listed(free, &names(left));
     assert_eq!(
         registry.claim(free, claim(&key, 5, &heir), left),
         Verdict::Run
@@ -231,11 +252,8 @@
 #[test]
 fn a_home_that_has_just_started_asks_the_one_before_it() {
     let members = vms(4);
-    let key = (0..)
-        .map(|at| format!("key-{at}"))
-        .find(|key| home_of(key, members.iter()) == Some(&members[3]))
-        .expect("some key has its home there");
-    let before = home_of(&key, members[..3].iter()).expect("a home").clone();
+    let key = key_of_last(&members);
+    let before = home(&key, &members[..3]).clone();
     let mut old = old_registry(&before);
     assert_eq!(
         old.claim(LATER, claim(&key, 1, &before), &members[..3]),
@@ -250,7 +268,7 @@
     let mut started = KeyRegistry::new(KeyRegistryConfig::default(), members[3].clone(), LATER);
     let again = claim(&key, 2, &members[0]);
     let verdict = started.claim(LATER, again.clone(), &members);
-    assert_eq!(verdict, Verdict::AskBefore(before));
+    assert_eq!(verdict, Verdict::AskBefore(before.vm));
     let told = old.claim(LATER, again.clone(), &members);
     assert_eq!(
         started.told_before(again, told),
@@ -258,6 +276,34 @@
     );
 }
 
+#[test]
+fn a_fleet_that_has_just_started_has_no_memory_and_says_so() {
+    let members = vms(4);
+    let key = key_of_last(&members);
+    // Each asks the home among the older ones, until one finds none: no one asks in a circle.
+    let mut asked = home(&key, &members).clone();
+    for _ in 0..members.len() {
+        let config = KeyRegistryConfig::default();
+        let mut registry = KeyRegistry::new(config, asked.clone(), LATER);
+        match registry.claim(LATER, claim(&key, 1, &members[0]), &members) {
+            Verdict::AskBefore(before) => {
+                let next = members.iter().find(|member| member.vm == before);
+                let next = next.expect("a member").clone();
+                assert!(next.incarnation < asked.incarnation);
+                asked = next;
+            }
+            Verdict::NoMemory => {
+                assert_eq!(asked, members[0]);
+                let told = registry.told_before(claim(&key, 1, &members[0]), Verdict::NoMemory);
+                assert_eq!(told, Verdict::Unknown);
+                return;
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    panic!("the chain must end");
+}
+
 #[test]
 fn a_full_registry_refuses_before_it_forgets() {
     let members = vms(1);
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -4,7 +4,9 @@
 use crate::configs::serve::{ServeConfig, SettingSource, variable_of};
 use crate::context::Context;
 use crate::modules::leaving::LeavingSource;
-use crate::modules::{callers, config_follow, http_serve, logging};
+use crate::modules::{
+    callers, config_follow, http_serve, logging, members, operators, peer_links, pool_homes,
+};
 use crate::{event, events::Event};
 use argh::FromArgs;
 use bridgevane_types::Incarnation;
@@ -111,6 +113,7 @@
     let context = start(config, incarnation).await?;
     wait_for_stop().await?;
     context.leaving.begin(LeavingSource::StopSignal);
+    context.members.set_leaving(&context, true);
     event!(Event::Stopping, in_progress = context.leaving.in_progress());
     let drain = context.config.serving.drain_ms.as_std();
     // Past the longest drain the process ends; the platform would have ended it before.
@@ -130,7 +133,18 @@
     let callers = http_serve::listen(config.caller_address).await?;
     // A port of 0 takes a free one; the settings then hold what was taken.
     config.caller_address = callers.local_addr()?;
+    let operators = http_serve::listen(config.operator_address).await?;
+    config.operator_address = operators.local_addr()?;
+    let peers = http_serve::listen(config.peers.address).await?;
+    config.peers.address = peers.local_addr()?;
     let context = Context::new(config, incarnation);
+    tokio::spawn(peer_links::accept(context.clone(), peers));
+    tokio::spawn(members::run(context.clone()));
+    tokio::spawn(pool_homes::run(context.clone()));
+    tokio::spawn(http_serve::serve(
+        operators,
+        operators::router(context.clone()),
+    ));
     tokio::spawn(config_follow::run(context.clone()));
     tokio::spawn(http_serve::serve(callers, callers::router(context.clone())));
     event!(
--- a/src/context.rs
+++ b/src/context.rs
@@ -3,10 +3,17 @@
 use crate::configs::serve::ServeConfig;
 use crate::modules::burn::Burn;
 use crate::modules::config_in_force::ConfigInForce;
+use crate::modules::config_relay::Replica;
+use crate::modules::key_homes::KeyHomes;
 use crate::modules::leaving::Leaving;
+use crate::modules::members::Members;
 use crate::modules::metrics::Metrics;
+use crate::modules::operator_fan_out::Queries;
+use crate::modules::peer_links::PeerLinks;
 use crate::modules::pool_directory::PoolDirectory;
+use crate::modules::pool_homes::PoolHomes;
 use bridgevane_adapters::HttpPlatform;
+use bridgevane_coordination::KeyMember;
 use bridgevane_types::{Incarnation, RequestId, TimeMs};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -23,6 +30,18 @@
     pub in_force: ConfigInForce,
     /// Pools of all services.
     pub pools: PoolDirectory,
+    /// The configuration as it goes between daemons.
+    pub replica: Replica,
+    /// Who lives in this data centre.
+    pub members: Members,
+    /// Connections to other daemons.
+    pub links: PeerLinks,
+    /// Requests that other daemons decide on.
+    pub homes: PoolHomes,
+    /// Idempotency keys.
+    pub keys: KeyHomes,
+    /// Operators' statements under way.
+    pub queries: Queries,
     /// Metrics.
     pub metrics: Metrics,
     /// Service levels by class.
@@ -38,10 +57,21 @@
 impl Context {
     /// The state of a daemon that has just started.
     pub fn new(config: ServeConfig, incarnation: Incarnation) -> Arc<Self> {
+        let seed = incarnation.0 ^ xxhash_rust::xxh3::xxh3_64(config.vm.as_str().as_bytes());
+        let own = KeyMember {
+            vm: config.vm.clone(),
+            incarnation,
+        };
         Arc::new(Self {
             platform: HttpPlatform::new(config.platform_address),
             in_force: ConfigInForce::default(),
             pools: PoolDirectory::default(),
+            replica: Replica::new(seed),
+            members: Members::new(config.vm.clone(), config.peers.address, incarnation),
+            links: PeerLinks::default(),
+            homes: PoolHomes::default(),
+            keys: KeyHomes::new(own, TimeMs(0)),
+            queries: Queries::default(),
             metrics: Metrics::new(),
             burn: Burn::default(),
             leaving: Leaving::default(),
--- a/src/events.rs
+++ b/src/events.rs
@@ -55,7 +55,8 @@
     1401 EngineUnreachable Warn "an engine's load report can't be read";
     1501 PeerRefused Warn "a connection between daemons was refused";
     1502 MemberChanged Info "the view of a daemon changed";
-    1503 HomeChanged Info "the home of a pool changed";
+    1503 HomePassedOver Warn "a pool's home does not answer, its requests are decided here";
+    1504 Superseded Error "a later life of this VM is about, this one takes no more work";
     1601 OperatorCommand Info "an operator's command was carried out or refused";
 }
 
--- a/src/modules/callers.rs
+++ b/src/modules/callers.rs
@@ -3,6 +3,7 @@
 use crate::context::Context;
 use crate::modules::chat_format::{AnswerFormat, ModelCall, Shape};
 use crate::modules::config_in_force::InForce;
+use crate::modules::key_homes::KeyedCall;
 use crate::modules::model_request::{self, CallerEvent, ModelRequest, Targets};
 use crate::modules::plain_request::{self, PlainRequest};
 use crate::modules::pool_link::NamedOffer;
@@ -56,7 +57,7 @@
     if context.leaving.is_leaving() {
         return (StatusCode::SERVICE_UNAVAILABLE, "leaving");
     }
-    if context.in_force.load().is_none() {
+    if !context.replica.may_serve() {
         return (StatusCode::SERVICE_UNAVAILABLE, "no configuration");
     }
     (StatusCode::OK, "ready")
@@ -87,7 +88,11 @@
             retry_after_ms,
         ));
     }
-    let Some(in_force) = context.in_force.load() else {
+    let in_force = context
+        .in_force
+        .load()
+        .filter(|_| context.replica.may_serve());
+    let Some(in_force) = in_force else {
         return Err(Refusal::bad_request(request, BadRequest::NotReady));
     };
     let key = headers
@@ -204,8 +209,6 @@
         .document
         .service_of_model(call.model.as_str());
     let (service, _) = served.ok_or_else(|| caller.bad(BadRequest::UnknownModel))?;
-    let pool = context.pools.get(service);
-    let pool = pool.ok_or_else(|| caller.bad(BadRequest::NotReady))?;
     let prompt = call.prompt_text(shape);
     let prompt_tokens = Tokens((prompt.len() as u64).div_ceil(CHARS_PER_TOKEN).max(1));
     let (blocks, block_tokens) = prefix_blocks(&prompt);
@@ -235,7 +238,7 @@
         prompt,
         targets: targets(class_config),
     };
-    let answers = model_request::spawn(context.clone(), pool, model_request);
+    let answers = model_request::spawn(context.clone(), model_request);
     Ok((format, call, answers))
 }
 
@@ -365,6 +368,17 @@
     }
 }
 
+/// Tells calls under the same idempotency key apart.
+fn call_digest(call: &PlainCall) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    hasher.update(call.method.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(call.path.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(&call.body);
+    hasher.digest()
+}
+
 fn text_header(headers: &HeaderMap, name: header::HeaderName) -> Option<String> {
     headers.get(name)?.to_str().ok().map(str::to_owned)
 }
@@ -386,8 +400,6 @@
     let route = route.ok_or_else(|| caller.bad(BadRequest::UnknownRoute))?;
     let class_config = caller.class(&route.class)?;
     let body = read_body(context, caller.request, body).await?;
-    let pool = context.pools.get(&service);
-    let pool = pool.ok_or_else(|| caller.bad(BadRequest::NotReady))?;
     let query = head.uri.query().map(|query| format!("?{query}"));
     let idempotency_key = head
         .headers
@@ -415,13 +427,22 @@
         is_repeatable: route.repeatable,
         is_preemptible: false,
     };
+    let key = call.idempotency_key.clone().filter(|_| !route.repeatable);
+    let key = key.map(|key| KeyedCall {
+        service: offer.service.clone(),
+        customer: caller.customer.clone(),
+        key,
+        request: caller.request,
+        call_digest: call_digest(&call),
+    });
     let plain_request = PlainRequest {
         offer,
         call,
+        key,
         targets: targets(class_config),
     };
     // In a task of its own: a caller that goes away must not cut the call.
-    let running = tokio::spawn(plain_request::run(context.clone(), pool, plain_request));
+    let running = tokio::spawn(plain_request::run(context.clone(), plain_request));
     let unknown = || {
         let code = RefusalCode::OutcomeUnknown;
         Refusal::refused(caller.request, code, Outcome::Unknown, None)
--- a/src/modules/engine_poll.rs
+++ b/src/modules/engine_poll.rs
@@ -29,6 +29,11 @@
             version = in_force.version;
             polled = engines_of(&context, &service, polled);
         }
+        // Only who decides for the pool needs reports: engines are asked by one daemon.
+        if !context.homes.is_home(&context, &service) {
+            tokio::time::sleep(context.config.serving.poll_every_ms.as_std()).await;
+            continue;
+        }
         join_all(polled.iter_mut().map(|engine| poll(engine, &messages))).await;
         tokio::time::sleep(context.config.serving.poll_every_ms.as_std()).await;
     }
--- /dev/null
+++ b/src/modules/key_homes.rs
@@ -0,0 +1,388 @@
+//! Idempotency keys between daemons: the home of a key says whether its call may run.
+
+use crate::context::Context;
+use crate::modules::peer_frames::{request_bytes, request_of};
+use crate::modules::peer_links::{LinkHandle, Peer};
+use bridgevane_adapters::{KeyValue, KvCas, KvError};
+use bridgevane_coordination::configs::KeyRegistryConfig;
+use bridgevane_coordination::{
+    Claim, KeyEnd, KeyMember, KeyRegistry, StoredAnswer, Verdict, home_of,
+};
+use bridgevane_protocol::frame::Body;
+use bridgevane_protocol::key_verdict::Verdict as WireCode;
+use bridgevane_protocol::{KeyClaim, KeyEnded, KeyVerdict};
+use bridgevane_types::{CustomerId, IdempotencyKey, RequestId, ServiceName, TimeMs, VmId};
+use bytes::Bytes;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{OnceCell, oneshot};
+
+/// How long a home may take to answer a claim.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Pause before a claim is repeated to a home that didn't know that it is one.
+const NOT_HOME_PAUSE: Duration = Duration::from_millis(200);
+/// How often such a claim is repeated.
+const NOT_HOME_TRIES: u32 = 3;
+/// How often, and how far apart, the end of a call is told to its key's home.
+const END_TRIES: u32 = 10;
+/// Pause between two of these.
+const END_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// A keyed call, as its daemon knows it.
+#[derive(Clone, Debug)]
+pub struct KeyedCall {
+    /// Service.
+    pub service: ServiceName,
+    /// Customer.
+    pub customer: CustomerId,
+    /// The caller's key.
+    pub key: IdempotencyKey,
+    /// The request.
+    pub request: RequestId,
+    /// Digest of method, path and body.
+    pub call_digest: u64,
+}
+
+impl KeyedCall {
+    /// The key's name among all that have homes; customers can't reach each other's.
+    fn home_key(&self) -> String {
+        format!("key/{}/{}/{}", self.service, self.customer, self.key)
+    }
+}
+
+/// A call that was let run: its end must be told to the home that let it.
+#[derive(Clone, Debug)]
+pub struct LetRun {
+    call: KeyedCall,
+    /// The home; none: this daemon.
+    home: Option<SocketAddr>,
+}
+
+/// What the home of a key said.
+#[derive(Clone, Debug)]
+pub enum ClaimAnswer {
+    /// Run it, and tell how it ended.
+    Run(LetRun),
+    /// Don't.
+    Not(Verdict),
+}
+
+/// Keys whose home this daemon is, and claims that wait for other homes.
+pub struct KeyHomes {
+    registry: Mutex<KeyRegistry>,
+    waiting: Mutex<HashMap<u64, oneshot::Sender<KeyVerdict>>>,
+    next_claim: AtomicU64,
+    /// Whether this data centre has had daemons before, once that was asked.
+    had_daemons: OnceCell<bool>,
+}
+
+impl KeyHomes {
+    /// No key yet.
+    pub fn new(own: KeyMember, now: TimeMs) -> Self {
+        let config = KeyRegistryConfig::default();
+        Self {
+            registry: Mutex::new(KeyRegistry::new(config, own, now)),
+            waiting: Mutex::default(),
+            next_claim: AtomicU64::new(0),
+            had_daemons: OnceCell::new(),
+        }
+    }
+
+    fn registry(&self) -> MutexGuard<'_, KeyRegistry> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<KeyVerdict>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A daemon was lost.
+    pub fn member_lost(&self, now: TimeMs, vm: &VmId) {
+        self.registry().member_lost(now, vm);
+    }
+
+    /// The platform's list came.
+    pub fn listed(&self, now: TimeMs, listed: &[VmId]) {
+        self.registry().listed(now, listed);
+    }
+
+    /// Keys that are remembered here.
+    pub fn len(&self) -> usize {
+        self.registry().len()
+    }
+
+    /// Whether no key is remembered here.
+    pub fn is_empty(&self) -> bool {
+        self.registry().is_empty()
+    }
+
+    /// Asks the key's home whether the call may run.
+    pub async fn claim(&self, context: &Arc<Context>, call: KeyedCall) -> ClaimAnswer {
+        for _ in 0..NOT_HOME_TRIES {
+            let home = context.members.remote_home(context, &call.home_key());
+            let Some((_, address)) = home else {
+                let verdict = decide(context, claim_of(context, &call)).await;
+                return answer(verdict, call, None);
+            };
+            match self.ask(context, address, &call, false).await {
+                Some(verdict) if verdict.verdict() == WireCode::NotHome => {
+                    tokio::time::sleep(NOT_HOME_PAUSE).await;
+                }
+                Some(verdict) => return answer(from_wire(&verdict), call, Some(address)),
+                None => break,
+            }
+        }
+        // Nobody who knows could be asked: the key may have run before.
+        ClaimAnswer::Not(Verdict::Unknown)
+    }
+
+    /// Asks another daemon about a key; none: it doesn't answer.
+    async fn ask(
+        &self,
+        context: &Arc<Context>,
+        address: SocketAddr,
+        call: &KeyedCall,
+        is_asked_before: bool,
+    ) -> Option<KeyVerdict> {
+        let claim = self.next_claim.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        self.waiting().insert(claim, sender);
+        let frame = Body::KeyClaim(KeyClaim {
+            claim,
+            service: call.service.to_string(),
+            customer: call.customer.to_string(),
+            key: call.key.to_string(),
+            request: request_bytes(call.request),
+            call_digest: call.call_digest,
+            is_asked_before,
+        });
+        context.links.to(context, address).send(frame);
+        let verdict = tokio::time::timeout(ANSWER_TIMEOUT, receiver).await;
+        self.waiting().remove(&claim);
+        verdict.ok()?.ok()
+    }
+
+    /// A home has answered.
+    pub fn on_verdict(&self, verdict: &KeyVerdict) {
+        if let Some(waiting) = self.waiting().remove(&verdict.claim) {
+            // Who asked may have given up.
+            let _ = waiting.send(verdict.clone());
+        }
+    }
+}
+
+fn answer(verdict: Verdict, call: KeyedCall, home: Option<SocketAddr>) -> ClaimAnswer {
+    match verdict {
+        Verdict::Run => ClaimAnswer::Run(LetRun { call, home }),
+        other => ClaimAnswer::Not(other),
+    }
+}
+
+fn claim_of(context: &Context, call: &KeyedCall) -> Claim {
+    let in_force = context.in_force.load();
+    let service = in_force
+        .as_ref()
+        .and_then(|it| it.document.service.get(&call.service));
+    Claim {
+        key: call.home_key(),
+        call_digest: call.call_digest,
+        request: call.request,
+        runner: context.config.vm.clone(),
+        endpoint_deduplicates: service.is_some_and(|service| service.deduplicates),
+    }
+}
+
+/// Decides as the key's home, asking the home before this one if need be.
+async fn decide(context: &Arc<Context>, claim: Claim) -> Verdict {
+    let live = context.members.live();
+    let verdict = context
+        .keys
+        .registry()
+        .claim(context.now(), claim.clone(), &live.key_members);
+    let told = match verdict {
+        Verdict::AskBefore(before) => ask_before(context, &before, &claim).await,
+        Verdict::NoMemory => stored_memory(context).await,
+        decided => return decided,
+    };
+    context.keys.registry().told_before(claim, told)
+}
+
+async fn ask_before(context: &Arc<Context>, before: &VmId, claim: &Claim) -> Verdict {
+    let address = context.members.address_of(before);
+    let (Some(address), Some(call)) = (address, keyed_call_of(claim)) else {
+        return Verdict::Unknown;
+    };
+    let told = context.keys.ask(context, address, &call, true).await;
+    told.map_or(Verdict::Unknown, |verdict| from_wire(&verdict))
+}
+
+/// Whether keys may have been known to daemons that are all gone: the platform's service holds
+/// a mark for each data centre that has had daemons. The first one of all makes it.
+async fn stored_memory(context: &Arc<Context>) -> Verdict {
+    let asked = context
+        .keys
+        .had_daemons
+        .get_or_try_init(|| had_daemons(context))
+        .await;
+    match asked {
+        Ok(false) => Verdict::Run,
+        Ok(true) | Err(_) => Verdict::NoMemory,
+    }
+}
+
+async fn had_daemons(context: &Context) -> Result<bool, KvError> {
+    let cas = KvCas {
+        key: format!("bridgevane/had-daemons/{}", context.config.data_centre),
+        expected: None,
+        text: Some(context.config.vm.to_string()),
+        lease: None,
+    };
+    context.metrics.platform_call("cas");
+    match context.platform.compare_and_swap(cas).await {
+        Ok(_) => Ok(false),
+        Err(KvError::Conflict) => Ok(true),
+        Err(error) => Err(error),
+    }
+}
+
+/// The call behind a claim, for the question to the home before.
+fn keyed_call_of(claim: &Claim) -> Option<KeyedCall> {
+    let mut parts = claim.key.splitn(4, '/').skip(1);
+    Some(KeyedCall {
+        service: ServiceName::new(parts.next()?),
+        customer: CustomerId::new(parts.next()?),
+        key: IdempotencyKey::new(parts.next()?),
+        request: claim.request,
+        call_digest: claim.call_digest,
+    })
+}
+
+/// Another daemon asks about a key.
+pub fn on_claim(context: &Arc<Context>, peer: &Peer, link: &LinkHandle, wire: KeyClaim) {
+    let Some(request) = request_of(&wire.request) else {
+        return;
+    };
+    let call = KeyedCall {
+        service: ServiceName::new(&wire.service),
+        customer: CustomerId::new(&wire.customer),
+        key: IdempotencyKey::new(&wire.key),
+        request,
+        call_digest: wire.call_digest,
+    };
+    let live = context.members.live();
+    let home = home_of(&call.home_key(), live.live.iter());
+    let is_home = home == Some(&context.config.vm);
+    if !is_home && !wire.is_asked_before {
+        link.send(Body::KeyVerdict(to_wire(wire.claim, None)));
+        return;
+    }
+    let claim = Claim {
+        runner: peer.vm.clone(),
+        ..claim_of(context, &call)
+    };
+    let (context, link) = (context.clone(), link.clone());
+    tokio::spawn(async move {
+        let verdict = decide(&context, claim).await;
+        link.send(Body::KeyVerdict(to_wire(wire.claim, Some(verdict))));
+    });
+}
+
+fn to_wire(claim: u64, verdict: Option<Verdict>) -> KeyVerdict {
+    let mut wire = KeyVerdict {
+        claim,
+        ..KeyVerdict::default()
+    };
+    let code = match verdict {
+        None => WireCode::NotHome,
+        Some(Verdict::Run) => WireCode::Run,
+        Some(Verdict::Running) => WireCode::Running,
+        Some(Verdict::Done(answer)) => {
+            wire.status = u32::from(answer.status);
+            wire.content_type = answer.content_type;
+            wire.body = Bytes::from(answer.body);
+            WireCode::Done
+        }
+        Some(Verdict::Unknown | Verdict::AskBefore(_) | Verdict::NoMemory) => WireCode::Unknown,
+        Some(Verdict::Mismatch) => WireCode::Mismatch,
+        Some(Verdict::Full) => WireCode::Full,
+    };
+    wire.set_verdict(code);
+    wire
+}
+
+fn from_wire(wire: &KeyVerdict) -> Verdict {
+    match wire.verdict() {
+        WireCode::Run => Verdict::Run,
+        WireCode::Running => Verdict::Running,
+        WireCode::Done => Verdict::Done(StoredAnswer {
+            status: wire.status as u16,
+            content_type: wire.content_type.clone(),
+            body: wire.body.to_vec(),
+        }),
+        WireCode::Mismatch => Verdict::Mismatch,
+        WireCode::Full => Verdict::Full,
+        WireCode::Unknown | WireCode::NotHome | WireCode::Unspecified => Verdict::Unknown,
+    }
+}
+
+/// Tells the home of a key how its call ended.
+pub fn end(context: &Arc<Context>, let_run: &LetRun, end: KeyEnd) {
+    let call = &let_run.call;
+    let Some(address) = let_run.home else {
+        let mut registry = context.keys.registry();
+        registry.ended(context.now(), &call.home_key(), call.request, end);
+        return;
+    };
+    let mut wire = KeyEnded {
+        service: call.service.to_string(),
+        customer: call.customer.to_string(),
+        key: call.key.to_string(),
+        request: request_bytes(call.request),
+        ..KeyEnded::default()
+    };
+    match end {
+        KeyEnd::NotRun => {}
+        KeyEnd::Unknown => wire.is_known = Some(false),
+        KeyEnd::Done(answer) => {
+            wire.is_known = Some(true);
+            wire.status = u32::from(answer.status);
+            wire.content_type = answer.content_type;
+            wire.body = Bytes::from(answer.body);
+        }
+    }
+    let context = context.clone();
+    tokio::spawn(async move {
+        for _ in 0..END_TRIES {
+            if context
+                .links
+                .to(&context, address)
+                .send(Body::KeyEnded(wire.clone()))
+            {
+                return;
+            }
+            tokio::time::sleep(END_PAUSE).await;
+        }
+    });
+}
+
+/// Another daemon tells how a call ended.
+pub fn on_ended(context: &Arc<Context>, wire: &KeyEnded) {
+    let Some(request) = request_of(&wire.request) else {
+        return;
+    };
+    let end = match wire.is_known {
+        None => KeyEnd::NotRun,
+        Some(false) => KeyEnd::Unknown,
+        Some(true) => KeyEnd::Done(StoredAnswer {
+            status: wire.status as u16,
+            content_type: wire.content_type.clone(),
+            body: wire.body.to_vec(),
+        }),
+    };
+    let key = format!("key/{}/{}/{}", wire.service, wire.customer, wire.key);
+    let mut registry = context.keys.registry();
+    registry.ended(context.now(), &key, request, end);
+}
--- a/src/modules/leaving.rs
+++ b/src/modules/leaving.rs
@@ -17,6 +17,9 @@
     /// The platform's list shows it as leaving.
     #[display("vm list")]
     VmList,
+    /// A later life of this VM is about.
+    #[display("superseded")]
+    Superseded,
 }
 
 impl LeavingSource {
--- a/src/modules/metrics.rs
+++ b/src/modules/metrics.rs
@@ -77,9 +77,12 @@
     }
 
     /// Bytes went to or came from another daemon.
-    pub fn peer_bytes(&self, direction: &'static str, bytes: u64) {
-        self.peer_bytes
-            .add(bytes, &[KeyValue::new("direction", direction)]);
+    pub fn peer_bytes(&self, direction: &'static str, purpose: &'static str, bytes: u64) {
+        let labels = [
+            KeyValue::new("direction", direction),
+            KeyValue::new("purpose", purpose),
+        ];
+        self.peer_bytes.add(bytes, &labels);
     }
 
     /// The Prometheus page.
--- a/src/modules/model_request.rs
+++ b/src/modules/model_request.rs
@@ -8,7 +8,6 @@
 use crate::context::Context;
 use crate::modules::burn::Ended;
 use crate::modules::engine_link::EngineLink;
-use crate::modules::pool_actor::PoolHandle;
 use crate::modules::pool_link::{NamedOffer, OrderReceiver, PoolOrder, PoolReport};
 use crate::modules::refusal::Refusal;
 use crate::{event, events::Event};
@@ -131,7 +130,6 @@
 
 struct Runner {
     context: Arc<Context>,
-    pool: PoolHandle,
     request: ModelRequest,
     caller: mpsc::Sender<CallerEvent>,
     orders: OrderReceiver,
@@ -143,21 +141,17 @@
 }
 
 /// Runs `request` in a task of its own; its answer comes out of the receiver.
-pub fn spawn(
-    context: Arc<Context>,
-    pool: PoolHandle,
-    request: ModelRequest,
-) -> mpsc::Receiver<CallerEvent> {
+pub fn spawn(context: Arc<Context>, request: ModelRequest) -> mpsc::Receiver<CallerEvent> {
     let (caller, answers) = mpsc::channel(context.config.serving.max_buffered_pieces);
     tokio::spawn(async move {
         let counted = context.clone();
         let _in_progress = counted.leaving.begin_request();
         let (sender, orders) = mpsc::unbounded_channel();
         let arrived_at = context.now();
-        let is_taken = pool.offer(request.offer.clone(), sender);
+        let offer = request.offer.clone();
+        let is_taken = context.homes.offer(&context, offer, sender);
         let mut runner = Runner {
             context,
-            pool,
             request,
             caller,
             orders,
@@ -282,10 +276,16 @@
         }
     }
 
+    /// The attempt's number towards engines. It counts all attempts of the request; a pool that
+    /// took the request over counts its own.
+    fn own_attempt(&self) -> AttemptNumber {
+        AttemptNumber(self.attempts.saturating_sub(1))
+    }
+
     fn call(&self, attempt: &Attempt) -> GenerateCall {
         GenerateCall {
             request: self.id(),
-            attempt: attempt.number,
+            attempt: self.own_attempt(),
             priority: attempt.priority,
             model: self.request.model.clone(),
             prompt: self.request.prompt.clone(),
@@ -371,7 +371,7 @@
         let Some(Ok(piece)) = piece else {
             return Some(AttemptResult::Failed(lost));
         };
-        if piece.request != self.id() || piece.attempt != attempt.number {
+        if piece.request != self.id() || piece.attempt != self.own_attempt() {
             event!(Event::PieceDropped, request = self.id(), cause = "crossed");
             return None;
         }
@@ -410,7 +410,7 @@
             now,
         );
         if let Some(report) = report {
-            self.pool.report(self.id(), report).await;
+            self.report(report).await;
         }
         None
     }
@@ -428,8 +428,14 @@
     }
 
     async fn finish_attempt(&self, number: AttemptNumber, end: AttemptEnd) {
-        self.pool
-            .report(self.id(), PoolReport::Finished(number, end))
+        self.report(PoolReport::Finished(number, end)).await;
+    }
+
+    async fn report(&self, report: PoolReport) {
+        let service = &self.request.offer.service;
+        let homes = &self.context.homes;
+        homes
+            .report(&self.context, service, self.id(), report)
             .await;
     }
 
@@ -504,7 +510,7 @@
     /// Cancels at the engine without waiting: a dead engine needs no cancelling.
     fn cancel_at_engine(&self, attempt: &Attempt) {
         let engine = attempt.engine.model.clone();
-        let (request, number) = (self.id(), attempt.number);
+        let (request, number) = (self.id(), self.own_attempt());
         tokio::spawn(async move {
             let _ = engine.cancel(request, number).await;
         });
--- /dev/null
+++ b/src/modules/operator_fan_out.rs
@@ -0,0 +1,179 @@
+//! Operators' statements to every daemon of the data centre, and who did not answer.
+
+use crate::context::Context;
+use crate::modules::leaving::LeavingSource;
+use crate::modules::operator_rows::{self, Row};
+use crate::modules::peer_links::{LinkHandle, Peer};
+use crate::modules::query_language::{self, Statement};
+use bridgevane_coordination::MemberState;
+use bridgevane_protocol::frame::Body;
+use bridgevane_protocol::{Query, QueryAnswer};
+use bridgevane_types::VmId;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, HashMap};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+/// How long daemons may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Answers that wait to be read.
+const MAX_ANSWERS: usize = 1_024;
+
+/// What one daemon answered.
+struct PartAnswer {
+    vm: VmId,
+    rows: Vec<Row>,
+    error: String,
+}
+
+/// Statements that wait for answers.
+#[derive(Default)]
+pub struct Queries {
+    waiting: Mutex<HashMap<u64, mpsc::Sender<PartAnswer>>>,
+    next: AtomicU64,
+}
+
+/// What the data centre answered.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Rows of all that answered.
+    pub rows: Vec<Row>,
+    /// VMs that answered.
+    pub answered: Vec<VmId>,
+    /// VMs that should have answered and did not: the rows are a part of the whole.
+    pub missing: Vec<VmId>,
+    /// What went wrong, if anything.
+    pub error: Option<String>,
+}
+
+impl Queries {
+    fn waiting(&self) -> MutexGuard<'_, HashMap<u64, mpsc::Sender<PartAnswer>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A daemon has answered.
+    pub fn on_answer(&self, peer: &Peer, answer: QueryAnswer) {
+        let part = PartAnswer {
+            vm: peer.vm.clone(),
+            rows: serde_json::from_slice(&answer.rows).unwrap_or_default(),
+            error: answer.error,
+        };
+        if let Some(sender) = self.waiting().get(&answer.query) {
+            // Who asked may have stopped listening.
+            let _ = sender.try_send(part);
+        }
+    }
+}
+
+/// Asks every daemon of the data centre, this one included.
+pub async fn ask_all(context: &Arc<Context>, text: &str) -> Answer {
+    let query = context.queries.next.fetch_add(1, Ordering::Relaxed);
+    let (sender, mut receiver) = mpsc::channel(MAX_ANSWERS);
+    context.queries.waiting().insert(query, sender);
+    let mut expected = BTreeSet::new();
+    for (vm, state, _, address) in context.members.known() {
+        if state == MemberState::Dead {
+            continue;
+        }
+        let frame = Body::Query(Query {
+            query,
+            text: text.to_owned(),
+        });
+        context.links.to(context, address).send(frame);
+        expected.insert(vm);
+    }
+    let mut answer = Answer::default();
+    match answer_here(context, text).await {
+        Ok(rows) => answer.rows = rows,
+        Err(error) => answer.error = Some(error),
+    }
+    answer.answered.push(context.config.vm.clone());
+    let deadline = Instant::now() + ANSWER_TIMEOUT;
+    while !expected.is_empty() {
+        let Ok(Some(part)) = timeout_at(deadline, receiver.recv()).await else {
+            break;
+        };
+        if !expected.remove(&part.vm) {
+            continue;
+        }
+        answer.rows.extend(part.rows);
+        answer.answered.push(part.vm);
+        if !part.error.is_empty() {
+            answer.error.get_or_insert(part.error);
+        }
+    }
+    context.queries.waiting().remove(&query);
+    answer.answered.sort();
+    answer.missing = expected.into_iter().collect();
+    answer
+}
+
+/// Another daemon passes a statement on.
+pub fn on_query(context: &Arc<Context>, link: &LinkHandle, query: Query) {
+    let (context, link) = (context.clone(), link.clone());
+    tokio::spawn(async move {
+        let (rows, error) = match answer_here(&context, &query.text).await {
+            Ok(rows) => (rows, String::new()),
+            Err(error) => (Vec::new(), error),
+        };
+        let rows = serde_json::to_vec(&rows).unwrap_or_default();
+        link.send(Body::QueryAnswer(QueryAnswer {
+            query: query.query,
+            rows: Bytes::from(rows),
+            error,
+        }));
+    });
+}
+
+/// This daemon's part of an answer. The error is text for the operator.
+async fn answer_here(context: &Arc<Context>, text: &str) -> Result<Vec<Row>, String> {
+    let statement = query_language::parse(text).map_err(|error| error.to_string())?;
+    match statement {
+        Statement::Show { table, conditions } => {
+            let rows = operator_rows::rows(context, table, &conditions).await;
+            rows.map_err(|error| error.to_string())
+        }
+        Statement::Explain(request) => Ok(explain(context, request).await),
+        Statement::DrainVm { vm, is_drained } => Ok(drain_vm(context, &vm, is_drained)),
+        Statement::Set { .. } | Statement::DrainEngine { .. } => Ok(Vec::new()),
+    }
+}
+
+async fn explain(context: &Arc<Context>, request: bridgevane_types::RequestId) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for (service, pool) in context.pools.all() {
+        for record in pool.explain(request).await {
+            rows.push(
+                Row::default()
+                    .with("vm", context.config.vm.as_str())
+                    .with("service", service.as_str())
+                    .with("at_ms", record.at.0)
+                    .with("decision", record.decision.to_string()),
+            );
+        }
+    }
+    rows
+}
+
+fn drain_vm(context: &Arc<Context>, vm: &VmId, is_drained: bool) -> Vec<Row> {
+    if *vm != context.config.vm {
+        return Vec::new();
+    }
+    if is_drained {
+        context.leaving.begin(LeavingSource::Drain);
+    } else {
+        context.leaving.undrain();
+    }
+    context
+        .members
+        .set_leaving(context, context.leaving.is_leaving());
+    let row = Row::default()
+        .with("vm", vm.as_str())
+        .with("leaving", context.leaving.is_leaving())
+        .with("in_progress", context.leaving.in_progress());
+    vec![row]
+}
--- /dev/null
+++ b/src/modules/operator_rows.rs
@@ -0,0 +1,290 @@
+//! Rows of the operators' tables, as this daemon knows them.
+
+use crate::context::Context;
+use crate::modules::query_language::{Comparison, Condition, Operand, Table};
+use bridgevane_types::DurationMs;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::cmp::Ordering;
+use std::sync::Arc;
+
+/// One field of a row.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Field {
+    /// Its name, with its unit.
+    pub name: String,
+    /// Its value.
+    pub value: Value,
+}
+
+/// One row of a table.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Row {
+    /// Its fields, in the table's order.
+    pub fields: Vec<Field>,
+}
+
+impl Row {
+    /// The row with one more field.
+    #[must_use]
+    pub fn with(mut self, name: &str, value: impl Into<Value>) -> Self {
+        self.fields.push(Field {
+            name: name.to_owned(),
+            value: value.into(),
+        });
+        self
+    }
+
+    /// A field's value. `age` stands for `age_ms` too: the unit may be left out.
+    pub fn get(&self, name: &str) -> Option<&Value> {
+        let with_unit = format!("{name}_ms");
+        let is_it = |field: &&Field| field.name == name || field.name == with_unit;
+        self.fields.iter().find(is_it).map(|field| &field.value)
+    }
+
+    /// Whether a condition holds; none: there is no such field.
+    pub fn meets(&self, condition: &Condition) -> Option<bool> {
+        let value = self.get(&condition.field)?;
+        let order = compare(value, &condition.value);
+        Some(match condition.comparison {
+            Comparison::Equal => order == Some(Ordering::Equal),
+            Comparison::NotEqual => order != Some(Ordering::Equal),
+            Comparison::Less => order == Some(Ordering::Less),
+            Comparison::LessOrEqual => matches!(order, Some(Ordering::Less | Ordering::Equal)),
+            Comparison::Greater => order == Some(Ordering::Greater),
+            Comparison::GreaterOrEqual => {
+                matches!(order, Some(Ordering::Greater | Ordering::Equal))
+            }
+        })
+    }
+}
+
+fn compare(value: &Value, operand: &Operand) -> Option<Ordering> {
+    match (value, operand) {
+        (Value::Number(value), Operand::Number(number)) => value.as_f64()?.partial_cmp(number),
+        (Value::String(value), Operand::Text(text)) => Some(value.as_str().cmp(text)),
+        (Value::Bool(value), Operand::Text(text)) => {
+            let is_equal = value.to_string() == *text;
+            is_equal.then_some(Ordering::Equal)
+        }
+        _ => None,
+    }
+}
+
+/// The rows of `table` that meet all conditions.
+///
+/// # Errors
+/// [`UnknownField`] when a condition names a field that no row has.
+pub async fn rows(
+    context: &Arc<Context>,
+    table: Table,
+    conditions: &[Condition],
+) -> Result<Vec<Row>, UnknownField> {
+    let rows = match table {
+        Table::Requests => requests(context).await,
+        Table::Engines => engines(context).await,
+        Table::Vms => vms(context).await,
+        Table::Classes => classes(context).await,
+        Table::Customers => customers(context).await,
+        Table::Config => config(context).await,
+        Table::History => Vec::new(),
+    };
+    let mut found = Vec::new();
+    for row in rows {
+        let mut meets_all = true;
+        for condition in conditions {
+            let unknown = || unknown_field(&condition.field, &row);
+            meets_all &= row.meets(condition).ok_or_else(unknown)?;
+        }
+        if meets_all {
+            found.push(row);
+        }
+    }
+    Ok(found)
+}
+
+/// A condition names a field that the table doesn't have.
+#[derive(Clone, Debug, derive_more::Display, derive_more::Error, PartialEq, Eq)]
+#[display("there is no field '{field}'; the fields are {known}")]
+pub struct UnknownField {
+    /// The name.
+    pub field: String,
+    /// What there is.
+    pub known: String,
+}
+
+fn unknown_field(field: &str, row: &Row) -> UnknownField {
+    let names: Vec<&str> = row.fields.iter().map(|field| field.name.as_str()).collect();
+    UnknownField {
+        field: field.to_owned(),
+        known: names.join(", "),
+    }
+}
+
+fn row(context: &Context) -> Row {
+    Row::default().with("vm", context.config.vm.as_str())
+}
+
+async fn requests(context: &Arc<Context>) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for (service, pool) in context.pools.all() {
+        let Some(view) = pool.view().await else {
+            continue;
+        };
+        for request in view.requests {
+            let customer = request.customer.map(|customer| customer.to_string());
+            let engine = request.engine.map(|engine| engine.to_string());
+            rows.push(
+                row(context)
+                    .with("request", request.request.to_string())
+                    .with("service", service.as_str())
+                    .with("class", request.class.as_str())
+                    .with("customer", customer)
+                    .with("state", request.state)
+                    .with("engine", engine)
+                    .with("age_ms", request.age_ms.0)
+                    .with("attempts", request.attempts)
+                    .with("delivered_tokens", request.delivered.0),
+            );
+        }
+    }
+    rows
+}
+
+async fn engines(context: &Arc<Context>) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for (service, pool) in context.pools.all() {
+        // The home of a pool knows its engines; others only what they decided themselves.
+        if !context.homes.is_home(context, &service) {
+            continue;
+        }
+        let Some(view) = pool.view().await else {
+            continue;
+        };
+        for engine in view.engines {
+            rows.push(
+                row(context)
+                    .with("service", service.as_str())
+                    .with("engine", engine.engine.as_str())
+                    .with("health", engine.health.to_string())
+                    .with("drained", engine.is_drained)
+                    .with("in_flight", engine.in_flight.0)
+                    .with("limit", engine.limit.0)
+                    .with("between_tokens_ms", engine.between_tokens_ms.round()),
+            );
+        }
+    }
+    rows
+}
+
+async fn vms(context: &Arc<Context>) -> Vec<Row> {
+    let (version, highest) = context.replica.versions();
+    vec![
+        row(context)
+            .with("data_centre", context.config.data_centre.as_str())
+            .with("leaving", context.leaving.is_leaving())
+            .with("ready", context.replica.may_serve())
+            .with("in_progress", context.leaving.in_progress())
+            .with("config_version", version.0)
+            .with("highest_version", highest.0)
+            .with("platform_away", context.replica.is_platform_away())
+            .with("live_members", context.members.live().live.len())
+            .with("incarnation", context.incarnation.0),
+    ]
+}
+
+/// The window of `show classes`.
+const CLASS_WINDOW: DurationMs = DurationMs(3_600_000);
+
+async fn classes(context: &Arc<Context>) -> Vec<Row> {
+    let Some(in_force) = context.in_force.load() else {
+        return Vec::new();
+    };
+    let counts = context.burn.window(context.now(), CLASS_WINDOW);
+    let mut queued = std::collections::BTreeMap::new();
+    for (_, pool) in context.pools.all() {
+        let Some(view) = pool.view().await else {
+            continue;
+        };
+        for class in view.classes {
+            *queued.entry(class.class).or_insert(0) += class.queued;
+        }
+    }
+    let class_row = |(name, class): (
+        &bridgevane_types::ClassName,
+        &bridgevane_config::ClassConfig,
+    )| {
+        let counts = counts.get(name).copied().unwrap_or_default();
+        row(context)
+            .with("class", name.as_str())
+            .with("tier", class.tier.0)
+            .with("offered", counts.offered)
+            .with("in_target", counts.in_target)
+            .with("late", counts.late)
+            .with("refused", counts.refused)
+            .with("cut", counts.cut)
+            .with("resumed", counts.resumed)
+            .with("attainment", counts.attainment().0)
+            .with("burn", counts.burn_rate(class.objective))
+            .with("queued", queued.get(name).copied().unwrap_or(0))
+            .with("good_tokens", counts.good_tokens)
+            .with("wasted_tokens", counts.wasted_tokens)
+            .with("objective", class.objective.0)
+    };
+    in_force.document.class.iter().map(class_row).collect()
+}
+
+async fn customers(context: &Arc<Context>) -> Vec<Row> {
+    let Some(in_force) = context.in_force.load() else {
+        return Vec::new();
+    };
+    let mut in_flight = std::collections::BTreeMap::new();
+    for (_, pool) in context.pools.all() {
+        let Some(view) = pool.view().await else {
+            continue;
+        };
+        for customer in view
+            .requests
+            .into_iter()
+            .filter_map(|request| request.customer)
+        {
+            *in_flight.entry(customer).or_insert(0u64) += 1;
+        }
+    }
+    let customer_row = |(name, customer): (
+        &bridgevane_types::CustomerId,
+        &bridgevane_config::CustomerConfig,
+    )| {
+        row(context)
+            .with("customer", name.as_str())
+            .with("default_kind", customer.default_kind.as_str())
+            .with("in_flight", in_flight.get(name).copied().unwrap_or(0))
+            .with(
+                "concurrency_limit",
+                customer.concurrency_limit.map(|limit| limit.0),
+            )
+            .with("rate_limit_tps", customer.rate_limit_tps.map(|rate| rate.0))
+    };
+    in_force
+        .document
+        .customer
+        .iter()
+        .map(customer_row)
+        .collect()
+}
+
+async fn config(context: &Arc<Context>) -> Vec<Row> {
+    let Some(in_force) = context.in_force.load() else {
+        return Vec::new();
+    };
+    let document = &in_force.document;
+    vec![
+        row(context)
+            .with("version", in_force.version.0)
+            .with("classes", document.class.len())
+            .with("customers", document.customer.len())
+            .with("kinds", document.kind.len())
+            .with("services", document.service.len()),
+    ]
+}
--- /dev/null
+++ b/src/modules/operators.rs
@@ -0,0 +1,231 @@
+//! The operators' HTTP interface: statements in, answers out, by name and bearer token.
+
+use crate::context::Context;
+use crate::modules::config_change::{self, Change, ChangeError, Decided, Proposal};
+use crate::modules::operator_fan_out::{self, Answer};
+use crate::modules::operator_rows::Row;
+use crate::modules::query_language::{self, Statement, Table};
+use crate::{event, events::Event};
+use axum::extract::{DefaultBodyLimit, State};
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use bridgevane_config::Document;
+use bridgevane_types::{ConfigVersion, OperationId, OperatorName};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::sync::Arc;
+
+/// The largest document that an operator may propose: a value of the platform's service.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// What an operator sends.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Ask {
+    /// A statement.
+    #[serde(default)]
+    pub statement: Option<String>,
+    /// A whole configuration, in place of a statement.
+    #[serde(default)]
+    pub document: Option<String>,
+    /// The version that the document was made on.
+    #[serde(default)]
+    pub base_version: Option<ConfigVersion>,
+    /// The operation's id, for what changes something; safe to send twice.
+    #[serde(default)]
+    pub operation_id: Option<OperationId>,
+}
+
+/// The operators' routes.
+pub fn router(context: Arc<Context>) -> Router {
+    Router::new()
+        .route("/v1/ask", post(ask))
+        .route("/v1/config", get(config))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(context)
+}
+
+/// Compares in a time that doesn't tell how much of the token was right.
+fn is_same(a: &str, b: &str) -> bool {
+    let differs = a
+        .bytes()
+        .zip(b.bytes())
+        .fold(0, |differs, (a, b)| differs | (a ^ b));
+    a.len() == b.len() && differs == 0
+}
+
+fn operator_of(context: &Context, headers: &HeaderMap) -> Option<OperatorName> {
+    let header = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let token = header.strip_prefix("Bearer ")?;
+    let known = context.config.operators.iter();
+    let found = known.into_iter().find(|known| is_same(&known.token, token));
+    found.map(|found| found.operator.clone())
+}
+
+fn error(status: StatusCode, text: String) -> Response {
+    (status, Json(json!({ "error": text }))).into_response()
+}
+
+fn refuse() -> Response {
+    error(
+        StatusCode::UNAUTHORIZED,
+        "no operator has this token".into(),
+    )
+}
+
+/// The configuration in force, as an operator edits it.
+async fn config(State(context): State<Arc<Context>>, headers: HeaderMap) -> Response {
+    if operator_of(&context, &headers).is_none() {
+        return refuse();
+    }
+    let Some(in_force) = context.in_force.load() else {
+        return error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration yet".into(),
+        );
+    };
+    match toml::to_string(&in_force.document) {
+        Ok(document) => {
+            Json(json!({ "version": in_force.version, "document": document })).into_response()
+        }
+        Err(problem) => error(StatusCode::INTERNAL_SERVER_ERROR, problem.to_string()),
+    }
+}
+
+async fn ask(
+    State(context): State<Arc<Context>>,
+    headers: HeaderMap,
+    Json(ask): Json<Ask>,
+) -> Response {
+    let Some(operator) = operator_of(&context, &headers) else {
+        return refuse();
+    };
+    if let Some(text) = &ask.document {
+        return propose_document(&context, operator, &ask, text).await;
+    }
+    let Some(text) = &ask.statement else {
+        return error(
+            StatusCode::BAD_REQUEST,
+            "give a statement or a document".into(),
+        );
+    };
+    match query_language::parse(text) {
+        Err(problem) => error(StatusCode::BAD_REQUEST, problem.to_string()),
+        Ok(Statement::Show {
+            table: Table::History,
+            ..
+        }) => history(&context).await,
+        Ok(statement @ (Statement::Set { .. } | Statement::DrainEngine { .. })) => {
+            let change = Change::Statement(statement);
+            propose(&context, operator, &ask, change, text).await
+        }
+        Ok(Statement::DrainVm { vm, .. }) => {
+            let answer = operator_fan_out::ask_all(&context, text).await;
+            event!(
+                Event::OperatorCommand,
+                operator = operator,
+                statement = text
+            );
+            drained(&vm, answer)
+        }
+        Ok(_) => Json(operator_fan_out::ask_all(&context, text).await).into_response(),
+    }
+}
+
+/// A drain took effect only if its VM said so.
+fn drained(vm: &bridgevane_types::VmId, answer: Answer) -> Response {
+    if !answer.rows.is_empty() {
+        return Json(answer).into_response();
+    }
+    let text = format!("'{vm}' did not answer: it isn't known whether it took effect");
+    if answer.missing.contains(vm) {
+        return error(StatusCode::GATEWAY_TIMEOUT, text);
+    }
+    error(
+        StatusCode::NOT_FOUND,
+        format!("there is no VM '{vm}' in this data centre"),
+    )
+}
+
+async fn history(context: &Context) -> Response {
+    match config_change::history(context).await {
+        Ok(operations) => {
+            let row = |operation: bridgevane_config::AcceptedOperation| {
+                Row::default()
+                    .with("version", operation.version.0)
+                    .with("operator", operation.operator.as_str())
+                    .with("operation", operation.operation_id.as_str())
+                    .with("changed", operation.changed.join(" "))
+            };
+            let answer = Answer {
+                rows: operations.into_iter().map(row).collect(),
+                ..Answer::default()
+            };
+            Json(answer).into_response()
+        }
+        Err(problem) => change_error(&problem),
+    }
+}
+
+async fn propose_document(
+    context: &Arc<Context>,
+    operator: OperatorName,
+    ask: &Ask,
+    text: &str,
+) -> Response {
+    let document = match Document::parse(text) {
+        Ok(document) => document,
+        Err(problems) => return error(StatusCode::BAD_REQUEST, problems.to_string()),
+    };
+    let Some(base) = ask.base_version else {
+        let what = "give the version that the document was made on".into();
+        return error(StatusCode::BAD_REQUEST, what);
+    };
+    let change = Change::Document(Box::new(document), base);
+    propose(context, operator, ask, change, "document").await
+}
+
+async fn propose(
+    context: &Arc<Context>,
+    operator: OperatorName,
+    ask: &Ask,
+    change: Change,
+    text: &str,
+) -> Response {
+    let Some(operation_id) = ask.operation_id.clone() else {
+        return error(
+            StatusCode::BAD_REQUEST,
+            "a change needs an operation_id".into(),
+        );
+    };
+    event!(
+        Event::OperatorCommand,
+        operator = operator,
+        operation = operation_id,
+        statement = text
+    );
+    let proposal = Proposal {
+        operation_id,
+        operator,
+        change,
+    };
+    match config_change::propose(context, proposal).await {
+        Ok(decided @ Decided::Conflict { .. }) => {
+            (StatusCode::CONFLICT, Json(decided)).into_response()
+        }
+        Ok(decided) => Json(decided).into_response(),
+        Err(problem) => change_error(&problem),
+    }
+}
+
+fn change_error(problem: &ChangeError) -> Response {
+    let status = match problem {
+        ChangeError::Invalid(_) | ChangeError::NoSuch { .. } => StatusCode::BAD_REQUEST,
+        ChangeError::Stored(_) => StatusCode::INTERNAL_SERVER_ERROR,
+        ChangeError::Away(_) | ChangeError::Busy => StatusCode::SERVICE_UNAVAILABLE,
+        ChangeError::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
+    };
+    error(status, problem.to_string())
+}
--- /dev/null
+++ b/src/modules/peer_frames.rs
@@ -0,0 +1,95 @@
+//! What each frame from another daemon means.
+
+use crate::context::Context;
+use crate::modules::peer_links::{LinkHandle, OpenOffers, Peer};
+use crate::modules::{config_relay, key_homes, members, operator_fan_out, pool_homes};
+use bridgevane_protocol::frame::Body;
+use bridgevane_protocol::{Frame, pool_order, pool_report};
+use bridgevane_types::RequestId;
+use bytes::Bytes;
+use prost::Message;
+use std::sync::Arc;
+
+/// Bytes that framing adds to a frame.
+const LENGTH_BYTES: u64 = 4;
+
+/// A request's identifier on the wire.
+pub fn request_bytes(request: RequestId) -> Bytes {
+    Bytes::copy_from_slice(&request.0.to_be_bytes())
+}
+
+/// Reads a request's identifier; none when it isn't one.
+pub fn request_of(bytes: &Bytes) -> Option<RequestId> {
+    let bytes: [u8; 16] = bytes.as_ref().try_into().ok()?;
+    Some(RequestId(u128::from_be_bytes(bytes)))
+}
+
+/// Counts a frame's bytes, those for control apart from those on the path of a request.
+pub fn count(context: &Context, direction: &'static str, frame: &Frame) {
+    let is_control = matches!(
+        frame.body,
+        Some(
+            Body::Heartbeat(_)
+                | Body::HeartbeatAck(_)
+                | Body::ConfigWanted(_)
+                | Body::ConfigDelta(_)
+                | Body::ConfigSnapshot(_)
+        )
+    );
+    let purpose = if is_control { "control" } else { "request" };
+    let bytes = frame.encoded_len() as u64 + LENGTH_BYTES;
+    context.metrics.peer_bytes(direction, purpose, bytes);
+}
+
+/// A refusal that goes out ends an offer of the other side.
+pub fn note_sent(frame: &Frame, offers: &mut OpenOffers) {
+    let Some(Body::PoolOrder(order)) = &frame.body else {
+        return;
+    };
+    if matches!(order.order, Some(pool_order::Order::Refuse(_)))
+        && let Some(request) = request_of(&order.request)
+    {
+        offers.remove(&request);
+    }
+}
+
+/// Acts on a frame.
+pub async fn handle(
+    context: &Arc<Context>,
+    peer: &Peer,
+    link: &LinkHandle,
+    frame: Frame,
+    offers: &mut OpenOffers,
+) {
+    let Some(body) = frame.body else {
+        // A message of a later version.
+        return;
+    };
+    match body {
+        // Greetings come first and once.
+        Body::Hello(_) | Body::Proof(_) => {}
+        Body::Heartbeat(heartbeat) => members::on_heartbeat(context, peer, link, heartbeat),
+        Body::HeartbeatAck(heartbeat) => members::on_ack(context, peer, link, heartbeat),
+        Body::ConfigWanted(wanted) => config_relay::on_wanted(context, link, &wanted),
+        Body::ConfigDelta(delta) => config_relay::on_delta(context, link, delta),
+        Body::ConfigSnapshot(snapshot) => config_relay::on_snapshot(context, snapshot),
+        Body::PoolOffer(offer) => pool_homes::on_offer(context, link, offer, offers),
+        Body::PoolOrder(order) => context.homes.on_order(context, peer, link, &order),
+        Body::PoolReport(report) => {
+            let is_over = matches!(
+                report.report,
+                Some(pool_report::Report::Done(_) | pool_report::Report::CallerGone(_))
+            );
+            if let Some(request) = request_of(&report.request).filter(|_| is_over) {
+                offers.remove(&request);
+            }
+            pool_homes::on_report(context, &report).await;
+        }
+        Body::PoolAdopt(adopt) => pool_homes::on_adopt(context, link, adopt, offers).await,
+        Body::KeyClaim(claim) => key_homes::on_claim(context, peer, link, claim),
+        Body::KeyVerdict(verdict) => context.keys.on_verdict(&verdict),
+        Body::KeyEnded(ended) => key_homes::on_ended(context, &ended),
+        Body::Query(query) => operator_fan_out::on_query(context, link, query),
+        Body::QueryAnswer(answer) => context.queries.on_answer(peer, answer),
+    }
+}
--- a/src/modules/plain_request.rs
+++ b/src/modules/plain_request.rs
@@ -2,14 +2,16 @@
 
 use crate::context::Context;
 use crate::modules::burn::Ended;
+use crate::modules::key_homes::{self, ClaimAnswer, KeyedCall};
 use crate::modules::model_request::Targets;
-use crate::modules::pool_actor::PoolHandle;
 use crate::modules::pool_link::{NamedOffer, OrderReceiver, PoolOrder, PoolReport};
-use crate::modules::refusal::Refusal;
+use crate::modules::refusal::{BadRequest, Refusal};
 use crate::{event, events::Event};
+use axum::http::StatusCode;
 use bridgevane_adapters::{PlainAnswer, PlainCall, PlainCallError, PlainService};
+use bridgevane_coordination::{KeyEnd, StoredAnswer, Verdict};
 use bridgevane_decisions::AttemptEnd;
-use bridgevane_types::{DurationMs, Outcome, RefusalCode, TimeMs, Tokens};
+use bridgevane_types::{DurationMs, Outcome, RefusalCode, RequestId, TimeMs, Tokens};
 use std::sync::Arc;
 use tokio::sync::mpsc;
 
@@ -19,36 +21,82 @@
     pub offer: NamedOffer,
     /// The call.
     pub call: PlainCall,
+    /// Its key, when it may not be repeated and has one.
+    pub key: Option<KeyedCall>,
     /// The class's targets.
     pub targets: Targets,
 }
 
-/// Runs a call. It goes on to its end when the caller goes away: a call that may not be
+/// Runs a call, at most once for its key. It goes on to its end when the caller goes away: a call that may not be
 /// repeated must not be cut.
 ///
 /// # Errors
 /// The final answer when there is no result.
-pub async fn run(
-    context: Arc<Context>,
-    pool: PoolHandle,
-    request: PlainRequest,
-) -> Result<PlainAnswer, Refusal> {
+pub async fn run(context: Arc<Context>, request: PlainRequest) -> Result<PlainAnswer, Refusal> {
     let _in_progress = context.leaving.begin_request();
+    let Some(key) = request.key.clone() else {
+        return run_once(&context, request).await;
+    };
+    let id = request.offer.request;
+    match context.keys.claim(&context, key).await {
+        ClaimAnswer::Run(let_run) => {
+            let result = run_once(&context, request).await;
+            key_homes::end(&context, &let_run, key_end(&result));
+            result
+        }
+        ClaimAnswer::Not(Verdict::Done(answer)) => Ok(given_again(answer)),
+        ClaimAnswer::Not(verdict) => Err(refused_by(id, &verdict)),
+    }
+}
+
+fn key_end(result: &Result<PlainAnswer, Refusal>) -> KeyEnd {
+    match result {
+        Ok(answer) => KeyEnd::Done(StoredAnswer {
+            status: answer.status.as_u16(),
+            content_type: answer.content_type.clone().unwrap_or_default(),
+            body: answer.body.to_vec(),
+        }),
+        Err(refusal) if refusal.outcome == Outcome::NotRun => KeyEnd::NotRun,
+        Err(_) => KeyEnd::Unknown,
+    }
+}
+
+fn given_again(answer: StoredAnswer) -> PlainAnswer {
+    PlainAnswer {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+        content_type: (!answer.content_type.is_empty()).then_some(answer.content_type),
+        body: answer.body.into(),
+    }
+}
+
+fn refused_by(id: RequestId, verdict: &Verdict) -> Refusal {
+    match verdict {
+        Verdict::Running => Refusal::bad_request(id, BadRequest::KeyInProgress),
+        Verdict::Mismatch => Refusal::bad_request(id, BadRequest::KeyReused),
+        Verdict::Full => {
+            let retry_after_ms = Some(DurationMs(10_000));
+            Refusal::refused(id, RefusalCode::QueueFull, Outcome::NotRun, retry_after_ms)
+        }
+        _ => Refusal::refused(id, RefusalCode::OutcomeUnknown, Outcome::Unknown, None),
+    }
+}
+
+async fn run_once(context: &Arc<Context>, request: PlainRequest) -> Result<PlainAnswer, Refusal> {
     let arrived_at = context.now();
     let (sender, orders) = mpsc::unbounded_channel();
-    if !pool.offer(request.offer.clone(), sender) {
+    if !context.homes.offer(context, request.offer.clone(), sender) {
         let retry_after_ms = Some(DurationMs(1_000));
         let code = RefusalCode::QueueFull;
         let id = request.offer.request;
         return Err(Refusal::refused(id, code, Outcome::NotRun, retry_after_ms));
     }
-    let result = follow_orders(&pool, &request, orders).await;
-    count(&context, &request, arrived_at, &result);
+    let result = follow_orders(context, &request, orders).await;
+    count(context, &request, arrived_at, &result);
     result
 }
 
 async fn follow_orders(
-    pool: &PoolHandle,
+    context: &Arc<Context>,
     request: &PlainRequest,
     mut orders: OrderReceiver,
 ) -> Result<PlainAnswer, Refusal> {
@@ -62,7 +110,9 @@
                 let result = engine.plain.call(request.call.clone()).await;
                 has_sent |= result != Err(PlainCallError::NotReached);
                 let end = end_of(&result);
-                pool.report(id, PoolReport::Finished(attempt, end)).await;
+                let report = PoolReport::Finished(attempt, end);
+                let service = &request.offer.service;
+                context.homes.report(context, service, id, report).await;
                 if let Ok(answer) = result {
                     return Ok(answer);
                 }
--- a/src/modules/pool_actor.rs
+++ b/src/modules/pool_actor.rs
@@ -2,7 +2,6 @@
 
 use crate::context::Context;
 use crate::modules::config_in_force::InForce;
-use crate::modules::engine_link::EngineLink;
 use crate::modules::engine_poll;
 use crate::modules::pool_link::{NamedOffer, OrderSender, PoolOrder, PoolReport};
 use bridgevane_adapters::{CacheChange, CacheEvent};
@@ -12,7 +11,7 @@
     EngineView, Offer, Policy, Pool, PoolPolicy, Recorder, RequestView,
 };
 use bridgevane_types::{
-    AttemptNumber, DurationMs, EngineId, Outcome, RefusalCode, RequestId, ServiceName, Tokens,
+    AttemptNumber, DurationMs, EngineId, Outcome, RefusalCode, RequestId, ServiceName, Tier, Tokens,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -54,7 +53,9 @@
     Cache(EngineId, Vec<CacheEvent>),
     /// A new configuration.
     Reconfigure(Arc<InForce>),
-    /// An operator drains or undrains an engine on this VM's decisions.
+    /// The daemon that offered a request is gone; the number tells its connection.
+    OriginLost(RequestId, u64),
+    /// An operator looks.
     View(oneshot::Sender<PoolView>),
     /// An operator asks about a request.
     Explain(RequestId, oneshot::Sender<Vec<DecisionRecord>>),
@@ -140,7 +141,6 @@
         effects: Vec::new(),
         orders: HashMap::new(),
         gone: Vec::new(),
-        links: Vec::new(),
         service,
         messages: messages.clone(),
         context,
@@ -161,7 +161,6 @@
     orders: HashMap<RequestId, OrderSender>,
     /// Requests that no longer listen.
     gone: Vec<RequestId>,
-    links: Vec<Arc<EngineLink>>,
     messages: mpsc::Sender<PoolMessage>,
     is_polled: bool,
 }
@@ -200,18 +199,22 @@
             for effect in std::mem::take(&mut self.effects) {
                 self.carry_out(effect);
             }
-            for request in std::mem::take(&mut self.gone) {
-                self.orders.remove(&request);
-                let mut context = DecisionContext {
-                    now: self.context.now(),
-                    settings: &self.settings,
-                    effects: &mut self.effects,
-                    log: &mut self.log,
-                };
-                let attempt = AttemptNumber(0);
-                self.pool
-                    .finished(&mut context, request, attempt, AttemptEnd::CallerGone);
-            }
+            self.end_gone();
+        }
+    }
+
+    fn end_gone(&mut self) {
+        for request in std::mem::take(&mut self.gone) {
+            self.orders.remove(&request);
+            let mut context = DecisionContext {
+                now: self.context.now(),
+                settings: &self.settings,
+                effects: &mut self.effects,
+                log: &mut self.log,
+            };
+            let attempt = AttemptNumber(0);
+            self.pool
+                .finished(&mut context, request, attempt, AttemptEnd::CallerGone);
         }
     }
 
@@ -238,6 +241,7 @@
             }
             PoolMessage::Cache(engine, events) => self.cache(&engine, &events),
             PoolMessage::Reconfigure(in_force) => self.follow(&in_force),
+            PoolMessage::OriginLost(request, origin) => self.origin_lost(request, origin),
             PoolMessage::View(reply) => {
                 let _ = reply.send(self.view());
             }
@@ -266,7 +270,7 @@
     fn offer(&mut self, offer: NamedOffer, orders: OrderSender) {
         let Some(named) = self.named(&offer) else {
             // The configuration here doesn't know the class or customer yet.
-            let _ = orders.send(PoolOrder::Refuse {
+            orders.send(PoolOrder::Refuse {
                 code: RefusalCode::NoEngine,
                 outcome: Outcome::NotRun,
                 retry_after_ms: Some(DurationMs(1_000)),
@@ -313,6 +317,18 @@
         }
     }
 
+    fn origin_lost(&mut self, request: RequestId, origin: u64) {
+        let is_its = self
+            .orders
+            .get(&request)
+            .is_some_and(|o| o.origin() == origin);
+        if is_its {
+            self.gone.push(request);
+            self.end_gone();
+            self.carry_out_all();
+        }
+    }
+
     fn engine_ix(&self, name: &EngineId) -> Option<EngineIx> {
         let engines = &self.pool.policy().engines;
         let at = engines.iter().position(|engine| engine.name == *name)?;
@@ -344,12 +360,7 @@
                 priority,
                 ..
             } => {
-                let order = PoolOrder::Dispatch {
-                    attempt,
-                    engine: self.links[engine.at()].clone(),
-                    priority,
-                };
-                self.order(request, order);
+                self.dispatch(request, attempt, engine, priority);
             }
             Effect::Cancel {
                 request,
@@ -374,9 +385,34 @@
         }
     }
 
+    fn dispatch(
+        &mut self,
+        request: RequestId,
+        attempt: AttemptNumber,
+        engine: EngineIx,
+        priority: Tier,
+    ) {
+        let name = self.pool.engine_name(engine);
+        match self.context.pools.link(&self.service, &name) {
+            Some(engine) => {
+                let order = PoolOrder::Dispatch {
+                    attempt,
+                    engine,
+                    priority,
+                };
+                self.order(request, order);
+            }
+            // The configuration has just dropped the engine: nothing was sent.
+            None => {
+                let end = AttemptEnd::NotReached;
+                self.decide(|pool, context| pool.finished(context, request, attempt, end));
+            }
+        }
+    }
+
     fn order(&mut self, request: RequestId, order: PoolOrder) {
         let sent = self.orders.get(&request).map(|orders| orders.send(order));
-        if matches!(sent, Some(Err(_))) {
+        if sent == Some(false) {
             self.gone.push(request);
         }
     }
@@ -385,7 +421,6 @@
         let mut policy = self.pool.policy().clone();
         let data_centre = &self.context.config.data_centre;
         policy.update(&in_force.document, &self.service, data_centre);
-        self.follow_links(&policy, in_force);
         self.pool.set_policy(policy, &self.settings);
         if !self.is_polled {
             self.is_polled = true;
@@ -398,23 +433,6 @@
         }
     }
 
-    fn follow_links(&mut self, policy: &PoolPolicy, in_force: &InForce) {
-        let Some(service) = in_force.document.service.get(&self.service) else {
-            return;
-        };
-        for (at, engine) in policy.engines.iter().enumerate() {
-            let Some(config) = service.engine.get(&engine.name) else {
-                continue;
-            };
-            let link = || Arc::new(EngineLink::new(engine.name.clone(), config.address));
-            match self.links.get_mut(at) {
-                Some(known) if known.address == config.address => {}
-                Some(known) => *known = link(),
-                None => self.links.push(link()),
-            }
-        }
-    }
-
     fn view(&self) -> PoolView {
         PoolView {
             service: self.service.clone(),
--- a/src/modules/pool_directory.rs
+++ b/src/modules/pool_directory.rs
@@ -2,9 +2,10 @@
 
 use crate::context::Context;
 use crate::modules::config_in_force::InForce;
+use crate::modules::engine_link::EngineLink;
 use crate::modules::pool_actor::{self, PoolHandle};
 use arc_swap::ArcSwap;
-use bridgevane_types::ServiceName;
+use bridgevane_types::{EngineId, ServiceName};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -12,6 +13,7 @@
 #[derive(Default)]
 pub struct PoolDirectory {
     pools: ArcSwap<HashMap<ServiceName, PoolHandle>>,
+    links: ArcSwap<HashMap<(ServiceName, EngineId), Arc<EngineLink>>>,
 }
 
 impl PoolDirectory {
@@ -20,6 +22,12 @@
         self.pools.load().get(service).cloned()
     }
 
+    /// The link to a worker.
+    pub fn link(&self, service: &ServiceName, engine: &EngineId) -> Option<Arc<EngineLink>> {
+        let key = (service.clone(), engine.clone());
+        self.links.load().get(&key).cloned()
+    }
+
     /// All pools.
     pub fn all(&self) -> Vec<(ServiceName, PoolHandle)> {
         let pools = self.pools.load();
@@ -31,6 +39,7 @@
 
     /// Follows a configuration: starts pools of new services, tells the others.
     pub fn follow(&self, context: &Arc<Context>, in_force: &Arc<InForce>) {
+        self.follow_links(in_force);
         let mut pools = HashMap::clone(&self.pools.load());
         for name in in_force.document.service.keys() {
             match pools.get(name) {
@@ -43,4 +52,24 @@
         }
         self.pools.store(Arc::new(pools));
     }
+
+    /// Keeps links, and so their open connections, while names and addresses stay.
+    fn follow_links(&self, in_force: &InForce) {
+        let known = self.links.load();
+        let mut links = HashMap::new();
+        for (service, config) in &in_force.document.service {
+            for (name, engine) in &config.engine {
+                let key = (service.clone(), name.clone());
+                let same = known
+                    .get(&key)
+                    .filter(|link| link.address == engine.address);
+                let link = match same {
+                    Some(link) => link.clone(),
+                    None => Arc::new(EngineLink::new(name.clone(), engine.address)),
+                };
+                links.insert(key, link);
+            }
+        }
+        self.links.store(Arc::new(links));
+    }
 }
--- /dev/null
+++ b/src/modules/pool_homes.rs
@@ -0,0 +1,568 @@
+//! The home of each pool: the one daemon of the data centre that decides for it.
+//!
+//! A request asks the home of its pool, on whatever daemon it came in. When the home can't
+//! be reached or doesn't answer at once, the request is decided here: own knowledge and
+//! lagged reports are worse than the home's, and better than none.
+
+use crate::context::Context;
+use crate::modules::peer_frames::{request_bytes, request_of};
+use crate::modules::peer_links::{LinkHandle, OpenOffers, Peer};
+use crate::modules::pool_actor::PoolMessage;
+use crate::modules::pool_link::{NamedOffer, OrderSender, PoolOrder, PoolReport};
+use crate::{event, events::Event};
+use bridgevane_decisions::{AttemptEnd, CancelCause};
+use bridgevane_protocol::frame::Body;
+use bridgevane_protocol::{
+    PoolAdopt, PoolCancel, PoolDispatch, PoolOffer, PoolOrder as WireOrder, PoolRefuse,
+    PoolReport as WireReport, pool_order, pool_report,
+};
+use bridgevane_types::{
+    AttemptNumber, DurationMs, EngineId, Outcome, RefusalCode, RequestId, ServiceName, Tier,
+    TimeMs, Tokens, VmId,
+};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// A home that doesn't take an offer in this time is passed over.
+const TAKE_MS: u64 = 400;
+/// How long a home that was passed over is left alone.
+const AVOID_MS: u64 = 2_000;
+/// How often offers are looked through for such as weren't taken.
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
+
+/// A request of this daemon that another one decides on.
+struct Remote {
+    offer: NamedOffer,
+    orders: UnboundedSender<PoolOrder>,
+    home: VmId,
+    address: SocketAddr,
+    sent_at: TimeMs,
+    is_taken: bool,
+    running: Option<(EngineId, AttemptNumber)>,
+    delivered: Tokens,
+}
+
+/// Requests that other daemons decide on.
+#[derive(Default)]
+pub struct PoolHomes {
+    remote: Mutex<HashMap<RequestId, Remote>>,
+    avoided: Mutex<HashMap<VmId, TimeMs>>,
+}
+
+/// The pool's name among the keys that have homes.
+fn home_key(service: &ServiceName) -> String {
+    format!("pool/{service}")
+}
+
+impl PoolHomes {
+    fn lock(&self) -> MutexGuard<'_, HashMap<RequestId, Remote>> {
+        self.remote.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_avoided(&self, now: TimeMs, vm: &VmId) -> bool {
+        let avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+        avoided.get(vm).is_some_and(|until| now < *until)
+    }
+
+    fn avoid(&self, now: TimeMs, vm: &VmId) {
+        let mut avoided = self.avoided.lock().unwrap_or_else(PoisonError::into_inner);
+        avoided.retain(|_, until| now < *until);
+        avoided.insert(vm.clone(), now + DurationMs(AVOID_MS));
+    }
+
+    /// Whether this daemon decides for `service` now.
+    pub fn is_home(&self, context: &Context, service: &ServiceName) -> bool {
+        let home = context.members.remote_home(context, &home_key(service));
+        home.is_none_or(|(vm, _)| self.is_avoided(context.now(), &vm))
+    }
+
+    /// Offers a request to the home of its pool; false when no pool takes it.
+    pub fn offer(
+        &self,
+        context: &Arc<Context>,
+        offer: NamedOffer,
+        orders: UnboundedSender<PoolOrder>,
+    ) -> bool {
+        let home = context
+            .members
+            .remote_home(context, &home_key(&offer.service));
+        let now = context.now();
+        let Some((vm, address)) = home.filter(|(vm, _)| !self.is_avoided(now, vm)) else {
+            return offer_here(context, offer, orders);
+        };
+        let request = offer.request;
+        let frame = Body::PoolOffer(to_wire(&offer));
+        let remote = Remote {
+            offer,
+            orders,
+            home: vm.clone(),
+            address,
+            sent_at: now,
+            is_taken: false,
+            running: None,
+            delivered: Tokens(0),
+        };
+        self.lock().insert(request, remote);
+        if !context.links.to(context, address).send(frame) {
+            self.pass_over(context, &vm);
+        }
+        true
+    }
+
+    /// Reports on a request to whoever decides on it.
+    pub async fn report(
+        &self,
+        context: &Arc<Context>,
+        service: &ServiceName,
+        request: RequestId,
+        report: PoolReport,
+    ) {
+        if self.report_remote(context, request, report) {
+            return;
+        }
+        if let Some(pool) = context.pools.get(service) {
+            pool.report(request, report).await;
+        }
+    }
+
+    fn report_remote(
+        &self,
+        context: &Arc<Context>,
+        request: RequestId,
+        report: PoolReport,
+    ) -> bool {
+        let mut remotes = self.lock();
+        let Some(remote) = remotes.get_mut(&request) else {
+            return false;
+        };
+        let address = remote.address;
+        let frame = report_to_wire(&remote.offer.service, request, report);
+        match report {
+            PoolReport::FirstToken(_) => remote.delivered += Tokens(1),
+            PoolReport::Progress(_, delivered, _) => remote.delivered = delivered,
+            PoolReport::Finished(_, AttemptEnd::Done(_) | AttemptEnd::CallerGone) => {
+                remotes.remove(&request);
+            }
+            PoolReport::Finished(_, _) => remote.running = None,
+        }
+        drop(remotes);
+        context
+            .links
+            .to(context, address)
+            .send(Body::PoolReport(frame));
+        true
+    }
+
+    /// The home of a request of this daemon has decided.
+    pub fn on_order(
+        &self,
+        context: &Arc<Context>,
+        peer: &Peer,
+        link: &LinkHandle,
+        order: &WireOrder,
+    ) {
+        let Some(request) = request_of(&order.request) else {
+            return;
+        };
+        let mut remotes = self.lock();
+        let remote = remotes
+            .get_mut(&request)
+            .filter(|remote| remote.home == peer.vm);
+        let Some(remote) = remote else {
+            drop(remotes);
+            // It was passed over meanwhile: it must forget the request.
+            if matches!(order.order, Some(pool_order::Order::Dispatch(_))) {
+                let gone = PoolReport::Finished(AttemptNumber(0), AttemptEnd::CallerGone);
+                // The service isn't known any more; the home finds it by its own offers.
+                let report = report_to_wire(&ServiceName::new(""), request, gone);
+                link.send(Body::PoolReport(report));
+            }
+            return;
+        };
+        remote.is_taken = true;
+        let (sent, is_over) = follow_order(context, remote, order);
+        if is_over || !sent {
+            remotes.remove(&request);
+        }
+    }
+
+    /// No connection to `address` is left.
+    pub fn unreachable(&self, context: &Arc<Context>, address: SocketAddr) {
+        let lost = {
+            let remotes = self.lock();
+            let at = remotes.values().find(|remote| remote.address == address);
+            at.map(|remote| remote.home.clone())
+        };
+        if let Some(home) = lost {
+            self.pass_over(context, &home);
+        }
+    }
+
+    /// Takes back every request that `home` decides on, and decides here.
+    fn pass_over(&self, context: &Arc<Context>, home: &VmId) {
+        self.avoid(context.now(), home);
+        let taken_back: Vec<Remote> = {
+            let mut remotes = self.lock();
+            let is_its = |_: &RequestId, remote: &mut Remote| remote.home == *home;
+            remotes
+                .extract_if(is_its)
+                .map(|(_, remote)| remote)
+                .collect()
+        };
+        event!(
+            Event::HomePassedOver,
+            vm = home,
+            requests = taken_back.len()
+        );
+        for remote in taken_back {
+            decide_here(context, remote);
+        }
+    }
+
+    /// Who lives has changed: homes that are gone are passed over.
+    pub fn membership_changed(&self, context: &Arc<Context>) {
+        let homes: Vec<VmId> = self
+            .lock()
+            .values()
+            .map(|remote| remote.home.clone())
+            .collect();
+        for home in homes {
+            if context.members.address_of(&home).is_none() {
+                self.pass_over(context, &home);
+            }
+        }
+    }
+
+    /// A daemon whose offers are decided here is gone.
+    pub async fn origin_lost(
+        &self,
+        context: &Arc<Context>,
+        service: &ServiceName,
+        request: RequestId,
+        origin: u64,
+    ) {
+        if let Some(pool) = context.pools.get(service) {
+            pool.send(PoolMessage::OriginLost(request, origin)).await;
+        }
+    }
+
+    /// Requests that others decide on.
+    pub fn remote_count(&self) -> usize {
+        self.lock().len()
+    }
+}
+
+/// Passes over homes that don't take offers, until the daemon ends.
+pub async fn run(context: Arc<Context>) {
+    loop {
+        tokio::time::sleep(SWEEP_EVERY).await;
+        let now = context.now();
+        let slow: Vec<VmId> = {
+            let remotes = context.homes.lock();
+            let is_slow =
+                |remote: &&Remote| !remote.is_taken && now.since(remote.sent_at).0 > TAKE_MS;
+            remotes
+                .values()
+                .filter(is_slow)
+                .map(|remote| remote.home.clone())
+                .collect()
+        };
+        for home in slow {
+            if !context.homes.is_avoided(now, &home) {
+                context.homes.pass_over(&context, &home);
+            }
+        }
+    }
+}
+
+fn offer_here(
+    context: &Arc<Context>,
+    offer: NamedOffer,
+    orders: UnboundedSender<PoolOrder>,
+) -> bool {
+    let Some(pool) = context.pools.get(&offer.service) else {
+        return false;
+    };
+    pool.offer(offer, OrderSender::local(orders))
+}
+
+/// Goes on with a request here: one that runs is taken over, one that waits is offered anew.
+fn decide_here(context: &Arc<Context>, remote: Remote) {
+    let Some(pool) = context.pools.get(&remote.offer.service) else {
+        return;
+    };
+    let orders = OrderSender::local(remote.orders);
+    match remote.running {
+        None => {
+            // A full pool drops the sender, by which the request learns it.
+            let _ = pool.offer(remote.offer, orders);
+        }
+        Some((engine, attempt)) => {
+            let message = PoolMessage::Adopt {
+                offer: Box::new(remote.offer),
+                engine,
+                attempt,
+                delivered: remote.delivered,
+                orders,
+            };
+            tokio::spawn(async move { pool.send(message).await });
+        }
+    }
+}
+
+/// Passes an order on to its request; gives whether that listens, and whether it is over.
+fn follow_order(context: &Context, remote: &mut Remote, order: &WireOrder) -> (bool, bool) {
+    match &order.order {
+        None => (true, false),
+        Some(pool_order::Order::Dispatch(dispatch)) => {
+            let name = EngineId::new(&dispatch.engine);
+            let service = &remote.offer.service;
+            let Some(engine) = context.pools.link(service, &name) else {
+                return (false, true);
+            };
+            let attempt = AttemptNumber(dispatch.attempt);
+            remote.running = Some((name, attempt));
+            let order = PoolOrder::Dispatch {
+                attempt,
+                engine,
+                priority: Tier(dispatch.priority as u8),
+            };
+            (remote.orders.send(order).is_ok(), false)
+        }
+        Some(pool_order::Order::Cancel(cancel)) => {
+            remote.running = None;
+            let cause = match cancel.cause {
+                0 => CancelCause::Preempted,
+                1 => CancelCause::Moved,
+                _ => CancelCause::CallerGone,
+            };
+            let attempt = AttemptNumber(cancel.attempt);
+            let order = PoolOrder::Cancel { attempt, cause };
+            (remote.orders.send(order).is_ok(), false)
+        }
+        Some(pool_order::Order::Refuse(refuse)) => {
+            let order = PoolOrder::Refuse {
+                code: code_of(&refuse.code),
+                outcome: outcome_of(&refuse.outcome),
+                retry_after_ms: refuse.retry_after_ms.map(DurationMs),
+            };
+            (remote.orders.send(order).is_ok(), true)
+        }
+    }
+}
+
+fn code_of(text: &str) -> RefusalCode {
+    const CODES: [RefusalCode; 7] = [
+        RefusalCode::CannotMeetTarget,
+        RefusalCode::QueueFull,
+        RefusalCode::CustomerLimit,
+        RefusalCode::NoEngine,
+        RefusalCode::RetriesExhausted,
+        RefusalCode::OutcomeUnknown,
+        RefusalCode::Leaving,
+    ];
+    let found = CODES.into_iter().find(|code| code.to_string() == text);
+    found.unwrap_or(RefusalCode::OutcomeUnknown)
+}
+
+fn outcome_of(text: &str) -> Outcome {
+    match text {
+        "not-run" => Outcome::NotRun,
+        "ran" => Outcome::Ran,
+        _ => Outcome::Unknown,
+    }
+}
+
+/// The order as a frame for the daemon that its request came in at.
+pub fn order_to_wire(request: RequestId, order: &PoolOrder) -> Body {
+    let order = match order {
+        PoolOrder::Dispatch {
+            attempt,
+            engine,
+            priority,
+        } => pool_order::Order::Dispatch(PoolDispatch {
+            attempt: attempt.0,
+            engine: engine.name.to_string(),
+            priority: u32::from(priority.0),
+            resume_from: 0,
+        }),
+        PoolOrder::Cancel { attempt, cause } => pool_order::Order::Cancel(PoolCancel {
+            attempt: attempt.0,
+            engine: String::new(),
+            cause: *cause as u32,
+        }),
+        PoolOrder::Refuse {
+            code,
+            outcome,
+            retry_after_ms,
+        } => pool_order::Order::Refuse(PoolRefuse {
+            code: code.to_string(),
+            outcome: outcome.to_string(),
+            retry_after_ms: retry_after_ms.map(|retry| retry.0),
+        }),
+    };
+    Body::PoolOrder(WireOrder {
+        request: request_bytes(request),
+        order: Some(order),
+    })
+}
+
+fn to_wire(offer: &NamedOffer) -> PoolOffer {
+    PoolOffer {
+        service: offer.service.to_string(),
+        request: request_bytes(offer.request),
+        class: offer.class.to_string(),
+        customer: offer.customer.to_string(),
+        kind: offer.kind.to_string(),
+        prompt_tokens: offer.prompt_tokens.0,
+        max_tokens: offer.max_tokens.0,
+        blocks: offer.blocks.clone(),
+        block_tokens: offer.block_tokens,
+        is_repeatable: offer.is_repeatable,
+        is_preemptible: offer.is_preemptible,
+    }
+}
+
+fn from_wire(offer: PoolOffer) -> Option<NamedOffer> {
+    Some(NamedOffer {
+        request: request_of(&offer.request)?,
+        service: ServiceName::new(&offer.service),
+        class: offer.class.as_str().into(),
+        customer: offer.customer.as_str().into(),
+        kind: offer.kind.as_str().into(),
+        prompt_tokens: Tokens(offer.prompt_tokens),
+        max_tokens: Tokens(offer.max_tokens),
+        blocks: offer.blocks,
+        block_tokens: offer.block_tokens,
+        is_repeatable: offer.is_repeatable,
+        is_preemptible: offer.is_preemptible,
+    })
+}
+
+fn report_to_wire(service: &ServiceName, request: RequestId, report: PoolReport) -> WireReport {
+    use pool_report::Report;
+    let (attempt, report, gap_ms) = match report {
+        PoolReport::FirstToken(attempt) => (attempt, Report::FirstToken(true), 0),
+        PoolReport::Progress(attempt, delivered, gap_ms) => {
+            (attempt, Report::Progress(delivered.0), gap_ms.0)
+        }
+        PoolReport::Finished(attempt, end) => {
+            let report = match end {
+                AttemptEnd::Done(tokens) => Report::Done(tokens.0),
+                AttemptEnd::NotReached => Report::NotReached(true),
+                AttemptEnd::Refused => Report::Refused(true),
+                AttemptEnd::Lost { delivered } => Report::Lost(delivered.0),
+                AttemptEnd::CallerGone => Report::CallerGone(true),
+            };
+            (attempt, report, 0)
+        }
+    };
+    WireReport {
+        service: service.to_string(),
+        request: request_bytes(request),
+        attempt: attempt.0,
+        gap_ms,
+        report: Some(report),
+    }
+}
+
+fn report_from_wire(report: &WireReport) -> Option<PoolReport> {
+    use pool_report::Report;
+    let attempt = AttemptNumber(report.attempt);
+    let finished = |end| PoolReport::Finished(attempt, end);
+    Some(match report.report.as_ref()? {
+        Report::FirstToken(_) => PoolReport::FirstToken(attempt),
+        Report::Progress(delivered) => {
+            PoolReport::Progress(attempt, Tokens(*delivered), DurationMs(report.gap_ms))
+        }
+        Report::Done(tokens) => finished(AttemptEnd::Done(Tokens(*tokens))),
+        Report::NotReached(_) => finished(AttemptEnd::NotReached),
+        Report::Refused(_) => finished(AttemptEnd::Refused),
+        Report::Lost(delivered) => finished(AttemptEnd::Lost {
+            delivered: Tokens(*delivered),
+        }),
+        Report::CallerGone(_) => finished(AttemptEnd::CallerGone),
+    })
+}
+
+/// Another daemon offers a request for this one to decide on.
+pub fn on_offer(
+    context: &Arc<Context>,
+    link: &LinkHandle,
+    offer: PoolOffer,
+    offers: &mut OpenOffers,
+) {
+    let request = offer.request.clone();
+    let Some(offer) = from_wire(offer) else {
+        return;
+    };
+    let orders = OrderSender::peer(offer.request, link.clone());
+    let taken = Body::PoolOrder(WireOrder {
+        request,
+        order: None,
+    });
+    link.send(taken);
+    let Some(pool) = context.pools.get(&offer.service) else {
+        refuse(&orders, RefusalCode::NoEngine);
+        return;
+    };
+    let (id, service) = (offer.request, offer.service.clone());
+    offers.insert(id, service);
+    if !pool.offer(offer, orders.clone()) {
+        refuse(&orders, RefusalCode::QueueFull);
+    }
+}
+
+fn refuse(orders: &OrderSender, code: RefusalCode) {
+    orders.send(PoolOrder::Refuse {
+        code,
+        outcome: Outcome::NotRun,
+        retry_after_ms: Some(DurationMs(1_000)),
+    });
+}
+
+/// Another daemon reports on a request that is decided on here.
+pub async fn on_report(context: &Arc<Context>, report: &WireReport) {
+    let (Some(request), Some(read)) = (request_of(&report.request), report_from_wire(report))
+    else {
+        return;
+    };
+    if !report.service.is_empty() {
+        let service = ServiceName::new(&report.service);
+        if let Some(pool) = context.pools.get(&service) {
+            pool.report(request, read).await;
+        }
+        return;
+    }
+    for (_, pool) in context.pools.all() {
+        pool.report(request, read).await;
+    }
+}
+
+/// Another daemon hands over a request that runs already.
+pub async fn on_adopt(
+    context: &Arc<Context>,
+    link: &LinkHandle,
+    adopt: PoolAdopt,
+    offers: &mut OpenOffers,
+) {
+    let Some(offer) = adopt.offer.and_then(from_wire) else {
+        return;
+    };
+    let Some(pool) = context.pools.get(&offer.service) else {
+        return;
+    };
+    let orders = OrderSender::peer(offer.request, link.clone());
+    offers.insert(offer.request, offer.service.clone());
+    let message = PoolMessage::Adopt {
+        offer: Box::new(offer),
+        engine: EngineId::new(&adopt.engine),
+        attempt: AttemptNumber(adopt.attempt),
+        delivered: Tokens(adopt.delivered),
+        orders,
+    };
+    pool.send(message).await;
+}
--- /dev/null
+++ b/src/modules/query_language.rs
@@ -0,0 +1,399 @@
+//! The operators' language: words into statements, with errors that point at the word.
+//!
+//! The grammar is in docs/LANGUAGE.md. Words are cut by `winnow`; a statement is read word by
+//! word, so that an error names the word and what would be right in its place.
+
+use bridgevane_types::{EngineId, RequestId, ServiceName, VmId};
+use derive_more::{Display, Error};
+use winnow::ascii::multispace0;
+use winnow::combinator::{alt, delimited, preceded, repeat};
+use winnow::prelude::*;
+use winnow::token::{take_till, take_while};
+
+/// What can be shown.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Table {
+    /// Requests in flight.
+    #[display("requests")]
+    Requests,
+    /// Engines.
+    #[display("engines")]
+    Engines,
+    /// VMs of the data centre.
+    #[display("vms")]
+    Vms,
+    /// Service classes.
+    #[display("classes")]
+    Classes,
+    /// Customers.
+    #[display("customers")]
+    Customers,
+    /// The configuration in force.
+    #[display("config")]
+    Config,
+    /// Accepted changes of the configuration.
+    #[display("history")]
+    History,
+}
+
+impl Table {
+    /// All tables.
+    pub const ALL: [Table; 7] = [
+        Table::Requests,
+        Table::Engines,
+        Table::Vms,
+        Table::Classes,
+        Table::Customers,
+        Table::Config,
+        Table::History,
+    ];
+}
+
+/// A comparison.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Comparison {
+    /// Equal.
+    #[display("=")]
+    Equal,
+    /// Not equal.
+    #[display("!=")]
+    NotEqual,
+    /// Less.
+    #[display("<")]
+    Less,
+    /// Less or equal.
+    #[display("<=")]
+    LessOrEqual,
+    /// Greater.
+    #[display(">")]
+    Greater,
+    /// Greater or equal.
+    #[display(">=")]
+    GreaterOrEqual,
+}
+
+/// One condition of a `where`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Condition {
+    /// The field.
+    pub field: String,
+    /// The comparison.
+    pub comparison: Comparison,
+    /// What it is compared with: a number (durations in milliseconds) or a text.
+    pub value: Operand,
+}
+
+/// A value in a statement.
+#[derive(Clone, Debug, Display, PartialEq)]
+pub enum Operand {
+    /// A number; durations are milliseconds.
+    #[display("{_0}")]
+    Number(f64),
+    /// A text.
+    #[display("{_0}")]
+    Text(String),
+}
+
+/// A part of the configuration that a command changes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Target {
+    /// A class.
+    Class(String),
+    /// A customer.
+    Customer(String),
+    /// A route of a plain service, by its prefix.
+    Route(ServiceName, String),
+}
+
+/// What an operator says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Statement {
+    /// `show TABLE [where …]`
+    Show {
+        /// The table.
+        table: Table,
+        /// All must hold.
+        conditions: Vec<Condition>,
+    },
+    /// `explain request ID`
+    Explain(RequestId),
+    /// `set class NAME FIELD = VALUE`, `set customer …`, `set route SERVICE PREFIX …`
+    Set {
+        /// What is changed.
+        target: Target,
+        /// Its field.
+        field: String,
+        /// The new value.
+        value: Operand,
+    },
+    /// `drain vm NAME`, `undrain vm NAME`
+    DrainVm {
+        /// The VM.
+        vm: VmId,
+        /// Drain or undrain.
+        is_drained: bool,
+    },
+    /// `drain engine SERVICE NAME`, `undrain engine SERVICE NAME`
+    DrainEngine {
+        /// Its service.
+        service: ServiceName,
+        /// The engine.
+        engine: EngineId,
+        /// Drain or undrain.
+        is_drained: bool,
+    },
+}
+
+/// Why a statement can't be read.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{statement}\n{pointer}\n{what}")]
+pub struct SyntaxError {
+    /// The statement.
+    pub statement: String,
+    /// Points at the word.
+    pub pointer: String,
+    /// What is wrong, and what would be right.
+    pub what: String,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Word {
+    text: String,
+    at: usize,
+}
+
+fn quoted(input: &mut &str) -> ModalResult<String> {
+    delimited('"', take_till(0.., '"'), '"')
+        .map(str::to_owned)
+        .parse_next(input)
+}
+
+fn operator(input: &mut &str) -> ModalResult<String> {
+    alt(("!=", "<=", ">=", "=", "<", ">"))
+        .map(str::to_owned)
+        .parse_next(input)
+}
+
+fn bare(input: &mut &str) -> ModalResult<String> {
+    let is_part = |c: char| !c.is_whitespace() && !"=<>!\"".contains(c);
+    take_while(1.., is_part)
+        .map(str::to_owned)
+        .parse_next(input)
+}
+
+/// Cuts a statement into words with their places.
+fn words(statement: &str) -> Result<Vec<Word>, SyntaxError> {
+    let whole = statement;
+    let word = |input: &mut &str| {
+        let at = whole.len() - input.len();
+        alt((quoted, operator, bare))
+            .map(|text| Word { text, at })
+            .parse_next(input)
+    };
+    let mut input = statement;
+    let cut: ModalResult<Vec<Word>> =
+        repeat(0.., preceded(multispace0, word)).parse_next(&mut input);
+    let words = cut.unwrap_or_default();
+    let rest = input.trim_start();
+    if rest.is_empty() {
+        return Ok(words);
+    }
+    let at = statement.len() - rest.len();
+    Err(error(
+        statement,
+        at,
+        "this can't be read; close quotes with '\"'".into(),
+    ))
+}
+
+fn error(statement: &str, at: usize, what: String) -> SyntaxError {
+    let column = statement[..at.min(statement.len())].chars().count();
+    SyntaxError {
+        statement: statement.to_owned(),
+        pointer: format!("{}^", " ".repeat(column)),
+        what,
+    }
+}
+
+struct Reader<'a> {
+    statement: &'a str,
+    words: Vec<Word>,
+    next: usize,
+}
+
+impl Reader<'_> {
+    fn fail<T>(&self, what: String) -> Result<T, SyntaxError> {
+        let at = self
+            .words
+            .get(self.next)
+            .map_or(self.statement.len(), |word| word.at);
+        Err(error(self.statement, at, what))
+    }
+
+    fn peek(&self) -> Option<&str> {
+        self.words.get(self.next).map(|word| word.text.as_str())
+    }
+
+    fn take(&mut self, right: &str) -> Result<String, SyntaxError> {
+        match self.peek() {
+            Some(text) => {
+                let text = text.to_owned();
+                self.next += 1;
+                Ok(text)
+            }
+            None => self.fail(format!("the statement ends here; expected {right}")),
+        }
+    }
+
+    fn expect(&mut self, word: &str) -> Result<(), SyntaxError> {
+        match self.peek() {
+            Some(found) if found.eq_ignore_ascii_case(word) => {
+                self.next += 1;
+                Ok(())
+            }
+            Some(found) => self.fail(format!("'{found}' is not expected; expected '{word}'")),
+            None => self.fail(format!("the statement ends here; expected '{word}'")),
+        }
+    }
+
+    /// One of several words.
+    fn choice(&mut self, words: &[&str]) -> Result<usize, SyntaxError> {
+        let right = words.join(", ");
+        let Some(found) = self.peek() else {
+            return self.fail(format!("the statement ends here; expected one of {right}"));
+        };
+        match words
+            .iter()
+            .position(|word| found.eq_ignore_ascii_case(word))
+        {
+            Some(at) => {
+                self.next += 1;
+                Ok(at)
+            }
+            None => self.fail(format!(
+                "'{found}' is not known here; expected one of {right}"
+            )),
+        }
+    }
+
+    fn end(&self) -> Result<(), SyntaxError> {
+        match self.peek() {
+            None => Ok(()),
+            Some(found) => self.fail(format!("'{found}' is too much; the statement is whole")),
+        }
+    }
+}
+
+/// Reads a statement.
+///
+/// # Errors
+/// [`SyntaxError`], which points at the word.
+pub fn parse(statement: &str) -> Result<Statement, SyntaxError> {
+    let mut reader = Reader {
+        words: words(statement)?,
+        statement,
+        next: 0,
+    };
+    let read = match reader.choice(&["show", "explain", "set", "drain", "undrain"])? {
+        0 => show(&mut reader)?,
+        1 => explain(&mut reader)?,
+        2 => set(&mut reader)?,
+        3 => drain(&mut reader, true)?,
+        _ => drain(&mut reader, false)?,
+    };
+    reader.end()?;
+    Ok(read)
+}
+
+fn show(reader: &mut Reader<'_>) -> Result<Statement, SyntaxError> {
+    let names = Table::ALL.map(|table| table.to_string());
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let table = Table::ALL[reader.choice(&names)?];
+    let mut conditions = Vec::new();
+    if reader.peek().is_some() {
+        reader.expect("where")?;
+        conditions.push(condition(reader)?);
+        while reader.peek().is_some() {
+            reader.expect("and")?;
+            conditions.push(condition(reader)?);
+        }
+    }
+    Ok(Statement::Show { table, conditions })
+}
+
+fn condition(reader: &mut Reader<'_>) -> Result<Condition, SyntaxError> {
+    const COMPARISONS: [Comparison; 6] = [
+        Comparison::Equal,
+        Comparison::NotEqual,
+        Comparison::Less,
+        Comparison::LessOrEqual,
+        Comparison::Greater,
+        Comparison::GreaterOrEqual,
+    ];
+    let field = reader.take("a field")?;
+    let comparison = COMPARISONS[reader.choice(&["=", "!=", "<", "<=", ">", ">="])?];
+    let value = operand(&reader.take("a value")?);
+    Ok(Condition {
+        field,
+        comparison,
+        value,
+    })
+}
+
+/// A number, a duration as milliseconds, or a text.
+fn operand(text: &str) -> Operand {
+    if let Ok(number) = text.parse::<f64>() {
+        return Operand::Number(number);
+    }
+    match humantime::parse_duration(text) {
+        Ok(duration) => Operand::Number(duration.as_millis() as f64),
+        Err(_) => Operand::Text(text.to_owned()),
+    }
+}
+
+fn explain(reader: &mut Reader<'_>) -> Result<Statement, SyntaxError> {
+    reader.expect("request")?;
+    let right = "a request's id, as in req-0123…";
+    match reader.peek().map(str::parse::<RequestId>) {
+        Some(Ok(request)) => {
+            reader.next += 1;
+            Ok(Statement::Explain(request))
+        }
+        Some(Err(_)) => reader.fail(format!("not an id; expected {right}")),
+        None => reader.fail(format!("the statement ends here; expected {right}")),
+    }
+}
+
+fn set(reader: &mut Reader<'_>) -> Result<Statement, SyntaxError> {
+    let target = match reader.choice(&["class", "customer", "route"])? {
+        0 => Target::Class(reader.take("a class")?),
+        1 => Target::Customer(reader.take("a customer")?),
+        _ => {
+            let service = reader.take("a service")?;
+            let prefix = reader.take("a route's prefix")?;
+            Target::Route(ServiceName::new(service), prefix)
+        }
+    };
+    let field = reader.take("a field")?;
+    reader.expect("=")?;
+    let value = operand(&reader.take("a value")?);
+    Ok(Statement::Set {
+        target,
+        field,
+        value,
+    })
+}
+
+fn drain(reader: &mut Reader<'_>, is_drained: bool) -> Result<Statement, SyntaxError> {
+    if reader.choice(&["vm", "engine"])? == 0 {
+        let vm = VmId::new(reader.take("a VM")?);
+        return Ok(Statement::DrainVm { vm, is_drained });
+    }
+    let service = ServiceName::new(reader.take("a service")?);
+    let engine = EngineId::new(reader.take("an engine")?);
+    Ok(Statement::DrainEngine {
+        service,
+        engine,
+        is_drained,
+    })
+}
--- /dev/null
+++ b/tests/data_centre.rs
@@ -0,0 +1,264 @@
+//! Daemons of one data centre acting together, as processes, killed and frozen by their ids.
+
+mod support;
+
+use std::time::Duration;
+use support::*;
+
+const LONG: &str = "Draft the report of the whole year. [tokens=120]";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_survives_the_death_of_its_pools_home() {
+    let mut fleet = Fleet::start("home_death", 2, 3).await;
+    let home = fleet.home().await;
+    let other = (home + 1) % 3;
+    let address = fleet.daemons[other].address;
+    let streaming = tokio::spawn(async move { chat(address, LONG, 500).await });
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    fleet.daemons[home].kill();
+    // New work is decided without the home, at once.
+    let fresh = chat(address, "A question. [tokens=5]", 50).await;
+    assert_eq!(
+        fresh.streamed_text(),
+        expected_text("A question. [tokens=5]")
+    );
+    let answer = streaming.await.expect("the call ends");
+    assert_eq!(answer.streamed_text(), expected_text(LONG));
+    assert!(answer.text.ends_with("data: [DONE]\n\n"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_home_is_passed_over_and_does_no_harm_when_it_wakes() {
+    let fleet = Fleet::start("home_frozen", 2, 3).await;
+    let home = fleet.home().await;
+    let other = &fleet.daemons[(home + 1) % 3];
+    fleet.daemons[home].signal("STOP");
+    let prompt = "Who teaches on Monday? [tokens=4]";
+    for _ in 0..3 {
+        let answer = chat(other.address, prompt, 50).await;
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        assert_eq!(answer.streamed_text(), expected_text(prompt));
+    }
+    fleet.daemons[home].signal("CONT");
+    fleet.all_see(3).await;
+    for daemon in &fleet.daemons {
+        let answer = chat(daemon.address, prompt, 50).await;
+        assert_eq!(answer.streamed_text(), expected_text(prompt));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_resumes_on_another_engine_without_loss_or_repetition() {
+    let fleet = Fleet::start("resume", 2, 2).await;
+    for (at, fault) in [
+        serde_json::json!({ "cut_after_tokens": 20 }),
+        serde_json::json!({ "duplicate_pieces": 1, "cross_pieces": 1 }),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        for engine in &fleet.engines {
+            fleet.fault(engine, fault.clone()).await;
+        }
+        let prompt = format!("Fault {at}, resumed. [tokens=60]");
+        let answer = chat(fleet.daemons[0].address, &prompt, 100).await;
+        assert_eq!(answer.streamed_text(), expected_text(&prompt), "fault {at}");
+    }
+    // An engine that crashes in mid-stream.
+    let address = fleet.daemons[1].address;
+    let streaming = tokio::spawn(async move { chat(address, LONG, 500).await });
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    fleet
+        .fault(&fleet.engines[0], serde_json::json!({ "crash": true }))
+        .await;
+    let answer = streaming.await.expect("the call ends");
+    assert_eq!(answer.streamed_text(), expected_text(LONG));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_off_no_stream_and_takes_no_new_work() {
+    let mut fleet = Fleet::start("planned_stop", 2, 3).await;
+    let home = fleet.home().await;
+    let address = fleet.daemons[home].address;
+    let streaming = tokio::spawn(async move { chat(address, LONG, 500).await });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.daemons[home].signal("TERM");
+    eventually("it is not ready", || async move {
+        let answer = send(address, http::Method::GET, "/readyz", &[], "").await;
+        answer.status == 503
+    })
+    .await;
+    let refused = chat(address, "Too late.", 10).await;
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.header("x-bridgevane-outcome"), "not-run");
+    assert_ne!(refused.header("retry-after"), "");
+    let other = fleet.daemons[(home + 1) % 3].address;
+    let answer = chat(other, "Elsewhere. [tokens=3]", 10).await;
+    assert_eq!(
+        answer.streamed_text(),
+        expected_text("Elsewhere. [tokens=3]")
+    );
+    let answer = streaming.await.expect("the call ends");
+    assert_eq!(answer.streamed_text(), expected_text(LONG));
+    assert!(fleet.daemons[home].wait().success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_vm_takes_no_new_work_until_it_is_undrained() {
+    let fleet = Fleet::start("drain", 1, 3).await;
+    let drained = fleet.daemons[2].address;
+    let answer = ask(fleet.daemons[0].operators, "drain vm vm-2").await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    assert_eq!(chat(drained, "New. [tokens=2]", 10).await.status, 503);
+    let answer = ask(fleet.daemons[1].operators, "undrain vm vm-2").await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    assert_eq!(chat(drained, "New. [tokens=2]", 10).await.status, 200);
+    let answer = ask(fleet.daemons[1].operators, "drain vm vm-9").await;
+    assert_eq!(answer.status, 404, "{}", answer.text);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_platforms_list_makes_a_vm_leave() {
+    let fleet = Fleet::start("list_leaving", 1, 2).await;
+    let entry = |at: usize, leaving: bool| {
+        serde_json::json!({
+            "vm": format!("vm-{at}"),
+            "data_centre": DATA_CENTRE,
+            "peer_address": fleet.daemons[at].peers,
+            "leaving": leaving,
+        })
+    };
+    let list = serde_json::json!([entry(0, false), entry(1, true)]);
+    let headers = [("content-type", "application/json")];
+    let platform = fleet.platform.address;
+    send(
+        platform,
+        http::Method::POST,
+        "/standin/vms",
+        &headers,
+        list.to_string(),
+    )
+    .await;
+    let address = fleet.daemons[1].address;
+    eventually("the leaving VM isn't ready", || async move {
+        let answer = send(address, http::Method::GET, "/readyz", &[], "").await;
+        answer.status == 503
+    })
+    .await;
+    assert_eq!(
+        chat(fleet.daemons[0].address, "On. [tokens=2]", 10)
+            .await
+            .status,
+        200
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_keyed_call_runs_once_through_any_daemon() {
+    let fleet = Fleet::start("keyed", 1, 3).await;
+    let path = "/svc/desk/bookings/7";
+    for key in 0..6 {
+        let key = format!("key-{key}");
+        for daemon in &fleet.daemons {
+            let answer = keyed(daemon.address, path, &key, "piano at four").await;
+            assert_eq!(answer.status, 200, "{}", answer.text);
+        }
+        let other = keyed(fleet.daemons[0].address, path, &key, "piano at five").await;
+        assert_eq!(other.status, 422, "{}", other.text);
+    }
+    // An answer that gets lost after the call ran.
+    fleet
+        .fault(&fleet.plain, serde_json::json!({ "lose_answers": 1 }))
+        .await;
+    let lost = keyed(fleet.daemons[0].address, path, "lost", "violin").await;
+    assert_eq!(
+        lost.header("x-bridgevane-outcome"),
+        "unknown",
+        "{}",
+        lost.text
+    );
+    assert_eq!(lost.header("x-should-retry"), "false");
+    let again = keyed(fleet.daemons[1].address, path, "lost", "violin").await;
+    assert_eq!(
+        again.header("x-bridgevane-outcome"),
+        "unknown",
+        "{}",
+        again.text
+    );
+    let runs = send(
+        fleet.plain.address,
+        http::Method::POST,
+        "/standin/runs",
+        &[],
+        "",
+    )
+    .await;
+    let runs = runs.json();
+    assert_eq!(runs.as_object().expect("runs by key").len(), 7);
+    assert!(
+        runs.as_object()
+            .expect("runs by key")
+            .values()
+            .all(|count| *count == 1),
+        "{runs}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_keyed_call_runs_twice_across_the_death_of_a_daemon() {
+    let mut fleet = Fleet::start("keyed_death", 1, 3).await;
+    let path = "/svc/desk/bookings/7";
+    fleet
+        .fault(&fleet.plain, serde_json::json!({ "delay_ms": 400 }))
+        .await;
+    // Calls that are under way at the daemon that dies, and some that have ended.
+    let victim = fleet.daemons[2].address;
+    let calls: Vec<_> = (0..12)
+        .map(|key| {
+            let key = format!("dying-{key}");
+            tokio::spawn(async move { keyed_or_cut(victim, path, &key).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.daemons[2].kill();
+    for call in calls {
+        call.await.expect("the call ends");
+    }
+    fleet.fault(&fleet.plain, serde_json::json!({})).await;
+    for round in 0..4 {
+        for key in 0..12 {
+            let daemon = &fleet.daemons[(round + key) % 2];
+            keyed(daemon.address, path, &format!("dying-{key}"), "x").await;
+        }
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+    }
+    let runs = send(
+        fleet.plain.address,
+        http::Method::POST,
+        "/standin/runs",
+        &[],
+        "",
+    )
+    .await;
+    let runs = runs.json();
+    assert!(
+        runs.as_object()
+            .expect("runs by key")
+            .values()
+            .all(|count| *count == 1),
+        "{runs}"
+    );
+}
+
+/// A call whose daemon may die under it.
+async fn keyed_or_cut(address: std::net::SocketAddr, path: &str, key: &str) {
+    let client = bridgevane_adapters::HttpClient::new(address);
+    let bearer = format!("Bearer {CUSTOMER_KEY}");
+    let request = client
+        .request(http::Method::POST, path)
+        .header("authorization", bearer)
+        .header("idempotency-key", key)
+        .body("x".into())
+        .expect("a request");
+    let _ = client.send(request).await;
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -300,3 +300,132 @@
     std::fs::write(&path, text).expect("the configuration can be written");
     path
 }
+
+/// A platform, engines, one plain worker and daemons of one data centre.
+pub struct Fleet {
+    pub platform: Process,
+    pub engines: Vec<Process>,
+    pub plain: Process,
+    pub daemons: Vec<Process>,
+}
+
+pub const DATA_CENTRE: &str = "rose-hill";
+
+impl Fleet {
+    pub async fn start(name: &str, engines: usize, daemons: usize) -> Self {
+        let engines: Vec<Process> = (0..engines).map(|_| standin(&["engine"])).collect();
+        let plain = standin(&["plain"]);
+        let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+        let text = configuration(DATA_CENTRE, &addresses, &[plain.address]);
+        let file = configuration_file(name, &text);
+        let path = file.to_str().expect("a text path");
+        let platform = standin(&["platform", "--config", path]);
+        let mut fleet = Self {
+            platform,
+            engines,
+            plain,
+            daemons: Vec::new(),
+        };
+        for at in 0..daemons {
+            fleet.add_daemon(&format!("vm-{at}"));
+        }
+        for daemon in &fleet.daemons {
+            ready(daemon).await;
+        }
+        fleet.all_see(daemons).await;
+        fleet
+    }
+
+    pub fn add_daemon(&mut self, vm: &str) {
+        let seeds: Vec<SocketAddr> = self.daemons.iter().map(|daemon| daemon.peers).collect();
+        let started = daemon(vm, DATA_CENTRE, self.platform.address, &seeds);
+        self.daemons.push(started);
+    }
+
+    /// Waits until every running daemon counts so many live members.
+    pub async fn all_see(&self, count: usize) {
+        for daemon in &self.daemons {
+            self.sees(daemon, count).await;
+        }
+    }
+
+    pub async fn sees(&self, daemon: &Process, count: usize) {
+        let address = daemon.operators;
+        eventually("the members are known", || async move {
+            let answer = ask(address, "show vms").await.json();
+            let rows = answer["rows"].as_array().cloned().unwrap_or_default();
+            rows.len() == count && rows.iter().all(|row| field(row, "live_members") == count)
+        })
+        .await;
+    }
+
+    /// The position of the daemon that decides for the model pool.
+    pub async fn home(&self) -> usize {
+        let answer = ask(
+            self.daemons[0].operators,
+            "show engines where service = tutor",
+        )
+        .await;
+        let rows = answer.json()["rows"].clone();
+        let vm = field(&rows[0], "vm");
+        let at = (0..self.daemons.len()).find(|at| vm == format!("vm-{at}").as_str());
+        at.expect("the home is one of the daemons")
+    }
+
+    pub async fn fault(&self, standin: &Process, fault: Value) {
+        let answer = send(
+            standin.address,
+            http::Method::POST,
+            "/standin/fault",
+            &[("content-type", "application/json")],
+            fault.to_string(),
+        )
+        .await;
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+}
+
+/// A field of a row of an operators' answer.
+pub fn field(row: &Value, name: &str) -> Value {
+    let fields = row.as_array().cloned().unwrap_or_default();
+    let found = fields.into_iter().find(|field| field["name"] == name);
+    found.map_or(Value::Null, |field| field["value"].clone())
+}
+
+/// A statement of an operator.
+pub async fn ask(operators: SocketAddr, statement: &str) -> Answer {
+    ask_json(operators, serde_json::json!({ "statement": statement })).await
+}
+
+pub async fn ask_json(operators: SocketAddr, body: Value) -> Answer {
+    let token = OPERATOR.split_once(':').expect("a token").1;
+    let bearer = format!("Bearer {token}");
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("content-type", "application/json"),
+    ];
+    send(
+        operators,
+        http::Method::POST,
+        "/v1/ask",
+        &headers,
+        body.to_string(),
+    )
+    .await
+}
+
+/// A call of the plain service with an idempotency key.
+pub async fn keyed(address: SocketAddr, path: &str, key: &str, body: &str) -> Answer {
+    let bearer = format!("Bearer {CUSTOMER_KEY}");
+    let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
+    send(address, http::Method::POST, path, &headers, body.to_owned()).await
+}
+
+/// The whole answer that the stand-in engines give to a user's prompt.
+pub fn expected_text(prompt: &str) -> String {
+    let prompt = format!("user: {prompt}\n");
+    let length = bridgevane_standins::answer_length(&prompt);
+    (0..length)
+        .map(|offset| bridgevane_standins::token_text(&prompt, offset))
+        .collect()
+}
