fix(decisions): waiting counts in full for a request that is preempted again and again

Change: the time that a request has waited is kept over its attempts. The table's rows are worked out on four threads.

--- a/crates/decisions/benches/policies/main.rs
+++ b/crates/decisions/benches/policies/main.rs
@@ -8,6 +8,9 @@
 
 use bridgevane_decisions::{Policy, Pool};
 use comfy_table::{Table, presets};
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use support::{Baseline, Chooser, Driver, Fault, RunResult, Setup, Workload, ravaton, solcata};
 
 const SEEDS: [u64; 5] = [11, 23, 37, 41, 59];
@@ -84,17 +87,24 @@
     (mean, (most - least) / 2.0)
 }
 
-fn row(
-    table: &mut Table,
-    workload: &Workload,
+/// One row of the table.
+struct Case {
+    workload: Workload,
     load: f64,
     with_faults: bool,
     decider: Decider,
-    seeds: &[u64],
-) {
+}
+
+fn row(case: &Case, seeds: &[u64]) -> Vec<String> {
+    let Case {
+        workload,
+        load,
+        with_faults,
+        decider,
+    } = case;
     let run = |seed: &u64| {
-        let mut setup = Setup::new(workload.clone(), load, *seed);
-        if with_faults {
+        let mut setup = Setup::new(workload.clone(), *load, *seed);
+        if *with_faults {
             setup.faults = faults();
         }
         decider.run(setup)
@@ -108,7 +118,7 @@
     let mut cells = vec![
         workload.name.to_owned(),
         format!("{load}"),
-        if with_faults {
+        if *with_faults {
             "yes".into()
         } else {
             "no".into()
@@ -157,7 +167,7 @@
                 .for_each(|broken| eprintln!("{broken}"));
         }
     }
-    table.add_row(cells);
+    cells
 }
 
 fn main() {
@@ -195,14 +205,46 @@
         "preempted for tier 0/for others/moved/lost",
         "broken",
     ]);
+    let mut cases = Vec::new();
     for workload in [ravaton(), solcata()] {
         for load in loads {
             for with_faults in [false, true] {
                 for decider in deciders {
-                    row(&mut table, &workload, *load, with_faults, decider, seeds);
+                    cases.push(Case {
+                        workload: workload.clone(),
+                        load: *load,
+                        with_faults,
+                        decider,
+                    });
                 }
             }
         }
     }
+    for cells in rows(&cases, seeds) {
+        table.add_row(cells);
+    }
     println!("{table}");
 }
+
+/// All rows, worked out on several threads; the order is that of the cases.
+fn rows(cases: &[Case], seeds: &[u64]) -> Vec<Vec<String>> {
+    const THREADS: usize = 4;
+    let next = AtomicUsize::new(0);
+    let done = Mutex::new(BTreeMap::new());
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let at = next.fetch_add(1, Ordering::Relaxed);
+                    let Some(case) = cases.get(at) else { return };
+                    let cells = row(case, seeds);
+                    done.lock().expect("no row panics").insert(at, cells);
+                }
+            });
+        }
+    });
+    done.into_inner()
+        .expect("no row panics")
+        .into_values()
+        .collect()
+}
--- a/crates/decisions/src/pool/dispatch.rs
+++ b/crates/decisions/src/pool/dispatch.rs
@@ -307,6 +307,7 @@
             return;
         };
         entry.life.handle(LifeEvent::Dispatch);
+        entry.waited_ms = context.now.since(entry.waits_since).0;
         let attempt = entry.life.attempt();
         let is_protected = turn.is_aged || turn.is_owed;
         let can_be_victim = entry.offer.is_preemptible && !is_protected;
--- a/crates/decisions/src/pool/entry.rs
+++ b/crates/decisions/src/pool/entry.rs
@@ -28,8 +28,10 @@
     pub(super) offer: Offer,
     pub(super) life: RequestLife,
     pub(super) arrived_at: TimeMs,
-    /// When it last began to wait.
+    /// When it began to wait, with the time that it ran taken out.
     pub(super) waits_since: TimeMs,
+    /// Time that it had waited when it was last sent.
+    pub(super) waited_ms: u64,
     pub(super) deadline: TimeMs,
     pub(super) delivered: u64,
     pub(super) expected_tokens: f64,
@@ -48,6 +50,7 @@
             life: RequestLife::new(),
             arrived_at: now,
             waits_since: now,
+            waited_ms: 0,
             deadline,
             delivered: 0,
             expected_tokens,
@@ -61,7 +64,8 @@
     /// Puts the request back to waiting.
     pub(super) fn return_to_queue(&mut self, now: TimeMs) {
         self.life.handle(LifeEvent::Return);
-        self.waits_since = now;
+        // All its waiting counts: else a request that is preempted again and again never ages.
+        self.waits_since = TimeMs(now.0.saturating_sub(self.waited_ms));
         self.running = None;
     }
 
