--- a/crates/adapters/src/engine.rs
+++ b/crates/adapters/src/engine.rs
@@ -87,9 +87,12 @@
     /// No connection was made: nothing ran.
     #[display("the engine was not reached")]
     NotReached,
-    /// The engine refused under the request's own id: nothing ran.
-    #[display("the engine refused the request")]
-    Refused,
+    /// The engine takes no work now: nothing ran.
+    #[display("the engine takes no work now")]
+    Unavailable,
+    /// The engine finds fault with the request: nothing ran, and no engine would run it.
+    #[display("the engine rejected the request")]
+    Rejected,
     /// The stream or answer broke off.
     #[display("the answer was cut")]
     Cut,
--- a/crates/adapters/src/http_engine.rs
+++ b/crates/adapters/src/http_engine.rs
@@ -53,9 +53,10 @@
         HttpError::Broken | HttpError::TimedOut => EngineCallError::Cut,
         HttpError::Malformed => EngineCallError::Malformed,
         HttpError::Status { status: 501, .. } => EngineCallError::Unsupported,
-        HttpError::Status { status, .. } if status < 500 || status == 503 => {
-            EngineCallError::Refused
-        }
+        HttpError::Status {
+            status: 429 | 503, ..
+        } => EngineCallError::Unavailable,
+        HttpError::Status { status, .. } if status < 500 => EngineCallError::Rejected,
         HttpError::Status { .. } => EngineCallError::Cut,
     }
 }
--- a/crates/decisions/src/configs/engine_health.rs
+++ b/crates/decisions/src/configs/engine_health.rs
@@ -7,6 +7,8 @@
     pub slow_factor: f64,
     /// Checks in a row that must find it slow.
     pub slow_checks: u32,
+    /// Refusals of work, without tokens between them, that take an engine out.
+    pub refusals: u32,
     /// How often engines are compared.
     pub check_every_ms: u64,
     /// The largest part of a pool that may be out for slowness.
@@ -32,6 +34,7 @@
         Self {
             slow_factor: 3.0,
             slow_checks: 2,
+            refusals: 2,
             check_every_ms: 100,
             max_ejected_share: 0.34,
             eject_ms: 5_000,
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -37,8 +37,10 @@
     Done(Tokens),
     /// The engine was not reached: nothing ran.
     NotReached,
-    /// The engine refused: nothing ran.
-    Refused,
+    /// The engine takes no work now: nothing ran.
+    Unavailable,
+    /// The engine finds fault with the request: nothing ran, and no engine would run it.
+    Rejected,
     /// The attempt broke off; it may have run.
     Lost {
         /// Tokens that reached the caller.
--- a/crates/decisions/src/modules/engine_health.rs
+++ b/crates/decisions/src/modules/engine_health.rs
@@ -19,6 +19,9 @@
     Normal,
     /// It could not be reached, or broke off its streams.
     Lost,
+    /// It answered that it takes no work. An engine that refuses fast looks idle and would
+    /// draw ever more work.
+    Unavailable,
     /// It gave this many tokens at normal speed.
     GoodTokens(u64),
     /// Time has passed.
@@ -50,12 +53,15 @@
 pub(crate) struct Health {
     /// Ejections in a row, without a whole probation between them.
     ejections: u32,
+    /// Refusals since it last gave tokens.
+    refusals: u32,
 }
 
 impl Health {
     fn until(&mut self, context: &HealthContext<'_>) -> TimeMs {
         let doublings = self.ejections.min(16);
         self.ejections += 1;
+        self.refusals = 0;
         let eject_ms = context.config.eject_ms.saturating_mul(1 << doublings);
         TimeMs(context.now.0 + eject_ms.min(context.config.max_eject_ms))
     }
@@ -79,11 +85,22 @@
                 }
                 Handled
             }
+            HealthEvent::Unavailable => {
+                self.refusals += 1;
+                if self.refusals >= context.config.refusals {
+                    return Transition(State::ejected(self.until(context)));
+                }
+                Handled
+            }
             HealthEvent::Normal => {
                 *slow_checks = 0;
                 Handled
             }
-            HealthEvent::GoodTokens(_) | HealthEvent::Tick => Handled,
+            HealthEvent::GoodTokens(_) => {
+                self.refusals = 0;
+                Handled
+            }
+            HealthEvent::Tick => Handled,
         }
     }
 
@@ -107,7 +124,7 @@
         good_tokens: &mut u64,
     ) -> Outcome<State> {
         match event {
-            HealthEvent::Lost | HealthEvent::Slow { .. } => {
+            HealthEvent::Lost | HealthEvent::Unavailable | HealthEvent::Slow { .. } => {
                 Transition(State::ejected(self.until(context)))
             }
             HealthEvent::GoodTokens(tokens) => {
--- a/crates/decisions/src/pool/admit.rs
+++ b/crates/decisions/src/pool/admit.rs
@@ -233,8 +233,10 @@
         code,
         outcome,
     });
-    // A call whose outcome isn't known must not be invited to run again.
-    let retry_after_ms = (outcome != Outcome::Unknown).then_some(retry_after_ms);
+    // A call whose outcome isn't known must not be invited to run again, and one that engines
+    // reject would be rejected again.
+    let may_come_back = outcome != Outcome::Unknown && code != RefusalCode::Rejected;
+    let retry_after_ms = may_come_back.then_some(retry_after_ms);
     context.effects.push(Effect::Refuse {
         request,
         code,
--- a/crates/decisions/src/pool/attempt.rs
+++ b/crates/decisions/src/pool/attempt.rs
@@ -160,7 +160,11 @@
                 self.engine_lost(context, running.engine);
                 self.retry_unrun(context, request, attempt, running);
             }
-            AttemptEnd::Refused => self.retry_unrun(context, request, attempt, running),
+            AttemptEnd::Unavailable => {
+                self.tell_health(context, running.engine, HealthEvent::Unavailable);
+                self.retry_unrun(context, request, attempt, running);
+            }
+            AttemptEnd::Rejected => self.reject(context, request, attempt),
             AttemptEnd::Lost { delivered } => {
                 self.stream_lost(context, running.engine);
                 self.retry_lost(context, request, attempt, running, delivered);
--- a/crates/decisions/src/pool/dispatch.rs
+++ b/crates/decisions/src/pool/dispatch.rs
@@ -352,6 +352,7 @@
             engine: choice.engine,
             priority: tier,
             resume_from: Tokens(delivered),
+            cached_tokens: Tokens(choice.cached_tokens),
         });
     }
 }
--- a/crates/decisions/src/pool/recover.rs
+++ b/crates/decisions/src/pool/recover.rs
@@ -30,6 +30,24 @@
         self.retry(context, request, running.engine);
     }
 
+    /// A request that engines find fault with: trying others would only spread it.
+    pub(super) fn reject<L: DecisionLog>(
+        &mut self,
+        context: &mut Context<'_, L>,
+        request: RequestId,
+        attempt: AttemptNumber,
+    ) {
+        context.record(Decision::Lost {
+            request,
+            attempt,
+            may_have_run: false,
+        });
+        if let Some(entry) = self.requests.get_mut(&request) {
+            entry.return_to_queue(context.now);
+        }
+        self.give_up(context, request, RefusalCode::Rejected, 0.0);
+    }
+
     /// An attempt that may have run: only a repeatable request is sent again.
     pub(super) fn retry_lost<L: DecisionLog>(
         &mut self,
--- a/crates/decisions/tests/pool_sequences.rs
+++ b/crates/decisions/tests/pool_sequences.rs
@@ -7,7 +7,7 @@
     EnginePolicy, KindIx, Offer, Policy, Pool, PoolPolicy, Recorder, check_promises,
 };
 use bridgevane_types::{
-    AttemptNumber, DurationMs, Outcome, RequestId, Share, Slots, Tier, TimeMs, Tokens,
+    AttemptNumber, DurationMs, Outcome, RefusalCode, RequestId, Share, Slots, Tier, TimeMs, Tokens,
 };
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -67,7 +67,10 @@
     NotReached {
         pick: usize,
     },
-    Refused {
+    Unavailable {
+        pick: usize,
+    },
+    Rejected {
         pick: usize,
     },
     CallerGone {
@@ -97,7 +100,8 @@
         4 => pick().prop_map(|pick| Step::Done { pick }),
         2 => pick().prop_map(|pick| Step::Lost { pick }),
         1 => pick().prop_map(|pick| Step::NotReached { pick }),
-        1 => pick().prop_map(|pick| Step::Refused { pick }),
+        1 => pick().prop_map(|pick| Step::Unavailable { pick }),
+        1 => pick().prop_map(|pick| Step::Rejected { pick }),
         1 => pick().prop_map(|pick| Step::CallerGone { pick }),
         2 => pick().prop_map(|pick| Step::Stale { pick }),
         2 => (0..ENGINES, 0..6u32, 0..3_000u64).prop_map(
@@ -170,12 +174,12 @@
             Effect::Refuse {
                 request,
                 outcome,
+                code,
                 retry_after_ms,
-                ..
             } => {
                 assert!(self.open.remove(&request), "{request} was answered before");
                 assert!(!self.running.contains_key(&request));
-                let may_come_back = outcome != Outcome::Unknown;
+                let may_come_back = outcome != Outcome::Unknown && code != RefusalCode::Rejected;
                 assert_eq!(retry_after_ms.is_some(), may_come_back);
             }
         }
@@ -240,7 +244,8 @@
                 self.end(pick, AttemptEnd::Lost { delivered });
             }
             Step::NotReached { pick } => self.end(pick, AttemptEnd::NotReached),
-            Step::Refused { pick } => self.end(pick, AttemptEnd::Refused),
+            Step::Unavailable { pick } => self.end(pick, AttemptEnd::Unavailable),
+            Step::Rejected { pick } => self.end(pick, AttemptEnd::Rejected),
             Step::CallerGone { pick } => self.end(pick, AttemptEnd::CallerGone),
             Step::Stale { pick } => self.stale(pick),
             Step::Report {
--- a/crates/decisions/tests/promises.rs
+++ b/crates/decisions/tests/promises.rs
@@ -107,12 +107,18 @@
         from_ms: 8_000,
         to_ms: 15_000,
     };
+    let refuse = Fault::Refuse {
+        engine: 3,
+        from_ms: 8_000,
+        to_ms: 15_000,
+    };
     let vanish = Fault::CallersVanish { nth: 7 };
-    let table: [(&str, Vec<Fault>, u64, f64); 6] = [
+    let table: [(&str, Vec<Fault>, u64, f64); 7] = [
         ("engine slowed tenfold", vec![slow], 500, 0.97),
         ("engine crashed in mid-stream", vec![crash], 500, 0.97),
         ("load reports two seconds late", vec![], 2_000, 0.99),
         ("callers vanish", vec![vanish], 500, 0.99),
+        ("engine refuses fast", vec![refuse], 500, 0.98),
         ("slowed and crashed", vec![slow, crash], 500, 0.9),
         (
             "crashed, callers vanish, reports late",
--- a/crates/decisions/tests/support/baselines.rs
+++ b/crates/decisions/tests/support/baselines.rs
@@ -101,6 +101,7 @@
                 engine: EngineIx(engine as u32),
                 priority: Tier(0),
                 resume_from: delivered,
+                cached_tokens: Tokens(0),
             });
         }
     }
--- a/crates/decisions/tests/support/driver.rs
+++ b/crates/decisions/tests/support/driver.rs
@@ -28,6 +28,12 @@
         from_ms: u64,
         to_ms: u64,
     },
+    /// An engine refuses all new work at once, while its streams go on.
+    Refuse {
+        engine: usize,
+        from_ms: u64,
+        to_ms: u64,
+    },
     /// The callers of every `nth` request go away after their first token.
     CallersVanish { nth: u64 },
 }
@@ -130,6 +136,7 @@
     FaultBegins(usize),
     FaultEnds(usize),
     NotReached(RequestId, AttemptNumber),
+    Unavailable(RequestId, AttemptNumber),
 }
 
 struct Attempt {
@@ -168,6 +175,7 @@
     logs: Vec<Recorder>,
     engines: Vec<EngineModel>,
     is_down: Vec<bool>,
+    is_refusing: Vec<bool>,
     arrivals: Vec<Arrival>,
     live: HashMap<RequestId, Live>,
     queue: BinaryHeap<Reverse<(u64, u64, Happening)>>,
@@ -186,6 +194,7 @@
         let mut driver = Self {
             logs: deciders.iter().map(|_| Recorder::new(usize::MAX)).collect(),
             is_down: vec![false; setup.engines],
+            is_refusing: vec![false; setup.engines],
             reports: vec![VecDeque::new(); setup.engines],
             result: RunResult {
                 classes: vec![ClassResult::default(); setup.workload.classes.len()],
@@ -211,7 +220,9 @@
         }
         for at in 0..self.setup.faults.len() {
             match self.setup.faults[at] {
-                Fault::Slow { from_ms, to_ms, .. } | Fault::Crash { from_ms, to_ms, .. } => {
+                Fault::Slow { from_ms, to_ms, .. }
+                | Fault::Crash { from_ms, to_ms, .. }
+                | Fault::Refuse { from_ms, to_ms, .. } => {
                     self.schedule(from_ms * 1000, Happening::FaultBegins(at));
                     self.schedule(to_ms * 1000, Happening::FaultEnds(at));
                 }
@@ -247,7 +258,12 @@
                 Happening::Reports => self.report_loads(),
                 Happening::FaultBegins(at) => self.begin_fault(at),
                 Happening::FaultEnds(at) => self.end_fault(at),
-                Happening::NotReached(request, attempt) => self.not_reached(request, attempt),
+                Happening::NotReached(request, attempt) => {
+                    self.not_taken(request, attempt, AttemptEnd::NotReached);
+                }
+                Happening::Unavailable(request, attempt) => {
+                    self.not_taken(request, attempt, AttemptEnd::Unavailable);
+                }
             }
         }
         self.finish()
@@ -365,6 +381,12 @@
             self.schedule(now_us + 1000, refused);
             return;
         }
+        if self.is_refusing[at] {
+            live.attempt = None;
+            let refused = Happening::Unavailable(request, attempt);
+            self.schedule(now_us + 1000, refused);
+            return;
+        }
         let arrival = &self.arrivals[live.arrival];
         let job = Job {
             request,
@@ -387,11 +409,10 @@
         }
     }
 
-    fn not_reached(&mut self, request: RequestId, attempt: AttemptNumber) {
+    fn not_taken(&mut self, request: RequestId, attempt: AttemptNumber, end: AttemptEnd) {
         let Some(decider) = self.live.get(&request).map(|live| live.decider) else {
             return;
         };
-        let end = AttemptEnd::NotReached;
         self.decide(decider, |policy, context| {
             policy.finished(context, request, attempt, end);
         });
@@ -566,6 +587,7 @@
         match self.setup.faults[at] {
             Fault::Slow { engine, factor, .. } => self.engines[engine].set_slowdown(factor),
             Fault::Crash { engine, .. } => self.crash(engine),
+            Fault::Refuse { engine, .. } => self.is_refusing[engine] = true,
             Fault::CallersVanish { .. } => {}
         }
     }
@@ -574,6 +596,7 @@
         match self.setup.faults[at] {
             Fault::Slow { engine, .. } => self.engines[engine].set_slowdown(1.0),
             Fault::Crash { engine, .. } => self.is_down[engine] = false,
+            Fault::Refuse { engine, .. } => self.is_refusing[engine] = false,
             Fault::CallersVanish { .. } => {}
         }
     }
@@ -679,7 +702,9 @@
                 to_ms,
                 ..
             } => (to_ms - from_ms) as f64 * (1.0 - 1.0 / factor),
-            Fault::Crash { from_ms, to_ms, .. } => (to_ms - from_ms) as f64,
+            Fault::Crash { from_ms, to_ms, .. } | Fault::Refuse { from_ms, to_ms, .. } => {
+                (to_ms - from_ms) as f64
+            }
             Fault::CallersVanish { .. } => 0.0,
         };
         self.setup.faults.iter().map(lost).sum()
--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -141,6 +141,11 @@
         self.lock().model.decoded_tokens()
     }
 
+    /// Prompt tokens that it processed so far.
+    pub fn prefilled_tokens(&self) -> Tokens {
+        self.lock().model.prefilled_tokens()
+    }
+
     /// Orders that it took.
     pub fn orders(&self) -> Vec<FencedOrder> {
         self.lock().orders.clone()
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -36,6 +36,9 @@
     /// No engine can serve the request's model now.
     #[display("no_engine")]
     NoEngine,
+    /// The engines find fault with the request.
+    #[display("rejected")]
+    Rejected,
     /// Attempts failed and no retry is left.
     #[display("retries_exhausted")]
     RetriesExhausted,
--- /dev/null
+++ b/src/commands/ask.rs
@@ -0,0 +1,171 @@
+//! `bridgevane ask`: operators' statements from the command line.
+
+use crate::commands::operator_client::{ClientError, DaemonAnswer, OperatorClient};
+use crate::commands::{block_on, exit};
+use crate::modules::operator_fan_out::Answer;
+use crate::modules::operator_rows::Row;
+use crate::modules::operators::Ask;
+use argh::FromArgs;
+use bridgevane_types::{ConfigVersion, OperationId};
+use comfy_table::{Table, presets};
+use serde_json::Value;
+use std::io::IsTerminal;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Ask a daemon, or tell it to change something. The statement is one argument, such as
+/// "show requests where class = booking and age > 2s"; docs/LANGUAGE.md has the grammar.
+/// The token comes from BRIDGEVANE_OPERATOR_TOKEN.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "ask")]
+pub struct AskArguments {
+    /// the statement
+    #[argh(positional)]
+    statement: Option<String>,
+    /// the daemon's address for operators
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 8081))")]
+    at: SocketAddr,
+    /// the operator's token; better given by the variable
+    #[argh(option)]
+    token: Option<String>,
+    /// propose this configuration file in place of a statement
+    #[argh(option)]
+    propose: Option<PathBuf>,
+    /// the version that the proposed file was made on; the one in force unless given
+    #[argh(option)]
+    base: Option<u64>,
+    /// print the configuration in force as TOML
+    #[argh(switch)]
+    print_config: bool,
+    /// the operation's id: give the same one to send the same change again
+    #[argh(option)]
+    operation: Option<String>,
+    /// print JSON, also on a terminal
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs the command; gives the exit code.
+pub fn run(arguments: &AskArguments) -> u8 {
+    match block_on(ask(arguments)) {
+        Ok(Ok(code)) => code,
+        Ok(Err(error @ ClientError::NoToken)) => {
+            eprintln!("{error}");
+            exit::USAGE
+        }
+        Ok(Err(error)) => {
+            eprintln!("{error}");
+            exit::UNREACHABLE
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            exit::USAGE
+        }
+    }
+}
+
+async fn ask(arguments: &AskArguments) -> Result<u8, ClientError> {
+    let client = OperatorClient::new(arguments.at, arguments.token.clone())?;
+    if arguments.print_config {
+        let answer = client.config().await?;
+        println!("{}", answer.body["document"].as_str().unwrap_or_default());
+        eprintln!("version {}", answer.body["version"]);
+        return Ok(code_of(answer.status));
+    }
+    let operation = arguments.operation.clone().unwrap_or_else(new_operation);
+    let mut ask = Ask {
+        statement: arguments.statement.clone(),
+        document: None,
+        base_version: None,
+        operation_id: Some(OperationId::new(&operation)),
+    };
+    if let Some(file) = &arguments.propose {
+        match std::fs::read_to_string(file) {
+            Ok(text) => ask.document = Some(text),
+            Err(error) => {
+                eprintln!("{}: {error}", file.display());
+                return Ok(exit::USAGE);
+            }
+        }
+        ask.base_version = Some(base_version(arguments, &client).await?);
+    }
+    if ask.statement.is_none() && ask.document.is_none() {
+        eprintln!("give a statement, --propose or --print-config");
+        return Ok(exit::USAGE);
+    }
+    let answer = client.ask(&ask).await?;
+    print(&answer, arguments.json, &operation);
+    Ok(code_of(answer.status))
+}
+
+async fn base_version(
+    arguments: &AskArguments,
+    client: &OperatorClient,
+) -> Result<ConfigVersion, ClientError> {
+    if let Some(base) = arguments.base {
+        return Ok(ConfigVersion(base));
+    }
+    let answer = client.config().await?;
+    Ok(ConfigVersion(answer.body["version"].as_u64().unwrap_or(0)))
+}
+
+fn new_operation() -> String {
+    format!("op-{:016x}", rand::random::<u64>())
+}
+
+fn code_of(status: u16) -> u8 {
+    match status {
+        200..=299 => exit::OK,
+        409 => exit::NEGATIVE,
+        503 | 504 => exit::UNREACHABLE,
+        _ => exit::USAGE,
+    }
+}
+
+fn print(answer: &DaemonAnswer, is_json: bool, operation: &str) {
+    if is_json || !std::io::stdout().is_terminal() {
+        println!("{}", answer.body);
+        return;
+    }
+    if let Some(error) = answer.body["error"].as_str() {
+        eprintln!("{error}");
+        return;
+    }
+    match serde_json::from_value::<Answer>(answer.body.clone()) {
+        Ok(rows) => print_rows(&rows),
+        Err(_) => println!("{}  (operation {operation})", answer.body),
+    }
+}
+
+fn print_rows(answer: &Answer) {
+    println!("{}", table(&answer.rows));
+    if !answer.missing.is_empty() {
+        let names: Vec<&str> = answer.missing.iter().map(|vm| vm.as_str()).collect();
+        eprintln!("a part only: no answer from {}", names.join(", "));
+    }
+}
+
+/// Rows as a table.
+pub fn table(rows: &[Row]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::UTF8_HORIZONTAL_ONLY);
+    if let Some(first) = rows.first() {
+        table.set_header(first.fields.iter().map(|field| field.name.clone()));
+    }
+    for row in rows {
+        table.add_row(row.fields.iter().map(|field| cell(&field.value)));
+    }
+    table
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".into(),
+        Value::String(text) => text.clone(),
+        Value::Number(number) => match number.as_f64() {
+            Some(float) if !number.is_u64() => format!("{float:.3}"),
+            _ => number.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/src/commands/demo/load.rs
@@ -0,0 +1,372 @@
+//! The demo's load: an open loop of seeded arrivals through the real HTTP path.
+
+use super::stage::Stage;
+use super::{DemoArguments, User};
+use bridgevane_adapters::HttpClient;
+use bridgevane_standins::{answer_length, token_text};
+use bridgevane_types::ClassName;
+use http_body_util::{BodyExt, Full};
+use indicatif::ProgressBar;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// One kind of request in the mix.
+struct Part {
+    kind: &'static str,
+    customers: &'static [&'static str],
+    /// Part of all requests.
+    part: f64,
+    /// Characters of the prompt, from and to.
+    prompt_chars: (usize, usize),
+    /// Characters that requests of one subject share.
+    shared_chars: usize,
+    median_tokens: f64,
+    sigma: f64,
+}
+
+const RAVATON: [Part; 3] = [
+    Part {
+        kind: "question",
+        customers: &["port-louis-school", "curepipe-school", "rose-hill-school"],
+        part: 0.5,
+        prompt_chars: (800, 2_400),
+        shared_chars: 0,
+        median_tokens: 60.0,
+        sigma: 0.7,
+    },
+    Part {
+        kind: "report",
+        customers: &["reports-desk", "port-louis-school"],
+        part: 0.2,
+        prompt_chars: (8_000, 24_000),
+        shared_chars: 7_680,
+        median_tokens: 220.0,
+        sigma: 0.9,
+    },
+    Part {
+        kind: "plan",
+        customers: &["grand-bay-studio", "mahebourg-studio", "flacq-studio"],
+        part: 0.3,
+        prompt_chars: (800, 2_400),
+        shared_chars: 0,
+        median_tokens: 150.0,
+        sigma: 0.8,
+    },
+];
+
+const SOLCATA: [Part; 3] = [
+    Part {
+        kind: "fault",
+        customers: &["lodi-workshop", "piacenza-workshop"],
+        part: 0.25,
+        prompt_chars: (1_600, 4_800),
+        shared_chars: 1_280,
+        median_tokens: 90.0,
+        sigma: 0.7,
+    },
+    Part {
+        kind: "query",
+        customers: &[
+            "cremona-dealer",
+            "mantova-dealer",
+            "parma-dealer",
+            "head-office",
+        ],
+        part: 0.45,
+        prompt_chars: (1_600, 4_800),
+        shared_chars: 1_280,
+        median_tokens: 90.0,
+        sigma: 0.7,
+    },
+    Part {
+        kind: "note",
+        customers: &["pavia-agronomist", "ferrara-agronomist"],
+        part: 0.3,
+        prompt_chars: (1_600, 4_800),
+        shared_chars: 1_280,
+        median_tokens: 140.0,
+        sigma: 0.9,
+    },
+];
+
+/// Plain calls for each model request.
+const PLAIN_PART: f64 = 0.5;
+/// A step of a stand-in engine with every slot in use.
+const FULL_STEP_MS: f64 = 32.8;
+/// Characters that a stand-in engine processes in a millisecond.
+const PREFILL_CHARS_PER_MS: f64 = 32.0;
+/// The longest answer.
+const MAX_TOKENS: u64 = 512;
+
+/// How one request ended, as its caller saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CallerResult {
+    /// The answer is whole.
+    Whole {
+        first_token_ms: u64,
+        whole_ms: u64,
+        tokens: u64,
+    },
+    /// Refused before anything came.
+    Refused,
+    /// Broken off.
+    Cut,
+    /// Not the answer to its own request.
+    Wrong,
+}
+
+/// One request's end.
+#[derive(Clone, Debug)]
+pub(super) struct Ended {
+    pub(super) class: ClassName,
+    pub(super) result: CallerResult,
+}
+
+/// Sends the load and gathers how each request ended.
+pub(super) async fn run(stage: &Stage, arguments: &DemoArguments, bar: &ProgressBar) -> Vec<Ended> {
+    let parts = match arguments.user {
+        User::Ravaton => &RAVATON,
+        User::Solcata => &SOLCATA,
+    };
+    let mut rng = Pcg64Mcg::seed_from_u64(arguments.seed);
+    let service_ms: f64 = parts
+        .iter()
+        .map(|part| part.part * part.mean_service_ms())
+        .sum();
+    let rate_per_ms = arguments.load * stage.slots() / service_ms;
+    let client = HttpClient::new(stage.context.config.caller_address);
+    let mut calls = JoinSet::new();
+    let started = Instant::now();
+    let duration_ms = arguments.seconds as f64 * 1000.0;
+    let mut now_ms = 0.0;
+    let mut count = 0u64;
+    loop {
+        now_ms += -(1.0 - rng.random::<f64>()).ln() / (rate_per_ms * (1.0 + PLAIN_PART));
+        if now_ms >= duration_ms {
+            break;
+        }
+        let due = started + Duration::from_micros((now_ms * 1000.0) as u64);
+        tokio::time::sleep_until(due.into()).await;
+        bar.set_position(now_ms as u64 / 1000);
+        bar.set_message(format!("{count} requests"));
+        count += 1;
+        if rng.random_bool(PLAIN_PART / (1.0 + PLAIN_PART)) {
+            calls.spawn(plain_call(client.clone(), plain(stage, &mut rng, count)));
+        } else {
+            let part = pick(parts, &mut rng);
+            calls.spawn(model_call(client.clone(), part.call(stage, &mut rng)));
+        }
+    }
+    bar.set_message("answers end");
+    let mut ended = Vec::new();
+    while let Some(call) = calls.join_next().await {
+        // A call that panicked would be a fault of the demo itself.
+        ended.extend(call.ok());
+    }
+    ended
+}
+
+fn pick<'a>(parts: &'a [Part], rng: &mut Pcg64Mcg) -> &'a Part {
+    let mut at = rng.random::<f64>();
+    for part in parts {
+        if at < part.part {
+            return part;
+        }
+        at -= part.part;
+    }
+    &parts[parts.len() - 1]
+}
+
+struct ModelCall {
+    class: ClassName,
+    kind: &'static str,
+    key: String,
+    body: Value,
+    prompt: String,
+}
+
+impl Part {
+    fn mean_service_ms(&self) -> f64 {
+        let tokens = self.median_tokens * (self.sigma * self.sigma / 2.0).exp();
+        let chars = (self.prompt_chars.0 + self.prompt_chars.1) as f64 / 2.0;
+        tokens * FULL_STEP_MS + chars / PREFILL_CHARS_PER_MS
+    }
+
+    fn call(&self, stage: &Stage, rng: &mut Pcg64Mcg) -> ModelCall {
+        let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+        let tokens = (self.median_tokens * (self.sigma * normal).exp()) as u64;
+        let tokens = tokens.clamp(1, MAX_TOKENS);
+        let prompt = self.prompt(rng, tokens);
+        let customer = self.customers[rng.random_range(0..self.customers.len())];
+        let kind = bridgevane_types::KindName::from(self.kind);
+        let class = stage.document.kind[&kind].class.clone();
+        let body = json!({
+            "model": stage.model,
+            "stream": true,
+            "max_tokens": MAX_TOKENS,
+            "messages": [{ "role": "user", "content": prompt }],
+        });
+        ModelCall {
+            class,
+            kind: self.kind,
+            key: stage.key_of(customer),
+            body,
+            prompt: format!("user: {prompt}\n"),
+        }
+    }
+
+    /// A prompt whose beginning a subject's requests share, and which fixes its answer's length.
+    fn prompt(&self, rng: &mut Pcg64Mcg, tokens: u64) -> String {
+        let subject = rng.random_range(0..40u32);
+        let chars = rng.random_range(self.prompt_chars.0..=self.prompt_chars.1);
+        let mut prompt = String::with_capacity(chars + 64);
+        while prompt.len() < self.shared_chars {
+            prompt.push_str(&format!("lesson {subject}.{} ", prompt.len()));
+        }
+        let unique = rng.random::<u64>();
+        while prompt.len() < chars {
+            prompt.push_str(&format!("note {unique:x}.{} ", prompt.len()));
+        }
+        prompt.push_str(&format!("[tokens={tokens}]"));
+        prompt
+    }
+}
+
+async fn model_call(client: HttpClient, call: ModelCall) -> Ended {
+    let result = stream(&client, &call).await.unwrap_or(CallerResult::Cut);
+    Ended {
+        class: call.class,
+        result,
+    }
+}
+
+/// Sends a call and follows its stream; none: it broke off.
+async fn stream(client: &HttpClient, call: &ModelCall) -> Option<CallerResult> {
+    let request = client
+        .request(http::Method::POST, "/v1/chat/completions")
+        .header("authorization", format!("Bearer {}", call.key))
+        .header("x-bridgevane-kind", call.kind)
+        .header("content-type", "application/json")
+        .body(Full::new(call.body.to_string().into()))
+        .ok()?;
+    let begun = Instant::now();
+    let response = client.send(request).await.ok()?;
+    if response.status() != http::StatusCode::OK {
+        return Some(CallerResult::Refused);
+    }
+    let mut body = response.into_body();
+    let mut follower = Follower::default();
+    let mut first_token_ms = None;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else {
+            continue;
+        };
+        follower.take(&data);
+        if follower.tokens > 0 {
+            first_token_ms.get_or_insert(begun.elapsed().as_millis() as u64);
+        }
+    }
+    if !follower.is_done {
+        return None;
+    }
+    let length = answer_length(&call.prompt);
+    let expected: String = (0..length).map(|at| token_text(&call.prompt, at)).collect();
+    if follower.text != expected {
+        return Some(CallerResult::Wrong);
+    }
+    let whole_ms = begun.elapsed().as_millis() as u64;
+    Some(CallerResult::Whole {
+        first_token_ms: first_token_ms.unwrap_or(whole_ms),
+        whole_ms,
+        tokens: follower.tokens,
+    })
+}
+
+/// Reads server-sent events.
+#[derive(Default)]
+struct Follower {
+    rest: Vec<u8>,
+    text: String,
+    tokens: u64,
+    is_done: bool,
+}
+
+impl Follower {
+    fn take(&mut self, data: &[u8]) {
+        self.rest.extend_from_slice(data);
+        while let Some(end) = self.rest.iter().position(|byte| *byte == b'\n') {
+            let line: Vec<u8> = self.rest.drain(..=end).collect();
+            if let Some(event) = line.strip_prefix(b"data: ") {
+                self.event(event.trim_ascii_end());
+            }
+        }
+    }
+
+    fn event(&mut self, event: &[u8]) {
+        if event == b"[DONE]" {
+            self.is_done = true;
+            return;
+        }
+        let piece: Value = serde_json::from_slice(event).unwrap_or_default();
+        if let Some(text) = piece["choices"][0]["delta"]["content"].as_str() {
+            self.text.push_str(text);
+            self.tokens += 1;
+        }
+    }
+}
+
+struct PlainCall {
+    class: ClassName,
+    path: String,
+    key: String,
+    /// Of calls that may not be repeated.
+    idempotency_key: Option<String>,
+}
+
+fn plain(stage: &Stage, rng: &mut Pcg64Mcg, count: u64) -> PlainCall {
+    let service = &stage.document.service[&stage.plain_service];
+    let route = &service.route[rng.random_range(0..service.route.len())];
+    PlainCall {
+        class: route.class.clone(),
+        path: format!("/svc/{}{}/{count}", stage.plain_service, route.prefix),
+        key: stage.any_key(),
+        idempotency_key: (!route.repeatable).then(|| format!("demo-{count}")),
+    }
+}
+
+/// Sends a plain call twice, as a caller that is unsure does: it must run once.
+async fn plain_call(client: HttpClient, call: PlainCall) -> Ended {
+    let mut result = CallerResult::Cut;
+    for attempt in 0..2 {
+        let begun = Instant::now();
+        let mut request = client
+            .request(http::Method::POST, &call.path)
+            .header("authorization", format!("Bearer {}", call.key));
+        if let Some(key) = &call.idempotency_key {
+            request = request.header("idempotency-key", key);
+        }
+        let request = request.body(Full::new("{}".into()));
+        let Ok(request) = request else { break };
+        let Ok(response) = client.send(request).await else {
+            break;
+        };
+        let took_ms = begun.elapsed().as_millis() as u64;
+        if attempt == 0 {
+            result = match response.status().is_success() {
+                true => CallerResult::Whole {
+                    first_token_ms: took_ms,
+                    whole_ms: took_ms,
+                    tokens: 1,
+                },
+                false => CallerResult::Refused,
+            };
+        }
+    }
+    Ended {
+        class: call.class,
+        result,
+    }
+}
--- /dev/null
+++ b/src/commands/demo/stage.rs
@@ -0,0 +1,258 @@
+//! The demo's daemon and stand-ins, in one process on loopback.
+
+use super::{FaultKind, User};
+use crate::commands::serve;
+use crate::configs::log::LogConfig;
+use crate::configs::peers::PeersConfig;
+use crate::configs::serve::{Secret, ServeConfig};
+use crate::configs::serving::ServingConfig;
+use crate::context::Context;
+use crate::modules::config_follow::CONFIG_KEY;
+use bridgevane_config::{ConfigProblems, Document, Envelope, EnvelopeError, ServiceKind};
+use bridgevane_standins::{
+    EngineSpec, EngineStandin, EngineStandinSettings, Fault, PlainStandin, PlatformSettings,
+    PlatformStandin, Served, StandinError, serve as serve_standin,
+};
+use bridgevane_types::{
+    ConfigVersion, DataCentreId, DurationMs, Incarnation, ModelName, ServiceName, Slots,
+};
+use derive_more::{Display, Error, From};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The demo operator's token.
+pub(super) const OPERATOR_TOKEN: &str = "demo-operator-token";
+/// The customers' keys are these with the customer's name.
+const KEY_PREFIX: &str = "key-of-";
+/// The one data centre that all engines stand in.
+const DATA_CENTRE: &str = "loopback";
+
+const RAVATON: &str = include_str!("../../../examples/ravaton.toml");
+const SOLCATA: &str = include_str!("../../../examples/solcata.toml");
+
+/// Why the demo can't be set up.
+#[derive(Debug, Display, Error, From)]
+pub enum StageError {
+    /// The example configuration has problems.
+    #[display("{_0}")]
+    Config(ConfigProblems),
+    /// The example configuration can't be stored.
+    #[display("{_0}")]
+    Envelope(EnvelopeError),
+    /// A stand-in can't listen.
+    #[display("{_0}")]
+    Standin(StandinError),
+    /// The daemon can't listen.
+    #[display("{_0}")]
+    Daemon(std::io::Error),
+}
+
+/// Everything that the demo runs.
+pub(super) struct Stage {
+    pub(super) context: Arc<Context>,
+    pub(super) document: Document,
+    pub(super) model: ModelName,
+    pub(super) model_service: ServiceName,
+    pub(super) plain_service: ServiceName,
+    platform: PlatformStandin,
+    engines: Vec<EngineStandin>,
+    plain: PlainStandin,
+    served: Vec<Served>,
+}
+
+/// What faults act on.
+pub(super) struct Faults {
+    platform: PlatformStandin,
+    engines: Vec<EngineStandin>,
+}
+
+impl Faults {
+    pub(super) fn begin(&self, kind: FaultKind) {
+        let one = |fault: Fault| self.engines[0].set_fault(fault);
+        let all = |fault: Fault| {
+            self.engines
+                .iter()
+                .for_each(|engine| engine.set_fault(fault))
+        };
+        match kind {
+            FaultKind::None => {}
+            FaultKind::SlowEngine => one(Fault {
+                slowdown: 10.0,
+                ..Fault::default()
+            }),
+            FaultKind::CrashEngine => one(Fault {
+                crash: true,
+                ..Fault::default()
+            }),
+            FaultKind::KvOutage => self.platform.set_fault(Fault {
+                is_down: true,
+                ..Fault::default()
+            }),
+            FaultKind::LateReports => all(Fault {
+                load_lag_ms: DurationMs(2_000),
+                ..Fault::default()
+            }),
+            FaultKind::LostCacheEvents => all(Fault {
+                lose_cache_events: u32::MAX,
+                ..Fault::default()
+            }),
+        }
+    }
+
+    pub(super) fn end(&self) {
+        self.platform.set_fault(Fault::default());
+        for engine in &self.engines {
+            engine.set_fault(Fault::default());
+        }
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+impl Stage {
+    pub(super) async fn set(user: User) -> Result<Self, StageError> {
+        let text = match user {
+            User::Ravaton => RAVATON,
+            User::Solcata => SOLCATA,
+        };
+        let mut document = Document::parse(text)?;
+        let mut served = Vec::new();
+        let mut engines = Vec::new();
+        let plain = PlainStandin::new(false);
+        let mut model = ModelName::new("");
+        let mut model_service = ServiceName::new("");
+        let mut plain_service = ServiceName::new("");
+        for (name, service) in &mut document.service {
+            if service.kind == ServiceKind::Model {
+                model_service = name.clone();
+                model = service.models.first().cloned().unwrap_or(model);
+            } else {
+                plain_service = name.clone();
+            }
+            for engine in service.engine.values_mut() {
+                let router = if service.kind == ServiceKind::Model {
+                    let standin = EngineStandin::new(settings(engine.slots));
+                    engines.push(standin.clone());
+                    standin.router()
+                } else {
+                    plain.router()
+                };
+                let standin = serve_standin(loopback(), router).await?;
+                engine.address = standin.address;
+                engine.data_centre = DataCentreId::new(DATA_CENTRE);
+                served.push(standin);
+            }
+        }
+        let platform = PlatformStandin::new(PlatformSettings::default());
+        let envelope = Envelope {
+            version: ConfigVersion(1),
+            operation: Vec::new(),
+            document: document.clone(),
+        };
+        platform.put(CONFIG_KEY, &envelope.to_text()?);
+        served.push(serve_standin(loopback(), platform.router()).await?);
+        let platform_address = served[served.len() - 1].address;
+        let context = serve::start(config(platform_address), Incarnation(1)).await?;
+        let stage = Self {
+            context,
+            document,
+            model,
+            model_service,
+            plain_service,
+            platform,
+            engines,
+            plain,
+            served,
+        };
+        stage.wait_until_ready().await;
+        Ok(stage)
+    }
+
+    async fn wait_until_ready(&self) {
+        const TRIES: u32 = 500;
+        for _ in 0..TRIES {
+            if self.context.replica.may_serve() {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    pub(super) fn platform_address(&self) -> SocketAddr {
+        self.served[self.served.len() - 1].address
+    }
+
+    pub(super) fn faults(&self) -> Faults {
+        Faults {
+            platform: self.platform.clone(),
+            engines: self.engines.clone(),
+        }
+    }
+
+    /// The demo key of a customer.
+    pub(super) fn key_of(&self, customer: &str) -> String {
+        format!("{KEY_PREFIX}{customer}")
+    }
+
+    /// The key of some customer.
+    pub(super) fn any_key(&self) -> String {
+        let first = self.document.customer.keys().next();
+        self.key_of(first.map_or("", |customer| customer.as_str()))
+    }
+
+    /// Slots of all engines.
+    pub(super) fn slots(&self) -> f64 {
+        let service = &self.document.service[&self.model_service];
+        service
+            .engine
+            .values()
+            .map(|engine| f64::from(engine.slots.0))
+            .sum()
+    }
+
+    /// Keys that the plain service ran more than once.
+    pub(super) fn repeated_keys(&self) -> Vec<String> {
+        let runs = self.plain.runs_of_key();
+        let repeated = runs.into_iter().filter(|(_, count)| *count > 1);
+        repeated.map(|(key, _)| key).collect()
+    }
+
+    /// Prompt and answer tokens that the engines computed.
+    pub(super) fn computed_tokens(&self) -> u64 {
+        let computed =
+            |engine: &EngineStandin| engine.decoded_tokens().0 + engine.prefilled_tokens().0;
+        self.engines.iter().map(computed).sum()
+    }
+}
+
+fn settings(slots: Slots) -> EngineStandinSettings {
+    EngineStandinSettings {
+        spec: EngineSpec {
+            slots,
+            ..EngineSpec::default()
+        },
+        checks_fence: true,
+    }
+}
+
+fn config(platform_address: SocketAddr) -> ServeConfig {
+    let operators = [format!("demo:{OPERATOR_TOKEN}")];
+    ServeConfig {
+        vm: "vm-demo".into(),
+        data_centre: DataCentreId::new(DATA_CENTRE),
+        caller_address: loopback(),
+        operator_address: loopback(),
+        platform_address,
+        peers: PeersConfig::new(loopback(), Vec::new()),
+        peer_key: Secret("only-for-the-demo".into()),
+        operators: operators
+            .iter()
+            .filter_map(|text| text.parse().ok())
+            .collect(),
+        log: LogConfig::default(),
+        serving: ServingConfig::default(),
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,6 +1,12 @@
 //! The command line: one module a subcommand.
 
+pub mod ask;
 pub mod check;
+#[cfg(feature = "standins")]
+pub mod demo;
+pub mod operator_client;
+pub mod report;
+pub mod report_page;
 pub mod serve;
 #[cfg(feature = "standins")]
 pub mod standin;
@@ -31,7 +37,11 @@
 #[argh(subcommand)]
 enum Command {
     Serve(serve::ServeArguments),
+    Ask(ask::AskArguments),
     Check(check::CheckArguments),
+    Report(report::ReportArguments),
+    #[cfg(feature = "standins")]
+    Demo(demo::DemoArguments),
     #[cfg(feature = "standins")]
     Standin(standin::StandinArguments),
     Version(VersionArguments),
@@ -46,7 +56,11 @@
 pub fn run(arguments: Arguments) -> ExitCode {
     let code = match arguments.command {
         Command::Serve(arguments) => serve::run(&arguments),
+        Command::Ask(arguments) => ask::run(&arguments),
         Command::Check(arguments) => check::run(&arguments),
+        Command::Report(arguments) => report::run(&arguments),
+        #[cfg(feature = "standins")]
+        Command::Demo(arguments) => demo::run(&arguments),
         #[cfg(feature = "standins")]
         Command::Standin(arguments) => standin::run(arguments),
         Command::Version(_) => {
--- /dev/null
+++ b/src/commands/report.rs
@@ -0,0 +1,93 @@
+//! `bridgevane report`: service-level burn, on the terminal or as one HTML page.
+
+use crate::commands::operator_client::{ClientError, OperatorClient};
+use crate::commands::{ask, block_on, exit, report_page};
+use crate::modules::operator_fan_out::Answer;
+use crate::modules::operator_rows::Row;
+use crate::modules::operators::Ask;
+use argh::FromArgs;
+use std::io::IsTerminal;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Report service levels: attainment by class over windows, error budget and burn rate,
+/// goodput and wasted work, over all VMs of the data centre. The token comes from
+/// BRIDGEVANE_OPERATOR_TOKEN.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "report")]
+pub struct ReportArguments {
+    /// the daemon's address for operators
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 8081))")]
+    at: SocketAddr,
+    /// the operator's token; better given by the variable
+    #[argh(option)]
+    token: Option<String>,
+    /// write one self-contained HTML page to this file
+    #[argh(option)]
+    html: Option<PathBuf>,
+    /// print JSON, also on a terminal
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Runs the command; gives the exit code.
+pub fn run(arguments: &ReportArguments) -> u8 {
+    match block_on(report(arguments)) {
+        Ok(Ok(code)) => code,
+        Ok(Err(error)) => {
+            eprintln!("{error}");
+            exit::UNREACHABLE
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            exit::USAGE
+        }
+    }
+}
+
+async fn report(arguments: &ReportArguments) -> Result<u8, ClientError> {
+    let client = OperatorClient::new(arguments.at, arguments.token.clone())?;
+    let ask = Ask {
+        statement: Some("show burn".into()),
+        document: None,
+        base_version: None,
+        operation_id: None,
+    };
+    let answer = client.ask(&ask).await?;
+    let parsed: Result<Answer, _> = serde_json::from_value(answer.body.clone());
+    let Ok(rows) = parsed else {
+        eprintln!("{}", answer.body);
+        return Ok(exit::USAGE);
+    };
+    if let Some(file) = &arguments.html {
+        if let Err(error) = std::fs::write(file, report_page::page(&rows)) {
+            eprintln!("{}: {error}", file.display());
+            return Ok(exit::USAGE);
+        }
+        println!("{}", file.display());
+        return Ok(exit::OK);
+    }
+    if arguments.json || !std::io::stdout().is_terminal() {
+        println!("{}", answer.body);
+    } else {
+        println!("{}", ask::table(&without_histograms(&rows.rows)));
+    }
+    if !rows.missing.is_empty() {
+        let names: Vec<&str> = rows.missing.iter().map(|vm| vm.as_str()).collect();
+        eprintln!("a part only: no answer from {}", names.join(", "));
+    }
+    Ok(exit::OK)
+}
+
+/// The rows without the fields that are only there to be added up.
+pub fn without_histograms(rows: &[Row]) -> Vec<Row> {
+    let kept = |row: &Row| Row {
+        fields: row
+            .fields
+            .iter()
+            .filter(|field| field.name != "first_tokens")
+            .cloned()
+            .collect(),
+    };
+    rows.iter().map(kept).collect()
+}
--- a/src/configs/serving.rs
+++ b/src/configs/serving.rs
@@ -15,8 +15,12 @@
     pub slow_reader_timeout_ms: DurationMs,
     /// The longest answer when the caller names none.
     pub default_max_tokens: u64,
-    /// How often load reports and cache events are read.
+    /// How often load reports are read. The home of a pool knows its own work exactly; reports
+    /// tell of others' work, which there is only while two daemons decide.
     pub poll_every_ms: DurationMs,
+    /// Cache events are read with every so many load reports: what was sent is known here, so
+    /// that they tell of little but evictions.
+    pub polls_per_cache_read: u64,
     /// How often pools act on the passing of time.
     pub tick_every_ms: DurationMs,
     /// A report of progress to the pool covers this many tokens at most...
@@ -39,7 +43,8 @@
             max_buffered_pieces: 1_024,
             slow_reader_timeout_ms: DurationMs(10_000),
             default_max_tokens: 1_024,
-            poll_every_ms: DurationMs(100),
+            poll_every_ms: DurationMs(2_000),
+            polls_per_cache_read: 5,
             tick_every_ms: DurationMs(20),
             progress_tokens: 16,
             progress_ms: DurationMs(500),
--- a/src/modules/burn.rs
+++ b/src/modules/burn.rs
@@ -4,6 +4,7 @@
 //! several daemons can be added up.
 
 use bridgevane_types::{ClassName, DurationMs, Share, TimeMs, Tokens};
+use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Mutex, PoisonError};
@@ -73,6 +74,8 @@
         is_resumed: bool,
         /// Its tokens.
         tokens: Tokens,
+        /// Time to its first token.
+        first_token_ms: DurationMs,
     },
     /// Refused.
     Refused,
@@ -80,12 +83,84 @@
     Cut,
 }
 
+/// First-token times, as a histogram that can be added to another one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(from = "Vec<(u64, u64)>", into = "Vec<(u64, u64)>")]
+pub struct FirstTokens {
+    histogram: Histogram<u64>,
+}
+
+/// The longest first token that is told apart: ten minutes.
+const MAX_FIRST_TOKEN_MS: u64 = 600_000;
+/// Significant digits of first-token times.
+const DIGITS: u8 = 2;
+
+impl Default for FirstTokens {
+    fn default() -> Self {
+        // The bounds are constants that the library accepts.
+        let histogram = Histogram::new_with_bounds(1, MAX_FIRST_TOKEN_MS, DIGITS);
+        Self {
+            histogram: histogram.expect("constant bounds are valid"),
+        }
+    }
+}
+
+impl From<Vec<(u64, u64)>> for FirstTokens {
+    fn from(pairs: Vec<(u64, u64)>) -> Self {
+        let mut first_tokens = Self::default();
+        for (value, count) in pairs {
+            first_tokens.histogram.saturating_record_n(value, count);
+        }
+        first_tokens
+    }
+}
+
+impl From<FirstTokens> for Vec<(u64, u64)> {
+    fn from(first_tokens: FirstTokens) -> Self {
+        let recorded = first_tokens.histogram.iter_recorded();
+        recorded
+            .map(|step| (step.value_iterated_to(), step.count_at_value()))
+            .collect()
+    }
+}
+
+impl FirstTokens {
+    /// Adds another time's or daemon's.
+    pub fn add(&mut self, other: &FirstTokens) {
+        // Both have the same bounds.
+        let _ = self.histogram.add(&other.histogram);
+    }
+
+    /// The time that this part of first tokens came within; none without any.
+    pub fn quantile_ms(&self, part: f64) -> Option<u64> {
+        (!self.histogram.is_empty()).then(|| self.histogram.value_at_quantile(part))
+    }
+}
+
 #[derive(Debug, Default)]
 struct ClassBurn {
     minutes: VecDeque<(u64, Counts)>,
+    first_tokens: VecDeque<(u64, FirstTokens)>,
 }
 
 impl ClassBurn {
+    /// First tokens are kept by spans of five minutes: a histogram a minute would be many.
+    fn add_first_token(&mut self, now: TimeMs, first_token_ms: u64) {
+        const SPAN_MINUTES: u64 = 5;
+        const SPANS: usize = MINUTES / SPAN_MINUTES as usize;
+        let span = now.0 / MINUTE_MS / SPAN_MINUTES * SPAN_MINUTES;
+        let is_current = self.first_tokens.back().is_some_and(|(at, _)| *at == span);
+        if !is_current {
+            self.first_tokens.push_back((span, FirstTokens::default()));
+            if self.first_tokens.len() > SPANS {
+                self.first_tokens.pop_front();
+            }
+        }
+        if let Some((_, current)) = self.first_tokens.back_mut() {
+            current.histogram.saturating_record(first_token_ms.max(1));
+        }
+    }
+
     fn current(&mut self, now: TimeMs) -> &mut Counts {
         let minute = now.0 / MINUTE_MS;
         let is_current = self.minutes.back().is_some_and(|(at, _)| *at == minute);
@@ -110,13 +185,18 @@
     /// Counts a request that ended.
     pub fn ended(&self, now: TimeMs, class: &ClassName, ended: Ended) {
         let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
-        let counts = classes.entry(class.clone()).or_default().current(now);
+        let burn = classes.entry(class.clone()).or_default();
+        if let Ended::Whole { first_token_ms, .. } = ended {
+            burn.add_first_token(now, first_token_ms.0);
+        }
+        let counts = burn.current(now);
         counts.offered += 1;
         match ended {
             Ended::Whole {
                 is_in_target,
                 is_resumed,
                 tokens,
+                ..
             } => {
                 counts.resumed += u64::from(is_resumed);
                 if is_in_target {
@@ -138,6 +218,30 @@
         counts.wasted_tokens += tokens.0;
     }
 
+    /// First-token times of the last `window_ms`, by class.
+    pub fn first_tokens(
+        &self,
+        now: TimeMs,
+        window_ms: DurationMs,
+    ) -> BTreeMap<ClassName, FirstTokens> {
+        let oldest = now.0.saturating_sub(window_ms.0) / MINUTE_MS;
+        let classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
+        let sum = |burn: &ClassBurn| {
+            let mut sum = FirstTokens::default();
+            // A span that began before the window still counts in full.
+            let recent = burn
+                .first_tokens
+                .iter()
+                .filter(|(span, _)| *span + 5 > oldest);
+            recent.for_each(|(_, first_tokens)| sum.add(first_tokens));
+            sum
+        };
+        classes
+            .iter()
+            .map(|(class, burn)| (class.clone(), sum(burn)))
+            .collect()
+    }
+
     /// The counts of the last `window_ms`, by class.
     pub fn window(&self, now: TimeMs, window_ms: DurationMs) -> BTreeMap<ClassName, Counts> {
         let oldest = now.0.saturating_sub(window_ms.0) / MINUTE_MS;
--- a/src/modules/engine_poll.rs
+++ b/src/modules/engine_poll.rs
@@ -22,6 +22,7 @@
 pub async fn run(context: Arc<Context>, service: ServiceName, messages: mpsc::Sender<PoolMessage>) {
     let mut version = ConfigVersion(0);
     let mut polled: Vec<Polled> = Vec::new();
+    let mut polls = 0;
     while !messages.is_closed() {
         if let Some(in_force) = context.in_force.load()
             && in_force.version > version
@@ -34,7 +35,14 @@
             tokio::time::sleep(context.config.serving.poll_every_ms.as_std()).await;
             continue;
         }
-        join_all(polled.iter_mut().map(|engine| poll(engine, &messages))).await;
+        let reads_cache = polls % context.config.serving.polls_per_cache_read == 0;
+        polls += 1;
+        join_all(
+            polled
+                .iter_mut()
+                .map(|engine| poll(engine, &messages, reads_cache)),
+        )
+        .await;
         tokio::time::sleep(context.config.serving.poll_every_ms.as_std()).await;
     }
 }
@@ -70,7 +78,7 @@
     polled
 }
 
-async fn poll(polled: &mut Polled, messages: &mpsc::Sender<PoolMessage>) {
+async fn poll(polled: &mut Polled, messages: &mpsc::Sender<PoolMessage>, reads_cache: bool) {
     match polled.link.model.load().await {
         Ok(report) => {
             polled.is_reachable = true;
@@ -93,6 +101,9 @@
             return;
         }
     }
+    if !reads_cache {
+        return;
+    }
     let Ok(events) = polled.link.model.cache_events(polled.cache_sequence).await else {
         return;
     };
--- a/src/modules/model_request.rs
+++ b/src/modules/model_request.rs
@@ -82,6 +82,7 @@
     number: AttemptNumber,
     engine: Arc<EngineLink>,
     priority: Tier,
+    cached_tokens: Tokens,
 }
 
 /// What an attempt has reported to its pool.
@@ -138,6 +139,10 @@
     delivered_text: String,
     delivered: u64,
     attempts: u64,
+    /// Some engine has begun to work on it.
+    has_run: bool,
+    /// What took it from its last engine.
+    interrupted_by: &'static str,
 }
 
 /// Runs `request` in a task of its own; its answer comes out of the receiver.
@@ -160,6 +165,8 @@
             delivered_text: String::new(),
             delivered: 0,
             attempts: 0,
+            has_run: false,
+            interrupted_by: "none",
         };
         if is_taken {
             runner.run().await;
@@ -193,11 +200,13 @@
                     attempt,
                     engine,
                     priority,
+                    cached_tokens,
                 }) => {
                     let attempt = Attempt {
                         number: attempt,
                         engine,
                         priority,
+                        cached_tokens,
                     };
                     if self.run_attempt(attempt).await {
                         return;
@@ -240,6 +249,9 @@
     /// Runs an attempt; true when the request is over.
     async fn run_attempt(&mut self, attempt: Attempt) -> bool {
         self.attempts += 1;
+        if self.attempts > 1 && self.has_run {
+            self.count_recomputed(&attempt);
+        }
         let number = attempt.number;
         let result = self.stream_attempt(&attempt).await;
         match result {
@@ -251,14 +263,11 @@
             }
             AttemptResult::Cancelled(cause) => {
                 self.cancel_at_engine(&attempt);
-                self.count_waste(cause);
+                self.interrupted_by = cause_label(cause);
                 false
             }
             AttemptResult::Failed(end) => {
-                if matches!(end, AttemptEnd::Lost { .. }) {
-                    // What the engine had made is recomputed as a prefix elsewhere.
-                    self.waste("lost", self.request.offer.prompt_tokens.0 + self.delivered);
-                }
+                self.interrupted_by = "lost";
                 self.finish_attempt(number, end).await;
                 false
             }
@@ -302,7 +311,10 @@
         let mut pieces = loop {
             tokio::select! {
                 started = &mut starting => match started {
-                    Ok(pieces) => break pieces,
+                    Ok(pieces) => {
+                        self.has_run = true;
+                        break pieces;
+                    }
                     Err(error) => return AttemptResult::Failed(self.failed_start(error)),
                 },
                 order = self.orders.recv() => if let Some(result) = self.obey(attempt, order) {
@@ -331,7 +343,8 @@
     fn failed_start(&self, error: EngineCallError) -> AttemptEnd {
         match error {
             EngineCallError::NotReached => AttemptEnd::NotReached,
-            EngineCallError::Refused | EngineCallError::Unsupported => AttemptEnd::Refused,
+            EngineCallError::Unavailable => AttemptEnd::Unavailable,
+            EngineCallError::Rejected | EngineCallError::Unsupported => AttemptEnd::Rejected,
             EngineCallError::Cut | EngineCallError::Malformed => AttemptEnd::Lost {
                 delivered: Tokens(self.delivered),
             },
@@ -464,6 +477,7 @@
             is_in_target,
             is_resumed: self.attempts > 1,
             tokens,
+            first_token_ms: DurationMs(first_token_ms),
         };
         self.context.burn.ended(now, self.class(), ended);
         self.send(CallerEvent::End(reason, tokens)).await;
@@ -490,13 +504,11 @@
         self.send(CallerEvent::Refused(refusal)).await;
     }
 
-    fn count_waste(&self, cause: CancelCause) {
-        let label = match cause {
-            CancelCause::Preempted => "preempted",
-            CancelCause::Moved => "moved",
-            CancelCause::CallerGone => "caller_gone",
-        };
-        self.waste(label, self.request.offer.prompt_tokens.0 + self.delivered);
+    /// A resumption computes prompt and delivered tokens again, less what is cached.
+    fn count_recomputed(&self, attempt: &Attempt) {
+        let computed = self.request.offer.prompt_tokens.0 + self.delivered;
+        let again = computed.saturating_sub(attempt.cached_tokens.0);
+        self.waste(self.interrupted_by, again);
     }
 
     fn waste(&self, cause: &'static str, tokens: u64) {
@@ -516,3 +528,11 @@
         });
     }
 }
+
+fn cause_label(cause: CancelCause) -> &'static str {
+    match cause {
+        CancelCause::Preempted => "preempted",
+        CancelCause::Moved => "moved",
+        CancelCause::CallerGone => "caller_gone",
+    }
+}
--- a/src/modules/operator_rows.rs
+++ b/src/modules/operator_rows.rs
@@ -1,11 +1,14 @@
 //! Rows of the operators' tables, as this daemon knows them.
 
 use crate::context::Context;
+use crate::modules::burn::{Counts, FirstTokens};
 use crate::modules::query_language::{Comparison, Condition, Operand, Table};
-use bridgevane_types::DurationMs;
+use bridgevane_config::{ClassConfig, CustomerConfig};
+use bridgevane_types::{ClassName, CustomerId, DurationMs};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::cmp::Ordering;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// One field of a row.
@@ -86,6 +89,7 @@
         Table::Engines => engines(context).await,
         Table::Vms => vms(context).await,
         Table::Classes => classes(context).await,
+        Table::Burn => burn(context),
         Table::Customers => customers(context).await,
         Table::Config => config(context).await,
         Table::History => Vec::new(),
@@ -202,7 +206,7 @@
         return Vec::new();
     };
     let counts = context.burn.window(context.now(), CLASS_WINDOW);
-    let mut queued = std::collections::BTreeMap::new();
+    let mut queued = BTreeMap::new();
     for (_, pool) in context.pools.all() {
         let Some(view) = pool.view().await else {
             continue;
@@ -211,10 +215,7 @@
             *queued.entry(class.class).or_insert(0) += class.queued;
         }
     }
-    let class_row = |(name, class): (
-        &bridgevane_types::ClassName,
-        &bridgevane_config::ClassConfig,
-    )| {
+    let class_row = |(name, class): (&ClassName, &ClassConfig)| {
         let counts = counts.get(name).copied().unwrap_or_default();
         row(context)
             .with("class", name.as_str())
@@ -235,11 +236,112 @@
     in_force.document.class.iter().map(class_row).collect()
 }
 
+/// The windows of `show burn`: a fast, a usual and a slow one.
+pub const BURN_WINDOWS: [DurationMs; 3] = [
+    DurationMs(300_000),
+    DurationMs(3_600_000),
+    DurationMs(21_600_000),
+];
+
+fn burn(context: &Arc<Context>) -> Vec<Row> {
+    let Some(in_force) = context.in_force.load() else {
+        return Vec::new();
+    };
+    let mut rows = Vec::new();
+    for window_ms in BURN_WINDOWS {
+        let counts = context.burn.window(context.now(), window_ms);
+        let first_tokens = context.burn.first_tokens(context.now(), window_ms);
+        for (name, class) in &in_force.document.class {
+            let counts = counts.get(name).copied().unwrap_or_default();
+            let first_tokens = first_tokens.get(name).cloned().unwrap_or_default();
+            rows.push(burn_row(name, class, window_ms, counts, &first_tokens));
+        }
+    }
+    rows
+}
+
+fn burn_row(
+    name: &ClassName,
+    class: &ClassConfig,
+    window_ms: DurationMs,
+    counts: Counts,
+    first_tokens: &FirstTokens,
+) -> Row {
+    let quantile = |part| first_tokens.quantile_ms(part);
+    Row::default()
+        .with("class", name.as_str())
+        .with("window_ms", window_ms.0)
+        .with("tier", class.tier.0)
+        .with("objective", class.objective.0)
+        .with("attainment", counts.attainment().0)
+        .with("burn", counts.burn_rate(class.objective))
+        .with("budget_left", 1.0 - counts.burn_rate(class.objective))
+        .with("p50_first_token_ms", quantile(0.5))
+        .with("p95_first_token_ms", quantile(0.95))
+        .with("p99_first_token_ms", quantile(0.99))
+        .with("offered", counts.offered)
+        .with("in_target", counts.in_target)
+        .with("late", counts.late)
+        .with("refused", counts.refused)
+        .with("cut", counts.cut)
+        .with("resumed", counts.resumed)
+        .with("good_tokens", counts.good_tokens)
+        .with("wasted_tokens", counts.wasted_tokens)
+        .with(
+            "first_tokens",
+            serde_json::to_value(first_tokens).unwrap_or_default(),
+        )
+}
+
+/// Adds up the rows of several daemons where a table is about the whole data centre.
+pub fn merge(context: &Context, table: Table, rows: Vec<Row>) -> Vec<Row> {
+    if table != Table::Burn {
+        return rows;
+    }
+    let Some(in_force) = context.in_force.load() else {
+        return rows;
+    };
+    let mut merged: BTreeMap<(u64, ClassName), (Counts, FirstTokens)> = BTreeMap::new();
+    for row in &rows {
+        let Some(class) = row.get("class").and_then(Value::as_str) else {
+            continue;
+        };
+        let number = |name| row.get(name).and_then(Value::as_u64).unwrap_or(0);
+        let key = (number("window_ms"), ClassName::new(class));
+        let (counts, first_tokens) = merged.entry(key).or_default();
+        counts.add(&Counts {
+            offered: number("offered"),
+            in_target: number("in_target"),
+            late: number("late"),
+            refused: number("refused"),
+            cut: number("cut"),
+            resumed: number("resumed"),
+            good_tokens: number("good_tokens"),
+            wasted_tokens: number("wasted_tokens"),
+        });
+        if let Some(value) = row.get("first_tokens") {
+            first_tokens.add(&serde_json::from_value(value.clone()).unwrap_or_default());
+        }
+    }
+    let merged_row =
+        |((window_ms, name), (counts, first_tokens)): ((u64, ClassName), (Counts, FirstTokens))| {
+            let class = in_force.document.class.get(&name)?;
+            Some(burn_row(
+                &name,
+                class,
+                DurationMs(window_ms),
+                counts,
+                &first_tokens,
+            ))
+        };
+    merged.into_iter().filter_map(merged_row).collect()
+}
+
 async fn customers(context: &Arc<Context>) -> Vec<Row> {
     let Some(in_force) = context.in_force.load() else {
         return Vec::new();
     };
-    let mut in_flight = std::collections::BTreeMap::new();
+    let mut in_flight = BTreeMap::new();
     for (_, pool) in context.pools.all() {
         let Some(view) = pool.view().await else {
             continue;
@@ -252,10 +354,7 @@
             *in_flight.entry(customer).or_insert(0u64) += 1;
         }
     }
-    let customer_row = |(name, customer): (
-        &bridgevane_types::CustomerId,
-        &bridgevane_config::CustomerConfig,
-    )| {
+    let customer_row = |(name, customer): (&CustomerId, &CustomerConfig)| {
         row(context)
             .with("customer", name.as_str())
             .with("default_kind", customer.default_kind.as_str())
--- a/src/modules/operators.rs
+++ b/src/modules/operators.rs
@@ -3,7 +3,7 @@
 use crate::context::Context;
 use crate::modules::config_change::{self, Change, ChangeError, Decided, Proposal};
 use crate::modules::operator_fan_out::{self, Answer};
-use crate::modules::operator_rows::Row;
+use crate::modules::operator_rows::{self, Row};
 use crate::modules::query_language::{self, Statement, Table};
 use crate::{event, events::Event};
 use axum::extract::{DefaultBodyLimit, State};
@@ -130,7 +130,13 @@
             );
             drained(&vm, answer)
         }
-        Ok(_) => Json(operator_fan_out::ask_all(&context, text).await).into_response(),
+        Ok(statement) => {
+            let mut answer = operator_fan_out::ask_all(&context, text).await;
+            if let Statement::Show { table, .. } = statement {
+                answer.rows = operator_rows::merge(&context, table, answer.rows);
+            }
+            Json(answer).into_response()
+        }
     }
 }
 
--- a/src/modules/plain_request.rs
+++ b/src/modules/plain_request.rs
@@ -160,6 +160,7 @@
                 is_in_target,
                 is_resumed: false,
                 tokens: Tokens(1),
+                first_token_ms: DurationMs(took_ms),
             };
             (ended, if is_in_target { "in_target" } else { "late" })
         }
--- a/src/modules/pool_actor.rs
+++ b/src/modules/pool_actor.rs
@@ -2,21 +2,23 @@
 
 use crate::context::Context;
 use crate::modules::config_in_force::InForce;
+use crate::modules::engine_link::EngineLink;
 use crate::modules::engine_poll;
 use crate::modules::pool_link::{NamedOffer, OrderSender, PoolOrder, PoolReport};
 use bridgevane_adapters::{CacheChange, CacheEvent};
 use bridgevane_decisions::configs::Settings;
 use bridgevane_decisions::{
-    AttemptEnd, ClassView, Context as DecisionContext, DecisionRecord, Effect, EngineIx,
-    EngineView, Offer, Policy, Pool, PoolPolicy, Recorder, RequestView,
+    AttemptEnd, BrokenPromise, ClassView, Context as DecisionContext, DecisionRecord, Effect,
+    EngineIx, EngineView, Offer, Policy, Pool, PoolPolicy, Recorder, RequestView, check_promises,
 };
 use bridgevane_types::{
     AttemptNumber, DurationMs, EngineId, Outcome, RefusalCode, RequestId, ServiceName, Tier, Tokens,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::MissedTickBehavior;
+use tokio::time::Instant;
 
 /// Messages that wait for a pool at most; beyond them a caller is refused.
 const MAX_MESSAGES: usize = 16_384;
@@ -57,6 +59,8 @@
     OriginLost(RequestId, u64),
     /// An operator looks.
     View(oneshot::Sender<PoolView>),
+    /// Which promises the remembered decisions break.
+    Check(oneshot::Sender<Vec<BrokenPromise>>),
     /// An operator asks about a request.
     Explain(RequestId, oneshot::Sender<Vec<DecisionRecord>>),
 }
@@ -116,6 +120,20 @@
         receiver.await.ok()
     }
 
+    /// The promises that the remembered decisions break.
+    pub async fn check(&self) -> Vec<BrokenPromise> {
+        let (sender, receiver) = oneshot::channel();
+        if self
+            .messages
+            .send(PoolMessage::Check(sender))
+            .await
+            .is_err()
+        {
+            return Vec::new();
+        }
+        receiver.await.unwrap_or_default()
+    }
+
     /// The decisions about a request.
     pub async fn explain(&self, request: RequestId) -> Vec<DecisionRecord> {
         let (sender, receiver) = oneshot::channel();
@@ -167,20 +185,31 @@
 
 impl PoolActor {
     async fn run(mut self, mut messages: mpsc::Receiver<PoolMessage>) {
-        let tick_every = self.context.config.serving.tick_every_ms.as_std();
-        let mut ticks = tokio::time::interval(tick_every);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticked_at = Instant::now();
         loop {
             tokio::select! {
                 message = messages.recv() => match message {
                     Some(message) => self.handle(message),
                     None => return,
                 },
-                _ = ticks.tick() => self.decide(|pool, context| pool.tick(context)),
+                () = tokio::time::sleep_until(ticked_at + self.tick_every()) => {
+                    ticked_at = Instant::now();
+                    self.decide(|pool, context| pool.tick(context));
+                }
             }
         }
     }
 
+    /// A pool without requests has little to notice: each daemon has a pool for each service,
+    /// and is the home of few.
+    fn tick_every(&self) -> Duration {
+        const IDLE: Duration = Duration::from_secs(1);
+        if self.pool.in_flight() == 0 {
+            return IDLE;
+        }
+        self.context.config.serving.tick_every_ms.as_std()
+    }
+
     /// Runs a decision and carries out its effects.
     fn decide(&mut self, decide: impl FnOnce(&mut Pool, &mut DecisionContext<'_, Recorder>)) {
         let mut context = DecisionContext {
@@ -245,6 +274,9 @@
             PoolMessage::View(reply) => {
                 let _ = reply.send(self.view());
             }
+            PoolMessage::Check(reply) => {
+                let _ = reply.send(check_promises(self.log.records()));
+            }
             PoolMessage::Explain(request, reply) => {
                 let _ = reply.send(self.log.about(request));
             }
@@ -358,9 +390,12 @@
                 attempt,
                 engine,
                 priority,
+                cached_tokens,
                 ..
             } => {
-                self.dispatch(request, attempt, engine, priority);
+                let name = self.pool.engine_name(engine);
+                let link = self.context.pools.link(&self.service, &name);
+                self.dispatch(request, attempt, link, priority, cached_tokens);
             }
             Effect::Cancel {
                 request,
@@ -389,16 +424,17 @@
         &mut self,
         request: RequestId,
         attempt: AttemptNumber,
-        engine: EngineIx,
+        link: Option<Arc<EngineLink>>,
         priority: Tier,
+        cached_tokens: Tokens,
     ) {
-        let name = self.pool.engine_name(engine);
-        match self.context.pools.link(&self.service, &name) {
+        match link {
             Some(engine) => {
                 let order = PoolOrder::Dispatch {
                     attempt,
                     engine,
                     priority,
+                    cached_tokens,
                 };
                 self.order(request, order);
             }
--- a/src/modules/pool_homes.rs
+++ b/src/modules/pool_homes.rs
@@ -329,6 +329,7 @@
                 attempt,
                 engine,
                 priority: Tier(dispatch.priority as u8),
+                cached_tokens: Tokens(dispatch.cached_tokens),
             };
             (remote.orders.send(order).is_ok(), false)
         }
@@ -355,7 +356,7 @@
 }
 
 fn code_of(text: &str) -> RefusalCode {
-    const CODES: [RefusalCode; 7] = [
+    const CODES: [RefusalCode; 8] = [
         RefusalCode::CannotMeetTarget,
         RefusalCode::QueueFull,
         RefusalCode::CustomerLimit,
@@ -363,6 +364,7 @@
         RefusalCode::RetriesExhausted,
         RefusalCode::OutcomeUnknown,
         RefusalCode::Leaving,
+        RefusalCode::Rejected,
     ];
     let found = CODES.into_iter().find(|code| code.to_string() == text);
     found.unwrap_or(RefusalCode::OutcomeUnknown)
@@ -383,11 +385,13 @@
             attempt,
             engine,
             priority,
+            cached_tokens,
         } => pool_order::Order::Dispatch(PoolDispatch {
             attempt: attempt.0,
             engine: engine.name.to_string(),
             priority: u32::from(priority.0),
             resume_from: 0,
+            cached_tokens: cached_tokens.0,
         }),
         PoolOrder::Cancel { attempt, cause } => pool_order::Order::Cancel(PoolCancel {
             attempt: attempt.0,
@@ -453,7 +457,8 @@
             let report = match end {
                 AttemptEnd::Done(tokens) => Report::Done(tokens.0),
                 AttemptEnd::NotReached => Report::NotReached(true),
-                AttemptEnd::Refused => Report::Refused(true),
+                AttemptEnd::Unavailable => Report::Unavailable(true),
+                AttemptEnd::Rejected => Report::Rejected(true),
                 AttemptEnd::Lost { delivered } => Report::Lost(delivered.0),
                 AttemptEnd::CallerGone => Report::CallerGone(true),
             };
@@ -480,7 +485,8 @@
         }
         Report::Done(tokens) => finished(AttemptEnd::Done(Tokens(*tokens))),
         Report::NotReached(_) => finished(AttemptEnd::NotReached),
-        Report::Refused(_) => finished(AttemptEnd::Refused),
+        Report::Unavailable(_) => finished(AttemptEnd::Unavailable),
+        Report::Rejected(_) => finished(AttemptEnd::Rejected),
         Report::Lost(delivered) => finished(AttemptEnd::Lost {
             delivered: Tokens(*delivered),
         }),
--- a/src/modules/pool_link.rs
+++ b/src/modules/pool_link.rs
@@ -49,6 +49,8 @@
         engine: Arc<EngineLink>,
         /// Priority inside the engine.
         priority: Tier,
+        /// Prompt tokens that are believed to be cached there.
+        cached_tokens: Tokens,
     },
     /// Cancel the attempt and wait for the next order.
     Cancel {
--- a/src/modules/query_language.rs
+++ b/src/modules/query_language.rs
@@ -25,6 +25,9 @@
     /// Service classes.
     #[display("classes")]
     Classes,
+    /// Service levels by class and window.
+    #[display("burn")]
+    Burn,
     /// Customers.
     #[display("customers")]
     Customers,
@@ -38,11 +41,12 @@
 
 impl Table {
     /// All tables.
-    pub const ALL: [Table; 7] = [
+    pub const ALL: [Table; 8] = [
         Table::Requests,
         Table::Engines,
         Table::Vms,
         Table::Classes,
+        Table::Burn,
         Table::Customers,
         Table::Config,
         Table::History,
--- a/src/modules/refusal.rs
+++ b/src/modules/refusal.rs
@@ -108,6 +108,7 @@
     ) -> Self {
         let status = match code {
             RefusalCode::CustomerLimit => StatusCode::TOO_MANY_REQUESTS,
+            RefusalCode::Rejected => StatusCode::BAD_REQUEST,
             RefusalCode::RetriesExhausted | RefusalCode::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             RefusalCode::CannotMeetTarget
             | RefusalCode::QueueFull
