fix(decisions): a low tier's prompt can't starve inside an engine; no false ejections

The log of one such request: sent, preempted after 2.3 s, then 71 s behind streams that came back before it, one slot a class at a time; another stood in an engine whose priority order put every higher prompt before its own.

Change: protected work gets the engine's highest priority; an overdue first token counts only while the engine gives nothing else; a request that its engine starves past its class's longest wait is taken back and ages; time without a token counts as waiting; what came back without a token is given up in time also behind streams; the slots for aged requests are shared out by class instead of one each. Customers are found by a map: the update of a policy with 1,100 customers was quadratic, 19 times over.

Ruled out: the waiting bound itself (the admission estimate was right in these logs).

Conclusion: the wait of every class is bounded as docs/design/02 says.

--- /dev/null
+++ b/benches/fleet.rs
@@ -0,0 +1,223 @@
+//! What daemons spend for control, with real processes on loopback.
+//!
+//! `cargo bench --bench fleet` runs 4, 8, 16, 32 and 64 daemons of one data centre before one
+//! platform stand-in, under a configuration of the design size, and prints for each count
+//! the processor time, memory and bytes a second of one daemon without requests, the calls
+//! of the platform, and how long changes take to be in force everywhere.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use bridgevane_types::EngineId;
+use serde_json::json;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use support::*;
+
+const COUNTS: [usize; 5] = [4, 8, 16, 32, 64];
+/// The design size, by data centre.
+const CUSTOMERS: usize = 1_100;
+const TIERS: usize = 8;
+const SERVICES: usize = 19;
+const ENGINES: usize = 121;
+/// Stand-in engines that share the addresses of all.
+const ENGINE_PROCESSES: usize = 4;
+const SETTLE: Duration = Duration::from_secs(6);
+const MEASURE: Duration = Duration::from_secs(15);
+const CHANGES: usize = 12;
+
+fn configuration(engines: &[SocketAddr]) -> String {
+    let digest = bridgevane::modules::config_in_force::key_digest(CUSTOMER_KEY);
+    let mut text = String::new();
+    for tier in 0..TIERS {
+        let target = 810 * (tier + 1);
+        writeln!(
+            text,
+            "[class.c{tier}]\ntier = {tier}\nfirst_token_target_ms = {target}"
+        )
+        .expect("text");
+        writeln!(text, "[kind.k{tier}]\nclass = \"c{tier}\"").expect("text");
+    }
+    for at in 0..CUSTOMERS {
+        let digest = if at == 0 {
+            digest.clone()
+        } else {
+            format!("{at:032x}")
+        };
+        writeln!(text, "[customer.customer-{at}]\nkey_digest = [\"{digest}\"]\ndefault_kind = \"k{}\"\nconcurrency_limit = 50\nrate_limit_tps = 4000", at % TIERS).expect("text");
+    }
+    for service in 0..SERVICES {
+        writeln!(
+            text,
+            "[service.s{service}]\nkind = \"model\"\nmodels = [\"model-{service}\"]"
+        )
+        .expect("text");
+        for engine in (service..ENGINES).step_by(SERVICES) {
+            let name = EngineId::from(format!("engine-{engine}").as_str());
+            let address = engines[engine % engines.len()];
+            writeln!(text, "[service.s{service}.engine.{name}]\naddress = \"{address}\"\ndata_centre = \"{DATA_CENTRE}\"\nslots = 64").expect("text");
+        }
+    }
+    text
+}
+
+/// Processor milliseconds and resident kilobytes of a process.
+fn usage(id: u32) -> (u64, u64) {
+    const MS_PER_TICK: u64 = 10;
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let after_name = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = |at: usize| {
+        fields
+            .get(at)
+            .and_then(|f| f.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let resident = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.split_whitespace().next()?.parse().ok());
+    ((ticks(11) + ticks(12)) * MS_PER_TICK, resident.unwrap_or(0))
+}
+
+/// Bytes that loopback has carried, headers included.
+fn loopback_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
+    let line = text
+        .lines()
+        .find_map(|line| line.trim().strip_prefix("lo:").map(str::to_owned));
+    let first = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    first.unwrap_or(0)
+}
+
+/// One figure of a daemon's metrics page, summed over labels that hold `label`.
+async fn metric(daemon: &Process, name: &str, label: &str) -> f64 {
+    let page = send(daemon.address, http::Method::GET, "/metrics", &[], "")
+        .await
+        .text;
+    page.lines()
+        .filter(|line| line.starts_with(name) && line.contains(label))
+        .filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok())
+        .sum()
+}
+
+async fn sum_metric(daemons: &[Process], name: &str, label: &str) -> f64 {
+    let mut sum = 0.0;
+    for daemon in daemons {
+        sum += metric(daemon, name, label).await;
+    }
+    sum
+}
+
+async fn wait_for_members(daemons: &[Process]) {
+    for daemon in daemons {
+        let address = daemon.address;
+        let count = daemons.len();
+        let operators = daemon.operators;
+        eventually("all are ready", || async move {
+            send(address, http::Method::GET, "/readyz", &[], "")
+                .await
+                .status
+                == 200
+        })
+        .await;
+        eventually("all are known", || async move {
+            let rows = ask(operators, "show vms").await.json()["rows"].clone();
+            rows.as_array().map(Vec::len) == Some(count)
+        })
+        .await;
+    }
+}
+
+/// Time from the command until the slowest daemon has the change.
+async fn change_time(daemons: &[Process], at: usize) -> Duration {
+    let statement = format!("set customer customer-{at} rate_limit_tps = {}", 5_000 + at);
+    let body = json!({ "statement": statement, "operation_id": format!("change-{at}") });
+    let asked = &daemons[at % daemons.len()];
+    let begun = Instant::now();
+    let answer = ask_json(asked.operators, body).await.json();
+    let version = answer["version"].as_u64().expect("the change takes effect");
+    loop {
+        let rows = ask(asked.operators, "show vms").await.json()["rows"].clone();
+        let rows = rows.as_array().cloned().unwrap_or_default();
+        let is_there =
+            |row: &serde_json::Value| field(row, "config_version").as_u64() >= Some(version);
+        if rows.len() == daemons.len() && rows.iter().all(is_there) {
+            return begun.elapsed();
+        }
+        // Asking costs the daemons time, too.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn measure(count: usize) -> String {
+    let engines: Vec<Process> = (0..ENGINE_PROCESSES)
+        .map(|_| standin(&["engine"]))
+        .collect();
+    let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+    let text = configuration(&addresses);
+    let file = configuration_file("fleet_bench", &text);
+    let platform = standin(&["platform", "--config", file.to_str().expect("a text path")]);
+    let mut daemons: Vec<Process> = Vec::new();
+    for at in 0..count {
+        let seeds: Vec<SocketAddr> = daemons.iter().take(3).map(|daemon| daemon.peers).collect();
+        daemons.push(daemon(
+            &format!("vm-{at}"),
+            DATA_CENTRE,
+            platform.address,
+            &seeds,
+        ));
+    }
+    wait_for_members(&daemons).await;
+    tokio::time::sleep(SETTLE).await;
+    let cpu = |daemons: &[Process]| daemons.iter().map(|d| usage(d.id()).0).sum::<u64>();
+    let control_before = sum_metric(&daemons, "bridgevane_peer_bytes", "purpose=\"control\"").await;
+    let calls_before = sum_metric(&daemons, "bridgevane_platform_calls", "").await;
+    let (cpu_before, bytes_before) = (cpu(&daemons), loopback_bytes());
+    tokio::time::sleep(MEASURE).await;
+    let (cpu_after, bytes_after) = (cpu(&daemons), loopback_bytes());
+    let control_after = sum_metric(&daemons, "bridgevane_peer_bytes", "purpose=\"control\"").await;
+    let calls_after = sum_metric(&daemons, "bridgevane_platform_calls", "").await;
+    let resident: u64 = daemons.iter().map(|d| usage(d.id()).1).sum();
+    let mut changes = Vec::new();
+    let cpu_idle = cpu(&daemons);
+    for at in 0..CHANGES {
+        changes.push(change_time(&daemons, at).await.as_millis());
+    }
+    let cpu_changes = cpu(&daemons) - cpu_idle;
+    changes.sort_unstable();
+    let per = |value: f64| value / count as f64 / MEASURE.as_secs_f64();
+    // A frame is counted where it is sent and where it is received.
+    format!(
+        "| {count} | {:.2} | {:.1} | {:.0} | {:.0} | {:.2} | {} / {} | {:.1} |",
+        per((cpu_after - cpu_before) as f64) / 10.0,
+        resident as f64 / count as f64 / 1024.0,
+        per(control_after - control_before) / 2.0,
+        per((bytes_after - bytes_before) as f64),
+        (calls_after - calls_before) / MEASURE.as_secs_f64(),
+        changes[changes.len() / 2],
+        changes[changes.len() - 1],
+        cpu_changes as f64 / count as f64 / CHANGES as f64,
+    )
+}
+
+fn main() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let counts: Vec<usize> = std::env::args()
+        .filter_map(|argument| argument.parse().ok())
+        .collect();
+    let counts = if counts.is_empty() {
+        COUNTS.to_vec()
+    } else {
+        counts
+    };
+    println!(
+        "| daemons | cpu % of a core | resident MB | peer frames B/s sent | loopback B/s | platform calls/s, all | change in force ms, median / max | cpu ms a change |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    for count in counts {
+        println!("{}", runtime.block_on(measure(count)));
+    }
+}
--- /dev/null
+++ b/benches/latency.rs
@@ -0,0 +1,177 @@
+//! What the daemon adds to a call: directly to the engine stand-in, through the barest
+//! pass-through by the same HTTP library, and through the daemon, side by side.
+//!
+//! `cargo bench --bench latency` prints the table of docs/BENCHMARKS.md.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use axum::Router;
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::response::Response;
+use axum::routing::post;
+use bridgevane_adapters::HttpClient;
+use http_body_util::{BodyExt, Full};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use support::*;
+
+const CALLS: usize = 2_000;
+const WARM_UP: usize = 200;
+const PARALLEL: usize = 32;
+const PROMPT: &str = "A short question. [tokens=1]";
+
+/// Passes a body on to the engine, and the answer back, untouched.
+async fn pass(State(client): State<HttpClient>, request: Request) -> Response {
+    let body = request
+        .into_body()
+        .collect()
+        .await
+        .expect("a body")
+        .to_bytes();
+    let request = client
+        .request(http::Method::POST, "/engine/generate")
+        .header("content-type", "application/json")
+        .body(Full::new(body))
+        .expect("a request");
+    let response = client.send(request).await.expect("an answer");
+    response.map(Body::new)
+}
+
+async fn pass_through(engine: SocketAddr) -> SocketAddr {
+    let router = Router::new()
+        .route("/engine/generate", post(pass))
+        .with_state(HttpClient::new(engine));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    address
+}
+
+fn engine_body(at: usize) -> Value {
+    json!({
+        "request": format!("req-{at:032x}"),
+        "attempt": 0,
+        "priority": 0,
+        "model": "tutor",
+        "prompt": PROMPT,
+        "max_tokens": 8,
+        "resume_from": 0,
+        "delivered_text": "",
+    })
+}
+
+fn caller_body(_at: usize) -> Value {
+    json!({ "model": "tutor", "stream": true, "max_tokens": 8, "prompt": PROMPT })
+}
+
+struct Way {
+    name: &'static str,
+    address: SocketAddr,
+    path: &'static str,
+    body: fn(usize) -> Value,
+}
+
+async fn call(client: &HttpClient, way: &Way, at: usize) -> Duration {
+    let begun = Instant::now();
+    let request = client
+        .request(http::Method::POST, way.path)
+        .header("content-type", "application/json")
+        .header("authorization", format!("Bearer {CUSTOMER_KEY}"))
+        .body(Full::new((way.body)(at).to_string().into()))
+        .expect("a request");
+    let response = client.send(request).await.expect("an answer");
+    assert!(
+        response.status().is_success(),
+        "{}: {}",
+        way.name,
+        response.status()
+    );
+    response
+        .into_body()
+        .collect()
+        .await
+        .expect("a whole answer");
+    begun.elapsed()
+}
+
+/// One call after the other: latency.
+async fn serial(way: &Way) -> (f64, f64) {
+    let client = HttpClient::new(way.address);
+    for at in 0..WARM_UP {
+        call(&client, way, at).await;
+    }
+    let mut times = Vec::new();
+    for at in 0..CALLS {
+        times.push(call(&client, way, at).await.as_secs_f64() * 1e6);
+    }
+    times.sort_by(f64::total_cmp);
+    (times[CALLS / 2], times[CALLS * 99 / 100])
+}
+
+/// Many calls at once: throughput.
+async fn parallel(way: &'static Way) -> f64 {
+    let begun = Instant::now();
+    let callers: Vec<_> = (0..PARALLEL)
+        .map(|caller| {
+            tokio::spawn(async move {
+                let client = HttpClient::new(way.address);
+                for at in 0..CALLS / PARALLEL {
+                    call(&client, way, caller * CALLS + at).await;
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.await.expect("the calls end");
+    }
+    CALLS as f64 / begun.elapsed().as_secs_f64()
+}
+
+async fn run() {
+    // A step of no length: what is measured is what stands before the engine.
+    let engine = standin(&["engine", "--step-ms", "0.001", "--slots", "512"]);
+    let text =
+        configuration(DATA_CENTRE, &[engine.address], &[]).replace("slots = 16", "slots = 512");
+    let file = configuration_file("latency_bench", &text);
+    let platform = standin(&["platform", "--config", file.to_str().expect("a text path")]);
+    let near = daemon("vm-0", DATA_CENTRE, platform.address, &[]);
+    ready(&near).await;
+    let ways: &'static [Way] = Box::leak(Box::new([
+        Way {
+            name: "engine directly",
+            address: engine.address,
+            path: "/engine/generate",
+            body: engine_body,
+        },
+        Way {
+            name: "pass-through",
+            address: pass_through(engine.address).await,
+            path: "/engine/generate",
+            body: engine_body,
+        },
+        Way {
+            name: "bridgevane",
+            address: near.address,
+            path: "/v1/completions",
+            body: caller_body,
+        },
+    ]));
+    println!("| way | p50 us | p99 us | calls/s, {PARALLEL} at once |");
+    println!("|---|---|---|---|");
+    for way in ways {
+        let (p50, p99) = serial(way).await;
+        let rate = parallel(way).await;
+        println!("| {} | {p50:.0} | {p99:.0} | {rate:.0} |", way.name);
+    }
+}
+
+fn main() {
+    tokio::runtime::Runtime::new()
+        .expect("a runtime")
+        .block_on(run());
+}
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -109,6 +109,7 @@
     #[serde(default)]
     pub deduplicates: bool,
     /// The workers.
+    #[serde(default)]
     pub engine: BTreeMap<EngineId, EngineConfig>,
     /// Routes of a plain service; the longest matching prefix holds.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/decisions/benches/decision.rs
+++ b/crates/decisions/benches/decision.rs
@@ -31,12 +31,12 @@
         slots: Slots(slots),
         is_drained: false,
     };
-    PoolPolicy {
-        classes: (0..TIERS).map(class).collect(),
-        customers: (0..CUSTOMERS).map(customer).collect(),
-        kinds: vec![("kind".into(), Tokens(200))],
-        engines: (0..engines).map(engine).collect(),
-    }
+    PoolPolicy::of(
+        (0..TIERS).map(class).collect(),
+        (0..CUSTOMERS).map(customer).collect(),
+        vec![("kind".into(), Tokens(200))],
+        (0..engines).map(engine).collect(),
+    )
 }
 
 fn offer(id: u64) -> Offer {
--- a/crates/decisions/benches/policies/main.rs
+++ b/crates/decisions/benches/policies/main.rs
@@ -174,7 +174,7 @@
     let is_quick = std::env::args().any(|argument| argument == "quick");
     let seeds = if is_quick { &SEEDS[..1] } else { &SEEDS[..] };
     let loads = if is_quick {
-        &[1.0, 2.0][..]
+        &[1.0, 2.0, 3.0][..]
     } else {
         &LOADS[..]
     };
--- a/crates/decisions/src/modules/fair_queue.rs
+++ b/crates/decisions/src/modules/fair_queue.rs
@@ -70,6 +70,11 @@
         self.work_ms += work_ms;
     }
 
+    /// Requests that ran before and came back, in their order.
+    pub(crate) fn returned(&self) -> impl Iterator<Item = RequestId> {
+        self.returned.iter().map(|(request, _)| *request)
+    }
+
     /// The request that goes next.
     pub(crate) fn peek(&self) -> Option<RequestId> {
         if let Some((request, _)) = self.returned.front() {
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -6,6 +6,7 @@
     ClassName, CustomerId, DataCentreId, DurationMs, EngineId, KindName, ServiceName, Share, Slots,
     Tier, Tokens, TokensPerSecond,
 };
+use std::collections::HashMap;
 
 /// A class as a pool sees it.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,9 +59,31 @@
     pub kinds: Vec<(KindName, Tokens)>,
     /// Engines of the pool's data centre.
     pub engines: Vec<EnginePolicy>,
+    /// Where each customer stands: there are many, and each request looks one up.
+    customer_of: HashMap<CustomerId, CustomerIx>,
 }
 
 impl PoolPolicy {
+    /// A policy of these parts, for tests and benchmarks.
+    pub fn of(
+        classes: Vec<ClassPolicy>,
+        customers: Vec<CustomerPolicy>,
+        kinds: Vec<(KindName, Tokens)>,
+        engines: Vec<EnginePolicy>,
+    ) -> Self {
+        let names = customers.iter().enumerate();
+        let customer_of = names
+            .map(|(at, customer)| (customer.name.clone(), CustomerIx(at as u32)))
+            .collect();
+        Self {
+            classes,
+            customers,
+            kinds,
+            engines,
+            customer_of,
+        }
+    }
+
     /// The policy of `service` in `data_centre`.
     pub fn new(document: &Document, service: &ServiceName, data_centre: &DataCentreId) -> Self {
         let mut policy = Self::default();
@@ -92,7 +115,14 @@
                 rate_limit_tps: customer.rate_limit_tps,
                 concurrency_limit: customer.concurrency_limit,
             };
-            put(&mut self.customers, customer, |known| known.name == *name);
+            match self.customer_of.get(name) {
+                Some(known) => self.customers[known.at()] = customer,
+                None => {
+                    let next = CustomerIx(self.customers.len() as u32);
+                    self.customer_of.insert(name.clone(), next);
+                    self.customers.push(customer);
+                }
+            }
         }
         for (name, kind) in &document.kind {
             let kind = (name.clone(), kind.expected_tokens);
@@ -135,8 +165,7 @@
 
     /// The index of a customer.
     pub fn customer_ix(&self, name: &CustomerId) -> Option<CustomerIx> {
-        let at = self.customers.iter().position(|c| c.name == *name)?;
-        Some(CustomerIx(at as u32))
+        self.customer_of.get(name).copied()
     }
 
     /// The index of a kind.
--- a/crates/decisions/src/pool/dispatch.rs
+++ b/crates/decisions/src/pool/dispatch.rs
@@ -2,6 +2,7 @@
 
 use super::entry::Running;
 use super::{Engine, Pool};
+use crate::configs::Settings;
 use crate::context::Context;
 use crate::decision_log::{Decision, DecisionLog};
 use crate::effect::Effect;
@@ -9,7 +10,7 @@
 use crate::index::{ClassIx, EngineIx};
 use crate::modules::engine_health::HealthState;
 use crate::modules::request_life::LifeEvent;
-use bridgevane_types::{RequestId, Tokens};
+use bridgevane_types::{RequestId, Tier, Tokens};
 use rand::RngExt;
 
 /// The class that goes next, and on what ground.
@@ -142,11 +143,10 @@
             return None;
         }
         let aged_running: u32 = self.classes.iter().map(|class| class.aged_running).sum();
-        let per_aged = f64::from(context.settings.admission.slots_per_aged);
-        let allowed = (self.total_slots / per_aged).max(1.0) as u32;
-        if aged_running >= allowed {
+        if aged_running >= self.aged_slots(context.settings) {
             return None;
         }
+        let of_class = self.aged_slots_of_class(context.settings);
         let is_aged = |class: &&ClassIx| {
             let Some(head) = self.classes[class.at()].queue.peek() else {
                 return false;
@@ -155,13 +155,24 @@
                 return false;
             };
             let waited_ms = context.now.since(entry.waits_since).0;
-            let is_lowest_running = self.classes[class.at()].aged_running == 0;
-            is_lowest_running && waited_ms >= self.max_wait_ms(**class, context.settings)
+            let has_slot = self.classes[class.at()].aged_running < of_class;
+            has_slot && waited_ms >= self.max_wait_ms(**class, context.settings)
         };
         // The most important class never needs it: it goes first by its tier.
         self.class_order.iter().skip(1).find(is_aged).copied()
     }
 
+    /// Slots that may run requests which waited for their class's longest wait.
+    fn aged_slots(&self, settings: &Settings) -> u32 {
+        let per_aged = f64::from(settings.admission.slots_per_aged);
+        (self.total_slots / per_aged).max(1.0) as u32
+    }
+
+    /// What one class may have of them.
+    pub(super) fn aged_slots_of_class(&self, settings: &Settings) -> u32 {
+        (self.aged_slots(settings) / self.classes.len().max(1) as u32).max(1)
+    }
+
     /// The cheapest engine with room: prompt tokens to process, then load.
     fn choose_engine<L: DecisionLog>(
         &mut self,
@@ -350,7 +361,9 @@
             request,
             attempt,
             engine: choice.engine,
-            priority: tier,
+            // Inside the engine, too, nothing may keep it waiting: a low priority would starve
+            // its prompt behind those of higher tiers.
+            priority: if is_protected { Tier(0) } else { tier },
             resume_from: Tokens(delivered),
             cached_tokens: Tokens(choice.cached_tokens),
         });
--- a/crates/decisions/src/pool/entry.rs
+++ b/crates/decisions/src/pool/entry.rs
@@ -64,8 +64,12 @@
     /// Puts the request back to waiting.
     pub(super) fn return_to_queue(&mut self, now: TimeMs) {
         self.life.handle(LifeEvent::Return);
-        // All its waiting counts: else a request that is preempted again and again never ages.
-        self.waits_since = TimeMs(now.0.saturating_sub(self.waited_ms));
+        // All its waiting counts, and what gave no token was waiting too: else a request that
+        // is preempted again and again never ages.
+        self.waits_since = match self.delivered {
+            0 => self.arrived_at,
+            _ => TimeMs(now.0.saturating_sub(self.waited_ms)),
+        };
         self.running = None;
     }
 
--- a/crates/decisions/src/pool/maintain.rs
+++ b/crates/decisions/src/pool/maintain.rs
@@ -1,12 +1,14 @@
 //! What happens as time passes: credits, health checks, limits, late requests.
 
 use super::Pool;
+use super::entry::Entry;
 use crate::context::Context;
 use crate::decision_log::{Decision, DecisionLog};
+use crate::effect::CancelCause;
 use crate::index::{ClassIx, EngineIx};
 use crate::modules::engine_health::{HealthContext, HealthEvent, HealthState};
 use crate::modules::request_life::LifeState;
-use bridgevane_types::{DurationMs, RefusalCode};
+use bridgevane_types::{DurationMs, RefusalCode, RequestId};
 
 impl Pool {
     pub(super) fn maintain<L: DecisionLog>(&mut self, context: &mut Context<'_, L>) {
@@ -156,11 +158,13 @@
         }
     }
 
-    /// Attempts whose first token is overdue count against their engine, and are moved.
+    /// Attempts whose first token is overdue count against their engine, when it has given
+    /// nothing else either: an engine that works on prompts of higher tiers isn't slow.
     fn check_started<L: DecisionLog>(&mut self, context: &mut Context<'_, L>) {
+        let mut later = Vec::new();
         while let Some((request, attempt)) = self.started.front().copied() {
             let entry = self.requests.get(&request);
-            let is_current = |entry: &&super::Entry| {
+            let is_current = |entry: &&Entry| {
                 entry.life.state() == LifeState::Started && entry.life.attempt() == attempt
             };
             let Some(entry) = entry.filter(is_current) else {
@@ -176,15 +180,40 @@
                 + self.estimates.between_tokens_ms();
             let overdue_ms = (usual_ms * config.silence_factor).max(config.min_silence_ms as f64);
             if (context.now.since(running.since).0 as f64) < overdue_ms {
-                return;
+                break;
             }
             self.started.pop_front();
+            let silent_ms = context
+                .now
+                .since(self.engines[running.engine.at()].heard_at)
+                .0;
+            if (silent_ms as f64) < overdue_ms {
+                if self.is_starved_inside(context, entry) {
+                    self.take_back(context, request, CancelCause::Moved, None);
+                } else {
+                    later.push((request, attempt));
+                }
+                continue;
+            }
             let may_eject = self.may_eject(config.max_ejected_share);
             if !entry.offer.is_preemptible {
                 continue;
             }
             self.tell_health(context, running.engine, HealthEvent::Slow { may_eject });
         }
+        self.started.extend(later);
+    }
+
+    /// Whether a request has a slot but its engine works on others' prompts for so long that
+    /// its class's longest wait is reached: sent again, it goes before them.
+    fn is_starved_inside<L: DecisionLog>(&self, context: &Context<'_, L>, entry: &Entry) -> bool {
+        let class = entry.offer.class;
+        let is_aged = entry.running.is_some_and(|running| running.is_aged);
+        let waited_ms = context.now.since(entry.arrived_at).0;
+        let is_next = self.is_next_aged(context, class) && !is_aged && entry.delivered == 0;
+        is_next
+            && entry.offer.is_preemptible
+            && waited_ms >= self.max_wait_ms(class, context.settings)
     }
 
     /// Waiting requests that run out of time make room or are given up, at once.
@@ -192,6 +221,7 @@
         for at in 0..self.class_order.len() {
             let class = self.class_order[at];
             while self.rescue_head(context, class) {}
+            self.give_up_returned(context, class);
             self.give_up_hopeless(context, class);
         }
     }
@@ -227,7 +257,7 @@
         }
         // A request that ran before is never given up: its caller has part of the answer.
         let mut latest_ms = target_ms * (1.0 + admission.late_grace_share);
-        if self.is_next_aged(class) {
+        if self.is_next_aged(context, class) {
             // The slot that its longest wait gives it may take as long again to come free.
             latest_ms += target_ms;
         }
@@ -239,9 +269,31 @@
     }
 
     /// Whether the head of the class's queue is the one that its longest wait protects.
-    fn is_next_aged(&self, class: ClassIx) -> bool {
-        let is_lowest = self.class_order.first() != Some(&class);
-        is_lowest && self.classes[class.at()].aged_running == 0
+    fn is_next_aged<L: DecisionLog>(&self, context: &Context<'_, L>, class: ClassIx) -> bool {
+        let is_lower = self.class_order.first() != Some(&class);
+        let of_class = self.aged_slots_of_class(context.settings);
+        is_lower && self.classes[class.at()].aged_running < of_class
+    }
+
+    /// Requests that were sent and came back without a token are given up like others; they
+    /// stand behind streams that broke off, which never are.
+    fn give_up_returned<L: DecisionLog>(&mut self, context: &mut Context<'_, L>, class: ClassIx) {
+        let target_ms = self.class_policy(class).first_token_target_ms.0 as f64;
+        let latest_ms = target_ms * (2.0 + context.settings.admission.late_grace_share);
+        let is_late = |request: &RequestId| {
+            self.requests.get(request).is_some_and(|entry| {
+                let waited_ms = context.now.since(entry.waits_since).0 as f64;
+                entry.delivered == 0 && waited_ms > latest_ms
+            })
+        };
+        let late: Vec<RequestId> = self.classes[class.at()]
+            .queue
+            .returned()
+            .filter(is_late)
+            .collect();
+        for request in late {
+            self.give_up(context, request, RefusalCode::CannotMeetTarget, target_ms);
+        }
     }
 
     /// The newest waiting requests are given up while those before them take all the time.
--- a/crates/decisions/tests/pool_sequences.rs
+++ b/crates/decisions/tests/pool_sequences.rs
@@ -35,12 +35,12 @@
         rate_limit_tps: None,
         concurrency_limit: (at == 1).then_some(Slots(3)),
     };
-    PoolPolicy {
-        classes: (0..CLASSES).map(class).collect(),
-        customers: (0..2).map(customer).collect(),
-        kinds: vec![("kind".into(), Tokens(20))],
-        engines: (0..ENGINES).map(engine).collect(),
-    }
+    PoolPolicy::of(
+        (0..CLASSES).map(class).collect(),
+        (0..2).map(customer).collect(),
+        vec![("kind".into(), Tokens(20))],
+        (0..ENGINES).map(engine).collect(),
+    )
 }
 
 #[derive(Clone, Debug)]
--- a/crates/decisions/tests/support/workload.rs
+++ b/crates/decisions/tests/support/workload.rs
@@ -144,16 +144,15 @@
             slots: Slots(slots),
             is_drained: false,
         };
-        PoolPolicy {
-            classes: self.classes.iter().map(class).collect(),
-            customers: (0..CUSTOMERS).map(customer).collect(),
-            kinds: self
-                .classes
+        PoolPolicy::of(
+            self.classes.iter().map(class).collect(),
+            (0..CUSTOMERS).map(customer).collect(),
+            self.classes
                 .iter()
                 .map(|class| (class.name.into(), Tokens(class.mean_tokens() as u64)))
                 .collect(),
-            engines: (0..engines).map(engine).collect(),
-        }
+            (0..engines).map(engine).collect(),
+        )
     }
 
     /// Mean slot time of a request.
--- a/src/configs/serving.rs
+++ b/src/configs/serving.rs
@@ -18,6 +18,8 @@
     /// How often load reports are read. The home of a pool knows its own work exactly; reports
     /// tell of others' work, which there is only while two daemons decide.
     pub poll_every_ms: DurationMs,
+    /// The same where a home was passed over: others decide on the same engines meanwhile.
+    pub poll_without_home_ms: DurationMs,
     /// Cache events are read with every so many load reports: what was sent is known here, so
     /// that they tell of little but evictions.
     pub polls_per_cache_read: u64,
@@ -43,8 +45,9 @@
             max_buffered_pieces: 1_024,
             slow_reader_timeout_ms: DurationMs(10_000),
             default_max_tokens: 1_024,
-            poll_every_ms: DurationMs(2_000),
-            polls_per_cache_read: 5,
+            poll_every_ms: DurationMs(5_000),
+            poll_without_home_ms: DurationMs(500),
+            polls_per_cache_read: 2,
             tick_every_ms: DurationMs(20),
             progress_tokens: 16,
             progress_ms: DurationMs(500),
--- a/src/modules/engine_poll.rs
+++ b/src/modules/engine_poll.rs
@@ -30,9 +30,10 @@
             version = in_force.version;
             polled = engines_of(&context, &service, polled);
         }
+        let serving = &context.config.serving;
         // Only who decides for the pool needs reports: engines are asked by one daemon.
         if !context.homes.is_home(&context, &service) {
-            tokio::time::sleep(context.config.serving.poll_every_ms.as_std()).await;
+            tokio::time::sleep(serving.poll_without_home_ms.as_std()).await;
             continue;
         }
         let reads_cache = polls % context.config.serving.polls_per_cache_read == 0;
@@ -43,7 +44,11 @@
                 .map(|engine| poll(engine, &messages, reads_cache)),
         )
         .await;
-        tokio::time::sleep(context.config.serving.poll_every_ms.as_std()).await;
+        let pause_ms = match context.homes.is_sole_home(&context, &service) {
+            true => serving.poll_every_ms,
+            false => serving.poll_without_home_ms,
+        };
+        tokio::time::sleep(pause_ms.as_std()).await;
     }
 }
 
--- a/src/modules/pool_homes.rs
+++ b/src/modules/pool_homes.rs
@@ -79,6 +79,15 @@
         home.is_none_or(|(vm, _)| self.is_avoided(context.now(), &vm))
     }
 
+    /// Whether this daemon is the home of `service` by its view of who lives, so that nobody
+    /// else decides on its engines.
+    pub fn is_sole_home(&self, context: &Context, service: &ServiceName) -> bool {
+        context
+            .members
+            .remote_home(context, &home_key(service))
+            .is_none()
+    }
+
     /// Offers a request to the home of its pool; false when no pool takes it.
     pub fn offer(
         &self,
