--- /dev/null
+++ b/crates/protocol/tests/frames.rs
@@ -0,0 +1,356 @@
+//! Golden bytes of each message, and frames that must be refused.
+
+use bridgevane_protocol::frame::Body;
+use bridgevane_protocol::{
+    ConfigDelta, ConfigSnapshot, ConfigWanted, Frame, FrameCodec, FrameError, GreetingError,
+    Heartbeat, Hello, KeyClaim, KeyEnded, KeyVerdict, MAX_FRAME_BYTES, MemberState, MemberUpdate,
+    PROTOCOL_VERSION, PoolAdopt, PoolDispatch, PoolOffer, PoolOrder, PoolRefuse, PoolReport, Proof,
+    Query, QueryAnswer, Role, SectionChange, greet, pool_order, pool_report, prove,
+};
+use bytes::{BufMut, Bytes, BytesMut};
+use expect_test::expect;
+use proptest::prelude::*;
+use prost::Message;
+use std::fmt::Write as _;
+use tokio_util::codec::{Decoder, Encoder, Framed};
+
+fn hello(vm: &str) -> Hello {
+    Hello {
+        protocol_version: PROTOCOL_VERSION,
+        vm: vm.into(),
+        data_centre: "bo-c".into(),
+        incarnation: 7,
+        nonce: Bytes::from_static(&[1, 2, 3]),
+        peer_address: "10.0.0.1:7000".into(),
+    }
+}
+
+fn offer() -> PoolOffer {
+    PoolOffer {
+        service: "tutor".into(),
+        request: Bytes::from_static(&[9; 16]),
+        class: "report".into(),
+        customer: "c".into(),
+        kind: "k".into(),
+        prompt_tokens: 300,
+        max_tokens: 64,
+        blocks: vec![1, 2],
+        block_tokens: 16,
+        is_repeatable: true,
+        is_preemptible: true,
+    }
+}
+
+fn messages() -> Vec<(&'static str, Body)> {
+    let change = SectionChange {
+        path: "class.a".into(),
+        text: Some("tier = 1".into()),
+    };
+    let update = MemberUpdate {
+        vm: "vm-2".into(),
+        peer_address: "10.0.0.2:7000".into(),
+        incarnation: 3,
+        refutation: 1,
+        state: MemberState::Suspect.into(),
+        accuser: "vm-1".into(),
+    };
+    let heartbeat = Heartbeat {
+        sequence: 5,
+        config_version: 8,
+        highest_config_version: 9,
+        members_digest: 10,
+        updates: vec![update],
+    };
+    let request = Bytes::from_static(&[9; 16]);
+    let order = |order| PoolOrder {
+        request: request.clone(),
+        order: Some(order),
+    };
+    let dispatch = PoolDispatch {
+        attempt: 1,
+        engine: "e".into(),
+        priority: 2,
+        resume_from: 0,
+        cached_tokens: 64,
+    };
+    let refuse = PoolRefuse {
+        code: "queue_full".into(),
+        outcome: "not-run".into(),
+        retry_after_ms: Some(250),
+    };
+    let report = |report| PoolReport {
+        service: "tutor".into(),
+        request: request.clone(),
+        attempt: 1,
+        gap_ms: 30,
+        report: Some(report),
+    };
+    vec![
+        ("hello", Body::Hello(hello("vm-1"))),
+        (
+            "proof",
+            Body::Proof(Proof {
+                mac: Bytes::from_static(&[4, 5]),
+            }),
+        ),
+        ("heartbeat", Body::Heartbeat(heartbeat.clone())),
+        ("heartbeat_ack", Body::HeartbeatAck(heartbeat)),
+        (
+            "config_wanted",
+            Body::ConfigWanted(ConfigWanted { have_version: 3 }),
+        ),
+        (
+            "config_delta",
+            Body::ConfigDelta(ConfigDelta {
+                from_version: 3,
+                to_version: 4,
+                changes: vec![change.clone()],
+                digest: 6,
+            }),
+        ),
+        (
+            "config_snapshot",
+            Body::ConfigSnapshot(ConfigSnapshot {
+                version: 4,
+                sections: vec![change],
+                digest: 6,
+            }),
+        ),
+        ("pool_offer", Body::PoolOffer(offer())),
+        (
+            "pool_order dispatch",
+            Body::PoolOrder(order(pool_order::Order::Dispatch(dispatch))),
+        ),
+        (
+            "pool_order refuse",
+            Body::PoolOrder(order(pool_order::Order::Refuse(refuse))),
+        ),
+        (
+            "pool_report progress",
+            Body::PoolReport(report(pool_report::Report::Progress(16))),
+        ),
+        (
+            "pool_report lost",
+            Body::PoolReport(report(pool_report::Report::Lost(16))),
+        ),
+        (
+            "pool_adopt",
+            Body::PoolAdopt(PoolAdopt {
+                offer: Some(offer()),
+                engine: "e".into(),
+                attempt: 1,
+                delivered: 4,
+            }),
+        ),
+        (
+            "key_claim",
+            Body::KeyClaim(KeyClaim {
+                claim: 1,
+                service: "desk".into(),
+                customer: "c".into(),
+                key: "k".into(),
+                request: request.clone(),
+                call_digest: 2,
+                is_asked_before: false,
+            }),
+        ),
+        (
+            "key_verdict",
+            Body::KeyVerdict(KeyVerdict {
+                claim: 1,
+                verdict: 3,
+                status: 200,
+                content_type: "a/b".into(),
+                body: Bytes::from_static(b"ok"),
+            }),
+        ),
+        (
+            "key_ended",
+            Body::KeyEnded(KeyEnded {
+                service: "desk".into(),
+                customer: "c".into(),
+                key: "k".into(),
+                request,
+                is_known: Some(true),
+                status: 200,
+                content_type: "a/b".into(),
+                body: Bytes::new(),
+            }),
+        ),
+        (
+            "query",
+            Body::Query(Query {
+                query: 1,
+                text: "show vms".into(),
+            }),
+        ),
+        (
+            "query_answer",
+            Body::QueryAnswer(QueryAnswer {
+                query: 1,
+                rows: Bytes::from_static(b"[]"),
+                error: String::new(),
+            }),
+        ),
+    ]
+}
+
+#[test]
+fn messages_keep_their_bytes_and_come_back_whole() {
+    let mut golden = String::new();
+    for (name, body) in messages() {
+        let frame = Frame { body: Some(body) };
+        let mut bytes = BytesMut::new();
+        FrameCodec::default()
+            .encode(frame.clone(), &mut bytes)
+            .expect("it fits");
+        let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+        writeln!(golden, "{name} {hex}").expect("text");
+        let decoded = FrameCodec::default()
+            .decode(&mut bytes)
+            .expect("it decodes");
+        assert_eq!(decoded, Some(frame), "{name}");
+        assert!(bytes.is_empty());
+    }
+    expect![[r#"
+        hello 000000260a2408011204766d2d311a04626f2d6320072a03010203320d31302e302e302e313a37303030
+        proof 0000000612040a020405
+        heartbeat 0000002d1a2b080510081809200a2a210a04766d2d32120d31302e302e302e323a373030301803200128033204766d2d31
+        heartbeat_ack 0000002d222b080510081809200a2a210a04766d2d32120d31302e302e302e323a373030301803200128033204766d2d31
+        config_wanted 000000042a020803
+        config_delta 000000243222080310041a130a07636c6173732e61120874696572203d2031210600000000000000
+        config_snapshot 000000223a20080412130a07636c6173732e61120874696572203d2031190600000000000000
+        pool_offer 0000004642440a057475746f721210090909090909090909090909090909091a067265706f72742201632a016b30ac023840421001000000000000000200000000000000481050015801
+        pool_order dispatch 0000001f4a1d0a10090909090909090909090909090909091209080112016518022840
+        pool_order refuse 0000002e4a2c0a100909090909090909090909090909090922180a0a71756575655f66756c6c12076e6f742d72756e18fa01
+        pool_report progress 00000021521f0a057475746f7212100909090909090909090909090909090918012810581e
+        pool_report lost 00000021521f0a057475746f7212100909090909090909090909090909090918014810581e
+        pool_adopt 0000005082014d0a440a057475746f721210090909090909090909090909090909091a067265706f72742201632a016b30ac02384042100100000000000000020000000000000048105001580112016518012004
+        key_claim 0000002b5a29080112046465736b1a016322016b2a1009090909090909090909090909090909310200000000000000
+        key_verdict 0000001262100801100318c8012203612f622a026f6b
+        key_ended 0000002a6a280a046465736b1201631a016b221009090909090909090909090909090909280130c8013a03612f62
+        query 0000000e720c0801120873686f7720766d73
+        query_answer 000000087a06080112025b5d
+    "#]].assert_eq(&golden);
+}
+
+#[test]
+fn fields_and_messages_of_later_versions_do_no_harm() {
+    let frame = Frame {
+        body: Some(Body::ConfigWanted(ConfigWanted { have_version: 3 })),
+    };
+    let mut block = frame.encode_to_vec();
+    // Field 900 of the frame, a text.
+    block.extend([0xa2, 0x38, 3, b'n', b'e', b'w']);
+    assert_eq!(Frame::decode(block.as_slice()).expect("it decodes"), frame);
+    let unknown_body = [0xa2, 0x38, 1, b'x'];
+    let decoded = Frame::decode(unknown_body.as_slice()).expect("it decodes");
+    assert_eq!(decoded.body, None);
+}
+
+#[test]
+fn oversized_truncated_and_malformed_frames_are_refused() {
+    let mut long = BytesMut::new();
+    long.put_u32(MAX_FRAME_BYTES as u32 + 1);
+    assert!(matches!(
+        FrameCodec::default().decode(&mut long),
+        Err(FrameError::TooLong)
+    ));
+    let mut cut = BytesMut::new();
+    cut.put_u32(10);
+    cut.put_slice(&[1, 2, 3]);
+    assert!(matches!(FrameCodec::default().decode(&mut cut), Ok(None)));
+    assert!(matches!(
+        FrameCodec::default().decode_eof(&mut cut),
+        Err(FrameError::Truncated)
+    ));
+    let mut malformed = BytesMut::new();
+    malformed.put_u32(3);
+    malformed.put_slice(&[0x0a, 0xff, 0xff]);
+    assert!(matches!(
+        FrameCodec::default().decode(&mut malformed),
+        Err(FrameError::Malformed)
+    ));
+    let body = Bytes::from(vec![0; MAX_FRAME_BYTES + 1]);
+    let frame = Frame {
+        body: Some(Body::QueryAnswer(QueryAnswer {
+            query: 1,
+            rows: body,
+            error: String::new(),
+        })),
+    };
+    let mut bytes = BytesMut::new();
+    assert!(matches!(
+        FrameCodec::default().encode(frame, &mut bytes),
+        Err(FrameError::TooLong)
+    ));
+}
+
+async fn greeting(
+    caller_key: &'static [u8],
+    listener_key: &'static [u8],
+    version: u32,
+) -> (Result<Hello, GreetingError>, Result<Hello, GreetingError>) {
+    let (one, two) = tokio::io::duplex(1 << 16);
+    let mut caller = Framed::new(one, FrameCodec::default());
+    let mut listener = Framed::new(two, FrameCodec::default());
+    let own = Hello {
+        protocol_version: version,
+        ..hello("vm-1")
+    };
+    let called = async {
+        let result = greet(&mut caller, Role::Caller, own, caller_key).await;
+        drop(caller);
+        result
+    };
+    let answered = async {
+        let result = greet(&mut listener, Role::Listener, hello("vm-2"), listener_key).await;
+        drop(listener);
+        result
+    };
+    tokio::join!(called, answered)
+}
+
+#[tokio::test]
+async fn a_greeting_needs_the_key_and_a_known_version() {
+    let (caller, listener) = greeting(b"the key", b"the key", PROTOCOL_VERSION).await;
+    assert_eq!(caller.expect("greeted").vm, "vm-2");
+    assert_eq!(listener.expect("greeted").vm, "vm-1");
+    let (caller, listener) = greeting(b"another", b"the key", PROTOCOL_VERSION).await;
+    assert!(matches!(caller, Err(GreetingError::WrongKey)));
+    assert!(matches!(listener, Err(GreetingError::WrongKey)));
+    let (_, listener) = greeting(b"the key", b"the key", 0).await;
+    assert!(matches!(listener, Err(GreetingError::Version(0))));
+}
+
+#[test]
+fn a_proof_holds_for_one_side_and_these_greetings_alone() {
+    let (one, two) = (hello("vm-1"), hello("vm-2"));
+    let proof = prove(b"key", Role::Caller, &one, &two);
+    assert_ne!(proof, prove(b"key", Role::Listener, &one, &two));
+    assert_ne!(proof, prove(b"key", Role::Caller, &two, &one));
+    let other_nonce = Hello {
+        nonce: Bytes::from_static(&[9]),
+        ..hello("vm-2")
+    };
+    assert_ne!(proof, prove(b"key", Role::Caller, &one, &other_nonce));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever comes, the decoder answers with frames or a typed error, and takes no more
+    /// than it was given.
+    #[test]
+    fn any_bytes_are_decoded_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut buffer = BytesMut::from(bytes.as_slice());
+        let mut codec = FrameCodec::default();
+        while let Ok(Some(_)) = codec.decode(&mut buffer) {}
+        prop_assert!(buffer.len() <= bytes.len());
+    }
+}
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -24,6 +24,12 @@
             }
         }
 
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl From<&str> for $name {
             fn from(text: &str) -> Self {
                 Self::new(text)
--- /dev/null
+++ b/tests/hostile.rs
@@ -0,0 +1,285 @@
+//! Bad and hostile input: each a typed answer, nothing of one caller reaches another, nobody
+//! else is slowed.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Sends bytes as they are and reads until the other side closes or a while has passed.
+async fn raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    // The daemon may close before it has read everything.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    let _ = tokio::time::timeout(Duration::from_secs(3), reading).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn head(extra: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n{extra}\r\n"
+    )
+}
+
+async fn still_serves(fleet: &Fleet) {
+    let prompt = "Still well? [tokens=3]";
+    let answer = chat(fleet.daemons[0].address, prompt, 10).await;
+    assert_eq!(answer.streamed_text(), expected_text(prompt));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_requests_get_typed_answers() {
+    let fleet = Fleet::start("bad_requests", 1, 1).await;
+    let address = fleet.daemons[0].address;
+    let bearer = format!("Bearer {CUSTOMER_KEY}");
+    let good = bearer.as_str();
+    let chat_path = "/v1/chat/completions";
+    let huge = "x".repeat(5 << 20);
+    let unknown_kind = [("authorization", good), ("x-bridgevane-kind", "nonsense")];
+    let table: Vec<(&str, &str, Vec<(&str, &str)>, &str, u16, &str)> = vec![
+        ("no key", chat_path, vec![], "{}", 401, "invalid_api_key"),
+        (
+            "wrong key",
+            chat_path,
+            vec![("authorization", "Bearer nobody")],
+            "{}",
+            401,
+            "invalid_api_key",
+        ),
+        (
+            "not a bearer",
+            chat_path,
+            vec![("authorization", "Basic eDp5")],
+            "{}",
+            401,
+            "invalid_api_key",
+        ),
+        (
+            "not JSON",
+            chat_path,
+            vec![("authorization", good)],
+            "{\"model\": ",
+            400,
+            "invalid_body",
+        ),
+        (
+            "no messages",
+            chat_path,
+            vec![("authorization", good)],
+            "{\"model\":\"tutor\"}",
+            400,
+            "invalid_body",
+        ),
+        (
+            "wrong types",
+            chat_path,
+            vec![("authorization", good)],
+            "{\"model\":5,\"messages\":3}",
+            400,
+            "invalid_body",
+        ),
+        (
+            "no prompt",
+            "/v1/completions",
+            vec![("authorization", good)],
+            "{\"model\":\"tutor\"}",
+            400,
+            "invalid_body",
+        ),
+        (
+            "unknown model",
+            "/v1/completions",
+            vec![("authorization", good)],
+            "{\"model\":\"x\",\"prompt\":\"y\"}",
+            404,
+            "model_not_found",
+        ),
+        (
+            "unknown kind",
+            chat_path,
+            unknown_kind.to_vec(),
+            "{}",
+            403,
+            "kind_not_allowed",
+        ),
+        (
+            "huge body",
+            chat_path,
+            vec![("authorization", good)],
+            &huge,
+            413,
+            "body_too_large",
+        ),
+        (
+            "unknown service",
+            "/svc/nobody/x",
+            vec![("authorization", good)],
+            "",
+            404,
+            "service_not_found",
+        ),
+        (
+            "a model pool as a plain service",
+            "/svc/tutor/x",
+            vec![("authorization", good)],
+            "",
+            404,
+            "service_not_found",
+        ),
+        (
+            "unknown route",
+            "/svc/desk/secrets",
+            vec![("authorization", good)],
+            "",
+            404,
+            "route_not_found",
+        ),
+    ];
+    for (name, path, headers, body, status, code) in table {
+        let answer = send(address, http::Method::POST, path, &headers, body.to_owned()).await;
+        assert_eq!(answer.status, status, "{name}: {}", answer.text);
+        let error = &answer.json()["error"];
+        assert_eq!(error["code"], code, "{name}");
+        assert_eq!(error["outcome"], "not-run", "{name}");
+        assert_eq!(answer.header("x-bridgevane-outcome"), "not-run", "{name}");
+        assert!(answer.header("x-request-id").starts_with("req-"), "{name}");
+    }
+    // Fields that nobody knows are no error: client libraries send many.
+    let body = serde_json::json!({
+        "model": "tutor", "prompt": "p [tokens=1]", "max_tokens": 4, "temperature": 0.3,
+        "seed": 7, "made_up": { "deep": [1, 2, { "x": null }] },
+    });
+    assert_eq!(post(address, "/v1/completions", body).await.status, 200);
+    still_serves(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn smuggled_pipelined_and_broken_requests_reach_nobody_else() {
+    let fleet = Fleet::start("smuggled", 1, 1).await;
+    let address = fleet.daemons[0].address;
+    // Two lengths that disagree: whatever the answer, what follows the head never counts as a
+    // request of its own with somebody's key.
+    let smuggled = format!(
+        "{}0\r\n\r\nGET /v1/models HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\r\n",
+        head("content-length: 5\r\ntransfer-encoding: chunked\r\n"),
+    );
+    let answer = raw(address, smuggled.as_bytes()).await;
+    assert!(!answer.contains("\"object\":\"list\""), "{answer}");
+    let twice = head("content-length: 5\r\ncontent-length: 6\r\n") + "hello!";
+    let answer = raw(address, twice.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    let long_head = head(&format!("x-long: {}\r\n", "y".repeat(200 << 10)));
+    let answer = raw(address, long_head.as_bytes()).await;
+    assert!(
+        answer.starts_with("HTTP/1.1 431"),
+        "{}",
+        &answer[..answer.len().min(200)]
+    );
+    let garbage = raw(
+        address,
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 not http at all\r\n\r\n",
+    )
+    .await;
+    assert!(
+        garbage.is_empty() || garbage.starts_with("HTTP/1.1 400"),
+        "{garbage}"
+    );
+    // Pipelined requests are answered in their order, each with its own answer.
+    let one = |prompt: &str| {
+        let body =
+            serde_json::json!({ "model": "tutor", "prompt": prompt, "max_tokens": 9 }).to_string();
+        format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    };
+    let pipelined = one("first [tokens=2]") + &one("second [tokens=1]");
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(pipelined.as_bytes()).await.expect("sent");
+    let mut text = String::new();
+    let mut buffer = [0; 4_096];
+    while text.matches("finish_reason").count() < 2 {
+        let count = stream.read(&mut buffer).await.expect("an answer");
+        assert_ne!(count, 0, "{text}");
+        text.push_str(&String::from_utf8_lossy(&buffer[..count]));
+    }
+    let first = bridgevane_standins::token_text("first [tokens=2]", 0);
+    let second = bridgevane_standins::token_text("second [tokens=1]", 0);
+    let places = (text.find(first.trim()), text.find(second.trim()));
+    assert!(
+        matches!(places, (Some(one), Some(two)) if one < two),
+        "{text}"
+    );
+    still_serves(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_stops_reading_or_goes_away_frees_its_engine() {
+    let fleet = Fleet::start("vanishing", 1, 1).await;
+    let address = fleet.daemons[0].address;
+    let body = serde_json::json!({
+        "model": "tutor", "stream": true, "max_tokens": 100_000,
+        "prompt": "long [tokens=100000]",
+    })
+    .to_string();
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut gone = TcpStream::connect(address).await.expect("a connection");
+    gone.write_all(request.as_bytes()).await.expect("sent");
+    let mut buffer = [0; 256];
+    assert_ne!(gone.read(&mut buffer).await.expect("a first piece"), 0);
+    drop(gone);
+    let operators = fleet.daemons[0].operators;
+    eventually("its request is over", || async move {
+        let rows = ask(operators, "show requests").await.json()["rows"].clone();
+        rows.as_array().is_some_and(Vec::is_empty)
+    })
+    .await;
+    // Many that never send their whole body hold nothing up.
+    let mut slow = Vec::new();
+    for _ in 0..50 {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let begun = head("content-length: 1000\r\n") + "{\"model\":";
+        stream.write_all(begun.as_bytes()).await.expect("sent");
+        slow.push(stream);
+    }
+    still_serves(&fleet).await;
+    // A caller that closes its sending side still gets its answer.
+    let mut half = TcpStream::connect(address).await.expect("a connection");
+    let body = serde_json::json!({ "model": "tutor", "prompt": "half [tokens=2]" }).to_string();
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CUSTOMER_KEY}\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    half.write_all(request.as_bytes()).await.expect("sent");
+    still_serves(&fleet).await;
+    drop(slow);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn strangers_between_daemons_are_refused_and_harm_nobody() {
+    let fleet = Fleet::start("peer_strangers", 1, 2).await;
+    let peers = fleet.daemons[0].peers;
+    let oversized = [0xff, 0xff, 0xff, 0xff, 1, 2, 3];
+    let inputs: [&[u8]; 4] = [
+        b"GET / HTTP/1.1\r\n\r\n",
+        &oversized,
+        &[0, 0, 0, 1, 0x0a],
+        &[0; 64],
+    ];
+    for input in inputs {
+        raw(peers, input).await;
+    }
+    fleet.all_see(2).await;
+    still_serves(&fleet).await;
+}
