feat(rollouts): roll out MODEL version N, carried on by another daemon when its holder dies

Cause: operators could not roll out model versions, and the pure rollout had no daemon.

Change: `roll out` writes a section of the configuration; in each data centre the home of the rollout takes a lease, stores each step before giving its orders, looks at its own deadline (CLOCK_BOOTTIME, which counts through a pause) right before each order, and gives desired states under its fence and a generation; orders wait out an earlier holder's last one where endpoints don't check.

Conclusion: leases and fences stand for rollouts; role changes and prewarming would use the same path and are not built.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -23,7 +23,8 @@
 const ENGINES: usize = 121;
 /// Stand-in engines that share the addresses of all.
 const ENGINE_PROCESSES: usize = 4;
-const SETTLE: Duration = Duration::from_secs(6);
+/// Until the updates of so many daemons that started at once have been passed on.
+const SETTLE_PER_DAEMON: Duration = Duration::from_millis(700);
 const MEASURE: Duration = Duration::from_secs(15);
 const CHANGES: usize = 12;
 
@@ -171,7 +172,7 @@
         ));
     }
     wait_for_members(&daemons).await;
-    tokio::time::sleep(SETTLE).await;
+    tokio::time::sleep(SETTLE_PER_DAEMON * count as u32).await;
     let cpu = |daemons: &[Process]| daemons.iter().map(|d| usage(d.id()).0).sum::<u64>();
     let control_before = sum_metric(&daemons, "bridgevane_peer_bytes", "purpose=\"control\"").await;
     let calls_before = sum_metric(&daemons, "bridgevane_platform_calls", "").await;
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -58,6 +58,7 @@
     check_customers(document, &mut found);
     check_kinds(document, &mut found);
     check_services(document, &mut found);
+    check_rollouts(document, &mut found);
     found
 }
 
@@ -192,6 +193,36 @@
     }
 }
 
+fn check_rollouts(document: &Document, found: &mut Vec<ConfigProblem>) {
+    for (model, rollout) in &document.rollout {
+        if document.service_of_model(model.as_str()).is_none() {
+            let models = document
+                .service
+                .values()
+                .flat_map(|service| service.models.iter());
+            found.push(ConfigProblem::new(
+                format!("rollout.{model}"),
+                format!("no service serves model '{model}'"),
+                known("models", models),
+            ));
+        }
+        if rollout.batch == 0 {
+            found.push(ConfigProblem::new(
+                format!("rollout.{model}.batch"),
+                "no engine would ever change".into(),
+                "give at least 1",
+            ));
+        }
+        if rollout.hold_burn > rollout.rollback_burn {
+            found.push(ConfigProblem::new(
+                format!("rollout.{model}.hold_burn"),
+                "it is above rollback_burn".into(),
+                "hold at a lower burn rate than the one that takes back",
+            ));
+        }
+    }
+}
+
 fn known<T: std::fmt::Display>(what: &str, names: impl Iterator<Item = T>) -> String {
     let names: Vec<String> = names.take(10).map(|name| name.to_string()).collect();
     if names.is_empty() {
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -20,6 +20,46 @@
     pub kind: BTreeMap<KindName, KindConfig>,
     /// Services by name: pools of model engines and plain services.
     pub service: BTreeMap<ServiceName, ServiceConfig>,
+    /// Rollouts of model versions, by model: each data centre carries them out for its engines.
+    pub rollout: BTreeMap<ModelName, RolloutConfig>,
+}
+
+/// A rollout of a model version.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutConfig {
+    /// The version before, to which a rollout is taken back.
+    pub from_version: u64,
+    /// The version that all engines are to run.
+    pub to_version: u64,
+    /// Engines of a data centre that change at the same time.
+    #[serde(default = "default_batch")]
+    pub batch: usize,
+    /// How long each batch is watched before the next one.
+    #[serde(default = "default_watch_ms")]
+    pub watch_ms: DurationMs,
+    /// Burn rate over five minutes from which on no further batch starts.
+    #[serde(default = "default_hold_burn")]
+    pub hold_burn: f64,
+    /// Burn rate over five minutes from which on everything is taken back.
+    #[serde(default = "default_rollback_burn")]
+    pub rollback_burn: f64,
+}
+
+fn default_batch() -> usize {
+    1
+}
+
+fn default_watch_ms() -> DurationMs {
+    DurationMs(60_000)
+}
+
+fn default_hold_burn() -> f64 {
+    2.0
+}
+
+fn default_rollback_burn() -> f64 {
+    10.0
 }
 
 /// A service class: what its requests are promised.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,7 +12,7 @@
 pub use check::{ConfigProblem, ConfigProblems};
 pub use delta::{Delta, DeltaError, SectionChange, Sections};
 pub use document::{
-    ClassConfig, CustomerConfig, Document, EngineConfig, KindConfig, RouteConfig, ServiceConfig,
-    ServiceKind,
+    ClassConfig, CustomerConfig, Document, EngineConfig, KindConfig, RolloutConfig, RouteConfig,
+    ServiceConfig, ServiceKind,
 };
 pub use envelope::{AcceptedOperation, Envelope, EnvelopeError, OperationStatus};
--- a/crates/coordination/src/modules/held_lease.rs
+++ b/crates/coordination/src/modules/held_lease.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// No lease: nothing may be done under it.
+    pub fn ended() -> Self {
+        Self::granted(FenceToken(0), TimeMs(0), DurationMs(0))
+    }
+
     /// Notes a renewal whose call was sent at `asked_at`.
     pub fn renewed(&mut self, asked_at: TimeMs) {
         self.asked_at = self.asked_at.max(asked_at);
--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -115,6 +115,7 @@
             .route("/engine/kv/import", post(import_kv))
             .route("/engine/order", post(order))
             .route("/standin/fault", post(set_fault))
+            .route("/standin/orders", post(read_orders))
             .with_state(self.clone())
     }
 
@@ -396,6 +397,10 @@
     Ok(Json(OrderReply::Done))
 }
 
+async fn read_orders(State(standin): State<EngineStandin>) -> Json<Vec<FencedOrder>> {
+    Json(standin.orders())
+}
+
 async fn set_fault(State(standin): State<EngineStandin>, Json(fault): Json<Fault>) {
     standin.set_fault(fault);
 }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -6,6 +6,7 @@
 use crate::modules::leaving::LeavingSource;
 use crate::modules::{
     callers, config_follow, http_serve, logging, members, operators, peer_links, pool_homes,
+    rollouts,
 };
 use crate::{event, events::Event};
 use argh::FromArgs;
@@ -141,6 +142,7 @@
     tokio::spawn(peer_links::accept(context.clone(), peers));
     tokio::spawn(members::run(context.clone()));
     tokio::spawn(pool_homes::run(context.clone()));
+    tokio::spawn(rollouts::run(context.clone()));
     tokio::spawn(http_serve::serve(
         operators,
         operators::router(context.clone()),
--- a/src/context.rs
+++ b/src/context.rs
@@ -12,6 +12,7 @@
 use crate::modules::peer_links::PeerLinks;
 use crate::modules::pool_directory::PoolDirectory;
 use crate::modules::pool_homes::PoolHomes;
+use crate::modules::rollouts::Rollouts;
 use bridgevane_adapters::HttpPlatform;
 use bridgevane_coordination::KeyMember;
 use bridgevane_types::{Incarnation, RequestId, TimeMs};
@@ -40,6 +41,8 @@
     pub homes: PoolHomes,
     /// Idempotency keys.
     pub keys: KeyHomes,
+    /// Rollouts that this daemon carries out.
+    pub rollouts: Rollouts,
     /// Operators' statements under way.
     pub queries: Queries,
     /// Metrics.
@@ -71,6 +74,7 @@
             links: PeerLinks::default(),
             homes: PoolHomes::default(),
             keys: KeyHomes::new(own, TimeMs(0)),
+            rollouts: Rollouts::default(),
             queries: Queries::default(),
             metrics: Metrics::new(),
             burn: Burn::default(),
--- a/src/events.rs
+++ b/src/events.rs
@@ -57,6 +57,8 @@
     1502 MemberChanged Info "the view of a daemon changed";
     1503 HomePassedOver Warn "a pool's home does not answer, its requests are decided here";
     1504 Superseded Error "a later life of this VM is about, this one takes no more work";
+    1505 RolloutStage Info "a rollout has reached another stage";
+    1506 RolloutStopped Warn "a rollout can't go on now";
     1601 OperatorCommand Info "an operator's command was carried out or refused";
 }
 
--- a/src/modules/config_change.rs
+++ b/src/modules/config_change.rs
@@ -13,7 +13,7 @@
 use bridgevane_config::{
     AcceptedOperation, ConfigProblems, Document, Envelope, EnvelopeError, OperationStatus, Sections,
 };
-use bridgevane_types::{ConfigVersion, OperationId, OperatorName};
+use bridgevane_types::{ConfigVersion, DurationMs, ModelName, OperationId, OperatorName};
 use derive_more::{Display, Error, From};
 use serde::Serialize;
 use std::sync::Arc;
@@ -264,10 +264,49 @@
             found.drained = *is_drained;
             Ok(next)
         }
+        Statement::RollOut {
+            model,
+            version,
+            batch,
+            watch_ms,
+        } => roll_out(document, model, *version, *batch, *watch_ms),
         _ => Err(no_such("the statement changes no configuration")),
     }
 }
 
+/// A rollout starts from the version that the one before it went to.
+fn roll_out(
+    document: &Document,
+    model: &ModelName,
+    to_version: u64,
+    batch: Option<u64>,
+    watch_ms: Option<DurationMs>,
+) -> Result<Document, ChangeError> {
+    let before = document.rollout.get(model);
+    let from_version = before.map_or(0, |before| match before.to_version == to_version {
+        true => before.from_version,
+        false => before.to_version,
+    });
+    let mut entry = toml::Table::new();
+    entry.insert(
+        "from_version".into(),
+        toml::Value::Integer(from_version as i64),
+    );
+    entry.insert("to_version".into(), toml::Value::Integer(to_version as i64));
+    if let Some(batch) = batch {
+        entry.insert("batch".into(), toml::Value::Integer(batch as i64));
+    }
+    if let Some(watch_ms) = watch_ms {
+        entry.insert("watch_ms".into(), toml::Value::Integer(watch_ms.0 as i64));
+    }
+    let rollout = entry
+        .try_into()
+        .map_err(|_| no_such("the rollout can't be written"))?;
+    let mut next = document.clone();
+    next.rollout.insert(model.clone(), rollout);
+    Ok(next)
+}
+
 /// Sets one field by way of TOML, so that each field has the one meaning of the format.
 fn set(
     document: &Document,
--- a/src/modules/mod.rs
+++ b/src/modules/mod.rs
@@ -28,3 +28,4 @@
 pub mod pool_link;
 pub mod query_language;
 pub mod refusal;
+pub mod rollouts;
--- a/src/modules/operator_fan_out.rs
+++ b/src/modules/operator_fan_out.rs
@@ -139,7 +139,9 @@
         }
         Statement::Explain(request) => Ok(explain(context, request).await),
         Statement::DrainVm { vm, is_drained } => Ok(drain_vm(context, &vm, is_drained)),
-        Statement::Set { .. } | Statement::DrainEngine { .. } => Ok(Vec::new()),
+        Statement::Set { .. } | Statement::DrainEngine { .. } | Statement::RollOut { .. } => {
+            Ok(Vec::new())
+        }
     }
 }
 
--- a/src/modules/operator_rows.rs
+++ b/src/modules/operator_rows.rs
@@ -91,6 +91,7 @@
         Table::Classes => classes(context).await,
         Table::Burn => burn(context),
         Table::Customers => customers(context).await,
+        Table::Rollouts => context.rollouts.rows(context),
         Table::Config => config(context).await,
         Table::History => Vec::new(),
     };
--- a/src/modules/operators.rs
+++ b/src/modules/operators.rs
@@ -117,7 +117,11 @@
             table: Table::History,
             ..
         }) => history(&context).await,
-        Ok(statement @ (Statement::Set { .. } | Statement::DrainEngine { .. })) => {
+        Ok(
+            statement @ (Statement::Set { .. }
+            | Statement::DrainEngine { .. }
+            | Statement::RollOut { .. }),
+        ) => {
             let change = Change::Statement(statement);
             propose(&context, operator, &ask, change, text).await
         }
--- a/src/modules/query_language.rs
+++ b/src/modules/query_language.rs
@@ -3,7 +3,7 @@
 //! The grammar is in docs/LANGUAGE.md. Words are cut by `winnow`; a statement is read word by
 //! word, so that an error names the word and what would be right in its place.
 
-use bridgevane_types::{EngineId, RequestId, ServiceName, VmId};
+use bridgevane_types::{DurationMs, EngineId, ModelName, RequestId, ServiceName, VmId};
 use derive_more::{Display, Error};
 use winnow::ascii::multispace0;
 use winnow::combinator::{alt, delimited, preceded, repeat};
@@ -31,6 +31,9 @@
     /// Customers.
     #[display("customers")]
     Customers,
+    /// Rollouts of model versions.
+    #[display("rollouts")]
+    Rollouts,
     /// The configuration in force.
     #[display("config")]
     Config,
@@ -41,13 +44,14 @@
 
 impl Table {
     /// All tables.
-    pub const ALL: [Table; 8] = [
+    pub const ALL: [Table; 9] = [
         Table::Requests,
         Table::Engines,
         Table::Vms,
         Table::Classes,
         Table::Burn,
         Table::Customers,
+        Table::Rollouts,
         Table::Config,
         Table::History,
     ];
@@ -130,6 +134,17 @@
         /// The new value.
         value: Operand,
     },
+    /// `roll out MODEL version N [batch K] [watch DURATION]`
+    RollOut {
+        /// The model.
+        model: ModelName,
+        /// The version that all engines are to run.
+        version: u64,
+        /// Engines that change at the same time.
+        batch: Option<u64>,
+        /// How long each batch is watched.
+        watch_ms: Option<DurationMs>,
+    },
     /// `drain vm NAME`, `undrain vm NAME`
     DrainVm {
         /// The VM.
@@ -280,6 +295,18 @@
         }
     }
 
+    /// A whole number; durations are milliseconds.
+    fn whole_number(&mut self, right: &str) -> Result<u64, SyntaxError> {
+        match self.peek().map(operand) {
+            Some(Operand::Number(number)) if number >= 0.0 && number.fract() == 0.0 => {
+                self.next += 1;
+                Ok(number as u64)
+            }
+            Some(_) => self.fail(format!("not a whole number; expected {right}")),
+            None => self.fail(format!("the statement ends here; expected {right}")),
+        }
+    }
+
     fn end(&self) -> Result<(), SyntaxError> {
         match self.peek() {
             None => Ok(()),
@@ -298,11 +325,12 @@
         statement,
         next: 0,
     };
-    let read = match reader.choice(&["show", "explain", "set", "drain", "undrain"])? {
+    let read = match reader.choice(&["show", "explain", "set", "roll", "drain", "undrain"])? {
         0 => show(&mut reader)?,
         1 => explain(&mut reader)?,
         2 => set(&mut reader)?,
-        3 => drain(&mut reader, true)?,
+        3 => roll_out(&mut reader)?,
+        4 => drain(&mut reader, true)?,
         _ => drain(&mut reader, false)?,
     };
     reader.end()?;
@@ -388,6 +416,27 @@
     })
 }
 
+fn roll_out(reader: &mut Reader<'_>) -> Result<Statement, SyntaxError> {
+    reader.expect("out")?;
+    let model = ModelName::new(reader.take("a model")?);
+    reader.expect("version")?;
+    let version = reader.whole_number("a version")?;
+    let mut batch = None;
+    let mut watch_ms = None;
+    while reader.peek().is_some() {
+        match reader.choice(&["batch", "watch"])? {
+            0 => batch = Some(reader.whole_number("a number of engines")?),
+            _ => watch_ms = Some(DurationMs(reader.whole_number("a duration such as 60s")?)),
+        }
+    }
+    Ok(Statement::RollOut {
+        model,
+        version,
+        batch,
+        watch_ms,
+    })
+}
+
 fn drain(reader: &mut Reader<'_>, is_drained: bool) -> Result<Statement, SyntaxError> {
     if reader.choice(&["vm", "engine"])? == 0 {
         let vm = VmId::new(reader.take("a VM")?);
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -76,11 +76,11 @@
     expect![[r#"
         shwo requests
         ^
-        'shwo' is not known here; expected one of show, explain, set, drain, undrain
+        'shwo' is not known here; expected one of show, explain, set, roll, drain, undrain
 
         show request
              ^
-        'request' is not known here; expected one of requests, engines, vms, classes, burn, customers, config, history
+        'request' is not known here; expected one of requests, engines, vms, classes, burn, customers, rollouts, config, history
 
         show requests when class = booking
                       ^
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -32,6 +32,10 @@
     assert_eq!(answer.streamed_text(), expected_text(prompt));
 }
 
+type Headers<'a> = Vec<(&'a str, &'a str)>;
+/// Name, path, headers, body, status, code.
+type BadCase<'a> = (&'a str, &'a str, Headers<'a>, &'a str, u16, &'a str);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_requests_get_typed_answers() {
     let fleet = Fleet::start("bad_requests", 1, 1).await;
@@ -41,7 +45,7 @@
     let chat_path = "/v1/chat/completions";
     let huge = "x".repeat(5 << 20);
     let unknown_kind = [("authorization", good), ("x-bridgevane-kind", "nonsense")];
-    let table: Vec<(&str, &str, Vec<(&str, &str)>, &str, u16, &str)> = vec![
+    let table: Vec<BadCase<'_>> = vec![
         ("no key", chat_path, vec![], "{}", 401, "invalid_api_key"),
         (
             "wrong key",
