--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -153,6 +153,50 @@
     }
 }
 
+/// What requests of so many tokens cost all daemons together: processor microseconds and bytes
+/// between daemons, a request.
+async fn request_cost(daemons: &[Process], tokens: usize) -> (f64, f64) {
+    const REQUESTS: usize = 400;
+    const AT_ONCE: usize = 16;
+    let cpu = || {
+        daemons
+            .iter()
+            .map(|daemon| usage(daemon.id()).0)
+            .sum::<u64>()
+    };
+    let bytes_before = sum_metric(daemons, "bridgevane_peer_bytes", "purpose=\"request\"").await;
+    let cpu_before = cpu();
+    let callers: Vec<_> = (0..AT_ONCE)
+        .map(|caller| {
+            let addresses: Vec<SocketAddr> = daemons.iter().map(|daemon| daemon.address).collect();
+            tokio::spawn(async move {
+                for at in 0..REQUESTS / AT_ONCE {
+                    let text = format!("caller {caller} request {at} ").repeat(50);
+                    let prompt = format!("{text}[tokens={tokens}]");
+                    let body = json!({
+                        "model": format!("model-{}", at % SERVICES),
+                        "stream": true,
+                        "max_tokens": tokens,
+                        "prompt": prompt,
+                    });
+                    let address = addresses[(caller + at) % addresses.len()];
+                    let answer = post(address, "/v1/completions", body).await;
+                    assert_eq!(answer.status, 200, "{}", answer.text);
+                }
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.await.expect("the calls end");
+    }
+    let cpu_after = cpu();
+    let bytes_after = sum_metric(daemons, "bridgevane_peer_bytes", "purpose=\"request\"").await;
+    let requests = REQUESTS as f64;
+    // A frame is counted where it is sent and where it is received.
+    let bytes = (bytes_after - bytes_before) / 2.0 / requests;
+    ((cpu_after - cpu_before) as f64 * 1_000.0 / requests, bytes)
+}
+
 async fn measure(count: usize) -> String {
     let engines: Vec<Process> = (0..ENGINE_PROCESSES)
         .map(|_| standin(&["engine"]))
@@ -189,10 +233,12 @@
     }
     let cpu_changes = cpu(&daemons) - cpu_idle;
     changes.sort_unstable();
+    let (cpu_few, bytes_few) = request_cost(&daemons, 20).await;
+    let (cpu_many, bytes_many) = request_cost(&daemons, 120).await;
     let per = |value: f64| value / count as f64 / MEASURE.as_secs_f64();
     // A frame is counted where it is sent and where it is received.
     format!(
-        "| {count} | {:.2} | {:.1} | {:.0} | {:.0} | {:.2} | {} / {} | {:.1} |",
+        "| {count} | {:.2} | {:.1} | {:.0} | {:.0} | {:.2} | {} / {} | {:.1} | {:.0} / {:.0} | {:.0} / {:.0} |",
         per((cpu_after - cpu_before) as f64) / 10.0,
         resident as f64 / count as f64 / 1024.0,
         per(control_after - control_before) / 2.0,
@@ -201,6 +247,10 @@
         changes[changes.len() / 2],
         changes[changes.len() - 1],
         cpu_changes as f64 / count as f64 / CHANGES as f64,
+        cpu_few,
+        cpu_many,
+        bytes_few,
+        bytes_many,
     )
 }
 
@@ -215,9 +265,9 @@
         counts
     };
     println!(
-        "| daemons | cpu % of a core | resident MB | peer frames B/s sent | loopback B/s | platform calls/s, all | change in force ms, median / max | cpu ms a change |"
+        "| daemons | cpu % of a core | resident MB | peer frames B/s sent | loopback B/s | platform calls/s, all | change in force ms, median / max | cpu ms a change | cpu us a request, 20 / 120 tokens | bytes between daemons a request, 20 / 120 tokens |"
     );
-    println!("|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|---|");
     for count in counts {
         println!("{}", runtime.block_on(measure(count)));
     }
--- a/benches/latency.rs
+++ b/benches/latency.rs
@@ -11,6 +11,7 @@
 use axum::extract::{Request, State};
 use axum::response::Response;
 use axum::routing::post;
+use bridgevane::modules::http_serve;
 use bridgevane_adapters::HttpClient;
 use http_body_util::{BodyExt, Full};
 use serde_json::{Value, json};
@@ -48,7 +49,7 @@
         .await
         .expect("a port");
     let address = listener.local_addr().expect("an address");
-    tokio::spawn(async move { axum::serve(listener, router).await });
+    tokio::spawn(http_serve::serve(listener, router));
     address
 }
 
@@ -134,7 +135,17 @@
 
 async fn run() {
     // A step of no length: what is measured is what stands before the engine.
-    let engine = standin(&["engine", "--step-ms", "0.001", "--slots", "512"]);
+    let engine = standin(&[
+        "engine",
+        "--step-ms",
+        "0.001",
+        "--sequence-ms",
+        "0",
+        "--slots",
+        "512",
+        "--prefill-per-ms",
+        "10000000",
+    ]);
     let text =
         configuration(DATA_CENTRE, &[engine.address], &[]).replace("slots = 16", "slots = 512");
     let file = configuration_file("latency_bench", &text);
--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -169,7 +169,12 @@
                 continue;
             };
             let deadline = self.started + Duration::from_micros(step_ends_us);
-            tokio::time::sleep_until(deadline).await;
+            if deadline > Instant::now() {
+                tokio::time::sleep_until(deadline).await;
+            } else {
+                // The clock's grain is a millisecond; shorter steps don't wait for it.
+                tokio::task::yield_now().await;
+            }
             let mut engine = self.lock();
             if engine.model.step_ends_us() != Some(step_ends_us) {
                 continue;
--- a/src/commands/ask.rs
+++ b/src/commands/ask.rs
@@ -1,7 +1,7 @@
 //! `bridgevane ask`: operators' statements from the command line.
 
 use crate::commands::operator_client::{ClientError, DaemonAnswer, OperatorClient};
-use crate::commands::{block_on, exit};
+use crate::commands::{block_on, exit, say};
 use crate::modules::operator_fan_out::Answer;
 use crate::modules::operator_rows::Row;
 use crate::modules::operators::Ask;
@@ -68,7 +68,7 @@
     let client = OperatorClient::new(arguments.at, arguments.token.clone())?;
     if arguments.print_config {
         let answer = client.config().await?;
-        println!("{}", answer.body["document"].as_str().unwrap_or_default());
+        say!("{}", answer.body["document"].as_str().unwrap_or_default());
         eprintln!("version {}", answer.body["version"]);
         return Ok(code_of(answer.status));
     }
@@ -124,7 +124,7 @@
 
 fn print(answer: &DaemonAnswer, is_json: bool, operation: &str) {
     if is_json || !std::io::stdout().is_terminal() {
-        println!("{}", answer.body);
+        say!("{}", answer.body);
         return;
     }
     if let Some(error) = answer.body["error"].as_str() {
@@ -133,12 +133,12 @@
     }
     match serde_json::from_value::<Answer>(answer.body.clone()) {
         Ok(rows) => print_rows(&rows),
-        Err(_) => println!("{}  (operation {operation})", answer.body),
+        Err(_) => say!("{}  (operation {operation})", answer.body),
     }
 }
 
 fn print_rows(answer: &Answer) {
-    println!("{}", table(&answer.rows));
+    say!("{}", table(&answer.rows));
     if !answer.missing.is_empty() {
         let names: Vec<&str> = answer.missing.iter().map(|vm| vm.as_str()).collect();
         eprintln!("a part only: no answer from {}", names.join(", "));
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -1,6 +1,6 @@
 //! `bridgevane check`: proves a configuration file before it is proposed.
 
-use crate::commands::exit;
+use crate::commands::{exit, say};
 use crate::modules::config_in_force::key_digest;
 use argh::FromArgs;
 use bridgevane_config::Document;
@@ -36,7 +36,7 @@
     };
     match Document::parse(&text) {
         Ok(document) => {
-            println!(
+            say!(
                 "ok: {} classes, {} customers, {} kinds, {} services",
                 document.class.len(),
                 document.customer.len(),
@@ -58,6 +58,6 @@
         eprintln!("{error}");
         return exit::USAGE;
     }
-    println!("{}", key_digest(key.trim()));
+    say!("{}", key_digest(key.trim()));
     exit::OK
 }
--- a/src/commands/demo/mod.rs
+++ b/src/commands/demo/mod.rs
@@ -4,7 +4,7 @@
 mod results;
 mod stage;
 
-use crate::commands::{block_on, exit};
+use crate::commands::{block_on, exit, say};
 use crate::configs::log::{LogConfig, LogFormat};
 use crate::modules::logging;
 use argh::FromArgs;
@@ -152,12 +152,12 @@
     let _ = fault.await;
     let results = Results::gather(&stage, arguments, results).await;
     if arguments.json {
-        println!("{}", results.json());
+        say!("{}", results.json());
     } else {
-        println!("{}", results.table());
+        say!("{}", results.table());
     }
     if arguments.hold {
-        println!("held; stop with ctrl-c");
+        say!("held; stop with ctrl-c");
         // Without a signal handler there is nothing to wait for.
         let _ = tokio::signal::ctrl_c().await;
     }
@@ -171,13 +171,13 @@
 fn announce(stage: &Stage) {
     let callers = stage.context.config.caller_address;
     let operators = stage.context.config.operator_address;
-    println!("callers   http://{callers}");
-    println!(
+    say!("callers   http://{callers}");
+    say!(
         "operators http://{operators}  (token {})",
         stage::OPERATOR_TOKEN
     );
-    println!("platform  http://{}", stage.platform_address());
-    println!(
+    say!("platform  http://{}", stage.platform_address());
+    say!(
         "try: curl -N http://{callers}/v1/chat/completions -H 'authorization: Bearer {}' \
          -d '{{\"model\":\"{}\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}]}}'",
         stage.any_key(),
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -14,6 +14,15 @@
 use argh::FromArgs;
 use std::process::ExitCode;
 
+/// Prints a line; a reader that went away is no fault of ours.
+macro_rules! say {
+    ($($arguments:tt)*) => {{
+        use std::io::Write as _;
+        let _ = writeln!(std::io::stdout(), $($arguments)*);
+    }};
+}
+pub(crate) use say;
+
 /// Exit codes, as docs/CLI.md documents them.
 pub mod exit {
     /// Done.
@@ -29,8 +38,11 @@
 /// A router for language-model traffic with priorities and service levels.
 #[derive(Debug, FromArgs)]
 pub struct Arguments {
+    /// print the version
+    #[argh(switch)]
+    version: bool,
     #[argh(subcommand)]
-    command: Command,
+    command: Option<Command>,
 }
 
 #[derive(Debug, FromArgs)]
@@ -44,17 +56,19 @@
     Demo(demo::DemoArguments),
     #[cfg(feature = "standins")]
     Standin(standin::StandinArguments),
-    Version(VersionArguments),
 }
 
-/// Print the version.
-#[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "version")]
-struct VersionArguments {}
-
 /// Runs a command.
 pub fn run(arguments: Arguments) -> ExitCode {
-    let code = match arguments.command {
+    if arguments.version {
+        say!("bridgevane {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::from(exit::OK);
+    }
+    let Some(command) = arguments.command else {
+        eprintln!("give a command; --help lists them");
+        return ExitCode::from(exit::USAGE);
+    };
+    let code = match command {
         Command::Serve(arguments) => serve::run(&arguments),
         Command::Ask(arguments) => ask::run(&arguments),
         Command::Check(arguments) => check::run(&arguments),
@@ -63,10 +77,6 @@
         Command::Demo(arguments) => demo::run(&arguments),
         #[cfg(feature = "standins")]
         Command::Standin(arguments) => standin::run(arguments),
-        Command::Version(_) => {
-            println!("bridgevane {}", env!("CARGO_PKG_VERSION"));
-            exit::OK
-        }
     };
     ExitCode::from(code)
 }
--- a/src/commands/report.rs
+++ b/src/commands/report.rs
@@ -1,7 +1,7 @@
 //! `bridgevane report`: service-level burn, on the terminal or as one HTML page.
 
 use crate::commands::operator_client::{ClientError, OperatorClient};
-use crate::commands::{ask, block_on, exit, report_page};
+use crate::commands::{ask, block_on, exit, report_page, say};
 use crate::modules::operator_fan_out::Answer;
 use crate::modules::operator_rows::Row;
 use crate::modules::operators::Ask;
@@ -64,13 +64,13 @@
             eprintln!("{}: {error}", file.display());
             return Ok(exit::USAGE);
         }
-        println!("{}", file.display());
+        say!("{}", file.display());
         return Ok(exit::OK);
     }
     if arguments.json || !std::io::stdout().is_terminal() {
-        println!("{}", answer.body);
+        say!("{}", answer.body);
     } else {
-        println!("{}", ask::table(&without_histograms(&rows.rows)));
+        say!("{}", ask::table(&without_histograms(&rows.rows)));
     }
     if !rows.missing.is_empty() {
         let names: Vec<&str> = rows.missing.iter().map(|vm| vm.as_str()).collect();
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -1,6 +1,6 @@
 //! `bridgevane serve`: the daemon.
 
-use crate::commands::{block_on, exit};
+use crate::commands::{block_on, exit, say};
 use crate::configs::serve::{ServeConfig, SettingSource, variable_of};
 use crate::context::Context;
 use crate::modules::leaving::LeavingSource;
@@ -91,7 +91,7 @@
         }
     };
     if arguments.print_settings {
-        println!("{config:#?}");
+        say!("{config:#?}");
         return exit::OK;
     }
     if let Err(error) = logging::set_up(config.log) {
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -3,7 +3,7 @@
 //! Stand-ins are behind the cargo feature `standins`, which a production build turns off: a
 //! binary that could pretend to be the platform has no place on a VM.
 
-use crate::commands::{block_on, exit};
+use crate::commands::{block_on, exit, say};
 use crate::modules::config_follow::CONFIG_KEY;
 use argh::FromArgs;
 use bridgevane_config::{Document, Envelope};
@@ -35,6 +35,12 @@
     /// engine: milliseconds of a step with no sequence
     #[argh(option, default = "20.0")]
     step_ms: f64,
+    /// engine: milliseconds that each running sequence adds to a step
+    #[argh(option, default = "0.8")]
+    sequence_ms: f64,
+    /// engine: prompt tokens that it processes in a millisecond
+    #[argh(option, default = "8.0")]
+    prefill_per_ms: f64,
     /// engine: refuse orders with an old fencing token
     #[argh(switch)]
     checks_fence: bool,
@@ -78,7 +84,7 @@
 
 async fn serve_until_killed(address: SocketAddr, router: axum::Router) -> Result<(), StandinError> {
     let served = serve(address, router).await?;
-    println!("{}", served.address);
+    say!("{}", served.address);
     std::future::pending::<()>().await;
     drop(served);
     Ok(())
@@ -89,6 +95,8 @@
         spec: EngineSpec {
             slots: Slots(arguments.slots),
             step_base_us: arguments.step_ms * 1000.0,
+            step_per_sequence_us: arguments.sequence_ms * 1000.0,
+            prefill_tokens_per_ms: arguments.prefill_per_ms,
             ..EngineSpec::default()
         },
         checks_fence: arguments.checks_fence,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -241,15 +241,29 @@
 
 /// The configuration of one data centre with these engines and plain workers.
 pub fn configuration(data_centre: &str, engines: &[SocketAddr], plain: &[SocketAddr]) -> String {
+    let here = |addresses: &[SocketAddr]| -> Vec<(String, SocketAddr)> {
+        let placed = addresses
+            .iter()
+            .map(|address| (data_centre.to_owned(), *address));
+        placed.collect()
+    };
+    configuration_of(&here(engines), &here(plain))
+}
+
+/// The configuration of several data centres: workers with their places.
+pub fn configuration_of(
+    engines: &[(String, SocketAddr)],
+    plain: &[(String, SocketAddr)],
+) -> String {
     let digest = bridgevane::modules::config_in_force::key_digest(CUSTOMER_KEY);
-    let workers = |service: &str, addresses: &[SocketAddr]| -> String {
-        let worker = |(at, address): (usize, &SocketAddr)| {
+    let workers = |service: &str, placed: &[(String, SocketAddr)]| -> String {
+        let worker = |(at, (data_centre, address)): (usize, &(String, SocketAddr))| {
             format!(
                 "[service.{service}.engine.{service}-{at}]\naddress = \"{address}\"\n\
                  data_centre = \"{data_centre}\"\nslots = 16\n"
             )
         };
-        addresses.iter().enumerate().map(worker).collect()
+        placed.iter().enumerate().map(worker).collect()
     };
     format!(
         r#"
@@ -429,3 +443,41 @@
         .map(|offset| bridgevane_standins::token_text(&prompt, offset))
         .collect()
 }
+
+/// Passes connections on to another address until it is cut; a cut also breaks those that are
+/// open.
+pub struct Proxy {
+    pub address: SocketAddr,
+    is_cut: tokio::sync::watch::Sender<bool>,
+}
+
+impl Proxy {
+    pub async fn to(target: SocketAddr) -> Self {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (is_cut, watched) = tokio::sync::watch::channel(false);
+        tokio::spawn(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                let mut watched = watched.clone();
+                tokio::spawn(async move {
+                    if *watched.borrow_and_update() {
+                        return;
+                    }
+                    let far = tokio::net::TcpStream::connect(target).await;
+                    let mut far = far.expect("the target listens");
+                    tokio::select! {
+                        _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
+                        _ = watched.changed() => {}
+                    }
+                });
+            }
+        });
+        Self { address, is_cut }
+    }
+
+    pub fn cut(&self, is_cut: bool) {
+        self.is_cut.send_replace(is_cut);
+    }
+}
