perf(routing): a sixteenth of a prompt is the grain of prefix hints; memory by counted state

Cause: docs/CAPACITY.md needs memory slopes; measuring them showed a pool's prefix index at 34 MB for 200,000 blocks, and an offer carried 64 hashes (512 bytes). Thinning by any whole step also lost sharing: prompts of unlike lengths kept different blocks.

Measured: 172 bytes a known block, 800 bytes a request in flight with 64 blocks, 1.9 KB a length sketch, 424 bytes an engine. Prompts with a shared beginning of 14,800 characters and own ends of 1 to 40,000 share at least one block and half the history.

Conclusion: an offer is 384 bytes smaller and the index half as large; hints are coarser, at most a sixteenth of the prompt is processed again for nothing.

--- /dev/null
+++ b/crates/decisions/benches/memory.rs
@@ -0,0 +1,154 @@
+//! What a pool's state takes: resident memory at several sizes.
+//!
+//! `cargo bench -p bridgevane-decisions --bench memory` prints the table of docs/CAPACITY.md.
+
+use bridgevane_decisions::configs::Settings;
+use bridgevane_decisions::{
+    AttemptEnd, ClassIx, ClassPolicy, Context, CustomerIx, CustomerPolicy, Effect, EngineIx,
+    EnginePolicy, KindIx, NoLog, Offer, Policy, Pool, PoolPolicy,
+};
+use bridgevane_types::{DurationMs, RequestId, Share, Slots, Tier, TimeMs, Tokens};
+
+const CUSTOMERS: u32 = 1_100;
+const TIERS: u8 = 8;
+const BLOCKS: u64 = 64;
+
+fn resident_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|rest| rest.split_whitespace().next());
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
+}
+
+fn policy(engines: u32, slots: u32) -> PoolPolicy {
+    let class = |tier: u8| ClassPolicy {
+        name: format!("class-{tier}").as_str().into(),
+        tier: Tier(tier),
+        first_token_target_ms: DurationMs(60_000),
+        between_tokens_target_ms: Some(DurationMs(46)),
+        min_share: Share(0.01),
+        max_wait_ms: None,
+    };
+    let customer = |at: u32| CustomerPolicy {
+        name: format!("customer-{at}").as_str().into(),
+        rate_limit_tps: None,
+        concurrency_limit: None,
+    };
+    let engine = |at: u32| EnginePolicy {
+        name: format!("engine-{at}").as_str().into(),
+        slots: Slots(slots),
+        is_drained: false,
+    };
+    PoolPolicy::of(
+        (0..TIERS).map(class).collect(),
+        (0..CUSTOMERS).map(customer).collect(),
+        (0..TIERS)
+            .map(|tier| (format!("kind-{tier}").as_str().into(), Tokens(200)))
+            .collect(),
+        (0..engines).map(engine).collect(),
+    )
+}
+
+struct Filled {
+    pool: Pool,
+    settings: Settings,
+    effects: Vec<Effect>,
+}
+
+impl Filled {
+    fn new(engines: u32, slots: u32) -> Self {
+        let settings = Settings::default();
+        Self {
+            pool: Pool::new(policy(engines, slots), &settings, 1),
+            settings,
+            effects: Vec::new(),
+        }
+    }
+
+    fn decide(&mut self, decide: impl FnOnce(&mut Pool, &mut Context<'_, NoLog>)) {
+        let mut context = Context {
+            now: TimeMs(1),
+            settings: &self.settings,
+            effects: &mut self.effects,
+            log: &mut NoLog,
+        };
+        decide(&mut self.pool, &mut context);
+    }
+
+    fn offer(&mut self, id: u64) {
+        let offer = Offer {
+            request: RequestId(u128::from(id)),
+            class: ClassIx((id % u64::from(TIERS)) as u16),
+            customer: CustomerIx((id % u64::from(CUSTOMERS)) as u32),
+            kind: KindIx((id % u64::from(TIERS)) as u16),
+            prompt_tokens: Tokens(1_000),
+            max_tokens: Tokens(1_024),
+            blocks: (0..BLOCKS).map(|block| (id << 8) | block).collect(),
+            block_tokens: 64,
+            is_repeatable: true,
+            is_preemptible: true,
+        };
+        self.decide(|pool, context| pool.offer(context, offer));
+    }
+
+    fn finish_all(&mut self) {
+        let effects = std::mem::take(&mut self.effects);
+        for effect in effects {
+            if let Effect::Dispatch {
+                request, attempt, ..
+            } = effect
+            {
+                let end = AttemptEnd::Done(Tokens(100));
+                self.decide(|pool, context| pool.finished(context, request, attempt, end));
+            }
+        }
+    }
+}
+
+fn row(name: &str, before_kb: u64, count: u64) {
+    let kb = resident_kb().saturating_sub(before_kb);
+    println!(
+        "| {name} | {count} | {kb} | {:.0} |",
+        kb as f64 * 1024.0 / count.max(1) as f64
+    );
+}
+
+fn main() {
+    println!("| state | count | KB resident | bytes each |");
+    println!("|---|---|---|---|");
+    // Kinds and customers of these requests meet in 2,200 pairs. Memory that was freed is used
+    // again, so what is small comes first.
+    for count in [1_100u64, 2_200] {
+        let mut filled = Filled::new(121, 64);
+        let before = resident_kb();
+        for id in 0..count {
+            filled.offer(id);
+            filled.finish_all();
+        }
+        row("length sketches by kind and customer", before, count);
+        std::mem::forget(filled);
+    }
+    for engines in [121u64, 850] {
+        let before = resident_kb();
+        let filled = Filled::new(engines as u32, 64);
+        row("engines of a pool, with 1,100 customers", before, engines);
+        drop(filled);
+    }
+    for count in [2_500u64, 5_000, 10_000] {
+        let mut filled = Filled::new(121, 128);
+        let before = resident_kb();
+        (0..count).for_each(|id| filled.offer(id));
+        row("requests in flight, 64 blocks each", before, count);
+    }
+    for count in [50_000u64, 200_000] {
+        let mut filled = Filled::new(121, 64);
+        let before = resident_kb();
+        for block in 0..count {
+            let engine = EngineIx((block % 121) as u32);
+            filled
+                .pool
+                .cache_stored(TimeMs(1), &filled.settings, engine, block);
+        }
+        row("cached blocks known", before, count);
+    }
+}
--- a/crates/decisions/src/configs/routing.rs
+++ b/crates/decisions/src/configs/routing.rs
@@ -21,7 +21,7 @@
         Self {
             load_cost_ms: 300.0,
             is_cache_aware: true,
-            max_blocks: 200_000,
+            max_blocks: 100_000,
             block_memory_ms: 600_000,
             choices: None,
         }
--- a/src/modules/callers.rs
+++ b/src/modules/callers.rs
@@ -38,7 +38,7 @@
 /// Prompt tokens of a prefix block.
 const BLOCK_TOKENS: u32 = 16;
 /// Blocks that are sent with an offer at most; a longer prompt is thinned out.
-const MAX_BLOCKS: usize = 64;
+const MAX_BLOCKS: usize = 16;
 
 /// The callers' routes.
 pub fn router(context: Arc<Context>) -> Router {
@@ -162,12 +162,14 @@
     }
 }
 
-/// Hashes of the prompt's prefixes. A long prompt keeps every n-th block, so that an offer
-/// stays small; the hash of a block covers all text before its end.
-fn prefix_blocks(prompt: &str) -> (Vec<u64>, u32) {
+/// Hashes of the prompt's prefixes, and the tokens that one stands for. A long prompt keeps
+/// every n-th block, so that an offer stays small; the hash of a block covers all text before
+/// its end. The step is a power of two: prompts of unlike lengths meet at the larger one's
+/// blocks.
+pub fn prefix_blocks(prompt: &str) -> (Vec<u64>, u32) {
     let bytes = prompt.as_bytes();
     let count = bytes.len() / BLOCK_CHARS;
-    let step = count.div_ceil(MAX_BLOCKS).max(1);
+    let step = count.div_ceil(MAX_BLOCKS).max(1).next_power_of_two();
     let hash = |block: usize| xxh3_64(&bytes[..block * BLOCK_CHARS]);
     let blocks = (1..=count / step).map(|at| hash(at * step)).collect();
     (blocks, BLOCK_TOKENS * step as u32)
