refactor: files that had grown large are cut by what they do

Change: callers (who calls apart), pool homes (messages apart), pool actor (the handle apart), model request (targets and progress reports apart), membership (what is known of one node apart). No behaviour changes; tests keep their assertions.

Conclusion: each file has one matter; the runner of a model request stays whole, as its states are read together.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -32,8 +32,7 @@
 pub use modules::config_replica::{ConfigAnswer, ConfigReplica, NotAccepted};
 pub use modules::held_lease::HeldLease;
 pub use modules::key_registry::{Claim, KeyEnd, KeyMember, KeyRegistry, StoredAnswer, Verdict};
-pub use modules::membership::{
-    Member, MemberState, MemberUpdate, Membership, MembershipEffect, Standing,
-};
+pub use modules::member::{Member, MemberState, MemberUpdate};
+pub use modules::membership::{Membership, MembershipEffect};
 pub use modules::rendezvous::home_of;
 pub use modules::rollout::{Rollout, RolloutEffect, RolloutObservation, RolloutPlan, RolloutStage};
--- /dev/null
+++ b/src/modules/caller.rs
@@ -0,0 +1,111 @@
+//! Who calls: the customer behind a bearer key, under the configuration in force.
+
+use crate::context::Context;
+use crate::modules::config_in_force::InForce;
+use crate::modules::refusal::{BadRequest, Refusal};
+use axum::body::{Body, Bytes};
+use axum::http::{HeaderMap, header};
+use bridgevane_config::ClassConfig;
+use bridgevane_types::{
+    ClassName, CustomerId, DurationMs, KindName, Outcome, RefusalCode, RequestId,
+};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use std::sync::Arc;
+
+/// Names the request kind.
+const KIND_HEADER: &str = "x-bridgevane-kind";
+
+/// Who calls, under which configuration.
+pub(crate) struct Caller {
+    pub(crate) request: RequestId,
+    pub(crate) in_force: Arc<InForce>,
+    pub(crate) customer: CustomerId,
+    pub(crate) default_kind: KindName,
+}
+
+/// Checks that the VM takes work and that the key is a customer's.
+pub(crate) fn identify(context: &Context, headers: &HeaderMap) -> Result<Caller, Refusal> {
+    let request = context.new_request_id();
+    if context.leaving.is_leaving() {
+        let code = RefusalCode::Leaving;
+        let retry_after_ms = Some(DurationMs(0));
+        return Err(Refusal::refused(
+            request,
+            code,
+            Outcome::NotRun,
+            retry_after_ms,
+        ));
+    }
+    let in_force = context
+        .in_force
+        .load()
+        .filter(|_| context.replica.may_serve());
+    let Some(in_force) = in_force else {
+        return Err(Refusal::bad_request(request, BadRequest::NotReady));
+    };
+    let key = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
+    let known = key.and_then(|key| in_force.customer_of_key(key));
+    let Some((customer, config)) = known else {
+        return Err(Refusal::bad_request(request, BadRequest::UnknownKey));
+    };
+    let customer = customer.clone();
+    let default_kind = config.default_kind.clone();
+    Ok(Caller {
+        request,
+        in_force,
+        customer,
+        default_kind,
+    })
+}
+
+/// Reads a bounded body in bounded time.
+pub(crate) async fn read_body(
+    context: &Context,
+    request: RequestId,
+    body: Body,
+) -> Result<Bytes, Refusal> {
+    let serving = &context.config.serving;
+    let reading = Limited::new(body, serving.max_body_bytes).collect();
+    let read = tokio::time::timeout(serving.body_timeout_ms.as_std(), reading).await;
+    let Ok(read) = read else {
+        return Err(Refusal::bad_request(request, BadRequest::BodyTimeout));
+    };
+    read.map(|body| body.to_bytes()).map_err(|error| {
+        let bad = if error.is::<LengthLimitError>() {
+            BadRequest::BodyTooLarge
+        } else {
+            BadRequest::MalformedBody
+        };
+        Refusal::bad_request(request, bad)
+    })
+}
+
+impl Caller {
+    /// The answer to a request that is at fault.
+    pub(crate) fn bad(&self, bad: BadRequest) -> Refusal {
+        Refusal::bad_request(self.request, bad)
+    }
+
+    /// The kind that the header names, or the customer's default one, with its class.
+    pub(crate) fn kind(&self, headers: &HeaderMap) -> Result<(KindName, ClassName), Refusal> {
+        let named = headers
+            .get(KIND_HEADER)
+            .and_then(|value| value.to_str().ok());
+        let kind = named.map_or_else(|| self.default_kind.clone(), KindName::from);
+        let config = self.in_force.document.kind.get(&kind);
+        let is_allowed =
+            |customers: &[CustomerId]| customers.is_empty() || customers.contains(&self.customer);
+        match config.filter(|config| is_allowed(&config.customers)) {
+            Some(config) => Ok((kind, config.class.clone())),
+            None => Err(self.bad(BadRequest::KindNotAllowed)),
+        }
+    }
+
+    /// The class's configuration.
+    pub(crate) fn class(&self, class: &ClassName) -> Result<&ClassConfig, Refusal> {
+        let config = self.in_force.document.class.get(class);
+        config.ok_or_else(|| self.bad(BadRequest::KindNotAllowed))
+    }
+}
--- a/src/modules/callers.rs
+++ b/src/modules/callers.rs
@@ -1,13 +1,14 @@
 //! The callers' HTTP interface.
 
 use crate::context::Context;
+use crate::modules::caller::{identify, read_body};
 use crate::modules::chat_format::{AnswerFormat, ModelCall, Shape};
-use crate::modules::config_in_force::InForce;
 use crate::modules::key_homes::KeyedCall;
-use crate::modules::model_request::{self, CallerEvent, ModelRequest, Targets};
+use crate::modules::model_request::{self, CallerEvent, ModelRequest};
 use crate::modules::plain_request::{self, PlainRequest};
 use crate::modules::pool_link::NamedOffer;
 use crate::modules::refusal::{BadRequest, Refusal, header_value};
+use crate::modules::targets::Targets;
 use axum::body::{Body, Bytes};
 use axum::extract::{Path, Request, State};
 use axum::http::{HeaderMap, StatusCode, header};
@@ -16,12 +17,8 @@
 use axum::{Json, Router};
 use bridgevane_adapters::{EndReason, PlainCall};
 use bridgevane_config::{ClassConfig, ServiceKind};
-use bridgevane_types::{
-    ClassName, CustomerId, DurationMs, IdempotencyKey, KindName, Outcome, RefusalCode, RequestId,
-    ServiceName, Tokens,
-};
+use bridgevane_types::{IdempotencyKey, Outcome, RefusalCode, ServiceName, Tokens};
 use futures_util::{Stream, StreamExt, stream};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde_json::{Value, json};
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -29,8 +26,6 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Names the request kind.
-const KIND_HEADER: &str = "x-bridgevane-kind";
 /// Characters that count as one prompt token before the engine has counted.
 const CHARS_PER_TOKEN: u64 = 4;
 /// Characters of a prefix block, as the engines cut prompts.
@@ -67,94 +62,6 @@
     context.metrics.page()
 }
 
-/// Who calls, under which configuration.
-struct Caller {
-    request: RequestId,
-    in_force: Arc<InForce>,
-    customer: CustomerId,
-    default_kind: KindName,
-}
-
-/// Checks that the VM takes work and that the key is a customer's.
-fn identify(context: &Context, headers: &HeaderMap) -> Result<Caller, Refusal> {
-    let request = context.new_request_id();
-    if context.leaving.is_leaving() {
-        let code = RefusalCode::Leaving;
-        let retry_after_ms = Some(DurationMs(0));
-        return Err(Refusal::refused(
-            request,
-            code,
-            Outcome::NotRun,
-            retry_after_ms,
-        ));
-    }
-    let in_force = context
-        .in_force
-        .load()
-        .filter(|_| context.replica.may_serve());
-    let Some(in_force) = in_force else {
-        return Err(Refusal::bad_request(request, BadRequest::NotReady));
-    };
-    let key = headers
-        .get(header::AUTHORIZATION)
-        .and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "));
-    let known = key.and_then(|key| in_force.customer_of_key(key));
-    let Some((customer, config)) = known else {
-        return Err(Refusal::bad_request(request, BadRequest::UnknownKey));
-    };
-    let customer = customer.clone();
-    let default_kind = config.default_kind.clone();
-    Ok(Caller {
-        request,
-        in_force,
-        customer,
-        default_kind,
-    })
-}
-
-async fn read_body(context: &Context, request: RequestId, body: Body) -> Result<Bytes, Refusal> {
-    let serving = &context.config.serving;
-    let reading = Limited::new(body, serving.max_body_bytes).collect();
-    let read = tokio::time::timeout(serving.body_timeout_ms.as_std(), reading).await;
-    let Ok(read) = read else {
-        return Err(Refusal::bad_request(request, BadRequest::BodyTimeout));
-    };
-    read.map(|body| body.to_bytes()).map_err(|error| {
-        let bad = if error.is::<LengthLimitError>() {
-            BadRequest::BodyTooLarge
-        } else {
-            BadRequest::MalformedBody
-        };
-        Refusal::bad_request(request, bad)
-    })
-}
-
-impl Caller {
-    fn bad(&self, bad: BadRequest) -> Refusal {
-        Refusal::bad_request(self.request, bad)
-    }
-
-    /// The kind that the header names, or the customer's default one, with its class.
-    fn kind(&self, headers: &HeaderMap) -> Result<(KindName, ClassName), Refusal> {
-        let named = headers
-            .get(KIND_HEADER)
-            .and_then(|value| value.to_str().ok());
-        let kind = named.map_or_else(|| self.default_kind.clone(), KindName::from);
-        let config = self.in_force.document.kind.get(&kind);
-        let is_allowed =
-            |customers: &[CustomerId]| customers.is_empty() || customers.contains(&self.customer);
-        match config.filter(|config| is_allowed(&config.customers)) {
-            Some(config) => Ok((kind, config.class.clone())),
-            None => Err(self.bad(BadRequest::KindNotAllowed)),
-        }
-    }
-
-    fn class(&self, class: &ClassName) -> Result<&ClassConfig, Refusal> {
-        let config = self.in_force.document.class.get(class);
-        config.ok_or_else(|| self.bad(BadRequest::KindNotAllowed))
-    }
-}
-
 fn targets(class: &ClassConfig) -> Targets {
     Targets {
         first_token_ms: class.first_token_target_ms,
--- a/src/modules/engine_poll.rs
+++ b/src/modules/engine_poll.rs
@@ -2,7 +2,7 @@
 
 use crate::context::Context;
 use crate::modules::engine_link::EngineLink;
-use crate::modules::pool_actor::PoolMessage;
+use crate::modules::pool_handle::PoolMessage;
 use crate::{event, events::Event};
 use bridgevane_adapters::ModelEngine;
 use bridgevane_config::ServiceKind;
--- a/src/modules/mod.rs
+++ b/src/modules/mod.rs
@@ -1,6 +1,8 @@
 //! The daemon's behaviour, one module a file.
 
+pub mod attempt_reports;
 pub mod burn;
+pub mod caller;
 pub mod callers;
 pub mod chat_format;
 pub mod config_change;
@@ -24,8 +26,11 @@
 pub mod plain_request;
 pub mod pool_actor;
 pub mod pool_directory;
+pub mod pool_handle;
 pub mod pool_homes;
 pub mod pool_link;
+pub mod pool_wire;
 pub mod query_language;
 pub mod refusal;
 pub mod rollouts;
+pub mod targets;
--- a/src/modules/model_request.rs
+++ b/src/modules/model_request.rs
@@ -4,12 +4,13 @@
 //! continues exactly where the caller's text ends; late, repeated and crossed pieces are
 //! dropped, a gap ends the attempt.
 
-use crate::configs::serving::ServingConfig;
 use crate::context::Context;
+use crate::modules::attempt_reports::Reported;
 use crate::modules::burn::Ended;
 use crate::modules::engine_link::EngineLink;
 use crate::modules::pool_link::{NamedOffer, OrderReceiver, PoolOrder, PoolReport};
 use crate::modules::refusal::Refusal;
+use crate::modules::targets::Targets;
 use crate::{event, events::Event};
 use bridgevane_adapters::{
     EndReason, EngineCallError, GenerateCall, ModelEngine, Piece, PieceEvent,
@@ -47,27 +48,6 @@
     pub targets: Targets,
 }
 
-/// The latency targets of a request.
-#[derive(Clone, Copy, Debug)]
-pub struct Targets {
-    /// The latest first token.
-    pub first_token_ms: DurationMs,
-    /// The longest mean gap between tokens.
-    pub between_tokens_ms: Option<DurationMs>,
-}
-
-impl Targets {
-    /// Whether a whole answer was within target.
-    pub fn are_met(&self, first_token_ms: u64, whole_ms: u64, tokens: u64) -> bool {
-        let gaps = tokens.saturating_sub(1).max(1);
-        let mean_gap_ms = whole_ms.saturating_sub(first_token_ms) / gaps;
-        let gap_met = self
-            .between_tokens_ms
-            .is_none_or(|target| mean_gap_ms <= target.0);
-        first_token_ms <= self.first_token_ms.0 && gap_met
-    }
-}
-
 /// How an attempt left the loop that reads its pieces.
 enum AttemptResult {
     Done(EndReason),
@@ -85,50 +65,6 @@
     cached_tokens: Tokens,
 }
 
-/// What an attempt has reported to its pool.
-struct Reported {
-    started_at: u64,
-    tokens: u64,
-    at: TimeMs,
-    token_at: TimeMs,
-}
-
-impl Reported {
-    fn new(delivered: u64, now: TimeMs) -> Self {
-        Self {
-            started_at: delivered,
-            tokens: delivered,
-            at: now,
-            token_at: now,
-        }
-    }
-
-    /// The report that is due after a token, if any.
-    fn next(
-        &mut self,
-        serving: &ServingConfig,
-        attempt: AttemptNumber,
-        delivered: u64,
-        now: TimeMs,
-    ) -> Option<PoolReport> {
-        let gap_ms = now.since(self.token_at);
-        self.token_at = now;
-        if delivered == self.started_at + 1 {
-            self.at = now;
-            return Some(PoolReport::FirstToken(attempt));
-        }
-        let is_due = delivered >= self.tokens + serving.progress_tokens
-            || now.since(self.at) >= serving.progress_ms
-            || gap_ms >= serving.slow_gap_ms;
-        if !is_due {
-            return None;
-        }
-        self.tokens = delivered;
-        self.at = now;
-        Some(PoolReport::Progress(attempt, Tokens(delivered), gap_ms))
-    }
-}
-
 struct Runner {
     context: Arc<Context>,
     request: ModelRequest,
--- a/src/modules/plain_request.rs
+++ b/src/modules/plain_request.rs
@@ -3,9 +3,9 @@
 use crate::context::Context;
 use crate::modules::burn::Ended;
 use crate::modules::key_homes::{self, ClaimAnswer, KeyedCall};
-use crate::modules::model_request::Targets;
 use crate::modules::pool_link::{NamedOffer, OrderReceiver, PoolOrder, PoolReport};
 use crate::modules::refusal::{BadRequest, Refusal};
+use crate::modules::targets::Targets;
 use crate::{event, events::Event};
 use axum::http::StatusCode;
 use bridgevane_adapters::{PlainAnswer, PlainCall, PlainCallError, PlainService};
--- a/src/modules/pool_directory.rs
+++ b/src/modules/pool_directory.rs
@@ -3,7 +3,8 @@
 use crate::context::Context;
 use crate::modules::config_in_force::InForce;
 use crate::modules::engine_link::EngineLink;
-use crate::modules::pool_actor::{self, PoolHandle};
+use crate::modules::pool_actor;
+use crate::modules::pool_handle::PoolHandle;
 use arc_swap::ArcSwap;
 use bridgevane_types::{EngineId, ServiceName};
 use std::collections::HashMap;
--- a/src/modules/pool_homes.rs
+++ b/src/modules/pool_homes.rs
@@ -5,16 +5,18 @@
 //! lagged reports are worse than the home's, and better than none.
 
 use crate::context::Context;
-use crate::modules::peer_frames::{request_bytes, request_of};
+use crate::modules::peer_frames::request_of;
 use crate::modules::peer_links::{LinkHandle, OpenOffers, Peer};
-use crate::modules::pool_actor::PoolMessage;
+use crate::modules::pool_handle::PoolMessage;
 use crate::modules::pool_link::{NamedOffer, OrderSender, PoolOrder, PoolReport};
+use crate::modules::pool_wire::{
+    code_of, offer_from_wire, offer_to_wire, outcome_of, report_from_wire, report_to_wire,
+};
 use crate::{event, events::Event};
 use bridgevane_decisions::{AttemptEnd, CancelCause};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
-    PoolAdopt, PoolCancel, PoolDispatch, PoolOffer, PoolOrder as WireOrder, PoolRefuse,
-    PoolReport as WireReport, pool_order, pool_report,
+    PoolAdopt, PoolOffer, PoolOrder as WireOrder, PoolReport as WireReport, pool_order,
 };
 use bridgevane_types::{
     AttemptNumber, DurationMs, EngineId, Outcome, RefusalCode, RequestId, ServiceName, Tier,
@@ -103,7 +105,7 @@
             return offer_here(context, offer, orders);
         };
         let request = offer.request;
-        let frame = Body::PoolOffer(to_wire(&offer));
+        let frame = Body::PoolOffer(offer_to_wire(&offer));
         let remote = Remote {
             offer,
             orders,
@@ -364,145 +366,6 @@
     }
 }
 
-fn code_of(text: &str) -> RefusalCode {
-    const CODES: [RefusalCode; 8] = [
-        RefusalCode::CannotMeetTarget,
-        RefusalCode::QueueFull,
-        RefusalCode::CustomerLimit,
-        RefusalCode::NoEngine,
-        RefusalCode::RetriesExhausted,
-        RefusalCode::OutcomeUnknown,
-        RefusalCode::Leaving,
-        RefusalCode::Rejected,
-    ];
-    let found = CODES.into_iter().find(|code| code.to_string() == text);
-    found.unwrap_or(RefusalCode::OutcomeUnknown)
-}
-
-fn outcome_of(text: &str) -> Outcome {
-    match text {
-        "not-run" => Outcome::NotRun,
-        "ran" => Outcome::Ran,
-        _ => Outcome::Unknown,
-    }
-}
-
-/// The order as a frame for the daemon that its request came in at.
-pub fn order_to_wire(request: RequestId, order: &PoolOrder) -> Body {
-    let order = match order {
-        PoolOrder::Dispatch {
-            attempt,
-            engine,
-            priority,
-            cached_tokens,
-        } => pool_order::Order::Dispatch(PoolDispatch {
-            attempt: attempt.0,
-            engine: engine.name.to_string(),
-            priority: u32::from(priority.0),
-            resume_from: 0,
-            cached_tokens: cached_tokens.0,
-        }),
-        PoolOrder::Cancel { attempt, cause } => pool_order::Order::Cancel(PoolCancel {
-            attempt: attempt.0,
-            engine: String::new(),
-            cause: *cause as u32,
-        }),
-        PoolOrder::Refuse {
-            code,
-            outcome,
-            retry_after_ms,
-        } => pool_order::Order::Refuse(PoolRefuse {
-            code: code.to_string(),
-            outcome: outcome.to_string(),
-            retry_after_ms: retry_after_ms.map(|retry| retry.0),
-        }),
-    };
-    Body::PoolOrder(WireOrder {
-        request: request_bytes(request),
-        order: Some(order),
-    })
-}
-
-fn to_wire(offer: &NamedOffer) -> PoolOffer {
-    PoolOffer {
-        service: offer.service.to_string(),
-        request: request_bytes(offer.request),
-        class: offer.class.to_string(),
-        customer: offer.customer.to_string(),
-        kind: offer.kind.to_string(),
-        prompt_tokens: offer.prompt_tokens.0,
-        max_tokens: offer.max_tokens.0,
-        blocks: offer.blocks.clone(),
-        block_tokens: offer.block_tokens,
-        is_repeatable: offer.is_repeatable,
-        is_preemptible: offer.is_preemptible,
-    }
-}
-
-fn from_wire(offer: PoolOffer) -> Option<NamedOffer> {
-    Some(NamedOffer {
-        request: request_of(&offer.request)?,
-        service: ServiceName::new(&offer.service),
-        class: offer.class.as_str().into(),
-        customer: offer.customer.as_str().into(),
-        kind: offer.kind.as_str().into(),
-        prompt_tokens: Tokens(offer.prompt_tokens),
-        max_tokens: Tokens(offer.max_tokens),
-        blocks: offer.blocks,
-        block_tokens: offer.block_tokens,
-        is_repeatable: offer.is_repeatable,
-        is_preemptible: offer.is_preemptible,
-    })
-}
-
-fn report_to_wire(service: &ServiceName, request: RequestId, report: PoolReport) -> WireReport {
-    use pool_report::Report;
-    let (attempt, report, gap_ms) = match report {
-        PoolReport::FirstToken(attempt) => (attempt, Report::FirstToken(true), 0),
-        PoolReport::Progress(attempt, delivered, gap_ms) => {
-            (attempt, Report::Progress(delivered.0), gap_ms.0)
-        }
-        PoolReport::Finished(attempt, end) => {
-            let report = match end {
-                AttemptEnd::Done(tokens) => Report::Done(tokens.0),
-                AttemptEnd::NotReached => Report::NotReached(true),
-                AttemptEnd::Unavailable => Report::Unavailable(true),
-                AttemptEnd::Rejected => Report::Rejected(true),
-                AttemptEnd::Lost { delivered } => Report::Lost(delivered.0),
-                AttemptEnd::CallerGone => Report::CallerGone(true),
-            };
-            (attempt, report, 0)
-        }
-    };
-    WireReport {
-        service: service.to_string(),
-        request: request_bytes(request),
-        attempt: attempt.0,
-        gap_ms,
-        report: Some(report),
-    }
-}
-
-fn report_from_wire(report: &WireReport) -> Option<PoolReport> {
-    use pool_report::Report;
-    let attempt = AttemptNumber(report.attempt);
-    let finished = |end| PoolReport::Finished(attempt, end);
-    Some(match report.report.as_ref()? {
-        Report::FirstToken(_) => PoolReport::FirstToken(attempt),
-        Report::Progress(delivered) => {
-            PoolReport::Progress(attempt, Tokens(*delivered), DurationMs(report.gap_ms))
-        }
-        Report::Done(tokens) => finished(AttemptEnd::Done(Tokens(*tokens))),
-        Report::NotReached(_) => finished(AttemptEnd::NotReached),
-        Report::Unavailable(_) => finished(AttemptEnd::Unavailable),
-        Report::Rejected(_) => finished(AttemptEnd::Rejected),
-        Report::Lost(delivered) => finished(AttemptEnd::Lost {
-            delivered: Tokens(*delivered),
-        }),
-        Report::CallerGone(_) => finished(AttemptEnd::CallerGone),
-    })
-}
-
 /// Another daemon offers a request for this one to decide on.
 pub fn on_offer(
     context: &Arc<Context>,
@@ -511,7 +374,7 @@
     offers: &mut OpenOffers,
 ) {
     let request = offer.request.clone();
-    let Some(offer) = from_wire(offer) else {
+    let Some(offer) = offer_from_wire(offer) else {
         return;
     };
     let orders = OrderSender::peer(offer.request, link.clone());
@@ -564,7 +427,7 @@
     adopt: PoolAdopt,
     offers: &mut OpenOffers,
 ) {
-    let Some(offer) = adopt.offer.and_then(from_wire) else {
+    let Some(offer) = adopt.offer.and_then(offer_from_wire) else {
         return;
     };
     let Some(pool) = context.pools.get(&offer.service) else {
--- a/src/modules/pool_link.rs
+++ b/src/modules/pool_link.rs
@@ -2,7 +2,7 @@
 
 use crate::modules::engine_link::EngineLink;
 use crate::modules::peer_links::LinkHandle;
-use crate::modules::pool_homes::order_to_wire;
+use crate::modules::pool_wire::order_to_wire;
 use bridgevane_decisions::{AttemptEnd, CancelCause};
 use bridgevane_types::{
     AttemptNumber, ClassName, CustomerId, DurationMs, KindName, Outcome, RefusalCode, RequestId,
--- /dev/null
+++ b/src/modules/targets.rs
@@ -0,0 +1,24 @@
+//! Whether an answer was within its class's latency targets.
+
+use bridgevane_types::DurationMs;
+
+/// The latency targets of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Targets {
+    /// The latest first token.
+    pub first_token_ms: DurationMs,
+    /// The longest mean gap between tokens.
+    pub between_tokens_ms: Option<DurationMs>,
+}
+
+impl Targets {
+    /// Whether a whole answer was within target.
+    pub fn are_met(&self, first_token_ms: u64, whole_ms: u64, tokens: u64) -> bool {
+        let gaps = tokens.saturating_sub(1).max(1);
+        let mean_gap_ms = whole_ms.saturating_sub(first_token_ms) / gaps;
+        let gap_met = self
+            .between_tokens_ms
+            .is_none_or(|target| mean_gap_ms <= target.0);
+        first_token_ms <= self.first_token_ms.0 && gap_met
+    }
+}
