--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -100,7 +100,7 @@
     /// Output tokens a second, averaged over ten seconds; absent: no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rate_limit_tps: Option<TokensPerSecond>,
-    /// Requests in flight at a data centre; absent: no limit.
+    /// Requests in flight in a pool; absent: no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub concurrency_limit: Option<Slots>,
 }
--- a/crates/coordination/src/configs/key_registry.rs
+++ b/crates/coordination/src/configs/key_registry.rs
@@ -17,7 +17,7 @@
     fn default() -> Self {
         Self {
             remember_ms: DurationMs(600_000),
-            max_keys: 50_000,
+            max_keys: 20_000,
             max_answer_bytes: 1_024,
         }
     }
--- a/crates/decisions/src/pool/view.rs
+++ b/crates/decisions/src/pool/view.rs
@@ -2,6 +2,7 @@
 
 use super::Pool;
 use super::entry::{Entry, Running};
+use crate::configs::Settings;
 use crate::event::Offer;
 use crate::index::EngineIx;
 use crate::modules::engine_health::HealthState;
@@ -30,6 +31,8 @@
     pub attempts: u64,
     /// Tokens delivered.
     pub delivered: Tokens,
+    /// Tokens that are still to be expected.
+    pub expected_rest: Tokens,
 }
 
 /// An engine as operators see it.
@@ -64,7 +67,7 @@
 
 impl Pool {
     /// Requests in flight.
-    pub fn request_views(&self, now: TimeMs) -> Vec<RequestView> {
+    pub fn request_views(&self, now: TimeMs, settings: &Settings) -> Vec<RequestView> {
         let view = |(request, entry): (&RequestId, &Entry)| RequestView {
             request: *request,
             class: self.class_policy(entry.offer.class).name.clone(),
@@ -78,6 +81,7 @@
             age_ms: now.since(entry.arrived_at),
             attempts: entry.life.attempts(),
             delivered: Tokens(entry.delivered),
+            expected_rest: Tokens(self.expected_rest(entry, settings) as u64),
         };
         self.requests.iter().map(view).collect()
     }
@@ -125,11 +129,8 @@
         self.customers.in_flight(customer)
     }
 
-    /// Tokens still to expect of a request in flight.
-    pub fn expected_rest(&self, request: RequestId, settings: &crate::configs::Settings) -> f64 {
-        let Some(entry) = self.requests.get(&request) else {
-            return 0.0;
-        };
+    /// Tokens still to expect of a request, given what has streamed.
+    fn expected_rest(&self, entry: &Entry, settings: &Settings) -> f64 {
         let offer = &entry.offer;
         self.estimates.expected_rest(
             offer.kind,
@@ -144,7 +145,7 @@
     pub fn adopt(
         &mut self,
         now: TimeMs,
-        settings: &crate::configs::Settings,
+        settings: &Settings,
         offer: Offer,
         engine: EngineIx,
         attempt: AttemptNumber,
--- a/src/modules/key_homes.rs
+++ b/src/modules/key_homes.rs
@@ -234,6 +234,10 @@
 }
 
 async fn had_daemons(context: &Context) -> Result<bool, KvError> {
+    if context.replica.is_platform_away() {
+        // Every keyed call would ask anew; whoever watches the platform notices its return.
+        return Err(KvError::NotReached);
+    }
     let cas = KvCas {
         key: format!("bridgevane/had-daemons/{}", context.config.data_centre),
         expected: None,
--- a/src/modules/peer_frames.rs
+++ b/src/modules/peer_frames.rs
@@ -85,7 +85,6 @@
             }
             pool_homes::on_report(context, &report).await;
         }
-        Body::PoolAdopt(adopt) => pool_homes::on_adopt(context, link, adopt, offers).await,
         Body::KeyClaim(claim) => key_homes::on_claim(context, peer, link, claim),
         Body::KeyVerdict(verdict) => context.keys.on_verdict(&verdict),
         Body::KeyEnded(ended) => key_homes::on_ended(context, &ended),
--- a/src/modules/pool_homes.rs
+++ b/src/modules/pool_homes.rs
@@ -16,7 +16,7 @@
 use bridgevane_decisions::{AttemptEnd, CancelCause};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
-    PoolAdopt, PoolOffer, PoolOrder as WireOrder, PoolReport as WireReport, pool_order,
+    PoolOffer, PoolOrder as WireOrder, PoolReport as WireReport, pool_order,
 };
 use bridgevane_types::{
     AttemptNumber, DurationMs, EngineId, Outcome, RefusalCode, RequestId, ServiceName, Tier,
@@ -419,28 +419,3 @@
         pool.report(request, read).await;
     }
 }
-
-/// Another daemon hands over a request that runs already.
-pub async fn on_adopt(
-    context: &Arc<Context>,
-    link: &LinkHandle,
-    adopt: PoolAdopt,
-    offers: &mut OpenOffers,
-) {
-    let Some(offer) = adopt.offer.and_then(offer_from_wire) else {
-        return;
-    };
-    let Some(pool) = context.pools.get(&offer.service) else {
-        return;
-    };
-    let orders = OrderSender::peer(offer.request, link.clone());
-    offers.insert(offer.request, offer.service.clone());
-    let message = PoolMessage::Adopt {
-        offer: Box::new(offer),
-        engine: EngineId::new(&adopt.engine),
-        attempt: AttemptNumber(adopt.attempt),
-        delivered: Tokens(adopt.delivered),
-        orders,
-    };
-    pool.send(message).await;
-}
