perf(config): a delta is read on top of the version in force; half the progress reports

Cause: docs/CAPACITY.md names processor time for changes as what breaks first, and reports of progress as two thirds of the bytes between entries and homes.

Change: a daemon that gets a delta reads the changed sections alone, where it read the whole document of 1,100 customers before.

--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -7,6 +7,7 @@
 use crate::document::Document;
 use bridgevane_types::ConfigVersion;
 use derive_more::{Display, Error};
+use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
 
 /// The document cut into sections: path (`customer.ravaton`) to TOML text.
@@ -54,6 +55,50 @@
     Malformed,
 }
 
+/// Puts or removes one entry of a family of sections.
+fn put_section<K: Ord + for<'a> From<&'a str>, T: DeserializeOwned>(
+    entries: &mut BTreeMap<K, T>,
+    name: &str,
+    text: Option<&str>,
+) -> Result<(), DeltaError> {
+    let name = K::from(name);
+    match text {
+        Some(text) => {
+            let entry = toml::from_str(text).map_err(|_| DeltaError::Malformed)?;
+            entries.insert(name, entry);
+        }
+        None => {
+            entries.remove(&name);
+        }
+    }
+    Ok(())
+}
+
+impl Document {
+    /// The document after changes of its sections. Only what changed is read: reading all of a
+    /// document of the design size takes most of what a change costs a daemon.
+    ///
+    /// # Errors
+    /// [`DeltaError::Malformed`] when the result isn't a checked document.
+    pub fn changed_by(&self, changes: &[SectionChange]) -> Result<Document, DeltaError> {
+        let mut next = self.clone();
+        for change in changes {
+            let (family, name) = change.path.split_once('.').ok_or(DeltaError::Malformed)?;
+            let text = change.text.as_deref();
+            match family {
+                "class" => put_section(&mut next.class, name, text)?,
+                "customer" => put_section(&mut next.customer, name, text)?,
+                "kind" => put_section(&mut next.kind, name, text)?,
+                "service" => put_section(&mut next.service, name, text)?,
+                "rollout" => put_section(&mut next.rollout, name, text)?,
+                _ => return Err(DeltaError::Malformed),
+            }
+        }
+        next.check().map_err(|_| DeltaError::Malformed)?;
+        Ok(next)
+    }
+}
+
 impl Sections {
     /// Cuts `document`.
     ///
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -108,6 +108,9 @@
         .collect();
     assert_eq!(paths, ["customer.head-office", "class.field-note"]);
     assert_eq!(before.apply(&delta).expect("it fits"), after);
+    let changed = solcata().changed_by(&delta.changes).expect("it fits");
+    assert_eq!(changed, document);
+    assert_eq!(Sections::of(&changed).expect("sections"), after);
     let bytes: usize = delta
         .changes
         .iter()
--- a/crates/decisions/src/configs/engine_health.rs
+++ b/crates/decisions/src/configs/engine_health.rs
@@ -42,7 +42,7 @@
             probation_tokens: 32,
             probation_slots: 1,
             silence_factor: 5.0,
-            report_every_ms: 500,
+            report_every_ms: 1_000,
             min_silence_ms: 400,
         }
     }
--- a/crates/decisions/src/pool/admit.rs
+++ b/crates/decisions/src/pool/admit.rs
@@ -190,11 +190,9 @@
         code: RefusalCode,
         retry_after_ms: f64,
     ) {
-        let Some(mut entry) = self.requests.remove(&request) else {
+        let Some(entry) = self.end_request(request) else {
             return;
         };
-        self.unqueue(request, &entry);
-        entry.life.handle(LifeEvent::End);
         self.customers.release(
             entry.offer.customer,
             entry.expected_tokens,
@@ -212,6 +210,14 @@
         refuse(context, request, code, outcome, retry_after_ms);
     }
 
+    /// Forgets a request, wherever it stands.
+    pub(super) fn end_request(&mut self, request: RequestId) -> Option<Entry> {
+        let mut entry = self.requests.remove(&request)?;
+        self.unqueue(request, &entry);
+        entry.life.handle(LifeEvent::End);
+        Some(entry)
+    }
+
     /// Takes a request out of its queue, if it stands there.
     pub(super) fn unqueue(&mut self, request: RequestId, entry: &Entry) {
         let class = &mut self.classes[entry.offer.class.at()];
--- a/crates/decisions/src/pool/attempt.rs
+++ b/crates/decisions/src/pool/attempt.rs
@@ -183,11 +183,6 @@
         tokens: Tokens,
     ) {
         self.release_slot(context, request);
-        let Some(entry) = self.requests.remove(&request) else {
-            return;
-        };
-        self.unqueue(request, &entry);
-        self.requests.insert(request, entry);
         self.complete(context, request, attempt, tokens);
         self.dispatch_all(context);
     }
@@ -199,10 +194,9 @@
         attempt: AttemptNumber,
         tokens: Tokens,
     ) {
-        let Some(mut entry) = self.requests.remove(&request) else {
+        let Some(entry) = self.end_request(request) else {
             return;
         };
-        entry.life.handle(LifeEvent::End);
         let offer = &entry.offer;
         self.customers
             .release(offer.customer, entry.expected_tokens, tokens.0 as f64);
@@ -222,12 +216,10 @@
     /// The caller went away: whatever runs is cancelled, whatever waits is forgotten.
     fn abandon<L: DecisionLog>(&mut self, context: &mut Context<'_, L>, request: RequestId) {
         let running = self.release_slot(context, request);
-        let Some(mut entry) = self.requests.remove(&request) else {
+        let Some(entry) = self.end_request(request) else {
             return;
         };
         let attempt = entry.life.attempt();
-        self.unqueue(request, &entry);
-        entry.life.handle(LifeEvent::End);
         self.customers.release(
             entry.offer.customer,
             entry.expected_tokens,
--- a/src/commands/ask.rs
+++ b/src/commands/ask.rs
@@ -1,7 +1,9 @@
 //! `bridgevane ask`: operators' statements from the command line.
 
-use crate::commands::operator_client::{ClientError, DaemonAnswer, OperatorClient};
-use crate::commands::{block_on, exit, say};
+use crate::commands::operator_client::{
+    ClientError, DaemonAnswer, OperatorClient, run_to_exit_code,
+};
+use crate::commands::{exit, say};
 use crate::modules::operator_fan_out::Answer;
 use crate::modules::operator_rows::Row;
 use crate::modules::operators::Ask;
@@ -47,21 +49,7 @@
 
 /// Runs the command; gives the exit code.
 pub fn run(arguments: &AskArguments) -> u8 {
-    match block_on(ask(arguments)) {
-        Ok(Ok(code)) => code,
-        Ok(Err(error @ ClientError::NoToken)) => {
-            eprintln!("{error}");
-            exit::USAGE
-        }
-        Ok(Err(error)) => {
-            eprintln!("{error}");
-            exit::UNREACHABLE
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            exit::USAGE
-        }
-    }
+    run_to_exit_code(ask(arguments))
 }
 
 async fn ask(arguments: &AskArguments) -> Result<u8, ClientError> {
--- a/src/commands/operator_client.rs
+++ b/src/commands/operator_client.rs
@@ -1,5 +1,6 @@
 //! What `ask` and `report` share: calls of a daemon's operators' interface.
 
+use crate::commands::{block_on, exit};
 use crate::modules::operators::Ask;
 use bridgevane_adapters::{HttpClient, HttpError};
 use derive_more::{Display, Error, From};
@@ -27,6 +28,24 @@
     Malformed,
 }
 
+/// Runs a command that asks a daemon; gives its exit code.
+pub fn run_to_exit_code(command: impl Future<Output = Result<u8, ClientError>>) -> u8 {
+    match block_on(command) {
+        Ok(Ok(code)) => code,
+        Ok(Err(error)) => {
+            eprintln!("{error}");
+            match error {
+                ClientError::NoToken => exit::USAGE,
+                ClientError::Unreachable { .. } | ClientError::Malformed => exit::UNREACHABLE,
+            }
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            exit::USAGE
+        }
+    }
+}
+
 /// A daemon's answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DaemonAnswer {
--- a/src/commands/report.rs
+++ b/src/commands/report.rs
@@ -1,7 +1,7 @@
 //! `bridgevane report`: service-level burn, on the terminal or as one HTML page.
 
-use crate::commands::operator_client::{ClientError, OperatorClient};
-use crate::commands::{ask, block_on, exit, report_page, say};
+use crate::commands::operator_client::{ClientError, OperatorClient, run_to_exit_code};
+use crate::commands::{ask, exit, report_page, say};
 use crate::modules::operator_fan_out::Answer;
 use crate::modules::operator_rows::Row;
 use crate::modules::operators::Ask;
@@ -32,17 +32,7 @@
 
 /// Runs the command; gives the exit code.
 pub fn run(arguments: &ReportArguments) -> u8 {
-    match block_on(report(arguments)) {
-        Ok(Ok(code)) => code,
-        Ok(Err(error)) => {
-            eprintln!("{error}");
-            exit::UNREACHABLE
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            exit::USAGE
-        }
-    }
+    run_to_exit_code(report(arguments))
 }
 
 async fn report(arguments: &ReportArguments) -> Result<u8, ClientError> {
--- a/src/modules/config_relay.rs
+++ b/src/modules/config_relay.rs
@@ -198,9 +198,10 @@
         changes: delta.changes.into_iter().map(from_wire).collect(),
         digest: delta.digest,
     };
+    let (from, changes) = (delta.from, delta.changes.clone());
     let accepted = context.replica.lock().accept_delta(delta);
     match accepted {
-        Ok(()) => take_over_sections(context, version),
+        Ok(()) => take_over_changes(context, from, version, &changes),
         Err(NotAccepted::NotNewer { .. }) => {}
         Err(NotAccepted::Unfit(error)) => {
             event!(Event::ConfigRejected, version = version, cause = error);
@@ -225,6 +226,21 @@
     }
 }
 
+/// Reads what changed on top of the version in force, or all when that is another one.
+fn take_over_changes(
+    context: &Arc<Context>,
+    from: ConfigVersion,
+    version: ConfigVersion,
+    changes: &[SectionChange],
+) {
+    let in_force = context.in_force.load();
+    let base = in_force.filter(|in_force| in_force.version == from);
+    match base.and_then(|base| base.document.changed_by(changes).ok()) {
+        Some(document) => take_over(context, version, document),
+        None => take_over_sections(context, version),
+    }
+}
+
 fn take_over_sections(context: &Arc<Context>, version: ConfigVersion) {
     let document = context.replica.lock().sections().document();
     match document {
--- a/src/modules/operator_rows.rs
+++ b/src/modules/operator_rows.rs
@@ -39,6 +39,19 @@
         self
     }
 
+    /// The row with the counts of a class.
+    #[must_use]
+    fn with_counts(self, counts: &Counts) -> Self {
+        self.with("offered", counts.offered)
+            .with("in_target", counts.in_target)
+            .with("late", counts.late)
+            .with("refused", counts.refused)
+            .with("cut", counts.cut)
+            .with("resumed", counts.resumed)
+            .with("good_tokens", counts.good_tokens)
+            .with("wasted_tokens", counts.wasted_tokens)
+    }
+
     /// A field's value. `age` stands for `age_ms` too: the unit may be left out.
     pub fn get(&self, name: &str) -> Option<&Value> {
         let with_unit = format!("{name}_ms");
@@ -222,17 +235,10 @@
         row(context)
             .with("class", name.as_str())
             .with("tier", class.tier.0)
-            .with("offered", counts.offered)
-            .with("in_target", counts.in_target)
-            .with("late", counts.late)
-            .with("refused", counts.refused)
-            .with("cut", counts.cut)
-            .with("resumed", counts.resumed)
+            .with_counts(&counts)
             .with("attainment", counts.attainment().0)
             .with("burn", counts.burn_rate(class.objective))
             .with("queued", queued.get(name).copied().unwrap_or(0))
-            .with("good_tokens", counts.good_tokens)
-            .with("wasted_tokens", counts.wasted_tokens)
             .with("objective", class.objective.0)
     };
     in_force.document.class.iter().map(class_row).collect()
@@ -281,14 +287,7 @@
         .with("p50_first_token_ms", quantile(0.5))
         .with("p95_first_token_ms", quantile(0.95))
         .with("p99_first_token_ms", quantile(0.99))
-        .with("offered", counts.offered)
-        .with("in_target", counts.in_target)
-        .with("late", counts.late)
-        .with("refused", counts.refused)
-        .with("cut", counts.cut)
-        .with("resumed", counts.resumed)
-        .with("good_tokens", counts.good_tokens)
-        .with("wasted_tokens", counts.wasted_tokens)
+        .with_counts(&counts)
         .with(
             "first_tokens",
             serde_json::to_value(first_tokens).unwrap_or_default(),
