perf(callers): ready pieces go out in one write; plain workers' load is read

Change: a streamed answer takes what is ready, 64 pieces at most, into one write; the home of a plain service reads its workers' load reports like those of engines.

--- a/crates/adapters/src/http_plain.rs
+++ b/crates/adapters/src/http_plain.rs
@@ -1,10 +1,15 @@
 //! A worker of a plain service over HTTP.
 
+use crate::engine::LoadReport;
 use crate::http_client::{HttpClient, HttpError, read_whole};
 use crate::plain::{PlainAnswer, PlainCall, PlainCallError, PlainService};
 use http::header::CONTENT_TYPE;
 use http_body_util::Full;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a load report may take.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The worker at an address.
 #[derive(Clone, Debug)]
@@ -59,4 +64,11 @@
             body,
         })
     }
+
+    async fn load(&self) -> Result<LoadReport, PlainCallError> {
+        self.http
+            .post_json("/service/load", &(), LOAD_TIMEOUT)
+            .await
+            .map_err(plain_error)
+    }
 }
--- a/crates/adapters/src/plain.rs
+++ b/crates/adapters/src/plain.rs
@@ -1,5 +1,6 @@
 //! What a plain service gives: one answer a call.
 
+use crate::engine::LoadReport;
 use bridgevane_types::{IdempotencyKey, RequestId};
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -51,4 +52,7 @@
         &self,
         call: PlainCall,
     ) -> impl Future<Output = Result<PlainAnswer, PlainCallError>> + Send;
+
+    /// Reads the lagged load report.
+    fn load(&self) -> impl Future<Output = Result<LoadReport, PlainCallError>> + Send;
 }
--- a/crates/standins/src/plain_server.rs
+++ b/crates/standins/src/plain_server.rs
@@ -7,6 +7,8 @@
 use axum::response::{IntoResponse, Response};
 use axum::routing::{any, post};
 use axum::{Json, Router};
+use bridgevane_adapters::LoadReport;
+use bridgevane_types::Slots;
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,6 +18,8 @@
     runs_of_key: BTreeMap<String, u64>,
     answers: BTreeMap<String, u64>,
     runs: u64,
+    running: u32,
+    reports: u64,
     fault: Fault,
 }
 
@@ -38,6 +42,7 @@
     /// The stand-in's routes.
     pub fn router(&self) -> Router {
         Router::new()
+            .route("/service/load", post(load))
             .route("/standin/fault", post(set_fault))
             .route("/standin/runs", post(read_runs))
             .fallback(any(call))
@@ -87,15 +92,30 @@
         Err(_) => return StatusCode::PAYLOAD_TOO_LARGE.into_response(),
     };
     let (run, is_answer_lost) = standin.run(key.as_deref());
+    standin.lock().running += 1;
     if fault.delay_ms.0 > 0 {
         tokio::time::sleep(fault.delay_ms.as_std()).await;
     }
+    standin.lock().running -= 1;
     if is_answer_lost {
         return cut_answer();
     }
     Json(json!({ "path": path, "run": run, "bytes": body.len() })).into_response()
 }
 
+async fn load(State(standin): State<PlainStandin>) -> Result<Json<LoadReport>, StatusCode> {
+    let mut plain = standin.lock();
+    if plain.fault.is_down {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    plain.reports += 1;
+    Ok(Json(LoadReport {
+        sequence: plain.reports,
+        running: Slots(plain.running),
+        ..LoadReport::default()
+    }))
+}
+
 fn idempotency_key(request: &Request) -> Option<String> {
     let value = request.headers().get("idempotency-key")?;
     value.to_str().ok().map(str::to_owned)
--- a/crates/standins/tests/contract.rs
+++ b/crates/standins/tests/contract.rs
@@ -346,6 +346,7 @@
         body: "x".into(),
     };
     assert_eq!(service.call(call()).await.expect("answered").status, 200);
+    assert_eq!(service.load().await.expect("a report").running.0, 0);
     standin.set_fault(Fault {
         lose_answers: 1,
         ..Fault::default()
--- a/src/modules/callers.rs
+++ b/src/modules/callers.rs
@@ -199,27 +199,39 @@
     (headers, Body::from_stream(events)).into_response()
 }
 
+/// Pieces that are sent to the caller in one write at most.
+const MAX_BATCH: usize = 64;
+
+/// Whatever is ready goes out in one write: a caller that reads slower than the engine writes
+/// costs no write a token.
 fn stream_events(
     format: AnswerFormat,
     includes_usage: bool,
     first: CallerEvent,
     answers: mpsc::Receiver<CallerEvent>,
 ) -> impl Stream<Item = Result<Bytes, Infallible>> + Send {
-    let rest = stream::unfold(answers, |mut answers| async move {
-        answers.recv().await.map(|event| (event, answers))
+    let begin = (answers, vec![first]);
+    let batches = stream::unfold(begin, |(mut answers, mut batch)| async move {
+        if batch.is_empty() && answers.recv_many(&mut batch, MAX_BATCH).await == 0 {
+            return None;
+        }
+        while batch.len() < MAX_BATCH {
+            let Ok(ready) = answers.try_recv() else {
+                break;
+            };
+            batch.push(ready);
+        }
+        Some((batch, (answers, Vec::new())))
     });
     let mut is_first = true;
-    stream::once(async move { first })
-        .chain(rest)
-        .map(move |event| {
+    batches.map(move |batch| {
+        let mut text = String::new();
+        for event in batch {
             let was_first = std::mem::replace(&mut is_first, false);
-            Ok(Bytes::from(event_text(
-                &format,
-                includes_usage,
-                event,
-                was_first,
-            )))
-        })
+            text.push_str(&event_text(&format, includes_usage, event, was_first));
+        }
+        Ok(Bytes::from(text))
+    })
 }
 
 fn event_text(
--- a/src/modules/engine_poll.rs
+++ b/src/modules/engine_poll.rs
@@ -4,9 +4,10 @@
 use crate::modules::engine_link::EngineLink;
 use crate::modules::pool_handle::PoolMessage;
 use crate::{event, events::Event};
-use bridgevane_adapters::ModelEngine;
+use bridgevane_adapters::{EngineCallError, LoadReport, ModelEngine, PlainCallError, PlainService};
 use bridgevane_config::ServiceKind;
 use bridgevane_types::{ConfigVersion, ServiceName};
+use derive_more::{Display, Error, From};
 use futures_util::future::join_all;
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -14,6 +15,7 @@
 /// What is remembered of one engine between reads.
 struct Polled {
     link: Arc<EngineLink>,
+    kind: ServiceKind,
     cache_sequence: u64,
     is_reachable: bool,
 }
@@ -60,9 +62,6 @@
     let Some(config) = in_force.document.service.get(service) else {
         return known;
     };
-    if config.kind != ServiceKind::Model {
-        return Vec::new();
-    }
     let mut known = known;
     let mut polled = Vec::new();
     for (name, engine) in &config.engine {
@@ -74,6 +73,7 @@
             Some(found) => known.swap_remove(found),
             None => Polled {
                 link: Arc::new(EngineLink::new(name.clone(), engine.address)),
+                kind: config.kind,
                 cache_sequence: 0,
                 is_reachable: true,
             },
@@ -83,8 +83,24 @@
     polled
 }
 
+/// Why a load report can't be read.
+#[derive(Clone, Copy, Debug, Display, Error, From)]
+enum LoadError {
+    #[display("{_0}")]
+    Engine(EngineCallError),
+    #[display("{_0}")]
+    Plain(PlainCallError),
+}
+
+async fn read_load(polled: &Polled) -> Result<LoadReport, LoadError> {
+    Ok(match polled.kind {
+        ServiceKind::Model => polled.link.model.load().await?,
+        ServiceKind::Plain => polled.link.plain.load().await?,
+    })
+}
+
 async fn poll(polled: &mut Polled, messages: &mpsc::Sender<PoolMessage>, reads_cache: bool) {
-    match polled.link.model.load().await {
+    match read_load(polled).await {
         Ok(report) => {
             polled.is_reachable = true;
             let message = PoolMessage::Load {
@@ -106,7 +122,7 @@
             return;
         }
     }
-    if !reads_cache {
+    if !reads_cache || polled.kind != ServiceKind::Model {
         return;
     }
     let Ok(events) = polled.link.model.cache_events(polled.cache_sequence).await else {
