fix(decisions): one broken stream no longer takes an idle engine out

Cause: a new fault case, pieces out of order, sent to both engines of a pool, left the caller without an answer: the gap ends the attempt, the engine had nothing else running and was ejected for five seconds as if it had crashed; the second engine went the same way.

Change: a broken stream counts like a refusal: two without a token between them take an engine out, as does one failed connection. The end of an attempt is reported before the caller's last piece is written, so that a slow reader doesn't hold a slot. Stand-in engines swap pieces as a fault; the contract table and the end-to-end test have the case.

Measured: data_centre.rs failed with an empty answer before, passes after.

Ruled out: the check of pieces itself; it ended the attempt as it should.

--- a/crates/decisions/src/modules/engine_health.rs
+++ b/crates/decisions/src/modules/engine_health.rs
@@ -17,9 +17,9 @@
     Slow { may_eject: bool },
     /// A check found it normal.
     Normal,
-    /// It could not be reached, or broke off its streams.
+    /// It could not be reached.
     Lost,
-    /// It answered that it takes no work. An engine that refuses fast looks idle and would
+    /// It broke off a stream, or answered that it takes no work. An engine that refuses fast looks idle and would
     /// draw ever more work.
     Unavailable,
     /// It gave this many tokens at normal speed.
--- a/crates/decisions/src/pool/recover.rs
+++ b/crates/decisions/src/pool/recover.rs
@@ -6,7 +6,7 @@
 use crate::decision_log::{Decision, DecisionLog};
 use crate::effect::CancelCause;
 use crate::index::EngineIx;
-use crate::modules::engine_health::{HealthContext, HealthEvent, HealthState};
+use crate::modules::engine_health::{HealthContext, HealthEvent};
 use crate::modules::request_life::LifeState;
 use bridgevane_types::{AttemptNumber, RefusalCode, RequestId, Tokens};
 
@@ -96,20 +96,14 @@
         self.give_up(context, request, code, EXHAUSTED_RETRY_MS);
     }
 
-    /// An engine broke off a stream. One broken stream on an engine that gives tokens
-    /// otherwise doesn't take it out.
+    /// An engine broke off a stream. One broken stream doesn't take it out: in a pool of two,
+    /// one fault on each would leave none. A second one with no token between does.
     pub(super) fn stream_lost<L: DecisionLog>(
         &mut self,
         context: &mut Context<'_, L>,
         at: EngineIx,
     ) {
-        let engine = &mut self.engines[at.at()];
-        let silent_ms = context.now.since(engine.heard_at).0;
-        let is_heard = silent_ms < context.settings.engine_health.min_silence_ms / 2;
-        if is_heard && !engine.running.is_empty() && engine.health.state() == HealthState::Active {
-            return;
-        }
-        self.engine_lost(context, at);
+        self.tell_health(context, at, HealthEvent::Unavailable);
     }
 
     /// An engine could not be reached.
--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -42,6 +42,24 @@
     prompt: String,
     sender: PieceSender,
     cut_after: Option<u64>,
+    /// The first two tokens are to be swapped.
+    is_swapping: bool,
+    held: Option<Bytes>,
+}
+
+impl Stream {
+    /// Sends a piece, or holds it until the next one has gone out; false: nobody reads.
+    fn send(&mut self, piece: Bytes) -> bool {
+        if std::mem::take(&mut self.is_swapping) {
+            self.held = Some(piece);
+            return true;
+        }
+        let is_read = self.sender.send(Ok(piece)).is_ok();
+        if let Some(held) = self.held.take() {
+            let _ = self.sender.send(Ok(held));
+        }
+        is_read
+    }
 }
 
 struct Engine {
@@ -230,7 +248,7 @@
                     ..
                 } => ((*request, *attempt), *offset),
             };
-            let Some(stream) = self.streams.get(&key) else {
+            let Some(stream) = self.streams.get_mut(&key) else {
                 continue;
             };
             let content = match event {
@@ -239,15 +257,15 @@
             };
             let is_end = matches!(content, PieceEvent::End(_));
             let is_cut = stream.cut_after.is_some_and(|limit| offset >= limit);
-            let sent = if is_cut {
-                stream.sender.send(Err(BrokenStream))
+            let is_read = if is_cut {
+                stream.sender.send(Err(BrokenStream)).is_ok()
             } else {
-                stream.sender.send(Ok(line(key, offset, content)))
+                stream.send(line(key, offset, content))
             };
             if is_end || is_cut {
                 self.streams.remove(&key);
             }
-            if is_cut || sent.is_err() {
+            if is_cut || !is_read {
                 self.streams.remove(&key);
                 self.model.cancel(key.0, key.1);
             }
@@ -317,6 +335,8 @@
             prompt,
             sender,
             cut_after,
+            is_swapping: Fault::take_one(&mut engine.fault.swap_pieces),
+            held: None,
         };
         engine.streams.insert(key, stream);
     }
--- a/crates/standins/src/fault.rs
+++ b/crates/standins/src/fault.rs
@@ -25,6 +25,8 @@
     pub duplicate_pieces: u32,
     /// Engine: this many next streams begin with a piece of another request.
     pub cross_pieces: u32,
+    /// Engine: this many next streams swap their first two tokens.
+    pub swap_pieces: u32,
     /// Engine: load reports are this old.
     pub load_lag_ms: DurationMs,
     /// Engine: this many next cache events get lost.
--- a/crates/standins/tests/contract.rs
+++ b/crates/standins/tests/contract.rs
@@ -235,6 +235,17 @@
     assert_eq!((strangers, error), (1, None));
     assert_eq!(tokens[0], tokens[1], "the first piece comes twice");
     assert_eq!(tokens[1..], whole[..]);
+    standin.set_fault(Fault {
+        swap_pieces: 1,
+        ..Fault::default()
+    });
+    let (tokens, _, error) = follow(&engine, 0).await;
+    assert_eq!(error, None);
+    assert_eq!(
+        (&tokens[0], &tokens[1]),
+        (&whole[1], &whole[0]),
+        "out of order"
+    );
     standin.set_fault(Fault {
         crash: true,
         ..Fault::default()
--- a/src/modules/model_request.rs
+++ b/src/modules/model_request.rs
@@ -192,10 +192,10 @@
         let result = self.stream_attempt(&attempt).await;
         match result {
             AttemptResult::Done(reason) => {
-                // The caller's last piece doesn't wait for the report.
-                self.complete(reason).await;
+                // First the pool: a caller that reads slowly must not hold the engine's slot.
                 let tokens = Tokens(self.delivered);
                 self.finish_attempt(number, AttemptEnd::Done(tokens)).await;
+                self.complete(reason).await;
                 true
             }
             AttemptResult::Cancelled(cause) => {
--- a/tests/data_centre.rs
+++ b/tests/data_centre.rs
@@ -53,6 +53,7 @@
     for (at, fault) in [
         serde_json::json!({ "cut_after_tokens": 20 }),
         serde_json::json!({ "duplicate_pieces": 1, "cross_pieces": 1 }),
+        serde_json::json!({ "swap_pieces": 1 }),
     ]
     .into_iter()
     .enumerate()
