refactor(decisions): no dead accessors, one way to make a turn by tier

Cause: read as a newcomer, the change held three accessors that nothing calls (Pool::customer_in_flight, CustomerLimits::in_flight, PoolHomes::remote_count), one named for tokens that returns a customer's whole policy, and the same plain turn written out three times.

Change: the accessors are gone, customer_tokens is customer_policy, and Turn::by_tier makes the plain turn.

No test was touched.

--- a/crates/decisions/src/modules/customer_limits.rs
+++ b/crates/decisions/src/modules/customer_limits.rs
@@ -71,11 +71,4 @@
     pub(crate) fn adopt(&mut self, customer: CustomerIx) {
         self.usage(customer).in_flight += 1;
     }
-
-    /// Requests in flight of a customer.
-    pub(crate) fn in_flight(&self, customer: CustomerIx) -> u32 {
-        self.usage
-            .get(customer.at())
-            .map_or(0, |usage| usage.in_flight)
-    }
 }
--- a/crates/decisions/src/pool/dispatch.rs
+++ b/crates/decisions/src/pool/dispatch.rs
@@ -21,6 +21,17 @@
     is_owed: bool,
 }
 
+impl Turn {
+    /// A turn by the tiers' order alone: neither by age nor by an owed share.
+    fn by_tier(class: ClassIx) -> Self {
+        Self {
+            class,
+            is_aged: false,
+            is_owed: false,
+        }
+    }
+}
+
 /// An engine with what it would have to process.
 #[derive(Clone, Copy, Debug)]
 struct Choice {
@@ -64,11 +75,7 @@
             let Some(request) = self.classes[class.at()].queue.peek() else {
                 return;
             };
-            let turn = Turn {
-                class,
-                is_aged: false,
-                is_owed: false,
-            };
+            let turn = Turn::by_tier(class);
             let choice = Choice {
                 engine: EngineIx(at),
                 cached_tokens: 0,
@@ -131,11 +138,7 @@
                 best = Some((*class, deadline));
             }
         }
-        best.map(|(class, _)| Turn {
-            class,
-            is_aged: false,
-            is_owed: false,
-        })
+        best.map(|(class, _)| Turn::by_tier(class))
     }
 
     fn aged_class<L: DecisionLog>(&self, context: &Context<'_, L>) -> Option<ClassIx> {
@@ -288,11 +291,7 @@
         let Some(class) = self.requests.get(&request).map(|entry| entry.offer.class) else {
             return;
         };
-        let turn = Turn {
-            class,
-            is_aged: false,
-            is_owed: false,
-        };
+        let turn = Turn::by_tier(class);
         let choice = Choice {
             engine,
             cached_tokens: 0,
--- a/crates/decisions/src/pool/mod.rs
+++ b/crates/decisions/src/pool/mod.rs
@@ -242,7 +242,7 @@
         self.total_slots > 0.0
     }
 
-    fn customer_tokens(&self, customer: CustomerIx) -> Option<&crate::policy::CustomerPolicy> {
+    fn customer_policy(&self, customer: CustomerIx) -> Option<&crate::policy::CustomerPolicy> {
         self.policy.customers.get(customer.at())
     }
 }
--- a/crates/decisions/src/pool/view.rs
+++ b/crates/decisions/src/pool/view.rs
@@ -72,7 +72,7 @@
             request: *request,
             class: self.class_policy(entry.offer.class).name.clone(),
             customer: self
-                .customer_tokens(entry.offer.customer)
+                .customer_policy(entry.offer.customer)
                 .map(|c| c.name.clone()),
             state: entry.life.state().to_string(),
             engine: entry
@@ -124,11 +124,6 @@
         self.requests.len()
     }
 
-    /// Requests in flight of a customer.
-    pub fn customer_in_flight(&self, customer: crate::CustomerIx) -> u32 {
-        self.customers.in_flight(customer)
-    }
-
     /// Tokens still to expect of a request, given what has streamed.
     fn expected_rest(&self, entry: &Entry, settings: &Settings) -> f64 {
         let offer = &entry.offer;
--- a/src/modules/pool_homes.rs
+++ b/src/modules/pool_homes.rs
@@ -259,11 +259,6 @@
             pool.send(PoolMessage::OriginLost(request, origin)).await;
         }
     }
-
-    /// Requests that others decide on.
-    pub fn remote_count(&self) -> usize {
-        self.lock().len()
-    }
 }
 
 /// Passes over homes that don't take offers, until the daemon ends.
