--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -22,6 +22,7 @@
 pub use event::{AttemptEnd, Offer, Policy};
 pub use index::{ClassIx, CustomerIx, EngineIx, KindIx};
 pub use modules::engine_health::HealthState;
+pub use modules::prefix_cache::{Holders, PrefixCache};
 pub use policy::{ClassPolicy, CustomerPolicy, EnginePolicy, PoolPolicy};
 pub use pool::{ClassView, EngineView, Pool, RequestView};
 pub use promises::{BrokenPromise, check_promises};
--- a/crates/decisions/src/modules/prefix_cache.rs
+++ b/crates/decisions/src/modules/prefix_cache.rs
@@ -12,7 +12,7 @@
 const MAX_HOLDERS: usize = 4;
 
 /// Engines that may hold a prefix, with the blocks that each holds of it.
-pub(crate) type Holders = [Option<(EngineIx, u32)>; MAX_HOLDERS];
+pub type Holders = [Option<(EngineIx, u32)>; MAX_HOLDERS];
 
 #[derive(Clone, Copy, Debug)]
 struct Holder {
@@ -22,14 +22,14 @@
 
 /// The index.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct PrefixCache {
+pub struct PrefixCache {
     holders: HashMap<u64, [Option<Holder>; MAX_HOLDERS]>,
     order: VecDeque<u64>,
 }
 
 impl PrefixCache {
     /// Notes that `engine` holds `block`.
-    pub(crate) fn stored(&mut self, now: TimeMs, block: u64, engine: EngineIx, max_blocks: usize) {
+    pub fn stored(&mut self, now: TimeMs, block: u64, engine: EngineIx, max_blocks: usize) {
         let holder = Holder {
             engine,
             seen_at: now,
@@ -55,7 +55,7 @@
     }
 
     /// Notes that `engine` dropped `block`.
-    pub(crate) fn evicted(&mut self, block: u64, engine: EngineIx) {
+    pub fn evicted(&mut self, block: u64, engine: EngineIx) {
         if let Some(holders) = self.holders.get_mut(&block) {
             for slot in holders.iter_mut() {
                 if slot.is_some_and(|known| known.engine == engine) {
@@ -66,7 +66,7 @@
     }
 
     /// The engines that hold the longest known prefixes of `blocks`.
-    pub(crate) fn holders_of(&self, now: TimeMs, blocks: &[u64], memory_ms: u64) -> Holders {
+    pub fn holders_of(&self, now: TimeMs, blocks: &[u64], memory_ms: u64) -> Holders {
         let mut found: Holders = [None; MAX_HOLDERS];
         for (at, block) in blocks.iter().enumerate().rev() {
             let Some(holders) = self.holders.get(block) else {
--- a/src/events.rs
+++ b/crates/events/src/lib.rs
@@ -43,16 +43,30 @@
     1002 Stopping Info "the daemon was told to stop and takes no new work";
     1003 Stopped Info "all streams have ended and the daemon stops";
     1004 CannotListen Error "an address can't be listened on";
+    1005 SettingsSignal Info "the settings may have changed; nothing that runs is touched";
     1101 ConfigInForce Info "a configuration version is in force";
     1102 ConfigRejected Error "a stored or received configuration can't be used";
     1103 ConfigProposed Info "an operator's change was decided";
     1201 PlatformAway Warn "the platform's service can't be reached, serving goes on";
     1202 PlatformBack Info "the platform's service answers again";
+    1203 SourceLost Warn "the control source does not answer";
+    1204 SourceRegained Info "the control source answers again";
+    1205 SourceReloaded Info "the state was read again as a whole";
+    1206 FreshnessLost Warn "nothing proves that the configuration is the newest";
+    1207 FreshnessRegained Info "the configuration is proved to be the newest again";
     1301 RequestRefused Debug "a request was refused";
     1302 RequestFailed Warn "a request failed";
     1303 PieceDropped Warn "a late, repeated or crossed piece was dropped";
     1304 CallerSlow Warn "a caller stopped reading and was let go";
+    1305 RequestServed Info "a request was answered (a sample of the plain successes)";
+    1306 RequestTurnedAway Info "a request got a final answer of the daemon's own";
+    1307 RequestBrokenOff Warn "an answer was broken off on its way to the client";
+    1308 AttemptFailed Warn "an attempt at an endpoint gave no answer that can be used";
+    1309 StreamResumed Info "a stream goes on at another endpoint";
     1401 EngineUnreachable Warn "an engine's load report can't be read";
+    1402 EndpointSeen Info "an endpoint was added or changed";
+    1403 EndpointGone Info "an endpoint is gone";
+    1404 EndpointEjected Warn "an endpoint gets no work for a while";
     1501 PeerRefused Warn "a connection between daemons was refused";
     1502 MemberChanged Info "the view of a daemon changed";
     1503 HomePassedOver Warn "a pool's home does not answer, its requests are decided here";
@@ -66,7 +80,7 @@
 #[macro_export]
 macro_rules! event {
     ($event:expr $(, $field:ident = $value:expr)* $(,)?) => {{
-        let event: $crate::events::Event = $event;
+        let event: $crate::Event = $event;
         log::log!(
             target: "bridgevane",
             event.level(),
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,236 @@
+//! One attempt: a request is sent to one endpoint, and its answer's head is read.
+
+use crate::connection::{Connection, OpenError};
+use crate::directory::Endpoint;
+use crate::gateway::Gateway;
+use crate::load::ReportedLoad;
+use crate::placement::Placed;
+use crate::request::Inbound;
+use bridgevane_types::DurationMs;
+use bytes::Bytes;
+use derive_more::Display;
+use http::header::{CONNECTION, HeaderName, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout_at;
+
+/// How long a connection may take to come up.
+const OPEN_LIMIT: Duration = Duration::from_millis(300);
+/// How long a connection may rest when its endpoint doesn't say.
+const DEFAULT_REST: Duration = Duration::from_millis(3_000);
+/// Taken off the time that an endpoint keeps resting connections.
+const REST_MARGIN: Duration = Duration::from_millis(800);
+/// Tells how long an endpoint keeps a resting connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Kept connections that are tried before a new one is opened.
+const MAX_STALE: usize = 3;
+
+/// Why an attempt gave no answer that can be used.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum AttemptError {
+    /// No byte of it was sent.
+    #[display("not_sent")]
+    NotSent(OpenError),
+    /// The endpoint says that it did not run it.
+    #[display("not_executed")]
+    NotExecuted {
+        /// When to come back.
+        retry_after_ms: Option<DurationMs>,
+    },
+    /// Another endpoint has the address.
+    #[display("misdirected")]
+    Misdirected,
+    /// The connection broke: it may have run.
+    #[display("broken")]
+    Broken,
+    /// The answer belongs to another request: it may have run.
+    #[display("crossed")]
+    Crossed,
+    /// No answer in time: it may have run.
+    #[display("timed_out")]
+    TimedOut,
+}
+
+impl AttemptError {
+    /// Whether the request may have run.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Self::Broken | Self::Crossed | Self::TimedOut)
+    }
+}
+
+/// Counts a request at its endpoint while it lives.
+#[derive(Debug)]
+pub struct InFlight {
+    endpoint: Arc<Endpoint>,
+    prefill_tokens: u64,
+}
+
+impl InFlight {
+    fn begin(placed: &Placed) -> Self {
+        placed.endpoint.load.begin(placed.prefill_tokens);
+        Self {
+            endpoint: placed.endpoint.clone(),
+            prefill_tokens: placed.prefill_tokens,
+        }
+    }
+
+    /// The first token came.
+    pub fn prefill_done(&mut self) {
+        let tokens = std::mem::take(&mut self.prefill_tokens);
+        self.endpoint.load.prefill_done(tokens);
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.prefill_done();
+        self.endpoint.load.end();
+    }
+}
+
+/// An endpoint's answer, its body still to be read.
+#[derive(Debug)]
+pub struct Answer {
+    /// Who answers.
+    pub endpoint: Arc<Endpoint>,
+    /// Status and headers.
+    pub head: response::Parts,
+    /// The body.
+    pub body: Incoming,
+    /// Counts the request there.
+    pub in_flight: InFlight,
+    connection: Connection,
+}
+
+impl Answer {
+    /// The body was read to its end: the connection may carry another request.
+    pub fn finish(self) {
+        if let Some(limit) = rest_limit(&self.head.headers) {
+            self.endpoint.connections.put(self.connection, limit);
+        }
+    }
+}
+
+/// How long the connection of an answer may rest; none: it closes.
+fn rest_limit(headers: &HeaderMap) -> Option<Duration> {
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    if text(&CONNECTION).is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+        return None;
+    }
+    let told = text(&KEEP_ALIVE)
+        .and_then(|value| {
+            value
+                .split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
+        .and_then(|seconds| seconds.trim().parse().ok());
+    let limit = told.map_or(DEFAULT_REST, Duration::from_secs);
+    let limit = limit.saturating_sub(REST_MARGIN);
+    (!limit.is_zero()).then_some(limit)
+}
+
+/// Sends a request to an endpoint.
+///
+/// # Errors
+/// [`AttemptError`] when the answer can't be used.
+pub async fn attempt(
+    gateway: &Gateway,
+    inbound: &Inbound,
+    placed: &Placed,
+    last_event_id: Option<&HeaderValue>,
+) -> Result<Answer, AttemptError> {
+    let endpoint = &placed.endpoint;
+    let record = endpoint.record.load_full();
+    let name = HeaderValue::from_str(record.id.as_str()).map_err(|_| AttemptError::Misdirected)?;
+    let in_flight = InFlight::begin(placed);
+    let mut request = inbound.outbound(&gateway.names, &name, last_event_id);
+    let mut stale = 0;
+    let (connection, answered) = loop {
+        let kept = if stale < MAX_STALE {
+            endpoint.connections.take()
+        } else {
+            None
+        };
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => {
+                let limit = OPEN_LIMIT.min(inbound.left());
+                let opened = Connection::open(record.address, limit).await;
+                opened.map_err(AttemptError::NotSent)?
+            }
+        };
+        let sending = connection.sender.try_send_request(request);
+        match timeout_at(inbound.deadline, sending).await {
+            Err(_) => return Err(AttemptError::TimedOut),
+            Ok(Ok(answered)) => break (connection, answered),
+            Ok(Err(mut error)) => match error.take_message() {
+                // It had closed before a byte was sent on it.
+                Some(unsent) => request = unsent,
+                None => return Err(AttemptError::Broken),
+            },
+        }
+        stale += 1;
+        if stale > MAX_STALE {
+            return Err(AttemptError::NotSent(OpenError::Refused));
+        }
+    };
+    let (head, body) = answered.into_parts();
+    read_load(gateway, endpoint, &head.headers);
+    check(gateway, inbound, &head)?;
+    Ok(Answer {
+        endpoint: endpoint.clone(),
+        head,
+        body,
+        in_flight,
+        connection,
+    })
+}
+
+/// Whether an answer belongs to the request and says that it ran.
+fn check(gateway: &Gateway, inbound: &Inbound, head: &response::Parts) -> Result<(), AttemptError> {
+    let names = &gateway.names;
+    if head.headers.contains_key(&names.not_executed) {
+        return Err(AttemptError::NotExecuted {
+            retry_after_ms: retry_after(&head.headers),
+        });
+    }
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(AttemptError::Misdirected);
+    }
+    if head.headers.get(&names.request_id) != Some(&inbound.id) {
+        return Err(AttemptError::Crossed);
+    }
+    Ok(())
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<DurationMs> {
+    let seconds: f64 = headers
+        .get(RETRY_AFTER)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()?;
+    Some(DurationMs((seconds * 1_000.0) as u64))
+}
+
+fn read_load(gateway: &Gateway, endpoint: &Endpoint, headers: &HeaderMap) {
+    let Some(text) = headers.get(&gateway.names.load) else {
+        return;
+    };
+    let mut numbers = text
+        .to_str()
+        .unwrap_or("")
+        .split(',')
+        .map_while(|number| number.trim().parse::<u32>().ok());
+    if let (Some(running), Some(waiting)) = (numbers.next(), numbers.next()) {
+        let reported = ReportedLoad { running, waiting };
+        endpoint.load.report(gateway.now(), reported);
+    }
+}
+
+/// The type of what is sent to endpoints.
+pub type Outbound = Request<Full<Bytes>>;
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,469 @@
+//! The life of a request: read, admitted, placed, sent, answered.
+
+use crate::answer_body::AnswerBody;
+use crate::attempt::{Answer, AttemptError, attempt};
+use crate::directory::Endpoint;
+use crate::gateway::Gateway;
+use crate::placement::{Choice, Placed};
+use crate::refusal::Refusal;
+use crate::relay::{BrokenOff, Relay};
+use crate::request::{self, Inbound, strip_hop_by_hop};
+use crate::routing::{Route, RoutingTable};
+use bridgevane_events::{Event, event};
+use bridgevane_types::{DurationMs, ServiceName};
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body::{Body, Frame};
+use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use hyper::body::Incoming;
+use rand::RngExt;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// The longest answer that is read whole before it is passed on.
+const MAX_WHOLE_ANSWER_BYTES: usize = 256 * 1024;
+/// Endpoints that a request is offered to at most, whether or not it runs there.
+const MAX_OFFERS: usize = 4;
+/// The least time that an endpoint is given.
+const MIN_LEFT: Duration = Duration::from_millis(5);
+/// One plain success in so many is logged.
+const SAMPLE: u32 = 16;
+
+/// Counts a request that was read and not yet answered.
+pub(crate) struct InProgress(Arc<Gateway>);
+
+impl InProgress {
+    fn begin(gateway: &Arc<Gateway>) -> Self {
+        gateway.in_progress.fetch_add(1, Ordering::Relaxed);
+        Self(gateway.clone())
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Holds a body's bytes in the count of what is buffered.
+struct Buffered {
+    gateway: Arc<Gateway>,
+    bytes: u64,
+}
+
+impl Drop for Buffered {
+    fn drop(&mut self) {
+        self.gateway
+            .buffered_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// A refusal, and when to come back where that differs from the usual.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Refused {
+    refusal: Refusal,
+    retry_after_ms: Option<DurationMs>,
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Self {
+            refusal,
+            retry_after_ms: None,
+        }
+    }
+}
+
+/// Serves one request.
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<impl Body<Data = Bytes, Error = BrokenOff> + use<>> {
+    let arrived = Instant::now();
+    let id = request.headers().get(&gateway.names.request_id).cloned();
+    let in_progress = InProgress::begin(&gateway);
+    let mut response = match answer(&gateway, arrived, request, in_progress).await {
+        Ok(response) => response,
+        Err(refused) => {
+            log_refused(&gateway, id.as_ref(), refused, arrived);
+            let response = refused.refusal.response(refused.retry_after_ms);
+            response.map(AnswerBody::Whole)
+        }
+    };
+    if gateway.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+fn log_refused(gateway: &Gateway, id: Option<&HeaderValue>, refused: Refused, arrived: Instant) {
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
+    let age = gateway.view.proof_age(gateway.now());
+    event!(
+        Event::RequestTurnedAway,
+        request = id,
+        reason = refused.refusal,
+        status = refused.refusal.status().as_u16(),
+        held_ms = arrived.elapsed().as_millis(),
+        proof_age_ms = age.map_or(-1, |age| age.0 as i64),
+        version = gateway.view.table().map_or(0, |table| table.version().0)
+    );
+}
+
+async fn answer(
+    gateway: &Arc<Gateway>,
+    arrived: Instant,
+    request: Request<Incoming>,
+    in_progress: InProgress,
+) -> Result<Response<AnswerBody<impl Body<Data = Bytes, Error = BrokenOff> + use<>>>, Refused> {
+    let inbound = admit(gateway, arrived, request).await?;
+    let bytes = inbound.body.len() as u64;
+    gateway.buffered_bytes.fetch_add(bytes, Ordering::Relaxed);
+    let buffered = Buffered {
+        gateway: gateway.clone(),
+        bytes,
+    };
+    gateway
+        .retry_budgets
+        .note_request(gateway.now(), &inbound.service);
+    let mut exchange = Exchange::new(gateway.clone(), inbound);
+    if exchange.inbound.route.stream.is_none() {
+        return exchange.whole_answer().await;
+    }
+    let answer = exchange.dispatch(None).await?;
+    let head = client_head(&answer.head);
+    let relay = Relay::new(exchange, answer);
+    let state = (relay, in_progress, buffered);
+    let frames = futures_util::stream::unfold(state, |(mut relay, guard, held)| async move {
+        let frame = relay.next().await?;
+        Some((frame.map(Frame::data), (relay, guard, held)))
+    });
+    let body = AnswerBody::Stream(Box::pin(StreamBody::new(frames)));
+    Ok(Response::from_parts(head, body))
+}
+
+/// The head as the client gets it.
+fn client_head(head: &http::response::Parts) -> http::response::Parts {
+    let mut response = Response::new(());
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers.clone();
+    strip_hop_by_hop(response.headers_mut());
+    response.into_parts().0
+}
+
+/// Reads and checks a request.
+async fn admit(
+    gateway: &Arc<Gateway>,
+    arrived: Instant,
+    request: Request<Incoming>,
+) -> Result<Inbound, Refused> {
+    let names = &gateway.names;
+    let (head, body) = request.into_parts();
+    let table = gateway.view.table().ok_or(Refusal::NotReady)?;
+    // What is refused for good must be refused by the newest configuration.
+    if !gateway.is_fresh() {
+        return Err(Refusal::NotReady.into());
+    }
+    let host = request::host(&head.uri, &head.headers).ok_or(Refusal::NoRoute)?;
+    let route = table.route(&host, head.uri.path());
+    let route = route.cloned().ok_or(Refusal::NoRoute)?;
+    let customer = match request::key(names, &head.headers) {
+        _ if route.is_public || !table.needs_keys() => None,
+        None => return Err(Refusal::UnknownKey.into()),
+        Some(key) => Some(table.customer(key).cloned().ok_or(Refusal::UnknownKey)?),
+    };
+    let id = request::identifier(names, &head.headers)?;
+    let path = head.uri.path_and_query().cloned();
+    let path = path.ok_or(Refusal::Malformed)?;
+    let client_ms = request::number(&head.headers, &names.deadline_ms);
+    let longest = route.timeout_ms.as_std();
+    let held = client_ms.map_or(longest, |ms| longest.min(Duration::from_millis(ms)));
+    let deadline = arrived + held;
+    let prompt = if route.has_prompt_parts {
+        request::prompt(names, &head.headers)
+    } else {
+        Default::default()
+    };
+    let body = read_body(gateway, &table, &head.headers, deadline, body).await?;
+    Ok(Inbound {
+        arrived,
+        deadline,
+        id,
+        method: head.method,
+        path,
+        headers: request::passed_on(names, head.headers),
+        body,
+        service: draw_service(&route),
+        route,
+        customer,
+        prompt,
+    })
+}
+
+async fn read_body(
+    gateway: &Gateway,
+    table: &RoutingTable,
+    headers: &HeaderMap,
+    deadline: Instant,
+    body: Incoming,
+) -> Result<Bytes, Refusal> {
+    let limit = table.limits().body_bytes.0;
+    let announced = request::number(headers, &CONTENT_LENGTH).unwrap_or(0);
+    if announced > limit {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let held = gateway.buffered_bytes.load(Ordering::Relaxed);
+    if held + announced > gateway.settings.max_buffered_bytes.0 {
+        return Err(Refusal::MemoryFull);
+    }
+    let reading = Limited::new(body, limit as usize).collect();
+    match timeout_at(deadline, reading).await {
+        Err(_) => Err(Refusal::BodyTimeout),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::BodyTooLarge)
+        }
+        Ok(Err(_)) => Err(Refusal::BodyBroken),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+    }
+}
+
+/// Draws a service by the weights of the route's targets.
+fn draw_service(route: &Route) -> ServiceName {
+    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
+    let mut at = if total > 0 {
+        rand::rng().random_range(0..total)
+    } else {
+        0
+    };
+    for target in &route.targets {
+        if at < target.weight {
+            return target.service.clone();
+        }
+        at -= target.weight;
+    }
+    route.targets[0].service.clone()
+}
+
+/// A request on its way through attempts.
+pub(crate) struct Exchange {
+    pub(crate) gateway: Arc<Gateway>,
+    pub(crate) inbound: Inbound,
+    tried: Vec<Arc<Endpoint>>,
+    /// Attempts that ran, or may have run.
+    runs: u32,
+}
+
+impl Exchange {
+    fn new(gateway: Arc<Gateway>, inbound: Inbound) -> Self {
+        Self {
+            gateway,
+            inbound,
+            tried: Vec::new(),
+            runs: 0,
+        }
+    }
+
+    /// Whether the request may be sent again after it may have run; takes from the budget.
+    fn take_repeat(&self) -> bool {
+        let may = self.inbound.route.may_repeat() && self.runs < self.inbound.route.max_attempts;
+        may && self.take_budget()
+    }
+
+    fn take_budget(&self) -> bool {
+        let now = self.gateway.now();
+        self.gateway.retry_budgets.take(now, &self.inbound.service)
+    }
+
+    /// Sends the request until an endpoint answers it.
+    pub(crate) async fn dispatch(
+        &mut self,
+        last_event_id: Option<&HeaderValue>,
+    ) -> Result<Answer, Refused> {
+        loop {
+            let placed = self.place()?;
+            let error = match self.attempt(&placed, last_event_id).await {
+                Ok(answer) if self.is_worth_repeating(&answer) && self.take_repeat() => continue,
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            self.after_failure(error)?;
+        }
+    }
+
+    /// Picks an endpoint, and checks that what is believed still holds.
+    fn place(&self) -> Result<Placed, Refused> {
+        if self.inbound.left() < MIN_LEFT {
+            return Err(self.out_of_time());
+        }
+        if !self.gateway.is_fresh() {
+            return Err(self.unless_run(Refusal::NotReady));
+        }
+        let directory = self.gateway.view.directory();
+        let endpoints = directory.endpoints(&self.inbound.service);
+        let choice = Choice {
+            now: self.gateway.now(),
+            data_centre: &self.gateway.settings.data_centre,
+            prompt: &self.inbound.prompt,
+            tried: &self.tried,
+        };
+        let placed = self.gateway.placement.choose(choice, endpoints);
+        placed.ok_or_else(|| self.unless_run(Refusal::NoEndpoint))
+    }
+
+    async fn attempt(
+        &mut self,
+        placed: &Placed,
+        last_event_id: Option<&HeaderValue>,
+    ) -> Result<Answer, AttemptError> {
+        let endpoint = &placed.endpoint;
+        self.tried.push(endpoint.clone());
+        let result = attempt(&self.gateway, &self.inbound, placed, last_event_id).await;
+        let now = self.gateway.now();
+        match &result {
+            Ok(answer) if answer.head.status.is_server_error() => {
+                self.runs += 1;
+                endpoint.health.failed();
+            }
+            Ok(_) => self.runs += 1,
+            Err(AttemptError::NotSent(_)) => self.eject(endpoint),
+            Err(AttemptError::NotExecuted { .. }) => {}
+            Err(AttemptError::Misdirected) => self.eject(endpoint),
+            Err(error) => {
+                self.runs += 1;
+                endpoint.health.failed();
+                if *error == AttemptError::TimedOut {
+                    self.eject(endpoint);
+                }
+            }
+        }
+        if let Err(error) = &result {
+            let load = endpoint.load.now(now);
+            event!(
+                Event::AttemptFailed,
+                request = self.inbound.id_text(),
+                endpoint = endpoint.record.load().id,
+                cause = error,
+                running = load.running(),
+                runs = self.runs,
+                left_ms = self.inbound.left().as_millis()
+            );
+        }
+        result
+    }
+
+    fn eject(&self, endpoint: &Endpoint) {
+        let now = self.gateway.now();
+        if endpoint.health.lost(now) {
+            let id = &endpoint.record.load().id;
+            event!(Event::EndpointEjected, endpoint = id);
+        }
+    }
+
+    /// A failure that another endpoint may not give.
+    fn is_worth_repeating(&self, answer: &Answer) -> bool {
+        answer.head.status.is_server_error() && self.inbound.route.stream.is_none()
+    }
+
+    /// Whether to go on after a failed attempt.
+    fn after_failure(&self, error: AttemptError) -> Result<(), Refused> {
+        if error.may_have_run() {
+            if self.take_repeat() {
+                return Ok(());
+            }
+            return Err(match error {
+                AttemptError::TimedOut => Refusal::TimedOut.into(),
+                _ => Refusal::OutcomeUnknown.into(),
+            });
+        }
+        let may_offer = self.tried.len() < MAX_OFFERS;
+        let is_free = matches!(error, AttemptError::NotSent(_));
+        if may_offer && (is_free || self.take_budget()) {
+            return Ok(());
+        }
+        let told = match error {
+            AttemptError::NotExecuted { retry_after_ms } => retry_after_ms,
+            _ => None,
+        };
+        let mut refused = self.unless_run(Refusal::Overloaded);
+        refused.retry_after_ms = told;
+        Err(refused)
+    }
+
+    fn out_of_time(&self) -> Refused {
+        if self.runs > 0 {
+            return Refusal::TimedOut.into();
+        }
+        Refusal::Expired.into()
+    }
+
+    /// A refusal that says "not run" can't be given once the request may have run.
+    fn unless_run(&self, refusal: Refusal) -> Refused {
+        if self.runs > 0 {
+            return Refusal::OutcomeUnknown.into();
+        }
+        refusal.into()
+    }
+
+    /// An answer that is read whole before the client gets it, so that one that breaks off
+    /// can be asked for again.
+    async fn whole_answer<B>(mut self) -> Result<Response<AnswerBody<B>>, Refused> {
+        loop {
+            let mut answer = self.dispatch(None).await?;
+            let status = answer.head.status;
+            let limited = Limited::new(&mut answer.body, MAX_WHOLE_ANSWER_BYTES);
+            let collected = timeout(self.inbound.left(), limited.collect()).await;
+            let error = match collected {
+                Ok(Ok(body)) => {
+                    self.log_served(&answer);
+                    if !status.is_server_error() {
+                        answer.endpoint.health.served();
+                    }
+                    let response = Response::from_parts(client_head(&answer.head), body.to_bytes());
+                    answer.finish();
+                    return Ok(response.map(|body| AnswerBody::Whole(Full::new(body))));
+                }
+                Ok(Err(_)) => AttemptError::Broken,
+                Err(_) => AttemptError::TimedOut,
+            };
+            answer.endpoint.health.failed();
+            event!(
+                Event::AttemptFailed,
+                request = self.inbound.id_text(),
+                endpoint = answer.endpoint.record.load().id,
+                cause = error,
+                status = status.as_u16(),
+                runs = self.runs
+            );
+            drop(answer);
+            self.after_failure(error)?;
+        }
+    }
+
+    /// Logs a sample of the plain successes.
+    pub(crate) fn log_served(&self, answer: &Answer) {
+        let is_plain = answer.head.status == StatusCode::OK && self.runs == 1;
+        if is_plain && !rand::rng().random_ratio(1, SAMPLE) {
+            return;
+        }
+        event!(
+            Event::RequestServed,
+            request = self.inbound.id_text(),
+            endpoint = answer.endpoint.record.load().id,
+            status = answer.head.status.as_u16(),
+            runs = self.runs,
+            took_ms = self.inbound.arrived.elapsed().as_millis()
+        );
+    }
+
+    /// Whether a broken stream may go on at another endpoint; takes from the budget.
+    pub(crate) fn may_resume(&self) -> bool {
+        let stream = self.inbound.route.stream;
+        let is_resumable = stream.is_some_and(|stream| stream.is_resumable);
+        is_resumable && self.inbound.left() > MIN_LEFT && self.take_repeat()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,92 @@
+//! What every part of the gateway shares, handed down instead of globals.
+
+use crate::names::HeaderNames;
+use crate::placement::Placement;
+use crate::retry_budget::RetryBudgets;
+use crate::settings::GatewaySettings;
+use crate::view::View;
+use bridgevane_types::TimeMs;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The gateway's shared state.
+pub struct Gateway {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// Header names.
+    pub names: HeaderNames,
+    /// What is believed.
+    pub view: View,
+    /// Where prompts were placed.
+    pub placement: Placement,
+    /// What may be sent again.
+    pub retry_budgets: RetryBudgets,
+    /// Requests that were read and not yet answered.
+    pub in_progress: AtomicU32,
+    /// Bytes of bodies held.
+    pub buffered_bytes: AtomicU64,
+    is_stopping: AtomicBool,
+    stopping: Notify,
+    started: Instant,
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: GatewaySettings, names: HeaderNames) -> Arc<Self> {
+        Arc::new(Self {
+            retry_budgets: RetryBudgets::new(&settings),
+            settings,
+            names,
+            view: View::default(),
+            placement: Placement::default(),
+            in_progress: AtomicU32::new(0),
+            buffered_bytes: AtomicU64::new(0),
+            is_stopping: AtomicBool::new(false),
+            stopping: Notify::new(),
+            started: Instant::now(),
+        })
+    }
+
+    /// Now, as the pure parts see it.
+    pub fn now(&self) -> TimeMs {
+        self.at(Instant::now())
+    }
+
+    /// A moment, as the pure parts see it.
+    pub fn at(&self, instant: Instant) -> TimeMs {
+        TimeMs(instant.duration_since(self.started).as_millis() as u64)
+    }
+
+    /// Whether something proves that the configuration is fresh enough to act on.
+    pub fn is_fresh(&self) -> bool {
+        let age = self.view.proof_age(self.now());
+        age.is_some_and(|age| age < self.settings.proof_lifetime_ms)
+    }
+
+    /// Whether the daemon wants new connections.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.is_fresh() && self.view.table().is_some()
+    }
+
+    /// Whether the daemon was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    /// Begins the stop: not ready, connections close after their answers.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells resting client connections to close.
+    pub fn close_resting(&self) {
+        self.stopping.notify_waiters();
+    }
+
+    /// Waits until resting connections shall close.
+    pub async fn resting_must_close(&self) {
+        self.stopping.notified().await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! The forwarding front door: requests are passed to endpoints as they came.
+//!
+//! An outside [`source::ControlSource`] tells routes, keys and endpoints; an adapter fills in
+//! the names of headers ([`names::HeaderNames`]). This package decides: which endpoint gets a
+//! request, what may be sent again, what is refused, and whether what is believed is fresh
+//! enough to act on.
+
+pub mod answer_body;
+pub mod attempt;
+pub mod connection;
+pub mod directory;
+pub mod exchange;
+pub mod follow;
+pub mod front;
+pub mod gateway;
+pub mod health;
+pub mod load;
+pub mod names;
+pub mod placement;
+pub mod pool;
+pub mod ready;
+pub mod refusal;
+pub mod relay;
+pub mod request;
+pub mod retry_budget;
+pub mod routing;
+pub mod server_events;
+pub mod settings;
+pub mod source;
+pub mod view;
--- /dev/null
+++ b/crates/gateway/src/load.rs
@@ -0,0 +1,95 @@
+//! Work at one endpoint: this daemon's own, and what the endpoint last told of others'.
+
+use bridgevane_types::{DurationMs, TimeMs};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+/// How long a reported load says anything.
+const REPORT_LIFETIME: DurationMs = DurationMs(1_500);
+
+/// The load that an endpoint tells on its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
+
+/// Work under way at an endpoint.
+#[derive(Debug, Default)]
+pub struct EndpointLoad {
+    own_running: AtomicU32,
+    own_prefill_tokens: AtomicU64,
+    others_running: AtomicU32,
+    others_waiting: AtomicU32,
+    reported_at_ms: AtomicU64,
+}
+
+/// A moment's load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadNow {
+    /// Requests of this daemon.
+    pub own_running: u32,
+    /// Prompt tokens of this daemon's requests that gave no token yet.
+    pub own_prefill_tokens: u64,
+    /// Requests of others, as last told.
+    pub others_running: u32,
+    /// Requests of others that wait, as last told.
+    pub others_waiting: u32,
+}
+
+impl LoadNow {
+    /// All requests there.
+    pub fn running(&self) -> u32 {
+        self.own_running + self.others_running
+    }
+}
+
+impl EndpointLoad {
+    /// A request was sent there.
+    pub fn begin(&self, prefill_tokens: u64) {
+        self.own_running.fetch_add(1, Ordering::Relaxed);
+        self.own_prefill_tokens
+            .fetch_add(prefill_tokens, Ordering::Relaxed);
+    }
+
+    /// A request gave its first token, or ended before that.
+    pub fn prefill_done(&self, prefill_tokens: u64) {
+        self.own_prefill_tokens
+            .fetch_sub(prefill_tokens, Ordering::Relaxed);
+    }
+
+    /// A request ended.
+    pub fn end(&self) {
+        self.own_running.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// The endpoint told its load.
+    pub fn report(&self, now: TimeMs, reported: ReportedLoad) {
+        let own = self.own_running.load(Ordering::Relaxed);
+        let others = (reported.running + reported.waiting).saturating_sub(own);
+        let waiting = reported.waiting.min(others);
+        self.others_running.store(others, Ordering::Relaxed);
+        self.others_waiting.store(waiting, Ordering::Relaxed);
+        self.reported_at_ms.store(now.0 + 1, Ordering::Relaxed);
+    }
+
+    /// The load as it is known now.
+    pub fn now(&self, now: TimeMs) -> LoadNow {
+        let reported_at = self.reported_at_ms.load(Ordering::Relaxed);
+        let is_told = reported_at > 0 && now.since(TimeMs(reported_at - 1)) < REPORT_LIFETIME;
+        let told = |count: &AtomicU32| {
+            if is_told {
+                count.load(Ordering::Relaxed)
+            } else {
+                0
+            }
+        };
+        LoadNow {
+            own_running: self.own_running.load(Ordering::Relaxed),
+            own_prefill_tokens: self.own_prefill_tokens.load(Ordering::Relaxed),
+            others_running: told(&self.others_running),
+            others_waiting: told(&self.others_waiting),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,31 @@
+//! Settings of the gateway.
+
+use bridgevane_types::{Bytes, DataCentreId, DurationMs, Share, VmId};
+use std::net::SocketAddr;
+
+/// What the gateway needs to know before it starts.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// This VM.
+    pub vm: VmId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Where clients connect.
+    pub client_address: SocketAddr,
+    /// Where the balancer asks whether the daemon is ready, and where metrics are served.
+    pub ready_address: SocketAddr,
+    /// How long a proof that the configuration is the newest lasts.
+    pub proof_lifetime_ms: DurationMs,
+    /// How long one wait for changes lasts at the control source.
+    pub watch_wait_ms: DurationMs,
+    /// How long a stop may take.
+    pub stop_ms: DurationMs,
+    /// Repeats allowed for each request, over all daemons.
+    pub retry_ratio: Share,
+    /// Repeats allowed beyond the ratio, over all daemons.
+    pub retry_slack: u32,
+    /// The sliding window of the retry budget.
+    pub retry_window_ms: DurationMs,
+    /// Bodies held in memory at most.
+    pub max_buffered_bytes: Bytes,
+}
--- /dev/null
+++ b/crates/gateway/src/view.rs
@@ -0,0 +1,172 @@
+//! What this daemon believes: the routing table in force, the endpoints, and how fresh it is.
+
+use crate::directory::{Directory, Endpoint};
+use crate::routing::RoutingTable;
+use crate::source::{Change, ChangeAt, FullState, Revision};
+use arc_swap::{ArcSwap, ArcSwapOption};
+use bridgevane_decisions::EngineIx;
+use bridgevane_events::{Event, event};
+use bridgevane_types::{DurationMs, EngineId, TimeMs};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// An endpoint and the revision of its newest record.
+#[derive(Debug)]
+struct Known {
+    revision: Revision,
+    endpoint: Arc<Endpoint>,
+}
+
+/// What only the follower of the source touches.
+#[derive(Debug, Default)]
+struct Ledger {
+    endpoints: HashMap<EngineId, Known>,
+    next_index: u32,
+}
+
+/// What this daemon believes. Requests read it without locks.
+#[derive(Debug, Default)]
+pub struct View {
+    table: ArcSwapOption<RoutingTable>,
+    directory: ArcSwap<Directory>,
+    /// When the newest proof of freshness was asked for, plus one; 0: never.
+    proved_at_ms: AtomicU64,
+    ledger: Mutex<Ledger>,
+}
+
+impl View {
+    /// The routing table in force.
+    pub fn table(&self) -> Option<Arc<RoutingTable>> {
+        self.table.load_full()
+    }
+
+    /// The endpoints that may get work.
+    pub fn directory(&self) -> Arc<Directory> {
+        self.directory.load_full()
+    }
+
+    /// Notes that what is believed was the newest at `asked_at`.
+    pub fn prove(&self, asked_at: TimeMs) {
+        self.proved_at_ms
+            .fetch_max(asked_at.0 + 1, Ordering::Relaxed);
+    }
+
+    /// How old the newest proof of freshness is.
+    pub fn proof_age(&self, now: TimeMs) -> Option<DurationMs> {
+        let proved_at = self.proved_at_ms.load(Ordering::Relaxed).checked_sub(1)?;
+        Some(now.since(TimeMs(proved_at)))
+    }
+
+    /// Takes in the full state: endpoints that it doesn't hold are gone.
+    pub fn replace(&self, state: FullState) {
+        let mut ledger = self.ledger.lock().expect("no panic under this lock");
+        let listed: Vec<EngineId> = state
+            .records
+            .iter()
+            .filter_map(|record| match &record.change {
+                Change::Endpoint(endpoint) => Some(endpoint.id.clone()),
+                _ => None,
+            })
+            .collect();
+        let gone = ledger
+            .endpoints
+            .iter()
+            .filter(|(id, known)| known.revision <= state.at && !listed.contains(id));
+        let gone: Vec<EngineId> = gone.map(|(id, _)| id.clone()).collect();
+        for id in gone {
+            self.remove(&mut ledger, &id, state.at);
+        }
+        self.take_in(&mut ledger, state.records);
+    }
+
+    /// Takes in changes.
+    pub fn apply(&self, changes: Vec<ChangeAt>) {
+        if changes.is_empty() {
+            return;
+        }
+        let mut ledger = self.ledger.lock().expect("no panic under this lock");
+        self.take_in(&mut ledger, changes);
+    }
+
+    fn take_in(&self, ledger: &mut Ledger, changes: Vec<ChangeAt>) {
+        for ChangeAt { revision, change } in changes {
+            match change {
+                Change::Routing(table) => self.put_in_force(table, revision),
+                Change::Endpoint(record) => self.upsert(ledger, record, revision),
+                Change::EndpointGone(id) => self.remove(ledger, &id, revision),
+                Change::Unreadable(what) => {
+                    event!(Event::ConfigRejected, what = what, revision = revision);
+                }
+            }
+        }
+        let endpoints = ledger.endpoints.values().map(|known| &known.endpoint);
+        self.directory.store(Arc::new(Directory::new(endpoints)));
+    }
+
+    /// A version never goes back.
+    fn put_in_force(&self, table: Arc<RoutingTable>, revision: Revision) {
+        let current = self.table.load();
+        if current
+            .as_ref()
+            .is_some_and(|current| current.version() >= table.version())
+        {
+            return;
+        }
+        event!(
+            Event::ConfigInForce,
+            version = table.version(),
+            revision = revision
+        );
+        self.table.store(Some(table));
+    }
+
+    fn upsert(
+        &self,
+        ledger: &mut Ledger,
+        record: crate::directory::EndpointRecord,
+        revision: Revision,
+    ) {
+        if let Some(known) = ledger.endpoints.get_mut(&record.id) {
+            if known.revision >= revision {
+                return;
+            }
+            known.revision = revision;
+            let was = known.endpoint.record.load();
+            if was.is_draining != record.is_draining {
+                log_endpoint(&record, revision);
+            }
+            known.endpoint.record.store(Arc::new(record));
+            return;
+        }
+        log_endpoint(&record, revision);
+        let index = EngineIx(ledger.next_index);
+        ledger.next_index += 1;
+        let id = record.id.clone();
+        let endpoint = Arc::new(Endpoint::new(index, record));
+        let known = Known { revision, endpoint };
+        ledger.endpoints.insert(id, known);
+    }
+
+    fn remove(&self, ledger: &mut Ledger, id: &EngineId, revision: Revision) {
+        let is_older = |known: &Known| known.revision < revision;
+        if !ledger.endpoints.get(id).is_some_and(is_older) {
+            return;
+        }
+        if let Some(known) = ledger.endpoints.remove(id) {
+            known.endpoint.connections.close();
+            event!(Event::EndpointGone, endpoint = id, revision = revision);
+        }
+    }
+}
+
+fn log_endpoint(record: &crate::directory::EndpointRecord, revision: Revision) {
+    event!(
+        Event::EndpointSeen,
+        endpoint = record.id,
+        service = record.service,
+        address = record.address,
+        draining = record.is_draining,
+        revision = revision
+    );
+}
--- a/src/commands/demo/mod.rs
+++ b/src/commands/demo/mod.rs
@@ -119,7 +119,7 @@
         format: LogFormat::Text,
         level: log::LevelFilter::Error,
     };
-    if let Err(error) = logging::set_up(config) {
+    if let Err(error) = logging::set_up_on_stderr(config) {
         eprintln!("{error}");
     }
     match block_on(demo(arguments)) {
--- /dev/null
+++ b/src/commands/gateway.rs
@@ -0,0 +1,141 @@
+//! `bridgevane gateway`: the forwarding front door on the platform.
+
+use crate::commands::{exit, say};
+use crate::configs::gateway::GatewayConfig;
+use crate::configs::settings_reader::{SettingSource, variable_of};
+use crate::modules::{gateway_stop, http_serve, log_writer, logging};
+use argh::FromArgs;
+use bridgevane_events::{Event, event};
+use bridgevane_gateway::gateway::Gateway;
+use bridgevane_gateway::{follow, front, ready};
+use bridgevane_platform::{Store, header_names};
+use std::time::Duration;
+
+/// How long a connection to the store may take to come up.
+const STORE_OPEN_LIMIT: Duration = Duration::from_millis(500);
+
+/// Forward requests as they came, by the platform's routes, keys and workers. Each flag has an
+/// environment variable: --vm-id is BRIDGEVANE_VM_ID; flags win.
+#[derive(Debug, Default, FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub struct GatewayArguments {
+    /// name of this VM
+    #[argh(option)]
+    pub vm_id: Option<String>,
+    /// name of its data centre
+    #[argh(option)]
+    pub data_centre: Option<String>,
+    /// address for clients, such as 10.0.0.4:8080
+    #[argh(option)]
+    pub client_address: Option<String>,
+    /// address where the balancer asks whether the daemon is ready; metrics are there, too
+    #[argh(option)]
+    pub ready_address: Option<String>,
+    /// address of the platform's store
+    #[argh(option)]
+    pub store_address: Option<String>,
+    /// milliseconds in which the removal of a key must be in force (default: 5000)
+    #[argh(option)]
+    pub key_removal_ms: Option<String>,
+    /// seconds that a stop may take (default: 10)
+    #[argh(option)]
+    pub stop_s: Option<String>,
+    /// repeats for each request, over all daemons (default: 0.2)
+    #[argh(option)]
+    pub retry_ratio: Option<String>,
+    /// repeats beyond the ratio, over all daemons (default: 12)
+    #[argh(option)]
+    pub retry_slack: Option<String>,
+    /// seconds of the sliding window of repeats (default: 10)
+    #[argh(option)]
+    pub retry_window_s: Option<String>,
+    /// megabytes that the process may take (default: 128)
+    #[argh(option)]
+    pub memory_mb: Option<String>,
+    /// json (default) or text
+    #[argh(option)]
+    pub log_format: Option<String>,
+    /// error, warn, info (default) or debug
+    #[argh(option)]
+    pub log_level: Option<String>,
+    /// print the settings and stop
+    #[argh(switch)]
+    pub print_settings: bool,
+}
+
+impl SettingSource for GatewayArguments {
+    fn text(&self, flag: &'static str) -> Option<String> {
+        let given = match flag {
+            "vm-id" => &self.vm_id,
+            "data-centre" => &self.data_centre,
+            "client-address" => &self.client_address,
+            "ready-address" => &self.ready_address,
+            "store-address" => &self.store_address,
+            "key-removal-ms" => &self.key_removal_ms,
+            "stop-s" => &self.stop_s,
+            "retry-ratio" => &self.retry_ratio,
+            "retry-slack" => &self.retry_slack,
+            "retry-window-s" => &self.retry_window_s,
+            "memory-mb" => &self.memory_mb,
+            "log-format" => &self.log_format,
+            "log-level" => &self.log_level,
+            _ => &None,
+        };
+        given
+            .clone()
+            .or_else(|| std::env::var(variable_of(flag)).ok())
+    }
+}
+
+/// Runs the command; gives the exit code.
+pub fn run(arguments: &GatewayArguments) -> u8 {
+    let config = match GatewayConfig::read(arguments) {
+        Ok(config) => config,
+        Err(problems) => {
+            eprintln!("{problems}");
+            return exit::USAGE;
+        }
+    };
+    if arguments.print_settings {
+        say!("{config:#?}");
+        return exit::OK;
+    }
+    let writer = log_writer::start();
+    if let Err(error) = logging::set_up(config.log, writer.sink()) {
+        eprintln!("{error}");
+        return exit::USAGE;
+    }
+    // One thread: the VMs that this runs on have a part of one core.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let served = runtime.and_then(|runtime| runtime.block_on(serve(config)));
+    let code = match served {
+        Ok(()) => exit::OK,
+        Err(error) => {
+            event!(Event::CannotListen, cause = error);
+            exit::USAGE
+        }
+    };
+    writer.finish();
+    code
+}
+
+/// Serves until the stop signal, then until every answer has ended.
+async fn serve(config: GatewayConfig) -> Result<(), std::io::Error> {
+    let clients = http_serve::listen(config.gateway.client_address).await?;
+    let ready_listener = http_serve::listen(config.gateway.ready_address).await?;
+    let store = Store::new(config.store_address, STORE_OPEN_LIMIT);
+    let gateway = Gateway::new(config.gateway, header_names());
+    event!(
+        Event::Started,
+        vm = gateway.settings.vm,
+        data_centre = gateway.settings.data_centre,
+        callers = gateway.settings.client_address,
+        proof_lifetime_ms = gateway.settings.proof_lifetime_ms
+    );
+    tokio::spawn(ready::run(gateway.clone(), ready_listener));
+    tokio::spawn(follow::run(gateway.clone(), store));
+    tokio::spawn(front::run(gateway.clone(), clients));
+    gateway_stop::run(gateway).await
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod check;
 #[cfg(feature = "standins")]
 pub mod demo;
+pub mod gateway;
 pub mod operator_client;
 pub mod report;
 pub mod report_page;
@@ -49,6 +50,7 @@
 #[argh(subcommand)]
 enum Command {
     Serve(serve::ServeArguments),
+    Gateway(gateway::GatewayArguments),
     Ask(ask::AskArguments),
     Check(check::CheckArguments),
     Report(report::ReportArguments),
@@ -70,6 +72,7 @@
     };
     let code = match command {
         Command::Serve(arguments) => serve::run(&arguments),
+        Command::Gateway(arguments) => gateway::run(&arguments),
         Command::Ask(arguments) => ask::run(&arguments),
         Command::Check(arguments) => check::run(&arguments),
         Command::Report(arguments) => report::run(&arguments),
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -1,15 +1,16 @@
 //! `bridgevane serve`: the daemon.
 
 use crate::commands::{block_on, exit, say};
-use crate::configs::serve::{ServeConfig, SettingSource, variable_of};
+use crate::configs::serve::ServeConfig;
+use crate::configs::settings_reader::{SettingSource, variable_of};
 use crate::context::Context;
 use crate::modules::leaving::LeavingSource;
 use crate::modules::{
     callers, config_follow, http_serve, logging, members, operators, peer_links, pool_homes,
     rollouts,
 };
-use crate::{event, events::Event};
 use argh::FromArgs;
+use bridgevane_events::{Event, event};
 use bridgevane_types::Incarnation;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -94,7 +95,7 @@
         say!("{config:#?}");
         return exit::OK;
     }
-    if let Err(error) = logging::set_up(config.log) {
+    if let Err(error) = logging::set_up_on_stderr(config.log) {
         eprintln!("{error}");
         return exit::USAGE;
     }
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -1,7 +1,9 @@
 //! Settings: plain typed values with defaults.
 
+pub mod gateway;
 pub mod log;
 pub mod operators;
 pub mod peers;
 pub mod serve;
 pub mod serving;
+pub mod settings_reader;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,5 +7,4 @@
 pub mod commands;
 pub mod configs;
 pub mod context;
-pub mod events;
 pub mod modules;
--- a/src/modules/config_change.rs
+++ b/src/modules/config_change.rs
@@ -8,11 +8,11 @@
 use crate::modules::config_follow::CONFIG_KEY;
 use crate::modules::config_relay;
 use crate::modules::query_language::{Operand, Statement, Target};
-use crate::{event, events::Event};
 use bridgevane_adapters::{KeyValue, KvCas, KvError, Revision};
 use bridgevane_config::{
     AcceptedOperation, ConfigProblems, Document, Envelope, EnvelopeError, OperationStatus, Sections,
 };
+use bridgevane_events::{Event, event};
 use bridgevane_types::{ConfigVersion, DurationMs, ModelName, OperationId, OperatorName};
 use derive_more::{Display, Error, From};
 use serde::Serialize;
--- a/src/modules/config_follow.rs
+++ b/src/modules/config_follow.rs
@@ -4,9 +4,9 @@
 use crate::context::Context;
 use crate::modules::config_in_force::InForce;
 use crate::modules::config_relay;
-use crate::{event, events::Event};
 use bridgevane_adapters::{KeyValue, KvValue, Revision};
 use bridgevane_config::Envelope;
+use bridgevane_events::{Event, event};
 use bridgevane_types::DurationMs;
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/modules/config_relay.rs
+++ b/src/modules/config_relay.rs
@@ -5,11 +5,11 @@
 use crate::modules::config_in_force::InForce;
 use crate::modules::members;
 use crate::modules::peer_links::LinkHandle;
-use crate::{event, events::Event};
 use bridgevane_adapters::KvError;
 use bridgevane_config::{Delta, Document, SectionChange, Sections};
 use bridgevane_coordination::configs::CallBudgetConfig;
 use bridgevane_coordination::{CallBudget, CallKind, ConfigAnswer, ConfigReplica, NotAccepted};
+use bridgevane_events::{Event, event};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
     ConfigDelta, ConfigSnapshot, ConfigWanted, Heartbeat, SectionChange as WireChange,
--- a/src/modules/engine_poll.rs
+++ b/src/modules/engine_poll.rs
@@ -3,9 +3,9 @@
 use crate::context::Context;
 use crate::modules::engine_link::EngineLink;
 use crate::modules::pool_handle::PoolMessage;
-use crate::{event, events::Event};
 use bridgevane_adapters::{EngineCallError, LoadReport, ModelEngine, PlainCallError, PlainService};
 use bridgevane_config::ServiceKind;
+use bridgevane_events::{Event, event};
 use bridgevane_types::{ConfigVersion, ServiceName};
 use derive_more::{Display, Error, From};
 use futures_util::future::join_all;
--- a/src/modules/logging.rs
+++ b/src/modules/logging.rs
@@ -1,6 +1,7 @@
 //! Log lines: one line an event, as JSON or for people.
 
 use crate::configs::log::{LogConfig, LogFormat};
+use crate::modules::log_writer::Sink;
 use derive_more::{Display, Error, From};
 use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Record};
@@ -64,7 +65,20 @@
 ///
 /// # Errors
 /// [`LoggingError`] when logging was set up before.
-pub fn set_up(config: LogConfig) -> Result<(), LoggingError> {
+pub fn set_up_on_stderr(config: LogConfig) -> Result<(), LoggingError> {
+    dispatch(config, std::io::stderr().into())
+}
+
+/// Sends logs to a writer that never holds up its callers.
+///
+/// # Errors
+/// [`LoggingError`] when logging was set up before.
+pub fn set_up(config: LogConfig, sink: Sink) -> Result<(), LoggingError> {
+    let output = fern::Output::call(move |record| sink.line(&record.args().to_string()));
+    dispatch(config, output)
+}
+
+fn dispatch(config: LogConfig, output: fern::Output) -> Result<(), LoggingError> {
     let format = config.format;
     fern::Dispatch::new()
         .format(move |out, _message, record| match format {
@@ -73,7 +87,7 @@
         })
         .level(LevelFilter::Warn)
         .level_for("bridgevane", config.level)
-        .chain(std::io::stderr())
+        .chain(output)
         .apply()?;
     Ok(())
 }
--- a/src/modules/members.rs
+++ b/src/modules/members.rs
@@ -4,13 +4,13 @@
 use crate::modules::config_relay;
 use crate::modules::leaving::LeavingSource;
 use crate::modules::peer_links::{LinkHandle, Peer};
-use crate::{event, events::Event};
 use arc_swap::ArcSwap;
 use bridgevane_adapters::{VmEntry, VmList};
 use bridgevane_coordination::configs::MembershipConfig;
 use bridgevane_coordination::{
     KeyMember, MemberState, MemberUpdate, Membership, MembershipEffect, home_of,
 };
+use bridgevane_events::{Event, event};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{Heartbeat, MemberState as WireState, MemberUpdate as WireUpdate};
 use bridgevane_types::{Incarnation, TimeMs, VmId};
--- a/src/modules/model_request.rs
+++ b/src/modules/model_request.rs
@@ -11,11 +11,11 @@
 use crate::modules::pool_link::{NamedOffer, OrderReceiver, PoolOrder, PoolReport};
 use crate::modules::refusal::Refusal;
 use crate::modules::targets::Targets;
-use crate::{event, events::Event};
 use bridgevane_adapters::{
     EndReason, EngineCallError, GenerateCall, ModelEngine, Piece, PieceEvent,
 };
 use bridgevane_decisions::{AttemptEnd, CancelCause};
+use bridgevane_events::{Event, event};
 use bridgevane_types::{
     AttemptNumber, ClassName, DurationMs, ModelName, Outcome, RefusalCode, RequestId, Tier, TimeMs,
     Tokens,
--- a/src/modules/operators.rs
+++ b/src/modules/operators.rs
@@ -5,13 +5,13 @@
 use crate::modules::operator_fan_out::{self, Answer};
 use crate::modules::operator_rows::{self, Row};
 use crate::modules::query_language::{self, Statement, Table};
-use crate::{event, events::Event};
 use axum::extract::{DefaultBodyLimit, State};
 use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use bridgevane_config::Document;
+use bridgevane_events::{Event, event};
 use bridgevane_types::{ConfigVersion, OperationId, OperatorName};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
--- a/src/modules/peer_links.rs
+++ b/src/modules/peer_links.rs
@@ -2,7 +2,7 @@
 
 use crate::context::Context;
 use crate::modules::peer_frames;
-use crate::{event, events::Event};
+use bridgevane_events::{Event, event};
 use bridgevane_protocol::{Frame, FrameCodec, Hello, PROTOCOL_VERSION, Role, frame::Body, greet};
 use bridgevane_types::{DataCentreId, Incarnation, RequestId, ServiceName, VmId};
 use bytes::Bytes;
--- a/src/modules/pool_homes.rs
+++ b/src/modules/pool_homes.rs
@@ -12,8 +12,8 @@
 use crate::modules::pool_wire::{
     code_of, offer_from_wire, offer_to_wire, outcome_of, report_from_wire, report_to_wire,
 };
-use crate::{event, events::Event};
 use bridgevane_decisions::{AttemptEnd, CancelCause};
+use bridgevane_events::{Event, event};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
     PoolOffer, PoolOrder as WireOrder, PoolReport as WireReport, pool_order,
--- a/src/modules/rollouts.rs
+++ b/src/modules/rollouts.rs
@@ -8,7 +8,6 @@
 use crate::modules::operator_fan_out;
 use crate::modules::operator_rows::{self, Row};
 use crate::modules::query_language::Table;
-use crate::{event, events::Event};
 use bridgevane_adapters::{
     FencedOrder, KeyValue, KvCas, KvError, LeaseId, ModelEngine, Order, OrderReply, Revision,
     WeightStore,
@@ -17,6 +16,7 @@
 use bridgevane_coordination::{
     HeldLease, Rollout, RolloutEffect, RolloutObservation, RolloutPlan, RolloutStage,
 };
+use bridgevane_events::{Event, event};
 use bridgevane_types::{DurationMs, EngineId, FenceToken, ModelName, ServiceName, TimeMs};
 use derive_more::{Display, Error, From};
 use serde_json::Value;
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -1,7 +1,7 @@
 //! The documents say what the code does.
 
-use bridgevane::events::Event;
 use bridgevane::modules::query_language::parse;
+use bridgevane_events::Event;
 use expect_test::expect;
 
 fn document(name: &str) -> String {
