perf(gateway): streams kept apart from long prompts; sessions at one engine everywhere

Every daemon read a session's history on engines of its own (1.1 million tokens again). Change: in each data centre the three engines in ten with the lowest hash are kept for streams; a session's home is drawn by rendezvous hashing over all data centres. Kept: more than 0.15 tokens out for one in.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::connection::{Connection, OpenError};
 use crate::directory::Endpoint;
 use crate::gateway::Gateway;
-use crate::load::ReportedLoad;
+use crate::load::{LoadNow, ReportedLoad};
 use crate::placement::Placed;
 use crate::request::Inbound;
 use bridgevane_types::DurationMs;
@@ -91,6 +91,17 @@
     }
 }
 
+/// What decided for an endpoint, for logs.
+#[derive(Clone, Copy, Debug)]
+pub struct Estimated {
+    /// Prompt tokens that it has to read.
+    pub prefill_tokens: u64,
+    /// The estimate that was the lowest.
+    pub cost_ms: f64,
+    /// Requests that were there.
+    pub load: LoadNow,
+}
+
 /// An endpoint's answer, its body still to be read.
 #[derive(Debug)]
 pub struct Answer {
@@ -102,6 +113,8 @@
     pub body: Incoming,
     /// Counts the request there.
     pub in_flight: InFlight,
+    /// What decided for the endpoint.
+    pub estimate: Estimated,
     connection: Connection,
 }
 
@@ -145,6 +158,11 @@
     let endpoint = &placed.endpoint;
     let record = endpoint.record.load_full();
     let name = HeaderValue::from_str(record.id.as_str()).map_err(|_| AttemptError::Misdirected)?;
+    let estimate = Estimated {
+        prefill_tokens: placed.prefill_tokens,
+        cost_ms: placed.cost_ms,
+        load: endpoint.load.now(gateway.now()),
+    };
     let in_flight = InFlight::begin(placed);
     let mut request = inbound.outbound(&gateway.names, &name, last_event_id);
     let mut stale = 0;
@@ -185,6 +203,7 @@
         head,
         body,
         in_flight,
+        estimate,
         connection,
     })
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -6,9 +6,10 @@
 use arc_swap::ArcSwap;
 use bridgevane_decisions::EngineIx;
 use bridgevane_types::{DataCentreId, EngineId, ServiceName};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// An endpoint as it reports itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,10 +56,45 @@
     }
 }
 
+/// The part of a service's endpoints that is kept for streams that bear no pauses.
+const STREAM_SHARE: f64 = 0.3;
+
+/// The endpoints of one service that may get work.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceEndpoints {
+    /// All of them.
+    pub all: Vec<Arc<Endpoint>>,
+    /// Those kept for streams that bear no pauses: long prompts go elsewhere while they can.
+    pub for_streams: HashSet<EngineIx>,
+}
+
+impl ServiceEndpoints {
+    /// Every daemon that sees the same endpoints keeps the same ones for streams: in each data
+    /// centre, those with the lowest hash.
+    fn new(mut all: Vec<Arc<Endpoint>>) -> Self {
+        all.sort_by_key(|endpoint| endpoint.index);
+        let mut by_data_centre: HashMap<DataCentreId, Vec<(u64, EngineIx)>> = HashMap::new();
+        for endpoint in &all {
+            let record = endpoint.record.load();
+            let there = by_data_centre
+                .entry(record.data_centre.clone())
+                .or_default();
+            there.push((xxh3_64(record.id.as_str().as_bytes()), endpoint.index));
+        }
+        let mut for_streams = HashSet::new();
+        for there in by_data_centre.values_mut() {
+            there.sort_unstable();
+            let count = (STREAM_SHARE * there.len() as f64).round() as usize;
+            for_streams.extend(there.iter().take(count).map(|(_, index)| *index));
+        }
+        Self { all, for_streams }
+    }
+}
+
 /// All endpoints that may get work, by service.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    by_service: HashMap<ServiceName, Vec<Arc<Endpoint>>>,
+    by_service: HashMap<ServiceName, ServiceEndpoints>,
 }
 
 impl Directory {
@@ -73,15 +109,17 @@
             let service = by_service.entry(record.service.clone()).or_default();
             service.push(endpoint.clone());
         }
-        for endpoints in by_service.values_mut() {
-            endpoints.sort_by_key(|endpoint| endpoint.index);
+        let services = by_service.into_iter();
+        Self {
+            by_service: services
+                .map(|(name, all)| (name, ServiceEndpoints::new(all)))
+                .collect(),
         }
-        Self { by_service }
     }
 
     /// The endpoints of a service that may get work.
-    pub fn endpoints(&self, service: &ServiceName) -> &[Arc<Endpoint>] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    pub fn service(&self, service: &ServiceName) -> Option<&ServiceEndpoints> {
+        self.by_service.get(service)
     }
 
     /// Whether any service has an endpoint.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -304,14 +304,15 @@
             return Err(self.unless_run(Refusal::NotReady));
         }
         let directory = self.gateway.view.directory();
-        let endpoints = directory.endpoints(&self.inbound.service);
+        let service = directory.service(&self.inbound.service);
+        let service = service.ok_or_else(|| self.unless_run(Refusal::NoEndpoint))?;
         let choice = Choice {
             now: self.gateway.now(),
             data_centre: &self.gateway.settings.data_centre,
             prompt: &self.inbound.prompt,
             tried: &self.tried,
         };
-        let placed = self.gateway.placement.choose(choice, endpoints);
+        let placed = self.gateway.placement.choose(choice, service);
         placed.ok_or_else(|| self.unless_run(Refusal::NoEndpoint))
     }
 
@@ -419,7 +420,7 @@
             let collected = timeout(self.inbound.left(), limited.collect()).await;
             let error = match collected {
                 Ok(Ok(body)) => {
-                    self.log_served(&answer);
+                    self.log_served(&answer, self.inbound.arrived.elapsed().as_millis(), 0);
                     if !status.is_server_error() {
                         answer.endpoint.health.served();
                     }
@@ -445,7 +446,7 @@
     }
 
     /// Logs a sample of the plain successes.
-    pub(crate) fn log_served(&self, answer: &Answer) {
+    pub(crate) fn log_served(&self, answer: &Answer, first_ms: u128, longest_gap_ms: u128) {
         let is_plain = answer.head.status == StatusCode::OK && self.runs == 1;
         if is_plain && !rand::rng().random_ratio(1, SAMPLE) {
             return;
@@ -456,6 +457,15 @@
             endpoint = answer.endpoint.record.load().id,
             status = answer.head.status.as_u16(),
             runs = self.runs,
+            route = self.inbound.route.name,
+            prompt_tokens = self.inbound.prompt.tokens,
+            max_answer_tokens = self.inbound.prompt.max_answer_tokens,
+            prefill_tokens = answer.estimate.prefill_tokens,
+            cost_ms = answer.estimate.cost_ms as u64,
+            own_running = answer.estimate.load.own_running,
+            others_running = answer.estimate.load.others_running,
+            first_ms = first_ms,
+            longest_gap_ms = longest_gap_ms,
             took_ms = self.inbound.arrived.elapsed().as_millis()
         );
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -1,11 +1,12 @@
 //! Which endpoint gets a request: prompt parts that it keeps, work ahead, data centre, trust.
 
-use crate::directory::Endpoint;
+use crate::directory::{Endpoint, ServiceEndpoints};
 use crate::health::Trust;
 use crate::load::LoadNow;
 use crate::request::Prompt;
-use bridgevane_decisions::PrefixCache;
+use bridgevane_decisions::{EngineIx, Holders, PrefixCache};
 use bridgevane_types::{DataCentreId, TimeMs};
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -18,13 +19,25 @@
 /// What a plain request ahead costs, when all slots are taken.
 const PLAIN_COST_MS: f64 = 20.0;
 /// What going to another data centre costs.
-const REMOTE_COST_MS: f64 = 30.0;
+const REMOTE_COST_MS: f64 = 12.0;
 /// What an endpoint that fails often costs.
 const FAILING_COST_MS: f64 = 2_000.0;
 /// What an endpoint costs that gave nothing of late.
 const EJECTED_COST_MS: f64 = 20_000.0;
-/// The share of what a prefix saves that counts when it is only likely to be there.
-const LIKELY_SHARE: f64 = 0.6;
+/// Reading a part again that another engine keeps holds up everything else there: it counts
+/// so many times.
+const REREAD_WEIGHT: f64 = 3.0;
+/// The share of what a prefix saves that counts at the endpoints where all daemons would place
+/// it, by rank.
+const LIKELY_SHARES: [f64; 2] = [0.8, 0.3];
+/// What a long prompt costs at an engine that is kept for streams.
+const LONG_PROMPT_AMONG_STREAMS_MS: f64 = 300.0;
+/// What a stream that bears no pauses costs at an engine that reads long prompts.
+const STREAM_AMONG_LONG_PROMPTS_MS: f64 = 100.0;
+/// From so many tokens of the answer for one of the prompt on, a request counts as a stream
+/// and not as a prompt: tokens of an answer come one after the other, those of a prompt at
+/// once.
+const STREAM_RATIO: f64 = 0.15;
 /// Parts of prompts that are remembered.
 const MAX_PARTS: usize = 8_192;
 /// How long a placed part is believed to be kept.
@@ -62,35 +75,22 @@
 
 impl Placement {
     /// The endpoint with the lowest estimate; none when all were tried.
-    pub fn choose(&self, choice: Choice<'_>, endpoints: &[Arc<Endpoint>]) -> Option<Placed> {
+    pub fn choose(&self, choice: Choice<'_>, service: &ServiceEndpoints) -> Option<Placed> {
         let blocks: Vec<u64> = choice.prompt.parts.iter().map(|part| part.id).collect();
         let kept = self.kept.lock().expect("no panic under this lock");
         let holders = kept.holders_of(choice.now, &blocks, PART_MEMORY_MS);
         drop(kept);
-        let is_known = holders.iter().any(Option::is_some);
-        let likely = (!is_known)
-            .then(|| likely_home(&choice, endpoints))
-            .flatten();
-        let untried = endpoints.iter().filter(|endpoint| {
+        let estimate = Estimate {
+            likely: likely_homes(&choice, service),
+            choice,
+            holders,
+            for_streams: &service.for_streams,
+        };
+        let untried = service.all.iter().filter(|endpoint| {
             let was_tried = |tried: &Arc<Endpoint>| tried.index == endpoint.index;
             !choice.tried.iter().any(was_tried)
         });
-        let placed = untried.map(|endpoint| {
-            let parts = holders
-                .iter()
-                .flatten()
-                .find(|(index, _)| *index == endpoint.index)
-                .map_or(0, |(_, parts)| *parts as usize);
-            let kept_tokens = prefix_tokens(choice.prompt, parts);
-            let prefill_tokens = choice.prompt.tokens.0.saturating_sub(kept_tokens);
-            let is_likely = likely == Some(endpoint.index);
-            let cost_ms = cost_ms(&choice, endpoint, prefill_tokens, is_likely);
-            Placed {
-                endpoint: endpoint.clone(),
-                prefill_tokens,
-                cost_ms,
-            }
-        });
+        let placed = untried.map(|endpoint| estimate.of(endpoint));
         placed.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
     }
 
@@ -103,67 +103,121 @@
     }
 }
 
+/// Tokens of the first parts of a prompt.
 fn prefix_tokens(prompt: &Prompt, parts: usize) -> u64 {
     let kept = prompt.parts.iter().take(parts);
     kept.map(|part| part.tokens.0).sum()
 }
 
-/// The deepest part that others may share: the last belongs to the request alone.
-fn shared_part(prompt: &Prompt) -> Option<u64> {
-    let shared = prompt.parts.len().checked_sub(2)?;
-    prompt.parts.get(shared).map(|part| part.id)
+/// Parts that other requests may share: the last belongs to the request alone.
+fn shared_parts(prompt: &Prompt) -> usize {
+    prompt.parts.len().saturating_sub(1)
 }
 
-/// Where all daemons of a data centre would place a prompt that none has seen: rendezvous
-/// hashing over the endpoints there.
-fn likely_home(
+/// Whether the answer takes long and the prompt doesn't: a pause would spoil much.
+fn is_stream_like(prompt: &Prompt) -> bool {
+    let answer = prompt.max_answer_tokens.0 as f64;
+    answer > STREAM_RATIO * prompt.tokens.0 as f64
+}
+
+/// Where all daemons would place a prompt that none has seen, the first choice first:
+/// rendezvous hashing by its deepest shared part.
+fn likely_homes(
     choice: &Choice<'_>,
-    endpoints: &[Arc<Endpoint>],
-) -> Option<bridgevane_decisions::EngineIx> {
-    let part = shared_part(choice.prompt)?;
-    let near = endpoints.iter().filter(|endpoint| {
-        let record = endpoint.record.load();
-        record.data_centre == *choice.data_centre
-    });
-    let sound = near.filter(|endpoint| endpoint.health.trust(choice.now) == Trust::Sound);
-    let weight = |endpoint: &&Arc<Endpoint>| {
-        let record = endpoint.record.load();
-        xxh3_64_with_seed(record.id.as_str().as_bytes(), part)
+    service: &ServiceEndpoints,
+) -> [Option<EngineIx>; LIKELY_SHARES.len()] {
+    let mut homes: [Option<(u64, EngineIx)>; LIKELY_SHARES.len()] = Default::default();
+    let shared = shared_parts(choice.prompt);
+    let Some(deepest) = shared.checked_sub(1).map(|at| choice.prompt.parts[at].id) else {
+        return Default::default();
     };
-    sound.max_by_key(weight).map(|endpoint| endpoint.index)
+    let wants_streams = is_stream_like(choice.prompt);
+    for endpoint in &service.all {
+        let is_for_streams = service.for_streams.contains(&endpoint.index);
+        let is_sound = endpoint.health.trust(choice.now) == Trust::Sound;
+        if is_for_streams != wants_streams || !is_sound {
+            continue;
+        }
+        let record = endpoint.record.load();
+        let weight = xxh3_64_with_seed(record.id.as_str().as_bytes(), deepest);
+        let mut next = Some((weight, endpoint.index));
+        for home in &mut homes {
+            if next > *home {
+                std::mem::swap(&mut next, home);
+            }
+        }
+    }
+    homes.map(|home| home.map(|(_, index)| index))
+}
+
+/// What a request would cost at each endpoint, in milliseconds that it is worth.
+struct Estimate<'a> {
+    choice: Choice<'a>,
+    holders: Holders,
+    likely: [Option<EngineIx>; LIKELY_SHARES.len()],
+    for_streams: &'a HashSet<EngineIx>,
 }
 
-fn cost_ms(choice: &Choice<'_>, endpoint: &Endpoint, prefill_tokens: u64, is_likely: bool) -> f64 {
-    let load = endpoint.load.now(choice.now);
-    let record = endpoint.record.load();
-    let work_ms = if choice.prompt.parts.is_empty() {
-        plain_work_ms(load, record.slots)
-    } else {
-        let saved = if is_likely {
-            LIKELY_SHARE * prefix_tokens(choice.prompt, choice.prompt.parts.len() - 1) as f64
+impl Estimate<'_> {
+    fn of(&self, endpoint: &Arc<Endpoint>) -> Placed {
+        let prompt = self.choice.prompt;
+        let prefill_tokens = prompt
+            .tokens
+            .0
+            .saturating_sub(self.kept_tokens(endpoint.index));
+        let load = endpoint.load.now(self.choice.now);
+        let record = endpoint.record.load();
+        let work_ms = if prompt.parts.is_empty() {
+            plain_work_ms(load, record.slots)
         } else {
-            0.0
+            self.model_work_ms(endpoint.index, load, prefill_tokens)
         };
-        model_work_ms(load, prefill_tokens as f64 - saved)
-    };
-    let is_near = record.data_centre == *choice.data_centre;
-    let distance_ms = if is_near { 0.0 } else { REMOTE_COST_MS };
-    let trust_ms = match endpoint.health.trust(choice.now) {
-        Trust::Sound => 0.0,
-        Trust::Failing => FAILING_COST_MS,
-        Trust::Ejected => EJECTED_COST_MS,
-    };
-    work_ms + distance_ms + trust_ms
+        let is_near = record.data_centre == *self.choice.data_centre;
+        let distance_ms = if is_near { 0.0 } else { REMOTE_COST_MS };
+        let trust_ms = match endpoint.health.trust(self.choice.now) {
+            Trust::Sound => 0.0,
+            Trust::Failing => FAILING_COST_MS,
+            Trust::Ejected => EJECTED_COST_MS,
+        };
+        Placed {
+            endpoint: endpoint.clone(),
+            prefill_tokens,
+            cost_ms: work_ms + distance_ms + trust_ms,
+        }
+    }
+
+    /// Tokens of the prompt that an endpoint keeps, as far as this daemon can tell.
+    fn kept_tokens(&self, endpoint: EngineIx) -> u64 {
+        let prompt = self.choice.prompt;
+        let holder = self.holders.iter().flatten();
+        let known = holder.clone().find(|(index, _)| *index == endpoint);
+        let known = known.map_or(0, |(_, parts)| prefix_tokens(prompt, *parts as usize));
+        let rank = self.likely.iter().position(|home| *home == Some(endpoint));
+        let shared = prefix_tokens(prompt, shared_parts(prompt)) as f64;
+        let likely = rank.map_or(0.0, |rank| LIKELY_SHARES[rank] * shared);
+        known.max(likely as u64)
+    }
+
+    fn model_work_ms(&self, endpoint: EngineIx, load: LoadNow, prefill_tokens: u64) -> f64 {
+        let prompt = self.choice.prompt;
+        let ahead_ms = load.own_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS;
+        let waiting_ms = f64::from(load.others_waiting) * WAITING_COST_MS;
+        let running_ms = f64::from(load.running()) * RUNNING_COST_MS;
+        let shared = prefix_tokens(prompt, shared_parts(prompt));
+        let own = prompt.tokens.0 - shared.min(prompt.tokens.0);
+        let reread = prefill_tokens.saturating_sub(own) as f64;
+        let reading_ms = (own as f64 + reread * REREAD_WEIGHT) / PREFILL_TOKENS_PER_MS;
+        let is_for_streams = self.for_streams.contains(&endpoint);
+        let apart_ms = match (is_stream_like(prompt), is_for_streams) {
+            (true, false) => STREAM_AMONG_LONG_PROMPTS_MS,
+            (false, true) => LONG_PROMPT_AMONG_STREAMS_MS,
+            _ => 0.0,
+        };
+        ahead_ms + waiting_ms + running_ms + reading_ms + apart_ms
+    }
 }
 
 fn plain_work_ms(load: LoadNow, slots: u32) -> f64 {
     let ahead = f64::from(load.running()) / f64::from(slots.max(1));
     ahead * PLAIN_COST_MS
 }
-
-fn model_work_ms(load: LoadNow, prefill_tokens: f64) -> f64 {
-    let ahead = load.own_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS;
-    let waiting = f64::from(load.others_waiting) * WAITING_COST_MS;
-    let running = f64::from(load.running()) * RUNNING_COST_MS;
-    ahead + waiting + running + prefill_tokens / PREFILL_TOKENS_PER_MS
-}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use derive_more::{Display, Error};
 use http::HeaderValue;
 use http_body_util::BodyExt;
+use std::time::Duration;
 use tokio::time::timeout_at;
 
 /// An answer that can't be brought to its end: the connection to the client is cut.
@@ -28,6 +29,25 @@
     /// Set for streams that can be taken up.
     cutter: Option<EventCutter>,
     is_begun: bool,
+    pace: Pace,
+}
+
+/// When the first piece came, and the longest pause since.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    first: Option<Duration>,
+    newest: Duration,
+    longest_gap: Duration,
+}
+
+impl Pace {
+    fn note(&mut self, held: Duration) {
+        if self.first.is_some() {
+            self.longest_gap = self.longest_gap.max(held - self.newest);
+        }
+        self.first.get_or_insert(held);
+        self.newest = held;
+    }
 }
 
 impl Relay {
@@ -40,6 +60,7 @@
             exchange,
             answer: Some(answer),
             is_begun: false,
+            pace: Pace::default(),
         }
     }
 
@@ -54,6 +75,7 @@
                         continue;
                     };
                     self.note_begin();
+                    self.pace.note(self.exchange.inbound.arrived.elapsed());
                     let passed = self.pass(data);
                     if passed.is_empty() {
                         continue;
@@ -97,7 +119,9 @@
         if answer.head.status.is_success() {
             answer.endpoint.health.served();
         }
-        self.exchange.log_served(&answer);
+        let first_ms = self.pace.first.unwrap_or_default().as_millis();
+        let longest_gap_ms = self.pace.longest_gap.as_millis();
+        self.exchange.log_served(&answer, first_ms, longest_gap_ms);
         answer.finish();
         None
     }
