--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,9 +13,10 @@
 use http::{HeaderMap, HeaderValue, Request, StatusCode, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 /// How long a connection may take to come up.
 const OPEN_LIMIT: Duration = Duration::from_millis(300);
@@ -52,12 +53,19 @@
     /// No answer in time: it may have run.
     #[display("timed_out")]
     TimedOut,
+    /// No answer for so long that another endpoint is asked, which the budget allows: it may
+    /// have run.
+    #[display("silent")]
+    Silent,
 }
 
 impl AttemptError {
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Self::Broken | Self::Crossed | Self::TimedOut)
+        matches!(
+            self,
+            Self::Broken | Self::Crossed | Self::TimedOut | Self::Silent
+        )
     }
 }
 
@@ -145,15 +153,46 @@
     (!limit.is_zero()).then_some(limit)
 }
 
+/// How long an endpoint may be silent, and whether another may be asked then.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience<F> {
+    /// The moment from which on it has been silent for too long.
+    pub until: Instant,
+    /// Takes a repeat from the budget, if one is allowed.
+    pub take_repeat: F,
+}
+
+impl<F: Fn() -> bool> Patience<F> {
+    /// Waits for an answer: until patience is over and a repeat is to be had, else until the
+    /// deadline.
+    async fn wait<T>(
+        &self,
+        answer: impl Future<Output = T>,
+        deadline: Instant,
+    ) -> Result<T, AttemptError> {
+        let mut answer = pin!(answer);
+        if self.until < deadline {
+            match timeout_at(self.until, answer.as_mut()).await {
+                Ok(answer) => return Ok(answer),
+                Err(_) if (self.take_repeat)() => return Err(AttemptError::Silent),
+                Err(_) => {}
+            }
+        }
+        let answered = timeout_at(deadline, answer).await;
+        answered.map_err(|_| AttemptError::TimedOut)
+    }
+}
+
 /// Sends a request to an endpoint.
 ///
 /// # Errors
 /// [`AttemptError`] when the answer can't be used.
-pub async fn attempt(
+pub async fn attempt<F: Fn() -> bool>(
     gateway: &Gateway,
     inbound: &Inbound,
     placed: &Placed,
     last_event_id: Option<&HeaderValue>,
+    patience: Patience<F>,
 ) -> Result<Answer, AttemptError> {
     let endpoint = &placed.endpoint;
     let record = endpoint.record.load_full();
@@ -181,10 +220,9 @@
             }
         };
         let sending = connection.sender.try_send_request(request);
-        match timeout_at(inbound.deadline, sending).await {
-            Err(_) => return Err(AttemptError::TimedOut),
-            Ok(Ok(answered)) => break (connection, answered),
-            Ok(Err(mut error)) => match error.take_message() {
+        match patience.wait(sending, inbound.deadline).await? {
+            Ok(answered) => break (connection, answered),
+            Err(mut error) => match error.take_message() {
                 // It had closed before a byte was sent on it.
                 Some(unsent) => request = unsent,
                 None => return Err(AttemptError::Broken),
@@ -196,6 +234,7 @@
         }
     };
     let (head, body) = answered.into_parts();
+    endpoint.load.heard(gateway.now());
     read_load(gateway, endpoint, &head.headers);
     check(gateway, inbound, &head)?;
     Ok(Answer {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,7 +1,7 @@
 //! The life of a request: read, admitted, placed, sent, answered.
 
 use crate::answer_body::AnswerBody;
-use crate::attempt::{Answer, AttemptError, attempt};
+use crate::attempt::{Answer, AttemptError, Patience, attempt};
 use crate::directory::Endpoint;
 use crate::gateway::Gateway;
 use crate::placement::{Choice, Placed};
@@ -29,6 +29,10 @@
 const MAX_OFFERS: usize = 4;
 /// The least time that an endpoint is given.
 const MIN_LEFT: Duration = Duration::from_millis(5);
+/// The part of a route's target after which a silent endpoint's request is repeated.
+const PLAIN_SILENCE: f64 = 0.6;
+/// The same for streams, whose prompt is read again elsewhere.
+const STREAM_SILENCE: f64 = 1.0;
 /// One plain success in so many is logged.
 const SAMPLE: u32 = 16;
 
@@ -270,8 +274,22 @@
 
     /// Whether the request may be sent again after it may have run; takes from the budget.
     fn take_repeat(&self) -> bool {
-        let may = self.inbound.route.may_repeat() && self.runs < self.inbound.route.max_attempts;
-        may && self.take_budget()
+        self.may_repeat_after(self.runs) && self.take_budget()
+    }
+
+    fn may_repeat_after(&self, runs: u32) -> bool {
+        self.inbound.route.may_repeat() && runs < self.inbound.route.max_attempts
+    }
+
+    /// How long an endpoint may be silent before another is asked.
+    fn longest_silence(&self) -> Duration {
+        let route = &self.inbound.route;
+        let share = if route.stream.is_some() {
+            STREAM_SILENCE
+        } else {
+            PLAIN_SILENCE
+        };
+        route.target_ms.as_std().mul_f64(share)
     }
 
     fn take_budget(&self) -> bool {
@@ -323,7 +341,24 @@
     ) -> Result<Answer, AttemptError> {
         let endpoint = &placed.endpoint;
         self.tried.push(endpoint.clone());
-        let result = attempt(&self.gateway, &self.inbound, placed, last_event_id).await;
+        let begun = self.gateway.now();
+        let patience = Patience {
+            until: Instant::now() + self.longest_silence(),
+            take_repeat: || {
+                // An engine that gives others their tokens is busy, not gone.
+                let is_busy =
+                    self.inbound.route.stream.is_some() && endpoint.load.was_heard_since(begun);
+                !is_busy && self.may_repeat_after(self.runs + 1) && self.take_budget()
+            },
+        };
+        let result = attempt(
+            &self.gateway,
+            &self.inbound,
+            placed,
+            last_event_id,
+            patience,
+        )
+        .await;
         let now = self.gateway.now();
         match &result {
             Ok(answer) if answer.head.status.is_server_error() => {
@@ -337,7 +372,8 @@
             Err(error) => {
                 self.runs += 1;
                 endpoint.health.failed();
-                if *error == AttemptError::TimedOut {
+                let is_heard = endpoint.load.was_heard_since(begun);
+                if *error == AttemptError::TimedOut && !is_heard {
                     self.eject(endpoint);
                 }
             }
@@ -373,7 +409,7 @@
     /// Whether to go on after a failed attempt.
     fn after_failure(&self, error: AttemptError) -> Result<(), Refused> {
         if error.may_have_run() {
-            if self.take_repeat() {
+            if error == AttemptError::Silent || self.take_repeat() {
                 return Ok(());
             }
             return Err(match error {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -89,7 +89,8 @@
     }
 
     async fn failed(&mut self, error: SourceError) {
-        if error == SourceError::HistoryLost {
+        let had_history = self.at.is_some();
+        if error == SourceError::HistoryLost && had_history {
             self.at = None;
             return;
         }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -9,6 +9,7 @@
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -28,12 +29,33 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        tokio::spawn(connection(gateway.clone(), stream));
+        let open = OpenConnection::new(gateway.clone());
+        tokio::spawn(connection(open, stream));
+    }
+}
+
+/// Counts a connection while it is open.
+struct OpenConnection {
+    gateway: Arc<Gateway>,
+}
+
+impl OpenConnection {
+    fn new(gateway: Arc<Gateway>) -> Self {
+        gateway.open_connections.fetch_add(1, Ordering::Relaxed);
+        Self { gateway }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let open = &self.gateway.open_connections;
+        open.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 /// Serves one connection.
-async fn connection(gateway: Arc<Gateway>, stream: TcpStream) {
+async fn connection(open: OpenConnection, stream: TcpStream) {
+    let gateway = open.gateway.clone();
     if tune(&stream).is_err() {
         return;
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,9 +8,13 @@
 use bridgevane_types::TimeMs;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// How long a connection that is opened during a stop may rest.
+const LATE_CONNECTION: Duration = Duration::from_millis(300);
+
 /// The gateway's shared state.
 pub struct Gateway {
     /// Settings.
@@ -23,11 +27,12 @@
     pub placement: Placement,
     /// What may be sent again.
     pub retry_budgets: RetryBudgets,
-    /// Requests that were read and not yet answered.
-    pub in_progress: AtomicU32,
+    pub(crate) in_progress: AtomicU32,
+    pub(crate) open_connections: AtomicU32,
     /// Bytes of bodies held.
     pub buffered_bytes: AtomicU64,
     is_stopping: AtomicBool,
+    closes_resting: AtomicBool,
     stopping: Notify,
     started: Instant,
 }
@@ -42,8 +47,10 @@
             view: View::default(),
             placement: Placement::default(),
             in_progress: AtomicU32::new(0),
+            open_connections: AtomicU32::new(0),
             buffered_bytes: AtomicU64::new(0),
             is_stopping: AtomicBool::new(false),
+            closes_resting: AtomicBool::new(false),
             stopping: Notify::new(),
             started: Instant::now(),
         })
@@ -70,6 +77,16 @@
         !self.is_stopping() && self.is_fresh() && self.view.table().is_some()
     }
 
+    /// Requests that were read and not yet answered.
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress.load(Ordering::Relaxed)
+    }
+
+    /// Connections of clients.
+    pub fn open_connections(&self) -> u32 {
+        self.open_connections.load(Ordering::Relaxed)
+    }
+
     /// Whether the daemon was told to stop.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
@@ -82,11 +99,16 @@
 
     /// Tells resting client connections to close.
     pub fn close_resting(&self) {
+        self.closes_resting.store(true, Ordering::Relaxed);
         self.stopping.notify_waiters();
     }
 
-    /// Waits until resting connections shall close.
+    /// Waits until resting connections shall close. One that is opened after that has a moment
+    /// for its request.
     pub async fn resting_must_close(&self) {
+        if self.closes_resting.load(Ordering::Relaxed) {
+            return tokio::time::sleep(LATE_CONNECTION).await;
+        }
         self.stopping.notified().await;
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod server_events;
 pub mod settings;
 pub mod source;
+pub mod stop;
 pub mod view;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -23,6 +23,7 @@
     others_running: AtomicU32,
     others_waiting: AtomicU32,
     reported_at_ms: AtomicU64,
+    heard_at_ms: AtomicU64,
 }
 
 /// A moment's load.
@@ -64,6 +65,16 @@
         self.own_running.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Bytes came from the endpoint.
+    pub fn heard(&self, now: TimeMs) {
+        self.heard_at_ms.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Whether bytes came from the endpoint, for any request, since a moment.
+    pub fn was_heard_since(&self, since: TimeMs) -> bool {
+        self.heard_at_ms.load(Ordering::Relaxed) > since.0
+    }
+
     /// The endpoint told its load.
     pub fn report(&self, now: TimeMs, reported: ReportedLoad) {
         let own = self.own_running.load(Ordering::Relaxed);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -74,6 +74,7 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    answer.endpoint.load.heard(self.exchange.gateway.now());
                     self.note_begin();
                     self.pace.note(self.exchange.inbound.arrived.elapsed());
                     let passed = self.pass(data);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -20,6 +20,8 @@
     pub watch_wait_ms: DurationMs,
     /// How long a stop may take.
     pub stop_ms: DurationMs,
+    /// How long the balancer still sends connections to a daemon that isn't ready.
+    pub balancer_delay_ms: DurationMs,
     /// Repeats allowed for each request, over all daemons.
     pub retry_ratio: Share,
     /// Repeats allowed beyond the ratio, over all daemons.
--- /dev/null
+++ b/crates/gateway/tests/freshness.rs
@@ -0,0 +1,101 @@
+//! What is believed has an age: without a proof that it is the newest, nothing is passed on.
+
+mod support;
+
+use bridgevane_gateway::routing::Repeatability::Idempotent;
+use bridgevane_gateway::source::SourceError;
+use std::time::Duration;
+use support::client::{Client, request};
+use support::endpoint::{Endpoint, answer};
+use support::source::{KEY, OTHER_KEY, ScriptedSource, plain_route};
+use support::{Running, start};
+
+async fn stage() -> (Running, Endpoint) {
+    let source = ScriptedSource::new();
+    source.configure(
+        3,
+        vec![plain_route("often", Idempotent, 2)],
+        &[KEY, OTHER_KEY],
+    );
+    let endpoint = Endpoint::start(|_| vec![answer("200 OK", "fine")]).await;
+    source.endpoint("e-0", "plain", endpoint.address);
+    (start(source).await, endpoint)
+}
+
+async fn status(running: &Running) -> u16 {
+    let mut client = Client::connect(running.address).await;
+    client.send(&request("GET", "/often/x", "a1", "", "")).await;
+    client.answer().await.expect("an answer").status
+}
+
+async fn settle() {
+    tokio::time::sleep(Duration::from_millis(60)).await;
+}
+
+#[tokio::test]
+async fn a_removed_key_is_refused_at_once() {
+    let (running, endpoint) = stage().await;
+    assert_eq!(status(&running).await, 200);
+    let routes = vec![plain_route("often", Idempotent, 2)];
+    running.source.configure(4, routes, &[OTHER_KEY]);
+    settle().await;
+    assert_eq!(status(&running).await, 401);
+    assert_eq!(endpoint.count(), 1);
+}
+
+#[tokio::test]
+async fn without_a_proof_nothing_is_passed_on_and_nothing_refused_for_good() {
+    let (running, endpoint) = stage().await;
+    running.source.fail(Some(SourceError::NoAnswer));
+    settle().await;
+    assert_eq!(status(&running).await, 200, "the last proof still holds");
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    let mut client = Client::connect(running.address).await;
+    client.send(&request("GET", "/often/x", "a1", "", "")).await;
+    let got = client.answer().await.expect("an answer");
+    assert_eq!(got.status, 503);
+    assert!(got.header("retry-after").is_some());
+    client.send(&request("GET", "/none/x", "a1", "", "")).await;
+    assert_eq!(client.answer().await.expect("an answer").status, 503);
+    assert!(!running.gateway.is_ready());
+    assert_eq!(endpoint.count(), 1);
+    running.source.fail(None);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(status(&running).await, 200);
+}
+
+#[tokio::test]
+async fn an_older_version_is_never_put_in_force() {
+    let (running, _) = stage().await;
+    running.source.configure(2, Vec::new(), &[]);
+    settle().await;
+    assert_eq!(status(&running).await, 200);
+}
+
+#[tokio::test]
+async fn lost_history_is_made_good_by_reading_everything() {
+    let (running, endpoint) = stage().await;
+    let before = running.source.full_reads();
+    running.source.fail(Some(SourceError::HistoryLost));
+    running.source.drain("e-0", "plain", endpoint.address);
+    settle().await;
+    running.source.fail(None);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(running.source.full_reads() > before);
+    assert_eq!(status(&running).await, 503, "the endpoint drains");
+    assert_eq!(endpoint.count(), 0);
+}
+
+#[tokio::test]
+async fn an_endpoint_that_drains_or_is_gone_gets_nothing() {
+    let (running, endpoint) = stage().await;
+    running.source.drain("e-0", "plain", endpoint.address);
+    settle().await;
+    assert_eq!(status(&running).await, 503);
+    running.source.endpoint("e-1", "plain", endpoint.address);
+    settle().await;
+    assert_eq!(status(&running).await, 200);
+    running.source.gone("e-1");
+    settle().await;
+    assert_eq!(status(&running).await, 503);
+}
--- /dev/null
+++ b/crates/gateway/tests/stopping.rs
@@ -0,0 +1,68 @@
+//! A planned stop cuts nothing.
+
+mod support;
+
+use bridgevane_gateway::routing::Repeatability::AtMostOnce;
+use bridgevane_gateway::stop;
+use std::time::Duration;
+use support::client::{Client, request};
+use support::endpoint::{Act, Endpoint, answer};
+use support::source::{KEY, ScriptedSource, plain_route};
+use support::{Running, start};
+
+async fn stage(acts: Vec<Act>) -> (Running, Endpoint) {
+    let source = ScriptedSource::new();
+    source.configure(1, vec![plain_route("once", AtMostOnce, 1)], &[KEY]);
+    let endpoint = Endpoint::start(move |_| acts.clone()).await;
+    source.endpoint("e-0", "plain", endpoint.address);
+    (start(source).await, endpoint)
+}
+
+#[tokio::test]
+async fn a_request_in_progress_is_answered_before_the_end() {
+    let slow = vec![
+        Act::Wait(Duration::from_millis(600)),
+        answer("200 OK", "fine"),
+    ];
+    let (running, _) = stage(slow).await;
+    let mut client = Client::connect(running.address).await;
+    client.send(&request("POST", "/once/x", "a1", "", "")).await;
+    while running.gateway.in_progress() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let stopping = tokio::spawn(stop::run(running.gateway.clone()));
+    let got = client.answer().await.expect("an answer");
+    assert_eq!((got.status, got.header("connection")), (200, Some("close")));
+    assert!(!running.gateway.is_ready());
+    stopping.await.unwrap();
+}
+
+#[tokio::test]
+async fn a_connection_that_comes_late_is_served_and_the_end_waits_for_it() {
+    let slow = vec![
+        Act::Wait(Duration::from_millis(400)),
+        answer("200 OK", "fine"),
+    ];
+    let (running, _) = stage(slow).await;
+    let stopping = tokio::spawn(stop::run(running.gateway.clone()));
+    // The balancer's delay of the settings is over: what rests was told to close.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let mut client = Client::connect(running.address).await;
+    client.send(&request("POST", "/once/x", "a1", "", "")).await;
+    tokio::time::sleep(Duration::from_millis(250)).await;
+    assert!(!stopping.is_finished(), "the answer is still under way");
+    let got = client.answer().await.expect("an answer");
+    assert_eq!(got.status, 200);
+    stopping.await.unwrap();
+}
+
+#[tokio::test]
+async fn a_resting_connection_is_closed_after_the_balancer_s_delay() {
+    let (running, _) = stage(vec![answer("200 OK", "fine")]).await;
+    let mut client = Client::connect(running.address).await;
+    client.send(&request("POST", "/once/x", "a1", "", "")).await;
+    assert_eq!(client.answer().await.expect("an answer").status, 200);
+    let stopping = tokio::spawn(stop::run(running.gateway.clone()));
+    assert!(client.is_closed_within(Duration::from_secs(1)).await);
+    stopping.await.unwrap();
+}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,90 @@
+//! A gateway before a control source and endpoints that tests script, over real sockets.
+
+#![allow(dead_code, missing_docs)]
+
+pub mod client;
+pub mod endpoint;
+pub mod source;
+
+use bridgevane_gateway::gateway::Gateway;
+use bridgevane_gateway::names::HeaderNames;
+use bridgevane_gateway::settings::GatewaySettings;
+use bridgevane_gateway::{follow, front};
+use bridgevane_types::{Bytes, DurationMs, Share};
+use http::HeaderName;
+use source::ScriptedSource;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+
+const fn name(text: &'static str) -> HeaderName {
+    HeaderName::from_static(text)
+}
+
+/// Header names of the tests' own.
+pub fn names() -> HeaderNames {
+    HeaderNames {
+        request_id: name("x-id"),
+        deadline_ms: name("x-deadline"),
+        prompt_parts: name("x-parts"),
+        last_event_id: name("last-event-id"),
+        customer: name("x-customer"),
+        expected_endpoint: name("x-endpoint"),
+        load: name("x-load"),
+        not_executed: name("x-not-run"),
+        token_counts: name("x-tokens"),
+        urgency: name("x-urgency"),
+        length_hint: name("x-hint"),
+        reserved: vec![name("x-customer"), name("x-endpoint"), name("x-urgency")],
+        key_scheme: "Token",
+    }
+}
+
+/// Settings with short times.
+pub fn settings() -> GatewaySettings {
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    GatewaySettings {
+        vm: "vm-1".into(),
+        data_centre: "dc-1".into(),
+        client_address: any,
+        ready_address: any,
+        proof_lifetime_ms: DurationMs(700),
+        watch_wait_ms: DurationMs(100),
+        stop_ms: DurationMs(3_000),
+        balancer_delay_ms: DurationMs(150),
+        retry_ratio: Share(0.2),
+        retry_slack: 48,
+        retry_window_ms: DurationMs(10_000),
+        max_buffered_bytes: Bytes(1 << 20),
+    }
+}
+
+/// A running gateway.
+pub struct Running {
+    pub gateway: Arc<Gateway>,
+    pub source: ScriptedSource,
+    pub address: SocketAddr,
+}
+
+/// Starts a gateway that follows `source`, and waits until it is ready.
+pub async fn start(source: ScriptedSource) -> Running {
+    start_with(source, settings()).await
+}
+
+/// The same with settings of the test's own.
+pub async fn start_with(source: ScriptedSource, settings: GatewaySettings) -> Running {
+    let gateway = Gateway::new(settings, names());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it listens");
+    tokio::spawn(follow::run(gateway.clone(), source.clone()));
+    tokio::spawn(front::run(gateway.clone(), listener));
+    while !gateway.is_ready() {
+        tokio::task::yield_now().await;
+        tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+    }
+    Running {
+        gateway,
+        source,
+        address,
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/source.rs
@@ -0,0 +1,201 @@
+//! A control source that a test writes to and breaks.
+
+use bridgevane_gateway::directory::EndpointRecord;
+use bridgevane_gateway::routing::{
+    ClientLimits, Customer, EngineShape, Repeatability, Route, RouteTarget, RoutingParts,
+    RoutingTable, Service, StreamPolicy,
+};
+use bridgevane_gateway::source::{
+    Change, ChangeAt, Changes, ControlSource, FullState, Revision, SourceError,
+};
+use bridgevane_types::{Bytes, ConfigVersion, DurationMs, EngineId, Tier, Tokens};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use tokio::sync::watch;
+
+pub const KEY: &str = "key-1";
+pub const OTHER_KEY: &str = "key-2";
+
+#[derive(Default)]
+struct State {
+    log: Vec<ChangeAt>,
+    fault: Option<SourceError>,
+    full_reads: usize,
+}
+
+/// The source; clones share one state.
+#[derive(Clone)]
+pub struct ScriptedSource {
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+impl ScriptedSource {
+    pub fn new() -> Self {
+        Self {
+            state: Arc::default(),
+            changed: Arc::new(watch::Sender::new(0)),
+        }
+    }
+
+    fn put(&self, change: Change) {
+        let mut state = self.state.lock().unwrap();
+        let revision = Revision(state.log.len() as u64 + 1);
+        state.log.push(ChangeAt { revision, change });
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    pub fn configure(&self, version: u64, routes: Vec<Route>, keys: &[&str]) {
+        let customer = Arc::new(Customer {
+            id: "customer-1".into(),
+            tier: Some(Tier(1)),
+        });
+        let customers = keys.iter().map(|key| (key.to_string(), customer.clone()));
+        let service = |name: &str, engine| Service {
+            name: name.into(),
+            max_connections: 100,
+            engine,
+        };
+        let engine = EngineShape {
+            kv_tokens: Tokens(200_000),
+        };
+        let table = RoutingTable::new(RoutingParts {
+            version: ConfigVersion(version),
+            routes,
+            services: vec![service("plain", None), service("model", Some(engine))],
+            customers: Some(customers.collect::<HashMap<_, _>>()),
+            limits: ClientLimits {
+                head_bytes: Bytes(16_384),
+                body_bytes: Bytes(100_000),
+                head_timeout_ms: DurationMs(1_000),
+                idle_timeout_ms: DurationMs(5_000),
+            },
+        });
+        self.put(Change::Routing(Arc::new(table)));
+    }
+
+    pub fn endpoint(&self, id: &str, service: &str, address: SocketAddr) {
+        self.put(Change::Endpoint(record(id, service, address, false)));
+    }
+
+    pub fn drain(&self, id: &str, service: &str, address: SocketAddr) {
+        self.put(Change::Endpoint(record(id, service, address, true)));
+    }
+
+    pub fn gone(&self, id: &str) {
+        self.put(Change::EndpointGone(EngineId::from(id)));
+    }
+
+    /// From now on every call fails so; none: they succeed.
+    pub fn fail(&self, fault: Option<SourceError>) {
+        self.state.lock().unwrap().fault = fault;
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    pub fn full_reads(&self) -> usize {
+        self.state.lock().unwrap().full_reads
+    }
+
+    fn since(&self, after: Revision) -> Result<Option<Changes>, SourceError> {
+        let state = self.state.lock().unwrap();
+        if let Some(fault) = state.fault {
+            return Err(fault);
+        }
+        let newer = state.log.iter().filter(|change| change.revision > after);
+        let changes: Vec<ChangeAt> = newer.cloned().collect();
+        let at = Revision(state.log.len() as u64);
+        Ok((!changes.is_empty()).then_some(Changes { at, changes }))
+    }
+}
+
+fn record(id: &str, service: &str, address: SocketAddr, is_draining: bool) -> EndpointRecord {
+    EndpointRecord {
+        id: EngineId::from(id),
+        service: service.into(),
+        address,
+        data_centre: "dc-1".into(),
+        slots: 8,
+        is_draining,
+    }
+}
+
+impl ControlSource for ScriptedSource {
+    async fn full_state(&self) -> Result<FullState, SourceError> {
+        let mut state = self.state.lock().unwrap();
+        state.full_reads += 1;
+        if let Some(fault) = state.fault {
+            return Err(fault);
+        }
+        let mut newest: HashMap<String, ChangeAt> = HashMap::new();
+        for change in &state.log {
+            match &change.change {
+                Change::Routing(_) => newest.insert(String::new(), change.clone()),
+                Change::Endpoint(record) => newest.insert(record.id.to_string(), change.clone()),
+                Change::EndpointGone(id) => newest.remove(&id.to_string()),
+                Change::Unreadable(_) => None,
+            };
+        }
+        Ok(FullState {
+            at: Revision(state.log.len() as u64),
+            records: newest.into_values().collect(),
+        })
+    }
+
+    async fn changes(&self, after: Revision, wait: DurationMs) -> Result<Changes, SourceError> {
+        let mut changed = self.changed.subscribe();
+        let waiting = async {
+            loop {
+                match self.since(after) {
+                    Ok(None) => {}
+                    Ok(Some(changes)) => return Ok(changes),
+                    Err(error) => return Err(error),
+                }
+                let _ = changed.changed().await;
+            }
+        };
+        let answered = tokio::time::timeout(wait.as_std(), waiting).await;
+        answered.unwrap_or(Ok(Changes {
+            at: after,
+            changes: Vec::new(),
+        }))
+    }
+}
+
+/// A route to a plain service, under `/name/`.
+pub fn plain_route(name: &str, repeatability: Repeatability, max_attempts: u32) -> Route {
+    Route {
+        name: name.into(),
+        host: "host.example".into(),
+        path_prefix: format!("/{name}/"),
+        repeatability,
+        stream: None,
+        timeout_ms: DurationMs(2_000),
+        target_ms: DurationMs(200),
+        tier: Tier(2),
+        targets: vec![RouteTarget {
+            service: "plain".into(),
+            weight: 1,
+        }],
+        max_attempts,
+        is_public: false,
+        has_prompt_parts: false,
+    }
+}
+
+/// A route to a model service that answers with a stream, under `/name/`.
+pub fn stream_route(name: &str, is_resumable: bool, max_attempts: u32) -> Route {
+    Route {
+        stream: Some(StreamPolicy {
+            gap_target_ms: Some(DurationMs(250)),
+            is_resumable,
+        }),
+        targets: vec![RouteTarget {
+            service: "model".into(),
+            weight: 1,
+        }],
+        has_prompt_parts: true,
+        ..plain_route(name, Repeatability::AtMostOnce, max_attempts)
+    }
+}
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -3,11 +3,11 @@
 use crate::commands::{exit, say};
 use crate::configs::gateway::GatewayConfig;
 use crate::configs::settings_reader::{SettingSource, variable_of};
-use crate::modules::{gateway_stop, http_serve, log_writer, logging};
+use crate::modules::{gateway_signals, http_serve, log_writer, logging};
 use argh::FromArgs;
 use bridgevane_events::{Event, event};
 use bridgevane_gateway::gateway::Gateway;
-use bridgevane_gateway::{follow, front, ready};
+use bridgevane_gateway::{follow, front, ready, stop};
 use bridgevane_platform::{Store, header_names};
 use std::time::Duration;
 
@@ -137,5 +137,7 @@
     tokio::spawn(ready::run(gateway.clone(), ready_listener));
     tokio::spawn(follow::run(gateway.clone(), store));
     tokio::spawn(front::run(gateway.clone(), clients));
-    gateway_stop::run(gateway).await
+    gateway_signals::wait_for_stop().await?;
+    stop::run(gateway).await;
+    Ok(())
 }
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -25,6 +25,8 @@
 /// One wait for changes, before it is asked again: what is believed is proved to be the
 /// newest that often.
 const WATCH_WAIT: DurationMs = DurationMs(800);
+/// The balancer asks once a second and believes the second miss.
+const BALANCER_DELAY: DurationMs = DurationMs(2_600);
 /// Of the time that a stop may take, what is kept for the end.
 const STOP_MARGIN_MS: u64 = 400;
 /// The part of the memory that bodies may take.
@@ -83,6 +85,7 @@
                 proof_lifetime_ms: DurationMs(revoke_ms.saturating_sub(PROOF_MARGIN_MS)),
                 watch_wait_ms: WATCH_WAIT,
                 stop_ms: DurationMs(stop_ms.saturating_sub(STOP_MARGIN_MS)),
+                balancer_delay_ms: BALANCER_DELAY,
                 retry_ratio: Share(retry_ratio.unwrap_or(0.2)),
                 retry_slack: retry_slack.unwrap_or(12.0) as u32,
                 retry_window_ms: DurationMs(window_ms as u64),
--- a/src/modules/mod.rs
+++ b/src/modules/mod.rs
@@ -11,7 +11,7 @@
 pub mod config_relay;
 pub mod engine_link;
 pub mod engine_poll;
-pub mod gateway_stop;
+pub mod gateway_signals;
 pub mod http_serve;
 pub mod key_homes;
 pub mod leaving;
