--- /dev/null
+++ b/tests/platform_names.rs
@@ -0,0 +1,64 @@
+//! Nothing outside `platform/` knows the platform's names.
+
+use std::path::{Path, PathBuf};
+
+/// Names of headers, fields and paths that mean nothing elsewhere.
+const NAMES: [&str; 30] = [
+    "attempt-id",
+    "deadline-ms",
+    "prompt-prefix",
+    "token-usage",
+    "target-instance",
+    "instance-load",
+    "instance-id",
+    "not-executed",
+    "request-urgency",
+    "response-signature",
+    "weight-versions",
+    "length-hint",
+    "pin-ms",
+    "kv-key",
+    "kv-range",
+    "kv-watch",
+    "kv-txn",
+    "kv-lease",
+    "kv-fetch",
+    "kv-from",
+    "kv-backup",
+    "hold-take",
+    "op/config",
+    "servers/",
+    "pathprefix",
+    "sincerev",
+    "expectrev",
+    "apikeys",
+    "coldremainingms",
+    "bridgevane_boot",
+];
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in std::fs::read_dir(folder).expect("the folder is there") {
+        let path = entry.expect("an entry").path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        if path.is_dir() && !["target", "platform", ".git", "journal"].contains(&name.as_str()) {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+#[test]
+fn the_platform_s_names_stay_in_its_folder() {
+    let mut found = Vec::new();
+    sources(Path::new(env!("CARGO_MANIFEST_DIR")), &mut found);
+    let own = Path::new(file!()).file_name();
+    found.retain(|path| path.file_name() != own);
+    assert!(found.len() > 100, "{}", found.len());
+    for path in found {
+        let text = std::fs::read_to_string(&path).expect("it can be read").to_lowercase();
+        for name in NAMES {
+            assert!(!text.contains(name), "{name} in {}", path.display());
+        }
+    }
+}
