--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -331,7 +331,12 @@
             tried: &self.tried,
         };
         let placed = self.gateway.placement.choose(choice, service);
-        placed.ok_or_else(|| self.unless_run(Refusal::NoEndpoint))
+        let refusal = if self.tried.is_empty() {
+            Refusal::NoEndpoint
+        } else {
+            Refusal::Overloaded
+        };
+        placed.ok_or_else(|| self.unless_run(refusal))
     }
 
     async fn attempt(
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -73,7 +73,8 @@
         (
             "breaks off",
             vec![Act::Send(short), Act::Close],
-            (502, 1, 502, 2)),
+            (502, 1, 502, 2),
+        ),
         ("is no HTTP", vec![Act::Send(garbage)], (502, 1, 502, 2)),
         ("is silent", vec![Act::Hang], (504, 1, 504, 2)),
     ];
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -39,7 +39,11 @@
 fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
     for entry in std::fs::read_dir(folder).expect("the folder is there") {
         let path = entry.expect("an entry").path();
-        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        let name = path
+            .file_name()
+            .unwrap_or_default()
+            .to_string_lossy()
+            .into_owned();
         if path.is_dir() && !["target", "platform", ".git", "journal"].contains(&name.as_str()) {
             sources(&path, found);
         } else if path.extension().is_some_and(|extension| extension == "rs") {
@@ -56,7 +60,9 @@
     found.retain(|path| path.file_name() != own);
     assert!(found.len() > 100, "{}", found.len());
     for path in found {
-        let text = std::fs::read_to_string(&path).expect("it can be read").to_lowercase();
+        let text = std::fs::read_to_string(&path)
+            .expect("it can be read")
+            .to_lowercase();
         for name in NAMES {
             assert!(!text.contains(name), "{name} in {}", path.display());
         }
