perf(gateway): sessions at two engines, waiting measured, no entry where it is too long

More load, more spills, more reading. Change: a prompt with 1,000 shared tokens or more goes to one of its session's two engines only, while one of them is sound; waiting is what own requests were seen to wait, and at least what one still waits; past 0.8 of the target a request is refused at once, with the time to come back. Its own size doesn't count. Tests: crates/gateway/tests/decisions.rs.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,8 @@
 use crate::directory::Endpoint;
 use crate::gateway::Gateway;
 use crate::load::{LoadNow, ReportedLoad};
-use crate::placement::Placed;
+use crate::placement::{PREFILL_TOKENS_PER_MS, Placed};
+use crate::queue_delay::Pending;
 use crate::request::Inbound;
 use bridgevane_types::DurationMs;
 use bytes::Bytes;
@@ -72,16 +73,25 @@
 /// Counts a request at its endpoint while it lives.
 #[derive(Debug)]
 pub struct InFlight {
+    gateway: Arc<Gateway>,
     endpoint: Arc<Endpoint>,
     prefill_tokens: u64,
+    pending: Option<Pending>,
 }
 
 impl InFlight {
-    fn begin(placed: &Placed) -> Self {
+    fn begin(gateway: &Arc<Gateway>, placed: &Placed) -> Self {
         placed.endpoint.load.begin(placed.prefill_tokens);
+        let pending = Pending {
+            sent: gateway.now(),
+            reading_ms: placed.prefill_tokens as f64 / PREFILL_TOKENS_PER_MS,
+        };
+        placed.endpoint.load.queue_delay().sent(pending);
         Self {
+            gateway: gateway.clone(),
             endpoint: placed.endpoint.clone(),
             prefill_tokens: placed.prefill_tokens,
+            pending: Some(pending),
         }
     }
 
@@ -89,12 +99,19 @@
     pub fn prefill_done(&mut self) {
         let tokens = std::mem::take(&mut self.prefill_tokens);
         self.endpoint.load.prefill_done(tokens);
+        if let Some(pending) = self.pending.take() {
+            let now = self.gateway.now();
+            self.endpoint.load.queue_delay().answered(now, pending);
+        }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.prefill_done();
+        self.endpoint.load.prefill_done(self.prefill_tokens);
+        if let Some(pending) = self.pending {
+            self.endpoint.load.queue_delay().forget(pending);
+        }
         self.endpoint.load.end();
     }
 }
@@ -188,7 +205,7 @@
 /// # Errors
 /// [`AttemptError`] when the answer can't be used.
 pub async fn attempt<F: Fn() -> bool>(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     inbound: &Inbound,
     placed: &Placed,
     last_event_id: Option<&HeaderValue>,
@@ -202,7 +219,7 @@
         cost_ms: placed.cost_ms,
         load: endpoint.load.now(gateway.now()),
     };
-    let in_flight = InFlight::begin(placed);
+    let in_flight = InFlight::begin(gateway, placed);
     let mut request = inbound.outbound(&gateway.names, &name, last_event_id);
     let mut stale = 0;
     let (connection, answered) = loop {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -71,7 +71,7 @@
 impl ServiceEndpoints {
     /// Every daemon that sees the same endpoints keeps the same ones for streams: in each data
     /// centre, those with the lowest hash.
-    fn new(mut all: Vec<Arc<Endpoint>>) -> Self {
+    pub fn new(mut all: Vec<Arc<Endpoint>>) -> Self {
         all.sort_by_key(|endpoint| endpoint.index);
         let mut by_data_centre: HashMap<DataCentreId, Vec<(u64, EngineIx)>> = HashMap::new();
         for endpoint in &all {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -29,6 +29,10 @@
 const MAX_OFFERS: usize = 4;
 /// The least time that an endpoint is given.
 const MIN_LEFT: Duration = Duration::from_millis(5);
+/// The part of a route's target that a request may wait before its prompt is read.
+const QUEUE_SHARE: f64 = 0.8;
+/// The soonest that a client shall come back after waiting lines were too long.
+const MIN_RETURN_MS: u64 = 200;
 /// The part of a route's target after which a silent endpoint's request is repeated.
 const PLAIN_SILENCE: f64 = 0.6;
 /// The same for streams, whose prompt is read again elsewhere.
@@ -304,6 +308,7 @@
     ) -> Result<Answer, Refused> {
         loop {
             let placed = self.place()?;
+            self.check_queue(&placed)?;
             let error = match self.attempt(&placed, last_event_id).await {
                 Ok(answer) if self.is_worth_repeating(&answer) && self.take_repeat() => continue,
                 Ok(answer) => return Ok(answer),
@@ -339,6 +344,21 @@
         placed.ok_or_else(|| self.unless_run(refusal))
     }
 
+    /// Refuses at once what would wait too long: it would be late, and hold up others. A
+    /// prompt's own size doesn't count, so that large ones are served as often as small ones.
+    fn check_queue(&self, placed: &Placed) -> Result<(), Refused> {
+        let is_prompt = !self.inbound.prompt.parts.is_empty();
+        let target_ms = self.inbound.route.target_ms.0 as f64;
+        let excess_ms = placed.queue_ms - QUEUE_SHARE * target_ms;
+        if !is_prompt || self.runs > 0 || excess_ms <= 0.0 {
+            return Ok(());
+        }
+        let mut refused = self.unless_run(Refusal::Overloaded);
+        let wait_ms = (excess_ms as u64).max(MIN_RETURN_MS);
+        refused.retry_after_ms = Some(DurationMs(wait_ms));
+        Err(refused)
+    }
+
     async fn attempt(
         &mut self,
         placed: &Placed,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 const LATE_CONNECTION: Duration = Duration::from_millis(300);
 
 /// The gateway's shared state.
+#[derive(Debug)]
 pub struct Gateway {
     /// Settings.
     pub settings: GatewaySettings,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod names;
 pub mod placement;
 pub mod pool;
+pub mod queue_delay;
 pub mod ready;
 pub mod refusal;
 pub mod relay;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -1,7 +1,9 @@
 //! Work at one endpoint: this daemon's own, and what the endpoint last told of others'.
 
+use crate::queue_delay::QueueDelay;
 use bridgevane_types::{DurationMs, TimeMs};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
 
 /// How long a reported load says anything.
 const REPORT_LIFETIME: DurationMs = DurationMs(1_500);
@@ -24,6 +26,7 @@
     others_waiting: AtomicU32,
     reported_at_ms: AtomicU64,
     heard_at_ms: AtomicU64,
+    queue_delay: Mutex<QueueDelay>,
 }
 
 /// A moment's load.
@@ -65,6 +68,11 @@
         self.own_running.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// How long requests wait there.
+    pub fn queue_delay(&self) -> MutexGuard<'_, QueueDelay> {
+        self.queue_delay.lock().expect("no panic under this lock")
+    }
+
     /// Bytes came from the endpoint.
     pub fn heard(&self, now: TimeMs) {
         self.heard_at_ms.store(now.0, Ordering::Relaxed);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -11,11 +11,9 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Prompt tokens that an engine reads in a millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 50.0;
+pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 50.0;
 /// What each request that runs on an engine adds to the time of others.
 const RUNNING_COST_MS: f64 = 1.0;
-/// What a request of others that waits has ahead of it.
-const WAITING_COST_MS: f64 = 60.0;
 /// What a plain request ahead costs, when all slots are taken.
 const PLAIN_COST_MS: f64 = 20.0;
 /// What going to another data centre costs.
@@ -40,6 +38,9 @@
 const STREAM_RATIO: f64 = 0.15;
 /// A prompt that an engine reads in about one step holds up nobody: it counts as a stream.
 const SHORT_PROMPT_TOKENS: u64 = 2_500;
+/// From so many shared tokens on, a prompt is only placed where all daemons would place it: a
+/// copy more of what many share costs everyone.
+const LARGE_SHARED_TOKENS: u64 = 1_000;
 /// Parts of prompts that are remembered.
 const MAX_PARTS: usize = 8_192;
 /// How long a placed part is believed to be kept.
@@ -67,6 +68,8 @@
     pub prefill_tokens: u64,
     /// The estimate that was the lowest.
     pub cost_ms: f64,
+    /// How long it would wait there before its prompt is read.
+    pub queue_ms: f64,
 }
 
 /// Where prompts were placed.
@@ -93,7 +96,12 @@
             !choice.tried.iter().any(was_tried)
         });
         let placed = untried.map(|endpoint| estimate.of(endpoint));
-        placed.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+        if !keeps_together(choice.prompt) {
+            return cheapest(placed);
+        }
+        let (home, elsewhere): (Vec<Placed>, Vec<Placed>) =
+            placed.partition(|placed| estimate.is_home(placed.endpoint.index));
+        cheapest(home.into_iter()).or_else(|| cheapest(elsewhere.into_iter()))
     }
 
     /// Notes that an endpoint has read a prompt.
@@ -105,6 +113,15 @@
     }
 }
 
+fn cheapest(placed: impl Iterator<Item = Placed>) -> Option<Placed> {
+    placed.min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+}
+
+/// Whether requests that share parts with this one belong at the same engines.
+fn keeps_together(prompt: &Prompt) -> bool {
+    prefix_tokens(prompt, shared_parts(prompt)) >= LARGE_SHARED_TOKENS
+}
+
 /// Tokens of the first parts of a prompt.
 fn prefix_tokens(prompt: &Prompt, parts: usize) -> u64 {
     let kept = prompt.parts.iter().take(parts);
@@ -162,6 +179,10 @@
 }
 
 impl Estimate<'_> {
+    fn is_home(&self, endpoint: EngineIx) -> bool {
+        self.likely.contains(&Some(endpoint))
+    }
+
     fn of(&self, endpoint: &Arc<Endpoint>) -> Placed {
         let prompt = self.choice.prompt;
         let prefill_tokens = prompt
@@ -170,10 +191,11 @@
             .saturating_sub(self.kept_tokens(endpoint.index));
         let load = endpoint.load.now(self.choice.now);
         let record = endpoint.record.load();
+        let queue_ms = queue_ms(endpoint, load, self.choice.now);
         let work_ms = if prompt.parts.is_empty() {
             plain_work_ms(load, record.slots)
         } else {
-            self.model_work_ms(endpoint.index, load, prefill_tokens)
+            queue_ms + self.model_work_ms(endpoint.index, load, prefill_tokens)
         };
         let is_near = record.data_centre == *self.choice.data_centre;
         let distance_ms = if is_near { 0.0 } else { REMOTE_COST_MS };
@@ -186,6 +208,7 @@
             endpoint: endpoint.clone(),
             prefill_tokens,
             cost_ms: work_ms + distance_ms + trust_ms,
+            queue_ms,
         }
     }
 
@@ -203,8 +226,6 @@
 
     fn model_work_ms(&self, endpoint: EngineIx, load: LoadNow, prefill_tokens: u64) -> f64 {
         let prompt = self.choice.prompt;
-        let ahead_ms = load.own_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS;
-        let waiting_ms = f64::from(load.others_waiting) * WAITING_COST_MS;
         let running_ms = f64::from(load.running()) * RUNNING_COST_MS;
         let shared = prefix_tokens(prompt, shared_parts(prompt));
         let own = prompt.tokens.0 - shared.min(prompt.tokens.0);
@@ -216,10 +237,17 @@
             (false, true) => LONG_PROMPT_AMONG_STREAMS_MS,
             _ => 0.0,
         };
-        ahead_ms + waiting_ms + running_ms + reading_ms + apart_ms
+        running_ms + reading_ms + apart_ms
     }
 }
 
+/// How long a request would wait: what others were seen to wait, and at least what this
+/// daemon itself has sent ahead of it.
+fn queue_ms(endpoint: &Endpoint, load: LoadNow, now: TimeMs) -> f64 {
+    let ahead_ms = load.own_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS;
+    endpoint.load.queue_delay().expected_ms(now).max(ahead_ms)
+}
+
 fn plain_work_ms(load: LoadNow, slots: u32) -> f64 {
     let ahead = f64::from(load.running()) / f64::from(slots.max(1));
     ahead * PLAIN_COST_MS
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -35,10 +35,16 @@
 impl RetryBudgets {
     /// Budgets that nothing was taken from.
     pub fn new(settings: &GatewaySettings) -> Self {
+        let ratio = settings.retry_ratio;
+        Self::with(ratio, settings.retry_slack, settings.retry_window_ms)
+    }
+
+    /// The same of given bounds.
+    pub fn with(ratio: Share, slack: u32, window: DurationMs) -> Self {
         Self {
-            ratio: settings.retry_ratio,
-            slack: f64::from(settings.retry_slack) / SLACK_PARTS,
-            window: settings.retry_window_ms,
+            ratio,
+            slack: f64::from(slack) / SLACK_PARTS,
+            window,
             by_service: Mutex::default(),
         }
     }
--- /dev/null
+++ b/crates/gateway/tests/decisions.rs
@@ -0,0 +1,194 @@
+//! The pure decisions: placement, waiting, retry budget, health.
+
+use bridgevane_decisions::EngineIx;
+use bridgevane_gateway::directory::{Endpoint, EndpointRecord, ServiceEndpoints};
+use bridgevane_gateway::health::{Health, Trust};
+use bridgevane_gateway::load::{EndpointLoad, ReportedLoad};
+use bridgevane_gateway::placement::{Choice, Placement};
+use bridgevane_gateway::queue_delay::{Pending, QueueDelay};
+use bridgevane_gateway::request::{Prompt, PromptPart};
+use bridgevane_gateway::retry_budget::RetryBudgets;
+use bridgevane_types::{DataCentreId, DurationMs, ServiceName, Share, TimeMs, Tokens};
+use std::collections::HashSet;
+use std::sync::Arc;
+
+const NOW: TimeMs = TimeMs(10_000);
+
+/// Three engines in each of three data centres.
+fn service() -> ServiceEndpoints {
+    let endpoints = (0..9).map(|at: u32| {
+        let record = EndpointRecord {
+            id: format!("e-{at}").as_str().into(),
+            service: "model".into(),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            data_centre: format!("dc-{}", at / 3).as_str().into(),
+            slots: 64,
+            is_draining: false,
+        };
+        Arc::new(Endpoint::new(EngineIx(at), record))
+    });
+    ServiceEndpoints::new(endpoints.collect())
+}
+
+fn prompt(session: u64, shared: u64, own: u64, answer: u64) -> Prompt {
+    let part = |id, tokens| PromptPart {
+        id,
+        tokens: Tokens(tokens),
+    };
+    Prompt {
+        parts: vec![
+            part(1, shared / 2),
+            part(session, shared / 2),
+            part(9_999, own),
+        ],
+        tokens: Tokens(shared + own),
+        max_answer_tokens: Tokens(answer),
+        hinted_answer_tokens: None,
+    }
+}
+
+fn place(service: &ServiceEndpoints, prompt: &Prompt, data_centre: &str) -> EngineIx {
+    let choice = Choice {
+        now: NOW,
+        data_centre: &DataCentreId::from(data_centre),
+        prompt,
+        tried: &[],
+    };
+    let placed = Placement::default().choose(choice, service);
+    placed.expect("an endpoint").endpoint.index
+}
+
+#[test]
+fn streams_and_long_prompts_go_to_different_engines() {
+    let service = service();
+    assert_eq!(service.for_streams.len(), 3);
+    for session in 10..200 {
+        let long = place(&service, &prompt(session, 6_000, 3_000, 200), "dc-0");
+        assert!(!service.for_streams.contains(&long), "{long}");
+        let stream = place(&service, &prompt(session, 200, 500, 900), "dc-0");
+        assert!(service.for_streams.contains(&stream), "{stream}");
+    }
+}
+
+#[test]
+fn daemons_of_all_data_centres_place_a_session_at_the_same_engine() {
+    let service = service();
+    let mut used = HashSet::new();
+    for session in 10..200 {
+        let prompt = prompt(session, 6_000, 3_000, 200);
+        let homes: HashSet<EngineIx> = ["dc-0", "dc-1", "dc-2"]
+            .iter()
+            .map(|data_centre| place(&service, &prompt, data_centre))
+            .collect();
+        assert_eq!(homes.len(), 1, "session {session}");
+        used.extend(homes);
+    }
+    assert_eq!(
+        used.len(),
+        6,
+        "sessions are spread over all engines for prompts"
+    );
+}
+
+#[test]
+fn a_session_has_two_engines_and_no_third_while_they_live() {
+    let service = service();
+    let prompt = prompt(77, 6_000, 3_000, 200);
+    let first = place(&service, &prompt, "dc-0");
+    let busy = Pending {
+        sent: TimeMs(0),
+        reading_ms: 0.0,
+    };
+    let load = |index: EngineIx| &service.all[index.at()].load;
+    load(first).queue_delay().sent(busy);
+    let second = place(&service, &prompt, "dc-0");
+    assert_ne!(first, second);
+    load(second).queue_delay().sent(busy);
+    assert!([first, second].contains(&place(&service, &prompt, "dc-0")));
+    service.all[first.at()].health.lost(NOW);
+    service.all[second.at()].health.lost(NOW);
+    let third = place(&service, &prompt, "dc-0");
+    assert!(![first, second].contains(&third), "both are lost");
+}
+
+#[test]
+fn waiting_is_seen_by_those_that_were_answered_and_those_that_still_wait() {
+    let mut delay = QueueDelay::default();
+    let pending = |sent, reading_ms| Pending {
+        sent: TimeMs(sent),
+        reading_ms,
+    };
+    let (one, other) = (pending(0, 50.0), pending(100, 20.0));
+    delay.sent(one);
+    delay.sent(other);
+    assert_eq!(delay.expected_ms(TimeMs(30)), 0.0);
+    assert_eq!(delay.expected_ms(TimeMs(350)), 300.0);
+    delay.answered(TimeMs(450), one);
+    assert_eq!(
+        delay.expected_ms(TimeMs(450)),
+        330.0,
+        "the other waits longer than the mean"
+    );
+    delay.forget(other);
+    assert_eq!(delay.expected_ms(TimeMs(450)), 200.0);
+    assert!(
+        delay.expected_ms(TimeMs(4_450)) < 20.0,
+        "what was seen long ago fades"
+    );
+}
+
+#[test]
+fn load_of_others_is_what_an_endpoint_tells_beyond_one_s_own_and_is_soon_forgotten() {
+    let load = EndpointLoad::default();
+    load.begin(100);
+    let reported = ReportedLoad {
+        running: 4,
+        waiting: 2,
+    };
+    load.report(NOW, reported);
+    assert_eq!(load.now(NOW).running(), 6);
+    let later = TimeMs(NOW.0 + 2_000);
+    assert_eq!(load.now(later).running(), 1);
+    load.end();
+    assert_eq!(load.now(later).running(), 0);
+}
+
+#[test]
+fn repeats_stay_within_the_ratio_and_a_part_of_the_slack_in_every_window() {
+    let window = DurationMs(10_000);
+    let budgets = RetryBudgets::with(Share(0.2), 24, window);
+    let service = ServiceName::from("s");
+    let takes = |at: u64| {
+        (0..100)
+            .filter(|_| budgets.take(TimeMs(at), &service))
+            .count()
+    };
+    assert_eq!(takes(0), 2, "a twelfth of the slack");
+    for at in 0..100 {
+        budgets.note_request(TimeMs(at), &service);
+    }
+    assert_eq!(takes(100), 20);
+    assert_eq!(takes(9_999), 0);
+    assert_eq!(takes(10_099), 0, "repeats of the window still count");
+    assert_eq!(takes(10_100), 2, "requests of old earn nothing more");
+}
+
+#[test]
+fn an_endpoint_that_was_lost_comes_back_and_is_away_longer_each_time() {
+    let health = Health::default();
+    assert!(health.lost(NOW));
+    assert!(!health.lost(NOW), "it is away already");
+    assert_eq!(health.trust(TimeMs(NOW.0 + 499)), Trust::Ejected);
+    assert_eq!(health.trust(TimeMs(NOW.0 + 500)), Trust::Sound);
+    let again = TimeMs(NOW.0 + 500);
+    assert!(health.lost(again));
+    assert_eq!(health.trust(TimeMs(again.0 + 999)), Trust::Ejected);
+    for _ in 0..3 {
+        health.failed();
+    }
+    assert_eq!(health.trust(TimeMs(again.0 + 1_000)), Trust::Failing);
+    health.served();
+    assert_eq!(health.trust(again), Trust::Failing, "one success isn't enough");
+    health.served();
+    assert_eq!(health.trust(again), Trust::Sound);
+}
