fix(gateway): nobody listens when a stop ends; silent endpoints passed over

Change: accepting ends first, what the system had taken is still accepted, then the last answers end. Besides: an endpoint that keeps a request waiting and gives nobody a byte is passed over, and a request that may run once goes on a kept connection only where bytes came in the last 600 ms.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use crate::placement::{PREFILL_TOKENS_PER_MS, Placed};
 use crate::queue_delay::Pending;
 use crate::request::Inbound;
-use bridgevane_types::DurationMs;
+use bridgevane_types::{DurationMs, TimeMs};
 use bytes::Bytes;
 use derive_more::Display;
 use http::header::{CONNECTION, HeaderName, RETRY_AFTER};
@@ -27,6 +27,8 @@
 const REST_MARGIN: Duration = Duration::from_millis(800);
 /// Tells how long an endpoint keeps a resting connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// An endpoint that gave bytes so lately is believed to be there still.
+const HEARD_LATELY: DurationMs = DurationMs(600);
 /// Kept connections that are tried before a new one is opened.
 const MAX_STALE: usize = 3;
 
@@ -223,7 +225,10 @@
     let mut request = inbound.outbound(&gateway.names, &name, last_event_id);
     let mut stale = 0;
     let (connection, answered) = loop {
-        let kept = if stale < MAX_STALE {
+        // A new connection shows that the endpoint is there before a byte is sent that may not
+        // be sent twice.
+        let is_sure = inbound.route.may_repeat() || was_heard_lately(gateway, endpoint);
+        let kept = if is_sure && stale < MAX_STALE {
             endpoint.connections.take()
         } else {
             None
@@ -264,6 +269,12 @@
     })
 }
 
+fn was_heard_lately(gateway: &Gateway, endpoint: &Endpoint) -> bool {
+    let now = gateway.now();
+    let since = TimeMs(now.0.saturating_sub(HEARD_LATELY.0));
+    endpoint.load.was_heard_since(since)
+}
+
 /// Whether an answer belongs to the request and says that it ran.
 fn check(gateway: &Gateway, inbound: &Inbound, head: &response::Parts) -> Result<(), AttemptError> {
     let names = &gateway.names;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -3,6 +3,7 @@
 use crate::connection::tune;
 use crate::exchange;
 use crate::gateway::Gateway;
+use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -22,16 +23,29 @@
 /// The least that a connection's buffer must hold.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Accepts clients until the daemon ends.
+/// Accepts clients until a stop tells it to end; then nobody listens any more.
 pub async fn run(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = gateway.accepting_must_end() => break,
         };
-        let open = OpenConnection::new(gateway.clone());
-        tokio::spawn(connection(open, stream));
+        match accepted {
+            Ok((stream, _)) => spawn_connection(&gateway, stream),
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
     }
+    // Those that wait already were taken by the system: they are served, not reset.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        spawn_connection(&gateway, stream);
+    }
+    drop(listener);
+    gateway.accepting_has_ended();
+}
+
+fn spawn_connection(gateway: &Arc<Gateway>, stream: TcpStream) {
+    let open = OpenConnection::new(gateway.clone());
+    tokio::spawn(connection(open, stream));
 }
 
 /// Counts a connection while it is open.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,12 +9,23 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 /// How long a connection that is opened during a stop may rest.
 const LATE_CONNECTION: Duration = Duration::from_millis(300);
 
+/// Whether new connections are accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Accepting {
+    /// They are.
+    Open,
+    /// A stop wants it to end.
+    MustEnd,
+    /// Nobody listens any more.
+    Ended,
+}
+
 /// The gateway's shared state.
 #[derive(Debug)]
 pub struct Gateway {
@@ -35,6 +46,7 @@
     is_stopping: AtomicBool,
     closes_resting: AtomicBool,
     stopping: Notify,
+    accepting: watch::Sender<Accepting>,
     started: Instant,
 }
 
@@ -53,6 +65,7 @@
             is_stopping: AtomicBool::new(false),
             closes_resting: AtomicBool::new(false),
             stopping: Notify::new(),
+            accepting: watch::Sender::new(Accepting::Open),
             started: Instant::now(),
         })
     }
@@ -104,6 +117,25 @@
         self.stopping.notify_waiters();
     }
 
+    /// Ends accepting, and waits until nobody listens any more.
+    pub async fn end_accepting(&self) {
+        self.accepting.send_replace(Accepting::MustEnd);
+        let mut accepting = self.accepting.subscribe();
+        // The sender lives as long as this.
+        let _ = accepting.wait_for(|state| *state == Accepting::Ended).await;
+    }
+
+    /// Waits until accepting must end.
+    pub async fn accepting_must_end(&self) {
+        let mut accepting = self.accepting.subscribe();
+        let _ = accepting.wait_for(|state| *state != Accepting::Open).await;
+    }
+
+    /// Notes that nobody listens any more.
+    pub fn accepting_has_ended(&self) {
+        self.accepting.send_replace(Accepting::Ended);
+    }
+
     /// Waits until resting connections shall close. One that is opened after that has a moment
     /// for its request.
     pub async fn resting_must_close(&self) {
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -1,6 +1,6 @@
 //! Work at one endpoint: this daemon's own, and what the endpoint last told of others'.
 
-use crate::queue_delay::QueueDelay;
+use crate::queue_delay::{QueueDelay, waited_ms};
 use bridgevane_types::{DurationMs, TimeMs};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -83,6 +83,15 @@
         self.heard_at_ms.load(Ordering::Relaxed) > since.0
     }
 
+    /// Whether a request has waited for long there, and nobody got a byte since it was sent:
+    /// the endpoint may be behind a cut, or gone.
+    pub fn is_silent(&self, now: TimeMs, longest_ms: f64) -> bool {
+        let longest = self.queue_delay().longest_waiting(now);
+        longest.is_some_and(|pending| {
+            waited_ms(now, pending) > longest_ms && !self.was_heard_since(pending.sent)
+        })
+    }
+
     /// The endpoint told its load.
     pub fn report(&self, now: TimeMs, reported: ReportedLoad) {
         let own = self.own_running.load(Ordering::Relaxed);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -20,6 +20,12 @@
 const REMOTE_COST_MS: f64 = 12.0;
 /// What an endpoint that fails often costs.
 const FAILING_COST_MS: f64 = 2_000.0;
+/// What an endpoint costs that is silent while a request waits.
+const SILENT_COST_MS: f64 = 4_000.0;
+/// How long a plain endpoint may be silent while a request waits.
+const PLAIN_SILENCE_MS: f64 = 120.0;
+/// The same for an engine, beyond the reading of the prompt.
+const ENGINE_SILENCE_MS: f64 = 400.0;
 /// What an endpoint costs that gave nothing of late.
 const EJECTED_COST_MS: f64 = 20_000.0;
 /// Reading a part again that another engine keeps holds up everything else there: it counts
@@ -99,8 +105,9 @@
         if !keeps_together(choice.prompt) {
             return cheapest(placed);
         }
-        let (home, elsewhere): (Vec<Placed>, Vec<Placed>) =
-            placed.partition(|placed| estimate.is_home(placed.endpoint.index));
+        let (home, elsewhere): (Vec<Placed>, Vec<Placed>) = placed.partition(|placed| {
+            estimate.is_home(placed.endpoint.index) && placed.cost_ms < SILENT_COST_MS
+        });
         cheapest(home.into_iter()).or_else(|| cheapest(elsewhere.into_iter()))
     }
 
@@ -199,7 +206,13 @@
         };
         let is_near = record.data_centre == *self.choice.data_centre;
         let distance_ms = if is_near { 0.0 } else { REMOTE_COST_MS };
+        let longest_ms = if prompt.parts.is_empty() {
+            PLAIN_SILENCE_MS
+        } else {
+            ENGINE_SILENCE_MS
+        };
         let trust_ms = match endpoint.health.trust(self.choice.now) {
+            Trust::Sound if endpoint.load.is_silent(self.choice.now, longest_ms) => SILENT_COST_MS,
             Trust::Sound => 0.0,
             Trust::Failing => FAILING_COST_MS,
             Trust::Ejected => EJECTED_COST_MS,
--- a/crates/gateway/src/queue_delay.rs
+++ b/crates/gateway/src/queue_delay.rs
@@ -53,13 +53,20 @@
         waiting.fold(self.mean(now), f64::max)
     }
 
+    /// The request that has waited the longest beyond the reading of its prompt.
+    pub fn longest_waiting(&self, now: TimeMs) -> Option<Pending> {
+        let waiting = self.pending.iter().copied();
+        waiting.max_by(|a, b| waited_ms(now, *a).total_cmp(&waited_ms(now, *b)))
+    }
+
     fn mean(&self, now: TimeMs) -> f64 {
         let age_ms = now.since(self.sampled_at).0 as f64;
         self.mean_ms * 0.5_f64.powf(age_ms / HALF_LIFE_MS)
     }
 }
 
-fn waited_ms(now: TimeMs, pending: Pending) -> f64 {
+/// How long a request has waited beyond the reading of its prompt.
+pub fn waited_ms(now: TimeMs, pending: Pending) -> f64 {
     let held_ms = now.since(pending.sent).0 as f64;
     (held_ms - pending.reading_ms).max(0.0)
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -188,7 +188,11 @@
     }
     assert_eq!(health.trust(TimeMs(again.0 + 1_000)), Trust::Failing);
     health.served();
-    assert_eq!(health.trust(again), Trust::Failing, "one success isn't enough");
+    assert_eq!(
+        health.trust(again),
+        Trust::Failing,
+        "one success isn't enough"
+    );
     health.served();
     assert_eq!(health.trust(again), Trust::Sound);
 }
--- a/crates/gateway/tests/stopping.rs
+++ b/crates/gateway/tests/stopping.rs
@@ -66,3 +66,26 @@
     assert!(client.is_closed_within(Duration::from_secs(1)).await);
     stopping.await.unwrap();
 }
+
+#[tokio::test]
+async fn when_the_stop_is_over_no_connection_is_open_and_none_can_come() {
+    let (running, _) = stage(vec![answer("200 OK", "fine")]).await;
+    let stopping = tokio::spawn(stop::run(running.gateway.clone()));
+    // Clients that go on until they are refused, as those do who read an old list.
+    let mut served = 0;
+    while !stopping.is_finished() {
+        if let Ok(stream) = tokio::net::TcpStream::connect(running.address).await {
+            drop(stream);
+            let mut client = Client::connect(running.address).await;
+            client.send(&request("POST", "/once/x", "a1", "", "")).await;
+            let got = client.answer().await.expect("what was taken is answered");
+            assert_eq!(got.status, 200);
+            served += 1;
+        }
+        tokio::time::sleep(Duration::from_millis(170)).await;
+    }
+    assert!(served > 0);
+    assert_eq!(running.gateway.open_connections(), 0);
+    let refused = tokio::net::TcpStream::connect(running.address).await;
+    assert!(refused.is_err(), "nobody listens any more");
+}
