--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -122,8 +122,9 @@
         self.by_service.get(service)
     }
 
-    /// Whether any service has an endpoint.
-    pub fn is_empty(&self) -> bool {
-        self.by_service.is_empty()
+    /// Endpoints of all services.
+    pub fn endpoint_count(&self) -> usize {
+        let services = self.by_service.values();
+        services.map(|service| service.all.len()).sum()
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,6 +18,11 @@
 /// What a wait for changes may take beyond its own time.
 const WAIT_SLACK: Duration = Duration::from_millis(1_000);
 
+/// How long changes gather before the next call.
+const GATHER: Duration = Duration::from_millis(200);
+/// Each endpoint makes a wait so much longer, up to twice the shortest.
+const WAIT_PER_ENDPOINT_MS: u64 = 10;
+
 /// Follows the source until the daemon ends.
 pub async fn run<S: ControlSource>(gateway: Arc<Gateway>, source: S) {
     let mut follower = Follower {
@@ -72,15 +77,29 @@
     }
 
     async fn wait(&mut self, at: Revision) -> Result<Revision, SourceError> {
-        let wait: DurationMs = self.gateway.settings.watch_wait_ms;
+        let wait = self.wait_time();
         let limit = wait.as_std() + WAIT_SLACK;
         let waiting = timeout(limit, self.source.changes(at, wait)).await;
         let changes = waiting.map_err(|_| SourceError::NoAnswer)??;
         let next = changes.at;
+        let has_changes = !changes.changes.is_empty();
         self.gateway.view.apply(changes.changes);
+        if has_changes {
+            // Changes come in flocks: one call takes what another would each.
+            tokio::time::sleep(GATHER).await;
+        }
         Ok(next.max(at))
     }
 
+    /// How long a wait lasts: where there are many endpoints there are many daemons, and the
+    /// source bears only so many calls of all together.
+    fn wait_time(&self) -> DurationMs {
+        let shortest = self.gateway.settings.watch_wait_ms.0;
+        let endpoints = self.gateway.view.endpoint_count() as u64;
+        let longer = (endpoints * WAIT_PER_ENDPOINT_MS).min(shortest);
+        DurationMs(shortest + longer)
+    }
+
     fn regained(&mut self) {
         self.pause = FIRST_PAUSE;
         if std::mem::take(&mut self.is_lost) {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -76,6 +76,8 @@
     pub cost_ms: f64,
     /// How long it would wait there before its prompt is read.
     pub queue_ms: f64,
+    /// Whether nothing speaks against it.
+    pub is_trusted: bool,
 }
 
 /// Where prompts were placed.
@@ -105,9 +107,8 @@
         if !keeps_together(choice.prompt) {
             return cheapest(placed);
         }
-        let (home, elsewhere): (Vec<Placed>, Vec<Placed>) = placed.partition(|placed| {
-            estimate.is_home(placed.endpoint.index) && placed.cost_ms < SILENT_COST_MS
-        });
+        let (home, elsewhere): (Vec<Placed>, Vec<Placed>) =
+            placed.partition(|placed| estimate.is_home(placed.endpoint.index) && placed.is_trusted);
         cheapest(home.into_iter()).or_else(|| cheapest(elsewhere.into_iter()))
     }
 
@@ -206,22 +207,29 @@
         };
         let is_near = record.data_centre == *self.choice.data_centre;
         let distance_ms = if is_near { 0.0 } else { REMOTE_COST_MS };
-        let longest_ms = if prompt.parts.is_empty() {
+        let trust_ms = self.trust_ms(endpoint);
+        Placed {
+            endpoint: endpoint.clone(),
+            prefill_tokens,
+            cost_ms: work_ms + distance_ms + trust_ms,
+            queue_ms,
+            is_trusted: trust_ms == 0.0,
+        }
+    }
+
+    /// What speaks against an endpoint: failures, losses, silence.
+    fn trust_ms(&self, endpoint: &Endpoint) -> f64 {
+        let now = self.choice.now;
+        let longest_ms = if self.choice.prompt.parts.is_empty() {
             PLAIN_SILENCE_MS
         } else {
             ENGINE_SILENCE_MS
         };
-        let trust_ms = match endpoint.health.trust(self.choice.now) {
-            Trust::Sound if endpoint.load.is_silent(self.choice.now, longest_ms) => SILENT_COST_MS,
+        match endpoint.health.trust(now) {
+            Trust::Sound if endpoint.load.is_silent(now, longest_ms) => SILENT_COST_MS,
             Trust::Sound => 0.0,
             Trust::Failing => FAILING_COST_MS,
             Trust::Ejected => EJECTED_COST_MS,
-        };
-        Placed {
-            endpoint: endpoint.clone(),
-            prefill_tokens,
-            cost_ms: work_ms + distance_ms + trust_ms,
-            queue_ms,
         }
     }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -46,6 +46,11 @@
         self.directory.load_full()
     }
 
+    /// Endpoints that may get work.
+    pub fn endpoint_count(&self) -> usize {
+        self.directory.load().endpoint_count()
+    }
+
     /// Notes that what is believed was the newest at `asked_at`.
     pub fn prove(&self, asked_at: TimeMs) {
         self.proved_at_ms
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -101,9 +101,12 @@
     };
     let load = |index: EngineIx| &service.all[index.at()].load;
     load(first).queue_delay().sent(busy);
+    // It is busy, not gone: others get their tokens.
+    load(first).heard(NOW);
     let second = place(&service, &prompt, "dc-0");
     assert_ne!(first, second);
     load(second).queue_delay().sent(busy);
+    load(second).heard(NOW);
     assert!([first, second].contains(&place(&service, &prompt, "dc-0")));
     service.all[first.at()].health.lost(NOW);
     service.all[second.at()].health.lost(NOW);
@@ -111,6 +114,25 @@
     assert!(![first, second].contains(&third), "both are lost");
 }
 
+#[test]
+fn an_endpoint_that_keeps_a_request_waiting_in_silence_is_passed_over() {
+    let service = service();
+    let prompt = prompt(77, 6_000, 3_000, 200);
+    let first = place(&service, &prompt, "dc-0");
+    let load = &service.all[first.at()].load;
+    let waiting = |sent| Pending {
+        sent: TimeMs(sent),
+        reading_ms: 100.0,
+    };
+    load.queue_delay().sent(waiting(NOW.0 - 450));
+    assert!(!load.is_silent(NOW, 400.0), "it may still be reading");
+    load.queue_delay().sent(waiting(NOW.0 - 600));
+    assert!(load.is_silent(NOW, 400.0));
+    assert_ne!(place(&service, &prompt, "dc-0"), first);
+    load.heard(TimeMs(NOW.0 - 10));
+    assert!(!load.is_silent(NOW, 400.0), "others get their tokens");
+}
+
 #[test]
 fn waiting_is_seen_by_those_that_were_answered_and_those_that_still_wait() {
     let mut delay = QueueDelay::default();
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -22,6 +22,7 @@
     log: Vec<ChangeAt>,
     fault: Option<SourceError>,
     full_reads: usize,
+    waits: usize,
 }
 
 /// The source; clones share one state.
@@ -98,6 +99,10 @@
         self.state.lock().unwrap().full_reads
     }
 
+    pub fn waits(&self) -> usize {
+        self.state.lock().unwrap().waits
+    }
+
     fn since(&self, after: Revision) -> Result<Option<Changes>, SourceError> {
         let state = self.state.lock().unwrap();
         if let Some(fault) = state.fault {
@@ -144,6 +149,7 @@
     }
 
     async fn changes(&self, after: Revision, wait: DurationMs) -> Result<Changes, SourceError> {
+        self.state.lock().unwrap().waits += 1;
         let mut changed = self.changed.subscribe();
         let waiting = async {
             loop {
