feat(gateway): metrics by opentelemetry on the ready address

Cause: on-call engineers have only logs and metrics; the gateway served none. Change: counters of answers, refusals by reason, failed attempts by cause, calls of the source by result; a histogram of the first byte by service; /metrics beside /ready. One page type serves both commands' meters. Test: tests/gateway.rs reads the page after a refusal and a cut stream.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -110,6 +110,7 @@
 }
 
 fn log_refused(gateway: &Gateway, id: Option<&HeaderValue>, refused: Refused, arrived: Instant) {
+    gateway.metrics.refused(refused.refusal);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("?");
     let age = gateway.view.proof_age(gateway.now());
     event!(
@@ -404,6 +405,7 @@
             }
         }
         if let Err(error) = &result {
+            self.gateway.metrics.attempt_failed(*error);
             let load = endpoint.load.now(now);
             event!(
                 Event::AttemptFailed,
@@ -481,7 +483,7 @@
             let collected = timeout(self.inbound.left(), limited.collect()).await;
             let error = match collected {
                 Ok(Ok(body)) => {
-                    self.log_served(&answer, self.inbound.arrived.elapsed().as_millis(), 0);
+                    self.note_served(&answer, self.inbound.arrived.elapsed(), Duration::ZERO);
                     if !status.is_server_error() {
                         answer.endpoint.health.served();
                     }
@@ -493,6 +495,7 @@
                 Err(_) => AttemptError::TimedOut,
             };
             answer.endpoint.health.failed();
+            self.gateway.metrics.attempt_failed(error);
             event!(
                 Event::AttemptFailed,
                 request = self.inbound.id_text(),
@@ -506,8 +509,11 @@
         }
     }
 
-    /// Logs a sample of the plain successes.
-    pub(crate) fn log_served(&self, answer: &Answer, first_ms: u128, longest_gap_ms: u128) {
+    /// Counts an answer, and logs a sample of the plain successes.
+    pub(crate) fn note_served(&self, answer: &Answer, first: Duration, longest_gap: Duration) {
+        let status = answer.head.status.as_u16();
+        let metrics = &self.gateway.metrics;
+        metrics.served(&self.inbound.service, status, first);
         let is_plain = answer.head.status == StatusCode::OK && self.runs == 1;
         if is_plain && !rand::rng().random_ratio(1, SAMPLE) {
             return;
@@ -525,8 +531,8 @@
             cost_ms = answer.estimate.cost_ms as u64,
             own_running = answer.estimate.load.own_running,
             others_running = answer.estimate.load.others_running,
-            first_ms = first_ms,
-            longest_gap_ms = longest_gap_ms,
+            first_ms = first.as_millis(),
+            longest_gap_ms = longest_gap.as_millis(),
             took_ms = self.inbound.arrived.elapsed().as_millis()
         );
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -53,6 +53,8 @@
             None => self.reload().await,
             Some(at) => self.wait(at).await,
         };
+        let outcome = result.map(|_| ());
+        self.gateway.metrics.source_called(outcome);
         match result {
             Ok(at) => {
                 self.at = Some(at);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,11 +1,13 @@
 //! What every part of the gateway shares, handed down instead of globals.
 
+use crate::metrics::GatewayMetrics;
 use crate::names::HeaderNames;
 use crate::placement::Placement;
 use crate::retry_budget::RetryBudgets;
 use crate::settings::GatewaySettings;
 use crate::view::View;
 use bridgevane_types::TimeMs;
+use opentelemetry::metrics::Meter;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
@@ -37,6 +39,8 @@
     pub view: View,
     /// Where prompts were placed.
     pub placement: Placement,
+    /// What is counted and timed.
+    pub metrics: GatewayMetrics,
     /// What may be sent again.
     pub retry_budgets: RetryBudgets,
     pub(crate) in_progress: AtomicU32,
@@ -52,9 +56,10 @@
 
 impl Gateway {
     /// A gateway that knows nothing yet.
-    pub fn new(settings: GatewaySettings, names: HeaderNames) -> Arc<Self> {
+    pub fn new(settings: GatewaySettings, names: HeaderNames, meter: &Meter) -> Arc<Self> {
         Arc::new(Self {
             retry_budgets: RetryBudgets::new(&settings),
+            metrics: GatewayMetrics::new(meter),
             settings,
             names,
             view: View::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod gateway;
 pub mod health;
 pub mod load;
+pub mod metrics;
 pub mod names;
 pub mod placement;
 pub mod pool;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,77 @@
+//! What the gateway counts and times.
+
+use crate::attempt::AttemptError;
+use crate::refusal::Refusal;
+use crate::source::SourceError;
+use bridgevane_types::ServiceName;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+use std::time::Duration;
+
+/// Bounds of the buckets of the first byte, in seconds: around targets of 0.1 to 1.5 s.
+const FIRST_BYTE_BUCKETS_S: [f64; 11] =
+    [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 10.0];
+
+/// The gateway's instruments.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    served: Counter<u64>,
+    refused: Counter<u64>,
+    broken_off: Counter<u64>,
+    failed_attempts: Counter<u64>,
+    source_calls: Counter<u64>,
+    first_byte_s: Histogram<f64>,
+}
+
+impl GatewayMetrics {
+    /// The instruments of a meter.
+    pub fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        Self {
+            served: counter("bridgevane_gateway_served"),
+            refused: counter("bridgevane_gateway_refused"),
+            broken_off: counter("bridgevane_gateway_broken_off"),
+            failed_attempts: counter("bridgevane_gateway_failed_attempts"),
+            source_calls: counter("bridgevane_gateway_source_calls"),
+            first_byte_s: meter
+                .f64_histogram("bridgevane_gateway_first_byte_seconds")
+                .with_boundaries(FIRST_BYTE_BUCKETS_S.to_vec())
+                .build(),
+        }
+    }
+
+    /// An endpoint's answer reached its end.
+    pub(crate) fn served(&self, service: &ServiceName, status: u16, first_byte: Duration) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        let status = KeyValue::new("status", i64::from(status));
+        self.served.add(1, &[service.clone(), status]);
+        self.first_byte_s
+            .record(first_byte.as_secs_f64(), &[service]);
+    }
+
+    /// The daemon answered itself.
+    pub(crate) fn refused(&self, reason: Refusal) {
+        let reason = KeyValue::new("reason", reason.to_string());
+        self.refused.add(1, &[reason]);
+    }
+
+    /// An answer was cut on its way to the client.
+    pub(crate) fn broken_off(&self) {
+        self.broken_off.add(1, &[]);
+    }
+
+    /// An attempt gave no answer that can be used.
+    pub(crate) fn attempt_failed(&self, cause: AttemptError) {
+        let cause = KeyValue::new("cause", cause.to_string());
+        self.failed_attempts.add(1, &[cause]);
+    }
+
+    /// The control source was called.
+    pub(crate) fn source_called(&self, result: Result<(), SourceError>) {
+        let result = match result {
+            Ok(()) => "ok".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        self.source_calls.add(1, &[KeyValue::new("result", result)]);
+    }
+}
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -2,8 +2,9 @@
 
 use crate::gateway::Gateway;
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -15,23 +16,28 @@
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Answers until the daemon ends.
-pub async fn run(gateway: Arc<Gateway>, listener: TcpListener) {
+/// Where metrics are served; every other path asks whether the daemon is ready.
+const METRICS_PATH: &str = "/metrics";
+
+/// Answers until the daemon ends; `page` gives the metrics.
+pub async fn run<P>(gateway: Arc<Gateway>, listener: TcpListener, page: P)
+where
+    P: Fn() -> String + Clone + Send + Sync + 'static,
+{
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let gateway = gateway.clone();
+        let page = page.clone();
         tokio::spawn(async move {
-            let service = service_fn(|_| {
-                let status = if gateway.is_ready() {
-                    StatusCode::OK
+            let service = service_fn(|request: Request<Incoming>| {
+                let response = if request.uri().path() == METRICS_PATH {
+                    Response::new(Full::new(Bytes::from(page())))
                 } else {
-                    StatusCode::SERVICE_UNAVAILABLE
+                    readiness(&gateway)
                 };
-                let mut response = Response::new(Full::new(Bytes::new()));
-                *response.status_mut() = status;
                 async move { Ok::<_, Infallible>(response) }
             });
             // The balancer asks again on its next connection.
@@ -41,3 +47,11 @@
         });
     }
 }
+
+fn readiness(gateway: &Gateway) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::new()));
+    if !gateway.is_ready() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -120,9 +120,9 @@
         if answer.head.status.is_success() {
             answer.endpoint.health.served();
         }
-        let first_ms = self.pace.first.unwrap_or_default().as_millis();
-        let longest_gap_ms = self.pace.longest_gap.as_millis();
-        self.exchange.log_served(&answer, first_ms, longest_gap_ms);
+        let first = self.pace.first.unwrap_or_default();
+        self.exchange
+            .note_served(&answer, first, self.pace.longest_gap);
         answer.finish();
         None
     }
@@ -133,6 +133,7 @@
             if cause == BrokenOff::ByEndpoint {
                 answer.endpoint.health.failed();
             }
+            self.exchange.gateway.metrics.broken_off();
             event!(
                 Event::RequestBrokenOff,
                 request = self.exchange.inbound.id_text(),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -73,7 +73,7 @@
 
 /// The same with settings of the test's own.
 pub async fn start_with(source: ScriptedSource, settings: GatewaySettings) -> Running {
-    let gateway = Gateway::new(settings, names());
+    let gateway = Gateway::new(settings, names(), &opentelemetry::global::meter("test"));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it listens");
     tokio::spawn(follow::run(gateway.clone(), source.clone()));
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -3,6 +3,7 @@
 use crate::commands::{exit, say};
 use crate::configs::gateway::GatewayConfig;
 use crate::configs::settings_reader::{SettingSource, variable_of};
+use crate::modules::metrics::MetricsPage;
 use crate::modules::{gateway_signals, http_serve, log_writer, logging};
 use argh::FromArgs;
 use bridgevane_events::{Event, event};
@@ -126,7 +127,8 @@
     let clients = http_serve::listen(config.gateway.client_address).await?;
     let ready_listener = http_serve::listen(config.gateway.ready_address).await?;
     let store = Store::new(config.store_address, STORE_OPEN_LIMIT);
-    let gateway = Gateway::new(config.gateway, header_names());
+    let metrics = MetricsPage::new();
+    let gateway = Gateway::new(config.gateway, header_names(), &metrics.meter());
     event!(
         Event::Started,
         vm = gateway.settings.vm,
@@ -134,7 +136,8 @@
         callers = gateway.settings.client_address,
         proof_lifetime_ms = gateway.settings.proof_lifetime_ms
     );
-    tokio::spawn(ready::run(gateway.clone(), ready_listener));
+    let page = move || metrics.text();
+    tokio::spawn(ready::run(gateway.clone(), ready_listener, page));
     tokio::spawn(follow::run(gateway.clone(), store));
     tokio::spawn(front::run(gateway.clone(), clients));
     gateway_signals::wait_for_stop().await?;
--- a/src/modules/metrics.rs
+++ b/src/modules/metrics.rs
@@ -2,7 +2,7 @@
 
 use bridgevane_types::{ClassName, Tokens};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -11,10 +11,49 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.81, 1.0, 2.0, 5.0, 15.0, 60.0,
 ];
 
+/// A meter whose instruments are shown as a Prometheus page.
+#[derive(Clone)]
+pub struct MetricsPage {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+impl MetricsPage {
+    /// An empty page.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        // A fresh registry has no name that could clash.
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a fresh registry accepts the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Self { registry, provider }
+    }
+
+    /// The meter of all instruments.
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("bridgevane")
+    }
+
+    /// The page.
+    pub fn text(&self) -> String {
+        let mut page = Vec::new();
+        // Writing into memory doesn't fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut page);
+        String::from_utf8_lossy(&page).into_owned()
+    }
+}
+
+impl Default for MetricsPage {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 /// The daemon's instruments.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    page: MetricsPage,
     requests: Counter<u64>,
     tokens: Counter<u64>,
     wasted_tokens: Counter<u64>,
@@ -26,14 +65,8 @@
 impl Metrics {
     /// New instruments with a registry of their own.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        // A fresh registry has no name that could clash.
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .expect("a fresh registry accepts the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("bridgevane");
+        let page = MetricsPage::new();
+        let meter = page.meter();
         Self {
             requests: meter.u64_counter("bridgevane_requests").build(),
             tokens: meter.u64_counter("bridgevane_tokens").build(),
@@ -44,8 +77,7 @@
                 .build(),
             platform_calls: meter.u64_counter("bridgevane_platform_calls").build(),
             peer_bytes: meter.u64_counter("bridgevane_peer_bytes").build(),
-            registry,
-            _provider: provider,
+            page,
         }
     }
 
@@ -87,10 +119,7 @@
 
     /// The Prometheus page.
     pub fn page(&self) -> String {
-        let mut page = Vec::new();
-        // Writing into memory doesn't fail.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut page);
-        String::from_utf8_lossy(&page).into_owned()
+        self.page.text()
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -197,6 +197,17 @@
         got.contains("piece 2") && !got.ends_with("0\r\n\r\n"),
         "{got}"
     );
+    let text = "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    let page = exchange(stage.gateways[0].ready, text).await;
+    for row in [
+        "bridgevane_gateway_refused_total{",
+        "reason=\"overloaded\"",
+        "cause=\"not_executed\"",
+        "bridgevane_gateway_broken_off_total",
+        "bridgevane_gateway_first_byte_seconds_bucket{",
+    ] {
+        assert!(page.contains(row), "{row} in {page}");
+    }
     let log = stop(stage.gateways.remove(0)).await;
     let lines_of = |id: &str| -> Vec<&str> {
         let quoted = format!("\"{id}\"");
