--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -199,6 +199,8 @@
         Default::default()
     };
     let body = read_body(gateway, &table, &head.headers, deadline, body).await?;
+    let service = draw_service(&route);
+    let urgency = table.urgencies().of(customer.as_deref(), &route);
     Ok(Inbound {
         arrived,
         deadline,
@@ -207,7 +209,9 @@
         path,
         headers: request::passed_on(names, head.headers),
         body,
-        service: draw_service(&route),
+        is_least_urgent: table.urgencies().is_least(urgency, &service),
+        urgency,
+        service,
         route,
         customer,
         prompt,
@@ -345,13 +349,15 @@
         placed.ok_or_else(|| self.unless_run(refusal))
     }
 
-    /// Refuses at once what would wait too long: it would be late, and hold up others. A
-    /// prompt's own size doesn't count, so that large ones are served as often as small ones.
+    /// Refuses at once what would wait too long: it would be late, and hold up others. Only the
+    /// least urgent are refused: the others go ahead of them. A prompt's own size doesn't
+    /// count, so that large ones are served as often as small ones.
     fn check_queue(&self, placed: &Placed) -> Result<(), Refused> {
         let is_prompt = !self.inbound.prompt.parts.is_empty();
         let target_ms = self.inbound.route.target_ms.0 as f64;
         let excess_ms = placed.queue_ms - QUEUE_SHARE * target_ms;
-        if !is_prompt || self.runs > 0 || excess_ms <= 0.0 {
+        let may_refuse = is_prompt && self.inbound.is_least_urgent && self.runs == 0;
+        if !may_refuse || excess_ms <= 0.0 {
             return Ok(());
         }
         let mut refused = self.unless_run(Refusal::Overloaded);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod settings;
 pub mod source;
 pub mod stop;
+pub mod urgency;
 pub mod view;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,7 +3,8 @@
 use crate::names::HeaderNames;
 use crate::refusal::Refusal;
 use crate::routing::{Customer, Route};
-use bridgevane_types::{ServiceName, Tier, Tokens};
+use crate::urgency::Urgency;
+use bridgevane_types::{ServiceName, Tokens};
 use bytes::Bytes;
 use http::header::{self, HeaderName};
 use http::uri::PathAndQuery;
@@ -73,15 +74,13 @@
     pub customer: Option<Arc<Customer>>,
     /// Its prompt, on routes that have one.
     pub prompt: Prompt,
+    /// How urgent it is for an engine.
+    pub urgency: Urgency,
+    /// Whether nothing that its service gets is less urgent.
+    pub is_least_urgent: bool,
 }
 
 impl Inbound {
-    /// How urgent it is: a customer's tier goes before the route's.
-    pub fn tier(&self) -> Tier {
-        let own = self.customer.as_ref().and_then(|customer| customer.tier);
-        own.unwrap_or(self.route.tier)
-    }
-
     /// The time that is left.
     pub fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -111,8 +110,8 @@
             headers.insert(names.last_event_id.clone(), last.clone());
         }
         if !self.prompt.parts.is_empty() {
-            let urgency = u64::from(self.tier().0.min(9));
-            headers.insert(names.urgency.clone(), HeaderValue::from(urgency));
+            let urgency = HeaderValue::from(u16::from(self.urgency.0));
+            headers.insert(names.urgency.clone(), urgency);
         }
         if let Some(customer) = &self.customer
             && let Ok(value) = HeaderValue::from_str(customer.id.as_str())
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -1,5 +1,6 @@
 //! Routes, services, keys and limits of one configuration version.
 
+use crate::urgency::Urgencies;
 use bridgevane_types::{Bytes, ConfigVersion, CustomerId, DurationMs, ServiceName, Tier, Tokens};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -117,6 +118,7 @@
     customers: HashMap<String, Arc<Customer>>,
     needs_keys: bool,
     limits: ClientLimits,
+    urgencies: Urgencies,
 }
 
 /// The parts that a table is made of.
@@ -137,6 +139,9 @@
 impl RoutingTable {
     /// Indexes the parts.
     pub fn new(parts: RoutingParts) -> Self {
+        let holders = parts.customers.iter().flat_map(HashMap::values);
+        let holders = holders.map(|customer| &**customer);
+        let urgencies = Urgencies::new(parts.routes.iter(), holders);
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in parts.routes {
             let routes = by_host.entry(route.host.clone()).or_default();
@@ -153,6 +158,7 @@
             needs_keys: parts.customers.is_some(),
             customers: parts.customers.unwrap_or_default(),
             limits: parts.limits,
+            urgencies,
         }
     }
 
@@ -166,6 +172,11 @@
         self.limits
     }
 
+    /// How urgent requests are, one for another.
+    pub fn urgencies(&self) -> &Urgencies {
+        &self.urgencies
+    }
+
     /// The route of a host and path: of those that match, the one with the longest prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.by_host.get(host)?;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -1,5 +1,7 @@
 //! The pure decisions: placement, waiting, retry budget, health.
 
+mod support;
+
 use bridgevane_decisions::EngineIx;
 use bridgevane_gateway::directory::{Endpoint, EndpointRecord, ServiceEndpoints};
 use bridgevane_gateway::health::{Health, Trust};
@@ -8,7 +10,9 @@
 use bridgevane_gateway::queue_delay::{Pending, QueueDelay};
 use bridgevane_gateway::request::{Prompt, PromptPart};
 use bridgevane_gateway::retry_budget::RetryBudgets;
-use bridgevane_types::{DataCentreId, DurationMs, ServiceName, Share, TimeMs, Tokens};
+use bridgevane_gateway::routing::{Customer, Route, RouteTarget};
+use bridgevane_gateway::urgency::{Urgencies, Urgency};
+use bridgevane_types::{DataCentreId, DurationMs, ServiceName, Share, Tier, TimeMs, Tokens};
 use std::collections::HashSet;
 use std::sync::Arc;
 
@@ -218,3 +222,63 @@
     health.served();
     assert_eq!(health.trust(again), Trust::Sound);
 }
+
+fn route(name: &str, tier: u8, service: &str) -> Route {
+    Route {
+        tier: Tier(tier),
+        targets: vec![RouteTarget {
+            service: service.into(),
+            weight: 1,
+        }],
+        ..support::source::stream_route(name, false, 1)
+    }
+}
+
+fn customer(tier: Option<u8>) -> Customer {
+    Customer {
+        id: "c".into(),
+        tier: tier.map(Tier),
+    }
+}
+
+#[test]
+fn a_customer_s_tier_goes_first_and_the_route_s_decides_among_equals() {
+    let routes = [
+        route("notes", 0, "model"),
+        route("brief", 1, "model"),
+        route("digest", 2, "model"),
+        route("push", 2, "plain"),
+    ];
+    let [low, high, none] = [customer(Some(1)), customer(Some(0)), customer(None)];
+    let holders = [&low, &high, &none];
+    let urgencies = Urgencies::new(routes.iter(), holders.into_iter());
+    let of = |customer: &Customer, at: usize| urgencies.of(Some(customer), &routes[at]);
+    assert!(of(&low, 0) < of(&low, 1) && of(&low, 1) < of(&low, 2));
+    assert!(of(&high, 2) < of(&low, 0), "the customer goes first");
+    assert!(
+        of(&none, 0) < of(&low, 0),
+        "without a tier of its own the route's counts"
+    );
+    let model = ServiceName::from("model");
+    let least = urgencies.of(None, &routes[2]);
+    assert!(urgencies.is_least(least, &model));
+    assert!(!urgencies.is_least(of(&low, 1), &model));
+    // Customers that all have a tier: the last route of the lowest is the least urgent.
+    let urgencies = Urgencies::new(routes.iter(), [&low, &high].into_iter());
+    let of = |at: usize| urgencies.of(Some(&low), &routes[at]);
+    assert!(urgencies.is_least(of(2), &model) && !urgencies.is_least(of(1), &model));
+}
+
+#[test]
+fn more_ranks_than_urgencies_keep_their_order() {
+    let routes: Vec<Route> = (0..8).map(|tier| route("r", tier, "model")).collect();
+    let customers: Vec<Customer> = (0..8).map(|tier| customer(Some(tier))).collect();
+    let urgencies = Urgencies::new(routes.iter(), customers.iter());
+    let all = customers.iter().flat_map(|customer| {
+        let of = |route| urgencies.of(Some(customer), route);
+        routes.iter().map(of)
+    });
+    let all: Vec<Urgency> = all.collect();
+    assert!(all.is_sorted());
+    assert_eq!((all[0], all[63]), (Urgency(0), Urgency(9)));
+}
