--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -436,7 +436,7 @@
 
     /// A failure that another endpoint may not give.
     fn is_worth_repeating(&self, answer: &Answer) -> bool {
-        answer.head.status.is_server_error() && self.inbound.route.stream.is_none()
+        answer.head.status.is_server_error() && self.inbound.route.may_repeat()
     }
 
     /// Whether to go on after a failed attempt.
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -303,3 +303,18 @@
     let left = tokio::time::timeout(Duration::from_millis(500), left).await;
     assert!(left.is_ok(), "the endpoint's connection is closed at once");
 }
+
+#[tokio::test]
+async fn a_resumable_stream_whose_endpoint_fails_is_asked_for_elsewhere() {
+    static FIRST: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+    fn script(_: usize) -> Vec<Act> {
+        match FIRST.fetch_add(1, std::sync::atomic::Ordering::Relaxed) {
+            0 => vec![answer("500 No", "x")],
+            _ => vec![stream_head(), event(1), last_chunk()],
+        }
+    }
+    let (running, endpoints) = stage(Vec::new(), script).await;
+    let got = ask(&running, "POST", "/resume/x").await.expect("an answer");
+    assert_eq!((got.status, got.is_whole), (200, true));
+    assert_eq!(runs(&endpoints), 2);
+}
