--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,7 +30,7 @@
 /// The least time that an endpoint is given.
 const MIN_LEFT: Duration = Duration::from_millis(5);
 /// The part of a route's target that a request may wait before its prompt is read.
-const QUEUE_SHARE: f64 = 0.8;
+const QUEUE_SHARE: f64 = 0.3;
 /// The soonest that a client shall come back after waiting lines were too long.
 const MIN_RETURN_MS: u64 = 200;
 /// The part of a route's target after which a silent endpoint's request is repeated.
