--- /dev/null
+++ b/crates/gateway/src/admission.rs
@@ -0,0 +1,117 @@
+//! Admission: a request is read as a whole and checked before anything is passed on.
+
+use crate::gateway::Gateway;
+use crate::refusal::Refusal;
+use crate::request::{self, Inbound};
+use crate::routing::{Route, RoutingTable};
+use bridgevane_types::ServiceName;
+use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, Request};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use rand::RngExt;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Reads and checks a request.
+///
+/// # Errors
+/// The final answer when it may not be passed on.
+pub(crate) async fn admit(
+    gateway: &Arc<Gateway>,
+    arrived: Instant,
+    request: Request<Incoming>,
+) -> Result<Inbound, Refusal> {
+    let names = &gateway.names;
+    let (head, body) = request.into_parts();
+    let table = gateway.view.table().ok_or(Refusal::NotReady)?;
+    // What is refused for good must be refused by the newest configuration.
+    if !gateway.is_fresh() {
+        return Err(Refusal::NotReady);
+    }
+    let host = request::host(&head.uri, &head.headers).ok_or(Refusal::NoRoute)?;
+    let route = table.route(&host, head.uri.path());
+    let route = route.cloned().ok_or(Refusal::NoRoute)?;
+    let customer = match request::key(names, &head.headers) {
+        _ if route.is_public || !table.needs_keys() => None,
+        None => return Err(Refusal::UnknownKey),
+        Some(key) => Some(table.customer(key).cloned().ok_or(Refusal::UnknownKey)?),
+    };
+    let id = request::identifier(names, &head.headers)?;
+    let path = head.uri.path_and_query().cloned();
+    let path = path.ok_or(Refusal::Malformed)?;
+    let client_ms = request::number(&head.headers, &names.deadline_ms);
+    let longest = route.timeout_ms.as_std();
+    let held = client_ms.map_or(longest, |ms| longest.min(Duration::from_millis(ms)));
+    let deadline = arrived + held;
+    let prompt = if route.has_prompt_parts {
+        request::prompt(names, &head.headers)
+    } else {
+        Default::default()
+    };
+    let body = read_body(gateway, &table, &head.headers, deadline, body).await?;
+    let service = draw_service(&route);
+    let urgency = table.urgencies().of(customer.as_deref(), &route);
+    Ok(Inbound {
+        arrived,
+        deadline,
+        id,
+        method: head.method,
+        path,
+        headers: request::passed_on(names, head.headers),
+        body,
+        is_least_urgent: table.urgencies().is_least(urgency, &service),
+        urgency,
+        service,
+        route,
+        customer,
+        prompt,
+    })
+}
+
+async fn read_body(
+    gateway: &Gateway,
+    table: &RoutingTable,
+    headers: &HeaderMap,
+    deadline: Instant,
+    body: Incoming,
+) -> Result<Bytes, Refusal> {
+    let limit = table.limits().body_bytes.0;
+    let announced = request::number(headers, &CONTENT_LENGTH).unwrap_or(0);
+    if announced > limit {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let held = gateway.buffered_bytes.load(Ordering::Relaxed);
+    if held + announced > gateway.settings.max_buffered_bytes.0 {
+        return Err(Refusal::MemoryFull);
+    }
+    let reading = Limited::new(body, limit as usize).collect();
+    match timeout_at(deadline, reading).await {
+        Err(_) => Err(Refusal::BodyTimeout),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::BodyTooLarge)
+        }
+        Ok(Err(_)) => Err(Refusal::BodyBroken),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+    }
+}
+
+/// Draws a service by the weights of the route's targets.
+fn draw_service(route: &Route) -> ServiceName {
+    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
+    let mut at = if total > 0 {
+        rand::rng().random_range(0..total)
+    } else {
+        0
+    };
+    for target in &route.targets {
+        if at < target.weight {
+            return target.service.clone();
+        }
+        at -= target.weight;
+    }
+    route.targets[0].service.clone()
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,27 +1,27 @@
 //! The life of a request: read, admitted, placed, sent, answered.
 
+use crate::admission::admit;
 use crate::answer_body::AnswerBody;
 use crate::attempt::{Answer, AttemptError, Patience, attempt};
 use crate::directory::Endpoint;
 use crate::gateway::Gateway;
+use crate::held::{Buffered, InProgress};
 use crate::placement::{Choice, Placed};
 use crate::refusal::Refusal;
 use crate::relay::{BrokenOff, Relay};
-use crate::request::{self, Inbound, strip_hop_by_hop};
-use crate::routing::{Route, RoutingTable};
+use crate::request::{Inbound, strip_hop_by_hop};
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DurationMs, ServiceName};
+use bridgevane_types::DurationMs;
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue};
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::header::{CONNECTION, HeaderValue};
+use http::{Request, Response, StatusCode};
 use http_body::{Body, Frame};
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::Incoming;
 use rand::RngExt;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 
 /// The longest answer that is read whole before it is passed on.
 const MAX_WHOLE_ANSWER_BYTES: usize = 256 * 1024;
@@ -40,36 +40,6 @@
 /// One plain success in so many is logged.
 const SAMPLE: u32 = 16;
 
-/// Counts a request that was read and not yet answered.
-pub(crate) struct InProgress(Arc<Gateway>);
-
-impl InProgress {
-    fn begin(gateway: &Arc<Gateway>) -> Self {
-        gateway.in_progress.fetch_add(1, Ordering::Relaxed);
-        Self(gateway.clone())
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Holds a body's bytes in the count of what is buffered.
-struct Buffered {
-    gateway: Arc<Gateway>,
-    bytes: u64,
-}
-
-impl Drop for Buffered {
-    fn drop(&mut self) {
-        self.gateway
-            .buffered_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// A refusal, and when to come back where that differs from the usual.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Refused {
@@ -131,12 +101,7 @@
     in_progress: InProgress,
 ) -> Result<Response<AnswerBody<impl Body<Data = Bytes, Error = BrokenOff> + use<>>>, Refused> {
     let inbound = admit(gateway, arrived, request).await?;
-    let bytes = inbound.body.len() as u64;
-    gateway.buffered_bytes.fetch_add(bytes, Ordering::Relaxed);
-    let buffered = Buffered {
-        gateway: gateway.clone(),
-        bytes,
-    };
+    let buffered = Buffered::new(gateway, inbound.body.len());
     gateway
         .retry_budgets
         .note_request(gateway.now(), &inbound.service);
@@ -165,103 +130,6 @@
     response.into_parts().0
 }
 
-/// Reads and checks a request.
-async fn admit(
-    gateway: &Arc<Gateway>,
-    arrived: Instant,
-    request: Request<Incoming>,
-) -> Result<Inbound, Refused> {
-    let names = &gateway.names;
-    let (head, body) = request.into_parts();
-    let table = gateway.view.table().ok_or(Refusal::NotReady)?;
-    // What is refused for good must be refused by the newest configuration.
-    if !gateway.is_fresh() {
-        return Err(Refusal::NotReady.into());
-    }
-    let host = request::host(&head.uri, &head.headers).ok_or(Refusal::NoRoute)?;
-    let route = table.route(&host, head.uri.path());
-    let route = route.cloned().ok_or(Refusal::NoRoute)?;
-    let customer = match request::key(names, &head.headers) {
-        _ if route.is_public || !table.needs_keys() => None,
-        None => return Err(Refusal::UnknownKey.into()),
-        Some(key) => Some(table.customer(key).cloned().ok_or(Refusal::UnknownKey)?),
-    };
-    let id = request::identifier(names, &head.headers)?;
-    let path = head.uri.path_and_query().cloned();
-    let path = path.ok_or(Refusal::Malformed)?;
-    let client_ms = request::number(&head.headers, &names.deadline_ms);
-    let longest = route.timeout_ms.as_std();
-    let held = client_ms.map_or(longest, |ms| longest.min(Duration::from_millis(ms)));
-    let deadline = arrived + held;
-    let prompt = if route.has_prompt_parts {
-        request::prompt(names, &head.headers)
-    } else {
-        Default::default()
-    };
-    let body = read_body(gateway, &table, &head.headers, deadline, body).await?;
-    let service = draw_service(&route);
-    let urgency = table.urgencies().of(customer.as_deref(), &route);
-    Ok(Inbound {
-        arrived,
-        deadline,
-        id,
-        method: head.method,
-        path,
-        headers: request::passed_on(names, head.headers),
-        body,
-        is_least_urgent: table.urgencies().is_least(urgency, &service),
-        urgency,
-        service,
-        route,
-        customer,
-        prompt,
-    })
-}
-
-async fn read_body(
-    gateway: &Gateway,
-    table: &RoutingTable,
-    headers: &HeaderMap,
-    deadline: Instant,
-    body: Incoming,
-) -> Result<Bytes, Refusal> {
-    let limit = table.limits().body_bytes.0;
-    let announced = request::number(headers, &CONTENT_LENGTH).unwrap_or(0);
-    if announced > limit {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let held = gateway.buffered_bytes.load(Ordering::Relaxed);
-    if held + announced > gateway.settings.max_buffered_bytes.0 {
-        return Err(Refusal::MemoryFull);
-    }
-    let reading = Limited::new(body, limit as usize).collect();
-    match timeout_at(deadline, reading).await {
-        Err(_) => Err(Refusal::BodyTimeout),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::BodyTooLarge)
-        }
-        Ok(Err(_)) => Err(Refusal::BodyBroken),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-    }
-}
-
-/// Draws a service by the weights of the route's targets.
-fn draw_service(route: &Route) -> ServiceName {
-    let total: u32 = route.targets.iter().map(|target| target.weight).sum();
-    let mut at = if total > 0 {
-        rand::rng().random_range(0..total)
-    } else {
-        0
-    };
-    for target in &route.targets {
-        if at < target.weight {
-            return target.service.clone();
-        }
-        at -= target.weight;
-    }
-    route.targets[0].service.clone()
-}
-
 /// A request on its way through attempts.
 pub(crate) struct Exchange {
     pub(crate) gateway: Arc<Gateway>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! request, what may be sent again, what is refused, and whether what is believed is fresh
 //! enough to act on.
 
+pub mod admission;
 pub mod answer_body;
 pub mod attempt;
 pub mod connection;
@@ -14,6 +15,7 @@
 pub mod front;
 pub mod gateway;
 pub mod health;
+pub mod held;
 pub mod load;
 pub mod metrics;
 pub mod names;
