fix(gateway): failures are forgotten with time; streams leave an engine before it is full

Change: half of the share of failures is forgotten in two seconds. Change: from 0.6 of its slots on an engine is crowded and costs more. Tests: decisions.rs, both fail before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -263,7 +263,7 @@
         match &result {
             Ok(answer) if answer.head.status.is_server_error() => {
                 self.runs += 1;
-                endpoint.health.failed();
+                endpoint.health.failed(self.gateway.now());
             }
             Ok(_) => self.runs += 1,
             Err(AttemptError::NotSent(_)) => self.eject(endpoint),
@@ -271,7 +271,7 @@
             Err(AttemptError::Misdirected) => self.eject(endpoint),
             Err(error) => {
                 self.runs += 1;
-                endpoint.health.failed();
+                endpoint.health.failed(self.gateway.now());
                 let is_heard = endpoint.load.was_heard_since(begun);
                 if *error == AttemptError::TimedOut && !is_heard {
                     self.eject(endpoint);
@@ -359,7 +359,7 @@
                 Ok(Ok(body)) => {
                     self.note_served(&answer, self.inbound.arrived.elapsed(), Duration::ZERO);
                     if !status.is_server_error() {
-                        answer.endpoint.health.served();
+                        answer.endpoint.health.served(self.gateway.now());
                     }
                     let response = Response::from_parts(client_head(&answer.head), body.to_bytes());
                     answer.finish();
@@ -368,7 +368,7 @@
                 Ok(Err(_)) => AttemptError::Broken,
                 Err(_) => AttemptError::TimedOut,
             };
-            answer.endpoint.health.failed();
+            answer.endpoint.health.failed(self.gateway.now());
             self.gateway.metrics.attempt_failed(error);
             event!(
                 Event::AttemptFailed,
@@ -399,6 +399,7 @@
             status = answer.head.status.as_u16(),
             runs = self.runs,
             route = self.inbound.route.name,
+            urgency = self.inbound.urgency,
             prompt_tokens = self.inbound.prompt.tokens,
             max_answer_tokens = self.inbound.prompt.max_answer_tokens,
             prefill_tokens = answer.estimate.prefill_tokens,
--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -12,11 +12,30 @@
 /// The share of failures from which an endpoint is passed over.
 const FAILING_SHARE: f64 = 0.35;
 
+/// After so long without an outcome, half of the share of failures is forgotten: an endpoint
+/// that gets no work has no success that could speak for it.
+const FAILING_HALF_LIFE_MS: f64 = 2_000.0;
+
 #[derive(Debug, Default)]
 struct State {
     ejected_until: TimeMs,
     ejections: u32,
     failing: f64,
+    failing_at: TimeMs,
+}
+
+impl State {
+    /// The share of failures as it counts now.
+    fn failing(&self, now: TimeMs) -> f64 {
+        let age_ms = now.since(self.failing_at).0 as f64;
+        self.failing * 0.5_f64.powf(age_ms / FAILING_HALF_LIFE_MS)
+    }
+
+    fn note(&mut self, now: TimeMs, failure: f64) {
+        let failing = self.failing(now);
+        self.failing = failing + OUTCOME_WEIGHT * (failure - failing);
+        self.failing_at = now;
+    }
 }
 
 /// The health of one endpoint.
@@ -51,15 +70,15 @@
     }
 
     /// A request there failed.
-    pub fn failed(&self) {
+    pub fn failed(&self, now: TimeMs) {
         let mut state = self.state.lock().expect("no panic under this lock");
-        state.failing += OUTCOME_WEIGHT * (1.0 - state.failing);
+        state.note(now, 1.0);
     }
 
     /// A request there was answered well.
-    pub fn served(&self) {
+    pub fn served(&self, now: TimeMs) {
         let mut state = self.state.lock().expect("no panic under this lock");
-        state.failing -= OUTCOME_WEIGHT * state.failing;
+        state.note(now, 0.0);
         state.ejections = 0;
         state.ejected_until = TimeMs(0);
     }
@@ -69,7 +88,7 @@
         let state = self.state.lock().expect("no panic under this lock");
         if now < state.ejected_until {
             Trust::Ejected
-        } else if state.failing > FAILING_SHARE {
+        } else if state.failing(now) > FAILING_SHARE {
             Trust::Failing
         } else {
             Trust::Sound
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -14,6 +14,11 @@
 pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 50.0;
 /// What each request that runs on an engine adds to the time of others.
 const RUNNING_COST_MS: f64 = 1.0;
+/// From this share of an engine's slots on it is crowded: once all are taken, requests that
+/// are more urgent displace others in the middle of their streams.
+const CROWDED_FILL: f64 = 0.6;
+/// What the last free slot of an engine costs.
+const CROWDED_COST_MS: f64 = 600.0;
 /// What a plain request ahead costs, when all slots are taken.
 const PLAIN_COST_MS: f64 = 20.0;
 /// What going to another data centre costs.
@@ -203,7 +208,7 @@
         let work_ms = if prompt.parts.is_empty() {
             plain_work_ms(load, record.slots)
         } else {
-            queue_ms + self.model_work_ms(endpoint.index, load, prefill_tokens)
+            queue_ms + self.model_work_ms(endpoint.index, record.slots, load, prefill_tokens)
         };
         let is_near = record.data_centre == *self.choice.data_centre;
         let distance_ms = if is_near { 0.0 } else { REMOTE_COST_MS };
@@ -245,9 +250,17 @@
         known.max(likely as u64)
     }
 
-    fn model_work_ms(&self, endpoint: EngineIx, load: LoadNow, prefill_tokens: u64) -> f64 {
+    fn model_work_ms(
+        &self,
+        endpoint: EngineIx,
+        slots: u32,
+        load: LoadNow,
+        prefill_tokens: u64,
+    ) -> f64 {
         let prompt = self.choice.prompt;
         let running_ms = f64::from(load.running()) * RUNNING_COST_MS;
+        let fill = f64::from(load.running()) / f64::from(slots.max(1));
+        let crowd_ms = ((fill - CROWDED_FILL) / (1.0 - CROWDED_FILL)).max(0.0) * CROWDED_COST_MS;
         let shared = prefix_tokens(prompt, shared_parts(prompt));
         let own = prompt.tokens.0 - shared.min(prompt.tokens.0);
         let reread = prefill_tokens.saturating_sub(own) as f64;
@@ -258,7 +271,7 @@
             (false, true) => LONG_PROMPT_AMONG_STREAMS_MS,
             _ => 0.0,
         };
-        running_ms + reading_ms + apart_ms
+        running_ms + crowd_ms + reading_ms + apart_ms
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -118,7 +118,7 @@
     fn end(&mut self) -> Option<Result<Bytes, BrokenOff>> {
         let answer = self.answer.take()?;
         if answer.head.status.is_success() {
-            answer.endpoint.health.served();
+            answer.endpoint.health.served(self.exchange.gateway.now());
         }
         let first = self.pace.first.unwrap_or_default();
         self.exchange
@@ -131,7 +131,7 @@
     async fn recover(&mut self, cause: BrokenOff) -> Result<(), BrokenOff> {
         if let Some(answer) = self.answer.take() {
             if cause == BrokenOff::ByEndpoint {
-                answer.endpoint.health.failed();
+                answer.endpoint.health.failed(self.exchange.gateway.now());
             }
             self.exchange.gateway.metrics.broken_off();
             event!(
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -209,18 +209,55 @@
     let again = TimeMs(NOW.0 + 500);
     assert!(health.lost(again));
     assert_eq!(health.trust(TimeMs(again.0 + 999)), Trust::Ejected);
+    let back = TimeMs(again.0 + 1_000);
     for _ in 0..3 {
-        health.failed();
+        health.failed(back);
     }
-    assert_eq!(health.trust(TimeMs(again.0 + 1_000)), Trust::Failing);
-    health.served();
+    assert_eq!(health.trust(back), Trust::Failing);
+    health.served(back);
     assert_eq!(
-        health.trust(again),
+        health.trust(back),
         Trust::Failing,
         "one success isn't enough"
     );
-    health.served();
-    assert_eq!(health.trust(again), Trust::Sound);
+    health.served(back);
+    assert_eq!(health.trust(back), Trust::Sound);
+}
+
+#[test]
+fn an_endpoint_that_failed_gets_work_again_after_a_while() {
+    let health = Health::default();
+    for _ in 0..20 {
+        health.failed(NOW);
+    }
+    assert_eq!(health.trust(NOW), Trust::Failing);
+    assert_eq!(health.trust(TimeMs(NOW.0 + 1_000)), Trust::Failing);
+    // It got no work meanwhile, so that no success could speak for it.
+    assert_eq!(health.trust(TimeMs(NOW.0 + 4_000)), Trust::Sound);
+}
+
+#[test]
+fn streams_leave_an_engine_before_its_slots_are_taken() {
+    let service = service();
+    let stream = prompt(10, 200, 500, 900);
+    let near = place(&service, &stream, "dc-0");
+    let load = &service.all[near.at()].load;
+    let reported = |running| ReportedLoad {
+        running,
+        waiting: 0,
+    };
+    load.report(NOW, reported(8));
+    assert_eq!(place(&service, &stream, "dc-0"), near);
+    load.report(NOW, reported(56));
+    assert_ne!(place(&service, &stream, "dc-0"), near);
+    // Where all that are kept for streams are full, the others take them.
+    for endpoint in &service.all {
+        if service.for_streams.contains(&endpoint.index) {
+            endpoint.load.report(NOW, reported(60));
+        }
+    }
+    let other = place(&service, &stream, "dc-0");
+    assert!(!service.for_streams.contains(&other));
 }
 
 fn route(name: &str, tier: u8, service: &str) -> Route {
