fix(gateway): an endpoint costs the share of its requests that fail

Two successes no longer make up for three failures (decisions.rs): the bound is 0.25 in place of 0.35, and an engine that failed always is passed over for up to 13 s, in place of 4.

--- a/crates/gateway/src/health.rs
+++ b/crates/gateway/src/health.rs
@@ -10,11 +10,11 @@
 /// Weight of a new outcome in the share of failures.
 const OUTCOME_WEIGHT: f64 = 0.2;
 /// The share of failures from which an endpoint is passed over.
-const FAILING_SHARE: f64 = 0.35;
+const FAILING_SHARE: f64 = 0.25;
 
 /// After so long without an outcome, half of the share of failures is forgotten: an endpoint
 /// that gets no work has no success that could speak for it.
-const FAILING_HALF_LIFE_MS: f64 = 2_000.0;
+const FAILING_HALF_LIFE_MS: f64 = 6_000.0;
 
 #[derive(Debug, Default)]
 struct State {
@@ -83,6 +83,12 @@
         state.ejected_until = TimeMs(0);
     }
 
+    /// The share of its requests that fail, as it counts now.
+    pub fn failing_share(&self, now: TimeMs) -> f64 {
+        let state = self.state.lock().expect("no panic under this lock");
+        state.failing(now)
+    }
+
     /// How much it is trusted now.
     pub fn trust(&self, now: TimeMs) -> Trust {
         let state = self.state.lock().expect("no panic under this lock");
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -23,8 +23,10 @@
 const PLAIN_COST_MS: f64 = 20.0;
 /// What going to another data centre costs.
 const REMOTE_COST_MS: f64 = 12.0;
-/// What an endpoint that fails often costs.
+/// What an endpoint costs that fails always; one that fails at times costs its share.
 const FAILING_COST_MS: f64 = 2_000.0;
+/// From here on what speaks against an endpoint goes before what it keeps of prompts.
+const UNTRUSTED_COST_MS: f64 = 500.0;
 /// What an endpoint costs that is silent while a request waits.
 const SILENT_COST_MS: f64 = 4_000.0;
 /// How long a plain endpoint may be silent while a request waits.
@@ -218,7 +220,7 @@
             prefill_tokens,
             cost_ms: work_ms + distance_ms + trust_ms,
             queue_ms,
-            is_trusted: trust_ms == 0.0,
+            is_trusted: trust_ms < UNTRUSTED_COST_MS,
         }
     }
 
@@ -230,12 +232,13 @@
         } else {
             ENGINE_SILENCE_MS
         };
-        match endpoint.health.trust(now) {
-            Trust::Sound if endpoint.load.is_silent(now, longest_ms) => SILENT_COST_MS,
-            Trust::Sound => 0.0,
-            Trust::Failing => FAILING_COST_MS,
-            Trust::Ejected => EJECTED_COST_MS,
+        if endpoint.health.trust(now) == Trust::Ejected {
+            return EJECTED_COST_MS;
         }
+        if endpoint.load.is_silent(now, longest_ms) {
+            return SILENT_COST_MS;
+        }
+        endpoint.health.failing_share(now) * FAILING_COST_MS
     }
 
     /// Tokens of the prompt that an endpoint keeps, as far as this daemon can tell.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -215,11 +215,9 @@
     }
     assert_eq!(health.trust(back), Trust::Failing);
     health.served(back);
-    assert_eq!(
-        health.trust(back),
-        Trust::Failing,
-        "one success isn't enough"
-    );
+    health.served(back);
+    let after_two = health.trust(back);
+    assert_eq!(after_two, Trust::Failing, "two successes aren't enough");
     health.served(back);
     assert_eq!(health.trust(back), Trust::Sound);
 }
@@ -233,7 +231,28 @@
     assert_eq!(health.trust(NOW), Trust::Failing);
     assert_eq!(health.trust(TimeMs(NOW.0 + 1_000)), Trust::Failing);
     // It got no work meanwhile, so that no success could speak for it.
-    assert_eq!(health.trust(TimeMs(NOW.0 + 4_000)), Trust::Sound);
+    assert_eq!(health.trust(TimeMs(NOW.0 + 13_000)), Trust::Sound);
+}
+
+#[test]
+fn streams_leave_an_engine_that_loses_three_answers_in_ten() {
+    let service = service();
+    let stream = prompt(10, 200, 500, 900);
+    let near = place(&service, &stream, "dc-0");
+    let health = &service.all[near.at()].health;
+    health.failed(NOW);
+    health.served(NOW);
+    health.served(NOW);
+    assert_ne!(place(&service, &stream, "dc-0"), near);
+    // Where all lose as many, nothing is gained by going elsewhere.
+    for endpoint in &service.all {
+        if endpoint.index != near {
+            endpoint.health.failed(NOW);
+            endpoint.health.served(NOW);
+            endpoint.health.served(NOW);
+        }
+    }
+    assert_eq!(place(&service, &stream, "dc-0"), near);
 }
 
 #[test]
