fix(gateway): a stream that ends inside an event never looks complete; fewer public parts

Cause: making modules private showed a method that nothing called: whether a stream stands inside an event. A worker's answer without a length that ended there was passed on as whole. Change: it is broken off, or taken up elsewhere where the route allows it; nine modules are the package's own, dead code is out. Test: exchange.rs, fails before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,11 +8,9 @@
 use crate::queue_delay::Pending;
 use crate::request::Inbound;
 use bridgevane_types::{DurationMs, TimeMs};
-use bytes::Bytes;
 use derive_more::Display;
-use http::header::{CONNECTION, HeaderName, RETRY_AFTER};
-use http::{HeaderMap, HeaderValue, Request, StatusCode, response};
-use http_body_util::Full;
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, RETRY_AFTER, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, StatusCode, response};
 use hyper::body::Incoming;
 use std::pin::pin;
 use std::sync::Arc;
@@ -146,6 +144,12 @@
 }
 
 impl Answer {
+    /// Whether only the end of the connection tells the end of the body.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = &self.head.headers;
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// The body was read to its end: the connection may carry another request.
     pub fn finish(self) {
         if let Some(limit) = rest_limit(&self.head.headers) {
@@ -317,6 +321,3 @@
         endpoint.load.report(gateway.now(), reported);
     }
 }
-
-/// The type of what is sent to endpoints.
-pub type Outbound = Request<Full<Bytes>>;
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -82,26 +82,18 @@
 #[derive(Debug)]
 pub struct Resting {
     connection: Connection,
-    since: Instant,
     until: Instant,
 }
 
 impl Resting {
     /// A connection that may rest for `limit`.
     pub fn new(connection: Connection, limit: Duration) -> Self {
-        let since = Instant::now();
         Self {
             connection,
-            since,
-            until: since + limit,
+            until: Instant::now() + limit,
         }
     }
 
-    /// How long it has rested.
-    pub fn rested(&self) -> Duration {
-        self.since.elapsed()
-    }
-
     /// The connection, if it may still be used.
     pub fn wake(self) -> Option<Connection> {
         let is_open = self.connection.sender.is_ready() && !self.connection.sender.is_closed();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,30 +5,30 @@
 //! request, what may be sent again, what is refused, and whether what is believed is fresh
 //! enough to act on.
 
-pub mod admission;
-pub mod answer_body;
-pub mod attempt;
+mod admission;
+mod answer_body;
+mod attempt;
 pub mod connection;
 pub mod directory;
-pub mod exchange;
+mod exchange;
 pub mod follow;
 pub mod front;
 pub mod gateway;
 pub mod health;
-pub mod held;
+mod held;
 pub mod load;
 pub mod metrics;
 pub mod names;
 pub mod placement;
-pub mod pool;
+mod pool;
 pub mod queue_delay;
 pub mod ready;
-pub mod refusal;
-pub mod relay;
+mod refusal;
+mod relay;
 pub mod request;
 pub mod retry_budget;
 pub mod routing;
-pub mod server_events;
+mod server_events;
 pub mod settings;
 pub mod source;
 pub mod stop;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,6 +29,8 @@
     /// Set for streams that can be taken up.
     cutter: Option<EventCutter>,
     is_begun: bool,
+    /// The last bytes ended an event.
+    is_between_events: bool,
     pace: Pace,
 }
 
@@ -60,6 +62,7 @@
             exchange,
             answer: Some(answer),
             is_begun: false,
+            is_between_events: true,
             pace: Pace::default(),
         }
     }
@@ -83,6 +86,7 @@
                     }
                     return Some(Ok(passed));
                 }
+                Ok(None) if self.ends_too_soon() => BrokenOff::ByEndpoint,
                 Ok(None) => return self.end(),
                 Ok(Some(Err(_))) => BrokenOff::ByEndpoint,
                 Err(_) => BrokenOff::OutOfTime,
@@ -108,7 +112,21 @@
             .read(gateway.now(), prompt, &answer.endpoint);
     }
 
+    /// Whether the body ends inside an event, and nothing but the end of the connection says
+    /// that it is the end.
+    fn ends_too_soon(&self) -> bool {
+        let Some(answer) = &self.answer else {
+            return false;
+        };
+        let is_inside = match &self.cutter {
+            Some(cutter) => cutter.is_inside_event(),
+            None => !self.is_between_events,
+        };
+        is_inside && answer.head.status.is_success() && answer.ends_with_connection()
+    }
+
     fn pass(&mut self, data: Bytes) -> Bytes {
+        self.is_between_events = data.ends_with(b"\n\n") || data.ends_with(b"\r\n\r\n");
         match &mut self.cutter {
             Some(cutter) => cutter.push(&data),
             None => data,
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -318,3 +318,20 @@
     assert_eq!((got.status, got.is_whole), (200, true));
     assert_eq!(runs(&endpoints), 2);
 }
+
+fn ends_inside_an_event_without_a_length(_: usize) -> Vec<Act> {
+    let text = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\r\n\
+                id: 1\ndata: piece 1\n\nid: 2\nda";
+    vec![Act::Send(text.into()), Act::Close]
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_inside_an_event_never_looks_complete() {
+    let (running, endpoints) = stage(Vec::new(), ends_inside_an_event_without_a_length).await;
+    let got = ask(&running, "POST", "/stream/x").await.expect("an answer");
+    assert_eq!((got.status, got.is_whole), (200, false));
+    assert_eq!(runs(&endpoints), 1);
+    let got = ask(&running, "POST", "/resume/x").await.expect("an answer");
+    assert_eq!((got.status, got.is_whole), (200, false));
+    assert_eq!(runs(&endpoints), 3, "it was taken up once");
+}
