--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,8 +1,9 @@
 //! The gateway as separate processes before the emulated platform.
 
-use bridgevane_platform_emulator::{Behaviour, Fault, Store, Worker};
+use bridgevane_platform_emulator::{
+    Behaviour, CONFIG_KEY, Fault, MODEL, PLAIN, Store, Worker, document, request,
+};
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::process::Stdio;
 use std::time::Duration;
@@ -10,8 +11,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::process::{Child, Command};
 
-const MODEL: &str = "model";
-const PLAIN: &str = "plain";
 const LIMIT: Duration = Duration::from_secs(20);
 
 /// Store, workers and gateways.
@@ -27,31 +26,6 @@
     ready: SocketAddr,
 }
 
-fn document(version: u64) -> Value {
-    let route = |name: &str, kind: &str, service: &str, resumable: bool, attempts: u32| {
-        json!({
-            "name": name, "host": "h.example", "pathPrefix": format!("/{name}/"), "kind": kind,
-            "timeoutMs": 5000, "sloMs": 1000, "priority": 1, "service": service,
-            "maxAttempts": attempts, "public": false, "affinity": service == MODEL,
-            "resumable": resumable, "gapTargetMs": 500,
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("once", "non_idempotent", PLAIN, false, 1),
-            route("stream", "streaming", MODEL, false, 1),
-            route("resume", "streaming", MODEL, true, 2),
-        ],
-        "services": [{ "name": PLAIN, "maxConns": 50 }, { "name": MODEL, "maxConns": 50 }],
-        "limits": {
-            "headerBytes": 16384, "bodyBytes": 100000, "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-        "tenants": [{ "name": "c", "apiKeys": ["k"], "priority": 0 }],
-    })
-}
-
 /// An address that was free a moment ago.
 async fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -88,7 +62,7 @@
 
 async fn stage(gateways: usize) -> Stage {
     let store = Store::start().await;
-    store.put("op/config", &document(1));
+    store.put(CONFIG_KEY, &document(1));
     let whole = Behaviour::Whole(Duration::ZERO);
     let events = Behaviour::Events(4, Duration::from_millis(10));
     let workers = vec![
@@ -97,8 +71,7 @@
         Worker::start("i-model-2", events).await,
     ];
     for (worker, service) in workers.iter().zip([PLAIN, MODEL, MODEL]) {
-        let key = format!("servers/{}", worker.id);
-        store.put(&key, &worker.record(service, "z", "ready"));
+        store.put(&worker.key(), &worker.record(service, "z", "ready"));
     }
     let mut stage = Stage {
         store,
@@ -138,14 +111,6 @@
     exchange(gateway.ready, text).await.contains(" 200 ")
 }
 
-fn request(path: &str, id: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nhost: h.example\r\nattempt-id: {id}\r\ndeadline-ms: 4000\r\n\
-         authorization: Token k\r\ntoken-usage: 100,40\r\nprompt-prefix: aa:60,bb:40\r\n\
-         connection: close\r\ncontent-length: 2\r\n\r\nhi"
-    )
-}
-
 impl Stage {
     async fn ask(&self, path: &str, id: &str) -> String {
         exchange(self.gateways[0].clients, &request(path, id)).await
