--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -54,6 +54,8 @@
     1205 SourceReloaded Info "the state was read again as a whole";
     1206 FreshnessLost Warn "nothing proves that the configuration is the newest";
     1207 FreshnessRegained Info "the configuration is proved to be the newest again";
+    1208 UpstreamChanged Info "the control source is followed another way";
+    1209 PeerLost Warn "another daemon that was followed gives nothing";
     1301 RequestRefused Debug "a request was refused";
     1302 RequestFailed Warn "a request failed";
     1303 PieceDropped Warn "a late, repeated or crossed piece was dropped";
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,9 +1,13 @@
-//! Following the control source: read everything once, then wait for changes.
+//! Following the control source, by itself or by another daemon: read everything once, then
+//! wait for changes.
 
 use crate::gateway::Gateway;
-use crate::source::{ControlSource, Revision, SourceError};
+use crate::replication::replica::Update;
+use crate::replication::upstream::{Report, Upstream, UpstreamSelector};
+use crate::replication::{PeerAnswer, PeerClient, PeerError};
+use crate::source::{Changes, ControlSource, FullState, Revision, SourceError};
 use bridgevane_events::{Event, event};
-use bridgevane_types::DurationMs;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -20,17 +24,26 @@
 
 /// How long changes gather before the next call.
 const GATHER: Duration = Duration::from_millis(200);
-/// Each endpoint makes a wait so much longer, up to twice the shortest.
-const WAIT_PER_ENDPOINT_MS: u64 = 10;
 
 /// Follows the source until the daemon ends.
 pub async fn run<S: ControlSource>(gateway: Arc<Gateway>, source: S) {
+    let settings = &gateway.settings;
+    let upstreams = UpstreamSelector::new(
+        gateway.now(),
+        settings.data_centre.clone(),
+        settings.peer_address,
+        &settings.seed_addresses,
+    );
     let mut follower = Follower {
+        upstreams,
         gateway,
         source,
-        at: None,
+        peers: PeerClient::default(),
+        followed: None,
+        needs_everything: true,
         pause: FIRST_PAUSE,
-        is_lost: false,
+        is_source_lost: false,
+        was_fresh: false,
     };
     loop {
         follower.step().await;
@@ -40,85 +53,173 @@
 struct Follower<S> {
     gateway: Arc<Gateway>,
     source: S,
-    /// Where the next wait for changes begins; none: the full state is needed.
-    at: Option<Revision>,
+    upstreams: UpstreamSelector,
+    peers: PeerClient,
+    /// The upstream of the step before.
+    followed: Option<Upstream>,
+    /// What is known can't be brought up to date by changes.
+    needs_everything: bool,
     pause: Duration,
-    is_lost: bool,
+    is_source_lost: bool,
+    was_fresh: bool,
 }
 
 impl<S: ControlSource> Follower<S> {
     async fn step(&mut self) {
+        let upstream = self.upstreams.next(self.gateway.now());
+        self.note_upstream(upstream);
+        let is_well = match upstream {
+            Upstream::Source => self.follow_source().await,
+            Upstream::Peer(peer) => self.follow_peer(peer).await,
+        };
+        self.note_freshness();
+        if is_well {
+            self.pause = FIRST_PAUSE;
+            return;
+        }
+        tokio::time::sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(MAX_PAUSE);
+    }
+
+    /// One call of the source; false when it gave nothing.
+    async fn follow_source(&mut self) -> bool {
+        self.peers.close();
         let asked_at = self.gateway.now();
-        let result = match self.at {
-            None => self.reload().await,
-            Some(at) => self.wait(at).await,
+        let result = if self.needs_everything {
+            self.reload().await
+        } else {
+            self.wait().await
         };
-        let outcome = result.map(|_| ());
-        self.gateway.metrics.source_called(outcome);
+        self.gateway.metrics.source_called(result);
         match result {
-            Ok(at) => {
-                self.at = Some(at);
-                self.gateway.view.prove(asked_at);
-                self.regained();
+            Ok(()) => {
+                self.needs_everything = false;
+                self.gateway.prove(asked_at);
+                self.upstreams.source_answered();
+                if std::mem::take(&mut self.is_source_lost) {
+                    event!(Event::SourceRegained);
+                }
+                true
+            }
+            Err(SourceError::HistoryLost) if !self.needs_everything => {
+                self.needs_everything = true;
+                true
+            }
+            Err(error) => {
+                self.upstreams.source_failed(self.gateway.now());
+                if !std::mem::replace(&mut self.is_source_lost, true) {
+                    event!(Event::SourceLost, cause = error);
+                }
+                false
             }
-            Err(error) => self.failed(error).await,
         }
     }
 
-    async fn reload(&mut self) -> Result<Revision, SourceError> {
+    async fn reload(&mut self) -> Result<(), SourceError> {
         let reading = timeout(RELOAD_LIMIT, self.source.full_state()).await;
         let state = reading.map_err(|_| SourceError::NoAnswer)??;
-        let at = state.at;
         event!(
             Event::SourceReloaded,
-            revision = at,
+            revision = state.at,
             records = state.records.len()
         );
-        self.gateway.view.replace(state);
-        Ok(at)
+        self.gateway.replace(&self.source, &state);
+        Ok(())
     }
 
-    async fn wait(&mut self, at: Revision) -> Result<Revision, SourceError> {
-        let wait = self.wait_time();
+    async fn wait(&mut self) -> Result<(), SourceError> {
+        let at = self.gateway.replica().at();
+        let wait = self.gateway.settings.watch_wait_ms;
         let limit = wait.as_std() + WAIT_SLACK;
         let waiting = timeout(limit, self.source.changes(at, wait)).await;
         let changes = waiting.map_err(|_| SourceError::NoAnswer)??;
-        let next = changes.at;
-        let has_changes = !changes.changes.is_empty();
-        self.gateway.view.apply(changes.changes);
+        let has_changes = !changes.records.is_empty();
+        self.gateway.apply(&self.source, changes);
         if has_changes {
             // Changes come in flocks: one call takes what another would each.
             tokio::time::sleep(GATHER).await;
         }
-        Ok(next.max(at))
+        Ok(())
     }
 
-    /// How long a wait lasts: where there are many endpoints there are many daemons, and the
-    /// source bears only so many calls of all together.
-    fn wait_time(&self) -> DurationMs {
-        let shortest = self.gateway.settings.watch_wait_ms.0;
-        let endpoints = self.gateway.view.endpoint_count() as u64;
-        let longer = (endpoints * WAIT_PER_ENDPOINT_MS).min(shortest);
-        DurationMs(shortest + longer)
+    /// One question to another daemon; false when its answer is of no use.
+    async fn follow_peer(&mut self, peer: SocketAddr) -> bool {
+        let at = if self.needs_everything {
+            Revision(0)
+        } else {
+            self.gateway.replica().at()
+        };
+        let asked = self.peers.ask(&self.gateway, peer, at).await;
+        let taken = asked.and_then(|answer| self.take_in(answer));
+        self.gateway.metrics.peer_asked(taken.as_ref().err());
+        let now = self.gateway.now();
+        match taken {
+            Ok(report) => {
+                self.upstreams.peer_answered(now, peer, &report);
+                report.proof_age.is_some()
+            }
+            Err(error) => {
+                self.upstreams.peer_failed(now, peer);
+                event!(Event::PeerLost, peer = peer, cause = error);
+                false
+            }
+        }
     }
 
-    fn regained(&mut self) {
-        self.pause = FIRST_PAUSE;
-        if std::mem::take(&mut self.is_lost) {
-            event!(Event::SourceRegained);
+    /// Takes in an answer, and notes what it proves.
+    fn take_in(&mut self, answer: PeerAnswer) -> Result<Report, PeerError> {
+        let report = Report {
+            proof_age: answer.proof_age(self.gateway.now()),
+            data_centre: answer.data_centre,
+            redirect: answer.redirect,
+        };
+        let (is_whole, changes) = match answer.update {
+            Update::Everything(changes) => (true, changes),
+            Update::Changes(changes) => (false, changes),
+        };
+        let resolved = self.gateway.replica().resolve(changes);
+        self.needs_everything |= resolved.is_err();
+        let records = resolved.map_err(|_| PeerError::Unreadable)?;
+        let at = answer.at;
+        if is_whole {
+            let state = FullState { at, records };
+            self.gateway.replace(&self.source, &state);
+        } else {
+            let changes = Changes { at, records };
+            self.gateway.apply(&self.source, changes);
         }
+        if let Some(proved_at) = answer.proved_at {
+            self.needs_everything = false;
+            self.gateway.prove(proved_at);
+        }
+        Ok(report)
     }
 
-    async fn failed(&mut self, error: SourceError) {
-        let had_history = self.at.is_some();
-        if error == SourceError::HistoryLost && had_history {
-            self.at = None;
+    fn note_upstream(&mut self, upstream: Upstream) {
+        if self.followed == Some(upstream) {
             return;
         }
-        if !std::mem::replace(&mut self.is_lost, true) {
-            event!(Event::SourceLost, cause = error);
+        self.followed = Some(upstream);
+        let age = self.gateway.view.proof_age(self.gateway.now());
+        event!(
+            Event::UpstreamChanged,
+            upstream = upstream,
+            proof_age_ms = age.map_or(-1, |age| age.0 as i64),
+            revision = self.gateway.replica().at()
+        );
+    }
+
+    fn note_freshness(&mut self) {
+        let is_fresh = self.gateway.is_fresh();
+        if std::mem::replace(&mut self.was_fresh, is_fresh) == is_fresh {
+            return;
         }
-        tokio::time::sleep(self.pause).await;
-        self.pause = (self.pause * 2).min(MAX_PAUSE);
+        let event = if is_fresh {
+            Event::FreshnessRegained
+        } else {
+            Event::FreshnessLost
+        };
+        let age = self.gateway.view.proof_age(self.gateway.now());
+        event!(event, proof_age_ms = age.map_or(-1, |age| age.0 as i64));
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,13 +3,16 @@
 use crate::metrics::GatewayMetrics;
 use crate::names::HeaderNames;
 use crate::placement::Placement;
+use crate::replication::Downstreams;
+use crate::replication::replica::Replica;
 use crate::retry_budget::RetryBudgets;
 use crate::settings::GatewaySettings;
+use crate::source::{ChangeAt, Changes, ControlSource, FullState, SourceRecord};
 use crate::view::View;
 use bridgevane_types::TimeMs;
 use opentelemetry::metrics::Meter;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -28,6 +31,16 @@
     Ended,
 }
 
+/// What records say, for those that say something.
+fn read(source: &impl ControlSource, records: &[SourceRecord]) -> Vec<ChangeAt> {
+    let read = |record: &SourceRecord| {
+        let change = source.read(record)?;
+        let revision = record.revision;
+        Some(ChangeAt { revision, change })
+    };
+    records.iter().filter_map(read).collect()
+}
+
 /// The gateway's shared state.
 #[derive(Debug)]
 pub struct Gateway {
@@ -51,6 +64,10 @@
     closes_resting: AtomicBool,
     stopping: Notify,
     accepting: watch::Sender<Accepting>,
+    replica: Mutex<Replica>,
+    downstreams: Mutex<Downstreams>,
+    /// Counts what was taken in and proved.
+    progress: watch::Sender<u64>,
     started: Instant,
 }
 
@@ -60,6 +77,9 @@
         Arc::new(Self {
             retry_budgets: RetryBudgets::new(&settings),
             metrics: GatewayMetrics::new(meter),
+            replica: Mutex::default(),
+            downstreams: Mutex::new(Downstreams::new(settings.data_centre.clone())),
+            progress: watch::Sender::new(0),
             settings,
             names,
             view: View::default(),
@@ -85,6 +105,46 @@
         TimeMs(instant.duration_since(self.started).as_millis() as u64)
     }
 
+    /// The records of the control source.
+    pub(crate) fn replica(&self) -> MutexGuard<'_, Replica> {
+        self.replica.lock().expect("no panic under this lock")
+    }
+
+    /// The daemons that follow this one.
+    pub(crate) fn downstreams(&self) -> MutexGuard<'_, Downstreams> {
+        self.downstreams.lock().expect("no panic under this lock")
+    }
+
+    /// Tells when something was taken in or proved.
+    pub(crate) fn progress(&self) -> watch::Receiver<u64> {
+        self.progress.subscribe()
+    }
+
+    /// Takes in changes.
+    pub fn apply(&self, source: &impl ControlSource, changes: Changes) {
+        let new = self.replica().apply(changes);
+        self.view.apply(read(source, &new));
+        self.note_progress();
+    }
+
+    /// Takes in everything as it stands.
+    pub fn replace(&self, source: &impl ControlSource, state: &FullState) {
+        if self.replica().replace(state) {
+            self.view.replace(state.at, read(source, &state.records));
+        }
+        self.note_progress();
+    }
+
+    /// Notes that what was taken in was the newest at `asked_at`.
+    pub fn prove(&self, asked_at: TimeMs) {
+        self.view.prove(asked_at);
+        self.note_progress();
+    }
+
+    fn note_progress(&self) {
+        self.progress.send_modify(|count| *count += 1);
+    }
+
     /// Whether something proves that the configuration is fresh enough to act on.
     pub fn is_fresh(&self) -> bool {
         let age = self.view.proof_age(self.now());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ready;
 mod refusal;
 mod relay;
+pub mod replication;
 pub mod request;
 pub mod retry_budget;
 pub mod routing;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::AttemptError;
 use crate::refusal::Refusal;
+use crate::replication::PeerError;
 use crate::source::SourceError;
 use bridgevane_types::ServiceName;
 use opentelemetry::KeyValue;
@@ -20,6 +21,7 @@
     broken_off: Counter<u64>,
     failed_attempts: Counter<u64>,
     source_calls: Counter<u64>,
+    peer_questions: Counter<u64>,
     first_byte_s: Histogram<f64>,
 }
 
@@ -33,6 +35,7 @@
             broken_off: counter("bridgevane_gateway_broken_off"),
             failed_attempts: counter("bridgevane_gateway_failed_attempts"),
             source_calls: counter("bridgevane_gateway_source_calls"),
+            peer_questions: counter("bridgevane_gateway_peer_questions"),
             first_byte_s: meter
                 .f64_histogram("bridgevane_gateway_first_byte_seconds")
                 .with_boundaries(FIRST_BYTE_BUCKETS_S.to_vec())
@@ -74,4 +77,11 @@
         };
         self.source_calls.add(1, &[KeyValue::new("result", result)]);
     }
+
+    /// Another daemon was asked.
+    pub(crate) fn peer_asked(&self, error: Option<&PeerError>) {
+        let result = error.map_or_else(|| "ok".to_owned(), ToString::to_string);
+        self.peer_questions
+            .add(1, &[KeyValue::new("result", result)]);
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/replication/mod.rs
@@ -0,0 +1,18 @@
+//! Daemons pass on to each other what the control source tells, and how fresh it is, so that
+//! the source bears a few callers and not one for each daemon, and so that a daemon that the
+//! source turns away goes on with what its neighbours know.
+//!
+//! A daemon follows one upstream at a time: the source itself, or another daemon
+//! ([`upstream`]). What it has taken in stands in its [`replica`], from which it answers
+//! daemons that follow it ([`server`]).
+
+mod client;
+mod downstreams;
+mod message;
+pub mod patch;
+pub mod replica;
+pub mod server;
+pub mod upstream;
+
+pub(crate) use client::{PeerAnswer, PeerClient, PeerError};
+pub use downstreams::{Admission, Downstreams, Follower};
--- /dev/null
+++ b/crates/gateway/src/replication/patch.rs
@@ -0,0 +1,62 @@
+//! A value told by what differs from the value before it.
+//!
+//! An operator's change touches a small part of a large document: all of it is not sent again.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use derive_more::{Display, Error};
+
+/// A patch must be shorter than the whole value by this factor to be worth it.
+const WORTH: usize = 2;
+
+/// What differs between two values.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Patch {
+    /// Bytes that stay at the start.
+    pub kept_head: usize,
+    /// Bytes that stay at the end.
+    pub kept_tail: usize,
+    /// What stands between them now.
+    pub inserted: Bytes,
+}
+
+/// The value before is too short for the patch.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("the patch doesn't fit the value before")]
+pub struct DoesNotFit;
+
+impl Patch {
+    /// What leads from `old` to `new`; none where it would not be much shorter than `new`.
+    pub fn between(old: &Bytes, new: &Bytes) -> Option<Self> {
+        let same = |pairs: (&u8, &u8)| pairs.0 == pairs.1;
+        let kept_head = old.iter().zip(new.iter()).take_while(|p| same(*p)).count();
+        let old_rest = &old[kept_head..];
+        let new_rest = &new[kept_head..];
+        let from_end = old_rest.iter().rev().zip(new_rest.iter().rev());
+        let kept_tail = from_end.take_while(|p| same(*p)).count();
+        let inserted = new.slice(kept_head..new.len() - kept_tail);
+        (inserted.len() * WORTH < new.len()).then_some(Self {
+            kept_head,
+            kept_tail,
+            // A copy: a slice would keep all of `new` in memory.
+            inserted: Bytes::copy_from_slice(&inserted),
+        })
+    }
+
+    /// The new value.
+    ///
+    /// # Errors
+    /// When `old` is not the value that the patch was made for.
+    pub fn apply(&self, old: &Bytes) -> Result<Bytes, DoesNotFit> {
+        let kept = self.kept_head.checked_add(self.kept_tail);
+        if kept.is_none_or(|kept| kept > old.len()) {
+            return Err(DoesNotFit);
+        }
+        let tail = &old[old.len() - self.kept_tail..];
+        let length = self.kept_head + self.inserted.len() + tail.len();
+        let mut new = BytesMut::with_capacity(length);
+        new.put_slice(&old[..self.kept_head]);
+        new.put_slice(&self.inserted);
+        new.put_slice(tail);
+        Ok(new.freeze())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/replication/replica.rs
@@ -0,0 +1,218 @@
+//! The records of the control source as this daemon has them, and the changes that made them,
+//! for daemons that follow it.
+
+use crate::replication::patch::{DoesNotFit, Patch};
+use crate::source::{Changes, FullState, Revision, SourceRecord};
+use bytes::Bytes;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Changes that are remembered at most; who is further behind gets everything.
+const MAX_CHANGES: usize = 512;
+/// Bytes of remembered changes at most.
+const MAX_CHANGE_BYTES: usize = 256 * 1024;
+
+/// What became of a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Its whole value.
+    Whole(Bytes),
+    /// How its value differs from the one of `base`.
+    Patched {
+        /// The revision of the value before.
+        base: Revision,
+        /// The difference.
+        patch: Patch,
+    },
+    /// It is gone.
+    Gone,
+}
+
+/// A change of one record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecordChange {
+    /// The record's key.
+    pub key: String,
+    /// The revision that made it.
+    pub revision: Revision,
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
+impl RecordChange {
+    fn bytes(&self) -> usize {
+        let value = match &self.outcome {
+            Outcome::Whole(value) => value.len(),
+            Outcome::Patched { patch, .. } => patch.inserted.len(),
+            Outcome::Gone => 0,
+        };
+        self.key.len() + value
+    }
+}
+
+/// What one daemon tells another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Update {
+    /// The changes since the revision that was asked for.
+    Changes(Vec<RecordChange>),
+    /// All records.
+    Everything(Vec<RecordChange>),
+}
+
+#[derive(Clone, Debug)]
+struct Value {
+    revision: Revision,
+    bytes: Bytes,
+}
+
+/// The records.
+#[derive(Debug, Default)]
+pub struct Replica {
+    at: Revision,
+    records: BTreeMap<String, Value>,
+    /// Changes after this revision are all remembered.
+    remembered_after: Revision,
+    changes: VecDeque<RecordChange>,
+    change_bytes: usize,
+}
+
+impl Replica {
+    /// The revision up to which it has every change.
+    pub fn at(&self) -> Revision {
+        self.at
+    }
+
+    /// Takes in all records of a source; false when this replica has newer ones.
+    pub fn replace(&mut self, state: &FullState) -> bool {
+        if state.at < self.at {
+            return false;
+        }
+        let valued = state.records.iter().filter_map(|record| {
+            let bytes = record.value.clone()?;
+            let revision = record.revision;
+            Some((record.key.clone(), Value { revision, bytes }))
+        });
+        self.records = valued.collect();
+        self.at = state.at;
+        // Records may be newer than the state as a whole: whoever lacks one gets everything.
+        let newest = self.records.values().map(|value| value.revision);
+        self.remembered_after = newest.fold(state.at, Revision::max);
+        self.changes.clear();
+        self.change_bytes = 0;
+        true
+    }
+
+    /// Takes in changes of a source; gives those that were new.
+    pub fn apply(&mut self, changes: Changes) -> Vec<SourceRecord> {
+        let mut records = changes.records;
+        records.retain(|record| self.apply_record(record));
+        self.at = self.at.max(changes.at);
+        records
+    }
+
+    /// Takes in a record; false when it is not new.
+    fn apply_record(&mut self, record: &SourceRecord) -> bool {
+        let known = self.records.get(&record.key);
+        let is_known = known.is_some_and(|known| known.revision >= record.revision);
+        if is_known || record.revision <= self.at {
+            return false;
+        }
+        let outcome = match (&record.value, known) {
+            (None, _) => Outcome::Gone,
+            (Some(new), Some(old)) => match Patch::between(&old.bytes, new) {
+                Some(patch) => Outcome::Patched {
+                    base: old.revision,
+                    patch,
+                },
+                None => Outcome::Whole(new.clone()),
+            },
+            (Some(new), None) => Outcome::Whole(new.clone()),
+        };
+        match &record.value {
+            None => {
+                self.records.remove(&record.key);
+            }
+            Some(bytes) => {
+                let value = Value {
+                    revision: record.revision,
+                    bytes: bytes.clone(),
+                };
+                self.records.insert(record.key.clone(), value);
+            }
+        }
+        self.remember(RecordChange {
+            key: record.key.clone(),
+            revision: record.revision,
+            outcome,
+        });
+        true
+    }
+
+    fn remember(&mut self, change: RecordChange) {
+        self.change_bytes += change.bytes();
+        self.changes.push_back(change);
+        while self.changes.len() > MAX_CHANGES || self.change_bytes > MAX_CHANGE_BYTES {
+            let Some(oldest) = self.changes.pop_front() else {
+                return;
+            };
+            self.change_bytes -= oldest.bytes();
+            self.remembered_after = self.remembered_after.max(oldest.revision);
+        }
+    }
+
+    /// What a daemon that has every change up to `after` lacks.
+    pub fn update_since(&self, after: Revision) -> Update {
+        if after < self.remembered_after || after == Revision(0) {
+            let all = self.records.iter().map(|(key, value)| RecordChange {
+                key: key.clone(),
+                revision: value.revision,
+                outcome: Outcome::Whole(value.bytes.clone()),
+            });
+            return Update::Everything(all.collect());
+        }
+        let newer = self.changes.iter().filter(|change| change.revision > after);
+        Update::Changes(newer.cloned().collect())
+    }
+
+    /// The records that changes from another daemon lead to, each on top of those before it.
+    ///
+    /// # Errors
+    /// When a change was made for a value that isn't here.
+    pub fn resolve(&self, changes: Vec<RecordChange>) -> Result<Vec<SourceRecord>, DoesNotFit> {
+        let mut newest: BTreeMap<String, Value> = BTreeMap::new();
+        let mut records = Vec::with_capacity(changes.len());
+        for change in changes {
+            let known = newest.get(&change.key);
+            let known = known.or_else(|| self.records.get(&change.key));
+            let value = value_after(&change, known)?;
+            if let Some(bytes) = &value {
+                let bytes = bytes.clone();
+                let revision = change.revision;
+                newest.insert(change.key.clone(), Value { revision, bytes });
+            }
+            records.push(SourceRecord {
+                key: change.key,
+                revision: change.revision,
+                value,
+            });
+        }
+        Ok(records)
+    }
+}
+
+/// The value of a record after a change; none: it is gone.
+fn value_after(change: &RecordChange, known: Option<&Value>) -> Result<Option<Bytes>, DoesNotFit> {
+    let (base, patch) = match &change.outcome {
+        Outcome::Gone => return Ok(None),
+        Outcome::Whole(value) => return Ok(Some(value.clone())),
+        Outcome::Patched { base, patch } => (*base, patch),
+    };
+    let known = known.ok_or(DoesNotFit)?;
+    if known.revision >= change.revision {
+        // It is known already: what comes of it is passed over.
+        return Ok(Some(known.bytes.clone()));
+    }
+    if known.revision != base {
+        return Err(DoesNotFit);
+    }
+    patch.apply(&known.bytes).map(Some)
+}
--- /dev/null
+++ b/crates/gateway/src/replication/server.rs
@@ -0,0 +1,148 @@
+//! Answering daemons that follow this one.
+
+use crate::connection::tune;
+use crate::gateway::Gateway;
+use crate::replication::downstreams::{Admission, Follower};
+use crate::replication::message::put_update;
+use crate::source::Revision;
+use bridgevane_protocol::frame::Body;
+use bridgevane_protocol::{Frame, FrameCodec, RecordsAnswer, RecordsWanted};
+use bridgevane_types::{DataCentreId, TimeMs, VmId};
+use futures_util::{SinkExt, StreamExt};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::codec::Framed;
+
+/// The pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long a question is held when there is nothing newer.
+const HOLD: Duration = Duration::from_millis(600);
+/// How long a daemon may take from one question to the next.
+const QUESTION_LIMIT: Duration = Duration::from_millis(5_000);
+/// Moments are whole milliseconds: an age may be so much more than their difference.
+const CLOCK_GRAIN_MS: u64 = 1;
+/// Connections of other daemons at most.
+const MAX_CONNECTIONS: u32 = 128;
+
+/// Counts a connection while it is open.
+struct Open(Arc<AtomicU32>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Answers until the daemon ends.
+pub async fn run(gateway: Arc<Gateway>, listener: TcpListener) {
+    let open = Arc::new(AtomicU32::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let before = open.fetch_add(1, Ordering::Relaxed);
+        let guard = Open(open.clone());
+        if before >= MAX_CONNECTIONS || tune(&stream).is_err() {
+            continue;
+        }
+        let gateway = gateway.clone();
+        tokio::spawn(async move {
+            let _guard = guard;
+            serve(&gateway, stream).await;
+        });
+    }
+}
+
+/// What was told last on a connection.
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    answers: u32,
+    proved_at: Option<TimeMs>,
+}
+
+/// Answers one daemon until it leaves or stays silent.
+async fn serve(gateway: &Gateway, stream: TcpStream) {
+    let mut frames = Framed::new(stream, FrameCodec::default());
+    let mut told = Told::default();
+    loop {
+        let Ok(Some(Ok(frame))) = timeout(QUESTION_LIMIT, frames.next()).await else {
+            return;
+        };
+        let Some(Body::RecordsWanted(wanted)) = frame.body else {
+            return;
+        };
+        let asked = Instant::now();
+        let redirect = redirect(gateway, told, &wanted);
+        if redirect.is_none() {
+            wait_for_news(gateway, told, &wanted, asked).await;
+        }
+        let (mut answer, proved_at) = answer(gateway, &wanted, asked);
+        answer.redirect = redirect.unwrap_or_default();
+        told = Told {
+            answers: told.answers + 1,
+            proved_at,
+        };
+        let body = Some(Body::RecordsAnswer(answer));
+        if frames.send(Frame { body }).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Where the daemon shall ask instead. Its first question on a connection is answered in any
+/// case: it may only want to know who is here.
+fn redirect(gateway: &Gateway, told: Told, wanted: &RecordsWanted) -> Option<String> {
+    if told.answers == 0 {
+        return None;
+    }
+    let follower = Follower {
+        vm: VmId::from(wanted.vm.as_str()),
+        data_centre: DataCentreId::from(wanted.data_centre.as_str()),
+        address: wanted.peer_address.parse().ok()?,
+    };
+    match gateway.downstreams().admit(gateway.now(), follower) {
+        Admission::Here => None,
+        Admission::Redirect(address) => Some(address.to_string()),
+    }
+}
+
+/// Waits until there is something that the daemon doesn't know, but not for long.
+async fn wait_for_news(gateway: &Gateway, told: Told, wanted: &RecordsWanted, asked: Instant) {
+    let mut progress = gateway.progress();
+    let waiting = progress.wait_for(|_| {
+        let has_changes = gateway.replica().at() > Revision(wanted.at);
+        let is_proved_anew = gateway.view.proved_at() > told.proved_at;
+        has_changes || is_proved_anew
+    });
+    // Without news the answer says so: this daemon is there.
+    let _ = timeout_at(asked + HOLD, waiting).await;
+}
+
+/// The answer as things stand, and the moment that its proof is from.
+fn answer(
+    gateway: &Gateway,
+    wanted: &RecordsWanted,
+    asked: Instant,
+) -> (RecordsAnswer, Option<TimeMs>) {
+    // A proof is noted after the state that it proves: while the replica can't change, what it
+    // holds is at least what the newest proof is about.
+    let replica = gateway.replica();
+    let proved_at = gateway.view.proved_at();
+    let update = replica.update_since(Revision(wanted.at));
+    let at = replica.at();
+    drop(replica);
+    let age = proved_at.map(|proved_at| gateway.now().since(proved_at));
+    let mut answer = RecordsAnswer {
+        at: at.0,
+        proof_age_ms: age.map(|age| age.0 + CLOCK_GRAIN_MS),
+        held_ms: asked.elapsed().as_millis() as u64,
+        data_centre: gateway.settings.data_centre.to_string(),
+        ..Default::default()
+    };
+    put_update(&mut answer, update);
+    (answer, proved_at)
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -14,6 +14,10 @@
     pub client_address: SocketAddr,
     /// Where the balancer asks whether the daemon is ready, and where metrics are served.
     pub ready_address: SocketAddr,
+    /// Where other daemons ask what this one has followed; none: nowhere.
+    pub peer_address: Option<SocketAddr>,
+    /// Peer addresses of the daemons that follow the control source; without any all do.
+    pub seed_addresses: Vec<SocketAddr>,
     /// How long a proof that the configuration is the newest lasts.
     pub proof_lifetime_ms: DurationMs,
     /// How long one wait for changes lasts at the control source.
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -3,6 +3,7 @@
 use crate::directory::EndpointRecord;
 use crate::routing::RoutingTable;
 use bridgevane_types::{DurationMs, EngineId};
+use bytes::Bytes;
 use derive_more::{Display, Error};
 use std::future::Future;
 use std::sync::Arc;
@@ -24,6 +25,17 @@
     Unreadable(&'static str),
 }
 
+/// A record in the source's own form. Daemons pass it on to each other without reading it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SourceRecord {
+    /// Its key.
+    pub key: String,
+    /// The revision that made it.
+    pub revision: Revision,
+    /// Its value; none: the record is gone.
+    pub value: Option<Bytes>,
+}
+
 /// A change and the revision that made it.
 #[derive(Clone, Debug)]
 pub struct ChangeAt {
@@ -39,7 +51,7 @@
     /// Changes after this revision may be missing.
     pub at: Revision,
     /// All records.
-    pub records: Vec<ChangeAt>,
+    pub records: Vec<SourceRecord>,
 }
 
 /// What has changed.
@@ -47,8 +59,8 @@
 pub struct Changes {
     /// Go on from here.
     pub at: Revision,
-    /// The changes, oldest first.
-    pub changes: Vec<ChangeAt>,
+    /// The records as they were written, oldest first.
+    pub records: Vec<SourceRecord>,
 }
 
 /// Why a call of the source failed.
@@ -83,4 +95,7 @@
         after: Revision,
         wait: DurationMs,
     ) -> impl Future<Output = Result<Changes, SourceError>> + Send;
+
+    /// What a record says; none for one that the product doesn't read.
+    fn read(&self, record: &SourceRecord) -> Option<Change>;
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::directory::{Directory, Endpoint};
 use crate::routing::RoutingTable;
-use crate::source::{Change, ChangeAt, FullState, Revision};
+use crate::source::{Change, ChangeAt, Revision};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bridgevane_decisions::EngineIx;
 use bridgevane_events::{Event, event};
@@ -54,20 +54,24 @@
     /// Notes that what is believed was the newest at `asked_at`.
     pub fn prove(&self, asked_at: TimeMs) {
         self.proved_at_ms
-            .fetch_max(asked_at.0 + 1, Ordering::Relaxed);
+            .fetch_max(asked_at.0 + 1, Ordering::AcqRel);
+    }
+
+    /// When the newest proof of freshness was asked for.
+    pub fn proved_at(&self) -> Option<TimeMs> {
+        let proved_at = self.proved_at_ms.load(Ordering::Acquire).checked_sub(1)?;
+        Some(TimeMs(proved_at))
     }
 
     /// How old the newest proof of freshness is.
     pub fn proof_age(&self, now: TimeMs) -> Option<DurationMs> {
-        let proved_at = self.proved_at_ms.load(Ordering::Relaxed).checked_sub(1)?;
-        Some(now.since(TimeMs(proved_at)))
+        Some(now.since(self.proved_at()?))
     }
 
-    /// Takes in the full state: endpoints that it doesn't hold are gone.
-    pub fn replace(&self, state: FullState) {
+    /// Takes in everything as it stood at a revision: endpoints that are not listed are gone.
+    pub fn replace(&self, at: Revision, records: Vec<ChangeAt>) {
         let mut ledger = self.ledger.lock().expect("no panic under this lock");
-        let listed: Vec<EngineId> = state
-            .records
+        let listed: Vec<EngineId> = records
             .iter()
             .filter_map(|record| match &record.change {
                 Change::Endpoint(endpoint) => Some(endpoint.id.clone()),
@@ -77,12 +81,12 @@
         let gone = ledger
             .endpoints
             .iter()
-            .filter(|(id, known)| known.revision <= state.at && !listed.contains(id));
+            .filter(|(id, known)| known.revision <= at && !listed.contains(id));
         let gone: Vec<EngineId> = gone.map(|(id, _)| id.clone()).collect();
         for id in gone {
-            self.remove(&mut ledger, &id, state.at);
+            self.remove(&mut ledger, &id, at);
         }
-        self.take_in(&mut ledger, state.records);
+        self.take_in(&mut ledger, records);
     }
 
     /// Takes in changes.
--- /dev/null
+++ b/crates/gateway/tests/replica.rs
@@ -0,0 +1,205 @@
+//! Records as one daemon passes them to another.
+
+use bridgevane_gateway::replication::patch::{DoesNotFit, Patch};
+use bridgevane_gateway::replication::replica::{Outcome, Replica, Update};
+use bridgevane_gateway::source::{Changes, FullState, Revision, SourceRecord};
+use bytes::Bytes;
+
+fn record(key: &str, revision: u64, value: Option<&str>) -> SourceRecord {
+    SourceRecord {
+        key: key.into(),
+        revision: Revision(revision),
+        value: value.map(|value| Bytes::copy_from_slice(value.as_bytes())),
+    }
+}
+
+fn changes(at: u64, records: Vec<SourceRecord>) -> Changes {
+    Changes {
+        at: Revision(at),
+        records,
+    }
+}
+
+fn state(at: u64, records: Vec<SourceRecord>) -> FullState {
+    FullState {
+        at: Revision(at),
+        records,
+    }
+}
+
+/// A document, one entry of which comes from a number.
+fn text(seed: u64) -> String {
+    let value = |at: u64| if at == seed % 40 { seed } else { 0 };
+    let entry = |at: u64| format!("{{\"entry\":{at},\"value\":{}}},", value(at));
+    (0..40).map(entry).collect()
+}
+
+/// Brings one replica up to date by another.
+fn follow(upstream: &Replica, downstream: &mut Replica) -> bool {
+    match upstream.update_since(downstream.at()) {
+        Update::Everything(all) => {
+            let records = downstream.resolve(all).expect("whole values");
+            downstream.replace(&state(upstream.at().0, records))
+        }
+        Update::Changes(newer) => {
+            let records = downstream.resolve(newer).expect("they fit");
+            downstream.apply(changes(upstream.at().0, records));
+            true
+        }
+    }
+}
+
+fn everything(replica: &Replica) -> Update {
+    replica.update_since(Revision(0))
+}
+
+#[test]
+fn a_patch_leads_from_any_value_to_any_other() {
+    for from in 0..40_u64 {
+        for to in 0..40_u64 {
+            let old = Bytes::from(text(from * 7919));
+            let new = Bytes::from(text(to * 104_729));
+            if let Some(patch) = Patch::between(&old, &new) {
+                assert_eq!(patch.apply(&old), Ok(new));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_small_change_of_a_large_value_is_told_by_little() {
+    let old = Bytes::from("a".repeat(100_000) + "old" + &"b".repeat(100_000));
+    let new = Bytes::from("a".repeat(100_000) + "newer" + &"b".repeat(100_000));
+    let patch = Patch::between(&old, &new).expect("it is worth it");
+    assert_eq!(patch.inserted, "newer");
+    assert_eq!(patch.apply(&Bytes::from("a")), Err(DoesNotFit));
+    let other = Patch::between(&Bytes::from("abc"), &Bytes::from("xyz"));
+    assert_eq!(other, None, "it is told as a whole");
+}
+
+#[test]
+fn a_follower_that_is_a_little_behind_gets_patches() {
+    let mut upstream = Replica::default();
+    upstream.replace(&state(5, vec![record("document", 5, Some(&text(1)))]));
+    let mut downstream = Replica::default();
+    assert!(follow(&upstream, &mut downstream));
+    let news = vec![
+        record("document", 6, Some(&text(2))),
+        record("document", 7, Some(&text(3))),
+        record("worker", 8, Some("here")),
+    ];
+    upstream.apply(changes(9, news));
+    let Update::Changes(newer) = upstream.update_since(downstream.at()) else {
+        panic!("it is not far behind");
+    };
+    let is_patch = |at: usize| matches!(newer[at].outcome, Outcome::Patched { .. });
+    assert!(is_patch(0) && is_patch(1), "one on top of the other");
+    assert!(follow(&upstream, &mut downstream));
+    assert_eq!(downstream.at(), Revision(9));
+    assert_eq!(everything(&downstream), everything(&upstream));
+}
+
+#[test]
+fn a_follower_that_is_far_behind_gets_everything() {
+    let mut upstream = Replica::default();
+    upstream.replace(&state(1, vec![record("worker", 1, Some("here"))]));
+    let mut downstream = Replica::default();
+    assert!(follow(&upstream, &mut downstream));
+    for revision in 2..2_000 {
+        let value = format!("value {revision}");
+        let news = vec![record("other", revision, Some(&value))];
+        upstream.apply(changes(revision, news));
+    }
+    upstream.apply(changes(2_000, vec![record("worker", 2_000, None)]));
+    assert!(matches!(
+        upstream.update_since(downstream.at()),
+        Update::Everything(_)
+    ));
+    assert!(follow(&upstream, &mut downstream));
+    assert_eq!(everything(&downstream), everything(&upstream));
+}
+
+#[test]
+fn a_record_that_was_read_ahead_of_its_state_is_not_lost_for_followers() {
+    let mut upstream = Replica::default();
+    upstream.replace(&state(1, vec![]));
+    let mut downstream = Replica::default();
+    downstream.replace(&state(1, vec![]));
+    // The pages of a state are read one after the other: a later one may hold newer records.
+    upstream.replace(&state(1, vec![record("worker", 3, Some("here"))]));
+    upstream.apply(changes(4, vec![record("worker", 3, Some("here"))]));
+    assert!(follow(&upstream, &mut downstream));
+    assert_eq!(everything(&downstream), everything(&upstream));
+}
+
+#[test]
+fn what_is_gone_does_not_come_back_by_an_older_upstream() {
+    let mut old = Replica::default();
+    old.replace(&state(5, vec![record("worker", 4, Some("here"))]));
+    let mut own = Replica::default();
+    own.replace(&state(5, vec![record("worker", 4, Some("here"))]));
+    own.apply(changes(6, vec![record("worker", 6, None)]));
+    let Update::Everything(all) = everything(&old) else {
+        panic!("everything was asked for");
+    };
+    let records = own.resolve(all).expect("whole values");
+    assert!(!own.replace(&state(5, records.clone())), "it is older");
+    assert!(own.apply(changes(5, records)).is_empty(), "nothing is new");
+    assert_eq!(own.at(), Revision(6));
+    assert_eq!(everything(&own), Update::Everything(vec![]));
+}
+
+#[test]
+fn a_patch_for_another_value_is_refused() {
+    let mut upstream = Replica::default();
+    upstream.replace(&state(5, vec![record("document", 5, Some(&text(1)))]));
+    upstream.apply(changes(6, vec![record("document", 6, Some(&text(2)))]));
+    let Update::Changes(newer) = upstream.update_since(Revision(5)) else {
+        panic!("it is not far behind");
+    };
+    let mut other = Replica::default();
+    other.replace(&state(4, vec![record("document", 3, Some(&text(1)))]));
+    assert_eq!(other.resolve(newer), Err(DoesNotFit));
+}
+
+/// Three daemons that follow a source or each other in any order end with what it holds, and
+/// none ever goes back: all orders of a bounded length are tried.
+#[test]
+fn in_every_order_of_steps_replicas_only_go_forward() {
+    const STEPS: u32 = 6;
+    const CHOICES: u32 = 6;
+    for code in 0..CHOICES.pow(STEPS) {
+        let mut source = Replica::default();
+        source.replace(&state(1, vec![record("document", 1, Some(&text(0)))]));
+        let mut daemons = [Replica::default(), Replica::default()];
+        let mut revision = 1;
+        for step in 0..STEPS {
+            let before = daemons.each_ref().map(Replica::at);
+            let [first, second] = &mut daemons;
+            match code / CHOICES.pow(step) % CHOICES {
+                0 => {
+                    revision += 1;
+                    let value = text(revision * 31);
+                    let news = vec![record("document", revision, Some(&value))];
+                    source.apply(changes(revision, news));
+                }
+                1 => {
+                    revision += 1;
+                    let value = (revision % 2 == 0).then_some("here");
+                    let news = vec![record("worker", revision, value)];
+                    source.apply(changes(revision, news));
+                }
+                2 => _ = follow(&source, first),
+                3 => _ = follow(&source, second),
+                4 => _ = follow(second, first),
+                _ => _ = follow(first, second),
+            }
+            let after = daemons.each_ref().map(Replica::at);
+            assert!(after >= before && after[1] >= before[1], "{code}");
+        }
+        for daemon in &mut daemons {
+            follow(&source, daemon);
+            assert_eq!(everything(daemon), everything(&source), "{code}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/replication.rs
@@ -0,0 +1,144 @@
+//! Daemons that follow each other, over real sockets.
+
+mod support;
+
+use bridgevane_gateway::replication::server;
+use bridgevane_gateway::routing::Repeatability::Idempotent;
+use bridgevane_gateway::settings::GatewaySettings;
+use bridgevane_gateway::source::SourceError;
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::client::{Client, request};
+use support::endpoint::{Endpoint, answer};
+use support::source::{KEY, OTHER_KEY, ScriptedSource, plain_route};
+use support::{Running, settings, start_with};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+struct Peer {
+    running: Running,
+    address: SocketAddr,
+    server: JoinHandle<()>,
+}
+
+fn peer_settings(vm: &str, own: SocketAddr, seeds: &[SocketAddr]) -> GatewaySettings {
+    GatewaySettings {
+        vm: vm.into(),
+        peer_address: Some(own),
+        seed_addresses: seeds.to_vec(),
+        ..settings()
+    }
+}
+
+/// A daemon that the others follow, if it is the first, or that follows `seed`.
+async fn peer(vm: &str, source: &ScriptedSource, seed: Option<SocketAddr>) -> Peer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let seeds = [seed.unwrap_or(address)];
+    let settings = peer_settings(vm, address, &seeds);
+    let running = start_with(source.clone(), settings).await;
+    let server = tokio::spawn(server::run(running.gateway.clone(), listener));
+    Peer {
+        running,
+        address,
+        server,
+    }
+}
+
+async fn source() -> (ScriptedSource, Endpoint) {
+    let source = ScriptedSource::new();
+    let routes = vec![plain_route("often", Idempotent, 2)];
+    source.configure(3, routes, &[KEY, OTHER_KEY]);
+    let endpoint = Endpoint::start(|_| vec![answer("200 OK", "fine")]).await;
+    source.endpoint("e-0", "plain", endpoint.address);
+    (source, endpoint)
+}
+
+/// A source that knows what records say, and lets nobody call it.
+fn unreachable(source: &ScriptedSource) -> ScriptedSource {
+    let own = source.with_faults_of_its_own();
+    own.fail(Some(SourceError::NotReached));
+    own
+}
+
+async fn status(peer: &Peer) -> u16 {
+    let mut client = Client::connect(peer.running.address).await;
+    client.send(&request("GET", "/often/x", "a1", "", "")).await;
+    client.answer().await.expect("an answer").status
+}
+
+async fn settle() {
+    tokio::time::sleep(Duration::from_millis(350)).await;
+}
+
+#[tokio::test]
+async fn a_daemon_that_never_reaches_the_source_serves_by_another() {
+    let (source, endpoint) = source().await;
+    let seed = peer("vm-1", &source, None).await;
+    let cut_off = unreachable(&source);
+    let child = peer("vm-2", &cut_off, Some(seed.address)).await;
+    assert_eq!(status(&child).await, 200);
+    source.configure(4, vec![plain_route("often", Idempotent, 2)], &[OTHER_KEY]);
+    settle().await;
+    assert_eq!(status(&child).await, 401, "the key's removal went through");
+    source.configure(5, vec![plain_route("often", Idempotent, 2)], &[KEY]);
+    source.drain("e-0", "plain", endpoint.address);
+    settle().await;
+    assert_eq!(status(&child).await, 503, "the endpoint drains");
+    assert_eq!(cut_off.full_reads(), 0);
+}
+
+#[tokio::test]
+async fn a_daemon_of_others_asks_the_source_nothing() {
+    let (source, _endpoint) = source().await;
+    let seed = peer("vm-1", &source, None).await;
+    let before = source.full_reads();
+    let child = peer("vm-2", &source, Some(seed.address)).await;
+    settle().await;
+    assert_eq!(status(&child).await, 200);
+    assert_eq!(source.full_reads(), before);
+}
+
+#[tokio::test]
+async fn the_age_of_a_proof_goes_along() {
+    let (source, endpoint) = source().await;
+    let seed = peer("vm-1", &source, None).await;
+    let child = peer("vm-2", &unreachable(&source), Some(seed.address)).await;
+    let grandchild = peer("vm-3", &unreachable(&source), Some(child.address)).await;
+    assert_eq!(status(&grandchild).await, 200);
+    let served = endpoint.count();
+    source.fail(Some(SourceError::NoAnswer));
+    // The daemons go on telling each other that there is nothing new, which proves nothing.
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    for peer in [&seed, &child, &grandchild] {
+        assert_eq!(status(peer).await, 503);
+        assert!(!peer.running.gateway.is_ready());
+    }
+    assert_eq!(endpoint.count(), served);
+    source.fail(None);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(status(&grandchild).await, 200);
+}
+
+#[tokio::test]
+async fn who_loses_its_upstream_goes_to_the_source() {
+    let (source, _endpoint) = source().await;
+    let seed = peer("vm-1", &source, None).await;
+    let child = peer("vm-2", &source, Some(seed.address)).await;
+    // Beyond the time in which daemons that start together wait for each other.
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    let waits = child.running.source.waits();
+    seed.server.abort();
+    seed.running.gateway.begin_stop();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    source.configure(4, vec![plain_route("often", Idempotent, 2)], &[OTHER_KEY]);
+    let fell_back = async {
+        while status(&child).await != 401 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let limit = Duration::from_millis(2_000);
+    let in_time = tokio::time::timeout(limit, fell_back).await;
+    in_time.expect("the key's removal is in force in time");
+    assert!(child.running.source.waits() > waits);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -48,6 +48,8 @@
         data_centre: "dc-1".into(),
         client_address: any,
         ready_address: any,
+        peer_address: None,
+        seed_addresses: Vec::new(),
         proof_lifetime_ms: DurationMs(700),
         watch_wait_ms: DurationMs(100),
         stop_ms: DurationMs(3_000),
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -6,7 +6,7 @@
     RoutingTable, Service, StreamPolicy,
 };
 use bridgevane_gateway::source::{
-    Change, ChangeAt, Changes, ControlSource, FullState, Revision, SourceError,
+    Change, Changes, ControlSource, FullState, Revision, SourceError, SourceRecord,
 };
 use bridgevane_types::{Bytes, ConfigVersion, DurationMs, EngineId, Tier, Tokens};
 use std::collections::HashMap;
@@ -14,12 +14,17 @@
 use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
 
+const CONFIG: &str = "config";
 pub const KEY: &str = "key-1";
 pub const OTHER_KEY: &str = "key-2";
 
 #[derive(Default)]
 struct State {
-    log: Vec<ChangeAt>,
+    log: Vec<(SourceRecord, Change)>,
+}
+
+#[derive(Default)]
+struct Calls {
     fault: Option<SourceError>,
     full_reads: usize,
     waits: usize,
@@ -29,6 +34,7 @@
 #[derive(Clone)]
 pub struct ScriptedSource {
     state: Arc<Mutex<State>>,
+    calls: Arc<Mutex<Calls>>,
     changed: Arc<watch::Sender<u64>>,
 }
 
@@ -36,14 +42,35 @@
     pub fn new() -> Self {
         Self {
             state: Arc::default(),
+            calls: Arc::default(),
             changed: Arc::new(watch::Sender::new(0)),
         }
     }
 
+    /// The same records, with calls that are counted and fail apart.
+    pub fn with_faults_of_its_own(&self) -> Self {
+        Self {
+            calls: Arc::default(),
+            ..self.clone()
+        }
+    }
+
     fn put(&self, change: Change) {
         let mut state = self.state.lock().unwrap();
         let revision = Revision(state.log.len() as u64 + 1);
-        state.log.push(ChangeAt { revision, change });
+        let (key, is_gone) = match &change {
+            Change::Routing(_) | Change::Unreadable(_) => (CONFIG.to_owned(), false),
+            Change::Endpoint(record) => (record.id.to_string(), false),
+            Change::EndpointGone(id) => (id.to_string(), true),
+        };
+        // The value is where the change stands in the log.
+        let value = (!is_gone).then(|| revision.0.to_string().into());
+        let record = SourceRecord {
+            key,
+            revision,
+            value,
+        };
+        state.log.push((record, change));
         drop(state);
         self.changed.send_modify(|count| *count += 1);
     }
@@ -91,27 +118,28 @@
 
     /// From now on every call fails so; none: they succeed.
     pub fn fail(&self, fault: Option<SourceError>) {
-        self.state.lock().unwrap().fault = fault;
+        self.calls.lock().unwrap().fault = fault;
         self.changed.send_modify(|count| *count += 1);
     }
 
     pub fn full_reads(&self) -> usize {
-        self.state.lock().unwrap().full_reads
+        self.calls.lock().unwrap().full_reads
     }
 
     pub fn waits(&self) -> usize {
-        self.state.lock().unwrap().waits
+        self.calls.lock().unwrap().waits
     }
 
     fn since(&self, after: Revision) -> Result<Option<Changes>, SourceError> {
-        let state = self.state.lock().unwrap();
-        if let Some(fault) = state.fault {
+        if let Some(fault) = self.calls.lock().unwrap().fault {
             return Err(fault);
         }
-        let newer = state.log.iter().filter(|change| change.revision > after);
-        let changes: Vec<ChangeAt> = newer.cloned().collect();
+        let state = self.state.lock().unwrap();
+        let records = state.log.iter().map(|(record, _)| record);
+        let newer = records.filter(|record| record.revision > after);
+        let records: Vec<SourceRecord> = newer.cloned().collect();
         let at = Revision(state.log.len() as u64);
-        Ok((!changes.is_empty()).then_some(Changes { at, changes }))
+        Ok((!records.is_empty()).then_some(Changes { at, records }))
     }
 }
 
@@ -128,20 +156,19 @@
 
 impl ControlSource for ScriptedSource {
     async fn full_state(&self) -> Result<FullState, SourceError> {
-        let mut state = self.state.lock().unwrap();
-        state.full_reads += 1;
-        if let Some(fault) = state.fault {
-            return Err(fault);
+        {
+            let mut calls = self.calls.lock().unwrap();
+            calls.full_reads += 1;
+            if let Some(fault) = calls.fault {
+                return Err(fault);
+            }
         }
-        let mut newest: HashMap<String, ChangeAt> = HashMap::new();
-        for change in &state.log {
-            match &change.change {
-                Change::Routing(_) => newest.insert(String::new(), change.clone()),
-                Change::Endpoint(record) => newest.insert(record.id.to_string(), change.clone()),
-                Change::EndpointGone(id) => newest.remove(&id.to_string()),
-                Change::Unreadable(_) => None,
-            };
+        let state = self.state.lock().unwrap();
+        let mut newest: HashMap<String, SourceRecord> = HashMap::new();
+        for (record, _) in &state.log {
+            newest.insert(record.key.clone(), record.clone());
         }
+        newest.retain(|_, record| record.value.is_some());
         Ok(FullState {
             at: Revision(state.log.len() as u64),
             records: newest.into_values().collect(),
@@ -149,7 +176,7 @@
     }
 
     async fn changes(&self, after: Revision, wait: DurationMs) -> Result<Changes, SourceError> {
-        self.state.lock().unwrap().waits += 1;
+        self.calls.lock().unwrap().waits += 1;
         let mut changed = self.changed.subscribe();
         let waiting = async {
             loop {
@@ -164,9 +191,21 @@
         let answered = tokio::time::timeout(wait.as_std(), waiting).await;
         answered.unwrap_or(Ok(Changes {
             at: after,
-            changes: Vec::new(),
+            records: Vec::new(),
         }))
     }
+
+    fn read(&self, record: &SourceRecord) -> Option<Change> {
+        let Some(value) = &record.value else {
+            return Some(Change::EndpointGone(EngineId::from(record.key.as_str())));
+        };
+        let revision: usize = std::str::from_utf8(value).ok()?.parse().ok()?;
+        let state = self.state.lock().unwrap();
+        state
+            .log
+            .get(revision - 1)
+            .map(|(_, change)| change.clone())
+    }
 }
 
 /// A route to a plain service, under `/name/`.
--- /dev/null
+++ b/crates/gateway/tests/upstream.rs
@@ -0,0 +1,168 @@
+//! Whom a daemon follows.
+
+use bridgevane_gateway::replication::upstream::{Report, STALE, Upstream, UpstreamSelector};
+use bridgevane_gateway::replication::{Admission, Downstreams, Follower};
+use bridgevane_types::{DurationMs, TimeMs};
+use std::net::SocketAddr;
+
+const FRESH: Option<DurationMs> = Some(DurationMs(500));
+/// Long after the start.
+const LATER: TimeMs = TimeMs(10_000);
+
+fn address(at: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + at))
+}
+
+fn seeds() -> [SocketAddr; 3] {
+    [address(1), address(2), address(3)]
+}
+
+fn selector(own: u16) -> UpstreamSelector {
+    UpstreamSelector::new(TimeMs(0), "dc-1".into(), Some(address(own)), &seeds())
+}
+
+fn report(data_centre: &str, proof_age: Option<DurationMs>) -> Report {
+    Report {
+        data_centre: data_centre.into(),
+        redirect: None,
+        proof_age,
+    }
+}
+
+fn peer(upstream: Upstream) -> SocketAddr {
+    match upstream {
+        Upstream::Peer(address) => address,
+        Upstream::Source => panic!("a daemon was expected"),
+    }
+}
+
+#[test]
+fn seeds_follow_the_source_and_so_does_who_knows_none() {
+    assert_eq!(selector(2).next(LATER), Upstream::Source);
+    let alone = UpstreamSelector::new(TimeMs(0), "dc-1".into(), None, &seeds());
+    assert_eq!(alone.next(LATER), Upstream::Source);
+    let unseeded = UpstreamSelector::new(TimeMs(0), "dc-1".into(), Some(address(9)), &[]);
+    assert_eq!(unseeded.next(LATER), Upstream::Source);
+}
+
+#[test]
+fn a_seed_of_the_own_data_centre_is_found_and_kept() {
+    let mut selector = selector(9);
+    let near = address(3);
+    for _ in 0..4 {
+        let asked = peer(selector.next(LATER));
+        let data_centre = if asked == near { "dc-1" } else { "dc-2" };
+        selector.peer_answered(LATER, asked, &report(data_centre, FRESH));
+    }
+    assert_eq!(selector.next(LATER), Upstream::Peer(near));
+}
+
+#[test]
+fn who_is_sent_on_goes_there_until_that_fails() {
+    let mut selector = selector(9);
+    let first = peer(selector.next(LATER));
+    let mut sent_on = report("dc-1", FRESH);
+    sent_on.redirect = Some(address(20));
+    selector.peer_answered(LATER, first, &sent_on);
+    assert_eq!(selector.next(LATER), Upstream::Peer(address(20)));
+    selector.peer_failed(LATER, address(20));
+    assert_eq!(selector.next(LATER), Upstream::Source, "at once");
+    let after = TimeMs(LATER.0 + 3_000);
+    assert_eq!(selector.next(after), Upstream::Peer(first), "and back");
+}
+
+#[test]
+fn a_stale_upstream_is_left_for_the_source() {
+    for age in [None, Some(STALE)] {
+        let mut selector = selector(9);
+        let first = peer(selector.next(LATER));
+        selector.peer_answered(LATER, first, &report("dc-1", age));
+        assert_eq!(selector.next(LATER), Upstream::Source);
+    }
+}
+
+#[test]
+fn whom_the_source_turns_away_goes_to_the_others() {
+    let mut child = selector(9);
+    let first = peer(child.next(LATER));
+    child.peer_failed(LATER, first);
+    assert_eq!(child.next(LATER), Upstream::Source);
+    child.source_failed(LATER);
+    let second = peer(child.next(LATER));
+    assert_ne!(second, first, "the one that failed is passed over");
+    let mut seed = selector(1);
+    seed.source_failed(LATER);
+    let other = peer(seed.next(LATER));
+    assert_ne!(other, address(1), "never itself");
+    seed.peer_answered(LATER, other, &report("dc-1", FRESH));
+    assert_eq!(seed.next(LATER), Upstream::Peer(other), "for a while");
+    let after = TimeMs(LATER.0 + 3_000);
+    assert_eq!(seed.next(after), Upstream::Source);
+}
+
+#[test]
+fn while_nobody_knows_anything_the_source_is_asked_seldom() {
+    let mut child = selector(9);
+    let mut calls = 0;
+    for step in 0..100 {
+        let now = TimeMs(LATER.0 + step * 100);
+        match child.next(now) {
+            Upstream::Source => {
+                calls += 1;
+                child.source_failed(now);
+            }
+            Upstream::Peer(peer) => child.peer_answered(now, peer, &report("dc-1", None)),
+        }
+    }
+    assert!((4..=7).contains(&calls), "{calls} calls in ten seconds");
+}
+
+#[test]
+fn daemons_that_start_together_wait_for_each_other() {
+    let mut child = selector(9);
+    for step in 0..7 {
+        let now = TimeMs(step * 100);
+        child.peer_failed(now, peer(child.next(now)));
+    }
+    child.peer_failed(TimeMs(900), peer(child.next(TimeMs(900))));
+    assert_eq!(child.next(TimeMs(900)), Upstream::Source);
+}
+
+fn follower(vm: &str, data_centre: &str, at: u16) -> Follower {
+    Follower {
+        vm: vm.into(),
+        data_centre: data_centre.into(),
+        address: address(at),
+    }
+}
+
+#[test]
+fn followers_are_few_and_the_others_are_spread_over_them() {
+    let mut downstreams = Downstreams::new("dc-1".into());
+    let mut redirects = std::collections::BTreeMap::new();
+    for at in 0..30 {
+        let asking = follower(&format!("vm-{at}"), "dc-1", at);
+        if let Admission::Redirect(address) = downstreams.admit(LATER, asking) {
+            *redirects.entry(address).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(downstreams.len(), 8);
+    assert_eq!(redirects.len(), 8, "all get some");
+    assert!(redirects.values().all(|count| (2..=3).contains(count)));
+    let far = follower("far-1", "dc-2", 40);
+    assert_eq!(downstreams.admit(LATER, far), Admission::Here);
+    let again = follower("vm-0", "dc-1", 0);
+    assert_eq!(downstreams.admit(LATER, again), Admission::Here);
+}
+
+#[test]
+fn a_follower_that_asks_no_more_makes_room() {
+    let mut downstreams = Downstreams::new("dc-1".into());
+    for at in 0..8 {
+        downstreams.admit(LATER, follower(&format!("vm-{at}"), "dc-1", at));
+    }
+    let after = TimeMs(LATER.0 + 2_500);
+    let new = follower("vm-9", "dc-1", 9);
+    assert_eq!(downstreams.admit(after, new), Admission::Here);
+    assert_eq!(downstreams.len(), 1);
+}
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -1,11 +1,13 @@
 //! Golden bytes of each message, and frames that must be refused.
 
 use bridgevane_protocol::frame::Body;
+use bridgevane_protocol::record_change::Change;
 use bridgevane_protocol::{
     ConfigDelta, ConfigSnapshot, ConfigWanted, Frame, FrameCodec, FrameError, GreetingError,
     Heartbeat, Hello, KeyClaim, KeyEnded, KeyVerdict, MAX_FRAME_BYTES, MemberState, MemberUpdate,
     PROTOCOL_VERSION, PoolDispatch, PoolOffer, PoolOrder, PoolRefuse, PoolReport, Proof, Query,
-    QueryAnswer, Role, SectionChange, greet, pool_order, pool_report, prove,
+    QueryAnswer, RecordChange, RecordPatch, RecordsAnswer, RecordsWanted, Role, SectionChange,
+    greet, pool_order, pool_report, prove,
 };
 use bytes::{BufMut, Bytes, BytesMut};
 use expect_test::expect;
@@ -183,9 +185,51 @@
                 error: String::new(),
             }),
         ),
+        (
+            "records_wanted",
+            Body::RecordsWanted(RecordsWanted {
+                vm: "vm-1".into(),
+                data_centre: "bo-c".into(),
+                peer_address: "10.0.0.1:7000".into(),
+                at: 7,
+            }),
+        ),
+        (
+            "records_answer",
+            Body::RecordsAnswer(RecordsAnswer {
+                at: 9,
+                proof_age_ms: Some(500),
+                held_ms: 3,
+                is_whole: false,
+                records: vec![
+                    record_change("a", 8, Change::Whole(Bytes::from_static(b"x"))),
+                    record_change("b", 8, Change::Gone(true)),
+                    record_change("c", 9, Change::Patch(patch())),
+                ],
+                data_centre: "bo-c".into(),
+                redirect: "10.0.0.2:7000".into(),
+            }),
+        ),
     ]
 }
 
+fn record_change(key: &str, revision: u64, change: Change) -> RecordChange {
+    RecordChange {
+        key: key.into(),
+        revision,
+        change: Some(change),
+    }
+}
+
+fn patch() -> RecordPatch {
+    RecordPatch {
+        base_revision: 4,
+        kept_head: 10,
+        kept_tail: 20,
+        inserted: Bytes::from_static(b"new"),
+    }
+}
+
 #[test]
 fn messages_keep_their_bytes_and_come_back_whole() {
     let mut golden = String::new();
@@ -221,6 +265,8 @@
         key_ended 0000002a6a280a046465736b1201631a016b221009090909090909090909090909090909280130c8013a03612f62
         query 0000000e720c0801120873686f7720766d73
         query_answer 000000087a06080112025b5d
+        records_wanted 000000208a011d0a04766d2d311204626f2d631a0d31302e302e302e313a373030302007
+        records_answer 00000046920143080910f40318032a080a016110081a01782a070a0162100828012a120a01631009220b0804100a181422036e65773204626f2d633a0d31302e302e302e323a37303030
     "#]].assert_eq(&golden);
 }
 
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -8,6 +8,7 @@
 use argh::FromArgs;
 use bridgevane_events::{Event, event};
 use bridgevane_gateway::gateway::Gateway;
+use bridgevane_gateway::replication::server;
 use bridgevane_gateway::{follow, front, ready, stop};
 use bridgevane_platform::{Store, header_names};
 use std::time::Duration;
@@ -32,6 +33,12 @@
     /// address where the balancer asks whether the daemon is ready; metrics are there, too
     #[argh(option)]
     pub ready_address: Option<String>,
+    /// address where other daemons ask what this one has followed
+    #[argh(option)]
+    pub peer_address: Option<String>,
+    /// peer addresses of daemons that follow the store for the others, with commas
+    #[argh(option)]
+    pub seed_addresses: Option<String>,
     /// address of the platform's store
     #[argh(option)]
     pub store_address: Option<String>,
@@ -71,6 +78,8 @@
             "data-centre" => &self.data_centre,
             "client-address" => &self.client_address,
             "ready-address" => &self.ready_address,
+            "peer-address" => &self.peer_address,
+            "seed-addresses" => &self.seed_addresses,
             "store-address" => &self.store_address,
             "key-removal-ms" => &self.key_removal_ms,
             "stop-s" => &self.stop_s,
@@ -126,6 +135,10 @@
 async fn serve(config: GatewayConfig) -> Result<(), std::io::Error> {
     let clients = http_serve::listen(config.gateway.client_address).await?;
     let ready_listener = http_serve::listen(config.gateway.ready_address).await?;
+    let peers = match config.gateway.peer_address {
+        Some(address) => Some(http_serve::listen(address).await?),
+        None => None,
+    };
     let store = Store::new(config.store_address, STORE_OPEN_LIMIT);
     let metrics = MetricsPage::new();
     let gateway = Gateway::new(config.gateway, header_names(), &metrics.meter());
@@ -138,6 +151,9 @@
     );
     let page = move || metrics.text();
     tokio::spawn(ready::run(gateway.clone(), ready_listener, page));
+    if let Some(listener) = peers {
+        tokio::spawn(server::run(gateway.clone(), listener));
+    }
     tokio::spawn(follow::run(gateway.clone(), store));
     tokio::spawn(front::run(gateway.clone(), clients));
     gateway_signals::wait_for_stop().await?;
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -23,8 +23,8 @@
 /// itself to get out.
 const PROOF_MARGIN_MS: u64 = 300;
 /// One wait for changes, before it is asked again: what is believed is proved to be the
-/// newest that often.
-const WATCH_WAIT: DurationMs = DurationMs(800);
+/// newest that often. Few daemons ask, and the others are as old as these.
+const WATCH_WAIT: DurationMs = DurationMs(500);
 /// The balancer asks once a second and believes the second miss.
 const BALANCER_DELAY: DurationMs = DurationMs(2_600);
 /// Of the time that a stop may take, what is kept for the end.
@@ -44,6 +44,8 @@
         let client_address = reader.required("client-address", ADDRESS);
         let ready_address = reader.required("ready-address", ADDRESS);
         let store_address = reader.required("store-address", ADDRESS);
+        let peer_address = reader.optional("peer-address", ADDRESS);
+        let seed_addresses = reader.list("seed-addresses", ADDRESS);
         let revoke_ms: Option<u64> = reader.optional("key-removal-ms", MILLISECONDS);
         let stop_s: Option<f64> = reader.optional("stop-s", "a number of seconds");
         let retry_ratio: Option<f64> = reader.optional("retry-ratio", "a share such as 0.2");
@@ -82,6 +84,8 @@
                 data_centre,
                 client_address,
                 ready_address,
+                peer_address,
+                seed_addresses,
                 proof_lifetime_ms: DurationMs(revoke_ms.saturating_sub(PROOF_MARGIN_MS)),
                 watch_wait_ms: WATCH_WAIT,
                 stop_ms: DurationMs(stop_ms.saturating_sub(STOP_MARGIN_MS)),
--- a/src/modules/peer_frames.rs
+++ b/src/modules/peer_frames.rs
@@ -90,5 +90,7 @@
         Body::KeyEnded(ended) => key_homes::on_ended(context, &ended),
         Body::Query(query) => operator_fan_out::on_query(context, link, query),
         Body::QueryAnswer(answer) => context.queries.on_answer(peer, answer),
+        // Between gateways only.
+        Body::RecordsWanted(_) | Body::RecordsAnswer(_) => {}
     }
 }
