fix(gateway): the slack of the retry budget is shared by as many daemons as there are

Cause: each daemon took a twelfth of the slack whatever their number.

Change: a question between daemons carries the size of the asking daemon's tree, an answer the number of daemons that the answering one knows of; a seed takes the other seeds' trees to be as large as its own, and the largest number of the last 30 s counts. The slack is divided by 1.25 times that, by twelve at least. A daemon that was told nothing, or whose process is younger than a window, takes none: the process before it may have used its part up.

Tests: decisions.rs::eighty_daemons_with_few_requests_each_share_one_slack fails with the old division (16 each, 1280 of 200).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -95,6 +95,7 @@
             Ok(()) => {
                 self.needs_everything = false;
                 self.gateway.prove(asked_at);
+                self.gateway.count_fleet();
                 self.upstreams.source_answered();
                 if std::mem::take(&mut self.is_source_lost) {
                     event!(Event::SourceRegained);
@@ -188,6 +189,7 @@
             let changes = Changes { at, records };
             self.gateway.apply(&self.source, changes);
         }
+        self.gateway.note_fleet_size(answer.fleet_size);
         if let Some(proved_at) = answer.proved_at {
             self.needs_everything = false;
             self.gateway.prove(proved_at);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 use crate::names::HeaderNames;
 use crate::placement::Placement;
 use crate::replication::Downstreams;
+use crate::replication::fleet::FleetSize;
 use crate::replication::replica::Replica;
 use crate::retry_budget::RetryBudgets;
 use crate::settings::GatewaySettings;
@@ -66,6 +67,7 @@
     accepting: watch::Sender<Accepting>,
     replica: Mutex<Replica>,
     downstreams: Mutex<Downstreams>,
+    fleet: Mutex<FleetSize>,
     /// Counts what was taken in and proved.
     progress: watch::Sender<u64>,
     started: Instant,
@@ -75,10 +77,11 @@
     /// A gateway that knows nothing yet.
     pub fn new(settings: GatewaySettings, names: HeaderNames, meter: &Meter) -> Arc<Self> {
         Arc::new(Self {
-            retry_budgets: RetryBudgets::new(&settings),
+            retry_budgets: RetryBudgets::new(TimeMs(0), &settings),
             metrics: GatewayMetrics::new(meter),
             replica: Mutex::default(),
             downstreams: Mutex::new(Downstreams::new(settings.data_centre.clone())),
+            fleet: Mutex::default(),
             progress: watch::Sender::new(0),
             settings,
             names,
@@ -115,6 +118,38 @@
         self.downstreams.lock().expect("no panic under this lock")
     }
 
+    /// How many daemons there are at most, as far as this one knows.
+    pub(crate) fn fleet_size(&self) -> Option<u32> {
+        self.lock_fleet().daemons()
+    }
+
+    fn lock_fleet(&self) -> MutexGuard<'_, FleetSize> {
+        self.fleet.lock().expect("no panic under this lock")
+    }
+
+    /// Notes how many daemons there are at most; they share one retry budget.
+    pub(crate) fn note_fleet_size(&self, daemons: u32) {
+        let mut fleet = self.lock_fleet();
+        fleet.note(self.now(), daemons);
+        if let Some(daemons) = fleet.daemons() {
+            self.retry_budgets.share_among(daemons);
+        }
+    }
+
+    /// Works out how many daemons there are, on one that others follow by the settings: the
+    /// other seeds are taken to be followed by as many.
+    pub(crate) fn count_fleet(&self) {
+        let settings = &self.settings;
+        let seeds = &settings.seed_addresses;
+        if settings
+            .peer_address
+            .is_some_and(|own| seeds.contains(&own))
+        {
+            let followers = self.downstreams().tree_size(self.now());
+            self.note_fleet_size(followers.saturating_mul(seeds.len() as u32));
+        }
+    }
+
     /// Tells when something was taken in or proved.
     pub(crate) fn progress(&self) -> watch::Receiver<u64> {
         self.progress.subscribe()
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -51,6 +51,8 @@
     pub(crate) data_centre: DataCentreId,
     /// Whom to ask from now on.
     pub(crate) redirect: Option<SocketAddr>,
+    /// How many daemons there are at most; 0: it doesn't know.
+    pub(crate) fleet_size: u32,
 }
 
 /// A connection to the daemon that is asked at present.
@@ -83,6 +85,7 @@
                 .peer_address
                 .map_or_else(String::new, |a| a.to_string()),
             at: at.0,
+            tree_size: gateway.downstreams().tree_size(gateway.now()),
         };
         let asked_at = gateway.now();
         let asking = exchange(&mut frames, wanted);
@@ -133,6 +136,7 @@
         update,
         data_centre: DataCentreId::from(answer.data_centre.as_str()),
         redirect: answer.redirect.parse().ok(),
+        fleet_size: answer.fleet_size,
     })
 }
 
--- a/crates/gateway/src/replication/downstreams.rs
+++ b/crates/gateway/src/replication/downstreams.rs
@@ -12,6 +12,9 @@
 /// A follower that asks nothing for so long is gone.
 const LIFETIME: DurationMs = DurationMs(2_000);
 
+/// More daemons than any fleet has; two that follow each other would count each other forever.
+const MAX_TREE: u32 = 10_000;
+
 /// A daemon that asks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Follower {
@@ -21,6 +24,8 @@
     pub data_centre: DataCentreId,
     /// Where it can be asked itself.
     pub address: SocketAddr,
+    /// Daemons that follow it, directly or not, itself included.
+    pub tree_size: u32,
 }
 
 /// Whether a daemon is answered here.
@@ -92,6 +97,14 @@
         })
     }
 
+    /// Daemons that follow this one, directly or not, itself included.
+    pub fn tree_size(&self, now: TimeMs) -> u32 {
+        let lately = |known: &&Known| now.since(known.asked_at) < LIFETIME;
+        let known = self.by_vm.values().filter(lately);
+        let sizes = known.map(|known| known.follower.tree_size.clamp(1, MAX_TREE));
+        sizes.fold(1, u32::saturating_add)
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.by_vm.len()
--- a/crates/gateway/src/replication/mod.rs
+++ b/crates/gateway/src/replication/mod.rs
@@ -8,6 +8,7 @@
 
 mod client;
 mod downstreams;
+pub mod fleet;
 mod message;
 pub mod patch;
 pub mod replica;
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -103,6 +103,7 @@
         vm: VmId::from(wanted.vm.as_str()),
         data_centre: DataCentreId::from(wanted.data_centre.as_str()),
         address: wanted.peer_address.parse().ok()?,
+        tree_size: wanted.tree_size,
     };
     match gateway.downstreams().admit(gateway.now(), follower) {
         Admission::Here => None,
@@ -141,6 +142,7 @@
         proof_age_ms: age.map(|age| age.0 + CLOCK_GRAIN_MS),
         held_ms: asked.elapsed().as_millis() as u64,
         data_centre: gateway.settings.data_centre.to_string(),
+        fleet_size: gateway.fleet_size().unwrap_or_default(),
         ..Default::default()
     };
     put_update(&mut answer, update);
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -1,14 +1,16 @@
-//! The budget of repeats that all daemons share, without talking to each other: each takes
-//! its own requests' ratio and an equal part of the slack.
+//! The budget of repeats that all daemons share: each takes its own requests' ratio and a part
+//! of the slack.
 
 use crate::settings::GatewaySettings;
 use bridgevane_types::{DurationMs, ServiceName, Share, TimeMs};
 use std::collections::{HashMap, VecDeque};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU32, Ordering};
 
-/// Daemons that the slack is divided among, whatever their true number: the budget holds
-/// also while daemons are restarted and come back with a whole budget.
-const SLACK_PARTS: f64 = 12.0;
+/// Daemons that the slack is divided among at least, and while other daemons can't be asked.
+const MIN_PARTS: u32 = 12;
+/// The parts for each daemon that is known to live: there may be some more.
+const PARTS_PER_DAEMON: f64 = 1.25;
 
 /// What one service saw of late.
 #[derive(Debug, Default)]
@@ -23,6 +25,10 @@
     ratio: Share,
     slack: f64,
     window: DurationMs,
+    /// Parts of the slack; 0: nobody has said yet how many daemons there are.
+    parts: AtomicU32,
+    /// No slack before this: the process before this one may have used it up.
+    slack_from: TimeMs,
     by_service: Mutex<HashMap<ServiceName, Window>>,
 }
 
@@ -33,22 +39,38 @@
 }
 
 impl RetryBudgets {
-    /// Budgets that nothing was taken from.
-    pub fn new(settings: &GatewaySettings) -> Self {
-        let ratio = settings.retry_ratio;
-        Self::with(ratio, settings.retry_slack, settings.retry_window_ms)
-    }
-
-    /// The same of given bounds.
-    pub fn with(ratio: Share, slack: u32, window: DurationMs) -> Self {
+    /// Budgets that nothing was taken from, of a daemon that starts now.
+    pub fn new(now: TimeMs, settings: &GatewaySettings) -> Self {
+        let asks_others = settings.peer_address.is_some() && !settings.seed_addresses.is_empty();
         Self {
-            ratio,
-            slack: f64::from(slack) / SLACK_PARTS,
-            window,
+            ratio: settings.retry_ratio,
+            slack: f64::from(settings.retry_slack),
+            window: settings.retry_window_ms,
+            parts: AtomicU32::new(if asks_others { 0 } else { MIN_PARTS }),
+            slack_from: if asks_others {
+                now + settings.retry_window_ms
+            } else {
+                now
+            },
             by_service: Mutex::default(),
         }
     }
 
+    /// There are at most so many daemons.
+    pub fn share_among(&self, daemons: u32) {
+        let parts = (f64::from(daemons) * PARTS_PER_DAEMON) as u32;
+        self.parts.store(parts.max(MIN_PARTS), Ordering::Relaxed);
+    }
+
+    /// This daemon's part of the slack.
+    fn slack_share(&self, now: TimeMs) -> f64 {
+        let parts = self.parts.load(Ordering::Relaxed);
+        if parts == 0 || now < self.slack_from {
+            return 0.0;
+        }
+        self.slack / f64::from(parts)
+    }
+
     /// Notes a new request for a service.
     pub fn note_request(&self, now: TimeMs, service: &ServiceName) {
         let mut windows = self.by_service.lock().expect("no panic under this lock");
@@ -63,7 +85,7 @@
         let window = windows.entry(service.clone()).or_default();
         forget(&mut window.requests, now, self.window);
         forget(&mut window.repeats, now, self.window);
-        let allowed = self.ratio.0 * window.requests.len() as f64 + self.slack;
+        let allowed = self.ratio.0 * window.requests.len() as f64 + self.slack_share(now);
         if window.repeats.len() as f64 + 1.0 > allowed {
             return false;
         }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -8,12 +8,15 @@
 use bridgevane_gateway::load::{EndpointLoad, ReportedLoad};
 use bridgevane_gateway::placement::{Choice, Placement};
 use bridgevane_gateway::queue_delay::{Pending, QueueDelay};
+use bridgevane_gateway::replication::fleet::FleetSize;
 use bridgevane_gateway::request::{Prompt, PromptPart};
 use bridgevane_gateway::retry_budget::RetryBudgets;
 use bridgevane_gateway::routing::{Customer, Route, RouteTarget};
+use bridgevane_gateway::settings::GatewaySettings;
 use bridgevane_gateway::urgency::{Urgencies, Urgency};
 use bridgevane_types::{DataCentreId, DurationMs, ServiceName, Share, Tier, TimeMs, Tokens};
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 const NOW: TimeMs = TimeMs(10_000);
@@ -181,8 +184,7 @@
 
 #[test]
 fn repeats_stay_within_the_ratio_and_a_part_of_the_slack_in_every_window() {
-    let window = DurationMs(10_000);
-    let budgets = RetryBudgets::with(Share(0.2), 24, window);
+    let budgets = RetryBudgets::new(TimeMs(0), &budget_settings(24, &[]));
     let service = ServiceName::from("s");
     let takes = |at: u64| {
         (0..100)
@@ -199,6 +201,59 @@
     assert_eq!(takes(10_100), 2, "requests of old earn nothing more");
 }
 
+/// Settings with a window of 10 s and a ratio of 0.2, of a daemon that knows these seeds.
+fn budget_settings(retry_slack: u32, seeds: &[SocketAddr]) -> GatewaySettings {
+    GatewaySettings {
+        retry_ratio: Share(0.2),
+        retry_slack,
+        retry_window_ms: DurationMs(10_000),
+        peer_address: seeds.first().copied(),
+        seed_addresses: seeds.to_vec(),
+        ..support::settings()
+    }
+}
+
+#[test]
+fn eighty_daemons_with_few_requests_each_share_one_slack() {
+    let seeds = [SocketAddr::from(([127, 0, 0, 1], 7_000))];
+    let service = ServiceName::from("s");
+    let takes = |budgets: &RetryBudgets, at: u64| {
+        (0..100)
+            .filter(|_| budgets.take(TimeMs(at), &service))
+            .count()
+    };
+    let start = || RetryBudgets::new(TimeMs(0), &budget_settings(200, &seeds));
+    assert_eq!(takes(&start(), 60_000), 0, "how many there are is unknown");
+    let fleet: Vec<RetryBudgets> = (0..80).map(|_| start()).collect();
+    for budgets in &fleet {
+        budgets.share_among(80);
+        assert_eq!(
+            takes(budgets, 9_999),
+            0,
+            "the process before it had a share"
+        );
+    }
+    let all: usize = fleet.iter().map(|budgets| takes(budgets, 20_000)).sum();
+    assert!((80..=200).contains(&all), "{all} of 200");
+}
+
+#[test]
+fn a_fleet_is_as_large_as_it_was_lately() {
+    let mut fleet = FleetSize::default();
+    assert_eq!(fleet.daemons(), None);
+    fleet.note(TimeMs(0), 80);
+    fleet.note(TimeMs(1_000), 3);
+    assert_eq!(
+        fleet.daemons(),
+        Some(80),
+        "those that are cut off still live"
+    );
+    fleet.note(TimeMs(31_000), 3);
+    assert_eq!(fleet.daemons(), Some(3));
+    fleet.note(TimeMs(70_000), 0);
+    assert_eq!(fleet.daemons(), Some(3), "who knows nothing says nothing");
+}
+
 #[test]
 fn an_endpoint_that_was_lost_comes_back_and_is_away_longer_each_time() {
     let health = Health::default();
--- a/crates/gateway/tests/upstream.rs
+++ b/crates/gateway/tests/upstream.rs
@@ -133,9 +133,21 @@
         vm: vm.into(),
         data_centre: data_centre.into(),
         address: address(at),
+        tree_size: 3,
     }
 }
 
+#[test]
+fn a_tree_counts_those_that_ask_and_theirs() {
+    let mut downstreams = Downstreams::new("dc-1".into());
+    assert_eq!(downstreams.tree_size(LATER), 1);
+    for at in 0..4 {
+        downstreams.admit(LATER, follower(&format!("vm-{at}"), "dc-1", at));
+    }
+    assert_eq!(downstreams.tree_size(LATER), 13);
+    assert_eq!(downstreams.tree_size(TimeMs(LATER.0 + 2_000)), 1);
+}
+
 #[test]
 fn followers_are_few_and_the_others_are_spread_over_them() {
     let mut downstreams = Downstreams::new("dc-1".into());
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -192,6 +192,7 @@
                 data_centre: "bo-c".into(),
                 peer_address: "10.0.0.1:7000".into(),
                 at: 7,
+                tree_size: 3,
             }),
         ),
         (
@@ -208,6 +209,7 @@
                 ],
                 data_centre: "bo-c".into(),
                 redirect: "10.0.0.2:7000".into(),
+                fleet_size: 80,
             }),
         ),
     ]
@@ -265,8 +267,8 @@
         key_ended 0000002a6a280a046465736b1201631a016b221009090909090909090909090909090909280130c8013a03612f62
         query 0000000e720c0801120873686f7720766d73
         query_answer 000000087a06080112025b5d
-        records_wanted 000000208a011d0a04766d2d311204626f2d631a0d31302e302e302e313a373030302007
-        records_answer 00000046920143080910f40318032a080a016110081a01782a070a0162100828012a120a01631009220b0804100a181422036e65773204626f2d633a0d31302e302e302e323a37303030
+        records_wanted 000000228a011f0a04766d2d311204626f2d631a0d31302e302e302e313a3730303020072803
+        records_answer 00000048920145080910f40318032a080a016110081a01782a070a0162100828012a120a01631009220b0804100a181422036e65773204626f2d633a0d31302e302e302e323a373030304050
     "#]].assert_eq(&golden);
 }
 
