feat(soak): real processes under faults drawn from a seed, judged from outside

Faults between real processes were tested one by one, in tests/gateway.rs.

Change: `bridgevane soak` (crates/soak, feature `standins`): a seeded plan of overlapping faults, a loopback proxy on every link, signals by process id, callers that keep their connections, the promises as predicates over what callers and workers saw, a plot for each seed. The emulator tells when a worker ran what, and its events carry the request they belong to.

Each daemon has a group of its own now, and the driver ends its daemons on a signal.

--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,232 @@
+//! The promises, as predicates over what callers and workers saw.
+
+use crate::history::{Call, End, History, Kind};
+use derive_more::Display;
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+/// In how long a key's removal is in force everywhere.
+pub const KEY_REMOVAL: Duration = Duration::from_millis(2_000);
+/// In how long daemons obey a worker's leaving.
+pub const DRAIN: Duration = Duration::from_millis(2_000);
+/// How long nothing must have been wrong for a bound to hold.
+pub const CONTACT: Duration = Duration::from_millis(3_000);
+/// How soon after the last trouble requests are served again.
+pub const RECOVERY: Duration = Duration::from_millis(3_000);
+/// The part of them that must be.
+const RECOVERED_SHARE: f64 = 0.9;
+
+/// A promise that was broken.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Broken {
+    /// A success that isn't the worker's whole answer to this request.
+    #[display("{id}: an answer that is not the worker's: {what}")]
+    Mixed {
+        /// The request.
+        id: String,
+        /// What was wrong with it.
+        what: String,
+    },
+    /// A request ran more often than it may.
+    #[display("{id}: ran {times} times")]
+    Twice {
+        /// The request.
+        id: String,
+        /// How often it ran.
+        times: usize,
+    },
+    /// A request that was said not to run did.
+    #[display("{id}: {status} said that it had not run, and it had")]
+    RefusedAndRun {
+        /// The request.
+        id: String,
+        /// The status that said so.
+        status: u16,
+    },
+    /// A worker ran what nobody asked for.
+    #[display("{id}: nobody sent it")]
+    Unasked {
+        /// The request.
+        id: String,
+    },
+    /// A removed key was used after its bound.
+    #[display("{id}: ran {late_ms} ms after the bound of its key's removal")]
+    RemovedKey {
+        /// The request.
+        id: String,
+        /// How long after the bound it was sent.
+        late_ms: u128,
+    },
+    /// A worker that leaves got a request after the bound.
+    #[display("{id}: reached {worker}, which leaves, {late_ms} ms after the bound")]
+    Drained {
+        /// The request.
+        id: String,
+        /// The worker.
+        worker: String,
+        /// How long after the bound it came.
+        late_ms: u128,
+    },
+    /// A planned stop cut a request.
+    #[display("{id}: cut by the planned stop of daemon {daemon}")]
+    CutByStop {
+        /// The request.
+        id: String,
+        /// The daemon.
+        daemon: usize,
+    },
+    /// Too little was served after the last trouble.
+    #[display("{served} of {asked} were served after the last trouble")]
+    NotRecovered {
+        /// Requests served.
+        served: usize,
+        /// Requests sent.
+        asked: usize,
+    },
+}
+
+/// Every promise that a run broke.
+pub fn broken(history: &History) -> Vec<Broken> {
+    let runs = runs_by_id(history);
+    let mut found = Vec::new();
+    for call in &history.calls {
+        found.extend(mixed(history, call));
+        found.extend(twice(call, &runs));
+        found.extend(refused_and_run(call, &runs));
+        found.extend(removed_key(history, call, &runs));
+        found.extend(cut_by_stop(history, call, &runs));
+    }
+    found.extend(unasked(history));
+    found.extend(drained(history));
+    found.extend(not_recovered(history));
+    found
+}
+
+type RunsById<'a> = HashMap<&'a str, usize>;
+
+fn runs_by_id(history: &History) -> RunsById<'_> {
+    let mut runs = RunsById::new();
+    for run in &history.runs {
+        *runs.entry(run.id.as_str()).or_default() += 1;
+    }
+    runs
+}
+
+/// The whole body that a worker answers a request with.
+pub fn whole_body(kind: Kind, id: &str, stream_events: u64) -> String {
+    if kind == Kind::Once {
+        return bridgevane_platform_emulator::whole_body(id);
+    }
+    let events = 1..=stream_events;
+    events
+        .map(|at| bridgevane_platform_emulator::event(at, id))
+        .collect()
+}
+
+fn mixed(history: &History, call: &Call) -> Option<Broken> {
+    let End::Answered {
+        status,
+        is_signed,
+        body,
+    } = &call.end
+    else {
+        return None;
+    };
+    let what = if !(200..300).contains(status) {
+        return None;
+    } else if !is_signed {
+        "no signature".to_owned()
+    } else if *body != whole_body(call.kind, &call.id, history.stream_events) {
+        format!("body {body:?}")
+    } else {
+        return None;
+    };
+    let id = call.id.clone();
+    Some(Broken::Mixed { id, what })
+}
+
+fn twice(call: &Call, runs: &RunsById<'_>) -> Option<Broken> {
+    let times = runs.get(call.id.as_str()).copied().unwrap_or(0);
+    let id = call.id.clone();
+    (times > 1 && !call.kind.may_repeat()).then_some(Broken::Twice { id, times })
+}
+
+fn refused_and_run(call: &Call, runs: &RunsById<'_>) -> Option<Broken> {
+    let End::Answered { status, .. } = call.end else {
+        return None;
+    };
+    let promises = matches!(status, 408 | 421 | 429 | 503);
+    let id = call.id.clone();
+    (promises && runs.contains_key(call.id.as_str()))
+        .then_some(Broken::RefusedAndRun { id, status })
+}
+
+fn removed_key(history: &History, call: &Call, runs: &RunsById<'_>) -> Option<Broken> {
+    if !runs.contains_key(call.id.as_str()) {
+        return None;
+    }
+    let removal = history.removals.iter().find(|r| r.key == call.key)?;
+    let late = call.sent_at.checked_sub(removal.at + KEY_REMOVAL)?;
+    Some(Broken::RemovedKey {
+        id: call.id.clone(),
+        late_ms: late.as_millis(),
+    })
+}
+
+/// A request that was taken by a daemon which was told to stop, and that a worker ran, ends
+/// without an answer, though nothing else was wrong.
+fn cut_by_stop(history: &History, call: &Call, runs: &RunsById<'_>) -> Option<Broken> {
+    if !matches!(call.end, End::CutInside | End::CutBefore) || !runs.contains_key(call.id.as_str())
+    {
+        return None;
+    }
+    let calm_from = call.sent_at.saturating_sub(CONTACT);
+    let during = |stop: &&crate::history::PlannedStop| {
+        stop.daemon == call.daemon && stop.from <= call.ended_at && call.sent_at <= stop.to
+    };
+    history.stops.iter().find(during)?;
+    history
+        .is_calm(calm_from, call.ended_at)
+        .then(|| Broken::CutByStop {
+            id: call.id.clone(),
+            daemon: call.daemon,
+        })
+}
+
+fn unasked(history: &History) -> Vec<Broken> {
+    let sent: HashSet<&str> = history.calls.iter().map(|call| call.id.as_str()).collect();
+    let runs = history.runs.iter();
+    let strange = runs.filter(|run| !sent.contains(run.id.as_str()));
+    strange
+        .map(|run| Broken::Unasked { id: run.id.clone() })
+        .collect()
+}
+
+fn drained(history: &History) -> Vec<Broken> {
+    let late = |run: &crate::history::Run| {
+        let leaving = history.leavings.iter().find(|l| l.worker == run.worker)?;
+        let late = run.at.checked_sub(leaving.at + DRAIN)?;
+        let calm_from = leaving.at.saturating_sub(CONTACT);
+        history.is_calm(calm_from, run.at).then(|| Broken::Drained {
+            id: run.id.clone(),
+            worker: run.worker.clone(),
+            late_ms: late.as_millis(),
+        })
+    };
+    history.runs.iter().filter_map(late).collect()
+}
+
+fn not_recovered(history: &History) -> Option<Broken> {
+    let from = history.calm_from + RECOVERY;
+    let removed: HashSet<&str> = history.removals.iter().map(|r| r.key.as_str()).collect();
+    let asked: Vec<&Call> = history
+        .calls
+        .iter()
+        .filter(|call| call.sent_at >= from && !removed.contains(call.key.as_str()))
+        .collect();
+    let is_served = |call: &&&Call| matches!(call.end, End::Answered { status: 200, .. });
+    let served = asked.iter().filter(is_served).count();
+    let asked = asked.len();
+    let enough = asked as f64 * RECOVERED_SHARE;
+    ((served as f64) < enough).then_some(Broken::NotRecovered { served, asked })
+}
--- /dev/null
+++ b/crates/soak/src/clients.rs
@@ -0,0 +1,140 @@
+//! Callers: each keeps a connection for many requests, and uses it until it ends.
+
+use crate::history::{Call, End, Kind};
+use crate::stage::KEYS;
+use bridgevane_platform_emulator::{is_signed, keyed_request};
+use http_body_util::BodyExt;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+/// How long a caller waits for an answer.
+const DEADLINE: Duration = Duration::from_millis(3_000);
+/// How long for a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// How long between two calls.
+const PAUSE_MS: std::ops::Range<u64> = 10..80;
+
+type Body = http_body_util::Full<bytes::Bytes>;
+
+/// All calls of a run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Calls(Arc<Mutex<Vec<Call>>>);
+
+impl Calls {
+    fn push(&self, call: Call) {
+        self.0.lock().expect("no panic under this lock").push(call);
+    }
+
+    pub(crate) fn take(&self) -> Vec<Call> {
+        std::mem::take(&mut self.0.lock().expect("no panic under this lock"))
+    }
+}
+
+/// One caller.
+pub(crate) struct Caller {
+    pub(crate) number: usize,
+    pub(crate) seed: u64,
+    pub(crate) doors: Vec<SocketAddr>,
+    pub(crate) started: Instant,
+    pub(crate) until: Instant,
+    pub(crate) calls: Calls,
+}
+
+struct Connection {
+    daemon: usize,
+    sender: SendRequest<Body>,
+}
+
+impl Caller {
+    /// Calls until the time is over.
+    pub(crate) async fn run(self) {
+        let mut random = Pcg64::seed_from_u64(self.seed ^ (self.number as u64) << 32);
+        let mut connection: Option<Connection> = None;
+        let mut count = 0;
+        while Instant::now() < self.until {
+            count += 1;
+            let id = format!("c{}-{count}", self.number);
+            let kind = [Kind::Once, Kind::Stream, Kind::Resumable][random.random_range(0..3)];
+            let key = KEYS[random.random_range(0..KEYS.len())];
+            let daemon = random.random_range(0..self.doors.len());
+            let sent_at = self.started.elapsed();
+            let open = match connection.take() {
+                Some(open) if open.sender.is_ready() => Some(open),
+                _ => connect(daemon, self.doors[daemon]).await,
+            };
+            let (daemon, end) = match open {
+                None => (daemon, End::NotConnected),
+                Some(mut open) => {
+                    let end = call(&mut open.sender, kind, &id, key).await;
+                    let daemon = open.daemon;
+                    if matches!(end, End::Answered { .. }) {
+                        connection = Some(open);
+                    }
+                    (daemon, end)
+                }
+            };
+            self.calls.push(Call {
+                id,
+                kind,
+                daemon,
+                key: key.to_owned(),
+                sent_at,
+                ended_at: self.started.elapsed(),
+                end,
+            });
+            let pause = Duration::from_millis(random.random_range(PAUSE_MS));
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+async fn connect(daemon: usize, door: SocketAddr) -> Option<Connection> {
+    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(door)).await;
+    let stream = stream.ok()?.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        // How it ends shows in the calls.
+        let _ = connection.await;
+    });
+    Some(Connection { daemon, sender })
+}
+
+async fn call(sender: &mut SendRequest<Body>, kind: Kind, id: &str, key: &str) -> End {
+    let calling = exchange(sender, kind, id, key);
+    timeout(DEADLINE, calling).await.unwrap_or(End::TimedOut)
+}
+
+async fn exchange(sender: &mut SendRequest<Body>, kind: Kind, id: &str, key: &str) -> End {
+    let deadline_ms = DEADLINE.as_millis() as u64;
+    let (head, _) = keyed_request(kind.path(), id, key, deadline_ms).into_parts();
+    let request = http::Request::from_parts(head, Body::from("hi"));
+    let answer = match sender.try_send_request(request).await {
+        Ok(answer) => answer,
+        // Not a byte was sent.
+        Err(mut error) => {
+            let is_unsent = error.take_message().is_some();
+            return if is_unsent {
+                End::NotConnected
+            } else {
+                End::CutBefore
+            };
+        }
+    };
+    let status = answer.status().as_u16();
+    let is_signed = is_signed(answer.headers(), id);
+    match answer.into_body().collect().await {
+        Ok(body) => End::Answered {
+            status,
+            is_signed,
+            body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+        },
+        Err(_) => End::CutInside,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plot.rs
@@ -0,0 +1,103 @@
+//! Served, refused and failed calls over time, beside the faults, as an SVG picture.
+
+use crate::history::{Call, End, History};
+use crate::plan::Plan;
+use plotters::prelude::*;
+use std::path::Path;
+use std::time::Duration;
+
+const SIZE: (u32, u32) = (1_000, 420);
+const BUCKET: Duration = Duration::from_millis(500);
+
+fn is_served(call: &Call) -> bool {
+    matches!(call.end, End::Answered { status: 200, .. })
+}
+
+/// Refused for now, and told so at once.
+fn is_refused(call: &Call) -> bool {
+    matches!(
+        call.end,
+        End::Answered {
+            status: 401 | 503,
+            ..
+        }
+    )
+}
+
+fn is_failed(call: &Call) -> bool {
+    !is_served(call) && !is_refused(call)
+}
+
+/// Whether a call is of a kind.
+type Kind = fn(&Call) -> bool;
+
+/// Calls of a kind for each half second.
+fn series(history: &History, length: Duration, kind: Kind) -> Vec<(f64, u32)> {
+    let buckets = (length.as_millis() / BUCKET.as_millis()) as usize + 1;
+    let mut counts = vec![0; buckets];
+    for call in history.calls.iter().filter(|call| kind(call)) {
+        let at = (call.sent_at.as_millis() / BUCKET.as_millis()) as usize;
+        counts[at.min(buckets - 1)] += 1;
+    }
+    let second = |at: usize| at as f64 * BUCKET.as_secs_f64();
+    let counts = counts.into_iter().enumerate();
+    counts.map(|(at, count)| (second(at), count)).collect()
+}
+
+/// Draws the picture.
+///
+/// # Errors
+/// What the drawing library says.
+pub(crate) fn draw(
+    path: &Path,
+    plan: &Plan,
+    history: &History,
+    length: Duration,
+) -> Result<(), String> {
+    let kinds: [(&str, Kind, RGBColor); 3] = [
+        ("served", is_served, GREEN),
+        ("refused", is_refused, BLUE),
+        ("failed", is_failed, RED),
+    ];
+    let lines = kinds.map(|(name, kind, colour)| (name, series(history, length, kind), colour));
+    let counts = lines.iter().flat_map(|(_, line, _)| line);
+    let most = counts.map(|(_, count)| *count).max().unwrap_or(0).max(1);
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    let text = |error: &dyn std::error::Error| error.to_string();
+    root.fill(&WHITE).map_err(|error| text(&error))?;
+    let mut chart = ChartBuilder::on(&root)
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(40)
+        .build_cartesian_2d(0.0..length.as_secs_f64(), 0..most)
+        .map_err(|error| text(&error))?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_desc("calls in half a second")
+        .draw()
+        .map_err(|error| text(&error))?;
+    for event in &plan.events {
+        let at = event.at.as_secs_f64();
+        let end = (event.at + event.lasts).as_secs_f64();
+        let area = Rectangle::new([(at, 0), (end, most)], BLACK.mix(0.05).filled());
+        chart
+            .draw_series([area])
+            .map_err(|error| text(&error))?
+            .label(event.fault.to_string());
+    }
+    for (name, line, colour) in lines {
+        chart
+            .draw_series([PathElement::new(line, colour)])
+            .map_err(|error| text(&error))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 14, y)], colour));
+    }
+    chart
+        .configure_series_labels()
+        .border_style(BLACK)
+        .background_style(WHITE.mix(0.8))
+        .draw()
+        .map_err(|error| text(&error))?;
+    root.present().map_err(|error| text(&error))
+}
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,180 @@
+//! Each predicate catches a planted fault of its kind, and is content with a sound run.
+
+use bridgevane_soak::checks::{Broken, CONTACT, DRAIN, KEY_REMOVAL, RECOVERY, broken, whole_body};
+use bridgevane_soak::history::{
+    Call, Disruption, End, History, Kind, Leaving, PlannedStop, Removal, Run,
+};
+use std::time::Duration;
+
+const STREAM_EVENTS: u64 = 3;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn answered(status: u16, is_signed: bool, body: String) -> End {
+    End::Answered {
+        status,
+        is_signed,
+        body,
+    }
+}
+
+fn served(kind: Kind, id: &str) -> End {
+    answered(200, true, whole_body(kind, id, STREAM_EVENTS))
+}
+
+fn call(id: &str, kind: Kind, sent_at: Duration, end: End) -> Call {
+    Call {
+        id: id.into(),
+        kind,
+        daemon: 0,
+        key: "key".into(),
+        sent_at,
+        ended_at: sent_at + ms(100),
+        end,
+    }
+}
+
+fn run(id: &str, at: Duration) -> Run {
+    Run {
+        id: id.into(),
+        worker: "worker".into(),
+        at,
+    }
+}
+
+/// One call of each kind, served as it should be, twenty seconds into the run.
+fn sound() -> History {
+    let kinds = [Kind::Once, Kind::Stream, Kind::Resumable];
+    let ids = ["a", "b", "c"];
+    let at = ms(20_000);
+    let calls = kinds.iter().zip(ids);
+    History {
+        calls: calls
+            .map(|(kind, id)| call(id, *kind, at, served(*kind, id)))
+            .collect(),
+        runs: ids.iter().map(|id| run(id, at)).collect(),
+        stream_events: STREAM_EVENTS,
+        ..History::default()
+    }
+}
+
+#[test]
+fn a_sound_run_breaks_nothing() {
+    assert_eq!(broken(&sound()), vec![]);
+}
+
+#[test]
+fn another_s_answer_a_missing_piece_and_a_missing_signature_are_mixed() {
+    let wrong = [
+        served(Kind::Stream, "other"),
+        answered(200, true, whole_body(Kind::Stream, "b", STREAM_EVENTS - 1)),
+        answered(200, true, whole_body(Kind::Stream, "b", 1).repeat(3)),
+        answered(200, false, whole_body(Kind::Stream, "b", STREAM_EVENTS)),
+    ];
+    for end in wrong {
+        let mut history = sound();
+        history.calls[1].end = end;
+        let found = broken(&history);
+        assert!(
+            matches!(found.as_slice(), [Broken::Mixed { .. }]),
+            "{found:?}"
+        );
+    }
+}
+
+#[test]
+fn a_second_run_of_what_may_run_once_is_found() {
+    let mut history = sound();
+    history.runs.push(run("c", ms(20_050)));
+    assert_eq!(broken(&history), vec![], "it may be repeated");
+    history.runs.push(run("a", ms(20_050)));
+    let id = "a".into();
+    assert_eq!(broken(&history), vec![Broken::Twice { id, times: 2 }]);
+}
+
+#[test]
+fn a_refusal_of_what_ran_is_found_also_when_it_ran_later() {
+    for ran_at in [ms(20_010), ms(25_000)] {
+        let mut history = sound();
+        history.calls[0].end = answered(503, false, String::new());
+        history.runs[0].at = ran_at;
+        let id = "a".into();
+        let status = 503;
+        // One of three unserved is not recovered, too; that is another promise.
+        assert!(broken(&history).contains(&Broken::RefusedAndRun { id, status }));
+    }
+}
+
+#[test]
+fn a_run_that_nobody_asked_for_is_found() {
+    let mut history = sound();
+    history.runs.push(run("strange", ms(20_000)));
+    let id = "strange".into();
+    assert_eq!(broken(&history), vec![Broken::Unasked { id }]);
+}
+
+#[test]
+fn a_removed_key_may_be_used_until_its_bound() {
+    for (removed_at, found) in [(19_999, 3), (20_000, 3), (20_001, 0)] {
+        let mut history = sound();
+        history.removals.push(Removal {
+            key: "key".into(),
+            at: ms(removed_at) - KEY_REMOVAL,
+        });
+        assert_eq!(broken(&history).len(), found);
+    }
+}
+
+#[test]
+fn a_leaving_worker_gets_nothing_after_the_bound_while_nothing_is_wrong() {
+    let mut history = sound();
+    let left_at = ms(20_000) - DRAIN - ms(5);
+    history.leavings.push(Leaving {
+        worker: "worker".into(),
+        at: left_at,
+    });
+    assert_eq!(broken(&history).len(), 3);
+    history.disruptions.push(Disruption {
+        from: left_at - CONTACT + ms(1),
+        to: left_at,
+    });
+    assert_eq!(broken(&history), vec![]);
+}
+
+#[test]
+fn a_planned_stop_that_cuts_is_found_unless_something_else_was_wrong() {
+    let mut history = sound();
+    history.stops.push(PlannedStop {
+        daemon: 0,
+        from: ms(19_900),
+        to: ms(22_000),
+    });
+    assert_eq!(broken(&history), vec![]);
+    history.calls[1].end = End::CutInside;
+    let cut = Broken::CutByStop {
+        id: "b".into(),
+        daemon: 0,
+    };
+    assert!(broken(&history).contains(&cut));
+    history.disruptions.push(Disruption {
+        from: ms(18_000),
+        to: ms(18_001),
+    });
+    assert!(!broken(&history).contains(&cut));
+}
+
+#[test]
+fn too_little_served_after_the_last_trouble_is_found() {
+    let mut history = sound();
+    history.calm_from = ms(20_000) - RECOVERY;
+    history.calls[0].end = End::TimedOut;
+    let (served, asked) = (2, 3);
+    assert_eq!(
+        broken(&history),
+        vec![Broken::NotRecovered { served, asked }]
+    );
+    history.calm_from = ms(20_001) - RECOVERY;
+    assert_eq!(broken(&history), vec![], "it was too soon");
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -10,6 +10,8 @@
 pub mod report_page;
 pub mod serve;
 #[cfg(feature = "standins")]
+pub mod soak;
+#[cfg(feature = "standins")]
 pub mod standin;
 
 use argh::FromArgs;
@@ -57,6 +59,8 @@
     #[cfg(feature = "standins")]
     Demo(demo::DemoArguments),
     #[cfg(feature = "standins")]
+    Soak(soak::SoakArguments),
+    #[cfg(feature = "standins")]
     Standin(standin::StandinArguments),
 }
 
@@ -79,6 +83,8 @@
         #[cfg(feature = "standins")]
         Command::Demo(arguments) => demo::run(&arguments),
         #[cfg(feature = "standins")]
+        Command::Soak(arguments) => soak::run(&arguments),
+        #[cfg(feature = "standins")]
         Command::Standin(arguments) => standin::run(arguments),
     };
     ExitCode::from(code)
