feat(replication): daemons tell each other the work that they have under way

At 80 daemons each sends an engine a request in some seconds.

Change: prompt tokens sent and not yet answered go up the tree in which daemons follow each other, the total goes down, seeds tell each other. It lengthens the line by which the least urgent are refused, at 0.6 of its weight. What a daemon's choice of an engine goes by is unchanged.

fix(soak): ports below those of outgoing connections.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -3,6 +3,7 @@
 use crate::health::Health;
 use crate::load::EndpointLoad;
 use crate::pool::IdleConnections;
+use crate::replication::work::EndpointHash;
 use arc_swap::ArcSwap;
 use bridgevane_decisions::EngineIx;
 use bridgevane_types::{DataCentreId, EngineId, ServiceName};
@@ -33,6 +34,8 @@
 pub struct Endpoint {
     /// A small number in place of its name.
     pub index: EngineIx,
+    /// What it is called between daemons.
+    pub hash: EndpointHash,
     /// Its newest record.
     pub record: ArcSwap<EndpointRecord>,
     /// Work under way.
@@ -48,6 +51,7 @@
     pub fn new(index: EngineIx, record: EndpointRecord) -> Self {
         Self {
             index,
+            hash: EndpointHash::of(&record.id),
             record: ArcSwap::from_pointee(record),
             load: EndpointLoad::default(),
             health: Health::default(),
@@ -122,6 +126,11 @@
         self.by_service.get(service)
     }
 
+    /// The endpoints of all services.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
+        self.by_service.values().flat_map(|service| &service.all)
+    }
+
     /// Endpoints of all services.
     pub fn endpoint_count(&self) -> usize {
         let services = self.by_service.values();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 use crate::gateway::Gateway;
 use crate::replication::replica::Update;
 use crate::replication::upstream::{Report, Upstream, UpstreamSelector};
-use crate::replication::{PeerAnswer, PeerClient, PeerError};
+use crate::replication::{PeerAnswer, PeerClient, PeerError, exchange_work};
 use crate::source::{Changes, ControlSource, FullState, Revision, SourceError};
 use bridgevane_events::{Event, event};
 use std::net::SocketAddr;
@@ -27,6 +27,7 @@
 
 /// Follows the source until the daemon ends.
 pub async fn run<S: ControlSource>(gateway: Arc<Gateway>, source: S) {
+    exchange_work(gateway.clone()).await;
     let settings = &gateway.settings;
     let upstreams = UpstreamSelector::new(
         gateway.now(),
@@ -96,6 +97,7 @@
                 self.needs_everything = false;
                 self.gateway.prove(asked_at);
                 self.gateway.count_fleet();
+                self.gateway.count_others_work();
                 self.upstreams.source_answered();
                 if std::mem::take(&mut self.is_source_lost) {
                     event!(Event::SourceRegained);
@@ -190,6 +192,8 @@
             self.gateway.apply(&self.source, changes);
         }
         self.gateway.note_fleet_size(answer.fleet_size);
+        self.gateway
+            .note_total_work(answer.total_work, &answer.others_work);
         if let Some(proved_at) = answer.proved_at {
             self.needs_everything = false;
             self.gateway.prove(proved_at);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,12 +6,14 @@
 use crate::replication::Downstreams;
 use crate::replication::fleet::FleetSize;
 use crate::replication::replica::Replica;
+use crate::replication::work::{Work, WorkBoard};
 use crate::retry_budget::RetryBudgets;
 use crate::settings::GatewaySettings;
 use crate::source::{ChangeAt, Changes, ControlSource, FullState, SourceRecord};
 use crate::view::View;
 use bridgevane_types::TimeMs;
 use opentelemetry::metrics::Meter;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -68,6 +70,7 @@
     replica: Mutex<Replica>,
     downstreams: Mutex<Downstreams>,
     fleet: Mutex<FleetSize>,
+    work: Mutex<WorkBoard>,
     /// Counts what was taken in and proved.
     progress: watch::Sender<u64>,
     started: Instant,
@@ -82,6 +85,7 @@
             replica: Mutex::default(),
             downstreams: Mutex::new(Downstreams::new(settings.data_centre.clone())),
             fleet: Mutex::default(),
+            work: Mutex::default(),
             progress: watch::Sender::new(0),
             settings,
             names,
@@ -150,6 +154,58 @@
         }
     }
 
+    fn lock_work(&self) -> MutexGuard<'_, WorkBoard> {
+        self.work.lock().expect("no panic under this lock")
+    }
+
+    /// What this daemon has under way at endpoints.
+    pub(crate) fn own_work(&self) -> Work {
+        let mut work = Work::default();
+        for endpoint in self.view.directory().endpoints() {
+            let tokens = endpoint.load.own_prefill_tokens();
+            work.add(endpoint.hash, tokens);
+        }
+        work
+    }
+
+    /// What the daemons that follow this one, directly or not, have under way; it included.
+    pub(crate) fn tree_work(&self) -> Work {
+        let mut work = self.own_work();
+        work.add_all(&self.downstreams().work(self.now()));
+        work
+    }
+
+    /// What all daemons have under way, as far as this one knows.
+    pub(crate) fn total_work(&self) -> Work {
+        let tree = self.tree_work();
+        self.lock_work().total(self.now(), &tree)
+    }
+
+    /// The upstream told what all daemons have under way.
+    pub(crate) fn note_total_work(&self, total: Work, others: &Work) {
+        self.lock_work().total_told(self.now(), total);
+        self.note_others_work(others);
+    }
+
+    /// Another seed told what its tree has under way.
+    pub(crate) fn note_seed_work(&self, seed: SocketAddr, work: Work) {
+        self.lock_work().tree_told(self.now(), seed, work);
+        self.count_others_work();
+    }
+
+    /// Works out what the others have under way, on a daemon that follows no other.
+    pub(crate) fn count_others_work(&self) {
+        let others = self.total_work().without(&self.own_work());
+        self.note_others_work(&others);
+    }
+
+    fn note_others_work(&self, others: &Work) {
+        let now = self.now();
+        for endpoint in self.view.directory().endpoints() {
+            endpoint.load.others_told(now, others.at(endpoint.hash));
+        }
+    }
+
     /// Tells when something was taken in or proved.
     pub(crate) fn progress(&self) -> watch::Receiver<u64> {
         self.progress.subscribe()
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -8,6 +8,9 @@
 /// How long a reported load says anything.
 const REPORT_LIFETIME: DurationMs = DurationMs(1_500);
 
+/// How long what other daemons told says anything.
+const TOLD_LIFETIME: DurationMs = DurationMs(1_200);
+
 /// The load that an endpoint tells on its answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -22,6 +25,8 @@
 pub struct EndpointLoad {
     own_running: AtomicU32,
     own_prefill_tokens: AtomicU64,
+    others_prefill_tokens: AtomicU64,
+    others_told_at_ms: AtomicU64,
     others_running: AtomicU32,
     others_waiting: AtomicU32,
     reported_at_ms: AtomicU64,
@@ -36,6 +41,8 @@
     pub own_running: u32,
     /// Prompt tokens of this daemon's requests that gave no token yet.
     pub own_prefill_tokens: u64,
+    /// The same of other daemons, as they last told.
+    pub others_prefill_tokens: u64,
     /// Requests of others, as last told.
     pub others_running: u32,
     /// Requests of others that wait, as last told.
@@ -68,6 +75,28 @@
         self.own_running.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Prompt tokens of this daemon's requests that gave no token yet.
+    pub fn own_prefill_tokens(&self) -> u64 {
+        self.own_prefill_tokens.load(Ordering::Relaxed)
+    }
+
+    /// Other daemons told what they have under way there.
+    pub fn others_told(&self, now: TimeMs, prefill_tokens: u64) {
+        self.others_prefill_tokens
+            .store(prefill_tokens, Ordering::Relaxed);
+        self.others_told_at_ms.store(now.0 + 1, Ordering::Relaxed);
+    }
+
+    fn others_prefill_tokens(&self, now: TimeMs) -> u64 {
+        let told_at = self.others_told_at_ms.load(Ordering::Relaxed);
+        let is_new = told_at > 0 && now.since(TimeMs(told_at - 1)) < TOLD_LIFETIME;
+        if is_new {
+            self.others_prefill_tokens.load(Ordering::Relaxed)
+        } else {
+            0
+        }
+    }
+
     /// How long requests wait there.
     pub fn queue_delay(&self) -> MutexGuard<'_, QueueDelay> {
         self.queue_delay.lock().expect("no panic under this lock")
@@ -115,7 +144,8 @@
         };
         LoadNow {
             own_running: self.own_running.load(Ordering::Relaxed),
-            own_prefill_tokens: self.own_prefill_tokens.load(Ordering::Relaxed),
+            own_prefill_tokens: self.own_prefill_tokens(),
+            others_prefill_tokens: self.others_prefill_tokens(now),
             others_running: told(&self.others_running),
             others_waiting: told(&self.others_waiting),
         }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -38,6 +38,8 @@
 /// Reading a part again that another engine keeps holds up everything else there: it counts
 /// so many times.
 const REREAD_WEIGHT: f64 = 3.0;
+/// How much of the work that other daemons tell counts.
+const TOLD_WORK_WEIGHT: f64 = 0.6;
 /// The share of what a prefix saves that counts at the endpoints where all daemons would place
 /// it, by rank.
 const LIKELY_SHARES: [f64; 2] = [0.8, 0.3];
@@ -219,7 +221,7 @@
             endpoint: endpoint.clone(),
             prefill_tokens,
             cost_ms: work_ms + distance_ms + trust_ms,
-            queue_ms,
+            queue_ms: crowded_queue_ms(queue_ms, load),
             is_trusted: trust_ms < UNTRUSTED_COST_MS,
         }
     }
@@ -285,6 +287,14 @@
     endpoint.load.queue_delay().expected_ms(now).max(ahead_ms)
 }
 
+/// The same with what other daemons have sent ahead, as far as they told. They tell rather too
+/// much: what they don't know to be kept they count as work.
+fn crowded_queue_ms(queue_ms: f64, load: LoadNow) -> f64 {
+    let others_tokens = load.others_prefill_tokens as f64 * TOLD_WORK_WEIGHT;
+    let ahead_tokens = load.own_prefill_tokens as f64 + others_tokens;
+    queue_ms.max(ahead_tokens / PREFILL_TOKENS_PER_MS)
+}
+
 fn plain_work_ms(load: LoadNow, slots: u32) -> f64 {
     let ahead = f64::from(load.running()) / f64::from(slots.max(1));
     ahead * PLAIN_COST_MS
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -4,9 +4,10 @@
 use crate::gateway::Gateway;
 use crate::replication::message::take_update;
 use crate::replication::replica::Update;
+use crate::replication::work::Work;
 use crate::source::Revision;
 use bridgevane_protocol::frame::Body;
-use bridgevane_protocol::{Frame, FrameCodec, RecordsWanted};
+use bridgevane_protocol::{Frame, FrameCodec, RecordsAnswer, RecordsWanted};
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 use derive_more::{Display, Error};
 use futures_util::{SinkExt, StreamExt};
@@ -53,6 +54,10 @@
     pub(crate) redirect: Option<SocketAddr>,
     /// How many daemons there are at most; 0: it doesn't know.
     pub(crate) fleet_size: u32,
+    /// The work of all daemons but this one.
+    pub(crate) others_work: Work,
+    /// The work of all daemons.
+    pub(crate) total_work: Work,
 }
 
 /// A connection to the daemon that is asked at present.
@@ -78,6 +83,10 @@
             None => open(peer).await?,
         };
         let settings = &gateway.settings;
+        let own_work = gateway.own_work();
+        // Each by itself: a guard would live to the end of the statement that makes the message.
+        let tree_size = gateway.downstreams().tree_size(gateway.now());
+        let tree_work = gateway.tree_work().messages();
         let wanted = RecordsWanted {
             vm: settings.vm.to_string(),
             data_centre: settings.data_centre.to_string(),
@@ -85,14 +94,35 @@
                 .peer_address
                 .map_or_else(String::new, |a| a.to_string()),
             at: at.0,
-            tree_size: gateway.downstreams().tree_size(gateway.now()),
+            tree_size,
+            tree_work,
+            is_for_work: false,
         };
         let asked_at = gateway.now();
         let asking = exchange(&mut frames, wanted);
         let answer = timeout(ANSWER_LIMIT, asking).await;
         let answer = answer.map_err(|_| PeerError::NoAnswer)??;
         self.open = Some((peer, frames));
-        read(asked_at, answer).ok_or(PeerError::Unreadable)
+        read(asked_at, answer, &own_work).ok_or(PeerError::Unreadable)
+    }
+
+    /// Asks another seed for the work of its tree.
+    ///
+    /// # Errors
+    /// [`PeerError`] when it gives no answer that can be used.
+    pub(crate) async fn ask_work(&mut self, peer: SocketAddr) -> Result<Work, PeerError> {
+        let mut frames = match self.open.take() {
+            Some((_, frames)) => frames,
+            None => open(peer).await?,
+        };
+        let wanted = RecordsWanted {
+            is_for_work: true,
+            ..Default::default()
+        };
+        let answer = timeout(ANSWER_LIMIT, exchange(&mut frames, wanted)).await;
+        let answer = answer.map_err(|_| PeerError::NoAnswer)??;
+        self.open = Some((peer, frames));
+        Ok(Work::of_messages(&answer.work))
     }
 
     /// Closes the connection.
@@ -113,7 +143,7 @@
 async fn exchange(
     frames: &mut Framed<TcpStream, FrameCodec>,
     wanted: RecordsWanted,
-) -> Result<bridgevane_protocol::RecordsAnswer, PeerError> {
+) -> Result<RecordsAnswer, PeerError> {
     let body = Some(Body::RecordsWanted(wanted));
     let sent = frames.send(Frame { body }).await;
     sent.map_err(|_| PeerError::Broken)?;
@@ -126,7 +156,8 @@
 
 /// The question had arrived when its holding began, and was sent no later: what was proved so
 /// long before the end of the holding was proved no earlier than this works out.
-fn read(asked_at: TimeMs, mut answer: bridgevane_protocol::RecordsAnswer) -> Option<PeerAnswer> {
+fn read(asked_at: TimeMs, mut answer: RecordsAnswer, own_work: &Work) -> Option<PeerAnswer> {
+    let total_work = Work::of_messages(&answer.work);
     let update = take_update(&mut answer)?;
     let answered_at = asked_at.0.checked_add(answer.held_ms)?;
     let proved_at = |age_ms: u64| answered_at.checked_sub(age_ms).map(TimeMs);
@@ -137,6 +168,8 @@
         data_centre: DataCentreId::from(answer.data_centre.as_str()),
         redirect: answer.redirect.parse().ok(),
         fleet_size: answer.fleet_size,
+        others_work: total_work.without(own_work),
+        total_work,
     })
 }
 
--- a/crates/gateway/src/replication/downstreams.rs
+++ b/crates/gateway/src/replication/downstreams.rs
@@ -1,6 +1,7 @@
 //! The daemons that follow this one: a few of each data centre. Others are sent on to one of
 //! those, so that the cost of being followed doesn't grow with the fleet.
 
+use crate::replication::work::Work;
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs, VmId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,6 +27,8 @@
     pub address: SocketAddr,
     /// Daemons that follow it, directly or not, itself included.
     pub tree_size: u32,
+    /// What these have under way.
+    pub tree_work: Work,
 }
 
 /// Whether a daemon is answered here.
@@ -105,6 +108,16 @@
         sizes.fold(1, u32::saturating_add)
     }
 
+    /// What daemons that follow this one, directly or not, have under way.
+    pub fn work(&self, now: TimeMs) -> Work {
+        let mut work = Work::default();
+        let lately = |known: &&Known| now.since(known.asked_at) < LIFETIME;
+        for known in self.by_vm.values().filter(lately) {
+            work.add_all(&known.follower.tree_work);
+        }
+        work
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.by_vm.len()
--- a/crates/gateway/src/replication/mod.rs
+++ b/crates/gateway/src/replication/mod.rs
@@ -14,6 +14,9 @@
 pub mod replica;
 pub mod server;
 pub mod upstream;
+pub mod work;
+mod work_exchange;
 
 pub(crate) use client::{PeerAnswer, PeerClient, PeerError};
 pub use downstreams::{Admission, Downstreams, Follower};
+pub(crate) use work_exchange::run as exchange_work;
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -4,9 +4,10 @@
 use crate::gateway::Gateway;
 use crate::replication::downstreams::{Admission, Follower};
 use crate::replication::message::put_update;
+use crate::replication::work::Work;
 use crate::source::Revision;
 use bridgevane_protocol::frame::Body;
-use bridgevane_protocol::{Frame, FrameCodec, RecordsAnswer, RecordsWanted};
+use bridgevane_protocol::{Frame, FrameCodec, FrameError, RecordsAnswer, RecordsWanted};
 use bridgevane_types::{DataCentreId, TimeMs, VmId};
 use futures_util::{SinkExt, StreamExt};
 use std::sync::Arc;
@@ -20,6 +21,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long a question is held when there is nothing newer.
 const HOLD: Duration = Duration::from_millis(600);
+/// The same while there is work to tell.
+const BUSY_HOLD: Duration = Duration::from_millis(200);
 /// How long a daemon may take from one question to the next.
 const QUESTION_LIMIT: Duration = Duration::from_millis(5_000);
 /// Moments are whole milliseconds: an age may be so much more than their difference.
@@ -75,6 +78,16 @@
         let Some(Body::RecordsWanted(wanted)) = frame.body else {
             return;
         };
+        if wanted.is_for_work {
+            let answer = RecordsAnswer {
+                work: gateway.tree_work().messages(),
+                ..Default::default()
+            };
+            if send(&mut frames, answer).await.is_err() {
+                return;
+            }
+            continue;
+        }
         let asked = Instant::now();
         let redirect = redirect(gateway, told, &wanted);
         if redirect.is_none() {
@@ -86,13 +99,20 @@
             answers: told.answers + 1,
             proved_at,
         };
-        let body = Some(Body::RecordsAnswer(answer));
-        if frames.send(Frame { body }).await.is_err() {
+        if send(&mut frames, answer).await.is_err() {
             return;
         }
     }
 }
 
+async fn send(
+    frames: &mut Framed<TcpStream, FrameCodec>,
+    answer: RecordsAnswer,
+) -> Result<(), FrameError> {
+    let body = Some(Body::RecordsAnswer(answer));
+    frames.send(Frame { body }).await
+}
+
 /// Where the daemon shall ask instead. Its first question on a connection is answered in any
 /// case: it may only want to know who is here.
 fn redirect(gateway: &Gateway, told: Told, wanted: &RecordsWanted) -> Option<String> {
@@ -104,6 +124,7 @@
         data_centre: DataCentreId::from(wanted.data_centre.as_str()),
         address: wanted.peer_address.parse().ok()?,
         tree_size: wanted.tree_size,
+        tree_work: Work::of_messages(&wanted.tree_work),
     };
     match gateway.downstreams().admit(gateway.now(), follower) {
         Admission::Here => None,
@@ -119,8 +140,10 @@
         let is_proved_anew = gateway.view.proved_at() > told.proved_at;
         has_changes || is_proved_anew
     });
+    let is_busy = !wanted.tree_work.is_empty() || !gateway.total_work().is_small();
+    let hold = if is_busy { BUSY_HOLD } else { HOLD };
     // Without news the answer says so: this daemon is there.
-    let _ = timeout_at(asked + HOLD, waiting).await;
+    let _ = timeout_at(asked + hold, waiting).await;
 }
 
 /// The answer as things stand, and the moment that its proof is from.
@@ -143,6 +166,7 @@
         held_ms: asked.elapsed().as_millis() as u64,
         data_centre: gateway.settings.data_centre.to_string(),
         fleet_size: gateway.fleet_size().unwrap_or_default(),
+        work: gateway.total_work().messages(),
         ..Default::default()
     };
     put_update(&mut answer, update);
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -6,7 +6,7 @@
 use bridgevane_gateway::directory::{Endpoint, EndpointRecord, ServiceEndpoints};
 use bridgevane_gateway::health::{Health, Trust};
 use bridgevane_gateway::load::{EndpointLoad, ReportedLoad};
-use bridgevane_gateway::placement::{Choice, Placement};
+use bridgevane_gateway::placement::{Choice, Placed, Placement};
 use bridgevane_gateway::queue_delay::{Pending, QueueDelay};
 use bridgevane_gateway::replication::fleet::FleetSize;
 use bridgevane_gateway::request::{Prompt, PromptPart};
@@ -55,6 +55,10 @@
 }
 
 fn place(service: &ServiceEndpoints, prompt: &Prompt, data_centre: &str) -> EngineIx {
+    placed(service, prompt, data_centre).endpoint.index
+}
+
+fn placed(service: &ServiceEndpoints, prompt: &Prompt, data_centre: &str) -> Placed {
     let choice = Choice {
         now: NOW,
         data_centre: &DataCentreId::from(data_centre),
@@ -62,7 +66,19 @@
         tried: &[],
     };
     let placed = Placement::default().choose(choice, service);
-    placed.expect("an endpoint").endpoint.index
+    placed.expect("an endpoint")
+}
+
+#[test]
+fn work_that_others_told_makes_the_line_longer_and_moves_no_session() {
+    let service = service();
+    let prompt = prompt(77, 6_000, 3_000, 200);
+    let before = placed(&service, &prompt, "dc-0");
+    assert_eq!(before.queue_ms, 0.0);
+    before.endpoint.load.others_told(NOW, 50_000);
+    let after = placed(&service, &prompt, "dc-0");
+    assert_eq!(after.endpoint.index, before.endpoint.index);
+    assert_eq!(after.queue_ms, 600.0, "0.6 of a second of reading");
 }
 
 #[test]
--- a/crates/gateway/tests/replication.rs
+++ b/crates/gateway/tests/replication.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use support::client::{Client, request};
-use support::endpoint::{Endpoint, answer};
-use support::source::{KEY, OTHER_KEY, ScriptedSource, plain_route};
+use support::endpoint::{Act, Endpoint, answer};
+use support::source::{KEY, OTHER_KEY, ScriptedSource, plain_route, stream_route};
 use support::{Running, settings, start_with};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -54,6 +54,73 @@
     (source, endpoint)
 }
 
+/// A daemon of some that name each other as seeds.
+async fn seed_among(
+    vm: &str,
+    source: &ScriptedSource,
+    listener: TcpListener,
+    seeds: &[SocketAddr],
+) -> Peer {
+    let address = listener.local_addr().unwrap();
+    let settings = peer_settings(vm, address, seeds);
+    let running = start_with(source.clone(), settings).await;
+    let server = tokio::spawn(server::run(running.gateway.clone(), listener));
+    Peer {
+        running,
+        address,
+        server,
+    }
+}
+
+/// What the daemon believes that others have under way at the only engine.
+fn told(peer: &Peer) -> u64 {
+    let gateway = &peer.running.gateway;
+    let directory = gateway.view.directory();
+    let service = directory.service(&"model".into()).expect("the service");
+    service.all[0].load.now(gateway.now()).others_prefill_tokens
+}
+
+#[tokio::test]
+async fn work_under_way_is_told_up_and_down_the_tree_and_between_seeds() {
+    let source = ScriptedSource::new();
+    source.configure(3, vec![stream_route("long", false, 1)], &[KEY]);
+    let engine = Endpoint::start(|_| vec![Act::Hang]).await;
+    source.endpoint("e-0", "model", engine.address);
+    let one = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let two = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let seeds = [one.local_addr().unwrap(), two.local_addr().unwrap()];
+    let first = seed_among("vm-1", &source, one, &seeds).await;
+    let second = seed_among("vm-2", &source, two, &seeds).await;
+    let child = peer("vm-3", &source, Some(first.address)).await;
+    let other = peer("vm-4", &source, Some(first.address)).await;
+    let mut client = Client::connect(child.running.address).await;
+    let prompt = "x-parts: aa:3000,bb:17000\r\nx-tokens: 20000,50\r\n";
+    client
+        .send(&request("POST", "/long/x", "a1", prompt, ""))
+        .await;
+    let everyone_knows = async {
+        while [&first, &second, &other].iter().any(|peer| told(peer) == 0) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let limit = Duration::from_millis(5_000);
+    tokio::time::timeout(limit, everyone_knows)
+        .await
+        .expect("in time");
+    // Four fifths of the shared part are believed to be kept there.
+    assert_eq!(told(&first), 20_000 - 2_400);
+    assert_eq!(told(&child), 0, "it is its own");
+    drop(client);
+    let forgotten = async {
+        while [&first, &second, &other].iter().any(|peer| told(peer) > 0) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(limit, forgotten)
+        .await
+        .expect("in time");
+}
+
 /// A source that knows what records say, and lets nobody call it.
 fn unreachable(source: &ScriptedSource) -> ScriptedSource {
     let own = source.with_faults_of_its_own();
--- a/crates/gateway/tests/upstream.rs
+++ b/crates/gateway/tests/upstream.rs
@@ -1,6 +1,7 @@
 //! Whom a daemon follows.
 
 use bridgevane_gateway::replication::upstream::{Report, STALE, Upstream, UpstreamSelector};
+use bridgevane_gateway::replication::work::{EndpointHash, Work};
 use bridgevane_gateway::replication::{Admission, Downstreams, Follower};
 use bridgevane_types::{DurationMs, TimeMs};
 use std::net::SocketAddr;
@@ -128,12 +129,19 @@
     assert_eq!(child.next(TimeMs(900)), Upstream::Source);
 }
 
+fn work(prompt_tokens: u64) -> Work {
+    let mut work = Work::default();
+    work.add(EndpointHash(7), prompt_tokens);
+    work
+}
+
 fn follower(vm: &str, data_centre: &str, at: u16) -> Follower {
     Follower {
         vm: vm.into(),
         data_centre: data_centre.into(),
         address: address(at),
         tree_size: 3,
+        tree_work: work(3_000),
     }
 }
 
@@ -145,6 +153,7 @@
         downstreams.admit(LATER, follower(&format!("vm-{at}"), "dc-1", at));
     }
     assert_eq!(downstreams.tree_size(LATER), 13);
+    assert_eq!(downstreams.work(LATER), work(12_000));
     assert_eq!(downstreams.tree_size(TimeMs(LATER.0 + 2_000)), 1);
 }
 
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -3,11 +3,11 @@
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::record_change::Change;
 use bridgevane_protocol::{
-    ConfigDelta, ConfigSnapshot, ConfigWanted, Frame, FrameCodec, FrameError, GreetingError,
-    Heartbeat, Hello, KeyClaim, KeyEnded, KeyVerdict, MAX_FRAME_BYTES, MemberState, MemberUpdate,
-    PROTOCOL_VERSION, PoolDispatch, PoolOffer, PoolOrder, PoolRefuse, PoolReport, Proof, Query,
-    QueryAnswer, RecordChange, RecordPatch, RecordsAnswer, RecordsWanted, Role, SectionChange,
-    greet, pool_order, pool_report, prove,
+    ConfigDelta, ConfigSnapshot, ConfigWanted, EndpointWork, Frame, FrameCodec, FrameError,
+    GreetingError, Heartbeat, Hello, KeyClaim, KeyEnded, KeyVerdict, MAX_FRAME_BYTES, MemberState,
+    MemberUpdate, PROTOCOL_VERSION, PoolDispatch, PoolOffer, PoolOrder, PoolRefuse, PoolReport,
+    Proof, Query, QueryAnswer, RecordChange, RecordPatch, RecordsAnswer, RecordsWanted, Role,
+    SectionChange, greet, pool_order, pool_report, prove,
 };
 use bytes::{BufMut, Bytes, BytesMut};
 use expect_test::expect;
@@ -193,6 +193,8 @@
                 peer_address: "10.0.0.1:7000".into(),
                 at: 7,
                 tree_size: 3,
+                tree_work: vec![endpoint_work()],
+                is_for_work: true,
             }),
         ),
         (
@@ -210,6 +212,7 @@
                 data_centre: "bo-c".into(),
                 redirect: "10.0.0.2:7000".into(),
                 fleet_size: 80,
+                work: vec![endpoint_work()],
             }),
         ),
     ]
@@ -223,6 +226,13 @@
     }
 }
 
+fn endpoint_work() -> EndpointWork {
+    EndpointWork {
+        endpoint: 5,
+        prompt_tokens: 4_000,
+    }
+}
+
 fn patch() -> RecordPatch {
     RecordPatch {
         base_revision: 4,
@@ -267,8 +277,8 @@
         key_ended 0000002a6a280a046465736b1201631a016b221009090909090909090909090909090909280130c8013a03612f62
         query 0000000e720c0801120873686f7720766d73
         query_answer 000000087a06080112025b5d
-        records_wanted 000000228a011f0a04766d2d311204626f2d631a0d31302e302e302e313a3730303020072803
-        records_answer 00000048920145080910f40318032a080a016110081a01782a070a0162100828012a120a01631009220b0804100a181422036e65773204626f2d633a0d31302e302e302e323a373030304050
+        records_wanted 0000002e8a012b0a04766d2d311204626f2d631a0d31302e302e302e313a373030302007280332080d0500000010a01f3801
+        records_answer 0000005292014f080910f40318032a080a016110081a01782a070a0162100828012a120a01631009220b0804100a181422036e65773204626f2d633a0d31302e302e302e323a3730303040504a080d0500000010a01f
     "#]].assert_eq(&golden);
 }
 
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -75,6 +75,12 @@
         /// The daemon.
         daemon: usize,
     },
+    /// A daemon ended though nobody ended it.
+    #[display("daemon {daemon} ended by itself, or never started")]
+    Ended {
+        /// The daemon.
+        daemon: usize,
+    },
     /// Too little was served after the last trouble.
     #[display("{served} of {asked} were served after the last trouble")]
     NotRecovered {
@@ -99,6 +105,8 @@
     found.extend(unasked(history));
     found.extend(drained(history));
     found.extend(not_recovered(history));
+    let ended = history.ended.iter();
+    found.extend(ended.map(|daemon| Broken::Ended { daemon: *daemon }));
     found
 }
 
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -134,6 +134,8 @@
     pub stops: Vec<PlannedStop>,
     /// Unplanned trouble.
     pub disruptions: Vec<Disruption>,
+    /// Daemons that had ended by themselves when the run was over.
+    pub ended: Vec<usize>,
     /// When the last trouble was over.
     pub calm_from: Duration,
     /// Events of a whole stream.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -147,9 +147,11 @@
     }
     while callers.join_next().await.is_some() {}
     let notes = std::mem::take(&mut *shared.notes.lock().await);
+    let mut stage = shared.stage.lock().await;
     let history = History {
         calls: calls.take(),
-        runs: shared.stage.lock().await.runs(),
+        runs: stage.runs(),
+        ended: stage.ended()?,
         removals: notes.removals,
         leavings: notes.leavings,
         stops: notes.stops,
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -55,9 +55,39 @@
     pub(crate) started: Instant,
 }
 
-/// An address that was free a moment ago.
-async fn free_address() -> Result<SocketAddr, std::io::Error> {
-    TcpListener::bind("127.0.0.1:0").await?.local_addr()
+/// Ports for daemons: below those that the system gives to outgoing connections, which could
+/// take one between the look and the start of the daemon.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
+/// Gives ports that are free, from a place of this process's own on.
+#[derive(Debug)]
+struct Ports {
+    next: u16,
+}
+
+impl Ports {
+    fn new() -> Self {
+        let place = std::process::id() * 97 % u32::from(PORTS.end - PORTS.start);
+        Self {
+            next: PORTS.start + place as u16,
+        }
+    }
+
+    async fn free_address(&mut self) -> Result<SocketAddr, std::io::Error> {
+        loop {
+            let address = SocketAddr::from(([127, 0, 0, 1], self.next));
+            self.next = if self.next + 1 < PORTS.end {
+                self.next + 1
+            } else {
+                PORTS.start
+            };
+            match TcpListener::bind(address).await {
+                Ok(_) => return Ok(address),
+                Err(error) if error.kind() == std::io::ErrorKind::AddrInUse => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
 }
 
 fn behaviour(service: &str) -> Behaviour {
@@ -102,12 +132,13 @@
         logs: &Path,
         count: usize,
     ) -> Result<(), std::io::Error> {
+        let mut ports = Ports::new();
         let mut peers = Vec::new();
         for _ in 0..count {
-            peers.push(free_address().await?);
+            peers.push(ports.free_address().await?);
         }
         for at in 0..count {
-            let clients = free_address().await?;
+            let clients = ports.free_address().await?;
             let proxies = Proxies {
                 callers: Proxy::start(clients).await?,
                 store: Proxy::start(self.store.address).await?,
@@ -122,7 +153,7 @@
             let settings = DaemonSettings {
                 name: format!("vm-{at}"),
                 clients,
-                ready: free_address().await?,
+                ready: ports.free_address().await?,
                 peers: peers[at],
                 store: proxies.store.address,
                 seeds,
@@ -186,6 +217,17 @@
         }
     }
 
+    /// Daemons that have ended though nobody ended them.
+    pub(crate) fn ended(&mut self) -> Result<Vec<usize>, std::io::Error> {
+        let mut ended = Vec::new();
+        for (at, daemon) in self.daemons.iter_mut().enumerate() {
+            if daemon.has_ended()? {
+                ended.push(at);
+            }
+        }
+        Ok(ended)
+    }
+
     /// Where callers reach the daemons.
     pub(crate) fn doors(&self) -> Vec<SocketAddr> {
         let proxies = self.proxies.iter();
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -165,6 +165,13 @@
     assert!(!broken(&history).contains(&cut));
 }
 
+#[test]
+fn a_daemon_that_ends_by_itself_is_found() {
+    let mut history = sound();
+    history.ended = vec![2];
+    assert_eq!(broken(&history), vec![Broken::Ended { daemon: 2 }]);
+}
+
 #[test]
 fn too_little_served_after_the_last_trouble_is_found() {
     let mut history = sound();
