fix(replication): a cold start of three hundred daemons doesn't choke on its seeds

Each daemon took the whole state, 0.9 MB, from up to three seeds to learn in which data centre they are, over links of 10 Mbit/s; the tables of work grew with the endpoints; a reading of the store that took over two seconds was given up and begun again.

Change: seeds are located without records; daemons are sent on before any are sent; whole states are packed (lz4_flex); 64 endpoints of work in a message at most; the limit for reading everything doubles when it is reached, and a whole state from another daemon has three seconds. Connections that rest at an endpoint are half of what it takes, divided by the daemons (`max_connections` was read and never used). One way to accept connections in place of four.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -151,9 +151,10 @@
     }
 
     /// The body was read to its end: the connection may carry another request.
-    pub fn finish(self) {
+    pub fn finish(self, gateway: &Gateway) {
         if let Some(limit) = rest_limit(&self.head.headers) {
-            self.endpoint.connections.put(self.connection, limit);
+            let most = gateway.resting_at_most(&self.endpoint);
+            self.endpoint.connections.put(self.connection, limit, most);
         }
     }
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -8,7 +8,7 @@
 use socket2::SockRef;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
@@ -17,6 +17,19 @@
 /// The most that is buffered of an answer.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
+/// The pause after a failed accept, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts the next connection, however long that takes.
+pub async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
 /// Why no connection came about.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum OpenError {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -362,7 +362,7 @@
                         answer.endpoint.health.served(self.gateway.now());
                     }
                     let response = Response::from_parts(client_head(&answer.head), body.to_bytes());
-                    answer.finish();
+                    answer.finish(&self.gateway);
                     return Ok(response.map(|body| AnswerBody::Whole(Full::new(body))));
                 }
                 Ok(Err(_)) => AttemptError::Broken,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,8 +17,11 @@
 /// The longest pause between failed calls.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
 
-/// How long reading everything may take.
-const RELOAD_LIMIT: Duration = Duration::from_millis(2_000);
+/// How long reading everything may take at first. Where there is much of it and the VM is
+/// slow it takes longer: each reading that was given up makes the next limit twice as long.
+const FIRST_RELOAD_LIMIT: Duration = Duration::from_millis(2_000);
+/// The longest that reading everything may take.
+const MAX_RELOAD_LIMIT: Duration = Duration::from_millis(16_000);
 /// What a wait for changes may take beyond its own time.
 const WAIT_SLACK: Duration = Duration::from_millis(1_000);
 
@@ -43,6 +46,7 @@
         followed: None,
         needs_everything: true,
         pause: FIRST_PAUSE,
+        reload_limit: FIRST_RELOAD_LIMIT,
         is_source_lost: false,
         was_fresh: false,
     };
@@ -61,6 +65,7 @@
     /// What is known can't be brought up to date by changes.
     needs_everything: bool,
     pause: Duration,
+    reload_limit: Duration,
     is_source_lost: bool,
     was_fresh: bool,
 }
@@ -72,6 +77,7 @@
         let is_well = match upstream {
             Upstream::Source => self.follow_source().await,
             Upstream::Peer(peer) => self.follow_peer(peer).await,
+            Upstream::Locate(peer) => self.locate(peer).await,
         };
         self.note_freshness();
         if is_well {
@@ -119,8 +125,13 @@
     }
 
     async fn reload(&mut self) -> Result<(), SourceError> {
-        let reading = timeout(RELOAD_LIMIT, self.source.full_state()).await;
-        let state = reading.map_err(|_| SourceError::NoAnswer)??;
+        let reading = timeout(self.reload_limit, self.source.full_state()).await;
+        let Ok(state) = reading else {
+            self.reload_limit = (self.reload_limit * 2).min(MAX_RELOAD_LIMIT);
+            return Err(SourceError::NoAnswer);
+        };
+        let state = state?;
+        self.reload_limit = FIRST_RELOAD_LIMIT;
         event!(
             Event::SourceReloaded,
             revision = state.at,
@@ -159,16 +170,29 @@
         match taken {
             Ok(report) => {
                 self.upstreams.peer_answered(now, peer, &report);
-                report.proof_age.is_some()
+                report.proof_age.is_some() || report.redirect.is_some()
             }
-            Err(error) => {
-                self.upstreams.peer_failed(now, peer);
-                event!(Event::PeerLost, peer = peer, cause = error);
-                false
+            Err(error) => self.lost_peer(peer, error),
+        }
+    }
+
+    /// Asks a seed where it is; false when it doesn't answer.
+    async fn locate(&mut self, peer: SocketAddr) -> bool {
+        match self.peers.ask_work(peer).await {
+            Ok(located) => {
+                self.upstreams.located(peer, located.data_centre);
+                true
             }
+            Err(error) => self.lost_peer(peer, error),
         }
     }
 
+    fn lost_peer(&mut self, peer: SocketAddr, error: PeerError) -> bool {
+        self.upstreams.peer_failed(self.gateway.now(), peer);
+        event!(Event::PeerLost, peer = peer, cause = error);
+        false
+    }
+
     /// Takes in an answer, and notes what it proves.
     fn take_in(&mut self, answer: PeerAnswer) -> Result<Report, PeerError> {
         let report = Report {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,6 +1,6 @@
 //! The clients' front door.
 
-use crate::connection::tune;
+use crate::connection::{accept, tune};
 use crate::exchange;
 use crate::gateway::Gateway;
 use futures_util::FutureExt;
@@ -14,8 +14,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// The pause after a failed accept, such as for want of descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long a connection may rest before the configuration says so.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 /// The longest head, body aside, before the configuration says so.
@@ -26,14 +24,11 @@
 /// Accepts clients until a stop tells it to end; then nobody listens any more.
 pub async fn run(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
             () = gateway.accepting_must_end() => break,
         };
-        match accepted {
-            Ok((stream, _)) => spawn_connection(&gateway, stream),
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
-        }
+        spawn_connection(&gateway, stream);
     }
     // Those that wait already were taken by the system: they are served, not reset.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,8 +1,10 @@
 //! What every part of the gateway shares, handed down instead of globals.
 
+use crate::directory::Endpoint;
 use crate::metrics::GatewayMetrics;
 use crate::names::HeaderNames;
 use crate::placement::Placement;
+use crate::pool::resting_at_most;
 use crate::replication::Downstreams;
 use crate::replication::fleet::FleetSize;
 use crate::replication::replica::Replica;
@@ -131,6 +133,18 @@
         self.fleet.lock().expect("no panic under this lock")
     }
 
+    /// How many of this daemon's connections may rest at an endpoint: it takes so many of all
+    /// daemons together.
+    pub(crate) fn resting_at_most(&self, endpoint: &Endpoint) -> usize {
+        let table = self.view.table();
+        let record = endpoint.record.load();
+        let service = table
+            .as_ref()
+            .and_then(|table| table.service(&record.service));
+        let taken = service.map_or(0, |service| service.max_connections);
+        resting_at_most(taken, self.fleet_size().unwrap_or(1))
+    }
+
     /// Notes how many daemons there are at most; they share one retry budget.
     pub(crate) fn note_fleet_size(&self, daemons: u32) {
         let mut fleet = self.lock_fleet();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod metrics;
 pub mod names;
 pub mod placement;
-mod pool;
+pub mod pool;
 pub mod queue_delay;
 pub mod ready;
 mod refusal;
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -1,5 +1,6 @@
 //! Whether the daemon wants new connections, as the balancer asks.
 
+use crate::connection::accept;
 use crate::gateway::Gateway;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -10,12 +11,8 @@
 use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 
-/// The pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Where metrics are served; every other path asks whether the daemon is ready.
 const METRICS_PATH: &str = "/metrics";
 
@@ -25,10 +22,7 @@
     P: Fn() -> String + Clone + Send + Sync + 'static,
 {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accept(&listener).await;
         let gateway = gateway.clone();
         let page = page.clone();
         tokio::spawn(async move {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -141,7 +141,7 @@
         let first = self.pace.first.unwrap_or_default();
         self.exchange
             .note_served(&answer, first, self.pace.longest_gap);
-        answer.finish();
+        answer.finish(&self.exchange.gateway);
         None
     }
 
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -21,6 +21,8 @@
 const OPEN_LIMIT: Duration = Duration::from_millis(300);
 /// How long an answer may take, the holding of the question included.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
+/// The same for everything at once: the answering daemon's link may be narrow.
+const EVERYTHING_LIMIT: Duration = Duration::from_millis(3_000);
 
 /// Why another daemon gave nothing.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -60,6 +62,13 @@
     pub(crate) total_work: Work,
 }
 
+/// Where a daemon is, and what its tree has under way.
+#[derive(Debug)]
+pub(crate) struct Located {
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) tree_work: Work,
+}
+
 /// A connection to the daemon that is asked at present.
 #[derive(Debug, Default)]
 pub(crate) struct PeerClient {
@@ -100,18 +109,24 @@
         };
         let asked_at = gateway.now();
         let asking = exchange(&mut frames, wanted);
-        let answer = timeout(ANSWER_LIMIT, asking).await;
+        let limit = if at == Revision(0) {
+            EVERYTHING_LIMIT
+        } else {
+            ANSWER_LIMIT
+        };
+        let answer = timeout(limit, asking).await;
         let answer = answer.map_err(|_| PeerError::NoAnswer)??;
         self.open = Some((peer, frames));
         read(asked_at, answer, &own_work).ok_or(PeerError::Unreadable)
     }
 
-    /// Asks another seed for the work of its tree.
+    /// Asks another daemon where it is, and for the work of its tree.
     ///
     /// # Errors
     /// [`PeerError`] when it gives no answer that can be used.
-    pub(crate) async fn ask_work(&mut self, peer: SocketAddr) -> Result<Work, PeerError> {
-        let mut frames = match self.open.take() {
+    pub(crate) async fn ask_work(&mut self, peer: SocketAddr) -> Result<Located, PeerError> {
+        let kept = self.open.take().filter(|(address, _)| *address == peer);
+        let mut frames = match kept {
             Some((_, frames)) => frames,
             None => open(peer).await?,
         };
@@ -122,7 +137,10 @@
         let answer = timeout(ANSWER_LIMIT, exchange(&mut frames, wanted)).await;
         let answer = answer.map_err(|_| PeerError::NoAnswer)??;
         self.open = Some((peer, frames));
-        Ok(Work::of_messages(&answer.work))
+        Ok(Located {
+            data_centre: DataCentreId::from(answer.data_centre.as_str()),
+            tree_work: Work::of_messages(&answer.work),
+        })
     }
 
     /// Closes the connection.
--- a/crates/gateway/src/replication/mod.rs
+++ b/crates/gateway/src/replication/mod.rs
@@ -9,7 +9,7 @@
 mod client;
 mod downstreams;
 pub mod fleet;
-mod message;
+pub mod message;
 pub mod patch;
 pub mod replica;
 pub mod server;
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -1,6 +1,6 @@
 //! Answering daemons that follow this one.
 
-use crate::connection::tune;
+use crate::connection::{accept, tune};
 use crate::gateway::Gateway;
 use crate::replication::downstreams::{Admission, Follower};
 use crate::replication::message::put_update;
@@ -10,6 +10,7 @@
 use bridgevane_protocol::{Frame, FrameCodec, FrameError, RecordsAnswer, RecordsWanted};
 use bridgevane_types::{DataCentreId, TimeMs, VmId};
 use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -17,8 +18,6 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
-/// The pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How long a question is held when there is nothing newer.
 const HOLD: Duration = Duration::from_millis(600);
 /// The same while there is work to tell.
@@ -43,10 +42,7 @@
 pub async fn run(gateway: Arc<Gateway>, listener: TcpListener) {
     let open = Arc::new(AtomicU32::new(0));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accept(&listener).await;
         let before = open.fetch_add(1, Ordering::Relaxed);
         let guard = Open(open.clone());
         if before >= MAX_CONNECTIONS || tune(&stream).is_err() {
@@ -60,17 +56,11 @@
     }
 }
 
-/// What was told last on a connection.
-#[derive(Clone, Copy, Debug, Default)]
-struct Told {
-    answers: u32,
-    proved_at: Option<TimeMs>,
-}
-
 /// Answers one daemon until it leaves or stays silent.
 async fn serve(gateway: &Gateway, stream: TcpStream) {
     let mut frames = Framed::new(stream, FrameCodec::default());
-    let mut told = Told::default();
+    // The moment that the proof told last on this connection is from.
+    let mut told: Option<TimeMs> = None;
     loop {
         let Ok(Some(Ok(frame))) = timeout(QUESTION_LIMIT, frames.next()).await else {
             return;
@@ -80,6 +70,7 @@
         };
         if wanted.is_for_work {
             let answer = RecordsAnswer {
+                data_centre: gateway.settings.data_centre.to_string(),
                 work: gateway.tree_work().messages(),
                 ..Default::default()
             };
@@ -89,15 +80,18 @@
             continue;
         }
         let asked = Instant::now();
-        let redirect = redirect(gateway, told, &wanted);
-        if redirect.is_none() {
-            wait_for_news(gateway, told, &wanted, asked).await;
-        }
-        let (mut answer, proved_at) = answer(gateway, &wanted, asked);
-        answer.redirect = redirect.unwrap_or_default();
-        told = Told {
-            answers: told.answers + 1,
-            proved_at,
+        let answer = match redirect(gateway, &wanted) {
+            Some(address) => RecordsAnswer {
+                data_centre: gateway.settings.data_centre.to_string(),
+                redirect: address.to_string(),
+                ..Default::default()
+            },
+            None => {
+                wait_for_news(gateway, told, &wanted, asked).await;
+                let (answer, proved_at) = answer(gateway, &wanted, asked);
+                told = proved_at;
+                answer
+            }
         };
         if send(&mut frames, answer).await.is_err() {
             return;
@@ -113,12 +107,9 @@
     frames.send(Frame { body }).await
 }
 
-/// Where the daemon shall ask instead. Its first question on a connection is answered in any
-/// case: it may only want to know who is here.
-fn redirect(gateway: &Gateway, told: Told, wanted: &RecordsWanted) -> Option<String> {
-    if told.answers == 0 {
-        return None;
-    }
+/// Where the daemon shall ask instead, before anything is sent to it: all records at once are
+/// much for the link of a small VM.
+fn redirect(gateway: &Gateway, wanted: &RecordsWanted) -> Option<SocketAddr> {
     let follower = Follower {
         vm: VmId::from(wanted.vm.as_str()),
         data_centre: DataCentreId::from(wanted.data_centre.as_str()),
@@ -128,16 +119,21 @@
     };
     match gateway.downstreams().admit(gateway.now(), follower) {
         Admission::Here => None,
-        Admission::Redirect(address) => Some(address.to_string()),
+        Admission::Redirect(address) => Some(address),
     }
 }
 
 /// Waits until there is something that the daemon doesn't know, but not for long.
-async fn wait_for_news(gateway: &Gateway, told: Told, wanted: &RecordsWanted, asked: Instant) {
+async fn wait_for_news(
+    gateway: &Gateway,
+    told: Option<TimeMs>,
+    wanted: &RecordsWanted,
+    asked: Instant,
+) {
     let mut progress = gateway.progress();
     let waiting = progress.wait_for(|_| {
         let has_changes = gateway.replica().at() > Revision(wanted.at);
-        let is_proved_anew = gateway.view.proved_at() > told.proved_at;
+        let is_proved_anew = gateway.view.proved_at() > told;
         has_changes || is_proved_anew
     });
     let is_busy = !wanted.tree_work.is_empty() || !gateway.total_work().is_small();
--- a/crates/gateway/src/replication/upstream.rs
+++ b/crates/gateway/src/replication/upstream.rs
@@ -33,6 +33,9 @@
     /// Another daemon.
     #[display("{_0}")]
     Peer(SocketAddr),
+    /// A seed that hasn't said yet in which data centre it is: it is asked just that.
+    #[display("looking at {_0}")]
+    Locate(SocketAddr),
 }
 
 /// What another daemon's answer says of it as an upstream.
@@ -110,6 +113,7 @@
         let Some(seed) = self.best_seed(now) else {
             return Upstream::Source;
         };
+        let seed = (seed.address, seed.data_centre.is_some());
         let follows_source = if self.is_seed {
             now >= self.peers_until
         } else {
@@ -118,7 +122,18 @@
         if follows_source {
             return Upstream::Source;
         }
-        Upstream::Peer(self.redirected.unwrap_or(seed))
+        match (self.redirected, seed) {
+            (Some(address), _) => Upstream::Peer(address),
+            (None, (address, true)) => Upstream::Peer(address),
+            (None, (address, false)) => Upstream::Locate(address),
+        }
+    }
+
+    /// A seed said where it is.
+    pub fn located(&mut self, peer: SocketAddr, data_centre: DataCentreId) {
+        if let Some(seed) = self.seeds.iter_mut().find(|seed| seed.address == peer) {
+            seed.data_centre = Some(data_centre);
+        }
     }
 
     /// Whether this daemon follows the source by its settings.
@@ -128,7 +143,7 @@
 
     /// A seed that answers, if one does; among these one of this data centre, else one that
     /// hasn't said where it is.
-    fn best_seed(&self, now: TimeMs) -> Option<SocketAddr> {
+    fn best_seed(&self, now: TimeMs) -> Option<&Seed> {
         let rank = |seed: &&Seed| {
             let distance = match &seed.data_centre {
                 Some(data_centre) if *data_centre == self.own_data_centre => 0,
@@ -137,7 +152,7 @@
             };
             (now < seed.avoided_until, distance)
         };
-        self.seeds.iter().min_by_key(rank).map(|seed| seed.address)
+        self.seeds.iter().min_by_key(rank)
     }
 
     /// The source answered.
@@ -160,7 +175,7 @@
             seed.avoided_until = TimeMs(0);
         }
         let is_stale = report.proof_age.is_none_or(|age| age >= STALE);
-        if is_stale {
+        if is_stale && report.redirect.is_none() {
             return self.leave_peer(now);
         }
         let is_near = report.data_centre == self.own_data_centre || !self.knows_near_seed();
--- a/crates/gateway/src/replication/work.rs
+++ b/crates/gateway/src/replication/work.rs
@@ -13,6 +13,8 @@
 
 /// Less than this is not worth telling.
 const MIN_TOKENS: u64 = 1_500;
+/// Endpoints that are told of in a message at most, those with the most work.
+const MAX_TOLD: usize = 64;
 /// What was told is believed so long.
 const LIFETIME: DurationMs = DurationMs(1_200);
 
@@ -73,8 +75,14 @@
     /// What is worth telling.
     pub(super) fn messages(&self) -> Vec<EndpointWork> {
         let large = |(_, tokens): &(&EndpointHash, &u64)| **tokens >= MIN_TOKENS;
-        let large = self.prompt_tokens.iter().filter(large);
+        let mut large: Vec<(&EndpointHash, &u64)> =
+            self.prompt_tokens.iter().filter(large).collect();
+        if large.len() > MAX_TOLD {
+            large.sort_unstable_by_key(|(_, tokens)| std::cmp::Reverse(**tokens));
+            large.truncate(MAX_TOLD);
+        }
         large
+            .into_iter()
             .map(|(endpoint, tokens)| EndpointWork {
                 endpoint: endpoint.0,
                 prompt_tokens: u32::try_from(*tokens).unwrap_or(u32::MAX),
--- a/crates/gateway/src/replication/work_exchange.rs
+++ b/crates/gateway/src/replication/work_exchange.rs
@@ -27,8 +27,8 @@
     let mut client = PeerClient::default();
     loop {
         let pause = match client.ask_work(seed).await {
-            Ok(work) => {
-                gateway.note_seed_work(seed, work);
+            Ok(located) => {
+                gateway.note_seed_work(seed, located.tree_work);
                 PAUSE
             }
             Err(_) => LOST_PAUSE,
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -7,6 +7,7 @@
 use bridgevane_gateway::health::{Health, Trust};
 use bridgevane_gateway::load::{EndpointLoad, ReportedLoad};
 use bridgevane_gateway::placement::{Choice, Placed, Placement};
+use bridgevane_gateway::pool::resting_at_most;
 use bridgevane_gateway::queue_delay::{Pending, QueueDelay};
 use bridgevane_gateway::replication::fleet::FleetSize;
 use bridgevane_gateway::request::{Prompt, PromptPart};
@@ -253,6 +254,14 @@
     assert!((80..=200).contains(&all), "{all} of 200");
 }
 
+#[test]
+fn all_daemons_together_rest_at_half_of_what_an_endpoint_takes() {
+    for (taken, daemons, most) in [(360, 6, 8), (840, 87, 4), (540, 80, 3), (360, 390, 1)] {
+        assert_eq!(resting_at_most(taken, daemons), most, "{taken} {daemons}");
+    }
+    assert_eq!(resting_at_most(0, 390), 8, "it says nothing");
+}
+
 #[test]
 fn a_fleet_is_as_large_as_it_was_lately() {
     let mut fleet = FleetSize::default();
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -3,12 +3,14 @@
 mod support;
 
 use bridgevane_gateway::routing::Repeatability::Idempotent;
+use bridgevane_gateway::settings::GatewaySettings;
 use bridgevane_gateway::source::SourceError;
+use bridgevane_types::DurationMs;
 use std::time::Duration;
 use support::client::{Client, request};
 use support::endpoint::{Endpoint, answer};
 use support::source::{KEY, OTHER_KEY, ScriptedSource, plain_route};
-use support::{Running, start};
+use support::{Running, start, start_with};
 
 async fn stage() -> (Running, Endpoint) {
     let source = ScriptedSource::new();
@@ -87,6 +89,22 @@
     assert_eq!(endpoint.count(), 0);
 }
 
+/// Before, a reading that took more than two seconds was given up and begun again for ever.
+#[tokio::test]
+async fn a_source_that_takes_long_to_read_is_read_nonetheless() {
+    let source = ScriptedSource::new();
+    source.configure(3, vec![plain_route("often", Idempotent, 2)], &[KEY]);
+    source.slow_full_reads(Duration::from_millis(2_500));
+    let settings = GatewaySettings {
+        proof_lifetime_ms: DurationMs(10_000),
+        ..support::settings()
+    };
+    let limit = Duration::from_secs(10);
+    let started = tokio::time::timeout(limit, start_with(source, settings));
+    let running = started.await.expect("it is read");
+    assert_eq!(running.source.full_reads(), 2, "the second is given longer");
+}
+
 #[tokio::test]
 async fn an_endpoint_that_drains_or_is_gone_gets_nothing() {
     let (running, endpoint) = stage().await;
--- a/crates/gateway/tests/replica.rs
+++ b/crates/gateway/tests/replica.rs
@@ -1,8 +1,10 @@
 //! Records as one daemon passes them to another.
 
+use bridgevane_gateway::replication::message::{put_update, take_update};
 use bridgevane_gateway::replication::patch::{DoesNotFit, Patch};
 use bridgevane_gateway::replication::replica::{Outcome, Replica, Update};
 use bridgevane_gateway::source::{Changes, FullState, Revision, SourceRecord};
+use bridgevane_protocol::RecordsAnswer;
 use bytes::Bytes;
 
 fn record(key: &str, revision: u64, value: Option<&str>) -> SourceRecord {
@@ -149,6 +151,33 @@
     assert_eq!(everything(&own), Update::Everything(vec![]));
 }
 
+#[test]
+fn many_records_go_packed_and_come_back_whole() {
+    let value = |at: u64| format!("{{\"service\":\"model\",\"address\":\"10.1.0.{at}:80\"}}");
+    let records = (1..200).map(|at| record(&format!("worker-{at}"), at, Some(&value(at))));
+    let mut upstream = Replica::default();
+    upstream.replace(&state(200, records.collect()));
+    for (after, is_packed) in [(0, true), (200, false)] {
+        let update = upstream.update_since(Revision(after));
+        let mut answer = RecordsAnswer::default();
+        put_update(&mut answer, update.clone());
+        assert_eq!(!answer.packed_records.is_empty(), is_packed);
+        assert!(answer.packed_records.len() < 6_000);
+        assert_eq!(take_update(&mut answer), Some(update));
+    }
+}
+
+#[test]
+fn packed_records_that_would_unpack_to_too_much_are_refused() {
+    let mut packed = (64_u32 << 20).to_le_bytes().to_vec();
+    packed.extend([0; 40]);
+    let mut answer = RecordsAnswer {
+        packed_records: packed.into(),
+        ..Default::default()
+    };
+    assert_eq!(take_update(&mut answer), None);
+}
+
 #[test]
 fn a_patch_for_another_value_is_refused() {
     let mut upstream = Replica::default();
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -12,6 +12,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use tokio::sync::watch;
 
 const CONFIG: &str = "config";
@@ -28,6 +29,7 @@
     fault: Option<SourceError>,
     full_reads: usize,
     waits: usize,
+    full_read_takes: Duration,
 }
 
 /// The source; clones share one state.
@@ -122,6 +124,11 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// From now on reading everything takes so long.
+    pub fn slow_full_reads(&self, takes: Duration) {
+        self.calls.lock().unwrap().full_read_takes = takes;
+    }
+
     pub fn full_reads(&self) -> usize {
         self.calls.lock().unwrap().full_reads
     }
@@ -163,6 +170,8 @@
                 return Err(fault);
             }
         }
+        let takes = self.calls.lock().unwrap().full_read_takes;
+        tokio::time::sleep(takes).await;
         let state = self.state.lock().unwrap();
         let mut newest: HashMap<String, SourceRecord> = HashMap::new();
         for (record, _) in &state.log {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,4 +12,5 @@
 mod run;
 mod stage;
 
+pub use plot::PlotError;
 pub use run::{Options, Outcome, SoakError, run};
--- a/crates/soak/src/plot.rs
+++ b/crates/soak/src/plot.rs
@@ -2,10 +2,26 @@
 
 use crate::history::{Call, End, History};
 use crate::plan::Plan;
+use derive_more::{Display, Error};
 use plotters::prelude::*;
 use std::path::Path;
 use std::time::Duration;
 
+/// The picture can't be drawn; the drawing library says why.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("the plot can't be drawn: {cause}")]
+pub struct PlotError {
+    cause: String,
+}
+
+impl PlotError {
+    fn of(error: impl std::error::Error) -> Self {
+        Self {
+            cause: error.to_string(),
+        }
+    }
+}
+
 const SIZE: (u32, u32) = (1_000, 420);
 const BUCKET: Duration = Duration::from_millis(500);
 
@@ -47,13 +63,13 @@
 /// Draws the picture.
 ///
 /// # Errors
-/// What the drawing library says.
+/// [`PlotError`] when the picture can't be drawn or written.
 pub(crate) fn draw(
     path: &Path,
     plan: &Plan,
     history: &History,
     length: Duration,
-) -> Result<(), String> {
+) -> Result<(), PlotError> {
     let kinds: [(&str, Kind, RGBColor); 3] = [
         ("served", is_served, GREEN),
         ("refused", is_refused, BLUE),
@@ -63,33 +79,32 @@
     let counts = lines.iter().flat_map(|(_, line, _)| line);
     let most = counts.map(|(_, count)| *count).max().unwrap_or(0).max(1);
     let root = SVGBackend::new(path, SIZE).into_drawing_area();
-    let text = |error: &dyn std::error::Error| error.to_string();
-    root.fill(&WHITE).map_err(|error| text(&error))?;
+    root.fill(&WHITE).map_err(PlotError::of)?;
     let mut chart = ChartBuilder::on(&root)
         .margin(10)
         .x_label_area_size(30)
         .y_label_area_size(40)
         .build_cartesian_2d(0.0..length.as_secs_f64(), 0..most)
-        .map_err(|error| text(&error))?;
+        .map_err(PlotError::of)?;
     chart
         .configure_mesh()
         .x_desc("seconds")
         .y_desc("calls in half a second")
         .draw()
-        .map_err(|error| text(&error))?;
+        .map_err(PlotError::of)?;
     for event in &plan.events {
         let at = event.at.as_secs_f64();
         let end = (event.at + event.lasts).as_secs_f64();
         let area = Rectangle::new([(at, 0), (end, most)], BLACK.mix(0.05).filled());
         chart
             .draw_series([area])
-            .map_err(|error| text(&error))?
+            .map_err(PlotError::of)?
             .label(event.fault.to_string());
     }
     for (name, line, colour) in lines {
         chart
             .draw_series([PathElement::new(line, colour)])
-            .map_err(|error| text(&error))?
+            .map_err(PlotError::of)?
             .label(name)
             .legend(move |(x, y)| PathElement::new([(x, y), (x + 14, y)], colour));
     }
@@ -98,6 +113,6 @@
         .border_style(BLACK)
         .background_style(WHITE.mix(0.8))
         .draw()
-        .map_err(|error| text(&error))?;
-    root.present().map_err(|error| text(&error))
+        .map_err(PlotError::of)?;
+    root.present().map_err(PlotError::of)
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,7 +4,7 @@
 use crate::clients::{Caller, Calls};
 use crate::history::{Disruption, End, History, Leaving, PlannedStop, Removal};
 use crate::plan::{Event, Fault, LinkMode, Plan, Scale};
-use crate::plot;
+use crate::plot::{self, PlotError};
 use crate::stage::{STREAM_EVENTS, Stage};
 use bridgevane_platform_emulator::{Behaviour, Fault as StoreFault};
 use derive_more::{Display, Error, From};
@@ -46,9 +46,8 @@
     #[display("the run can't be made: {_0}")]
     System(std::io::Error),
     /// The plot can't be drawn.
-    #[display("the plot can't be drawn: {_0}")]
-    #[from(skip)]
-    Plot(#[error(not(source))] String),
+    #[display("{_0}")]
+    Plot(PlotError),
 }
 
 /// What came of a run.
@@ -160,7 +159,7 @@
         stream_events: STREAM_EVENTS,
     };
     let picture = options.folder.join("served.svg");
-    plot::draw(&picture, &plan, &history, options.scale.length).map_err(SoakError::Plot)?;
+    plot::draw(&picture, &plan, &history, options.scale.length)?;
     Ok(Outcome {
         broken: broken(&history),
         plan,
--- a/src/modules/http_serve.rs
+++ b/src/modules/http_serve.rs
@@ -1,6 +1,7 @@
 //! Serving HTTP until the daemon stops.
 
 use axum::Router;
+use bridgevane_gateway::connection::accept;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::service::TowerToHyperService;
@@ -12,8 +13,6 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// The largest head of a request.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// How long accepting rests after it failed, as when file descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Listens at `address`.
 ///
@@ -26,10 +25,7 @@
 /// Serves `router` on every connection.
 pub async fn serve(listener: TcpListener, router: Router) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accept(&listener).await;
         // Without it, small pieces wait for the caller's acknowledgement.
         let _ = stream.set_nodelay(true);
         let service = TowerToHyperService::new(router.clone());
