feat(gateway): endpoints whose records lapsed while the store was away are used until they are back

A daemon took them as gone at once and answered "no endpoint".

Change: where nothing was heard of the source for 2.5 s, or was not until 2.5 s ago, a record that goes marks its endpoint: it is used until the time of a leaving (--drain-ms, from the platform's settings) less 300 ms is over, or renewed by a newer record. One that had said that it drains goes at once.

Tests: freshness.rs::a_record_that_lapsed…, ::a_record_that_does_not_come_back….

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -69,6 +69,7 @@
     1402 EndpointSeen Info "an endpoint was added or changed";
     1403 EndpointGone Info "an endpoint is gone";
     1404 EndpointEjected Warn "an endpoint gets no work for a while";
+    1405 EndpointLapsed Info "an endpoint's record went while the control source was away";
     1501 PeerRefused Warn "a connection between daemons was refused";
     1502 MemberChanged Info "the view of a daemon changed";
     1503 HomePassedOver Warn "a pool's home does not answer, its requests are decided here";
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -6,10 +6,11 @@
 use crate::replication::work::EndpointHash;
 use arc_swap::ArcSwap;
 use bridgevane_decisions::EngineIx;
-use bridgevane_types::{DataCentreId, EngineId, ServiceName};
+use bridgevane_types::{DataCentreId, EngineId, ServiceName, TimeMs};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// An endpoint as it reports itself.
@@ -44,6 +45,9 @@
     pub health: Health,
     /// Open connections that rest.
     pub connections: IdleConnections,
+    /// When it is to be taken as gone, since its record went while the source was away; 0: it
+    /// has a record.
+    lapses_at_ms: AtomicU64,
 }
 
 impl Endpoint {
@@ -56,8 +60,27 @@
             load: EndpointLoad::default(),
             health: Health::default(),
             connections: IdleConnections::default(),
+            lapses_at_ms: AtomicU64::new(0),
         }
     }
+
+    /// Its record is gone, and it is used until then nonetheless; said again, the first counts.
+    pub fn lapse_at(&self, at: TimeMs) {
+        let has_record = 0;
+        let lapses = &self.lapses_at_ms;
+        let _ = lapses.compare_exchange(has_record, at.0, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// Its record is back.
+    pub fn renew(&self) {
+        self.lapses_at_ms.store(0, Ordering::Relaxed);
+    }
+
+    /// Whether its record went and did not come back in time.
+    pub fn has_lapsed(&self, now: TimeMs) -> bool {
+        let at = self.lapses_at_ms.load(Ordering::Relaxed);
+        at > 0 && now.0 >= at
+    }
 }
 
 /// The part of a service's endpoints that is kept for streams that bear no pauses.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -79,6 +79,7 @@
             Upstream::Peer(peer) => self.follow_peer(peer).await,
             Upstream::Locate(peer) => self.locate(peer).await,
         };
+        self.gateway.view.expire(self.gateway.now());
         self.note_freshness();
         if is_well {
             self.pause = FIRST_PAUSE;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,8 +12,8 @@
 use crate::retry_budget::RetryBudgets;
 use crate::settings::GatewaySettings;
 use crate::source::{ChangeAt, Changes, ControlSource, FullState, SourceRecord};
-use crate::view::View;
-use bridgevane_types::TimeMs;
+use crate::view::{Removal, View};
+use bridgevane_types::{DurationMs, TimeMs};
 use opentelemetry::metrics::Meter;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -25,6 +25,11 @@
 /// How long a connection that is opened during a stop may rest.
 const LATE_CONNECTION: Duration = Duration::from_millis(300);
 
+/// A source that nothing was heard of for so long was away; records lapse in no shorter time.
+const SOURCE_AWAY: DurationMs = DurationMs(2_500);
+/// In so long records of endpoints that live are back once the source is.
+const LAPSED_RECORDS_RETURN: DurationMs = DurationMs(2_500);
+
 /// Whether new connections are accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Accepting {
@@ -75,6 +80,8 @@
     work: Mutex<WorkBoard>,
     /// Counts what was taken in and proved.
     progress: watch::Sender<u64>,
+    /// Until then records that went while the source was away may come back.
+    source_back_until_ms: AtomicU64,
     started: Instant,
 }
 
@@ -89,6 +96,7 @@
             fleet: Mutex::default(),
             work: Mutex::default(),
             progress: watch::Sender::new(0),
+            source_back_until_ms: AtomicU64::new(0),
             settings,
             names,
             view: View::default(),
@@ -228,18 +236,36 @@
     /// Takes in changes.
     pub fn apply(&self, source: &impl ControlSource, changes: Changes) {
         let new = self.replica().apply(changes);
-        self.view.apply(read(source, &new));
+        let removal = self.removal();
+        self.view.apply(read(source, &new), removal);
         self.note_progress();
     }
 
     /// Takes in everything as it stands.
     pub fn replace(&self, source: &impl ControlSource, state: &FullState) {
         if self.replica().replace(state) {
-            self.view.replace(state.at, read(source, &state.records));
+            let removal = self.removal();
+            self.view
+                .replace(state.at, read(source, &state.records), removal);
         }
         self.note_progress();
     }
 
+    /// What becomes of endpoints whose records are gone: where nothing was heard of the source
+    /// for long, or was not until lately, their records may only have lapsed.
+    fn removal(&self) -> Removal {
+        let now = self.now();
+        let unheard = self.view.proof_age(now);
+        if unheard.is_some_and(|age| age >= SOURCE_AWAY) {
+            let until = now + LAPSED_RECORDS_RETURN;
+            self.source_back_until_ms.store(until.0, Ordering::Relaxed);
+        }
+        if now.0 < self.source_back_until_ms.load(Ordering::Relaxed) {
+            return Removal::LapsesAt(now + self.settings.lapse_grace_ms);
+        }
+        Removal::AtOnce
+    }
+
     /// Notes that what was taken in was the newest at `asked_at`.
     pub fn prove(&self, asked_at: TimeMs) {
         self.view.prove(asked_at);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -110,7 +110,7 @@
         };
         let untried = service.all.iter().filter(|endpoint| {
             let was_tried = |tried: &Arc<Endpoint>| tried.index == endpoint.index;
-            !choice.tried.iter().any(was_tried)
+            !endpoint.has_lapsed(choice.now) && !choice.tried.iter().any(was_tried)
         });
         let placed = untried.map(|endpoint| estimate.of(endpoint));
         if !keeps_together(choice.prompt) {
@@ -171,7 +171,8 @@
     let wants_streams = is_stream_like(choice.prompt);
     for endpoint in &service.all {
         let is_for_streams = service.for_streams.contains(&endpoint.index);
-        let is_sound = endpoint.health.trust(choice.now) == Trust::Sound;
+        let is_sound =
+            endpoint.health.trust(choice.now) == Trust::Sound && !endpoint.has_lapsed(choice.now);
         if is_for_streams != wants_streams || !is_sound {
             continue;
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -18,6 +18,8 @@
     pub peer_address: Option<SocketAddr>,
     /// Peer addresses of the daemons that follow the control source; without any all do.
     pub seed_addresses: Vec<SocketAddr>,
+    /// How long an endpoint is used whose record went while the control source was away.
+    pub lapse_grace_ms: DurationMs,
     /// How long a proof that the configuration is the newest lasts.
     pub proof_lifetime_ms: DurationMs,
     /// How long one wait for changes lasts at the control source.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -25,6 +25,16 @@
     next_index: u32,
 }
 
+/// What becomes of an endpoint whose record is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removal {
+    /// It gets nothing more.
+    AtOnce,
+    /// The source was away: the record may have lapsed while its endpoint lives, and come
+    /// back. It is used until then.
+    LapsesAt(TimeMs),
+}
+
 /// What this daemon believes. Requests read it without locks.
 #[derive(Debug, Default)]
 pub struct View {
@@ -69,7 +79,7 @@
     }
 
     /// Takes in everything as it stood at a revision: endpoints that are not listed are gone.
-    pub fn replace(&self, at: Revision, records: Vec<ChangeAt>) {
+    pub fn replace(&self, at: Revision, records: Vec<ChangeAt>, removal: Removal) {
         let mut ledger = self.ledger.lock().expect("no panic under this lock");
         let listed: Vec<EngineId> = records
             .iter()
@@ -84,33 +94,52 @@
             .filter(|(id, known)| known.revision <= at && !listed.contains(id));
         let gone: Vec<EngineId> = gone.map(|(id, _)| id.clone()).collect();
         for id in gone {
-            self.remove(&mut ledger, &id, at);
+            self.remove(&mut ledger, &id, at, removal);
         }
-        self.take_in(&mut ledger, records);
+        self.take_in(&mut ledger, records, removal);
     }
 
     /// Takes in changes.
-    pub fn apply(&self, changes: Vec<ChangeAt>) {
+    pub fn apply(&self, changes: Vec<ChangeAt>, removal: Removal) {
         if changes.is_empty() {
             return;
         }
         let mut ledger = self.ledger.lock().expect("no panic under this lock");
-        self.take_in(&mut ledger, changes);
+        self.take_in(&mut ledger, changes, removal);
+    }
+
+    /// Drops endpoints whose records went while the source was away and did not come back.
+    pub fn expire(&self, now: TimeMs) {
+        let mut ledger = self.ledger.lock().expect("no panic under this lock");
+        let known = ledger.endpoints.iter();
+        let lapsed = known.filter(|(_, known)| known.endpoint.has_lapsed(now));
+        let lapsed: Vec<EngineId> = lapsed.map(|(id, _)| id.clone()).collect();
+        if lapsed.is_empty() {
+            return;
+        }
+        for id in lapsed {
+            drop_endpoint(&mut ledger, &id);
+        }
+        self.refresh(&ledger);
     }
 
-    fn take_in(&self, ledger: &mut Ledger, changes: Vec<ChangeAt>) {
+    fn refresh(&self, ledger: &Ledger) {
+        let endpoints = ledger.endpoints.values().map(|known| &known.endpoint);
+        self.directory.store(Arc::new(Directory::new(endpoints)));
+    }
+
+    fn take_in(&self, ledger: &mut Ledger, changes: Vec<ChangeAt>, removal: Removal) {
         for ChangeAt { revision, change } in changes {
             match change {
                 Change::Routing(table) => self.put_in_force(table, revision),
                 Change::Endpoint(record) => self.upsert(ledger, record, revision),
-                Change::EndpointGone(id) => self.remove(ledger, &id, revision),
+                Change::EndpointGone(id) => self.remove(ledger, &id, revision, removal),
                 Change::Unreadable(what) => {
                     event!(Event::ConfigRejected, what = what, revision = revision);
                 }
             }
         }
-        let endpoints = ledger.endpoints.values().map(|known| &known.endpoint);
-        self.directory.store(Arc::new(Directory::new(endpoints)));
+        self.refresh(ledger);
     }
 
     /// A version never goes back.
@@ -141,6 +170,7 @@
                 return;
             }
             known.revision = revision;
+            known.endpoint.renew();
             let was = known.endpoint.record.load();
             if was.is_draining != record.is_draining {
                 log_endpoint(&record, revision);
@@ -157,18 +187,33 @@
         ledger.endpoints.insert(id, known);
     }
 
-    fn remove(&self, ledger: &mut Ledger, id: &EngineId, revision: Revision) {
-        let is_older = |known: &Known| known.revision < revision;
-        if !ledger.endpoints.get(id).is_some_and(is_older) {
+    fn remove(&self, ledger: &mut Ledger, id: &EngineId, revision: Revision, removal: Removal) {
+        let Some(known) = ledger.endpoints.get_mut(id) else {
+            return;
+        };
+        if known.revision >= revision {
             return;
         }
-        if let Some(known) = ledger.endpoints.remove(id) {
-            known.endpoint.connections.close();
-            event!(Event::EndpointGone, endpoint = id, revision = revision);
+        known.revision = revision;
+        match removal {
+            // One that said that it leaves is not expected back.
+            Removal::LapsesAt(at) if !known.endpoint.record.load().is_draining => {
+                known.endpoint.lapse_at(at);
+                event!(Event::EndpointLapsed, endpoint = id, revision = revision);
+            }
+            _ => drop_endpoint(ledger, id),
         }
     }
 }
 
+fn drop_endpoint(ledger: &mut Ledger, id: &EngineId) {
+    if let Some(known) = ledger.endpoints.remove(id) {
+        known.endpoint.connections.close();
+        let revision = known.revision;
+        event!(Event::EndpointGone, endpoint = id, revision = revision);
+    }
+}
+
 fn log_endpoint(record: &crate::directory::EndpointRecord, revision: Revision) {
     event!(
         Event::EndpointSeen,
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -89,6 +89,37 @@
     assert_eq!(endpoint.count(), 0);
 }
 
+async fn after_an_outage(gone: &str) -> (Running, Endpoint) {
+    let source = ScriptedSource::new();
+    let routes = vec![plain_route("often", Idempotent, 2)];
+    source.configure(3, routes, &[KEY]);
+    let endpoint = Endpoint::start(|_| vec![answer("200 OK", "fine")]).await;
+    source.endpoint("e-0", "plain", endpoint.address);
+    let running = start(source).await;
+    running.source.fail(Some(SourceError::NoAnswer));
+    tokio::time::sleep(Duration::from_millis(2_700)).await;
+    running.source.gone(gone);
+    running.source.fail(None);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    (running, endpoint)
+}
+
+#[tokio::test]
+async fn a_record_that_lapsed_while_the_source_was_away_may_come_back() {
+    let (running, endpoint) = after_an_outage("e-0").await;
+    assert_eq!(status(&running).await, 200, "it is used meanwhile");
+    running.source.endpoint("e-0", "plain", endpoint.address);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(status(&running).await, 200, "it is back");
+}
+
+#[tokio::test]
+async fn a_record_that_does_not_come_back_is_taken_as_gone_in_time() {
+    let (running, _endpoint) = after_an_outage("e-0").await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(status(&running).await, 503);
+}
+
 /// Before, a reading that took more than two seconds was given up and begun again for ever.
 #[tokio::test]
 async fn a_source_that_takes_long_to_read_is_read_nonetheless() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -50,6 +50,7 @@
         ready_address: any,
         peer_address: None,
         seed_addresses: Vec::new(),
+        lapse_grace_ms: DurationMs(600),
         proof_lifetime_ms: DurationMs(700),
         watch_wait_ms: DurationMs(100),
         stop_ms: DurationMs(3_000),
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -45,6 +45,9 @@
     /// milliseconds in which the removal of a key must be in force (default: 5000)
     #[argh(option)]
     pub key_removal_ms: Option<String>,
+    /// milliseconds in which the leaving of an endpoint must be in force (default: 2000)
+    #[argh(option)]
+    pub drain_ms: Option<String>,
     /// seconds that a stop may take (default: 10)
     #[argh(option)]
     pub stop_s: Option<String>,
@@ -82,6 +85,7 @@
             "seed-addresses" => &self.seed_addresses,
             "store-address" => &self.store_address,
             "key-removal-ms" => &self.key_removal_ms,
+            "drain-ms" => &self.drain_ms,
             "stop-s" => &self.stop_s,
             "retry-ratio" => &self.retry_ratio,
             "retry-slack" => &self.retry_slack,
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -22,6 +22,9 @@
 /// Of the time that a key may still be used after its removal, what is left for the request
 /// itself to get out.
 const PROOF_MARGIN_MS: u64 = 300;
+/// Of the time in which an endpoint's leaving must be in force, what is left for requests to
+/// get there.
+const LAPSE_MARGIN_MS: u64 = 300;
 /// One wait for changes, before it is asked again: what is believed is proved to be the
 /// newest that often. Few daemons ask, and the others are as old as these.
 const WATCH_WAIT: DurationMs = DurationMs(500);
@@ -47,6 +50,7 @@
         let peer_address = reader.optional("peer-address", ADDRESS);
         let seed_addresses = reader.list("seed-addresses", ADDRESS);
         let revoke_ms: Option<u64> = reader.optional("key-removal-ms", MILLISECONDS);
+        let drain_ms: Option<u64> = reader.optional("drain-ms", MILLISECONDS);
         let stop_s: Option<f64> = reader.optional("stop-s", "a number of seconds");
         let retry_ratio: Option<f64> = reader.optional("retry-ratio", "a share such as 0.2");
         let retry_slack: Option<f64> = reader.optional("retry-slack", "a number of repeats");
@@ -76,6 +80,7 @@
             return Err(SettingProblems { problems });
         }
         let revoke_ms = revoke_ms.unwrap_or(5_000);
+        let drain_ms = drain_ms.unwrap_or(2_000);
         let stop_ms = (stop_s.unwrap_or(10.0) * 1_000.0) as u64;
         let window_ms = retry_window_s.unwrap_or(10.0) * 1_000.0;
         Ok(Self {
@@ -86,6 +91,7 @@
                 ready_address,
                 peer_address,
                 seed_addresses,
+                lapse_grace_ms: DurationMs(drain_ms.saturating_sub(LAPSE_MARGIN_MS)),
                 proof_lifetime_ms: DurationMs(revoke_ms.saturating_sub(PROOF_MARGIN_MS)),
                 watch_wait_ms: WATCH_WAIT,
                 stop_ms: DurationMs(stop_ms.saturating_sub(STOP_MARGIN_MS)),
