feat(gateway): a refusal tells the line that it went by; unused parts are gone

Cause: a request refused for its line had no inputs in its log lines, only the reason. `kv_tokens`, `hinted_answer_tokens`, `others_waiting` and the header name of the hint were read and never used.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -223,11 +223,22 @@
     fn check_queue(&self, placed: &Placed) -> Result<(), Refused> {
         let is_prompt = !self.inbound.prompt.parts.is_empty();
         let target_ms = self.inbound.route.target_ms.0 as f64;
-        let excess_ms = placed.queue_ms - QUEUE_SHARE * target_ms;
+        let allowed_ms = QUEUE_SHARE * target_ms;
+        let excess_ms = placed.queue_ms - allowed_ms;
         let may_refuse = is_prompt && self.inbound.is_least_urgent && self.runs == 0;
         if !may_refuse || excess_ms <= 0.0 {
             return Ok(());
         }
+        let load = placed.endpoint.load.now(self.gateway.now());
+        event!(
+            Event::LineTooLong,
+            request = self.inbound.id_text(),
+            endpoint = placed.endpoint.record.load().id,
+            line_ms = placed.queue_ms as u64,
+            allowed_ms = allowed_ms as u64,
+            own_tokens = load.own_prefill_tokens,
+            others_tokens = load.others_prefill_tokens
+        );
         let mut refused = self.unless_run(Refusal::Overloaded);
         let wait_ms = (excess_ms as u64).max(MIN_RETURN_MS);
         refused.retry_after_ms = Some(DurationMs(wait_ms));
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -28,7 +28,6 @@
     others_prefill_tokens: AtomicU64,
     others_told_at_ms: AtomicU64,
     others_running: AtomicU32,
-    others_waiting: AtomicU32,
     reported_at_ms: AtomicU64,
     heard_at_ms: AtomicU64,
     queue_delay: Mutex<QueueDelay>,
@@ -45,8 +44,6 @@
     pub others_prefill_tokens: u64,
     /// Requests of others, as last told.
     pub others_running: u32,
-    /// Requests of others that wait, as last told.
-    pub others_waiting: u32,
 }
 
 impl LoadNow {
@@ -125,9 +122,7 @@
     pub fn report(&self, now: TimeMs, reported: ReportedLoad) {
         let own = self.own_running.load(Ordering::Relaxed);
         let others = (reported.running + reported.waiting).saturating_sub(own);
-        let waiting = reported.waiting.min(others);
         self.others_running.store(others, Ordering::Relaxed);
-        self.others_waiting.store(waiting, Ordering::Relaxed);
         self.reported_at_ms.store(now.0 + 1, Ordering::Relaxed);
     }
 
@@ -147,7 +142,6 @@
             own_prefill_tokens: self.own_prefill_tokens(),
             others_prefill_tokens: self.others_prefill_tokens(now),
             others_running: told(&self.others_running),
-            others_waiting: told(&self.others_waiting),
         }
     }
 }
--- a/crates/gateway/src/names.rs
+++ b/crates/gateway/src/names.rs
@@ -25,8 +25,6 @@
     pub token_counts: HeaderName,
     /// How urgent the request is for an engine.
     pub urgency: HeaderName,
-    /// The client's estimate of the tokens of the answer.
-    pub length_hint: HeaderName,
     /// Headers that only the system itself may set: never taken from a client.
     pub reserved: Vec<HeaderName>,
     /// The word before a key in `Authorization`.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -45,8 +45,6 @@
     pub tokens: Tokens,
     /// Most tokens of the answer.
     pub max_answer_tokens: Tokens,
-    /// The answer's tokens as the client guesses.
-    pub hinted_answer_tokens: Option<Tokens>,
 }
 
 /// A request that was read as a whole.
@@ -209,7 +207,6 @@
     Prompt {
         tokens: Tokens(prompt.trim().parse().unwrap_or(of_parts)),
         max_answer_tokens: Tokens(answer.trim().parse().unwrap_or(0)),
-        hinted_answer_tokens: number(headers, &names.length_hint).map(Tokens),
         parts,
     }
 }
--- a/crates/gateway/src/routing.rs
+++ b/crates/gateway/src/routing.rs
@@ -1,7 +1,7 @@
 //! Routes, services, keys and limits of one configuration version.
 
 use crate::urgency::Urgencies;
-use bridgevane_types::{Bytes, ConfigVersion, CustomerId, DurationMs, ServiceName, Tier, Tokens};
+use bridgevane_types::{Bytes, ConfigVersion, CustomerId, DurationMs, ServiceName, Tier};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -69,13 +69,6 @@
     }
 }
 
-/// What a model service's engines have.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EngineShape {
-    /// Memory for tokens.
-    pub kv_tokens: Tokens,
-}
-
 /// A service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -83,8 +76,6 @@
     pub name: ServiceName,
     /// Connections that one endpoint takes from all callers.
     pub max_connections: u32,
-    /// Set for model services.
-    pub engine: Option<EngineShape>,
 }
 
 /// Who holds a key.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -51,7 +51,6 @@
         ],
         tokens: Tokens(shared + own),
         max_answer_tokens: Tokens(answer),
-        hinted_answer_tokens: None,
     }
 }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -34,7 +34,6 @@
         not_executed: name("x-not-run"),
         token_counts: name("x-tokens"),
         urgency: name("x-urgency"),
-        length_hint: name("x-hint"),
         reserved: vec![name("x-customer"), name("x-endpoint"), name("x-urgency")],
         key_scheme: "Token",
     }
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -2,13 +2,13 @@
 
 use bridgevane_gateway::directory::EndpointRecord;
 use bridgevane_gateway::routing::{
-    ClientLimits, Customer, EngineShape, Repeatability, Route, RouteTarget, RoutingParts,
-    RoutingTable, Service, StreamPolicy,
+    ClientLimits, Customer, Repeatability, Route, RouteTarget, RoutingParts, RoutingTable, Service,
+    StreamPolicy,
 };
 use bridgevane_gateway::source::{
     Change, Changes, ControlSource, FullState, Revision, SourceError, SourceRecord,
 };
-use bridgevane_types::{Bytes, ConfigVersion, DurationMs, EngineId, Tier, Tokens};
+use bridgevane_types::{Bytes, ConfigVersion, DurationMs, EngineId, Tier};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -83,18 +83,14 @@
             tier: Some(Tier(1)),
         });
         let customers = keys.iter().map(|key| (key.to_string(), customer.clone()));
-        let service = |name: &str, engine| Service {
+        let service = |name: &str| Service {
             name: name.into(),
             max_connections: 100,
-            engine,
-        };
-        let engine = EngineShape {
-            kv_tokens: Tokens(200_000),
         };
         let table = RoutingTable::new(RoutingParts {
             version: ConfigVersion(version),
             routes,
-            services: vec![service("plain", None), service("model", Some(engine))],
+            services: vec![service("plain"), service("model")],
             customers: Some(customers.collect::<HashMap<_, _>>()),
             limits: ClientLimits {
                 head_bytes: Bytes(16_384),
