feat(gateway): a request waits a moment for a daemon that starts

Cause: after all daemons were killed, a request that came in the 0.2 to 0.4 s between a daemon's first accept and its first configuration was refused.

Change: while a daemon has never heard of its source, a request waits for that, for half a second or a quarter of the client's time, whichever is less; then it is refused as before. Nothing waits on a daemon that has heard and grown stale.

Tests: freshness.rs::a_request_waits_a_moment…, ::it_waits_for_a_quarter….

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -14,7 +14,12 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// How long a request waits for a daemon that starts.
+const START_LIMIT: Duration = Duration::from_millis(500);
+/// The part of a client's time that it may wait so.
+const START_SHARE: f64 = 0.25;
 
 /// Reads and checks a request.
 ///
@@ -27,6 +32,7 @@
 ) -> Result<Inbound, Refusal> {
     let names = &gateway.names;
     let (head, body) = request.into_parts();
+    await_start(gateway, &head.headers).await;
     let table = gateway.view.table().ok_or(Refusal::NotReady)?;
     // What is refused for good must be refused by the newest configuration.
     if !gateway.is_fresh() {
@@ -72,6 +78,21 @@
     })
 }
 
+/// Waits a little on a daemon that has only just started and knows nothing yet: it will in a
+/// moment, and a client that comes back after a refusal may do so only once.
+async fn await_start(gateway: &Gateway, headers: &HeaderMap) {
+    let has_begun = || gateway.view.proved_at().is_some();
+    if has_begun() {
+        return;
+    }
+    let client_ms = request::number(headers, &gateway.names.deadline_ms);
+    let patience = client_ms.map(|ms| Duration::from_millis(ms).mul_f64(START_SHARE));
+    let limit = patience.map_or(START_LIMIT, |patience| patience.min(START_LIMIT));
+    let mut progress = gateway.progress();
+    // Whoever waits in vain is told to come back.
+    let _ = timeout(limit, progress.wait_for(|_| has_begun())).await;
+}
+
 async fn read_body(
     gateway: &Gateway,
     table: &RoutingTable,
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -26,8 +26,8 @@
 const QUESTION_LIMIT: Duration = Duration::from_millis(5_000);
 /// Moments are whole milliseconds: an age may be so much more than their difference.
 const CLOCK_GRAIN_MS: u64 = 1;
-/// Connections of other daemons at most.
-const MAX_CONNECTIONS: u32 = 128;
+/// Connections of other daemons at most: when a large fleet starts, many ask a seed where it is.
+const MAX_CONNECTIONS: u32 = 512;
 
 /// Counts a connection while it is open.
 struct Open(Arc<AtomicU32>);
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -2,15 +2,18 @@
 
 mod support;
 
+use bridgevane_gateway::gateway::Gateway;
 use bridgevane_gateway::routing::Repeatability::Idempotent;
 use bridgevane_gateway::settings::GatewaySettings;
 use bridgevane_gateway::source::SourceError;
+use bridgevane_gateway::{follow, front};
 use bridgevane_types::DurationMs;
 use std::time::Duration;
 use support::client::{Client, request};
 use support::endpoint::{Endpoint, answer};
 use support::source::{KEY, OTHER_KEY, ScriptedSource, plain_route};
 use support::{Running, start, start_with};
+use tokio::net::TcpListener;
 
 async fn stage() -> (Running, Endpoint) {
     let source = ScriptedSource::new();
@@ -120,6 +123,48 @@
     assert_eq!(status(&running).await, 503);
 }
 
+/// A daemon that has not heard of its source yet.
+async fn starting(full_read: Duration) -> (std::net::SocketAddr, ScriptedSource) {
+    let source = ScriptedSource::new();
+    source.configure(3, vec![plain_route("often", Idempotent, 2)], &[KEY]);
+    source.slow_full_reads(full_read);
+    let meter = opentelemetry::global::meter("test");
+    let gateway = Gateway::new(support::settings(), support::names(), &meter);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(follow::run(gateway.clone(), source.clone()));
+    tokio::spawn(front::run(gateway, listener));
+    (address, source)
+}
+
+#[tokio::test]
+async fn a_request_waits_a_moment_for_a_daemon_that_starts() {
+    let (address, source) = starting(Duration::from_millis(200)).await;
+    let endpoint = Endpoint::start(|_| vec![answer("200 OK", "fine")]).await;
+    source.endpoint("e-0", "plain", endpoint.address);
+    let mut client = Client::connect(address).await;
+    client.send(&request("GET", "/often/x", "a1", "", "")).await;
+    assert_eq!(client.answer().await.expect("an answer").status, 200);
+}
+
+#[tokio::test]
+async fn it_waits_for_a_quarter_of_the_client_s_time_at_most() {
+    let (address, _source) = starting(Duration::from_millis(1_500)).await;
+    let mut client = Client::connect(address).await;
+    let begun = tokio::time::Instant::now();
+    let deadline = "x-deadline: 400\r\n";
+    client
+        .send(&request("GET", "/often/x", "a1", deadline, ""))
+        .await;
+    let got = client.answer().await.expect("an answer");
+    assert_eq!(got.status, 503);
+    assert!(got.header("retry-after").is_some());
+    assert!(
+        begun.elapsed() < Duration::from_millis(350),
+        "a quarter of it"
+    );
+}
+
 /// Before, a reading that took more than two seconds was given up and begun again for ever.
 #[tokio::test]
 async fn a_source_that_takes_long_to_read_is_read_nonetheless() {
