test(replication): one way to start a daemon among seeds

Change: the one that makes its own listener calls the other. No assertion and no product code is touched.

--- a/crates/gateway/tests/replication.rs
+++ b/crates/gateway/tests/replication.rs
@@ -35,14 +35,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let seeds = [seed.unwrap_or(address)];
-    let settings = peer_settings(vm, address, &seeds);
-    let running = start_with(source.clone(), settings).await;
-    let server = tokio::spawn(server::run(running.gateway.clone(), listener));
-    Peer {
-        running,
-        address,
-        server,
-    }
+    peer_among(vm, source, listener, &seeds).await
 }
 
 async fn source() -> (ScriptedSource, Endpoint) {
@@ -54,8 +47,8 @@
     (source, endpoint)
 }
 
-/// A daemon of some that name each other as seeds.
-async fn seed_among(
+/// A daemon that knows these seeds, itself among them or not.
+async fn peer_among(
     vm: &str,
     source: &ScriptedSource,
     listener: TcpListener,
@@ -89,8 +82,8 @@
     let one = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let two = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let seeds = [one.local_addr().unwrap(), two.local_addr().unwrap()];
-    let first = seed_among("vm-1", &source, one, &seeds).await;
-    let second = seed_among("vm-2", &source, two, &seeds).await;
+    let first = peer_among("vm-1", &source, one, &seeds).await;
+    let second = peer_among("vm-2", &source, two, &seeds).await;
     let child = peer("vm-3", &source, Some(first.address)).await;
     let other = peer("vm-4", &source, Some(first.address)).await;
     let mut client = Client::connect(child.running.address).await;
