--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -65,6 +65,7 @@
     1208 UpstreamChanged Info "the upstream changed";
     1209 PeerLost Warn "another daemon gave no answer that can be used";
     1210 ServingStale Warn "the configuration is no longer proved to be current, serving goes on";
+    1211 CircleLeft Info "the upstream follows this daemon, and is left";
     1301 RequestRefused Debug "a request was refused";
     1302 RequestFailed Warn "a request failed";
     1303 PieceDropped Warn "a late, repeated or crossed piece was dropped";
--- a/crates/gateway/src/decisions/replication/upstream.rs
+++ b/crates/gateway/src/decisions/replication/upstream.rs
@@ -1,105 +1,169 @@
 //! Upstream: whom this daemon follows, the control source or another daemon.
 //!
 //! Inputs: the seeds of the settings, whether this daemon is one of them, and what became of
-//! earlier questions: answers with their proof's age (ms), redirects, failures.
+//! earlier questions: answers with their proof's age (ms) and source path, redirects, failures.
 //!
-//! Rules: seeds follow the source; the others follow a seed of their data centre, or the daemon
-//! that it redirects them to. Whoever loses its upstream, or gets proofs older than
-//! [`MAX_PEER_PROOF_AGE`], follows the source for a while; whom the source turns away follows the
-//! others meanwhile, and asks the source ever less often. Daemons that start together wait for each
-//! other.
+//! Rules:
+//! - Seeds follow the source, and other daemons while it does not answer.
+//! - Any other daemon has a parent: a seed, or the daemon that it is redirected to. It keeps its
+//!   parent until that gives no answer, has this daemon in its own source path (a circle), or lets
+//!   its proof get too old ([`ProofLimits::leave_from`]).
+//! - Then it probes, one after the other: a daemon that said to be fresher, the former ancestors
+//!   from the nearest on, the seeds, former siblings. It adopts the first whose proof is young
+//!   ([`ProofLimits::adopt_below`]) and whose source path doesn't lead back here.
+//! - If there is none, it asks the source in its turn ([`super::source_pacing`]), and goes on looking.
+//! - Who becomes fresh in another way tells its former parent, which is stale, and may adopt it: one
+//!   daemon that reaches the source is enough for all.
+//! - Of two daemons that both ask the source, the one with the larger address follows the other.
+//! - A daemon that is deeper than the fleet needs, or follows one of another data centre though its own
+//!   has a seed, looks for a better parent now and then.
 //!
 //! Reason: the source bears a few callers, not one for each daemon, and a daemon that it turns away
-//! goes on with what its neighbours know. Ages of proofs are kept on every way, so that two daemons
-//! which follow each other for a moment only grow stale, and leave.
+//! goes on with what its neighbours know.
 //!
-//! Measured: commit 19dad9b, docs/design/14.
+//! Measured: docs/design/15.
 //!
-//! Tests: `upstream.rs`.
+//! Tests: `upstream.rs`; `follow_tree.rs` (all orders of a small fleet, long runs of large ones).
 
+use super::proof_limits::ProofLimits;
+use super::seeds::Seeds;
+use super::source_pacing::SourcePacing;
+use super::source_path::{SourcePath, needed_depth};
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 use derive_more::Display;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-/// From this age on another daemon's proof is too old, and the source is asked. Not measured,
-/// chosen because a seed's proof is up to a second old, and each daemon on the way adds up to 0.6
-/// s.
-pub const MAX_PEER_PROOF_AGE: DurationMs = DurationMs(1_600);
-/// How long a daemon that lost its upstream follows the source. Not measured, chosen because a
-/// process that restarts is back within it; longer ones cost calls of the source.
-const SOURCE_STAY: DurationMs = DurationMs(3_000);
-/// How long a seed that did not answer is passed over. Not measured, chosen because it is a little
-/// less than `SOURCE_STAY`: after that the seed may be tried again.
-const SEED_BACKOFF: DurationMs = DurationMs(2_500);
-/// The first pause between calls of a source that doesn't answer; it doubles. Not measured; half as
-/// long would double the calls that a whole fleet makes in an outage.
-const FIRST_SOURCE_PAUSE: DurationMs = DurationMs(700);
-/// The longest pause of a daemon that is no seed. Not measured, chosen because proofs last 4.7 s by
-/// default: the source is asked at least once before they end.
-const MAX_SOURCE_PAUSE: DurationMs = DurationMs(2_800);
-/// The longest pause of a seed. Not measured, chosen because what changed in an outage must be in force
-/// everywhere 3 s after the source is back (the users' contact bound), also on daemons that served on
-/// meanwhile: a second until a seed asks, the rest for its reading and the ways down the tree.
-const MAX_SEED_SOURCE_PAUSE: DurationMs = DurationMs(1_000);
+
 /// How long after its start a daemon waits for others that may be starting, too. Not measured,
 /// chosen because VMs of a day start within 0.3 s of each other, and a seed reads everything in
 /// about as long.
 const START_TOGETHER: DurationMs = DurationMs(800);
+/// The pause between two searches of a daemon whose parent answers, but is stale. Not measured,
+/// chosen because a search is some six questions; half would double them in an outage.
+const SEARCH_PAUSE: DurationMs = DurationMs(1_000);
+/// The pause between two looks for a better parent. Not measured, chosen because a daemon that is too
+/// deep works as well, only its proofs are some milliseconds older.
+const IMPROVE_PAUSE: DurationMs = DurationMs(3_000);
+/// Daemons that one search probes at most. Not measured, chosen because each that is away takes
+/// 0.3 s, and all must be through while a proof lasts.
+const MAX_CANDIDATES: usize = 8;
+/// Redirects that are followed in a row. Chosen because a tree of any fleet is less deep.
+const MAX_REDIRECTS: u32 = 8;
 
-/// Whom to ask next.
+/// Whom to ask next, and for what.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Upstream {
-    /// The control source.
+    /// The control source, for everything or for changes.
     #[display("source")]
     Source,
-    /// Another daemon.
+    /// Another daemon, for the same; it counts this one among its followers.
     #[display("{_0}")]
     Peer(SocketAddr),
-    /// A seed whose data centre isn't known yet: it is asked for just that.
+    /// Another daemon, for its place in the tree and the age of its proof.
     #[display("looking at {_0}")]
-    Locate(SocketAddr),
+    Probe(SocketAddr),
 }
 
-/// What another daemon's answer says of it as an upstream.
+/// What another daemon says of itself as an upstream.
 #[derive(Clone, Debug)]
 pub struct PeerReport {
     /// Its data centre.
     pub data_centre: DataCentreId,
-    /// Where to ask from now on, if it redirects.
-    pub redirect: Option<SocketAddr>,
     /// The age of its proof, if it has one.
     pub proof_age: Option<DurationMs>,
+    /// How it follows the source.
+    pub path: SourcePath,
+    /// Where to ask from now on, if it redirects.
+    pub redirect: Option<SocketAddr>,
+    /// Some others that follow it; not in every answer.
+    pub siblings: Vec<SocketAddr>,
+}
+
+/// Why a daemon asks the source. The text is the cause in metrics.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum SourceCause {
+    /// It is a seed, or knows no other daemon.
+    #[display("seed")]
+    Seed,
+    /// It has lost its parent and found no other.
+    #[display("no parent")]
+    NoParent,
+    /// Its parent answers, but its proof is old, and nobody has a newer one.
+    #[display("stale parent")]
+    StaleParent,
 }
 
+/// The daemon that this one follows.
 #[derive(Clone, Debug)]
-struct Seed {
+struct Parent {
     address: SocketAddr,
-    /// Known once it has answered.
-    data_centre: Option<DataCentreId>,
-    /// It did not answer, and is passed over until then.
-    backoff_until: TimeMs,
+    /// Redirects that led to it and were not answered yet.
+    redirects: u32,
+    has_answered: bool,
+    /// Its own source path, as it last said.
+    path: SourcePath,
+}
+
+impl Parent {
+    fn new(address: SocketAddr, redirects: u32) -> Self {
+        Self {
+            address,
+            redirects,
+            has_answered: false,
+            path: SourcePath::detached(),
+        }
+    }
+}
+
+/// Daemons to be probed.
+#[derive(Clone, Debug)]
+struct Search {
+    /// Seeds whose data centres aren't known are probed first.
+    is_locating: bool,
+    queue: VecDeque<SocketAddr>,
+    /// The parent is well: only a better place is looked for.
+    is_improvement: bool,
 }
 
 /// Selects the upstream.
 #[derive(Debug)]
 pub struct UpstreamSelector {
     own_data_centre: DataCentreId,
+    own: SocketAddr,
+    /// This daemon can't be followed, or knows nobody.
+    is_alone: bool,
     is_seed: bool,
-    /// The other seeds, in an order of this daemon's own.
-    seeds: Vec<Seed>,
-    /// Where a seed has redirected this daemon.
-    redirected: Option<SocketAddr>,
     started_at: TimeMs,
-    /// A daemon that is no seed follows the source until then.
-    source_until: TimeMs,
-    /// The source did not answer, and isn't asked before then.
-    source_not_before: TimeMs,
-    source_pause: DurationMs,
-    /// A seed follows other daemons until then.
-    peers_until: TimeMs,
+    limits: ProofLimits,
+    seeds: Seeds,
+    source: SourcePacing,
+    fleet_size: u32,
+    /// When this daemon's newest proof was asked for.
+    proved_at: Option<TimeMs>,
+    parent: Option<Parent>,
+    /// The newest answer came from the source.
+    is_at_source: bool,
+    /// The daemons above the parent, the nearest first.
+    ancestors: Vec<SocketAddr>,
+    siblings: Vec<SocketAddr>,
+    /// A daemon that said to be fresher.
+    fresher: Option<SocketAddr>,
+    search: Option<Search>,
+    search_not_before: TimeMs,
+    improve_not_before: TimeMs,
+    /// Searches since this daemon's proof was last young enough.
+    vain_searches: u32,
+    /// Whether another daemon has answered since then.
+    do_others_answer: bool,
+    /// A stale former parent, to be told when this daemon is fresh.
+    stale_parent: Option<SocketAddr>,
+    must_pause: bool,
 }
 
+/// Stands for the address of a daemon that has none; nobody asks there.
+const NO_ADDRESS: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+
 impl UpstreamSelector {
     /// A daemon at `own` that knows these seeds; without an address it follows the source.
     pub fn new(
@@ -107,133 +171,380 @@
         own_data_centre: DataCentreId,
         own: Option<SocketAddr>,
         seeds: &[SocketAddr],
+        proof_lifetime: DurationMs,
     ) -> Self {
-        let is_seed = own.is_none_or(|own| seeds.contains(&own));
-        let mut others: Vec<SocketAddr> = seeds.to_vec();
-        others.retain(|seed| Some(*seed) != own && own.is_some());
-        // Daemons spread over the seeds: each has an order of its own.
-        let order = |seed: &SocketAddr| {
-            let pair = format!("{own:?} {seed}");
-            xxh3_64_with_seed(pair.as_bytes(), 0)
-        };
-        others.sort_by_key(order);
-        let seed = |address| Seed {
-            address,
-            data_centre: None,
-            backoff_until: TimeMs(0),
-        };
+        let address = own.unwrap_or(NO_ADDRESS);
+        let is_seed = seeds.contains(&address);
+        let seeds = Seeds::new(own_data_centre.clone(), address, seeds);
         Self {
             own_data_centre,
+            own: address,
+            is_alone: own.is_none() || seeds.is_empty(),
             is_seed,
-            seeds: others.into_iter().map(seed).collect(),
-            redirected: None,
             started_at: now,
-            source_until: TimeMs(0),
-            source_not_before: TimeMs(0),
-            source_pause: FIRST_SOURCE_PAUSE,
-            peers_until: TimeMs(0),
+            limits: ProofLimits::new(proof_lifetime),
+            seeds,
+            source: SourcePacing::new(address, is_seed),
+            fleet_size: 0,
+            proved_at: None,
+            parent: None,
+            is_at_source: false,
+            ancestors: Vec::new(),
+            siblings: Vec::new(),
+            fresher: None,
+            search: None,
+            search_not_before: TimeMs(0),
+            improve_not_before: TimeMs(0),
+            vain_searches: 0,
+            do_others_answer: false,
+            stale_parent: None,
+            must_pause: false,
         }
     }
 
     /// Whom to ask now.
-    pub fn select(&self, now: TimeMs) -> Upstream {
-        let Some(seed) = self.best_seed(now) else {
-            return Upstream::Source;
-        };
-        let seed = (seed.address, seed.data_centre.is_some());
-        let follows_source = if self.is_seed {
-            now >= self.peers_until
-        } else {
-            now < self.source_until
-        };
-        if follows_source {
+    pub fn select(&mut self, now: TimeMs) -> Upstream {
+        if self.is_alone || self.must_ask_source(now) {
             return Upstream::Source;
         }
-        match (self.redirected, seed) {
-            (Some(address), _) => Upstream::Peer(address),
-            (None, (address, true)) => Upstream::Peer(address),
-            (None, (address, false)) => Upstream::Locate(address),
+        if let Some(former) = self.parent_to_tell(now) {
+            return Upstream::Probe(former);
+        }
+        self.begin_due_search(now);
+        if let Some(search) = &self.search {
+            let unlocated = self.seeds.to_locate(now).filter(|_| search.is_locating);
+            if let Some(address) = unlocated.or(search.queue.front().copied()) {
+                return Upstream::Probe(address);
+            }
+        }
+        match &self.parent {
+            Some(parent) => Upstream::Peer(parent.address),
+            None => Upstream::Source,
         }
     }
 
-    /// A seed said in which data centre it is.
-    pub fn on_located(&mut self, peer: SocketAddr, data_centre: DataCentreId) {
-        if let Some(seed) = self.seeds.iter_mut().find(|seed| seed.address == peer) {
-            seed.data_centre = Some(data_centre);
+    /// True once after a step that brought nothing: the next one should wait a little.
+    pub fn take_pause(&mut self) -> bool {
+        std::mem::take(&mut self.must_pause)
+    }
+
+    /// How this daemon follows the source.
+    pub fn path(&self) -> SourcePath {
+        if self.is_at_source {
+            return SourcePath::direct();
         }
+        let parent = self.parent.as_ref();
+        let path = parent.and_then(|parent| parent.path.through(parent.address));
+        path.unwrap_or(SourcePath::detached())
     }
 
-    /// A seed that answers, if one does; among these one of this data centre, else one whose data
-    /// centre isn't known.
-    fn best_seed(&self, now: TimeMs) -> Option<&Seed> {
-        let rank = |seed: &&Seed| {
-            let distance = match &seed.data_centre {
-                Some(data_centre) if *data_centre == self.own_data_centre => 0,
-                None => 1,
-                Some(_) => 2,
-            };
-            (now < seed.backoff_until, distance)
-        };
-        self.seeds.iter().min_by_key(rank)
+    fn is_parent(&self, daemon: SocketAddr) -> bool {
+        (self.parent.as_ref()).is_some_and(|parent| parent.address == daemon)
+    }
+
+    fn proof_age(&self, now: TimeMs) -> Option<DurationMs> {
+        self.proved_at.map(|proved_at| now.since(proved_at))
+    }
+
+    fn is_proof_younger(&self, now: TimeMs, limit: DurationMs) -> bool {
+        self.proof_age(now).is_some_and(|age| age < limit)
+    }
+
+    /// Seeds ask the source whenever they may; the others when they have found no parent.
+    fn must_ask_source(&self, now: TimeMs) -> bool {
+        if !self.source.may_ask(now) {
+            return false;
+        }
+        if self.is_seed {
+            return true;
+        }
+        let is_starting = now.since(self.started_at) < START_TOGETHER;
+        let is_kept = self.parent.is_some() && self.is_proof_younger(now, self.limits.leave_from);
+        if is_starting || is_kept {
+            return false;
+        }
+        let is_late = !self.is_proof_younger(now, self.limits.source_from);
+        let is_isolated = self.proved_at.is_some() && !self.do_others_answer;
+        self.vain_searches > 0 || (is_late && is_isolated)
     }
 
-    /// The source answered.
-    pub(crate) fn on_source_answered(&mut self) {
-        self.source_pause = FIRST_SOURCE_PAUSE;
+    /// The stale former parent, once this daemon is fresh.
+    fn parent_to_tell(&self, now: TimeMs) -> Option<SocketAddr> {
+        let is_fresh = self.is_proof_younger(now, self.limits.adopt_below);
+        self.stale_parent.filter(|_| is_fresh)
+    }
+
+    fn begin_due_search(&mut self, now: TimeMs) {
+        if self.search.is_some() {
+            return;
+        }
+        let is_stale = !self.is_proof_younger(now, self.limits.leave_from);
+        if self.parent.is_none() || (is_stale && now >= self.search_not_before) {
+            self.search = Some(Search {
+                is_locating: self.ancestors.is_empty() && self.seeds.to_locate(now).is_some(),
+                queue: self.candidates(now),
+                is_improvement: false,
+            });
+        }
+    }
+
+    /// Whom to probe in place of the parent, the most promising first.
+    fn candidates(&self, now: TimeMs) -> VecDeque<SocketAddr> {
+        let fresher = self.fresher.into_iter();
+        let all = fresher
+            .chain(self.ancestors.iter().copied())
+            .chain(self.seeds.to_try(now))
+            .chain(self.siblings.iter().copied());
+        let mut candidates = VecDeque::new();
+        for address in all {
+            let is_other = address != self.own && !self.is_parent(address);
+            if is_other && !candidates.contains(&address) {
+                candidates.push_back(address);
+            }
+        }
+        candidates.truncate(MAX_CANDIDATES);
+        candidates
+    }
+
+    /// The source answered a question of `asked_at`.
+    pub fn on_source_answered(&mut self, now: TimeMs, asked_at: TimeMs) {
+        self.source.on_answered(now);
+        let former = self.parent.take();
+        if !self.is_seed && self.vain_searches > 0 {
+            self.stale_parent = former.map(|parent| parent.address);
+        }
+        self.search = None;
+        self.is_at_source = true;
+        self.prove(now, asked_at);
     }
 
     /// The source did not answer, or turned this daemon away.
     pub fn on_source_failed(&mut self, now: TimeMs) {
-        self.source_until = now;
-        self.source_not_before = now + self.source_pause;
-        self.peers_until = self.source_not_before;
-        let longest = if self.is_seed {
-            MAX_SEED_SOURCE_PAUSE
+        self.source.on_failed(now, self.do_others_answer);
+        self.is_at_source = false;
+        self.must_pause = true;
+    }
+
+    /// It is known how many daemons there are; 0: it isn't.
+    pub fn on_fleet_size(&mut self, daemons: u32) {
+        self.fleet_size = daemons;
+        self.source.on_fleet_size(daemons);
+    }
+
+    /// Another daemon says that its proof is of `proved_at`.
+    pub fn on_fresher_daemon(&mut self, now: TimeMs, daemon: SocketAddr, proved_at: TimeMs) {
+        let is_fresh = now.since(proved_at) < self.limits.adopt_below;
+        let is_needed = !self.is_proof_younger(now, self.limits.adopt_below);
+        if !is_fresh || !is_needed || self.is_parent(daemon) || self.is_alone {
+            return;
+        }
+        self.fresher = Some(daemon);
+        self.search = Some(Search {
+            is_locating: false,
+            queue: self.candidates(now),
+            is_improvement: false,
+        });
+    }
+
+    /// A daemon answered a probe.
+    pub fn on_probed(&mut self, now: TimeMs, peer: SocketAddr, report: &PeerReport) {
+        self.seeds.on_answered(peer, &report.data_centre);
+        self.do_others_answer = true;
+        if self.stale_parent == Some(peer) {
+            self.stale_parent = None;
+            return;
+        }
+        if self.is_locating(now) {
+            return;
+        }
+        if self.is_adoptable(now, peer, report) {
+            self.adopt(now, peer);
         } else {
-            MAX_SOURCE_PAUSE
-        };
-        self.source_pause = DurationMs(self.source_pause.0 * 2).min(longest);
+            self.end_probe(now, peer);
+        }
     }
 
-    /// Another daemon answered.
-    pub fn on_peer_answered(&mut self, now: TimeMs, peer: SocketAddr, report: &PeerReport) {
-        if let Some(seed) = self.seeds.iter_mut().find(|seed| seed.address == peer) {
-            seed.data_centre = Some(report.data_centre.clone());
-            seed.backoff_until = TimeMs(0);
+    /// Whether seeds are still to be located; after the last one the search begins with the best.
+    fn is_locating(&mut self, now: TimeMs) -> bool {
+        if !(self.search.as_ref()).is_some_and(|search| search.is_locating) {
+            return false;
+        }
+        let is_over = self.seeds.to_locate(now).is_none();
+        let improved = self.seeds.local(now).into_iter().collect();
+        let candidates = self.candidates(now);
+        if let Some(search) = self.search.as_mut().filter(|_| is_over) {
+            search.is_locating = false;
+            search.queue = if search.is_improvement {
+                improved
+            } else {
+                candidates
+            };
+        }
+        true
+    }
+
+    fn is_adoptable(&self, now: TimeMs, peer: SocketAddr, report: &PeerReport) -> bool {
+        if self.leads_back(&report.path) {
+            return false;
+        }
+        if !report.path.reaches_source() || !self.is_young(report) {
+            // A daemon that has just started waits at a seed, which may be starting, too.
+            let has_nothing = self.parent.is_none() && self.proved_at.is_none();
+            return has_nothing && !self.is_seed && self.seeds.contains(peer);
+        }
+        let root = report.path.daemons().last().copied().unwrap_or(peer);
+        let is_root = self.is_at_source && self.is_proof_younger(now, self.limits.leave_from);
+        !is_root || self.seeds.contains(root) || root < self.own
+    }
+
+    fn is_young(&self, report: &PeerReport) -> bool {
+        (report.proof_age).is_some_and(|age| age < self.limits.adopt_below)
+    }
+
+    fn adopt(&mut self, now: TimeMs, address: SocketAddr) {
+        let is_stale = !self.is_proof_younger(now, self.limits.leave_from);
+        let former = self.parent.replace(Parent::new(address, 0));
+        self.is_at_source = false;
+        if is_stale {
+            self.stale_parent = former.map(|parent| parent.address);
+        }
+        self.search = None;
+        self.fresher = None;
+        self.search_not_before = now + SEARCH_PAUSE;
+    }
+
+    /// A probed daemon can't be adopted: the next one is probed, if there is one.
+    fn end_probe(&mut self, now: TimeMs, peer: SocketAddr) {
+        let Some(search) = &mut self.search else {
+            return;
+        };
+        search.queue.retain(|address| *address != peer);
+        if !search.queue.is_empty() {
+            return;
+        }
+        let is_improvement = search.is_improvement;
+        self.search = None;
+        self.fresher = None;
+        if is_improvement {
+            return;
         }
-        let is_stale = report.proof_age.is_none_or(|age| age >= MAX_PEER_PROOF_AGE);
-        if is_stale && report.redirect.is_none() {
-            return self.leave_peer(now);
+        self.vain_searches += 1;
+        self.search_not_before = now + SEARCH_PAUSE;
+        self.must_pause = true;
+        if self.vain_searches == 1 && !self.is_at_source {
+            self.source.on_detached(now, self.parent.is_some());
         }
-        // Redirects of remote daemons are taken only where no local seed is known.
-        let is_followed = report.data_centre == self.own_data_centre || !self.knows_local_seed();
-        if report.redirect.is_some() && !self.is_seed && is_followed {
-            self.redirected = report.redirect;
+    }
+
+    /// Whether this daemon follows the source as long as that answers.
+    pub fn is_seed(&self) -> bool {
+        self.is_seed || self.is_alone
+    }
+
+    /// Why this daemon asks the source, if it does so now.
+    pub fn source_cause(&self) -> SourceCause {
+        match (self.is_seed(), &self.parent) {
+            (true, _) => SourceCause::Seed,
+            (false, None) => SourceCause::NoParent,
+            (false, Some(_)) => SourceCause::StaleParent,
         }
     }
 
-    fn knows_local_seed(&self) -> bool {
-        let mut known = self.seeds.iter().flat_map(|seed| &seed.data_centre);
-        known.any(|data_centre| *data_centre == self.own_data_centre)
+    /// Whether a daemon with this source path follows this one, directly or not.
+    pub fn leads_back(&self, path: &SourcePath) -> bool {
+        path.contains(self.own)
+    }
+
+    /// The parent follows this daemon: both would follow nobody else.
+    pub fn on_circle(&mut self, peer: SocketAddr) {
+        if self.is_parent(peer) {
+            self.parent = None;
+        }
+    }
+
+    /// The parent answered, and doesn't follow this daemon.
+    pub fn on_peer_answered(&mut self, now: TimeMs, peer: SocketAddr, report: &PeerReport) {
+        self.seeds.on_answered(peer, &report.data_centre);
+        self.do_others_answer = true;
+        let Some(parent) = self.parent.as_mut().filter(|parent| parent.address == peer) else {
+            return;
+        };
+        if let Some(redirect) = report.redirect {
+            *parent = Parent::new(redirect, parent.redirects + 1);
+            if parent.redirects > MAX_REDIRECTS || redirect == self.own {
+                self.lose_parent();
+            }
+            return;
+        }
+        parent.redirects = 0;
+        parent.has_answered = true;
+        parent.path = report.path.clone();
+        if report.path.reaches_source() {
+            self.ancestors = report.path.daemons().to_vec();
+        }
+        if !report.siblings.is_empty() {
+            self.siblings = report.siblings.clone();
+        }
+        if let Some(age) = report.proof_age {
+            self.prove(now, TimeMs(now.0.saturating_sub(age.0)));
+        }
+        self.look_for_better_parent(now, report);
     }
 
     /// Another daemon did not answer.
     pub fn on_peer_failed(&mut self, now: TimeMs, peer: SocketAddr) {
-        if let Some(seed) = self.seeds.iter_mut().find(|seed| seed.address == peer) {
-            seed.backoff_until = now + SEED_BACKOFF;
+        self.seeds.on_failed(now, peer);
+        if self.stale_parent == Some(peer) {
+            self.stale_parent = None;
+        }
+        if self.is_parent(peer) {
+            return self.lose_parent();
+        }
+        if !self.is_locating(now) {
+            self.end_probe(now, peer);
         }
-        self.redirected = None;
-        self.leave_peer(now);
     }
 
-    /// Follows the source next, unless that did not answer lately.
-    fn leave_peer(&mut self, now: TimeMs) {
-        self.peers_until = now;
-        let may_ask = now >= self.source_not_before;
-        let is_starting = now.since(self.started_at) < START_TOGETHER;
-        if may_ask && !is_starting {
-            self.redirected = None;
-            self.source_until = now + SOURCE_STAY;
+    /// The parent is gone. One that never answered is likely to be named again at once.
+    fn lose_parent(&mut self) {
+        let lost = self.parent.take();
+        self.must_pause = lost.is_none_or(|parent| !parent.has_answered);
+        self.search = None;
+        self.do_others_answer = false;
+    }
+
+    /// This daemon's configuration was the newest at `proved_at`.
+    fn prove(&mut self, now: TimeMs, proved_at: TimeMs) {
+        self.proved_at = self.proved_at.max(Some(proved_at));
+        if self.is_proof_younger(now, self.limits.leave_from) {
+            self.vain_searches = 0;
+        }
+    }
+
+    /// Begins to look for a better parent where there may be one.
+    fn look_for_better_parent(&mut self, now: TimeMs, report: &PeerReport) {
+        if self.search.is_some() || self.is_seed || now < self.improve_not_before {
+            return;
+        }
+        let depth = report.path.depth() + 1;
+        let is_deep = self.fleet_size > 0 && depth > needed_depth(self.fleet_size);
+        let is_remote = report.data_centre != self.own_data_centre;
+        let may_locate = is_remote && self.seeds.to_locate(now).is_some();
+        let best = if is_remote {
+            self.seeds.local(now)
+        } else {
+            self.seeds.by_rank(now).first().copied()
+        };
+        let is_better = |seed: &SocketAddr| (is_deep || is_remote) && !self.is_parent(*seed);
+        let queue: VecDeque<SocketAddr> = best.into_iter().filter(is_better).collect();
+        if queue.is_empty() && !may_locate {
+            return;
         }
+        self.improve_not_before = now + IMPROVE_PAUSE;
+        self.search = Some(Search {
+            is_locating: may_locate,
+            queue,
+            is_improvement: true,
+        });
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,8 @@
 
 use crate::control::source::SourceError;
 use crate::decisions::admission::refusal::RefusalReason;
+use crate::decisions::replication::source_path::SourcePath;
+use crate::decisions::replication::upstream::SourceCause;
 use crate::decisions::resend::AttemptError;
 use crate::replication::peer_error::PeerError;
 use bridgevane_types::{DurationMs, ServiceName};
@@ -28,6 +30,7 @@
     peer_questions: Counter<u64>,
     first_byte_s: Histogram<f64>,
     proof_age_s: Gauge<f64>,
+    tree_depth: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -48,6 +51,7 @@
             proof_age_s: meter
                 .f64_gauge("bridgevane_gateway_proof_age_seconds")
                 .build(),
+            tree_depth: meter.u64_gauge("bridgevane_gateway_tree_depth").build(),
         }
     }
 
@@ -84,13 +88,25 @@
         self.failed_attempts.add(1, &[cause]);
     }
 
+    /// How many levels below the control source this daemon is; none: it follows nobody that does.
+    pub(crate) fn tree_depth(&self, path: &SourcePath) {
+        let depth = if path.reaches_source() {
+            path.depth() as u64
+        } else {
+            0
+        };
+        self.tree_depth.record(depth, &[]);
+    }
+
     /// The control source was called.
-    pub(crate) fn source_called(&self, result: Result<(), SourceError>) {
+    pub(crate) fn source_called(&self, cause: SourceCause, result: Result<(), SourceError>) {
         let result = match result {
             Ok(()) => "ok".to_owned(),
             Err(error) => error.to_string(),
         };
-        self.source_calls.add(1, &[KeyValue::new("result", result)]);
+        let result = KeyValue::new("result", result);
+        let cause = KeyValue::new("cause", cause.to_string());
+        self.source_calls.add(1, &[result, cause]);
     }
 
     /// Another daemon was asked.
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -5,9 +5,13 @@
 
 use crate::control::replica::Update;
 use crate::control::source::Revision;
+use crate::decisions::replication::source_path::SourcePath;
 use crate::gateway::Gateway;
 use crate::replication::fleet::own_work;
-use crate::replication::message::{take_update, work_messages, work_of_messages};
+use crate::replication::message::{
+    CLOCK_GRAIN_MS, addresses_of_messages, path_of_message, take_update, work_messages,
+    work_of_messages,
+};
 use crate::replication::peer_error::PeerError;
 use crate::sockets::set_options;
 use crate::work_by_endpoint::WorkByEndpoint;
@@ -42,8 +46,12 @@
     pub(crate) update: Update,
     /// The other daemon's data centre.
     pub(crate) data_centre: DataCentreId,
+    /// How it follows the source.
+    pub(crate) path: SourcePath,
     /// Where to ask from now on, if it redirects.
     pub(crate) redirect: Option<SocketAddr>,
+    /// Some of its other followers.
+    pub(crate) siblings: Vec<SocketAddr>,
     /// How many daemons there are at most; 0: it doesn't know.
     pub(crate) fleet_size: u32,
     /// Work that all daemons have under way.
@@ -52,10 +60,14 @@
     pub(crate) others_work: WorkByEndpoint,
 }
 
-/// Where a daemon is, and the work that the daemons of its tree have under way.
+/// A daemon's place in the tree, and the work that the daemons below it have under way.
 #[derive(Debug)]
-pub(crate) struct Located {
+pub(crate) struct ProbeAnswer {
     pub(crate) data_centre: DataCentreId,
+    /// When its configuration was proved to be the newest, by this daemon's clock.
+    pub(crate) proved_at: Option<TimeMs>,
+    /// How it follows the source.
+    pub(crate) path: SourcePath,
     pub(crate) tree_work: WorkByEndpoint,
 }
 
@@ -94,21 +106,30 @@
         decode(asked_at, answer, &own_work)
     }
 
-    /// Asks a daemon where it is, and for the prompts of its tree.
+    /// Asks a daemon for its place in the tree, and for the work below it.
     ///
     /// # Errors
     /// [`PeerError`] when there is no answer that can be used.
-    pub(crate) async fn locate(&mut self, peer: SocketAddr) -> Result<Located, PeerError> {
+    pub(crate) async fn probe(
+        &mut self,
+        gateway: &Gateway,
+        peer: SocketAddr,
+    ) -> Result<ProbeAnswer, PeerError> {
         let mut frames = self.connect(peer).await?;
         let question = RecordsWanted {
             is_for_work: true,
+            peer_address: own_address(gateway),
+            proof_age_ms: proof_age_ms(gateway),
             ..Default::default()
         };
+        let asked_at = gateway.clock.now();
         let answer = timeout(ANSWER_TIMEOUT, exchange(&mut frames, question)).await;
         let answer = answer.map_err(|_| PeerError::NoAnswer)??;
         self.open = Some((peer, frames));
-        Ok(Located {
+        Ok(ProbeAnswer {
             data_centre: DataCentreId::from(answer.data_centre.as_str()),
+            proved_at: proved_at(asked_at, &answer)?,
+            path: path_of_message(answer.path).map_err(PeerError::BadRecords)?,
             tree_work: work_of_messages(&answer.work),
         })
     }
@@ -139,20 +160,32 @@
 /// The question to a daemon for what came after a revision, with what this daemon's tree reports.
 fn question(gateway: &Gateway, peer: SocketAddr, after: Revision) -> RecordsWanted {
     let settings = &gateway.settings;
-    let peer_address = settings.peer_address;
     let tree = gateway.fleet.tree(&gateway.control.directory(), Some(peer));
     RecordsWanted {
         vm: settings.vm.to_string(),
         data_centre: settings.data_centre.to_string(),
-        peer_address: peer_address.map_or_else(String::new, |address| address.to_string()),
+        peer_address: own_address(gateway),
         at: after.0,
         tree_size: tree.size,
         tree_depth: tree.depth,
         tree_work: work_messages(&tree.work),
         is_for_work: false,
+        proof_age_ms: proof_age_ms(gateway),
     }
 }
 
+/// This daemon's peer address; empty: nobody can ask it.
+fn own_address(gateway: &Gateway) -> String {
+    let address = gateway.settings.peer_address;
+    address.map_or_else(String::new, |address| address.to_string())
+}
+
+/// The age of this daemon's proof, never less than the truth.
+fn proof_age_ms(gateway: &Gateway) -> Option<u64> {
+    let age = gateway.control.proof_age()?;
+    Some(age.0 + CLOCK_GRAIN_MS)
+}
+
 async fn exchange(
     frames: &mut FramedStream,
     question: RecordsWanted,
@@ -167,8 +200,18 @@
     }
 }
 
-/// Reads an answer. The question had arrived when its holding began, and was sent no later: what
-/// was proved so long before the end of the holding was proved no earlier than this works out.
+/// When the answering daemon's configuration was proved to be the newest, by this daemon's clock. The
+/// question had arrived when its holding began, and was sent no later: what was proved so long before
+/// the end of the holding was proved no earlier than this works out. A proof from before the beginning
+/// of this daemon's clock counts as none.
+fn proved_at(asked_at: TimeMs, answer: &RecordsAnswer) -> Result<Option<TimeMs>, PeerError> {
+    let answered_at = asked_at.0.checked_add(answer.held_ms);
+    let answered_at = answered_at.ok_or(PeerError::Unreadable)?;
+    let proved_at = |age_ms: u64| answered_at.checked_sub(age_ms).map(TimeMs);
+    Ok(answer.proof_age_ms.and_then(proved_at))
+}
+
+/// Reads an answer to a question of `asked_at`.
 fn decode(
     asked_at: TimeMs,
     mut answer: RecordsAnswer,
@@ -176,17 +219,15 @@
 ) -> Result<PeerAnswer, PeerError> {
     let total_work = work_of_messages(&answer.work);
     let update = take_update(&mut answer).map_err(PeerError::BadRecords)?;
-    let answered_at = asked_at.0.checked_add(answer.held_ms);
-    let answered_at = answered_at.ok_or(PeerError::Unreadable)?;
-    // A proof from before the beginning of this daemon's clock counts as none.
-    let proved_at = |age_ms: u64| answered_at.checked_sub(age_ms).map(TimeMs);
     Ok(PeerAnswer {
         at: Revision(answer.at),
-        proved_at: answer.proof_age_ms.and_then(proved_at),
+        proved_at: proved_at(asked_at, &answer)?,
         update,
         data_centre: DataCentreId::from(answer.data_centre.as_str()),
+        path: path_of_message(answer.path).map_err(PeerError::BadRecords)?,
         // An empty text says that it doesn't redirect.
         redirect: answer.redirect.parse().ok(),
+        siblings: addresses_of_messages(&answer.siblings).map_err(PeerError::BadRecords)?,
         fleet_size: answer.fleet_size,
         others_work: total_work.without(own_work),
         total_work,
--- a/crates/gateway/src/replication/fleet.rs
+++ b/crates/gateway/src/replication/fleet.rs
@@ -1,18 +1,29 @@
 //! The fleet: what this daemon knows of the other daemons.
 //!
-//! Owns its followers, the number of daemons, and the reports of others' work,
+//! Owns its followers, its own source path, the number of daemons, and the reports of others' work,
 //! each behind a lock that no request takes. All of it is lost with the process and heard again
 //! within seconds.
 
 use crate::clock::Clock;
 use crate::decisions::replication::fleet_size::FleetSize;
 use crate::decisions::replication::followers::{Follower, FollowerPlacement, Followers, Tree};
+use crate::decisions::replication::source_path::SourcePath;
 use crate::endpoints::directory::Directory;
 use crate::replication::work_reports::WorkReports;
 use crate::settings::GatewaySettings;
 use crate::work_by_endpoint::WorkByEndpoint;
+use bridgevane_types::{TimeMs, VmId};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
+use tokio::sync::Notify;
+
+/// A daemon that says how recent its proof is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FresherDaemon {
+    pub(crate) address: SocketAddr,
+    /// When its configuration was proved to be the newest, by this daemon's clock.
+    pub(crate) proved_at: TimeMs,
+}
 
 /// The other daemons.
 #[derive(Debug)]
@@ -21,6 +32,10 @@
     own_address: Option<SocketAddr>,
     seed_addresses: Vec<SocketAddr>,
     followers: Mutex<Followers>,
+    path: Mutex<SourcePath>,
+    fresher: Mutex<Option<FresherDaemon>>,
+    /// Wakes the task that follows the source when `fresher` was set.
+    fresher_set: Notify,
     size: Mutex<FleetSize>,
     reports: Mutex<WorkReports>,
 }
@@ -32,6 +47,9 @@
             own_address: settings.peer_address,
             seed_addresses: settings.seed_addresses.clone(),
             followers: Mutex::new(Followers::new(settings.data_centre.clone())),
+            path: Mutex::default(),
+            fresher: Mutex::default(),
+            fresher_set: Notify::new(),
             size: Mutex::default(),
             reports: Mutex::default(),
         }
@@ -65,9 +83,59 @@
         seeds.filter(|seed| *seed != own).collect()
     }
 
+    /// How this daemon follows the source.
+    pub(crate) fn path(&self) -> SourcePath {
+        self.path.lock().expect("no panic under this lock").clone()
+    }
+
+    /// This daemon follows the source in another way.
+    pub(crate) fn set_path(&self, path: SourcePath) {
+        *self.path.lock().expect("no panic under this lock") = path;
+    }
+
+    /// A daemon that asks has a newer proof than this one, which is old: the newest is remembered.
+    pub(crate) fn on_proof_report(&self, report: FresherDaemon) {
+        let mut fresher = self.fresher.lock().expect("no panic under this lock");
+        if fresher.is_none_or(|known| known.proved_at <= report.proved_at) {
+            *fresher = Some(report);
+            self.fresher_set.notify_one();
+        }
+    }
+
+    /// Waits until a daemon has reported a newer proof that wasn't taken yet.
+    pub(crate) async fn wait_for_fresher(&self) {
+        while !self.has_fresher() {
+            self.fresher_set.notified().await;
+        }
+    }
+
+    fn has_fresher(&self) -> bool {
+        let fresher = self.fresher.lock().expect("no panic under this lock");
+        fresher.is_some()
+    }
+
+    /// The daemon with the newest proof of those that asked since the last call.
+    pub(crate) fn take_fresher(&self) -> Option<FresherDaemon> {
+        self.fresher
+            .lock()
+            .expect("no panic under this lock")
+            .take()
+    }
+
     /// Where a daemon that asks is answered.
     pub(crate) fn place(&self, follower: Follower) -> FollowerPlacement {
-        self.followers().place(self.clock.now(), follower)
+        let path = self.path();
+        self.followers().place(self.clock.now(), follower, &path)
+    }
+
+    /// A follower's question was answered.
+    pub(crate) fn on_follower_answered(&self, vm: &VmId) {
+        self.followers().on_answered(self.clock.now(), vm);
+    }
+
+    /// Some other followers of the data centre of `vm`.
+    pub(crate) fn siblings(&self, vm: &VmId) -> Vec<SocketAddr> {
+        self.followers().siblings(self.clock.now(), vm)
     }
 
     /// How many daemons there are, as far as this one knows.
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -15,6 +15,7 @@
 use crate::replication::peer_error::PeerError;
 use crate::replication::seed_exchange;
 use bridgevane_events::{Event, event};
+use bridgevane_types::{DurationMs, TimeMs};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,15 +42,6 @@
 /// without it, 4,400 with it and longer waits.
 const GATHER_CHANGES: Duration = Duration::from_millis(200);
 
-/// Whether a question brought anything.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StepResult {
-    /// It did: the next one follows at once.
-    Useful,
-    /// It did not: the next one waits.
-    Useless,
-}
-
 /// Follows the source until the daemon ends.
 pub async fn run<S: ControlSource>(gateway: Arc<Gateway>, source: S) {
     seed_exchange::start(&gateway);
@@ -59,12 +51,14 @@
         settings.data_centre.clone(),
         settings.peer_address,
         &settings.seed_addresses,
+        settings.freshness.proof_lifetime_ms,
     );
     let mut follower = SourceFollower {
         upstreams,
         gateway,
         source,
-        peers: PeerClient::default(),
+        parent_client: PeerClient::default(),
+        probe_client: PeerClient::default(),
         followed: None,
         needs_full_state: true,
         pause: FIRST_PAUSE,
@@ -81,7 +75,8 @@
     gateway: Arc<Gateway>,
     source: S,
     upstreams: UpstreamSelector,
-    peers: PeerClient,
+    parent_client: PeerClient,
+    probe_client: PeerClient,
     /// The upstream of the step before.
     followed: Option<Upstream>,
     /// The replica can't be brought up to date by changes.
@@ -96,58 +91,72 @@
 impl<S: ControlSource> SourceFollower<S> {
     /// One question to one upstream.
     async fn step(&mut self) {
-        let upstream = self.upstreams.select(self.gateway.clock.now());
+        let now = self.gateway.clock.now();
+        if let Some(fresher) = self.gateway.fleet.take_fresher() {
+            self.upstreams
+                .on_fresher_daemon(now, fresher.address, fresher.proved_at);
+        }
+        let upstream = self.upstreams.select(now);
         self.log_upstream(upstream);
-        let result = match upstream {
+        match upstream {
             Upstream::Source => self.ask_source().await,
             Upstream::Peer(peer) => self.ask_peer(peer).await,
-            Upstream::Locate(peer) => self.locate_seed(peer).await,
-        };
+            Upstream::Probe(peer) => self.probe(peer).await,
+        }
+        let path = self.upstreams.path();
+        self.gateway.metrics.tree_depth(&path);
+        self.gateway.fleet.set_path(path);
         self.gateway.control.drop_expired_endpoints();
         self.log_freshness();
-        match result {
-            StepResult::Useful => self.pause = FIRST_PAUSE,
-            StepResult::Useless => {
-                sleep(self.pause).await;
-                self.pause = (self.pause * 2).min(MAX_PAUSE);
-            }
+        if self.upstreams.take_pause() {
+            sleep(self.pause).await;
+            self.pause = (self.pause * 2).min(MAX_PAUSE);
+        } else {
+            self.pause = FIRST_PAUSE;
         }
     }
 
-    async fn ask_source(&mut self) -> StepResult {
-        self.peers.close();
+    async fn ask_source(&mut self) {
+        self.parent_client.close();
+        let cause = self.upstreams.source_cause();
         let asked_at = self.gateway.clock.now();
-        let result = if self.needs_full_state {
-            self.reload().await
-        } else {
-            self.wait_for_changes().await
+        let gateway = self.gateway.clone();
+        // A source that doesn't answer isn't waited for when another daemon is fresher.
+        let result = tokio::select! {
+            result = self.call_source() => result,
+            () = gateway.fleet.wait_for_fresher() => Err(SourceError::NoAnswer),
         };
-        self.gateway.metrics.source_called(result);
+        self.gateway.metrics.source_called(cause, result);
         match result {
             Ok(()) => {
                 self.needs_full_state = false;
                 self.gateway.control.prove(asked_at);
-                self.on_source_answered();
-                StepResult::Useful
+                self.on_source_answered(asked_at);
             }
             Err(SourceError::HistoryLost) if !self.needs_full_state => {
                 self.needs_full_state = true;
-                StepResult::Useful
-            }
-            Err(error) => {
-                self.on_source_failed(error);
-                StepResult::Useless
             }
+            Err(error) => self.on_source_failed(error),
         }
     }
 
-    fn on_source_answered(&mut self) {
+    async fn call_source(&mut self) -> Result<(), SourceError> {
+        if self.needs_full_state {
+            self.reload().await
+        } else {
+            self.wait_for_changes().await
+        }
+    }
+
+    fn on_source_answered(&mut self, asked_at: TimeMs) {
         let gateway = &self.gateway;
         let directory = gateway.control.directory();
         let fleet_size = gateway.fleet.estimate_size(&directory);
         gateway.share_retry_budget(fleet_size);
         gateway.fleet.update_others_work(&directory);
-        self.upstreams.on_source_answered();
+        let now = gateway.clock.now();
+        self.upstreams.on_source_answered(now, asked_at);
+        self.upstreams.on_fleet_size(fleet_size.unwrap_or_default());
         if std::mem::take(&mut self.is_source_lost) {
             event!(Event::SourceRegained);
         }
@@ -179,70 +188,93 @@
 
     async fn wait_for_changes(&mut self) -> Result<(), SourceError> {
         let at = self.gateway.control.replica().at();
-        let wait = self.gateway.settings.watch_wait_ms;
+        let wait = if self.upstreams.is_seed() {
+            self.gateway.settings.watch_wait_ms
+        } else {
+            // The others ask in place of a parent, whose proof is old: its age is what counts now.
+            DurationMs(0)
+        };
         let limit = wait.as_std() + WAIT_SLACK;
         let waiting = timeout(limit, self.source.changes(at, wait)).await;
         let changes = waiting.map_err(|_| SourceError::NoAnswer)??;
         let has_changes = !changes.records.is_empty();
         self.gateway.control.apply(&self.source, changes);
-        if has_changes {
+        if has_changes && self.upstreams.is_seed() {
             sleep(GATHER_CHANGES).await;
         }
         Ok(())
     }
 
-    async fn ask_peer(&mut self, peer: SocketAddr) -> StepResult {
+    async fn ask_peer(&mut self, peer: SocketAddr) {
         let after = if self.needs_full_state {
             Revision(0)
         } else {
             self.gateway.control.replica().at()
         };
-        let asked = self.peers.ask(&self.gateway, peer, after).await;
+        let gateway = self.gateway.clone();
+        let asked = tokio::select! {
+            asked = self.parent_client.ask(&gateway, peer, after) => asked,
+            // The question is dropped with its connection; the parent is kept.
+            () = gateway.fleet.wait_for_fresher() => return,
+        };
         let taken = asked.and_then(|answer| self.take_in(answer));
         self.gateway.metrics.peer_asked(taken.as_ref().err());
         match taken {
             Ok(report) => {
                 let now = self.gateway.clock.now();
                 self.upstreams.on_peer_answered(now, peer, &report);
-                if report.proof_age.is_some() || report.redirect.is_some() {
-                    StepResult::Useful
-                } else {
-                    StepResult::Useless
-                }
+            }
+            Err(PeerError::Circle) => {
+                self.upstreams.on_circle(peer);
+                event!(Event::CircleLeft, peer = peer);
             }
             Err(error) => self.on_peer_failed(peer, error),
         }
     }
 
-    /// Asks a seed in which data centre it is.
-    async fn locate_seed(&mut self, peer: SocketAddr) -> StepResult {
-        match self.peers.locate(peer).await {
-            Ok(located) => {
-                self.upstreams.on_located(peer, located.data_centre);
-                StepResult::Useful
-            }
-            Err(error) => self.on_peer_failed(peer, error),
-        }
+    /// Asks another daemon for its place in the tree, or tells it of this one's proof.
+    async fn probe(&mut self, peer: SocketAddr) {
+        let probed = self.probe_client.probe(&self.gateway, peer).await;
+        self.gateway.metrics.peer_asked(probed.as_ref().err());
+        let probed = match probed {
+            Ok(probed) => probed,
+            Err(error) => return self.on_peer_failed(peer, error),
+        };
+        let now = self.gateway.clock.now();
+        let report = PeerReport {
+            data_centre: probed.data_centre,
+            proof_age: probed.proved_at.map(|proved_at| now.since(proved_at)),
+            path: probed.path,
+            redirect: None,
+            siblings: Vec::new(),
+        };
+        self.upstreams.on_probed(now, peer, &report);
     }
 
-    fn on_peer_failed(&mut self, peer: SocketAddr, error: PeerError) -> StepResult {
+    fn on_peer_failed(&mut self, peer: SocketAddr, error: PeerError) {
         let now = self.gateway.clock.now();
         self.upstreams.on_peer_failed(now, peer);
         event!(Event::PeerLost, peer = peer, cause = error);
-        StepResult::Useless
     }
 
     /// Takes another daemon's answer in, and notes what it proves.
     fn take_in(&mut self, answer: PeerAnswer) -> Result<PeerReport, PeerError> {
+        // Before anything else: what such an answer proves is what this daemon has told.
+        if self.upstreams.leads_back(&answer.path) {
+            return Err(PeerError::Circle);
+        }
         let now = self.gateway.clock.now();
         let report = PeerReport {
             proof_age: answer.proved_at.map(|proved_at| now.since(proved_at)),
             data_centre: answer.data_centre,
+            path: answer.path,
             redirect: answer.redirect,
+            siblings: answer.siblings,
         };
         self.take_records_in(answer.at, answer.update)?;
         let gateway = &self.gateway;
         let fleet_size = gateway.fleet.on_size_report(answer.fleet_size);
+        self.upstreams.on_fleet_size(fleet_size.unwrap_or_default());
         gateway.share_retry_budget(fleet_size);
         let directory = gateway.control.directory();
         let fleet = &gateway.fleet;
@@ -274,7 +306,9 @@
     }
 
     fn log_upstream(&mut self, upstream: Upstream) {
-        if self.followed == Some(upstream) {
+        // A probe changes nothing by itself.
+        let is_probe = matches!(upstream, Upstream::Probe(_));
+        if is_probe || self.followed == Some(upstream) {
             return;
         }
         self.followed = Some(upstream);
--- a/crates/gateway/src/replication/message.rs
+++ b/crates/gateway/src/replication/message.rs
@@ -5,14 +5,20 @@
 use crate::control::patch::Patch;
 use crate::control::replica::{RecordChange, RecordOutcome, Update};
 use crate::control::source::Revision;
+use crate::decisions::replication::source_path::SourcePath;
 use crate::work_by_endpoint::{EndpointHash, Work, WorkByEndpoint};
 use bridgevane_protocol::record_change::Change;
 use bridgevane_protocol::{
     EndpointWork, RecordBatch, RecordChange as RecordChangeMessage, RecordPatch, RecordsAnswer,
+    SourcePath as SourcePathMessage,
 };
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use prost::Message;
+use std::net::SocketAddr;
+
+/// Moments are whole milliseconds, so that an age may be one more than their difference.
+pub(super) const CLOCK_GRAIN_MS: u64 = 1;
 
 /// Records are packed from so many bytes on. Not measured by itself (commit 8f01409: states of 0.9
 /// MB over links of 10 Mbit/s), chosen because below it packing saves a packet or two.
@@ -36,6 +42,9 @@
     /// Packed records that are damaged.
     #[display("the packed records are damaged")]
     Damaged,
+    /// The address of a daemon that is none, or a path of too many daemons.
+    #[display("a bad address or path of daemons")]
+    BadPath,
     /// A kind of change that a later version has added.
     #[display("a change of an unknown kind")]
     UnknownChange,
@@ -169,3 +178,30 @@
     }
     work
 }
+
+/// A source path as a message.
+pub(super) fn path_message(path: &SourcePath) -> SourcePathMessage {
+    let daemons = path.daemons().iter().map(ToString::to_string);
+    SourcePathMessage {
+        daemons: daemons.collect(),
+        reaches_source: path.reaches_source(),
+    }
+}
+
+/// The source path of a message; without one the daemon follows nobody.
+pub(super) fn path_of_message(
+    message: Option<SourcePathMessage>,
+) -> Result<SourcePath, MessageError> {
+    let Some(message) = message else {
+        return Ok(SourcePath::detached());
+    };
+    let daemons = addresses_of_messages(&message.daemons)?;
+    SourcePath::new(daemons, message.reaches_source).ok_or(MessageError::BadPath)
+}
+
+/// The addresses of daemons.
+pub(super) fn addresses_of_messages(texts: &[String]) -> Result<Vec<SocketAddr>, MessageError> {
+    let addresses = texts.iter().map(|text| text.parse());
+    let addresses: Result<Vec<SocketAddr>, _> = addresses.collect();
+    addresses.map_err(|_| MessageError::BadPath)
+}
--- a/crates/gateway/src/replication/peer_error.rs
+++ b/crates/gateway/src/replication/peer_error.rs
@@ -20,6 +20,9 @@
     /// The answer is no answer to the question.
     #[display("unreadable answer")]
     Unreadable,
+    /// It follows this daemon, directly or not.
+    #[display("circle")]
+    Circle,
     /// The answer's records can't be used here.
     #[display("unreadable answer")]
     BadRecords(MessageError),
--- a/crates/gateway/src/replication/seed_exchange.rs
+++ b/crates/gateway/src/replication/seed_exchange.rs
@@ -25,12 +25,12 @@
 async fn ask_repeatedly(gateway: Arc<Gateway>, seed: SocketAddr) {
     let mut client = PeerClient::default();
     loop {
-        let pause = match client.locate(seed).await {
-            Ok(located) => {
+        let pause = match client.probe(&gateway, seed).await {
+            Ok(probed) => {
                 let directory = gateway.control.directory();
                 gateway
                     .fleet
-                    .on_seed_report(&directory, seed, located.tree_work);
+                    .on_seed_report(&directory, seed, probed.tree_work);
                 INTERVAL
             }
             // Not logged: the report expires by itself, and a seed that is away is asked for long.
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -7,8 +7,12 @@
 use crate::control::source::Revision;
 use crate::counter::Counter;
 use crate::decisions::replication::followers::{Follower, FollowerPlacement, Tree};
+use crate::decisions::replication::proof_limits::ProofLimits;
 use crate::gateway::Gateway;
-use crate::replication::message::{put_update, work_messages, work_of_messages};
+use crate::replication::fleet::FresherDaemon;
+use crate::replication::message::{
+    CLOCK_GRAIN_MS, path_message, put_update, work_messages, work_of_messages,
+};
 use crate::sockets::{accept, set_options};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{Frame, FrameCodec, FrameError, RecordsAnswer, RecordsWanted};
@@ -31,8 +35,9 @@
 /// How long a daemon may take from one question to the next. Not measured, chosen because a
 /// follower expires after 2 s; the rest spares a slow one a new connection.
 const NEXT_QUESTION_TIMEOUT: Duration = Duration::from_millis(5_000);
-/// Moments are whole milliseconds, so that an age may be one more than their difference.
-const CLOCK_GRAIN_MS: u64 = 1;
+/// Answers on one connection from which one names siblings. Not measured, chosen because siblings change
+/// seldom and some ten answers take two seconds or more.
+const SIBLINGS_EVERY: u64 = 10;
 /// Connections from other daemons at most. Measured in commit 45ec449: a seed had 115 at 301
 /// daemons when all started at once, of 128 that were allowed then.
 const MAX_CONNECTIONS: u64 = 512;
@@ -60,6 +65,7 @@
     let mut frames = Framed::new(stream, FrameCodec::default());
     // When the proof that was last sent on this connection was made.
     let mut sent_proof: Option<TimeMs> = None;
+    let mut answers = 0;
     loop {
         let Ok(Some(frame)) = timeout(NEXT_QUESTION_TIMEOUT, frames.next()).await else {
             return Ok(());
@@ -67,32 +73,79 @@
         let Some(Body::RecordsWanted(question)) = frame?.body else {
             return Ok(());
         };
-        let answer = if question.is_for_work {
-            location(gateway)
-        } else if let Some(address) = redirect(gateway, &question) {
-            redirection(gateway, address)
+        note_proof(gateway, &question);
+        let placement = if question.is_for_work {
+            None
         } else {
-            let asked = Instant::now();
-            wait_for_news(gateway, sent_proof, &question, asked).await;
-            let (answer, proved_at) = records(gateway, &question, asked);
-            sent_proof = proved_at;
-            answer
+            Some(place(gateway, &question))
+        };
+        let answer = match placement {
+            // The path in the answer shows the asking daemon that it would follow itself.
+            None | Some(FollowerPlacement::Circle) => place_in_tree(gateway),
+            Some(FollowerPlacement::Redirect(address)) => redirection(gateway, address),
+            Some(FollowerPlacement::Here) => {
+                let asked = Instant::now();
+                wait_for_news(gateway, sent_proof, &question, asked).await;
+                let (mut answer, proved_at) = records(gateway, &question, asked);
+                sent_proof = proved_at;
+                if answers % SIBLINGS_EVERY == 0 {
+                    let siblings = gateway.fleet.siblings(&VmId::from(question.vm.as_str()));
+                    answer.siblings = siblings.iter().map(ToString::to_string).collect();
+                }
+                answers += 1;
+                answer
+            }
         };
         let body = Some(Body::RecordsAnswer(answer));
         frames.send(Frame { body }).await?;
+        if placement == Some(FollowerPlacement::Here) {
+            let vm = VmId::from(question.vm.as_str());
+            gateway.fleet.on_follower_answered(&vm);
+        }
+    }
+}
+
+/// Remembers an asking daemon whose proof is newer than this one's, if that is old.
+fn note_proof(gateway: &Gateway, question: &RecordsWanted) {
+    let Some(age_ms) = question.proof_age_ms else {
+        return;
+    };
+    // A daemon without an address can't be followed.
+    let Ok(address) = question.peer_address.parse() else {
+        return;
+    };
+    // A proof from before the beginning of this daemon's clock is too old to be of use.
+    let Some(proved_at) = gateway.clock.now().0.checked_sub(age_ms).map(TimeMs) else {
+        return;
+    };
+    let limits = ProofLimits::new(gateway.settings.freshness.proof_lifetime_ms);
+    let own_age = gateway.control.proof_age();
+    let is_needed = own_age.is_none_or(|age| age >= limits.adopt_below);
+    if is_needed && Some(proved_at) > gateway.control.proved_at() {
+        let report = FresherDaemon { address, proved_at };
+        gateway.fleet.on_proof_report(report);
     }
 }
 
-/// Where this daemon is, and the prompts of its tree.
-fn location(gateway: &Gateway) -> RecordsAnswer {
+/// This daemon's place in the tree, and the work of the daemons below it.
+fn place_in_tree(gateway: &Gateway) -> RecordsAnswer {
     let tree = gateway.fleet.tree(&gateway.control.directory(), None);
+    let path = gateway.fleet.path();
     RecordsAnswer {
         data_centre: gateway.settings.data_centre.to_string(),
+        proof_age_ms: proof_age_ms(gateway, gateway.control.proved_at()),
+        path: Some(path_message(&path)),
         work: work_messages(&tree.work),
         ..Default::default()
     }
 }
 
+/// The age of a proof now, never less than the truth.
+fn proof_age_ms(gateway: &Gateway, proved_at: Option<TimeMs>) -> Option<u64> {
+    let age = gateway.clock.now().since(proved_at?);
+    Some(age.0 + CLOCK_GRAIN_MS)
+}
+
 /// Sends the daemon on to another one.
 fn redirection(gateway: &Gateway, address: SocketAddr) -> RecordsAnswer {
     RecordsAnswer {
@@ -102,24 +155,23 @@
     }
 }
 
-/// Where the daemon asks instead. Decided before any record is sent: a whole state is much for the
-/// link of a small VM.
-fn redirect(gateway: &Gateway, question: &RecordsWanted) -> Option<SocketAddr> {
-    let follower = Follower {
+/// Where the daemon is answered. Decided before any record is sent: a whole state is much for the link
+/// of a small VM.
+fn place(gateway: &Gateway, question: &RecordsWanted) -> FollowerPlacement {
+    let Ok(address) = question.peer_address.parse() else {
+        // Nobody can follow a daemon without an address; it is answered here.
+        return FollowerPlacement::Here;
+    };
+    gateway.fleet.place(Follower {
         vm: VmId::from(question.vm.as_str()),
         data_centre: DataCentreId::from(question.data_centre.as_str()),
-        // Nobody can follow a daemon without an address; it is answered here.
-        address: question.peer_address.parse().ok()?,
+        address,
         tree: Tree {
             size: question.tree_size,
             depth: question.tree_depth,
             work: work_of_messages(&question.tree_work),
         },
-    };
-    match gateway.fleet.place(follower) {
-        FollowerPlacement::Here => None,
-        FollowerPlacement::Redirect(address) => Some(address),
-    }
+    })
 }
 
 /// Waits until there is something that the daemon doesn't have, but not for long.
@@ -156,12 +208,14 @@
     let at = replica.at();
     drop(replica);
     // Age and holding are of one moment: the follower takes one from the other.
-    let age = proved_at.map(|proved_at| gateway.clock.now().since(proved_at));
+    let proof_age_ms = proof_age_ms(gateway, proved_at);
     let held = asked.elapsed();
     let total_work = gateway.fleet.total_work(&gateway.control.directory());
+    let path = gateway.fleet.path();
     let mut answer = RecordsAnswer {
         at: at.0,
-        proof_age_ms: age.map(|age| age.0 + CLOCK_GRAIN_MS),
+        path: Some(path_message(&path)),
+        proof_age_ms,
         held_ms: held.as_millis() as u64,
         data_centre: gateway.settings.data_centre.to_string(),
         // 0 says that it isn't known.
