feat(gateway): seeds share proofs and wait longer; a parent is asked between probes

Cause: each of three seeds asked the store every 0.5 s for a proof that one of them had; a daemon that probed others which were away for 2 s did not hear that its parent was fresh again (found by follow_tree.rs: 5.5 s in a data centre that is cut off). Change: the exchange of work between seeds brings proofs, too; the second and third wait 1 and 1.5 s. A probe that fails is followed by a question to the parent. A fresher daemon takes a seed from the source only when the seed's proof is old. An answer that shows a circle proves nothing.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -81,6 +81,26 @@
         self.proved_at.get()
     }
 
+    /// The revision up to which the replica is complete, and the newest proof of it. A proof is noted
+    /// after the state that it proves: while the replica can't change, it holds at least what the
+    /// newest proof is about.
+    pub(crate) fn proved_state(&self) -> (Revision, Option<TimeMs>) {
+        let replica = self.replica();
+        let proved_at = self.proved_at();
+        (replica.at(), proved_at)
+    }
+
+    /// Another daemon has proved at `proved_at` that its state of revision `at` was the newest: that
+    /// serves here, too, if the replica has it. Gives whether it does.
+    pub(crate) fn prove_by_other(&self, at: Revision, proved_at: TimeMs) -> bool {
+        // Revisions never go back, so that the answer still holds when the proof is noted.
+        let has_state = self.replica().at() >= at;
+        if has_state && self.proved_at() < Some(proved_at) {
+            self.prove(proved_at);
+        }
+        has_state
+    }
+
     /// The age of the newest proof.
     pub(crate) fn proof_age(&self) -> Option<DurationMs> {
         let proved_at = self.proved_at()?;
--- a/crates/gateway/src/decisions/replication/mod.rs
+++ b/crates/gateway/src/decisions/replication/mod.rs
@@ -7,6 +7,6 @@
 pub mod proof_limits;
 pub mod record_expiry;
 mod seeds;
-mod source_pacing;
+pub mod source_pacing;
 pub mod source_path;
 pub mod upstream;
--- a/crates/gateway/src/decisions/replication/proof_limits.rs
+++ b/crates/gateway/src/decisions/replication/proof_limits.rs
@@ -31,6 +31,16 @@
 }
 
 impl ProofLimits {
+    /// With an own proof so old, a daemon that asks and has a newer one is adopted at once. A seed waits
+    /// for the source as a rule, and isn't taken from it while its proof is good enough.
+    pub fn fresher_from(&self, is_seed: bool) -> DurationMs {
+        if is_seed {
+            self.leave_from
+        } else {
+            self.adopt_below
+        }
+    }
+
     /// The limits for proofs that last so long.
     pub fn new(proof_lifetime: DurationMs) -> Self {
         let share = |share: f64| DurationMs((proof_lifetime.0 as f64 * share) as u64);
--- a/crates/gateway/src/decisions/replication/source_pacing.rs
+++ b/crates/gateway/src/decisions/replication/source_pacing.rs
@@ -45,6 +45,26 @@
 /// and largest fleets.
 const UNKNOWN_FLEET_SIZE: u32 = 100;
 
+/// Seeds beyond this one wait no longer than it. Not measured, chosen because a source that falls silent
+/// is noticed after the wait and a second more: 2.5 s of the 4.7 s that proofs last.
+const MAX_WAITING_SEEDS: u64 = 3;
+
+/// How long one wait for changes lasts at the source, where proofs should come every `watch_wait`.
+///
+/// Seeds tell each other their proofs: the first of those that live waits so long, the second twice, the
+/// third three times as long. `seeds_before` says how many go before this one. Waits of three times as
+/// long for all were tried: a change wakes all seeds at once, so that they wait in step, and the
+/// fleet's proofs were up to 3 s old (large site, quiet day: 109 calls, 0.05 of requests refused).
+///
+/// Any other daemon asks in place of a parent whose proof is old: it needs its answer now.
+pub fn watch_wait(watch_wait: DurationMs, is_seed: bool, seeds_before: usize) -> DurationMs {
+    if !is_seed {
+        return DurationMs(0);
+    }
+    let place = (seeds_before as u64 + 1).min(MAX_WAITING_SEEDS);
+    DurationMs(watch_wait.0 * place)
+}
+
 /// When the source may be asked.
 #[derive(Debug)]
 pub(super) struct SourcePacing {
--- a/crates/gateway/src/decisions/replication/upstream.rs
+++ b/crates/gateway/src/decisions/replication/upstream.rs
@@ -11,6 +11,7 @@
 //! - Then it probes, one after the other: a daemon that said to be fresher, the former ancestors
 //!   from the nearest on, the seeds, former siblings. It adopts the first whose proof is young
 //!   ([`ProofLimits::adopt_below`]) and whose source path doesn't lead back here.
+//! - Its parent is asked again after each probe that fails: it may have found a fresh one meanwhile.
 //! - If there is none, it asks the source in its turn ([`super::source_pacing`]), and goes on looking.
 //! - Who becomes fresh in another way tells its former parent, which is stale, and may adopt it: one
 //!   daemon that reaches the source is enough for all.
@@ -157,6 +158,8 @@
     do_others_answer: bool,
     /// A stale former parent, to be told when this daemon is fresh.
     stale_parent: Option<SocketAddr>,
+    /// A probe took long: the parent is asked before the next one.
+    must_ask_parent: bool,
     must_pause: bool,
 }
 
@@ -198,6 +201,7 @@
             vain_searches: 0,
             do_others_answer: false,
             stale_parent: None,
+            must_ask_parent: false,
             must_pause: false,
         }
     }
@@ -211,6 +215,9 @@
             return Upstream::Probe(former);
         }
         self.begin_due_search(now);
+        if let Some(parent) = self.parent.as_ref().filter(|_| self.must_ask_parent) {
+            return Upstream::Peer(parent.address);
+        }
         if let Some(search) = &self.search {
             let unlocated = self.seeds.to_locate(now).filter(|_| search.is_locating);
             if let Some(address) = unlocated.or(search.queue.front().copied()) {
@@ -331,10 +338,17 @@
         self.source.on_fleet_size(daemons);
     }
 
+    /// This daemon has a newer proof, in whatever way it came.
+    pub fn on_proved(&mut self, now: TimeMs, proved_at: Option<TimeMs>) {
+        if let Some(proved_at) = proved_at {
+            self.prove(now, proved_at);
+        }
+    }
+
     /// Another daemon says that its proof is of `proved_at`.
     pub fn on_fresher_daemon(&mut self, now: TimeMs, daemon: SocketAddr, proved_at: TimeMs) {
         let is_fresh = now.since(proved_at) < self.limits.adopt_below;
-        let is_needed = !self.is_proof_younger(now, self.limits.adopt_below);
+        let is_needed = !self.is_proof_younger(now, self.limits.fresher_from(self.is_seed));
         if !is_fresh || !is_needed || self.is_parent(daemon) || self.is_alone {
             return;
         }
@@ -476,6 +490,7 @@
             }
             return;
         }
+        self.must_ask_parent = false;
         parent.redirects = 0;
         parent.has_answered = true;
         parent.path = report.path.clone();
@@ -488,9 +503,19 @@
         if let Some(age) = report.proof_age {
             self.prove(now, TimeMs(now.0.saturating_sub(age.0)));
         }
+        self.end_needless_search(now);
         self.look_for_better_parent(now, report);
     }
 
+    /// The parent is fresh again: nothing else is needed.
+    fn end_needless_search(&mut self, now: TimeMs) {
+        let is_fresh = self.is_proof_younger(now, self.limits.adopt_below);
+        let is_needless = |search: &Search| is_fresh && !search.is_improvement;
+        if self.search.as_ref().is_some_and(is_needless) {
+            self.search = None;
+        }
+    }
+
     /// Another daemon did not answer.
     pub fn on_peer_failed(&mut self, now: TimeMs, peer: SocketAddr) {
         self.seeds.on_failed(now, peer);
@@ -500,6 +525,7 @@
         if self.is_parent(peer) {
             return self.lose_parent();
         }
+        self.must_ask_parent = self.parent.is_some();
         if !self.is_locating(now) {
             self.end_probe(now, peer);
         }
@@ -510,6 +536,7 @@
         let lost = self.parent.take();
         self.must_pause = lost.is_none_or(|parent| !parent.has_answered);
         self.search = None;
+        self.must_ask_parent = false;
         self.do_others_answer = false;
     }
 
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -63,6 +63,8 @@
 /// A daemon's place in the tree, and the work that the daemons below it have under way.
 #[derive(Debug)]
 pub(crate) struct ProbeAnswer {
+    /// It has every change up to this revision.
+    pub(crate) at: Revision,
     pub(crate) data_centre: DataCentreId,
     /// When its configuration was proved to be the newest, by this daemon's clock.
     pub(crate) proved_at: Option<TimeMs>,
@@ -127,6 +129,7 @@
         let answer = answer.map_err(|_| PeerError::NoAnswer)??;
         self.open = Some((peer, frames));
         Ok(ProbeAnswer {
+            at: Revision(answer.at),
             data_centre: DataCentreId::from(answer.data_centre.as_str()),
             proved_at: proved_at(asked_at, &answer)?,
             path: path_of_message(answer.path).map_err(PeerError::BadRecords)?,
--- a/crates/gateway/src/replication/fleet.rs
+++ b/crates/gateway/src/replication/fleet.rs
@@ -67,6 +67,11 @@
         self.reports.lock().expect("no panic under this lock")
     }
 
+    /// Whether this daemon is one of the seeds.
+    pub(crate) fn is_seed(&self) -> bool {
+        self.own_seed_address().is_some()
+    }
+
     /// This daemon's address among the seeds; none on a daemon that is no seed.
     fn own_seed_address(&self) -> Option<SocketAddr> {
         let own = self.own_address?;
@@ -161,7 +166,7 @@
     /// This daemon's tree as it is told to `asked`, of which nothing is told back. Seeds exchange
     /// theirs among themselves: one that follows this one for a while isn't counted with it.
     pub(crate) fn tree(&self, directory: &Directory, asked: Option<SocketAddr>) -> Tree {
-        let is_seed = self.own_seed_address().is_some();
+        let is_seed = self.is_seed();
         let is_counted = |follower: &Follower| {
             let is_other_seed = is_seed && self.seed_addresses.contains(&follower.address);
             Some(follower.address) != asked && !is_other_seed
@@ -200,6 +205,14 @@
         self.update_others_work(directory);
     }
 
+    /// How many of the other seeds that reported lately have a smaller address.
+    pub(crate) fn live_seeds_before(&self) -> usize {
+        let Some(own) = self.own_seed_address() else {
+            return 0;
+        };
+        self.reports().live_seeds_before(self.clock.now(), own)
+    }
+
     /// On a daemon that follows no other: works out what of the total isn't its own.
     pub(crate) fn update_others_work(&self, directory: &Directory) {
         let total = self.total_work(directory);
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -8,6 +8,7 @@
 use crate::control::replica::Update;
 use crate::control::source::{Changes, ControlSource, FullState, Revision, SourceError};
 use crate::decisions::admission::freshness::Freshness;
+use crate::decisions::replication::source_pacing;
 use crate::decisions::replication::upstream::{PeerReport, Upstream, UpstreamSelector};
 use crate::gateway::Gateway;
 use crate::replication::client::{PeerAnswer, PeerClient};
@@ -15,7 +16,7 @@
 use crate::replication::peer_error::PeerError;
 use crate::replication::seed_exchange;
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DurationMs, TimeMs};
+use bridgevane_types::TimeMs;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,6 +93,9 @@
     /// One question to one upstream.
     async fn step(&mut self) {
         let now = self.gateway.clock.now();
+        // Other seeds' proofs come in beside this task.
+        let proved_at = self.gateway.control.proved_at();
+        self.upstreams.on_proved(now, proved_at);
         if let Some(fresher) = self.gateway.fleet.take_fresher() {
             self.upstreams
                 .on_fresher_daemon(now, fresher.address, fresher.proved_at);
@@ -188,12 +192,11 @@
 
     async fn wait_for_changes(&mut self) -> Result<(), SourceError> {
         let at = self.gateway.control.replica().at();
-        let wait = if self.upstreams.is_seed() {
-            self.gateway.settings.watch_wait_ms
-        } else {
-            // The others ask in place of a parent, whose proof is old: its age is what counts now.
-            DurationMs(0)
-        };
+        let wait = source_pacing::watch_wait(
+            self.gateway.settings.watch_wait_ms,
+            self.upstreams.is_seed(),
+            self.gateway.fleet.live_seeds_before(),
+        );
         let limit = wait.as_std() + WAIT_SLACK;
         let waiting = timeout(limit, self.source.changes(at, wait)).await;
         let changes = waiting.map_err(|_| SourceError::NoAnswer)??;
--- a/crates/gateway/src/replication/seed_exchange.rs
+++ b/crates/gateway/src/replication/seed_exchange.rs
@@ -1,9 +1,11 @@
-//! Seeds ask each other for the work that the daemons of their trees have under way.
+//! Seeds ask each other for the work that the daemons of their trees have under way, and for proofs.
 //!
-//! Seeds follow the source and not each other, so that no upstream tells them the total.
+//! Seeds follow the source and not each other, so that no upstream tells them the total. What one of them
+//! has proved serves all that have the same state, so that some may ask the source less often
+//! ([`crate::decisions::replication::source_pacing::watch_wait`]).
 
 use crate::gateway::Gateway;
-use crate::replication::client::PeerClient;
+use crate::replication::client::{PeerClient, ProbeAnswer};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,11 +28,8 @@
     let mut client = PeerClient::default();
     loop {
         let pause = match client.probe(&gateway, seed).await {
-            Ok(probed) => {
-                let directory = gateway.control.directory();
-                gateway
-                    .fleet
-                    .on_seed_report(&directory, seed, probed.tree_work);
+            Ok(answer) => {
+                on_answer(&gateway, seed, answer);
                 INTERVAL
             }
             // Not logged: the report expires by itself, and a seed that is away is asked for long.
@@ -39,3 +38,12 @@
         tokio::time::sleep(pause).await;
     }
 }
+
+fn on_answer(gateway: &Gateway, seed: SocketAddr, answer: ProbeAnswer) {
+    let directory = gateway.control.directory();
+    let fleet = &gateway.fleet;
+    fleet.on_seed_report(&directory, seed, answer.tree_work);
+    if let Some(proved_at) = answer.proved_at {
+        gateway.control.prove_by_other(answer.at, proved_at);
+    }
+}
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -15,7 +15,9 @@
 };
 use crate::sockets::{accept, set_options};
 use bridgevane_protocol::frame::Body;
-use bridgevane_protocol::{Frame, FrameCodec, FrameError, RecordsAnswer, RecordsWanted};
+use bridgevane_protocol::{
+    Frame, FrameCodec, FrameError, RecordsAnswer, RecordsWanted, SourcePath,
+};
 use bridgevane_types::{DataCentreId, TimeMs, VmId};
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
@@ -80,8 +82,8 @@
             Some(place(gateway, &question))
         };
         let answer = match placement {
-            // The path in the answer shows the asking daemon that it would follow itself.
-            None | Some(FollowerPlacement::Circle) => place_in_tree(gateway),
+            None => place_in_tree(gateway),
+            Some(FollowerPlacement::Circle) => circle(gateway, &question),
             Some(FollowerPlacement::Redirect(address)) => redirection(gateway, address),
             Some(FollowerPlacement::Here) => {
                 let asked = Instant::now();
@@ -120,26 +122,42 @@
     };
     let limits = ProofLimits::new(gateway.settings.freshness.proof_lifetime_ms);
     let own_age = gateway.control.proof_age();
-    let is_needed = own_age.is_none_or(|age| age >= limits.adopt_below);
+    let needed_from = limits.fresher_from(gateway.fleet.is_seed());
+    let is_needed = own_age.is_none_or(|age| age >= needed_from);
     if is_needed && Some(proved_at) > gateway.control.proved_at() {
         let report = FresherDaemon { address, proved_at };
         gateway.fleet.on_proof_report(report);
     }
 }
 
-/// This daemon's place in the tree, and the work of the daemons below it.
+/// This daemon's place in the tree, how recent it is, and the work of the daemons below it.
 fn place_in_tree(gateway: &Gateway) -> RecordsAnswer {
     let tree = gateway.fleet.tree(&gateway.control.directory(), None);
     let path = gateway.fleet.path();
+    let (at, proved_at) = gateway.control.proved_state();
     RecordsAnswer {
+        at: at.0,
         data_centre: gateway.settings.data_centre.to_string(),
-        proof_age_ms: proof_age_ms(gateway, gateway.control.proved_at()),
+        proof_age_ms: proof_age_ms(gateway, proved_at),
         path: Some(path_message(&path)),
         work: work_messages(&tree.work),
         ..Default::default()
     }
 }
 
+/// Shows the asking daemon that it would follow itself: it is in the path. Nothing is proved, since no
+/// records go along.
+fn circle(gateway: &Gateway, question: &RecordsWanted) -> RecordsAnswer {
+    RecordsAnswer {
+        data_centre: gateway.settings.data_centre.to_string(),
+        path: Some(SourcePath {
+            daemons: vec![question.peer_address.clone()],
+            reaches_source: false,
+        }),
+        ..Default::default()
+    }
+}
+
 /// The age of a proof now, never less than the truth.
 fn proof_age_ms(gateway: &Gateway, proved_at: Option<TimeMs>) -> Option<u64> {
     let age = gateway.clock.now().since(proved_at?);
--- a/crates/gateway/tests/support/tree_sim.rs
+++ b/crates/gateway/tests/support/tree_sim.rs
@@ -113,7 +113,7 @@
         at: Option<u64>,
     },
     SourceChanges,
-    /// Seeds ask each other for work, and tell each other how recent they are.
+    /// Seeds ask each other for work, and for proofs.
     SeedExchange,
 }
 
@@ -386,6 +386,7 @@
         }
         let now = TimeMs(self.now);
         let daemon = &mut self.daemons[at];
+        daemon.selector.on_proved(now, daemon.proved_at);
         if let Some((address, proved_at)) = daemon.fresher.take() {
             daemon.selector.on_fresher_daemon(now, address, proved_at);
         }
@@ -645,8 +646,14 @@
             }
             for to in seeds.clone().filter(|to| *to != from) {
                 let is_reached = self.group[from] == self.group[to] && self.daemons[to].is_alive;
-                if is_reached && !self.is_frozen(to) {
-                    self.note_proof(to, address, proved_at);
+                if !is_reached || self.is_frozen(to) {
+                    continue;
+                }
+                self.note_proof(to, address, proved_at);
+                // The answer's proof serves who has the state.
+                let (at, proved_at) = (self.daemons[to].at, self.daemons[to].proved_at);
+                if let Some(proved_at) = proved_at.filter(|_| self.daemons[from].at >= at) {
+                    self.prove(from, proved_at);
                 }
             }
         }
@@ -657,7 +664,8 @@
         let limits = ProofLimits::new(PROOF_LIFETIME);
         let now = TimeMs(self.now);
         let daemon = &mut self.daemons[at];
-        let is_fresh = |own: TimeMs| now.since(own) < limits.adopt_below;
+        let needed_from = limits.fresher_from(daemon.selector.is_seed());
+        let is_fresh = |own: TimeMs| now.since(own) < needed_from;
         if daemon.proved_at.is_some_and(is_fresh) || proved_at <= daemon.proved_at {
             return;
         }
@@ -670,6 +678,11 @@
         }
         daemon.question += 1;
         let life = daemon.life;
+        let parent = daemon.parent;
+        if let Some(parent) = parent {
+            // The connection is closed with the question.
+            self.daemons[parent].sent_proofs.remove(&at);
+        }
         self.end_step(at, life);
     }
 
