--- a/crates/log-report/src/line.rs
+++ b/crates/log-report/src/line.rs
@@ -53,6 +53,10 @@
     #[serde(borrow)]
     resend: Option<Cow<'a, str>>,
     #[serde(borrow)]
+    peers: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    upstream: Option<Cow<'a, str>>,
+    #[serde(borrow)]
     status: Option<Number<'a>>,
     #[serde(borrow)]
     runs: Option<Number<'a>>,
@@ -103,6 +107,10 @@
     pub cause: Option<Cow<'a, str>>,
     /// Whether it was sent again: "yes", or why not.
     pub resend: Option<Cow<'a, str>>,
+    /// The address at which the daemon answers others.
+    pub peers: Option<Cow<'a, str>>,
+    /// Whom the daemon follows: another one's address, or the control source.
+    pub upstream: Option<Cow<'a, str>>,
     /// The status of an answer.
     pub status: Option<u64>,
     /// Attempts that ran, or may have run.
@@ -138,6 +146,8 @@
         customer: raw.customer,
         cause: raw.reason.or(raw.cause),
         resend: raw.resend,
+        peers: raw.peers,
+        upstream: raw.upstream,
         status: raw.status.as_ref().and_then(Number::value),
         runs: raw.runs.as_ref().and_then(Number::value),
         queue_ms: queue.as_ref().and_then(Number::value),
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -15,7 +15,8 @@
 use argh::FromArgs;
 use bridgevane_events::{Event, event};
 use bridgevane_gateway::{
-    Gateway, follow_control_source, serve_clients, serve_peers, serve_readiness, stop_gracefully,
+    Gateway, GatewaySettings, follow_control_source, serve_clients, serve_peers, serve_readiness,
+    stop_gracefully,
 };
 use bridgevane_platform::{Store, header_names};
 use std::time::Duration;
@@ -148,6 +149,12 @@
     code
 }
 
+/// Where other daemons ask this one, for logs.
+fn peer_address_text(settings: &GatewaySettings) -> String {
+    let address = settings.peer_address;
+    address.map_or_else(|| "-".to_owned(), |address| address.to_string())
+}
+
 /// Serves until the stop signal, then until every answer has ended.
 async fn serve(config: GatewayConfig) -> Result<(), std::io::Error> {
     let clients = http_serve::listen(config.gateway.client_address).await?;
@@ -164,6 +171,7 @@
         vm = gateway.settings.vm,
         data_centre = gateway.settings.data_centre,
         callers = gateway.settings.client_address,
+        peers = peer_address_text(&gateway.settings),
         proof_lifetime_ms = gateway.settings.freshness.proof_lifetime_ms,
         max_stale_ms = gateway.settings.freshness.max_stale_age_ms
     );
--- a/src/commands/report/mod.rs
+++ b/src/commands/report/mod.rs
@@ -5,6 +5,7 @@
 mod log_files;
 mod logs;
 mod request;
+mod tree;
 
 use argh::FromArgs;
 use std::net::SocketAddr;
@@ -12,7 +13,7 @@
 
 /// Report service levels: attainment by class over windows, error budget and burn rate,
 /// goodput and wasted work, over all VMs of the data centre. The token comes from
-/// BRIDGEVANE_OPERATOR_TOKEN. `report logs` and `report request` read gateways' logs instead.
+/// BRIDGEVANE_OPERATOR_TOKEN. `report logs`, `report request` and `report tree` read gateways' logs instead.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "report")]
 pub struct ReportArguments {
@@ -38,6 +39,7 @@
 enum LogReport {
     Logs(logs::LogsArguments),
     Request(request::RequestArguments),
+    Tree(tree::TreeArguments),
 }
 
 /// Runs the command; gives the exit code.
@@ -46,5 +48,6 @@
         None => burn::run(arguments),
         Some(LogReport::Logs(arguments)) => logs::run(arguments),
         Some(LogReport::Request(arguments)) => request::run(arguments),
+        Some(LogReport::Tree(arguments)) => tree::run(arguments),
     }
 }
--- a/tests/report_logs.rs
+++ b/tests/report_logs.rs
@@ -72,3 +72,59 @@
     let missing = report(&["logs", "/nowhere.log"]);
     assert_eq!(missing.status.code(), Some(2));
 }
+
+fn started(vm: &str, peers: &str) -> String {
+    format!(
+        r#"{{"at":"2026-12-02T16:00:00.000Z","event":1001,"vm":"{vm}","data_centre":"z","peers":"{peers}"}}"#
+    )
+}
+
+fn follows(vm: &str, second: u32, upstream: &str) -> String {
+    format!(
+        r#"{{"at":"2026-12-02T16:00:0{second}.000Z","event":1208,"vm":"{vm}","data_centre":"z","upstream":"{upstream}"}}"#
+    )
+}
+
+/// The large site: whole data centres followed each other in circles, and nothing showed it.
+#[test]
+fn the_tree_of_followers_is_shown_with_its_circles() {
+    let lines = [
+        started("a", "10.0.0.1:1"),
+        started("b", "10.0.0.2:1"),
+        started("c", "10.0.0.3:1"),
+        started("d", "10.0.0.4:1"),
+        follows("a", 1, "source"),
+        follows("b", 1, "10.0.0.1:1"),
+        follows("c", 1, "10.0.0.2:1"),
+        follows("d", 1, "10.0.0.3:1"),
+        // b and c follow each other, d is below them; e follows nobody known.
+        follows("b", 3, "10.0.0.3:1"),
+        follows("e", 3, "10.0.0.9:1"),
+    ];
+    let lines: Vec<&str> = lines.iter().map(String::as_str).collect();
+    let log = log_file("tree.log", &lines);
+    let log = log.to_str().unwrap();
+    let at = |moment: &str| {
+        let output = report(&["tree", log, "--json", "--at", moment]);
+        assert!(output.status.success(), "{output:?}");
+        let json: serde_json::Value = serde_json::from_str(&text(&output)).expect("JSON");
+        json["trees"][0]["data_centres"][0].clone()
+    };
+    let before = at("2026-12-02T16:00:02Z");
+    assert_eq!(before["daemons"], 4);
+    assert_eq!(before["at_source"], 1);
+    assert_eq!(before["depth"], 4);
+    assert_eq!(before["in_circles"], 0);
+    let after = at("2026-12-02T16:00:03Z");
+    assert_eq!(after["in_circles"], 2);
+    assert_eq!(after["below_circles"], 1);
+    assert_eq!(after["unknown"], 1);
+    assert_eq!(after["depth"], 1);
+    let table = text(&report(&["tree", log]));
+    assert!(table.contains("at the source"), "{table}");
+    let nothing = log_file("no-tree.log", &[REFUSED]);
+    assert_eq!(
+        report(&["tree", nothing.to_str().unwrap()]).status.code(),
+        Some(1)
+    );
+}
