fix(gateway): limits of proofs follow from the time for a change, too; a silent source is asked again at once

A seed asks again at once, for an answer at once, after a call without one; it follows a fresher daemon before it asks on. The longer waits of the second and third seed are taken back: a silent connection was noticed up to 2.5 s late.

--- a/crates/gateway/src/decisions/replication/upstream.rs
+++ b/crates/gateway/src/decisions/replication/upstream.rs
@@ -174,7 +174,7 @@
         own_data_centre: DataCentreId,
         own: Option<SocketAddr>,
         seeds: &[SocketAddr],
-        proof_lifetime: DurationMs,
+        limits: ProofLimits,
     ) -> Self {
         let address = own.unwrap_or(NO_ADDRESS);
         let is_seed = seeds.contains(&address);
@@ -185,9 +185,9 @@
             is_alone: own.is_none() || seeds.is_empty(),
             is_seed,
             started_at: now,
-            limits: ProofLimits::new(proof_lifetime),
+            limits,
             seeds,
-            source: SourcePacing::new(address, is_seed),
+            source: SourcePacing::new(address, is_seed, limits),
             fleet_size: 0,
             proved_at: None,
             parent: None,
@@ -259,7 +259,8 @@
 
     /// Seeds ask the source whenever they may; the others when they have found no parent.
     fn must_ask_source(&self, now: TimeMs) -> bool {
-        if !self.source.may_ask(now) {
+        // A fresher daemon is a question away; the source may not answer for long.
+        if !self.source.may_ask(now) || self.fresher.is_some() {
             return false;
         }
         if self.is_seed {
@@ -425,6 +426,7 @@
         self.search = None;
         self.fresher = None;
         self.search_not_before = now + SEARCH_PAUSE;
+        self.source.on_adopted(now);
     }
 
     /// A probed daemon can't be adopted: the next one is probed, if there is one.
@@ -433,6 +435,7 @@
             return;
         };
         search.queue.retain(|address| *address != peer);
+        self.fresher = self.fresher.filter(|fresher| *fresher != peer);
         if !search.queue.is_empty() {
             return;
         }
