--- a/crates/gateway/src/decisions/replication/source_pacing.rs
+++ b/crates/gateway/src/decisions/replication/source_pacing.rs
@@ -4,10 +4,10 @@
 //! and what became of earlier calls.
 //!
 //! Rules: a seed asks whenever the source answers, at once after a first failure, since it may have been
-//! the connection's alone, and then in pauses that double up to [`MAX_SEED_PAUSE`]. Any other daemon asks only when it has found no daemon to follow:
-//! - one that lost its parent, within [`ORPHAN_SPREAD`]: those below it wait for it;
+//! the connection's alone, and then in pauses that double up to `MAX_SEED_PAUSE`. Any other daemon asks only when it has found no daemon to follow:
+//! - one that lost its parent, within `ORPHAN_SPREAD`: those below it wait for it;
 //! - while its parent answers, but has nothing new either, all daemons together ask
-//!   [`FLEET_CALLS_PER_S`] times a second: whoever succeeds passes it on to the others.
+//!   `FLEET_CALLS_PER_S` times a second: whoever succeeds passes it on to the others.
 //!
 //! Reason: the source bears a few callers, not one for each daemon, and never all in one second. Few
 //! daemons lose their parents at once, since a tree has few daemons near its root; one that is cut off
