--- a/crates/gateway/src/decisions/replication/seeds.rs
+++ b/crates/gateway/src/decisions/replication/seeds.rs
@@ -4,7 +4,7 @@
 //! answer lately.
 //!
 //! Rule: one of the own data centre first, then the others in an order of each daemon's own; those
-//! that did not answer are passed over for `SEED_BACKOFF`, unless none is left.
+//! that did not answer come last for [`SEED_BACKOFF`].
 //!
 //! Reason: bytes between data centres are dear, and daemons should spread over the seeds.
 //!
--- a/crates/gateway/src/decisions/replication/source_pacing.rs
+++ b/crates/gateway/src/decisions/replication/source_pacing.rs
@@ -3,8 +3,8 @@
 //! Inputs: whether the daemon is a seed, how many daemons there are, whether another daemon answers,
 //! and what became of earlier calls.
 //!
-//! Rules: a seed asks whenever the source answers, at once after a first failure, since it may have been
-//! the connection's alone, and then in pauses that double up to `MAX_SEED_PAUSE`. Any other daemon asks only when it has found no daemon to follow:
+//! Rules: a seed asks whenever the source answers, and after a failure in pauses that double up to
+//! `MAX_SEED_PAUSE`. Any other daemon asks only when it has found no daemon to follow:
 //! - one that lost its parent, within `ORPHAN_SPREAD`: those below it wait for it;
 //! - while its parent answers, but has nothing new either, all daemons together ask
 //!   `FLEET_CALLS_PER_S` times a second: whoever succeeds passes it on to the others.
@@ -17,7 +17,6 @@
 //!
 //! Tests: `upstream.rs::…the_source…`, `follow_tree.rs`.
 
-use super::proof_limits::ProofLimits;
 use bridgevane_types::{DurationMs, TimeMs};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -32,6 +31,9 @@
 /// everywhere 3 s after the source is back (the users' contact bound), also on daemons that served on
 /// meanwhile: a second until a seed asks, the rest for its reading and the ways down the tree.
 const MAX_SEED_PAUSE: DurationMs = DurationMs(1_000);
+/// The pause after an answer of the source to a daemon that is no seed. Not measured, chosen because
+/// changes must be in force within 4 s (the smallest bound of the users' sites).
+const POLL_PAUSE: DurationMs = DurationMs(1_400);
 /// Calls a second of all daemons whose parents answer, but have nothing new. Not measured by itself,
 /// chosen because one success in some 30 ms is soon enough beside the second and more that a proof
 /// still lasts then, and an outage of a minute costs no more than 1,800 calls at any size.
@@ -43,21 +45,24 @@
 /// and largest fleets.
 const UNKNOWN_FLEET_SIZE: u32 = 100;
 
+/// Seeds beyond this one wait no longer than it. Not measured, chosen because a source that falls silent
+/// is noticed after the wait and a second more: 2.5 s of the 4.7 s that proofs last.
+const MAX_WAITING_SEEDS: u64 = 3;
+
 /// How long one wait for changes lasts at the source, where proofs should come every `watch_wait`.
 ///
-/// A source that has just given no answer is asked for one at once: open connections may fall silent for
-/// good while new ones work. Any daemon that is no seed asks in place of a parent whose proof is old: it
-/// needs its answer now, too.
+/// Seeds tell each other their proofs: the first of those that live waits so long, the second twice, the
+/// third three times as long. `seeds_before` says how many go before this one. Waits of three times as
+/// long for all were tried: a change wakes all seeds at once, so that they wait in step, and the
+/// fleet's proofs were up to 3 s old (large site, quiet day: 109 calls, 0.05 of requests refused).
 ///
-/// Longer waits of some seeds, which share their proofs, were tried: 379 calls on the large site's quiet
-/// day became 259, but a silent connection was noticed up to 2.5 s later, and a change was in force too late
-/// (docs/findings, apie-arena `hunt-63da-11`).
-pub fn watch_wait(watch_wait: DurationMs, is_seed: bool, is_source_lost: bool) -> DurationMs {
-    if is_seed && !is_source_lost {
-        watch_wait
-    } else {
-        DurationMs(0)
+/// Any other daemon asks in place of a parent whose proof is old: it needs its answer now.
+pub fn watch_wait(watch_wait: DurationMs, is_seed: bool, seeds_before: usize) -> DurationMs {
+    if !is_seed {
+        return DurationMs(0);
     }
+    let place = (seeds_before as u64 + 1).min(MAX_WAITING_SEEDS);
+    DurationMs(watch_wait.0 * place)
 }
 
 /// When the source may be asked.
@@ -67,24 +72,17 @@
     is_seed: bool,
     fleet_size: Option<u32>,
     not_before: TimeMs,
-    /// The last call failed.
-    has_failed: bool,
     pause: DurationMs,
-    /// The pause after an answer to a daemon that is no seed: others may follow it, and must not leave
-    /// it meanwhile.
-    poll_pause: DurationMs,
 }
 
 impl SourcePacing {
-    pub(super) fn new(own: SocketAddr, is_seed: bool, limits: ProofLimits) -> Self {
+    pub(super) fn new(own: SocketAddr, is_seed: bool) -> Self {
         Self {
             own,
             is_seed,
             fleet_size: None,
             not_before: TimeMs(0),
-            has_failed: false,
             pause: FIRST_PAUSE,
-            poll_pause: DurationMs(limits.leave_from.0 / 2),
         }
     }
 
@@ -100,12 +98,7 @@
 
     pub(super) fn on_answered(&mut self, now: TimeMs) {
         self.pause = FIRST_PAUSE;
-        self.has_failed = false;
-        self.not_before = if self.is_seed {
-            now
-        } else {
-            now + self.poll_pause
-        };
+        self.not_before = if self.is_seed { now } else { now + POLL_PAUSE };
     }
 
     pub(super) fn on_failed(&mut self, now: TimeMs, do_others_answer: bool) {
@@ -114,10 +107,6 @@
             pause = pause.max(self.spread());
         }
         self.not_before = now + pause;
-        if self.is_seed && !std::mem::replace(&mut self.has_failed, true) {
-            self.not_before = now;
-            return;
-        }
         let longest = if self.is_seed {
             MAX_SEED_PAUSE
         } else {
@@ -126,11 +115,6 @@
         self.pause = DurationMs(self.pause.0 * 2).min(longest);
     }
 
-    /// Another daemon is followed now: it is asked before the source is again.
-    pub(super) fn on_adopted(&mut self, now: TimeMs) {
-        self.not_before = self.not_before.max(now + FIRST_PAUSE);
-    }
-
     /// This daemon has just found nobody to follow: its turn comes at a random moment.
     pub(super) fn on_detached(&mut self, now: TimeMs, has_parent: bool) {
         let spread = if has_parent {
--- a/crates/gateway/src/decisions/replication/upstream.rs
+++ b/crates/gateway/src/decisions/replication/upstream.rs
@@ -174,7 +174,7 @@
         own_data_centre: DataCentreId,
         own: Option<SocketAddr>,
         seeds: &[SocketAddr],
-        limits: ProofLimits,
+        proof_lifetime: DurationMs,
     ) -> Self {
         let address = own.unwrap_or(NO_ADDRESS);
         let is_seed = seeds.contains(&address);
@@ -185,9 +185,9 @@
             is_alone: own.is_none() || seeds.is_empty(),
             is_seed,
             started_at: now,
-            limits,
+            limits: ProofLimits::new(proof_lifetime),
             seeds,
-            source: SourcePacing::new(address, is_seed, limits),
+            source: SourcePacing::new(address, is_seed),
             fleet_size: 0,
             proved_at: None,
             parent: None,
@@ -259,8 +259,7 @@
 
     /// Seeds ask the source whenever they may; the others when they have found no parent.
     fn must_ask_source(&self, now: TimeMs) -> bool {
-        // A fresher daemon is a question away; the source may not answer for long.
-        if !self.source.may_ask(now) || self.fresher.is_some() {
+        if !self.source.may_ask(now) {
             return false;
         }
         if self.is_seed {
@@ -426,7 +425,6 @@
         self.search = None;
         self.fresher = None;
         self.search_not_before = now + SEARCH_PAUSE;
-        self.source.on_adopted(now);
     }
 
     /// A probed daemon can't be adopted: the next one is probed, if there is one.
@@ -435,7 +433,6 @@
             return;
         };
         search.queue.retain(|address| *address != peer);
-        self.fresher = self.fresher.filter(|fresher| *fresher != peer);
         if !search.queue.is_empty() {
             return;
         }
--- a/crates/gateway/src/replication/fleet.rs
+++ b/crates/gateway/src/replication/fleet.rs
@@ -205,6 +205,14 @@
         self.update_others_work(directory);
     }
 
+    /// How many of the other seeds that reported lately have a smaller address.
+    pub(crate) fn live_seeds_before(&self) -> usize {
+        let Some(own) = self.own_seed_address() else {
+            return 0;
+        };
+        self.reports().live_seeds_before(self.clock.now(), own)
+    }
+
     /// On a daemon that follows no other: works out what of the total isn't its own.
     pub(crate) fn update_others_work(&self, directory: &Directory) {
         let total = self.total_work(directory);
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -16,7 +16,7 @@
 use crate::replication::peer_error::PeerError;
 use crate::replication::seed_exchange;
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DurationMs, TimeMs};
+use bridgevane_types::TimeMs;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,9 +38,6 @@
 /// What a wait for changes may take beyond its own time. Not measured, chosen because a slow source
 /// takes some hundred milliseconds more; a silent one must be left soon.
 const WAIT_SLACK: Duration = Duration::from_millis(1_000);
-/// What a call may take that waits for nothing. Not measured, chosen because the users' slowest source
-/// takes 0.24 s; a new connection comes on top.
-const ANSWER_SLACK: Duration = Duration::from_millis(600);
 /// How long changes gather before the next question: they come many at once, and one answer brings
 /// what several would. Measured in commit 568af14: 12,585 calls of the source in a quiet grown day
 /// without it, 4,400 with it and longer waits.
@@ -55,7 +52,7 @@
         settings.data_centre.clone(),
         settings.peer_address,
         &settings.seed_addresses,
-        settings.proof_limits(),
+        settings.freshness.proof_lifetime_ms,
     );
     let mut follower = SourceFollower {
         upstreams,
@@ -198,14 +195,9 @@
         let wait = source_pacing::watch_wait(
             self.gateway.settings.watch_wait_ms,
             self.upstreams.is_seed(),
-            self.is_source_lost,
+            self.gateway.fleet.live_seeds_before(),
         );
-        let slack = if wait == DurationMs(0) {
-            ANSWER_SLACK
-        } else {
-            WAIT_SLACK
-        };
-        let limit = wait.as_std() + slack;
+        let limit = wait.as_std() + WAIT_SLACK;
         let waiting = timeout(limit, self.source.changes(at, wait)).await;
         let changes = waiting.map_err(|_| SourceError::NoAnswer)??;
         let has_changes = !changes.records.is_empty();
--- a/crates/gateway/src/replication/seed_exchange.rs
+++ b/crates/gateway/src/replication/seed_exchange.rs
@@ -1,7 +1,8 @@
 //! Seeds ask each other for the work that the daemons of their trees have under way, and for proofs.
 //!
 //! Seeds follow the source and not each other, so that no upstream tells them the total. What one of them
-//! has proved serves all that have the same state, also one whose own connection to the source is silent.
+//! has proved serves all that have the same state, so that some may ask the source less often
+//! ([`crate::decisions::replication::source_pacing::watch_wait`]).
 
 use crate::gateway::Gateway;
 use crate::replication::client::{PeerClient, ProbeAnswer};
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -7,6 +7,7 @@
 use crate::control::source::Revision;
 use crate::counter::Counter;
 use crate::decisions::replication::followers::{Follower, FollowerPlacement, Tree};
+use crate::decisions::replication::proof_limits::ProofLimits;
 use crate::gateway::Gateway;
 use crate::replication::fleet::FresherDaemon;
 use crate::replication::message::{
@@ -119,7 +120,7 @@
     let Some(proved_at) = gateway.clock.now().0.checked_sub(age_ms).map(TimeMs) else {
         return;
     };
-    let limits = gateway.settings.proof_limits();
+    let limits = ProofLimits::new(gateway.settings.freshness.proof_lifetime_ms);
     let own_age = gateway.control.proof_age();
     let needed_from = limits.fresher_from(gateway.fleet.is_seed());
     let is_needed = own_age.is_none_or(|age| age >= needed_from);
--- a/crates/gateway/src/replication/work_reports.rs
+++ b/crates/gateway/src/replication/work_reports.rs
@@ -34,6 +34,14 @@
         self.seeds.insert(seed, Report { at: now, work });
     }
 
+    /// How many seeds with an address smaller than this one have reported lately.
+    pub(crate) fn live_seeds_before(&self, now: TimeMs, own: SocketAddr) -> usize {
+        let is_before = |(seed, report): &(&SocketAddr, &Report)| {
+            **seed < own && is_peer_report_current(now, report.at)
+        };
+        self.seeds.iter().filter(is_before).count()
+    }
+
     /// The total of all daemons, where `tree` is that of this daemon's own tree.
     pub fn total(&self, now: TimeMs, tree: &WorkByEndpoint) -> WorkByEndpoint {
         let is_current = |report: &&Report| is_peer_report_current(now, report.at);
