test(gateway): a lost seed ends with its connections; the child's own calls are counted

The test aborted the seed's listener only: the open connection went on, the child never lost its upstream, and the assertion counted whether the seed happened to begin another call of its own. Change: the seed has a runtime of its own, which ends with its connections; the child has a source whose calls are counted apart, none before the loss.

--- a/crates/gateway/tests/replication.rs
+++ b/crates/gateway/tests/replication.rs
@@ -11,12 +11,11 @@
 use support::source::{KEY, OTHER_KEY, ScriptedSource, plain_route, stream_route};
 use support::{Running, settings, start_with};
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::runtime::Runtime;
 
 struct Peer {
     running: Running,
     address: SocketAddr,
-    server: JoinHandle<()>,
 }
 
 /// A daemon that is started in an outage: its clock began after the proof that it learns of.
@@ -81,12 +80,8 @@
     let address = listener.local_addr().unwrap();
     let settings = peer_settings(vm, address, seeds);
     let running = start_with(source.clone(), settings).await;
-    let server = tokio::spawn(serve_peers(running.gateway.clone(), listener));
-    Peer {
-        running,
-        address,
-        server,
-    }
+    tokio::spawn(serve_peers(running.gateway.clone(), listener));
+    Peer { running, address }
 }
 
 /// What the daemon believes that others have under way at the only engine.
@@ -205,17 +200,22 @@
     assert_eq!(status(&grandchild).await, 200);
 }
 
+/// The seed ends with all its connections, as a process does: with the listener alone gone, it would go
+/// on telling the child over the open connection.
 #[tokio::test]
 async fn who_loses_its_upstream_goes_to_the_source() {
     let (source, _endpoint) = source().await;
-    let seed = peer("vm-1", &source, None).await;
-    let child = peer("vm-2", &source, Some(seed.address)).await;
+    let seed_process = Runtime::new().unwrap();
+    let seed_source = source.clone();
+    let starting =
+        seed_process.spawn(async move { peer("vm-1", &seed_source, None).await.address });
+    let seed_address = starting.await.expect("the seed starts");
+    let calls_of_child = source.with_faults_of_its_own();
+    let child = peer("vm-2", &calls_of_child, Some(seed_address)).await;
     // Beyond the time in which daemons that start together wait for each other.
     tokio::time::sleep(Duration::from_millis(900)).await;
-    let waits = child.running.source.waits();
-    seed.server.abort();
-    seed.running.gateway.shutdown.begin();
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(calls_of_child.calls(), 0, "it follows the seed");
+    seed_process.shutdown_background();
     source.configure(4, vec![plain_route("often", Idempotent, 2)], &[OTHER_KEY]);
     let fell_back = async {
         while status(&child).await != 401 {
@@ -225,7 +225,7 @@
     let limit = Duration::from_millis(2_000);
     let in_time = tokio::time::timeout(limit, fell_back).await;
     in_time.expect("the key's removal is in force in time");
-    assert!(child.running.source.waits() > waits);
+    assert!(calls_of_child.calls() > 0);
 }
 
 /// Calls of the source are dear: what one seed has proved serves the others.
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -129,6 +129,11 @@
         self.calls.lock().unwrap().waits
     }
 
+    /// Calls of any kind.
+    pub fn calls(&self) -> usize {
+        self.full_reads() + self.waits()
+    }
+
     fn since(&self, after: Revision) -> Result<Option<Changes>, SourceError> {
         if let Some(fault) = self.calls.lock().unwrap().fault {
             return Err(fault);
