fix(gateway): a change is in force in time while the source turns all seeds away; no stampedes in the tree

Questions are held no longer than a proof is good for, and given up for the turn at the source. A daemon that stands in for the seeds asks the source before its followers leave, and follows only newer proofs. A seed takes a fresher daemon's state before its followers leave, and asks a silent source again at once. Nobody looks for a better place while the root is no seed; who is sent on to its own follower passes over whoever did it.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -102,7 +102,7 @@
     }
 
     /// The age of the newest proof.
-    pub(crate) fn proof_age(&self) -> Option<DurationMs> {
+    pub fn proof_age(&self) -> Option<DurationMs> {
         let proved_at = self.proved_at()?;
         Some(self.clock.now().since(proved_at))
     }
--- a/crates/gateway/src/decisions/replication/mod.rs
+++ b/crates/gateway/src/decisions/replication/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod fleet_size;
 pub mod followers;
+pub mod hold;
 pub mod proof_limits;
 pub mod record_expiry;
 mod seeds;
--- a/crates/gateway/src/decisions/replication/source_pacing.rs
+++ b/crates/gateway/src/decisions/replication/source_pacing.rs
@@ -3,8 +3,9 @@
 //! Inputs: whether the daemon is a seed, how many daemons there are, whether another daemon answers,
 //! and what became of earlier calls.
 //!
-//! Rules: a seed asks whenever the source answers, and after a failure in pauses that double up to
-//! `MAX_SEED_PAUSE`. Any other daemon asks only when it has found no daemon to follow:
+//! Rules: a seed asks whenever the source answers, at once after a first failure, which may have been
+//! the connection's alone, and then in pauses that double up to `MAX_SEED_PAUSE`. Any other daemon asks
+//! only when it has found no daemon to follow:
 //! - one that lost its parent, within `ORPHAN_SPREAD`: those below it wait for it;
 //! - while its parent answers, but has nothing new either, all daemons together ask
 //!   `FLEET_CALLS_PER_S` times a second: whoever succeeds passes it on to the others.
@@ -17,6 +18,7 @@
 //!
 //! Tests: `upstream.rs::…the_source…`, `follow_tree.rs`.
 
+use super::proof_limits::ProofLimits;
 use bridgevane_types::{DurationMs, TimeMs};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -31,9 +33,10 @@
 /// everywhere 3 s after the source is back (the users' contact bound), also on daemons that served on
 /// meanwhile: a second until a seed asks, the rest for its reading and the ways down the tree.
 const MAX_SEED_PAUSE: DurationMs = DurationMs(1_000);
-/// The pause after an answer of the source to a daemon that is no seed. Not measured, chosen because
-/// changes must be in force within 4 s on the large site; the small ones allow 2 s.
-const POLL_PAUSE: DurationMs = DurationMs(1_400);
+/// The pause after an answer of the source to a daemon that is no seed, as a share of the age at which a
+/// proof's followers leave. Not measured by itself, chosen because the rest must do for a slow source
+/// (0.24 s at the users' sites) and the way down the tree.
+const POLL_SHARE: f64 = 0.7;
 /// Calls a second of all daemons whose parents answer, but have nothing new. Not measured by itself,
 /// chosen because one success in some 30 ms is soon enough beside the second and more that a proof
 /// still lasts then, and an outage of a minute costs no more than 1,800 calls at any size.
@@ -52,19 +55,31 @@
 /// How long one wait for changes lasts at the source, where proofs should come every `watch_wait`.
 ///
 /// Seeds tell each other their proofs: the first of those that live waits so long, the second twice, the
-/// third three times as long. `seeds_before` says how many go before this one. Waits of three times as
+/// third three times as long. Waits of three times as
 /// long for all were tried: a change wakes all seeds at once, so that they wait in step, and the
 /// fleet's proofs were up to 3 s old (large site, quiet day: 109 calls, 0.05 of requests refused).
 ///
-/// Any other daemon asks in place of a parent whose proof is old: it needs its answer now.
-pub fn watch_wait(watch_wait: DurationMs, is_seed: bool, seeds_before: usize) -> DurationMs {
-    if !is_seed {
+/// An answer is needed at once by a daemon that is no seed, since it asks in place of a parent whose proof
+/// is old, and by one that got none to its last call: an open connection may have fallen silent for good.
+pub fn watch_wait(watch_wait: DurationMs, caller: SourceCaller) -> DurationMs {
+    if !caller.is_seed || caller.has_failed {
         return DurationMs(0);
     }
-    let place = (seeds_before as u64 + 1).min(MAX_WAITING_SEEDS);
+    let place = (caller.seeds_before as u64 + 1).min(MAX_WAITING_SEEDS);
     DurationMs(watch_wait.0 * place)
 }
 
+/// A daemon that asks the source for changes.
+#[derive(Clone, Copy, Debug)]
+pub struct SourceCaller {
+    /// It follows the source as long as that answers.
+    pub is_seed: bool,
+    /// The source did not answer its last call.
+    pub has_failed: bool,
+    /// Live seeds that go before this one.
+    pub seeds_before: usize,
+}
+
 /// When the source may be asked.
 #[derive(Debug)]
 pub(super) struct SourcePacing {
@@ -72,20 +87,33 @@
     is_seed: bool,
     fleet_size: Option<u32>,
     not_before: TimeMs,
+    /// The last call failed.
+    has_failed: bool,
+    /// The next pause after a failure.
     pause: DurationMs,
+    /// The pause after an answer to a daemon that is no seed: others may follow it, and must not leave
+    /// it meanwhile.
+    poll_pause: DurationMs,
 }
 
 impl SourcePacing {
-    pub(super) fn new(own: SocketAddr, is_seed: bool) -> Self {
+    pub(super) fn new(own: SocketAddr, is_seed: bool, limits: ProofLimits) -> Self {
         Self {
             own,
             is_seed,
             fleet_size: None,
             not_before: TimeMs(0),
+            has_failed: false,
             pause: FIRST_PAUSE,
+            poll_pause: DurationMs((limits.leave_from.0 as f64 * POLL_SHARE) as u64),
         }
     }
 
+    /// When the source may be asked next.
+    pub(super) fn not_before(&self) -> TimeMs {
+        self.not_before
+    }
+
     pub(super) fn may_ask(&self, now: TimeMs) -> bool {
         now >= self.not_before
     }
@@ -98,10 +126,20 @@
 
     pub(super) fn on_answered(&mut self, now: TimeMs) {
         self.pause = FIRST_PAUSE;
-        self.not_before = if self.is_seed { now } else { now + POLL_PAUSE };
+        self.has_failed = false;
+        self.not_before = if self.is_seed {
+            now
+        } else {
+            now + self.poll_pause
+        };
     }
 
     pub(super) fn on_failed(&mut self, now: TimeMs, do_others_answer: bool) {
+        let is_first = !std::mem::replace(&mut self.has_failed, true);
+        if self.is_seed && is_first {
+            self.not_before = now;
+            return;
+        }
         let mut pause = self.pause;
         if do_others_answer && !self.is_seed {
             pause = pause.max(self.spread());
@@ -115,6 +153,11 @@
         self.pause = DurationMs(self.pause.0 * 2).min(longest);
     }
 
+    /// Another daemon is followed now: it is asked before the source is again.
+    pub(super) fn on_adopted(&mut self, now: TimeMs) {
+        self.not_before = self.not_before.max(now + FIRST_PAUSE);
+    }
+
     /// This daemon has just found nobody to follow: its turn comes at a random moment.
     pub(super) fn on_detached(&mut self, now: TimeMs, has_parent: bool) {
         let spread = if has_parent {
--- a/crates/gateway/src/decisions/replication/upstream.rs
+++ b/crates/gateway/src/decisions/replication/upstream.rs
@@ -12,12 +12,13 @@
 //!   from the nearest on, the seeds, former siblings. It adopts the first whose proof is young
 //!   ([`ProofLimits::adopt_below`]) and whose source path doesn't lead back here.
 //! - Its parent is asked again after each probe that fails: it may have found a fresh one meanwhile.
-//! - If there is none, it asks the source in its turn ([`super::source_pacing`]), and goes on looking.
+//! - If there is none, it asks the source in its turn ([`super::source_pacing`]), and goes on looking. A
+//!   question that its stale parent still holds is given up for the turn.
 //! - Who becomes fresh in another way tells its former parent, which is stale, and may adopt it: one
 //!   daemon that reaches the source is enough for all.
 //! - Of two daemons that both ask the source, the one with the larger address follows the other.
-//! - A daemon that is deeper than the fleet needs, or follows one of another data centre though its own
-//!   has a seed, looks for a better parent now and then.
+//! - A daemon that is deeper below a seed than the fleet needs, or follows one of another data centre
+//!   though its own has a seed, looks for a better parent now and then.
 //!
 //! Reason: the source bears a few callers, not one for each daemon, and a daemon that it turns away
 //! goes on with what its neighbours know.
@@ -98,6 +99,8 @@
 #[derive(Clone, Debug)]
 struct Parent {
     address: SocketAddr,
+    /// The daemon that was asked before any redirect.
+    asked_first: SocketAddr,
     /// Redirects that led to it and were not answered yet.
     redirects: u32,
     has_answered: bool,
@@ -106,14 +109,24 @@
 }
 
 impl Parent {
-    fn new(address: SocketAddr, redirects: u32) -> Self {
+    fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            redirects,
+            asked_first: address,
+            redirects: 0,
             has_answered: false,
             path: SourcePath::detached(),
         }
     }
+
+    /// The daemon that this one sends on to.
+    fn redirected(&self, address: SocketAddr) -> Self {
+        Self {
+            asked_first: self.asked_first,
+            redirects: self.redirects + 1,
+            ..Self::new(address)
+        }
+    }
 }
 
 /// Daemons to be probed.
@@ -158,6 +171,8 @@
     do_others_answer: bool,
     /// A stale former parent, to be told when this daemon is fresh.
     stale_parent: Option<SocketAddr>,
+    /// A daemon that isn't asked until then.
+    passed_over: Option<(SocketAddr, TimeMs)>,
     /// A probe took long: the parent is asked before the next one.
     must_ask_parent: bool,
     must_pause: bool,
@@ -174,7 +189,7 @@
         own_data_centre: DataCentreId,
         own: Option<SocketAddr>,
         seeds: &[SocketAddr],
-        proof_lifetime: DurationMs,
+        limits: ProofLimits,
     ) -> Self {
         let address = own.unwrap_or(NO_ADDRESS);
         let is_seed = seeds.contains(&address);
@@ -185,9 +200,9 @@
             is_alone: own.is_none() || seeds.is_empty(),
             is_seed,
             started_at: now,
-            limits: ProofLimits::new(proof_lifetime),
+            limits,
             seeds,
-            source: SourcePacing::new(address, is_seed),
+            source: SourcePacing::new(address, is_seed, limits),
             fleet_size: 0,
             proved_at: None,
             parent: None,
@@ -201,6 +216,7 @@
             vain_searches: 0,
             do_others_answer: false,
             stale_parent: None,
+            passed_over: None,
             must_ask_parent: false,
             must_pause: false,
         }
@@ -230,6 +246,15 @@
         }
     }
 
+    /// When a question to the parent must be given up, because this daemon's turn at the source comes.
+    pub fn source_turn(&self, now: TimeMs) -> Option<TimeMs> {
+        let is_stale = !self.is_proof_younger(now, self.limits.leave_from);
+        let has_turn = !self.is_seed() && is_stale && self.vain_searches > 0;
+        // A turn that has come is taken at the next step, unless something else must come first.
+        let turn = has_turn.then(|| self.source.not_before());
+        turn.filter(|turn| *turn > now)
+    }
+
     /// True once after a step that brought nothing: the next one should wait a little.
     pub fn take_pause(&mut self) -> bool {
         std::mem::take(&mut self.must_pause)
@@ -259,12 +284,18 @@
 
     /// Seeds ask the source whenever they may; the others when they have found no parent.
     fn must_ask_source(&self, now: TimeMs) -> bool {
-        if !self.source.may_ask(now) {
+        // A fresher daemon is a question away; the source may not answer for long.
+        if !self.source.may_ask(now) || self.fresher.is_some() {
             return false;
         }
         if self.is_seed {
             return true;
         }
+        let is_root = self.is_at_source && self.parent.is_none();
+        if is_root {
+            // Others may follow it: its proof is kept young.
+            return true;
+        }
         let is_starting = now.since(self.started_at) < START_TOGETHER;
         let is_kept = self.parent.is_some() && self.is_proof_younger(now, self.limits.leave_from);
         if is_starting || is_kept {
@@ -304,7 +335,9 @@
             .chain(self.siblings.iter().copied());
         let mut candidates = VecDeque::new();
         for address in all {
-            let is_other = address != self.own && !self.is_parent(address);
+            let is_other = address != self.own
+                && !self.is_parent(address)
+                && !self.is_passed_over(now, address);
             if is_other && !candidates.contains(&address) {
                 candidates.push_back(address);
             }
@@ -348,7 +381,7 @@
     /// Another daemon says that its proof is of `proved_at`.
     pub fn on_fresher_daemon(&mut self, now: TimeMs, daemon: SocketAddr, proved_at: TimeMs) {
         let is_fresh = now.since(proved_at) < self.limits.adopt_below;
-        let is_needed = !self.is_proof_younger(now, self.limits.fresher_from(self.is_seed));
+        let is_needed = !self.is_proof_younger(now, self.limits.adopt_below);
         if !is_fresh || !is_needed || self.is_parent(daemon) || self.is_alone {
             return;
         }
@@ -406,9 +439,15 @@
             let has_nothing = self.parent.is_none() && self.proved_at.is_none();
             return has_nothing && !self.is_seed && self.seeds.contains(peer);
         }
-        let root = report.path.daemons().last().copied().unwrap_or(peer);
         let is_root = self.is_at_source && self.is_proof_younger(now, self.limits.leave_from);
-        !is_root || self.seeds.contains(root) || root < self.own
+        if !is_root {
+            return true;
+        }
+        let root = report.path.daemons().last().copied().unwrap_or(peer);
+        let goes_first = self.seeds.contains(root) || root < self.own;
+        // A seed whose call of the source hangs looks well for a while.
+        let is_newer = report.proof_age < self.proof_age(now);
+        goes_first && is_newer
     }
 
     fn is_young(&self, report: &PeerReport) -> bool {
@@ -417,7 +456,7 @@
 
     fn adopt(&mut self, now: TimeMs, address: SocketAddr) {
         let is_stale = !self.is_proof_younger(now, self.limits.leave_from);
-        let former = self.parent.replace(Parent::new(address, 0));
+        let former = self.parent.replace(Parent::new(address));
         self.is_at_source = false;
         if is_stale {
             self.stale_parent = former.map(|parent| parent.address);
@@ -425,6 +464,7 @@
         self.search = None;
         self.fresher = None;
         self.search_not_before = now + SEARCH_PAUSE;
+        self.source.on_adopted(now);
     }
 
     /// A probed daemon can't be adopted: the next one is probed, if there is one.
@@ -433,6 +473,7 @@
             return;
         };
         search.queue.retain(|address| *address != peer);
+        self.fresher = self.fresher.filter(|fresher| *fresher != peer);
         if !search.queue.is_empty() {
             return;
         }
@@ -469,11 +510,20 @@
         path.contains(self.own)
     }
 
-    /// The parent follows this daemon: both would follow nobody else.
-    pub fn on_circle(&mut self, peer: SocketAddr) {
-        if self.is_parent(peer) {
-            self.parent = None;
-        }
+    /// The parent follows this daemon: both would follow nobody else. Whoever sends it on there would do
+    /// so again, until it has forgotten that follower.
+    pub fn on_circle(&mut self, now: TimeMs, peer: SocketAddr) {
+        let Some(parent) = self.parent.take_if(|parent| parent.address == peer) else {
+            return;
+        };
+        self.must_pause = true;
+        self.passed_over = Some((parent.asked_first, now + SEARCH_PAUSE));
+    }
+
+    /// Whether asking this daemon has just led to a circle.
+    fn is_passed_over(&self, now: TimeMs, daemon: SocketAddr) -> bool {
+        self.passed_over
+            .is_some_and(|(passed_over, until)| passed_over == daemon && now < until)
     }
 
     /// The parent answered, and doesn't follow this daemon.
@@ -484,7 +534,7 @@
             return;
         };
         if let Some(redirect) = report.redirect {
-            *parent = Parent::new(redirect, parent.redirects + 1);
+            *parent = parent.redirected(redirect);
             if parent.redirects > MAX_REDIRECTS || redirect == self.own {
                 self.lose_parent();
             }
@@ -554,7 +604,11 @@
             return;
         }
         let depth = report.path.depth() + 1;
-        let is_deep = self.fleet_size > 0 && depth > needed_depth(self.fleet_size);
+        // While another daemon stands in for the seeds, everyone is a little deeper for a while.
+        let root = report.path.daemons().last();
+        let has_seed_as_root = root.is_none_or(|root| self.seeds.contains(*root));
+        let is_deep =
+            has_seed_as_root && self.fleet_size > 0 && depth > needed_depth(self.fleet_size);
         let is_remote = report.data_centre != self.own_data_centre;
         let may_locate = is_remote && self.seeds.to_locate(now).is_some();
         let best = if is_remote {
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -8,7 +8,7 @@
 use crate::control::replica::Update;
 use crate::control::source::{Changes, ControlSource, FullState, Revision, SourceError};
 use crate::decisions::admission::freshness::Freshness;
-use crate::decisions::replication::source_pacing;
+use crate::decisions::replication::source_pacing::{SourceCaller, watch_wait};
 use crate::decisions::replication::upstream::{PeerReport, Upstream, UpstreamSelector};
 use crate::gateway::Gateway;
 use crate::replication::client::{PeerAnswer, PeerClient};
@@ -16,7 +16,7 @@
 use crate::replication::peer_error::PeerError;
 use crate::replication::seed_exchange;
 use bridgevane_events::{Event, event};
-use bridgevane_types::TimeMs;
+use bridgevane_types::{DurationMs, TimeMs};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,6 +38,9 @@
 /// What a wait for changes may take beyond its own time. Not measured, chosen because a slow source
 /// takes some hundred milliseconds more; a silent one must be left soon.
 const WAIT_SLACK: Duration = Duration::from_millis(1_000);
+/// What a call may take that waits for nothing. Not measured, chosen because the users' slowest source
+/// takes 0.24 s; a new connection comes on top.
+const ANSWER_SLACK: Duration = Duration::from_millis(600);
 /// How long changes gather before the next question: they come many at once, and one answer brings
 /// what several would. Measured in commit 568af14: 12,585 calls of the source in a quiet grown day
 /// without it, 4,400 with it and longer waits.
@@ -52,7 +55,7 @@
         settings.data_centre.clone(),
         settings.peer_address,
         &settings.seed_addresses,
-        settings.freshness.proof_lifetime_ms,
+        settings.proof_limits(),
     );
     let mut follower = SourceFollower {
         upstreams,
@@ -192,12 +195,18 @@
 
     async fn wait_for_changes(&mut self) -> Result<(), SourceError> {
         let at = self.gateway.control.replica().at();
-        let wait = source_pacing::watch_wait(
-            self.gateway.settings.watch_wait_ms,
-            self.upstreams.is_seed(),
-            self.gateway.fleet.live_seeds_before(),
-        );
-        let limit = wait.as_std() + WAIT_SLACK;
+        let caller = SourceCaller {
+            is_seed: self.upstreams.is_seed(),
+            has_failed: self.is_source_lost,
+            seeds_before: self.gateway.fleet.live_seeds_before(),
+        };
+        let wait = watch_wait(self.gateway.settings.watch_wait_ms, caller);
+        let slack = if wait == DurationMs(0) {
+            ANSWER_SLACK
+        } else {
+            WAIT_SLACK
+        };
+        let limit = wait.as_std() + slack;
         let waiting = timeout(limit, self.source.changes(at, wait)).await;
         let changes = waiting.map_err(|_| SourceError::NoAnswer)??;
         let has_changes = !changes.records.is_empty();
@@ -214,11 +223,14 @@
         } else {
             self.gateway.control.replica().at()
         };
+        let now = self.gateway.clock.now();
+        let until_turn = self.upstreams.source_turn(now).map(|turn| turn.since(now));
         let gateway = self.gateway.clone();
         let asked = tokio::select! {
             asked = self.parent_client.ask(&gateway, peer, after) => asked,
             // The question is dropped with its connection; the parent is kept.
             () = gateway.fleet.wait_for_fresher() => return,
+            () = wait_for_turn(until_turn) => return,
         };
         let taken = asked.and_then(|answer| self.take_in(answer));
         self.gateway.metrics.peer_asked(taken.as_ref().err());
@@ -228,7 +240,8 @@
                 self.upstreams.on_peer_answered(now, peer, &report);
             }
             Err(PeerError::Circle) => {
-                self.upstreams.on_circle(peer);
+                let now = self.gateway.clock.now();
+                self.upstreams.on_circle(now, peer);
                 event!(Event::CircleLeft, peer = peer);
             }
             Err(error) => self.on_peer_failed(peer, error),
@@ -346,3 +359,11 @@
         proof_age.map_or(-1, |age| age.0 as i64)
     }
 }
+
+/// Returns after so long; never where there is no turn.
+async fn wait_for_turn(until_turn: Option<DurationMs>) {
+    match until_turn {
+        Some(until_turn) => sleep(until_turn.as_std()).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -7,7 +7,7 @@
 use crate::control::source::Revision;
 use crate::counter::Counter;
 use crate::decisions::replication::followers::{Follower, FollowerPlacement, Tree};
-use crate::decisions::replication::proof_limits::ProofLimits;
+use crate::decisions::replication::hold::hold;
 use crate::gateway::Gateway;
 use crate::replication::fleet::FresherDaemon;
 use crate::replication::message::{
@@ -27,13 +27,6 @@
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
-/// How long a question is held when there is nothing new. Not measured by itself (commit 19dad9b),
-/// chosen because a proof may be 1.6 s old, and each daemon on the way may hold it so long. Half
-/// doubles the messages.
-const HOLD: Duration = Duration::from_millis(600);
-/// The same while the asking daemon's tree has work under way, or prompts wait anywhere. Not measured by itself (commit cf81c29); it is how
-/// stale the reported queue of an engine may be at each step of the tree.
-const BUSY_HOLD: Duration = Duration::from_millis(200);
 /// How long a daemon may take from one question to the next. Not measured, chosen because a
 /// follower expires after 2 s; the rest spares a slow one a new connection.
 const NEXT_QUESTION_TIMEOUT: Duration = Duration::from_millis(5_000);
@@ -120,9 +113,9 @@
     let Some(proved_at) = gateway.clock.now().0.checked_sub(age_ms).map(TimeMs) else {
         return;
     };
-    let limits = ProofLimits::new(gateway.settings.freshness.proof_lifetime_ms);
+    let limits = gateway.settings.proof_limits();
     let own_age = gateway.control.proof_age();
-    let needed_from = limits.fresher_from(gateway.fleet.is_seed());
+    let needed_from = limits.adopt_below;
     let is_needed = own_age.is_none_or(|age| age >= needed_from);
     if is_needed && Some(proved_at) > gateway.control.proved_at() {
         let report = FresherDaemon { address, proved_at };
@@ -207,7 +200,8 @@
     });
     let total_work = || gateway.fleet.total_work(&gateway.control.directory());
     let is_busy = !question.tree_work.is_empty() || !total_work().is_small();
-    let hold = if is_busy { BUSY_HOLD } else { HOLD };
+    let limits = gateway.settings.proof_limits();
+    let hold = hold(is_busy, gateway.control.proof_age(), limits).as_std();
     // Without news the answer says so: it shows that this daemon is there.
     let _ = timeout_at(asked + hold, waiting).await;
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -4,6 +4,7 @@
 //! under these names.
 
 use crate::decisions::admission::freshness::FreshnessPolicy;
+use crate::decisions::replication::proof_limits::ProofLimits;
 use bridgevane_types::{Bytes, DataCentreId, DurationMs, Share, VmId};
 use std::net::SocketAddr;
 
@@ -24,6 +25,8 @@
     pub seed_addresses: Vec<SocketAddr>,
     /// How long an endpoint is used whose record expired while the control source was away.
     pub lapse_grace_ms: DurationMs,
+    /// How long a change of the configuration may take until it is in force.
+    pub config_apply_ms: DurationMs,
     /// How old the configuration may be.
     pub freshness: FreshnessPolicy,
     /// How long one wait for changes lasts at the control source.
@@ -41,3 +44,10 @@
     /// Bodies held in memory at most.
     pub max_buffered_bytes: Bytes,
 }
+
+impl GatewaySettings {
+    /// How old other daemons' proofs may be.
+    pub(crate) fn proof_limits(&self) -> ProofLimits {
+        ProofLimits::new(self.freshness.proof_lifetime_ms, self.config_apply_ms)
+    }
+}
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -64,6 +64,9 @@
     /// milliseconds in which the leaving of an endpoint must be in force (default: 2000)
     #[argh(option)]
     pub drain_ms: Option<String>,
+    /// the time in which a configuration must be in force, in milliseconds
+    #[argh(option)]
+    pub config_apply_ms: Option<String>,
     /// seconds that a stop may take (default: 10)
     #[argh(option)]
     pub stop_s: Option<String>,
@@ -102,6 +105,7 @@
     strict_key_removal,
     max_stale_s,
     drain_ms,
+    config_apply_ms,
     stop_s,
     retry_ratio,
     retry_slack,
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -45,6 +45,8 @@
 const MAX_MAX_STALE_S: u64 = 7 * 24 * 60 * 60;
 /// Default of `--drain-ms`, from the users' small sites.
 const DEFAULT_DRAIN_MS: u64 = 2_000;
+/// Default of `--config-apply-ms`, from the users' small sites: the strictest that is known.
+const DEFAULT_CONFIG_APPLY_MS: u64 = 2_000;
 /// Default of `--stop-s`. Not measured, chosen because sites give 8 s and more.
 const DEFAULT_STOP_S: f64 = 10.0;
 /// Default of `--retry-ratio`, from the users' sites.
@@ -109,6 +111,7 @@
                 peer_address,
                 seed_addresses,
                 lapse_grace_ms: less(bounds.drain_ms, DRAIN_MARGIN_MS),
+                config_apply_ms: DurationMs(bounds.config_apply_ms),
                 freshness,
                 watch_wait_ms: WATCH_WAIT,
                 stop_ms: less(bounds.stop_ms, STOP_MARGIN_MS),
@@ -160,15 +163,18 @@
 /// Bounds that the platform sets.
 struct Bounds {
     drain_ms: u64,
+    config_apply_ms: u64,
     stop_ms: u64,
 }
 
 impl Bounds {
     fn read(reader: &mut SettingReader<'_, impl SettingSource>) -> Self {
         let drain_ms = reader.optional("drain-ms", MILLISECONDS);
+        let config_apply_ms = reader.optional("config-apply-ms", MILLISECONDS);
         let stop_s: Option<f64> = reader.optional("stop-s", "a number of seconds");
         Self {
             drain_ms: drain_ms.unwrap_or(DEFAULT_DRAIN_MS),
+            config_apply_ms: config_apply_ms.unwrap_or(DEFAULT_CONFIG_APPLY_MS),
             stop_ms: (stop_s.unwrap_or(DEFAULT_STOP_S) * MS_PER_S) as u64,
         }
     }
