--- a/crates/gateway/src/decisions/replication/mod.rs
+++ b/crates/gateway/src/decisions/replication/mod.rs
@@ -2,9 +2,11 @@
 //!
 //! Their state is in `replication::fleet`, `replication::follow` and `control::state`.
 
+mod candidates;
 pub mod fleet_size;
 pub mod followers;
 pub mod hold;
+mod parent;
 pub mod proof_limits;
 pub mod record_expiry;
 mod seeds;
--- a/crates/gateway/src/decisions/replication/upstream.rs
+++ b/crates/gateway/src/decisions/replication/upstream.rs
@@ -8,9 +8,8 @@
 //! - Any other daemon has a parent: a seed, or the daemon that it is redirected to. It keeps its
 //!   parent until that gives no answer, has this daemon in its own source path (a circle), or lets
 //!   its proof get too old ([`ProofLimits::leave_from`]).
-//! - Then it probes, one after the other: a daemon that said to be fresher, the former ancestors
-//!   from the nearest on, the seeds, former siblings. It adopts the first whose proof is young
-//!   ([`ProofLimits::adopt_below`]) and whose source path doesn't lead back here.
+//! - Then it probes others, one after the other ([`super::candidates`]), and adopts the first whose proof is
+//!   young ([`ProofLimits::adopt_below`]) and whose source path doesn't lead back here.
 //! - Its parent is asked again after each probe that fails: it may have found a fresh one meanwhile.
 //! - If there is none, it asks the source in its turn ([`super::source_pacing`]), and goes on looking. A
 //!   question that its stale parent still holds is given up for the turn.
@@ -27,6 +26,8 @@
 //!
 //! Tests: `upstream.rs`; `follow_tree.rs` (all orders of a small fleet, long runs of large ones).
 
+use super::candidates::Candidates;
+use super::parent::Parent;
 use super::proof_limits::ProofLimits;
 use super::seeds::Seeds;
 use super::source_pacing::SourcePacing;
@@ -46,9 +47,6 @@
 /// The pause between two looks for a better parent. Not measured, chosen because a daemon that is too
 /// deep works as well, only its proofs are some milliseconds older.
 const IMPROVE_PAUSE: DurationMs = DurationMs(3_000);
-/// Daemons that one search probes at most. Not measured, chosen because each that is away takes
-/// 0.3 s, and all must be through while a proof lasts.
-const MAX_CANDIDATES: usize = 8;
 /// Redirects that are followed in a row. Chosen because a tree of any fleet is less deep.
 const MAX_REDIRECTS: u32 = 8;
 
@@ -95,40 +93,6 @@
     StaleParent,
 }
 
-/// The daemon that this one follows.
-#[derive(Clone, Debug)]
-struct Parent {
-    address: SocketAddr,
-    /// The daemon that was asked before any redirect.
-    asked_first: SocketAddr,
-    /// Redirects that led to it and were not answered yet.
-    redirects: u32,
-    has_answered: bool,
-    /// Its own source path, as it last said.
-    path: SourcePath,
-}
-
-impl Parent {
-    fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            asked_first: address,
-            redirects: 0,
-            has_answered: false,
-            path: SourcePath::detached(),
-        }
-    }
-
-    /// The daemon that this one sends on to.
-    fn redirected(&self, address: SocketAddr) -> Self {
-        Self {
-            asked_first: self.asked_first,
-            redirects: self.redirects + 1,
-            ..Self::new(address)
-        }
-    }
-}
-
 /// Daemons to be probed.
 #[derive(Clone, Debug)]
 struct Search {
@@ -157,11 +121,7 @@
     parent: Option<Parent>,
     /// The newest answer came from the source.
     is_at_source: bool,
-    /// The daemons above the parent, the nearest first.
-    ancestors: Vec<SocketAddr>,
-    siblings: Vec<SocketAddr>,
-    /// A daemon that said to be fresher.
-    fresher: Option<SocketAddr>,
+    candidates: Candidates,
     search: Option<Search>,
     search_not_before: TimeMs,
     improve_not_before: TimeMs,
@@ -171,8 +131,6 @@
     do_others_answer: bool,
     /// A stale former parent, to be told when this daemon is fresh.
     stale_parent: Option<SocketAddr>,
-    /// A daemon that isn't asked until then.
-    passed_over: Option<(SocketAddr, TimeMs)>,
     /// A probe took long: the parent is asked before the next one.
     must_ask_parent: bool,
     must_pause: bool,
@@ -207,16 +165,13 @@
             proved_at: None,
             parent: None,
             is_at_source: false,
-            ancestors: Vec::new(),
-            siblings: Vec::new(),
-            fresher: None,
+            candidates: Candidates::new(address),
             search: None,
             search_not_before: TimeMs(0),
             improve_not_before: TimeMs(0),
             vain_searches: 0,
             do_others_answer: false,
             stale_parent: None,
-            passed_over: None,
             must_ask_parent: false,
             must_pause: false,
         }
@@ -285,7 +240,7 @@
     /// Seeds ask the source whenever they may; the others when they have found no parent.
     fn must_ask_source(&self, now: TimeMs) -> bool {
         // A fresher daemon is a question away; the source may not answer for long.
-        if !self.source.may_ask(now) || self.fresher.is_some() {
+        if !self.source.may_ask(now) || self.candidates.has_fresher() {
             return false;
         }
         if self.is_seed {
@@ -319,7 +274,8 @@
         let is_stale = !self.is_proof_younger(now, self.limits.leave_from);
         if self.parent.is_none() || (is_stale && now >= self.search_not_before) {
             self.search = Some(Search {
-                is_locating: self.ancestors.is_empty() && self.seeds.to_locate(now).is_some(),
+                is_locating: !self.candidates.has_ancestors()
+                    && self.seeds.to_locate(now).is_some(),
                 queue: self.candidates(now),
                 is_improvement: false,
             });
@@ -328,22 +284,8 @@
 
     /// Whom to probe in place of the parent, the most promising first.
     fn candidates(&self, now: TimeMs) -> VecDeque<SocketAddr> {
-        let fresher = self.fresher.into_iter();
-        let all = fresher
-            .chain(self.ancestors.iter().copied())
-            .chain(self.seeds.to_try(now))
-            .chain(self.siblings.iter().copied());
-        let mut candidates = VecDeque::new();
-        for address in all {
-            let is_other = address != self.own
-                && !self.is_parent(address)
-                && !self.is_passed_over(now, address);
-            if is_other && !candidates.contains(&address) {
-                candidates.push_back(address);
-            }
-        }
-        candidates.truncate(MAX_CANDIDATES);
-        candidates
+        let parent = self.parent.as_ref().map(|parent| parent.address);
+        self.candidates.in_order(now, parent, &self.seeds)
     }
 
     /// The source answered a question of `asked_at`.
@@ -385,7 +327,7 @@
         if !is_fresh || !is_needed || self.is_parent(daemon) || self.is_alone {
             return;
         }
-        self.fresher = Some(daemon);
+        self.candidates.on_fresher(daemon);
         self.search = Some(Search {
             is_locating: false,
             queue: self.candidates(now),
@@ -462,7 +404,7 @@
             self.stale_parent = former.map(|parent| parent.address);
         }
         self.search = None;
-        self.fresher = None;
+        self.candidates.forget_fresher();
         self.search_not_before = now + SEARCH_PAUSE;
         self.source.on_adopted(now);
     }
@@ -473,13 +415,13 @@
             return;
         };
         search.queue.retain(|address| *address != peer);
-        self.fresher = self.fresher.filter(|fresher| *fresher != peer);
+        self.candidates.on_unfit(peer);
         if !search.queue.is_empty() {
             return;
         }
         let is_improvement = search.is_improvement;
         self.search = None;
-        self.fresher = None;
+        self.candidates.forget_fresher();
         if is_improvement {
             return;
         }
@@ -517,13 +459,7 @@
             return;
         };
         self.must_pause = true;
-        self.passed_over = Some((parent.asked_first, now + SEARCH_PAUSE));
-    }
-
-    /// Whether asking this daemon has just led to a circle.
-    fn is_passed_over(&self, now: TimeMs, daemon: SocketAddr) -> bool {
-        self.passed_over
-            .is_some_and(|(passed_over, until)| passed_over == daemon && now < until)
+        self.candidates.on_circle(now, parent.asked_first);
     }
 
     /// The parent answered, and doesn't follow this daemon.
@@ -541,14 +477,12 @@
             return;
         }
         self.must_ask_parent = false;
-        parent.redirects = 0;
-        parent.has_answered = true;
-        parent.path = report.path.clone();
+        parent.on_records(report.path.clone());
         if report.path.reaches_source() {
-            self.ancestors = report.path.daemons().to_vec();
+            self.candidates.on_ancestors(report.path.daemons());
         }
         if !report.siblings.is_empty() {
-            self.siblings = report.siblings.clone();
+            self.candidates.on_siblings(&report.siblings);
         }
         if let Some(age) = report.proof_age {
             self.prove(now, TimeMs(now.0.saturating_sub(age.0)));
