--- a/crates/gateway/src/decisions/replication/upstream.rs
+++ b/crates/gateway/src/decisions/replication/upstream.rs
@@ -8,7 +8,7 @@
 //! - Any other daemon has a parent: a seed, or the daemon that it is redirected to. It keeps its
 //!   parent until that gives no answer, has this daemon in its own source path (a circle), or lets
 //!   its proof get too old ([`ProofLimits::leave_from`]).
-//! - Then it probes others, one after the other ([`super::candidates`]), and adopts the first whose proof is
+//! - Then it probes others, one after the other (`candidates.rs`), and adopts the first whose proof is
 //!   young ([`ProofLimits::adopt_below`]) and whose source path doesn't lead back here.
 //! - Its parent is asked again after each probe that fails: it may have found a fresh one meanwhile.
 //! - If there is none, it asks the source in its turn ([`super::source_pacing`]), and goes on looking. A
