--- a/crates/gateway/tests/follow_tree.rs
+++ b/crates/gateway/tests/follow_tree.rs
@@ -4,7 +4,7 @@
 //! Findings behind it: on the large site whole data centres followed each other in circles of three and
 //! four daemons until their proofs were too old, and 116 to 295 daemons went to the source in one second.
 
-#[path = "support/tree_sim.rs"]
+#[path = "support/tree_sim/mod.rs"]
 #[allow(dead_code)]
 mod tree_sim;
 
