--- a/crates/gateway/src/decisions/replication/proof_limits.rs
+++ b/crates/gateway/src/decisions/replication/proof_limits.rs
@@ -23,19 +23,22 @@
 
 use bridgevane_types::DurationMs;
 
-/// Shares of the proof's lifetime: see the table above.
+/// Share of the proof's lifetime. Not measured by itself, chosen because a seed's proof is up to 1 s old and
+/// what is adopted must last a while.
 const ADOPT_SHARE: f64 = 0.34;
-/// See the table above.
+/// Share of the proof's lifetime. Measured against 0.34, which sent 116 of 295 daemons to the source at once.
 const LEAVE_SHARE: f64 = 0.6;
-/// See the table above.
+/// Share of the proof's lifetime. Not measured, chosen because 1.4 s are left for a slow source.
 const SOURCE_SHARE: f64 = 0.7;
-/// The time for a change from which on no more of it is left: the smallest of the users' sites.
+/// Of a longer time for a change no more than of this one is left. Chosen because it is that of the users'
+/// small sites, on which the figures below were measured.
 const LONGEST_DIVIDED: DurationMs = DurationMs(2_000);
-/// What is left of the time for a change, as shares of it, or of [`LONGEST_DIVIDED`]: see the table above.
+/// Share of the time for a change, or of [`LONGEST_DIVIDED`], that is left. Not measured by itself, chosen
+/// because what is adopted must last a while until its followers leave.
 const LEFT_AT_ADOPTION: f64 = 0.4;
-/// See the one above.
+/// The same. Measured in `follow_tree.rs::a_change_is_in_force…`: 0.6 s do in 200 of 200 runs.
 const LEFT_AT_LEAVING: f64 = 0.3;
-/// See the one above.
+/// The same. Not measured, chosen because the users' slowest source takes 0.24 s.
 const LEFT_FOR_SOURCE: f64 = 0.2;
 
 /// Ages of proofs at which a daemon does something.
--- a/crates/gateway/src/decisions/replication/source_pacing.rs
+++ b/crates/gateway/src/decisions/replication/source_pacing.rs
@@ -55,9 +55,9 @@
 /// How long one wait for changes lasts at the source, where proofs should come every `watch_wait`.
 ///
 /// Seeds tell each other their proofs: the first of those that live waits so long, the second twice, the
-/// third three times as long. Waits of three times as
-/// long for all were tried: a change wakes all seeds at once, so that they wait in step, and the
-/// fleet's proofs were up to 3 s old (large site, quiet day: 109 calls, 0.05 of requests refused).
+/// third three times as long. Waits of three times as long for all were tried: a change wakes all seeds at
+/// once, so that they wait in step, and the fleet's proofs were up to 3 s old (large site, quiet day: 109
+/// calls, 0.05 of requests refused).
 ///
 /// An answer is needed at once by a daemon that is no seed, since it asks in place of a parent whose proof
 /// is old, and by one that got none to its last call: an open connection may have fallen silent for good.
