--- a/crates/gateway/src/requests/exchange.rs
+++ b/crates/gateway/src/requests/exchange.rs
@@ -6,7 +6,8 @@
 
 use crate::decisions::admission::load_shedding::{self, QueuedRequest};
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
-use crate::decisions::duties::usage_start::{self, Began, Run};
+use crate::decisions::duties::usage_start::{self, Began, FailedRun, Run};
+use crate::decisions::endpoint::queue_delay::prefill_ms;
 use crate::decisions::resend::{
     self, AttemptError, Failure, NoResend, ResendPolicy, ResendProgress, hedging,
 };
@@ -58,6 +59,8 @@
     tried: Vec<Arc<Endpoint>>,
     /// Attempts that ran, or may have run.
     runs: u32,
+    /// Whether it was counted as its customer's usage.
+    is_counted: bool,
 }
 
 impl Exchange {
@@ -67,6 +70,7 @@
             inbound,
             tried: Vec::new(),
             runs: 0,
+            is_counted: false,
         }
     }
 
@@ -179,7 +183,7 @@
         let result = attempt.run(self.hedge(endpoint, sent_at)).await;
         match &result {
             Ok(answer) => self.on_answered(answer, sent_at),
-            Err(error) => self.on_attempt_failed(endpoint, sent_at, *error),
+            Err(error) => self.on_attempt_failed(selected, sent_at, *error),
         }
         result
     }
@@ -211,11 +215,18 @@
         }
     }
 
-    fn on_attempt_failed(&mut self, endpoint: &Endpoint, sent_at: TimeMs, error: AttemptError) {
+    fn on_attempt_failed(&mut self, selected: &Selected, sent_at: TimeMs, error: AttemptError) {
         let now = self.gateway.clock.now();
+        let endpoint = &selected.endpoint;
         if error.may_have_run() {
             self.runs += 1;
-            self.count_run(Run::Failed(error), sent_at);
+            let estimate = &selected.estimate;
+            let failed = FailedRun {
+                error,
+                elapsed_ms: now.since(sent_at).0 as f64,
+                expected_ms: estimate.queue_ms + prefill_ms(estimate.prefill_tokens as f64),
+            };
+            self.count_run(Run::Failed(failed), sent_at);
             endpoint.health.on_failed(now);
         }
         let was_heard = endpoint.load.was_heard_after(sent_at);
@@ -231,7 +242,7 @@
 
     /// Counts a run as its customer's usage, if it began. A prompt's success counts with its first
     /// token instead ([`super::relay`]).
-    fn count_run(&self, run: Run, sent_at: TimeMs) {
+    fn count_run(&mut self, run: Run, sent_at: TimeMs) {
         let is_plain = self.inbound.prompt.is_empty();
         if let Some(began) = usage_start::began(is_plain, run) {
             let at = match began {
@@ -242,8 +253,11 @@
         }
     }
 
-    /// A run of the request began: it counts as its customer's usage.
-    pub(crate) fn count_usage(&self, began_at: TimeMs) {
+    /// A run of the request began: the first one counts as its customer's usage.
+    pub(crate) fn count_usage(&mut self, began_at: TimeMs) {
+        if std::mem::replace(&mut self.is_counted, true) {
+            return;
+        }
         if let Some(customer) = &self.inbound.customer {
             let book = &self.gateway.duty_book;
             book.on_request_began(began_at, &customer.id);
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -123,15 +123,15 @@
             return;
         }
         answer.in_flight.on_first_token();
-        // A failure was counted with its head.
-        if !inbound.prompt.is_empty() && answer.head.status.is_success() {
-            self.exchange.count_usage(gateway.clock.now());
-        }
         let endpoint = answer.endpoint().index;
         let now = gateway.clock.now();
         gateway
             .prompt_locations
             .on_read(now, &inbound.prompt, endpoint);
+        // A failure was counted with its head.
+        if !inbound.prompt.is_empty() && answer.head.status.is_success() {
+            self.exchange.count_usage(now);
+        }
     }
 
     /// Whether the body ends inside an event, and only the end of the connection says that it ends.
