--- a/crates/gateway/src/decisions/duties/engine_need.rs
+++ b/crates/gateway/src/decisions/duties/engine_need.rs
@@ -4,18 +4,19 @@
 //! holder left in the duties' state.
 //!
 //! Rule: the need is the most permanent engines that ever ran: what the operator started the service
-//! with is taken to be enough for its usual peak. It is first read when the number of engines has not
+//! with is taken to be enough for its usual peak. It is settled when the number of engines has not
 //! changed for [`SETTLING`]: the engines of a fleet that starts record themselves one after the
-//! other, and a need that is read too early would give most of them up.
+//! other, and a need that is read too early would give most of them up. Until then it may be used
+//! for orders that add engines, not for those that give any up.
 //!
 //! Tests: `duties_engines.rs`.
 
 use bridgevane_types::{DurationMs, TimeMs};
 
 /// How long the number of engines must not change. Measured: with none, a fleet that starts with 60
-/// engines ordered 3 before their records were there, and served 0.27 of a quiet day's requests;
-/// engines write their records every 1.2 s, so that two writes and their way are waited for.
-const SETTLING: DurationMs = DurationMs(3_000);
+/// engines ordered 3 before their records were there, and served 0.27 of a quiet day's requests.
+/// Engines write their records every 1.2 s: two writes are waited for.
+const SETTLING: DurationMs = DurationMs(2_400);
 
 /// What was seen of a service's engines before its need was known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +25,15 @@
     since: TimeMs,
 }
 
+/// What a service needs, as far as it is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// Engines, as engines that stay.
+    pub engines: u32,
+    /// Whether it won't turn out higher in a moment.
+    pub is_settled: bool,
+}
+
 /// Learns the need of one service.
 #[derive(Debug, Default)]
 pub struct EngineNeed {
@@ -32,17 +42,22 @@
 
 impl EngineNeed {
     /// The need, where `known` is the one in the duties' state (0: none) and `permanent` engines
-    /// run; none: it isn't known yet.
-    pub fn observe(&mut self, now: TimeMs, known: u32, permanent: u32) -> Option<u32> {
+    /// run.
+    pub fn observe(&mut self, now: TimeMs, known: u32, permanent: u32) -> Need {
         if known > 0 {
-            return Some(known.max(permanent));
+            return Need {
+                engines: known.max(permanent),
+                is_settled: true,
+            };
         }
         let seen = self.seen.filter(|seen| seen.permanent == permanent);
         let seen = *self.seen.insert(seen.unwrap_or(Seen {
             permanent,
             since: now,
         }));
-        let is_settled = permanent > 0 && now.since(seen.since) >= SETTLING;
-        is_settled.then_some(permanent)
+        Need {
+            engines: permanent,
+            is_settled: permanent > 0 && now.since(seen.since) >= SETTLING,
+        }
     }
 }
--- a/crates/gateway/src/decisions/duties/engine_orders.rs
+++ b/crates/gateway/src/decisions/duties/engine_orders.rs
@@ -4,8 +4,10 @@
 //! outcomes, and the operator's limits.
 //!
 //! Rules:
-//! 1. What is to grow is ordered before what is to shrink. Permanent engines are given up only where
-//!    the reclaimable ones that take their place run already: no order lowers what serves.
+//! 1. Permanent engines are given up only where the reclaimable ones that take their place run
+//!    already: no order lowers what serves. While the fleet has no work at all, they are given up at
+//!    once: there is nobody to serve, and a fleet that starts pays for them twice meanwhile (0.03 of
+//!    a day's worth at the users' site). Nothing is given up before the need is settled.
 //! 2. The platform's limit holds for both kinds together: reclaimable engines are ordered up to what
 //!    the permanent ones leave.
 //! 3. An order that hasn't brought its engines some time after they should have started is given
@@ -56,6 +58,23 @@
     Unavailable,
 }
 
+/// What the next order is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderInputs<'a> {
+    /// Now.
+    pub now: TimeMs,
+    /// The engines that should run.
+    pub planned: &'a EnginesByDataCentre,
+    /// Those that do.
+    pub running: &'a EnginesByDataCentre,
+    /// The operator's limits.
+    pub scaling: &'a EngineScaling,
+    /// Whether the need is settled that the plan is made for.
+    pub is_settled: bool,
+    /// Whether the fleet has no work.
+    pub is_idle: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Given {
     count: u32,
@@ -92,28 +111,22 @@
     }
 
     /// The next order; none: nothing is to be ordered now.
-    pub fn next(
-        &self,
-        now: TimeMs,
-        planned: &EnginesByDataCentre,
-        running: &EnginesByDataCentre,
-        scaling: &EngineScaling,
-    ) -> Option<EngineOrder> {
-        let orders = planned.iter().flat_map(|(data_centre, planned)| {
-            let running = running.get(data_centre).copied().unwrap_or_default();
-            self.orders_of(data_centre, *planned, running, scaling)
+    pub fn next(&self, inputs: &OrderInputs<'_>) -> Option<EngineOrder> {
+        let orders = inputs.planned.iter().flat_map(|(data_centre, planned)| {
+            let running = inputs.running.get(data_centre).copied();
+            self.orders_of(inputs, data_centre, *planned, running.unwrap_or_default())
         });
-        let mut due = orders.filter(|wanted| self.is_due(now, wanted, scaling));
+        let mut due = orders.filter(|wanted| self.is_due(inputs, wanted));
         due.next().map(|wanted| wanted.order)
     }
 
     /// What a data centre should have ordered now, in the order of giving.
     fn orders_of(
         &self,
+        inputs: &OrderInputs<'_>,
         data_centre: &DataCentreId,
         planned: EngineCounts,
         running: EngineCounts,
-        scaling: &EngineScaling,
     ) -> [Wanted; 2] {
         let key = |kind| OrderKey {
             data_centre: data_centre.clone(),
@@ -121,11 +134,12 @@
         };
         let permanent_now = self.ordered(&key(EngineKind::Permanent), running.permanent);
         let replaced = permanent_now.saturating_sub(planned.permanent);
-        let room = scaling.max.saturating_sub(permanent_now);
+        let room = inputs.scaling.max.saturating_sub(permanent_now);
         let reclaimable = planned.reclaimable.min(room);
         // They take the place of the permanent ones as far as they run.
-        let is_replaced = running.reclaimable >= replaced.min(reclaimable);
-        let permanent = if replaced > 0 && !is_replaced {
+        let is_replaced = inputs.is_idle || running.reclaimable >= replaced.min(reclaimable);
+        let may_give_up = inputs.is_settled && is_replaced;
+        let permanent = if replaced > 0 && !may_give_up {
             permanent_now
         } else {
             planned.permanent
@@ -148,14 +162,16 @@
         self.given.get(key).map_or(running, |given| given.count)
     }
 
-    fn is_due(&self, now: TimeMs, wanted: &Wanted, scaling: &EngineScaling) -> bool {
+    fn is_due(&self, inputs: &OrderInputs<'_>, wanted: &Wanted) -> bool {
+        let now = inputs.now;
         let Some(given) = self.given.get(&wanted.order.key) else {
-            return true;
+            // What runs as it is needs no order before the need is settled.
+            return inputs.is_settled || wanted.order.count != wanted.running;
         };
         if given.outcome == OrderOutcome::Unavailable {
             return now >= given.at + UNAVAILABLE_PAUSE;
         }
-        let should_run_at = given.at + scaling.boot_ms + REPEAT_SLACK;
+        let should_run_at = given.at + inputs.scaling.boot_ms + REPEAT_SLACK;
         let is_overdue = wanted.running < wanted.order.count && now >= should_run_at;
         given.count != wanted.order.count || is_overdue
     }
--- a/crates/gateway/src/decisions/duties/usage_collection.rs
+++ b/crates/gateway/src/decisions/duties/usage_collection.rs
@@ -118,11 +118,11 @@
         total
     }
 
-    /// The oldest window that anybody has counts of.
-    pub fn oldest_window(&self) -> Option<UsageWindow> {
+    /// Whether nobody has counted a request in this window or a later one.
+    pub fn is_idle_since(&self, first: UsageWindow) -> bool {
         let known = self.by_daemon.values();
-        let oldest = known.filter_map(|known| known.windows.first_key_value());
-        oldest.map(|(window, _)| *window).min()
+        let mut counts = known.flat_map(|known| known.windows.range(first..));
+        counts.all(|(_, counts)| counts.is_empty())
     }
 
     /// Forgets the windows before `first`, and daemons that are silent and have no others.
--- a/crates/gateway/src/duties/engines.rs
+++ b/crates/gateway/src/duties/engines.rs
@@ -3,8 +3,8 @@
 //! How many are planned is decided in [`crate::decisions::duties::engine_plan`], which order is next
 //! in [`crate::decisions::duties::engine_orders`]; here the inputs are gathered and orders given.
 
-use crate::decisions::duties::engine_need::EngineNeed;
-use crate::decisions::duties::engine_orders::{EngineOrder, OrderBook};
+use crate::decisions::duties::engine_need::{EngineNeed, Need};
+use crate::decisions::duties::engine_orders::{EngineOrder, OrderBook, OrderInputs};
 use crate::decisions::duties::engine_plan::{EngineScaling, EnginesByDataCentre, PlanInputs, plan};
 use crate::duties::api::{DutyCallError, DutyPlatform, DutyStore};
 use crate::duties::hold::{DUTY_CALL_TIMEOUT, Hold, HoldEnd};
@@ -22,6 +22,10 @@
 /// engine takes seconds to start.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Orders for one data centre in one look at most: reclaimable engines, permanent ones, and the
+/// reclaimable ones again that these have made room for.
+const MAX_ORDERS_EACH: usize = 3;
+
 /// Orders engines until the hold ends.
 pub(super) async fn order<S: DutyStore, P: DutyPlatform>(
     gateway: &Gateway,
@@ -83,14 +87,12 @@
             return Ok(());
         }
         let running = running_engines(&self.gateway.control.directory(), self.service);
-        let Some(needed) = self.needed(&mut ordered.need, &running).await? else {
-            return Ok(());
-        };
+        let need = self.need(&mut ordered.need, &running).await?;
         let data_centres = self.scaling.data_centres(&running);
         let book = &mut ordered.book;
         let without_reclaimable = book.without_reclaimable();
         let planned = plan(&PlanInputs {
-            needed,
+            needed: need.engines,
             scaling: self.scaling,
             data_centres: &data_centres,
             without_reclaimable: &without_reclaimable,
@@ -98,39 +100,58 @@
         self.gateway
             .metrics
             .engines(self.service, &planned, &running);
-        // One order for each kind in each data centre at most.
-        for _ in 0..2 * data_centres.len() {
-            let now = self.gateway.clock.now();
-            let Some(order) = book.next(now, &planned, &running, self.scaling) else {
+        let is_idle = self.is_idle();
+        // Reclaimable engines are ordered again once permanent ones have made room for them.
+        for _ in 0..MAX_ORDERS_EACH * data_centres.len() {
+            let order = book.next(&OrderInputs {
+                now: self.gateway.clock.now(),
+                planned: &planned,
+                running: &running,
+                scaling: self.scaling,
+                is_settled: need.is_settled,
+                is_idle,
+            });
+            let Some(order) = order else {
                 break;
             };
-            if !self.give(book, &order, &running, needed).await {
+            if !self.give(book, &order, &running, need.engines).await {
                 break;
             }
         }
         Ok(())
     }
 
-    /// Engines that the service needs; none: it isn't known yet. A need that has grown is left for
-    /// the successor.
-    async fn needed(
+    /// Whether no request runs, and none began in the window before this one or since.
+    fn is_idle(&self) -> bool {
+        let book = &self.gateway.duty_book;
+        // Without usage nobody tells the holder that work has begun.
+        let Some(calendar) = book.calendar() else {
+            return false;
+        };
+        let clock = &self.gateway.clock;
+        let before = calendar.window_at(clock.wall(clock.now())).minus(1);
+        let is_idle = book.with_collection(|_, collection| collection.is_idle_since(before));
+        let directory = self.gateway.control.directory();
+        let work = self.gateway.fleet.total_work(&directory);
+        is_idle.unwrap_or_default() && work.is_empty()
+    }
+
+    /// Engines that the service needs. A need that has grown is left for the successor.
+    async fn need(
         &self,
         need: &mut EngineNeed,
         running: &EnginesByDataCentre,
-    ) -> Result<Option<u32>, HoldEnd> {
+    ) -> Result<Need, HoldEnd> {
         let permanent = running.values().map(|counts| counts.permanent).sum();
         let known = self.hold.state().await.needed_engines;
         let known = known.get(self.service).copied().unwrap_or_default();
-        let now = self.gateway.clock.now();
-        let Some(needed) = need.observe(now, known, permanent) else {
-            return Ok(None);
-        };
-        if needed > known {
+        let need = need.observe(self.gateway.clock.now(), known, permanent);
+        if need.is_settled && need.engines > known {
             self.hold
-                .write_state(|state| state.with_needed_engines(self.service, needed))
+                .write_state(|state| state.with_needed_engines(self.service, need.engines))
                 .await?;
         }
-        Ok(Some(needed))
+        Ok(need)
     }
 
     /// Gives an order; false: the platform can't be called now.
--- a/crates/gateway/src/work_by_endpoint.rs
+++ b/crates/gateway/src/work_by_endpoint.rs
@@ -93,6 +93,11 @@
         self.by_endpoint.get(&endpoint).copied().unwrap_or_default()
     }
 
+    /// Whether there is no work.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_endpoint.is_empty()
+    }
+
     /// Whether no prompts wait that the others should hear of soon.
     pub fn is_small(&self) -> bool {
         self.iter()
