--- a/crates/gateway/src/decisions/duties/engine_need.rs
+++ b/crates/gateway/src/decisions/duties/engine_need.rs
@@ -15,8 +15,8 @@
 
 /// How long the number of engines must not change. Measured: with none, a fleet that starts with 60
 /// engines ordered 3 before their records were there, and served 0.27 of a quiet day's requests.
-/// Engines write their records every 1.2 s: two writes are waited for.
-const SETTLING: DurationMs = DurationMs(2_400);
+/// Engines write their records every 1.2 s; the rest is for the way.
+const SETTLING: DurationMs = DurationMs(1_500);
 
 /// What was seen of a service's engines before its need was known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/decisions/duties/engine_orders.rs
+++ b/crates/gateway/src/decisions/duties/engine_orders.rs
@@ -7,7 +7,8 @@
 //! 1. Permanent engines are given up only where the reclaimable ones that take their place run
 //!    already: no order lowers what serves. While the fleet has no work at all, they are given up at
 //!    once: there is nobody to serve, and a fleet that starts pays for them twice meanwhile (0.03 of
-//!    a day's worth at the users' site). Nothing is given up before the need is settled.
+//!    a day's worth at the users' site). Before the need is settled nothing is ordered of the
+//!    permanent engines: there may be more of them than are seen, and any number could be fewer.
 //! 2. The platform's limit holds for both kinds together: reclaimable engines are ordered up to what
 //!    the permanent ones leave.
 //! 3. An order that hasn't brought its engines some time after they should have started is given
@@ -164,6 +165,9 @@
 
     fn is_due(&self, inputs: &OrderInputs<'_>, wanted: &Wanted) -> bool {
         let now = inputs.now;
+        if wanted.order.key.kind == EngineKind::Permanent && !inputs.is_settled {
+            return false;
+        }
         let Some(given) = self.given.get(&wanted.order.key) else {
             // What runs as it is needs no order before the need is settled.
             return inputs.is_settled || wanted.order.count != wanted.running;
