--- a/crates/gateway/src/decisions/duties/usage_collection.rs
+++ b/crates/gateway/src/decisions/duties/usage_collection.rs
@@ -9,7 +9,8 @@
 //! 2. A window is complete when every daemon that was heard lately has closed it, and no fewer
 //!    daemons than took part in the last window that was told. A daemon that is cut off is waited
 //!    for, as long as the window's time allows ([`super::usage_window`]); one that is silent for
-//!    [`EXPECTED_FOR`], or that has a later life, isn't.
+//!    [`EXPECTED_FOR`], or that has a later life, isn't. Nothing is complete before the holder has
+//!    collected for [`COLLECTED_AFTER`]: it doesn't know yet who is there.
 //!
 //! Tests: `duties_usage.rs`.
 
@@ -22,6 +23,11 @@
 /// be late: whoever is silent for longer can't tell anything in time.
 const EXPECTED_FOR: DurationMs = DurationMs(15_000);
 
+/// How long a new holder collects before any window is complete. Not measured by itself, chosen
+/// because daemons hear of a holder within some two seconds and report each second; with none, the
+/// first windows of a fleet that starts were told without most of it.
+const COLLECTED_AFTER: DurationMs = DurationMs(3_500);
+
 /// One life of a daemon's process.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct DaemonLife {
@@ -50,12 +56,13 @@
 }
 
 /// What is known of all daemons' usage.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct UsageCollection {
     by_daemon: BTreeMap<DaemonLife, KnownDaemon>,
-    /// Daemons that took part in the last window that was told before this holder's time, and until
-    /// when so many are expected.
-    expected: Option<(usize, TimeMs)>,
+    /// When the holder began.
+    began_at: TimeMs,
+    /// Daemons that took part in the last window that was told before.
+    daemons_before: usize,
 }
 
 impl UsageCollection {
@@ -63,7 +70,8 @@
     pub fn new(now: TimeMs, daemons: usize) -> Self {
         Self {
             by_daemon: BTreeMap::new(),
-            expected: Some((daemons, now + EXPECTED_FOR)),
+            began_at: now,
+            daemons_before: daemons,
         }
     }
 
@@ -89,15 +97,18 @@
 
     /// Whether every daemon that is expected has closed a window.
     pub fn is_complete(&self, now: TimeMs, window: UsageWindow) -> bool {
+        let held_for = now.since(self.began_at);
+        if held_for < COLLECTED_AFTER {
+            return false;
+        }
         let is_missing = |(daemon, known): (&DaemonLife, &KnownDaemon)| {
             known.first_open <= window && self.is_expected(now, daemon, known)
         };
         if self.by_daemon.iter().any(is_missing) {
             return false;
         }
-        let expected = self.expected.filter(|(_, until)| now < *until);
-        let expected = expected.map_or(0, |(daemons, _)| daemons);
-        self.daemons_closed(window) >= expected
+        let is_new = held_for < EXPECTED_FOR;
+        !is_new || self.daemons_closed(window) >= self.daemons_before
     }
 
     fn is_expected(&self, now: TimeMs, daemon: &DaemonLife, known: &KnownDaemon) -> bool {
--- a/crates/gateway/src/decisions/duties/usage_ledger.rs
+++ b/crates/gateway/src/decisions/duties/usage_ledger.rs
@@ -9,9 +9,14 @@
 use bridgevane_types::{CustomerId, WallTimeMs};
 use std::collections::BTreeMap;
 
-/// Windows that are remembered. Not measured, chosen because usage is worth nothing after two of the
-/// users' windows (10 s), and a holder may be away for several times that.
-pub const REMEMBERED_WINDOWS: u64 = 12;
+/// Windows are remembered for so many times as long as they may be told in time. Not measured, chosen
+/// because a holder may be away for several times that, and late usage is better than none.
+const REMEMBERED_TIMES: u64 = 3;
+
+/// How many of the newest windows are remembered.
+pub fn remembered_windows(calendar: UsageCalendar) -> u64 {
+    calendar.timely_windows() * REMEMBERED_TIMES
+}
 
 /// One daemon's counts.
 #[derive(Debug)]
@@ -34,7 +39,8 @@
         let window = self.calendar.window_at(at);
         self.windows.entry(window).or_default().count(customer);
         let newest = self.windows.last_key_value().map(|(newest, _)| *newest);
-        let first_kept = newest.unwrap_or(window).minus(REMEMBERED_WINDOWS - 1);
+        let kept = remembered_windows(self.calendar);
+        let first_kept = newest.unwrap_or(window).minus(kept - 1);
         while let Some(oldest) = self.windows.first_entry()
             && *oldest.key() < first_kept
         {
--- a/crates/gateway/src/decisions/duties/usage_window.rs
+++ b/crates/gateway/src/decisions/duties/usage_window.rs
@@ -61,6 +61,11 @@
         UsageWindow(at.0 / self.width_ms.0.max(1))
     }
 
+    /// How many of the newest windows may still be told in time, the one in progress included.
+    pub fn timely_windows(&self) -> u64 {
+        self.late_ms.0.div_ceil(self.width_ms.0.max(1)) + 2
+    }
+
     /// The first window that isn't closed at a moment.
     pub fn first_open_at(&self, at: WallTimeMs) -> UsageWindow {
         self.window_at(WallTimeMs(at.0.saturating_sub(CLOSE_DELAY.0)))
--- a/crates/gateway/src/duties/book.rs
+++ b/crates/gateway/src/duties/book.rs
@@ -12,10 +12,6 @@
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::Notify;
 
-/// Windows that a report goes back. Chosen because usage may be late by two of the users' windows,
-/// and one is in progress.
-const REPORTED_WINDOWS: u64 = 4;
-
 /// Counts and reports of usage.
 #[derive(Debug)]
 pub struct DutyBook {
@@ -69,7 +65,8 @@
         let calendar = self.calendar?;
         let now = self.clock.wall(self.clock.now());
         let first_open = calendar.first_open_at(now);
-        let first = calendar.window_at(now).minus(REPORTED_WINDOWS - 1);
+        // What is older is told too late; whoever held the duties then has heard it.
+        let first = calendar.window_at(now).minus(calendar.timely_windows() - 1);
         let ledger = self.ledger.as_ref()?;
         let ledger = ledger.lock().expect("no panic under this lock");
         let windows = ledger.windows_from(first);
--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -4,7 +4,7 @@
 //! in [`crate::decisions::duties::usage_collection`].
 
 use crate::decisions::duties::duty_state::WindowUsage;
-use crate::decisions::duties::usage_ledger::REMEMBERED_WINDOWS;
+use crate::decisions::duties::usage_ledger::remembered_windows;
 use crate::decisions::duties::usage_window::{UsageCalendar, UsageDue, UsageWindow};
 use crate::duties::api::{DutyCallError, DutyPlatform, DutyStore};
 use crate::duties::hold::{DUTY_CALL_TIMEOUT, Hold, HoldEnd, RETRY_PAUSE};
@@ -68,7 +68,7 @@
     /// What is older is no longer remembered by any daemon.
     fn oldest_worth_telling(&self) -> UsageWindow {
         let current = self.calendar.window_at(self.now());
-        current.minus(REMEMBERED_WINDOWS - 1)
+        current.minus(remembered_windows(self.calendar) - 1)
     }
 
     /// The first window that no holder has fixed.
--- a/crates/gateway/tests/duties_usage.rs
+++ b/crates/gateway/tests/duties_usage.rs
@@ -19,6 +19,8 @@
 };
 /// From 50 s to 55 s.
 const WINDOW: UsageWindow = UsageWindow(10);
+/// When the holder began, long enough before for windows to be complete.
+const BEGAN: TimeMs = TimeMs(996_000);
 const NOW: TimeMs = TimeMs(1_000_000);
 
 fn counts(entries: &[(&str, u32)]) -> UsageCounts {
@@ -69,6 +71,17 @@
     assert_eq!(ledger.windows_from(UsageWindow(98)).count(), 2);
 }
 
+/// Windows of a second were lost with their holder, while reports went back four of any width.
+#[test]
+fn all_windows_that_may_still_be_told_in_time_are_reported_again() {
+    assert_eq!(CALENDAR.timely_windows(), 4);
+    let short = UsageCalendar {
+        width_ms: DurationMs(1_000),
+        ..CALENDAR
+    };
+    assert_eq!(short.timely_windows(), 12);
+}
+
 #[test]
 fn a_window_is_told_when_all_have_closed_it_and_at_the_latest_before_it_counts_as_missing() {
     let due = |now_ms, is_complete| CALENDAR.due(WallTimeMs(now_ms), WINDOW, is_complete);
@@ -86,7 +99,7 @@
 
 #[test]
 fn a_report_that_comes_again_or_late_or_out_of_order_counts_once() {
-    let mut collection = UsageCollection::new(NOW, 0);
+    let mut collection = UsageCollection::new(BEGAN, 0);
     let one = life("vm-1", 1);
     for entries in [
         [("a", 3), ("b", 1)],
@@ -101,7 +114,7 @@
 
 #[test]
 fn what_a_life_counted_that_has_ended_is_added_to_what_the_next_one_counts() {
-    let mut collection = UsageCollection::new(NOW, 0);
+    let mut collection = UsageCollection::new(BEGAN, 0);
     collection.on_report(NOW, report(life("vm-1", 1), 10, &[("a", 3)]));
     collection.on_report(
         NOW + DurationMs(500),
@@ -114,7 +127,7 @@
 
 #[test]
 fn a_daemon_that_is_cut_off_is_waited_for_but_not_for_ever() {
-    let mut collection = UsageCollection::new(NOW, 0);
+    let mut collection = UsageCollection::new(BEGAN, 0);
     collection.on_report(NOW, report(life("vm-1", 1), 11, &[("a", 3)]));
     collection.on_report(NOW, report(life("vm-2", 1), 10, &[("a", 3)]));
     assert!(!collection.is_complete(NOW + DurationMs(9_000), WINDOW));
@@ -124,7 +137,7 @@
 
 #[test]
 fn a_new_holder_expects_as_many_daemons_as_took_part_before() {
-    let mut collection = UsageCollection::new(NOW, 2);
+    let mut collection = UsageCollection::new(BEGAN, 2);
     assert!(!collection.is_complete(NOW, WINDOW));
     collection.on_report(NOW, report(life("vm-1", 1), 11, &[("a", 3)]));
     assert!(!collection.is_complete(NOW, WINDOW));
@@ -132,9 +145,19 @@
     assert!(collection.is_complete(NOW, WINDOW));
 }
 
+/// The first windows of a fleet that starts were told without most of it.
 #[test]
-fn a_daemon_that_has_stopped_has_closed_every_window() {
+fn a_holder_that_has_just_begun_waits_for_daemons_that_it_does_not_know_yet() {
     let mut collection = UsageCollection::new(NOW, 0);
+    collection.on_report(NOW, report(life("vm-1", 1), 11, &[("a", 3)]));
+    assert!(!collection.is_complete(NOW + DurationMs(3_499), WINDOW));
+    collection.on_report(NOW, report(life("vm-2", 1), 11, &[("a", 3)]));
+    assert!(collection.is_complete(NOW + DurationMs(3_500), WINDOW));
+}
+
+#[test]
+fn a_daemon_that_has_stopped_has_closed_every_window() {
+    let mut collection = UsageCollection::new(BEGAN, 0);
     collection.on_report(NOW, report(life("vm-1", 1), u64::MAX, &[("a", 3)]));
     assert!(collection.is_complete(NOW, WINDOW));
     assert_eq!(collection.total(WINDOW), counts(&[("a", 3)]));
@@ -142,7 +165,7 @@
 
 #[test]
 fn what_was_told_is_forgotten_and_what_comes_after_is_kept() {
-    let mut collection = UsageCollection::new(NOW, 0);
+    let mut collection = UsageCollection::new(BEGAN, 0);
     let mut both = report(life("vm-1", 1), 11, &[("a", 3)]);
     both.windows.push((WINDOW.next(), counts(&[("a", 1)])));
     collection.on_report(NOW, both);
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 const CONFIG: &str = "config";
-const DUTY_HOLDER: &str = "duty-holder";
+const DUTY_HOLDER: &str = "holder-of-duties";
 pub const KEY: &str = "key-1";
 pub const OTHER_KEY: &str = "key-2";
 
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -62,6 +62,9 @@
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
 /// Default of `--lease-ms`, from the users' sites.
 const DEFAULT_LEASE_MS: u64 = 3_000;
+/// The shortest `--lease-ms`: nine tenths of it, less the third after which it is renewed, must leave
+/// room for a call of the platform, which may take a second.
+const MIN_LEASE_MS: u64 = 2_000;
 /// Default of `--usage-window-s`, from the users' sites.
 const DEFAULT_USAGE_WINDOW_S: f64 = 5.0;
 /// Default of `--usage-late-s`, from the users' sites.
@@ -190,8 +193,13 @@
         let what = format!("is too short; give at least {MIN_USAGE_WINDOW} ms");
         reader.fail("usage-window-s", what);
     }
+    let lease_ms = lease_ms.unwrap_or(DEFAULT_LEASE_MS);
+    if lease_ms < MIN_LEASE_MS {
+        let what = format!("is too short; give at least {MIN_LEASE_MS}");
+        reader.fail("lease-ms", what);
+    }
     let settings = DutySettings {
-        lease_ms: DurationMs(lease_ms.unwrap_or(DEFAULT_LEASE_MS)),
+        lease_ms: DurationMs(lease_ms),
         usage: duties.contains(&Duty::Usage).then_some(calendar),
         orders_engines: duties.contains(&Duty::Engines),
     };
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -107,6 +107,13 @@
     assert_eq!(milliseconds(&settings, "late_ms"), 90_000);
 }
 
+/// Under a lease of a second no holder ever acted: a call may take as long.
+#[test]
+fn a_lease_that_leaves_no_time_for_a_call_is_refused() {
+    let refused = refused(&["--lease-ms", "1999"]);
+    assert!(refused.contains("at least 2000"), "{refused}");
+}
+
 #[test]
 fn a_window_of_usage_that_is_too_short_is_refused() {
     let refused = refused(&["--usage-window-s", "0.5"]);
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names of headers, fields and paths that mean nothing elsewhere.
-const NAMES: [&str; 30] = [
+const NAMES: [&str; 36] = [
     "attempt-id",
     "deadline-ms",
     "prompt-prefix",
@@ -26,6 +26,12 @@
     "kv-from",
     "kv-backup",
     "hold-take",
+    "duty-holder",
+    "fencing-token",
+    "kv-keep",
+    "windowindex",
+    "spotprice",
+    "zoneprices",
     "op/config",
     "servers/",
     "pathprefix",
