--- a/crates/gateway/tests/duties_search.rs
+++ b/crates/gateway/tests/duties_search.rs
@@ -14,7 +14,8 @@
 #[allow(dead_code)]
 mod duty_sim;
 
-use duty_sim::{Daemon, LEASE, Link, Told, World};
+use bridgevane_gateway::decisions::duties::duty_state::WindowUsage;
+use duty_sim::{Daemon, LEASE, Link, Taken, World};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::HashMap;
@@ -29,16 +30,22 @@
 /// waits, the time until a window is told that isn't complete, and some seconds of calls.
 const SETTLED_AFTER: Duration = Duration::from_secs(25);
 
-fn check_rules(told: &[Told]) {
-    let mut counts: HashMap<u64, &Told> = HashMap::new();
-    for (at, call) in told.iter().enumerate() {
-        let window = call.usage.window.0;
-        let first = *counts.entry(window).or_insert(call);
-        assert_eq!(
-            first.usage, call.usage,
-            "window {window} was told in two ways"
-        );
-        for earlier in &told[..at] {
+fn check_rules(taken: &[Taken]) {
+    let mut counts: HashMap<u64, &WindowUsage> = HashMap::new();
+    for usage in taken.iter().filter_map(|call| call.usage.as_ref()) {
+        let first = *counts.entry(usage.window.0).or_insert(usage);
+        assert_eq!(first, usage, "a window was told in two ways");
+    }
+    let is_usage = |call: &&Taken| call.usage.is_some();
+    let (usage, orders): (Vec<&Taken>, Vec<&Taken>) = taken.iter().partition(is_usage);
+    check_holders(&usage);
+    check_holders(&orders);
+}
+
+/// Checks the calls of one duty.
+fn check_holders(taken: &[&Taken]) {
+    for (at, call) in taken.iter().enumerate() {
+        for earlier in &taken[..at] {
             assert!(earlier.fence <= call.fence, "{call:?} after {earlier:?}");
             let is_same = earlier.vm == call.vm;
             assert!(
@@ -46,12 +53,12 @@
                 "{call:?}, {earlier:?}"
             );
         }
-        check_not_interleaved(&told[..at], call);
+        check_not_interleaved(&taken[..at], call);
     }
 }
 
 /// Within one lease: another daemon's call between two of this one's.
-fn check_not_interleaved(before: &[Told], call: &Told) {
+fn check_not_interleaved(before: &[&Taken], call: &Taken) {
     let recent = before
         .iter()
         .filter(|earlier| call.at - earlier.at <= LEASE);
@@ -81,8 +88,9 @@
 
 async fn until_told(world: &World, since: Instant, limit: Duration) -> Duration {
     while Instant::now() - since < limit {
-        let told = world.told();
-        if told.iter().any(|call| call.at > since) {
+        let told = world.taken();
+        let is_new_usage = |call: &Taken| call.at > since && call.usage.is_some();
+        if told.iter().any(is_new_usage) {
             return Instant::now() - since;
         }
         sleep(Duration::from_millis(50)).await;
@@ -99,9 +107,10 @@
         let world = World::new();
         let _daemons = ["vm-a", "vm-b", "vm-c"].map(|vm| start(&world, vm, 0));
         sleep(Duration::from_secs(62)).await;
-        let told = world.told();
+        let told = world.taken();
         check_rules(&told);
-        let windows: Vec<u64> = told.iter().map(|call| call.usage.window.0).collect();
+        let usage = told.iter().filter_map(|call| call.usage.as_ref());
+        let windows: Vec<u64> = usage.map(|usage| usage.window.0).collect();
         let first = windows[0];
         let expected: Vec<u64> = (first..first + windows.len() as u64).collect();
         assert_eq!(windows, expected);
@@ -126,7 +135,7 @@
             // A window ends, a lease runs out, the successor waits another, the next one ends.
             let took = until_told(&world, before, Duration::from_secs(13)).await;
             assert_ne!(world.holder(), Some(holder));
-            check_rules(&world.told());
+            check_rules(&world.taken());
             assert!(took > LEASE, "{took:?}");
         }
     });
@@ -150,7 +159,7 @@
             );
             world.end_all_leases();
             sleep(Duration::from_secs(20)).await;
-            check_rules(&world.told());
+            check_rules(&world.taken());
         }
     });
 }
@@ -172,7 +181,7 @@
         let cut_at = Instant::now();
         let took = until_told(&world, cut_at, Duration::from_secs(20)).await;
         assert_ne!(world.holder(), Some(holder), "{took:?}");
-        check_rules(&world.told());
+        check_rules(&world.taken());
     });
 }
 
@@ -243,7 +252,7 @@
     }
     let healed_at = Instant::now();
     until_told(&world, healed_at, SETTLED_AFTER).await;
-    check_rules(&world.told());
+    check_rules(&world.taken());
 }
 
 #[test]
--- a/crates/gateway/tests/support/duty_sim/daemon.rs
+++ b/crates/gateway/tests/support/duty_sim/daemon.rs
@@ -36,7 +36,7 @@
                 width_ms: DurationMs(WINDOW.as_millis() as u64),
                 late_ms: DurationMs(10_000),
             }),
-            orders_engines: false,
+            orders_engines: true,
         }),
         ..crate::support::settings()
     }
--- a/crates/gateway/tests/support/duty_sim/mod.rs
+++ b/crates/gateway/tests/support/duty_sim/mod.rs
@@ -8,7 +8,7 @@
 mod store;
 
 pub use daemon::Daemon;
-pub use store::{Link, Told, World};
+pub use store::{Link, Taken, World};
 
 use std::time::Duration;
 
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -2,12 +2,14 @@
 
 use bridgevane_gateway::decisions::duties::duty_state::WindowUsage;
 use bridgevane_gateway::decisions::duties::engine_orders::{EngineOrder, OrderOutcome};
+use bridgevane_gateway::decisions::duties::engine_plan::EngineScaling;
 use bridgevane_gateway::{
-    Change, Changes, ControlSource, Credentials, DutyCallError, DutyKey, DutyPlatform, DutyStore,
-    FullState, HolderRecord, LeaseId, LeaseRenewal, Revision, SourceError, SourceRecord,
-    StoredValue, Transaction, TransactionOutcome,
+    Change, Changes, ClientLimits, ControlSource, Credentials, DutyCallError, DutyKey,
+    DutyPlatform, DutyStore, EndpointRecord, FullState, HolderRecord, LeaseId, LeaseRenewal,
+    Revision, RoutingParts, RoutingTable, Service, SourceError, SourceRecord, StoredValue,
+    Transaction, TransactionOutcome,
 };
-use bridgevane_types::{DurationMs, ServiceName};
+use bridgevane_types::{Bytes as Size, ConfigVersion, DurationMs, ServiceName};
 use bytes::Bytes;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -19,14 +21,19 @@
 const CALL: Duration = Duration::from_millis(8);
 /// The holder's key in the simulated store.
 const HOLDER: &str = "holder";
+/// The configuration's key.
+const CONFIG: &str = "config";
+/// The engine's key.
+const ENGINE: &str = "engine";
 
-/// Usage as the platform was told it.
+/// A duty's call, as the platform took it.
 #[derive(Clone, Debug)]
-pub struct Told {
+pub struct Taken {
     pub at: Instant,
     pub vm: String,
     pub fence: u64,
-    pub usage: WindowUsage,
+    /// The usage that was told; none: engines were ordered.
+    pub usage: Option<WindowUsage>,
 }
 
 /// What becomes of one daemon's calls.
@@ -42,6 +49,7 @@
 
 #[derive(Default)]
 struct State {
+    /// From 1 on: the configuration and the engine are there.
     revision: u64,
     items: HashMap<&'static str, StoredValue>,
     leases: HashMap<u64, Instant>,
@@ -50,7 +58,7 @@
     log: Vec<SourceRecord>,
     is_silent: bool,
     links: HashMap<String, Link>,
-    told: Vec<Told>,
+    taken: Vec<Taken>,
 }
 
 /// The simulated platform; clones share it.
@@ -125,7 +133,10 @@
 impl World {
     pub fn new() -> Self {
         let world = Self {
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(State {
+                revision: 1,
+                ..State::default()
+            })),
             changed: Arc::new(watch::Sender::new(0)),
         };
         tokio::spawn(world.clone().expire_leases());
@@ -181,9 +192,9 @@
         self.on_changed();
     }
 
-    /// Every call that told usage, in order.
-    pub fn told(&self) -> Vec<Told> {
-        self.lock().told.clone()
+    /// Every call that the platform took, in order.
+    pub fn taken(&self) -> Vec<Taken> {
+        self.lock().taken.clone()
     }
 
     /// The VM that holds the duties, as the store has it.
@@ -274,33 +285,90 @@
     }
 }
 
-impl DutyPlatform for Way {
-    async fn tell_usage(
-        &self,
-        credentials: &Credentials,
-        usage: &WindowUsage,
-    ) -> Result<(), DutyCallError> {
+impl Way {
+    /// A call of the platform.
+    async fn take(&self, credentials: &Credentials, usage: Option<WindowUsage>) {
         sleep(CALL / 2).await;
         if self.link().platform_cut {
             return std::future::pending().await;
         }
-        self.world.lock().told.push(Told {
+        self.world.lock().taken.push(Taken {
             at: Instant::now(),
             vm: self.vm.clone(),
             fence: credentials.fence.0,
-            usage: usage.clone(),
+            usage,
         });
         sleep(CALL / 2).await;
+    }
+}
+
+impl DutyPlatform for Way {
+    async fn tell_usage(
+        &self,
+        credentials: &Credentials,
+        usage: &WindowUsage,
+    ) -> Result<(), DutyCallError> {
+        self.take(credentials, Some(usage.clone())).await;
         Ok(())
     }
 
+    /// There are never any, so that the holder asks again and again.
     async fn order_engines(
         &self,
-        _credentials: &Credentials,
+        credentials: &Credentials,
         _service: &ServiceName,
         _order: &EngineOrder,
     ) -> Result<OrderOutcome, DutyCallError> {
-        Ok(OrderOutcome::Taken)
+        self.take(credentials, None).await;
+        Ok(OrderOutcome::Unavailable)
+    }
+}
+
+/// The configuration: one service whose engines may be ordered.
+fn table() -> RoutingTable {
+    let scaling = EngineScaling {
+        min: 1,
+        max: 40,
+        boot_ms: DurationMs(4_000),
+        reclaimable_price: Some(0.15),
+        ..EngineScaling::default()
+    };
+    RoutingTable::new(RoutingParts {
+        version: ConfigVersion(1),
+        routes: Vec::new(),
+        services: vec![Service {
+            name: "model".into(),
+            max_connections: 100,
+            scaling: Some(scaling),
+        }],
+        customers: None,
+        limits: ClientLimits {
+            head_bytes: Size(16_384),
+            body_bytes: Size(100_000),
+            idle_timeout_ms: DurationMs(5_000),
+        },
+    })
+}
+
+/// Its only engine.
+fn engine() -> EndpointRecord {
+    EndpointRecord {
+        id: "e-1".into(),
+        service: "model".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "dc-1".into(),
+        slots: 64,
+        is_draining: false,
+        is_reclaimable: false,
+    }
+}
+
+/// A record that is there from the beginning.
+fn first_record(key: &str) -> SourceRecord {
+    SourceRecord {
+        key: key.to_owned(),
+        revision: Revision(1),
+        value: Some(Bytes::from_static(b"-")),
     }
 }
 
@@ -314,6 +382,7 @@
                 .cloned()
                 .into_iter()
                 .filter(|record| record.value.is_some())
+                .chain([first_record(CONFIG), first_record(ENGINE)])
                 .collect(),
         })
         .await
@@ -344,6 +413,11 @@
     }
 
     fn decode(&self, record: &SourceRecord) -> Option<Change> {
+        match record.key.as_str() {
+            CONFIG => return Some(Change::Routing(Arc::new(table()))),
+            ENGINE => return Some(Change::Endpoint(engine())),
+            _ => {}
+        }
         Some(match &record.value {
             Some(value) => Change::DutyHolder(HolderRecord::decode(value).ok()?),
             None => Change::DutyHolderGone,
