--- a/crates/gateway/tests/support/duty_sim/daemon.rs
+++ b/crates/gateway/tests/support/duty_sim/daemon.rs
@@ -2,6 +2,7 @@
 
 use super::store::{Way, World};
 use super::{LEASE, WINDOW};
+use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
 use bridgevane_gateway::decisions::duties::usage_window::UsageCalendar;
 use bridgevane_gateway::{
     DutySettings, Gateway, GatewaySettings, follow_control_source, hold_duties,
@@ -30,6 +31,11 @@
 fn settings(vm: &str) -> GatewaySettings {
     GatewaySettings {
         vm: vm.into(),
+        // As long as the users': a daemon that is cut off from the store goes on for so long.
+        freshness: FreshnessPolicy {
+            proof_lifetime_ms: DurationMs(4_700),
+            max_stale_age_ms: DurationMs(4_700),
+        },
         duties: Some(DutySettings {
             lease_ms: DurationMs(LEASE.as_millis() as u64),
             usage: Some(UsageCalendar {
