--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -1,7 +1,7 @@
 //! The control source: where routes, customers and endpoints come from. An adapter implements
 //! [`ControlSource`]; the platform's is `bridgevane-platform`.
 
-use crate::control::duty_holder::HolderRecord;
+use crate::control::holder_record::HolderRecord;
 use crate::control::routing_table::RoutingTable;
 use crate::endpoints::endpoint::EndpointRecord;
 use bridgevane_types::{DurationMs, EndpointId};
--- a/crates/gateway/src/decisions/duties/engine_plan.rs
+++ b/crates/gateway/src/decisions/duties/engine_plan.rs
@@ -25,7 +25,8 @@
 /// seconds to start, a burst doubles the work within one. Measured in docs/design/17.
 const BURST_RESERVE: f64 = 1.3;
 /// Permanent engines of a data centre where reclaimable ones carry the work, unless the operator's
-/// limit is higher: something is left there when all others are taken back.
+/// limit is higher: something is left there when all others are taken back. Measured against three:
+/// 0.017 of worth dearer, and nothing served more (docs/design/17).
 const LEAST_PERMANENT: u32 = 1;
 
 /// Whether the platform may take an engine back.
--- a/crates/gateway/src/decisions/duties/tenure.rs
+++ b/crates/gateway/src/decisions/duties/tenure.rs
@@ -29,22 +29,26 @@
 
 use bridgevane_coordination::HeldLease;
 use bridgevane_types::{DurationMs, FenceToken, TimeMs};
+use derive_more::Display;
 
 /// The pause between the daemons that may stand for a vacant key. Not measured, chosen because the
 /// store answers the three calls of one that stands within some 20 ms, and its key is seen by the
 /// others some 50 ms later.
 const STANDING_STEP: DurationMs = DurationMs(250);
-/// Places that are kept for seeds: the platform names three at most.
+/// Places that are kept for seeds. Chosen because the platform names three at most.
 const SEED_PLACES: u64 = 3;
 
-/// What this daemon was to the duties before.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Who held the duties before. The text is for logs.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Predecessor {
     /// Nobody has held them yet.
+    #[display("nobody")]
     Nobody,
     /// This daemon, in this life of its process.
+    #[display("itself")]
     Itself,
     /// Another daemon, or an earlier life of this one.
+    #[display("another")]
     Another,
 }
 
--- a/crates/gateway/src/duties/engines.rs
+++ b/crates/gateway/src/duties/engines.rs
@@ -22,8 +22,8 @@
 /// engine takes seconds to start.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Orders for one data centre in one look at most: reclaimable engines, permanent ones, and the
-/// reclaimable ones again that these have made room for.
+/// Orders for one data centre in one look at most. Chosen for reclaimable engines, permanent ones, and
+/// the reclaimable ones again that these have made room for.
 const MAX_ORDERS_EACH: usize = 3;
 
 /// Orders engines until the hold ends.
--- a/crates/gateway/src/duties/hold.rs
+++ b/crates/gateway/src/duties/hold.rs
@@ -30,7 +30,8 @@
 /// How often a holder that may not act looks again. Not measured, chosen as a part of a second: it
 /// waits for a renewal.
 const ACT_PAUSE: Duration = Duration::from_millis(100);
-/// A lease is renewed each time such a part of it is over: two renewals may be lost.
+/// A lease is renewed each time such a part of it is over. Not measured, chosen so that two renewals
+/// may be lost.
 const RENEWALS_IN_LEASE: u32 = 3;
 
 /// Why a hold ended. The text is the cause in logs.
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -3,7 +3,8 @@
 //! One task of each daemon. Who may stand and who may act is decided in
 //! [`crate::decisions::duties::tenure`]; here the calls are made.
 
-use crate::control::duty_holder::{HolderRecord, HolderView};
+use crate::control::duty_holder::HolderView;
+use crate::control::holder_record::HolderRecord;
 use crate::control::source::{Revision, SourceError};
 use crate::decisions::duties::duty_state::DutyState;
 use crate::decisions::duties::tenure::{Accession, Predecessor, StandingPlace, Tenure, stands_at};
@@ -153,7 +154,7 @@
         event!(
             Event::DutiesTaken,
             fence = revision,
-            predecessor = format!("{predecessor:?}"),
+            predecessor = predecessor,
             acts_in_ms = acts_in
         );
         Ok(Some(HoldStart {
--- a/crates/gateway/src/duties/reporter.rs
+++ b/crates/gateway/src/duties/reporter.rs
@@ -3,7 +3,8 @@
 //! Owns one connection, to the holder that the replica names. Straight to the holder rather than up
 //! the tree of followers: compared in docs/design/16.
 
-use crate::control::duty_holder::{HolderRecord, HolderView};
+use crate::control::duty_holder::HolderView;
+use crate::control::holder_record::HolderRecord;
 use crate::decisions::duties::usage_collection::{DaemonLife, UsageReport};
 use crate::decisions::duties::usage_window::UsageWindow;
 use crate::duties::codec::report_message;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,7 +42,7 @@
 pub use settings::{DutySettings, GatewaySettings};
 
 // What an adapter of a platform implements and fills in.
-pub use control::duty_holder::HolderRecord;
+pub use control::holder_record::HolderRecord;
 pub use control::routing_table::{RoutingParts, RoutingTable};
 pub use control::source::{
     Change, Changes, ControlSource, FullState, Revision, SourceError, SourceRecord,
