--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -100,14 +100,13 @@
     }
 
     /// Another daemon has proved at `proved_at` that its state of revision `at` was the newest: that
-    /// serves here, too, if the replica has it. Gives whether it does.
-    pub(crate) fn prove_by_other(&self, at: Revision, proved_at: TimeMs) -> bool {
+    /// serves here, too, if the replica has it.
+    pub(crate) fn prove_by_other(&self, at: Revision, proved_at: TimeMs) {
         // Revisions never go back, so that the answer still holds when the proof is noted.
         let has_state = self.replica().at() >= at;
         if has_state && self.proved_at() < Some(proved_at) {
             self.prove(proved_at);
         }
-        has_state
     }
 
     /// The age of the newest proof.
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -36,7 +36,7 @@
         return;
     };
     let spread = xxh3_64(gateway.settings.vm.as_str().as_bytes()) as f64 / u64::MAX as f64;
-    let mut candidate = Candidate {
+    let mut candidate = DutyCandidate {
         gateway,
         store,
         platform,
@@ -58,7 +58,7 @@
     }
 }
 
-struct Candidate<S, P> {
+struct DutyCandidate<S, P> {
     gateway: Arc<Gateway>,
     store: S,
     platform: P,
@@ -71,7 +71,7 @@
     held_off_until: Option<TimeMs>,
 }
 
-impl<S: DutyStore, P: DutyPlatform> Candidate<S, P> {
+impl<S: DutyStore, P: DutyPlatform> DutyCandidate<S, P> {
     /// Waits until the key is vacant and it is this daemon's turn.
     async fn wait_until_standing(&mut self) {
         let gateway = self.gateway.clone();
