--- a/crates/gateway/src/decisions/duties/engine_need.rs
+++ b/crates/gateway/src/decisions/duties/engine_need.rs
@@ -5,7 +5,7 @@
 //!
 //! Rule: the need is the most permanent engines that ever ran: what the operator started the service
 //! with is taken to be enough for its usual peak. It is settled when the number of engines has not
-//! changed for [`SETTLING`]: the engines of a fleet that starts record themselves one after the
+//! changed for `SETTLING`: the engines of a fleet that starts record themselves one after the
 //! other, and a need that is read too early would give most of them up. Until then it may be used
 //! for orders that add engines, not for those that give any up.
 //!
--- a/crates/gateway/src/decisions/duties/usage_collection.rs
+++ b/crates/gateway/src/decisions/duties/usage_collection.rs
@@ -9,8 +9,8 @@
 //! 2. A window is complete when every daemon that was heard lately has closed it, and no fewer
 //!    daemons than took part in the last window that was told. A daemon that is cut off is waited
 //!    for, as long as the window's time allows ([`super::usage_window`]); one that is silent for
-//!    [`EXPECTED_FOR`], or that has a later life, isn't. Nothing is complete before the holder has
-//!    collected for [`COLLECTED_AFTER`]: it doesn't know yet who is there.
+//!    `EXPECTED_FOR`, or that has a later life, isn't. Nothing is complete before the holder has
+//!    collected for `COLLECTED_AFTER`: it doesn't know yet who is there.
 //!
 //! Tests: `duties_usage.rs`.
 
--- a/crates/gateway/src/decisions/duties/usage_start.rs
+++ b/crates/gateway/src/decisions/duties/usage_start.rs
@@ -9,7 +9,7 @@
 //! 3. A prompt begins with its first token, which the stream shows. It also began when the engine
 //!    answered with a failure of its own.
 //! 4. A prompt whose connection broke, or that was given up unanswered, began if it could have had
-//!    its first token by then ([`CERTAINTY`]): an engine that is down breaks connections at once, one
+//!    its first token by then (`CERTAINTY`): an engine that is down breaks connections at once, one
 //!    whose answer is lost does so when the run has begun, and one that says nothing holds on to the
 //!    requests that it runs. A break at once may also be an answer that was lost: it is taken not to
 //!    have begun, so that nobody pays for it.
--- a/crates/gateway/src/decisions/duties/usage_window.rs
+++ b/crates/gateway/src/decisions/duties/usage_window.rs
@@ -4,8 +4,8 @@
 //! Inputs: wall time in milliseconds since 1970, and the platform's window and lateness.
 //!
 //! Rule: a window's usage is told as soon as every daemon has closed it, and at the latest
-//! [`LATE_MARGIN`] before it counts as missing, with what is known then. A daemon closes a window
-//! [`CLOSE_DELAY`] after its end: a plain request counts at the moment it was sent, and whether it
+//! `LATE_MARGIN` before it counts as missing, with what is known then. A daemon closes a window
+//! `CLOSE_DELAY` after its end: a plain request counts at the moment it was sent, and whether it
 //! ran is known when it is answered.
 //!
 //! Tests: `duties_usage.rs`.
