--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -69,5 +69,6 @@
 pub use prompt::{Prompt, PromptPart};
 pub use replication::message::{MessageError, put_update, take_update};
 pub use replication::work_reports::WorkReports;
+pub use requests::fingerprint::RequestFingerprint;
 pub use requests::retry_budgets::RetryBudgets;
 pub use work_by_endpoint::{EndpointHash, Work, WorkByEndpoint};
--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -20,7 +20,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Reads and checks a request.
@@ -68,6 +68,7 @@
         route,
         customer,
         prompt,
+        fingerprint: OnceLock::new(),
     })
 }
 
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -5,6 +5,7 @@
 use crate::decisions::admission::priority::Priority;
 use crate::header_names::HeaderNames;
 use crate::prompt::Prompt;
+use crate::requests::fingerprint::RequestFingerprint;
 use crate::route::{Customer, Route};
 use bridgevane_types::ServiceName;
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
 use http_body_util::Full;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -41,6 +42,8 @@
     pub(crate) priority: Priority,
     /// Whether no request of its service has a lower priority.
     pub(crate) is_lowest_priority: bool,
+    /// Worked out when it is first asked for: most requests never need it.
+    pub(crate) fingerprint: OnceLock<RequestFingerprint>,
 }
 
 impl InboundRequest {
@@ -49,6 +52,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// What it has in common with other tries of the same request.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        *(self.fingerprint).get_or_init(|| RequestFingerprint::of(self))
+    }
+
     /// Its identifier for logs.
     pub(crate) fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("?")
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
 pub(crate) mod exchange;
+pub(crate) mod fingerprint;
 pub(crate) mod front;
 pub(crate) mod handler;
 pub(crate) mod in_flight;
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -210,6 +210,7 @@
             endpoint = answer.endpoint().record.load().id,
             route = self.exchange.inbound.route.name,
             customer = self.exchange.inbound.customer_text(),
+            fingerprint = self.exchange.inbound.fingerprint(),
             cause = cause,
             begun = self.has_first_piece,
             held_ms = self.exchange.inbound.arrived.elapsed().as_millis(),
