--- a/crates/gateway/tests/support/endpoint.rs
+++ b/crates/gateway/tests/support/endpoint.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
 /// What is done with one request.
 #[derive(Clone, Debug)]
@@ -19,6 +20,8 @@
     Reset,
     /// Nothing more, the connection stays.
     Hang,
+    /// The endpoint ends as a process does: its listener and all its connections are closed.
+    Crash,
 }
 
 /// A request as it arrived.
@@ -42,25 +45,37 @@
     pub seen: Arc<Mutex<Vec<Seen>>>,
     /// Connections whose other side went away while a request was under way.
     pub abandoned: Arc<Mutex<usize>>,
+    /// Cancelled when the endpoint ends.
+    pub ended: CancellationToken,
 }
 
 impl Endpoint {
     /// Starts an endpoint whose n-th request is answered by `script(n)`.
     pub async fn start(script: impl Fn(usize) -> Vec<Act> + Send + Sync + 'static) -> Self {
+        Self::start_by(move |at, _| script(at)).await
+    }
+
+    /// Starts an endpoint that answers its n-th request by its content, too.
+    pub async fn start_by(
+        script: impl Fn(usize, &Seen) -> Vec<Act> + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let endpoint = Self {
             address: listener.local_addr().unwrap(),
             seen: Arc::default(),
             abandoned: Arc::default(),
+            ended: CancellationToken::new(),
         };
         let own = endpoint.clone();
         let script = Arc::new(script);
-        tokio::spawn(async move {
+        let ended = endpoint.ended.clone();
+        tokio::spawn(ended.run_until_cancelled_owned(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(serve(own.clone(), stream, script.clone()));
+                let serving = serve(own.clone(), stream, script.clone());
+                tokio::spawn(own.ended.clone().run_until_cancelled_owned(serving));
             }
-        });
+        }));
         endpoint
     }
 
@@ -101,13 +116,13 @@
 async fn serve(
     endpoint: Endpoint,
     mut stream: TcpStream,
-    script: Arc<impl Fn(usize) -> Vec<Act> + Send + Sync + 'static>,
+    script: Arc<impl Fn(usize, &Seen) -> Vec<Act> + Send + Sync + 'static>,
 ) {
     let mut rest = Vec::new();
     while let Some(seen) = read_request(&mut stream, &mut rest).await {
         let id = seen.header("x-id").unwrap_or_default();
-        let at = endpoint.note(seen);
-        for act in script(at) {
+        let at = endpoint.note(seen.clone());
+        for act in script(at, &seen) {
             match act {
                 Act::Send(text) => {
                     let text = text.replace("{id}", &id);
@@ -126,6 +141,10 @@
                     }
                 }
                 Act::Close => return,
+                Act::Crash => {
+                    endpoint.ended.cancel();
+                    return;
+                }
                 Act::Reset => {
                     let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                     return;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod client;
+pub mod crashing;
 pub mod endpoint;
 pub mod source;
 
