--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -77,11 +77,14 @@
     1309 StreamResumed Info "a stream was resumed at another endpoint";
     1310 LineTooLong Info "a request was shed: its expected queue delay is too long";
     1311 HeaderUnreadable Warn "a header can't be decoded and counts as absent";
+    1312 RequestQuarantined Warn "a request ended several endpoints and is no longer passed on";
+    1313 QuarantineNotStored Warn "the quarantine could not be written to the control source";
     1401 EngineUnreachable Warn "an engine's load report can't be read";
     1402 EndpointSeen Info "an endpoint was added or changed";
     1403 EndpointGone Info "an endpoint is gone";
     1404 EndpointEjected Warn "an endpoint was ejected: it gets no work for a while";
     1405 EndpointLapsed Info "an endpoint's record expired during an outage of the control source";
+    1406 EndpointCrashed Warn "an endpoint ended while requests were under way there";
     1501 PeerRefused Warn "a connection between daemons was refused";
     1502 MemberChanged Info "the view of a daemon changed";
     1503 HomePassedOver Warn "a pool's home does not answer, its requests are decided here";
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod endpoint_registry;
 pub(crate) mod holder_record;
 pub(crate) mod patch;
+pub(crate) mod quarantine_store;
 pub(crate) mod replica;
 pub(crate) mod routing_table;
 pub(crate) mod source;
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -4,6 +4,7 @@
 use crate::control::holder_record::HolderRecord;
 use crate::control::routing_table::RoutingTable;
 use crate::endpoints::endpoint::EndpointRecord;
+use crate::request_fingerprint::RequestFingerprint;
 use bridgevane_types::{DurationMs, EndpointId};
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -27,6 +28,10 @@
     DutyHolder(HolderRecord),
     /// No daemon does.
     DutyHolderGone,
+    /// A request is under quarantine.
+    Quarantined(RequestFingerprint),
+    /// It no longer is.
+    QuarantineOver(RequestFingerprint),
     /// A record of this kind that can't be read; it is logged and passed over.
     Unreadable(&'static str),
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -6,6 +6,7 @@
 //! | routing table, directory | [`crate::replication::follow`] alone | requests, without locks (read-copy-update) |
 //! | time of the newest proof | [`crate::replication::follow`] alone | requests, without locks |
 //! | holder of the duties | [`crate::replication::follow`] alone | the duties' tasks, without locks |
+//! | requests under quarantine | [`crate::replication::follow`] alone | requests, without locks (read-copy-update) |
 //! | replica | [`crate::replication::follow`] alone | daemons that follow this one, under a lock |
 //! | endpoint registry, last outage | [`crate::replication::follow`] alone | nobody else, under locks |
 //!
@@ -23,6 +24,7 @@
 use crate::decisions::admission::freshness::{Freshness, FreshnessPolicy};
 use crate::decisions::replication::record_expiry::{Removal, SourceOutage};
 use crate::endpoints::directory::Directory;
+use crate::request_fingerprint::RequestFingerprint;
 use crate::settings::GatewaySettings;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bridgevane_events::{Event, event};
@@ -40,6 +42,7 @@
     routing_table: ArcSwapOption<RoutingTable>,
     directory: ArcSwap<Directory>,
     duty_holder: ArcSwap<HolderEntry>,
+    quarantined: ArcSwap<HashSet<RequestFingerprint>>,
     proved_at: AtomicTime,
     replica: Mutex<Replica>,
     registry: Mutex<EndpointRegistry>,
@@ -57,6 +60,7 @@
             routing_table: ArcSwapOption::empty(),
             directory: ArcSwap::default(),
             duty_holder: ArcSwap::default(),
+            quarantined: ArcSwap::default(),
             proved_at: AtomicTime::default(),
             replica: Mutex::default(),
             registry: Mutex::default(),
@@ -80,6 +84,13 @@
         self.duty_holder.load_full()
     }
 
+    /// Whether a request is under quarantine at the source. Its fingerprint is worked out only if any
+    /// is.
+    pub(crate) fn is_quarantined(&self, request: impl FnOnce() -> RequestFingerprint) -> bool {
+        let quarantined = self.quarantined.load();
+        !quarantined.is_empty() && quarantined.contains(&request())
+    }
+
     /// How many endpoints may get work.
     pub fn endpoint_count(&self) -> usize {
         self.directory.load().len()
@@ -165,6 +176,7 @@
             if !names_duty_holder(&records) {
                 self.on_duty_holder_gone(state.at);
             }
+            self.take_quarantine_in(Arc::default(), &records);
             self.take_in(&mut registry, records, removal);
         }
         self.on_progress();
@@ -186,6 +198,7 @@
     }
 
     fn take_in(&self, registry: &mut EndpointRegistry, changes: Vec<ChangeAt>, removal: Removal) {
+        self.take_quarantine_in(self.quarantined.load_full(), &changes);
         for ChangeAt { revision, change } in changes {
             match change {
                 Change::Routing(table) => self.put_in_force(table, revision),
@@ -196,6 +209,8 @@
                     let entry = entry.with_holder(revision, holder);
                     self.duty_holder.store(Arc::new(entry));
                 }
+                // Taken in above, all at once.
+                Change::Quarantined(_) | Change::QuarantineOver(_) => {}
                 Change::DutyHolderGone => self.on_duty_holder_gone(revision),
                 Change::Unreadable(what) => {
                     event!(Event::ConfigRejected, what = what, revision = revision);
@@ -205,6 +220,26 @@
         self.directory.store(Arc::new(registry.directory()));
     }
 
+    /// Changes `quarantined` so, and puts it in force.
+    fn take_quarantine_in(
+        &self,
+        mut quarantined: Arc<HashSet<RequestFingerprint>>,
+        changes: &[ChangeAt],
+    ) {
+        for change in changes {
+            match change.change {
+                Change::Quarantined(request) => {
+                    Arc::make_mut(&mut quarantined).insert(request);
+                }
+                Change::QuarantineOver(request) => {
+                    Arc::make_mut(&mut quarantined).remove(&request);
+                }
+                _ => {}
+            }
+        }
+        self.quarantined.store(quarantined);
+    }
+
     fn on_duty_holder_gone(&self, revision: Revision) {
         let entry = self.duty_holder.load();
         let entry = entry.without_holder(revision, self.clock.now());
--- a/crates/gateway/src/decisions/admission/refusal.rs
+++ b/crates/gateway/src/decisions/admission/refusal.rs
@@ -63,6 +63,10 @@
     /// The client's time is over, and the request may have run.
     #[display("timed_out")]
     TimedOut,
+    /// Endpoints have ended under this request, now or at an earlier try. It has run, and coming
+    /// back is of no use.
+    #[display("ends_endpoints")]
+    EndsEndpoints,
     /// An endpoint took the request, and no whole answer came.
     #[display("outcome_unknown")]
     OutcomeUnknown,
@@ -83,7 +87,7 @@
             | Self::MemoryFull
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::EndsEndpoints | Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
         }
     }
 
--- /dev/null
+++ b/crates/gateway/src/decisions/resend/crash_count.rs
@@ -0,0 +1,310 @@
+//! Crash count: which requests end the endpoints that run them, and are no longer passed on?
+//!
+//! Inputs: news of this daemon and of all others ([`CrashNews`]): a request was under way at an
+//! endpoint when that ended; a request was answered well; a request is under quarantine. Each with
+//! its moment, by this daemon's clock (ms).
+//!
+//! Rules:
+//! - A request under which [`PROOF_CRASHES`] endpoints have ended is put under quarantine for
+//!   [`QUARANTINE`]. An endpoint counts once for a request, whoever saw its end and however often:
+//!   retries, hedges, resumed streams and other tries of the client are one count.
+//! - A good answer clears the request of the ends before it: whoever polls with equal requests
+//!   isn't to blame for what ended beside them.
+//! - An endpoint that ended under a request already under quarantine counts for no other request
+//!   that was there: that end is explained.
+//!
+//! Reason: an endpoint that ends takes all its requests with it, and most of them aren't the cause.
+//! One that is comes again, and ends every endpoint that begins it; each end costs the fleet an
+//! engine for some seconds, and a customer's repeats took all of a service's engines down.
+//!
+//! News are a set: the order in which they come, and how often, makes no difference to the count.
+//! What is kept is bounded, see the constants.
+//!
+//! Tests: `crash_count.rs`, `crashing_requests.rs`.
+
+use crate::request_fingerprint::RequestFingerprint;
+use crate::work_by_endpoint::EndpointHash;
+use bridgevane_types::{DurationMs, TimeMs};
+use std::collections::HashMap;
+
+/// Endpoints that end under a request before it is taken for the cause. The users' bound: more may be
+/// reached while the news travels, for as long as a daemon may be out of touch, and three later.
+pub const PROOF_CRASHES: usize = 3;
+/// How long a request stays under quarantine, and how long an end counts. Chosen because it is the
+/// longest lease of the users' store, under which a quarantine outlives all daemons; not measured.
+/// Longer keeps requests out for which the engines may have been mended meanwhile.
+pub const QUARANTINE: DurationMs = DurationMs(600_000);
+/// Requests that are counted and not under quarantine, at most: those with the fewest ends give
+/// way, then the oldest. Not measured, chosen because sixteen engines of 64 slots may end at once
+/// with all of their requests; 0.2 MB.
+const MAX_SUSPECTS: usize = 1_024;
+/// Requests under quarantine at most; the oldest give way. Not measured, chosen because each has
+/// cost three engines; 0.2 MB.
+const MAX_QUARANTINED: usize = 4_096;
+/// Explained ends that are kept at most; the oldest give way. Not measured, chosen because news of
+/// an end come within seconds.
+const MAX_EXPLAINED: usize = 256;
+
+/// One fact about a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashNews {
+    /// The request.
+    pub request: RequestFingerprint,
+    /// When it was seen, by this daemon's clock.
+    pub at: TimeMs,
+    /// What was seen.
+    pub fact: CrashFact,
+}
+
+/// What was seen of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashFact {
+    /// It was under way at this endpoint when that ended.
+    Crashed(EndpointHash),
+    /// It was answered well.
+    Served,
+    /// It is under quarantine.
+    Quarantined,
+}
+
+/// What became of a piece of news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewsOutcome {
+    /// It changes nothing.
+    Known,
+    /// It is taken in.
+    New,
+    /// It puts the request under quarantine.
+    Quarantines,
+}
+
+/// Up to where news have been told to another daemon.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct NewsCursor(u64);
+
+#[derive(Clone, Copy, Debug)]
+struct CountedCrash {
+    endpoint: EndpointHash,
+    at: TimeMs,
+    cursor: NewsCursor,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    crashes: Vec<CountedCrash>,
+    served: Option<(TimeMs, NewsCursor)>,
+}
+
+impl Suspect {
+    fn newest(&self) -> TimeMs {
+        let crashes = self.crashes.iter().map(|crash| crash.at);
+        let served = self.served.map(|(at, _)| at);
+        crashes.chain(served).max().unwrap_or_default()
+    }
+
+    fn is_cleared_at(&self, at: TimeMs) -> bool {
+        self.served.is_some_and(|(served, _)| served >= at)
+    }
+
+    fn has(&self, endpoint: EndpointHash) -> bool {
+        self.crashes.iter().any(|crash| crash.endpoint == endpoint)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Quarantined {
+    since: TimeMs,
+    cursor: NewsCursor,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Explained {
+    by: RequestFingerprint,
+    at: TimeMs,
+    cursor: NewsCursor,
+}
+
+/// What is known of all requests.
+#[derive(Debug, Default)]
+pub struct CrashCount {
+    suspects: HashMap<RequestFingerprint, Suspect>,
+    quarantined: HashMap<RequestFingerprint, Quarantined>,
+    explained: HashMap<EndpointHash, Explained>,
+    newest: NewsCursor,
+}
+
+impl CrashCount {
+    /// Takes a piece of news in.
+    pub fn take(&mut self, now: TimeMs, news: CrashNews) -> NewsOutcome {
+        if is_over(now, news.at) {
+            return NewsOutcome::Known;
+        }
+        match news.fact {
+            CrashFact::Crashed(endpoint) => self.on_crashed(news, endpoint),
+            CrashFact::Served => self.on_served(news),
+            CrashFact::Quarantined => self.quarantine(news.request, news.at),
+        }
+    }
+
+    fn on_crashed(&mut self, news: CrashNews, endpoint: EndpointHash) -> NewsOutcome {
+        if self.explained.contains_key(&endpoint) {
+            return NewsOutcome::Known;
+        }
+        if let Some(quarantined) = self.quarantined.get(&news.request) {
+            // The ends that prove it count for other requests, too: any of them may be the cause.
+            if news.at <= quarantined.since {
+                return NewsOutcome::Known;
+            }
+            self.explain(news, endpoint);
+            return NewsOutcome::New;
+        }
+        let cursor = self.next_cursor();
+        let suspect = self.suspects.entry(news.request).or_default();
+        if suspect.is_cleared_at(news.at) || suspect.has(endpoint) {
+            return NewsOutcome::Known;
+        }
+        suspect.crashes.push(CountedCrash {
+            endpoint,
+            at: news.at,
+            cursor,
+        });
+        if suspect.crashes.len() >= PROOF_CRASHES {
+            let since = suspect.newest();
+            return self.quarantine(news.request, since);
+        }
+        self.bound_suspects();
+        NewsOutcome::New
+    }
+
+    fn explain(&mut self, news: CrashNews, endpoint: EndpointHash) {
+        let explained = Explained {
+            by: news.request,
+            at: news.at,
+            cursor: self.next_cursor(),
+        };
+        drop_one_if_full(&mut self.explained, MAX_EXPLAINED, |known| known.at);
+        self.explained.insert(endpoint, explained);
+        for suspect in self.suspects.values_mut() {
+            suspect.crashes.retain(|crash| crash.endpoint != endpoint);
+        }
+    }
+
+    fn on_served(&mut self, news: CrashNews) -> NewsOutcome {
+        let cursor = self.next_cursor();
+        let Some(suspect) = self.suspects.get_mut(&news.request) else {
+            return NewsOutcome::Known;
+        };
+        if suspect.is_cleared_at(news.at) {
+            return NewsOutcome::Known;
+        }
+        suspect.served = Some((news.at, cursor));
+        suspect.crashes.retain(|crash| crash.at > news.at);
+        NewsOutcome::New
+    }
+
+    fn quarantine(&mut self, request: RequestFingerprint, since: TimeMs) -> NewsOutcome {
+        if self.quarantined.contains_key(&request) {
+            return NewsOutcome::Known;
+        }
+        self.suspects.remove(&request);
+        let cursor = self.next_cursor();
+        drop_one_if_full(&mut self.quarantined, MAX_QUARANTINED, |known| known.since);
+        self.quarantined
+            .insert(request, Quarantined { since, cursor });
+        NewsOutcome::Quarantines
+    }
+
+    fn next_cursor(&mut self) -> NewsCursor {
+        self.newest.0 += 1;
+        self.newest
+    }
+
+    fn bound_suspects(&mut self) {
+        drop_one_if_full(&mut self.suspects, MAX_SUSPECTS + 1, |suspect| {
+            (suspect.crashes.len(), suspect.newest())
+        });
+    }
+
+    /// Forgets what no longer counts.
+    pub fn expire(&mut self, now: TimeMs) {
+        self.quarantined
+            .retain(|_, known| !is_over(now, known.since));
+        self.explained.retain(|_, known| !is_over(now, known.at));
+        self.suspects
+            .retain(|_, suspect| !is_over(now, suspect.newest()));
+    }
+
+    /// The requests under quarantine, and until when.
+    pub fn quarantined(&self) -> impl Iterator<Item = (RequestFingerprint, TimeMs)> {
+        let known = self.quarantined.iter();
+        known.map(|(request, known)| (*request, known.since + QUARANTINE))
+    }
+
+    /// The requests under which endpoints have ended, and which aren't under quarantine.
+    pub fn suspects(&self) -> impl Iterator<Item = RequestFingerprint> {
+        let suspects = self.suspects.iter();
+        let counted = suspects.filter(|(_, suspect)| !suspect.crashes.is_empty());
+        counted.map(|(request, _)| *request)
+    }
+
+    /// Up to where there is news.
+    pub fn newest(&self) -> NewsCursor {
+        self.newest
+    }
+
+    /// The oldest `max` news after `cursor`, and up to where they go.
+    pub fn news_after(&self, cursor: NewsCursor, max: usize) -> (Vec<CrashNews>, NewsCursor) {
+        let mut news: Vec<(NewsCursor, CrashNews)> = self.all_news().collect();
+        news.retain(|(at, _)| *at > cursor);
+        news.sort_unstable_by_key(|(at, _)| *at);
+        let is_cut = news.len() > max;
+        news.truncate(max);
+        let last = news.last().map_or(self.newest, |(at, _)| *at);
+        let told = if is_cut { last } else { self.newest };
+        (news.into_iter().map(|(_, news)| news).collect(), told)
+    }
+
+    fn all_news(&self) -> impl Iterator<Item = (NewsCursor, CrashNews)> {
+        let crashes = self.suspects.iter().flat_map(|(request, suspect)| {
+            let crashes = suspect.crashes.iter().map(|crash| {
+                let fact = CrashFact::Crashed(crash.endpoint);
+                (crash.cursor, news(*request, crash.at, fact))
+            });
+            let served = suspect.served.into_iter();
+            let served = served.map(|(at, cursor)| (cursor, news(*request, at, CrashFact::Served)));
+            crashes.chain(served)
+        });
+        let quarantined = self.quarantined.iter().map(|(request, known)| {
+            let told = news(*request, known.since, CrashFact::Quarantined);
+            (known.cursor, told)
+        });
+        let explained = self.explained.iter().map(|(endpoint, known)| {
+            let fact = CrashFact::Crashed(*endpoint);
+            (known.cursor, news(known.by, known.at, fact))
+        });
+        crashes.chain(quarantined).chain(explained)
+    }
+}
+
+fn news(request: RequestFingerprint, at: TimeMs, fact: CrashFact) -> CrashNews {
+    CrashNews { request, at, fact }
+}
+
+fn is_over(now: TimeMs, at: TimeMs) -> bool {
+    now.since(at) >= QUARANTINE
+}
+
+/// Makes room for one more by dropping the entry with the least rank.
+fn drop_one_if_full<K: Copy + Eq + std::hash::Hash, V, R: Ord>(
+    map: &mut HashMap<K, V>,
+    max: usize,
+    rank: impl Fn(&V) -> R,
+) {
+    if map.len() < max {
+        return;
+    }
+    let least = map.iter().min_by_key(|(_, value)| rank(value));
+    if let Some(key) = least.map(|(key, _)| *key) {
+        map.remove(&key);
+    }
+}
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -8,6 +8,7 @@
 use crate::endpoints::health::EndpointHealth;
 use crate::endpoints::idle_connections::IdleConnections;
 use crate::endpoints::load::EndpointLoad;
+use crate::endpoints::lost_requests::LostRequests;
 use crate::work_by_endpoint::EndpointHash;
 use arc_swap::ArcSwap;
 use bridgevane_decisions::EndpointIx;
@@ -48,6 +49,8 @@
     pub health: EndpointHealth,
     /// Open connections without a request.
     pub(crate) idle_connections: IdleConnections,
+    /// Requests that were under way when a connection broke.
+    pub(crate) lost_requests: LostRequests,
     /// When it counts as gone, since its record went during an outage of the source.
     expires_at: AtomicTime,
 }
@@ -62,6 +65,7 @@
             load: EndpointLoad::default(),
             health: EndpointHealth::default(),
             idle_connections: IdleConnections::default(),
+            lost_requests: LostRequests::default(),
             expires_at: AtomicTime::default(),
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 //! | [`Fleet`] | what is known of the other daemons |
 //! | [`PromptLocations`] | which engines read which prompts |
 //! | [`DutyBook`] | this daemon's part in the duties |
+//! | [`Quarantine`] | which requests end the endpoints that run them |
 //! | [`RetryBudgets`] | this daemon's requests and retries of the last window |
 //! | [`Shutdown`] | how far a planned stop has come |
 //! | counters | requests in progress, clients' connections, bytes of bodies |
@@ -23,6 +24,7 @@
 use crate::lifecycle::shutdown::Shutdown;
 use crate::metrics::GatewayMetrics;
 use crate::replication::fleet::Fleet;
+use crate::requests::quarantine::Quarantine;
 use crate::requests::retry_budgets::RetryBudgets;
 use crate::settings::GatewaySettings;
 use crate::unreadable_headers::{HeaderReader, Sender, UnreadableHeaders};
@@ -46,6 +48,8 @@
     /// This daemon's part in the duties.
     pub duty_book: DutyBook,
     pub(crate) prompt_locations: PromptLocations,
+    /// Requests that end the endpoints that run them.
+    pub quarantine: Quarantine,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) requests_in_progress: Counter,
     pub(crate) open_connections: Counter,
@@ -62,6 +66,7 @@
             control: ControlState::new(clock, &settings),
             fleet: Fleet::new(clock, &settings),
             duty_book: DutyBook::new(clock, &settings),
+            quarantine: Quarantine::new(clock),
             retry_budgets: RetryBudgets::new(clock.now(), &settings),
             settings,
             clock,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod prompt;
 mod replication;
+mod request_fingerprint;
 mod requests;
 mod route;
 mod settings;
@@ -37,12 +38,14 @@
 pub use lifecycle::readiness::run as serve_readiness;
 pub use lifecycle::stop::run as stop_gracefully;
 pub use replication::follow::run as follow_control_source;
+pub use replication::quarantine_writer::run as store_quarantine;
 pub use replication::server::run as serve_peers;
 pub use requests::front::run as serve_clients;
 pub use settings::{DutySettings, GatewaySettings};
 
 // What an adapter of a platform implements and fills in.
 pub use control::holder_record::HolderRecord;
+pub use control::quarantine_store::QuarantineStore;
 pub use control::routing_table::{RoutingParts, RoutingTable};
 pub use control::source::{
     Change, Changes, ControlSource, FullState, Revision, SourceError, SourceRecord,
@@ -69,6 +72,7 @@
 pub use prompt::{Prompt, PromptPart};
 pub use replication::message::{MessageError, put_update, take_update};
 pub use replication::work_reports::WorkReports;
-pub use requests::fingerprint::RequestFingerprint;
+pub use request_fingerprint::RequestFingerprint;
+pub use requests::quarantine::Quarantine;
 pub use requests::retry_budgets::RetryBudgets;
 pub use work_by_endpoint::{EndpointHash, Work, WorkByEndpoint};
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -7,6 +7,7 @@
 use crate::control::source::Revision;
 use crate::decisions::replication::source_path::SourcePath;
 use crate::gateway::Gateway;
+use crate::replication::crash_news::{self, ToldNews};
 use crate::replication::fleet::own_work;
 use crate::replication::message::{
     CLOCK_GRAIN_MS, addresses_of_messages, path_of_message, take_update, work_messages,
@@ -76,10 +77,18 @@
 /// A connection between daemons.
 pub(crate) type FramedStream = Framed<TcpStream, FrameCodec>;
 
+/// A connection to one daemon, and what it was told there.
+#[derive(Debug)]
+struct OpenPeer {
+    address: SocketAddr,
+    frames: FramedStream,
+    told_news: ToldNews,
+}
+
 /// A connection to the daemon that is asked at present.
 #[derive(Debug, Default)]
 pub(crate) struct PeerClient {
-    open: Option<(SocketAddr, FramedStream)>,
+    open: Option<OpenPeer>,
 }
 
 impl PeerClient {
@@ -94,18 +103,22 @@
         peer: SocketAddr,
         after: Revision,
     ) -> Result<PeerAnswer, PeerError> {
-        let mut frames = self.connect(peer).await?;
+        let mut open = self.connect(peer).await?;
         let own_work = own_work(&gateway.control.directory());
-        let question = question(gateway, peer, after);
+        let question = RecordsWanted {
+            crash_news: open.told_news.next(gateway),
+            ..question(gateway, peer, after)
+        };
         let limit = if after == Revision(0) {
             WHOLE_STATE_TIMEOUT
         } else {
             ANSWER_TIMEOUT
         };
         let asked_at = gateway.clock.now();
-        let answer = timeout(limit, exchange(&mut frames, question)).await;
+        let answer = timeout(limit, exchange(&mut open.frames, question)).await;
         let answer = answer.map_err(|_| PeerError::NoAnswer)??;
-        self.open = Some((peer, frames));
+        crash_news::take_in(gateway, &answer.crash_news);
+        self.open = Some(open);
         decode(asked_at, answer, &own_work)
     }
 
@@ -118,17 +131,19 @@
         gateway: &Gateway,
         peer: SocketAddr,
     ) -> Result<ProbeAnswer, PeerError> {
-        let mut frames = self.connect(peer).await?;
+        let mut open = self.connect(peer).await?;
         let question = RecordsWanted {
             is_for_work: true,
+            crash_news: open.told_news.next(gateway),
             peer_address: own_address(gateway),
             proof_age_ms: proof_age_ms(gateway),
             ..Default::default()
         };
         let asked_at = gateway.clock.now();
-        let answer = timeout(ANSWER_TIMEOUT, exchange(&mut frames, question)).await;
+        let answer = timeout(ANSWER_TIMEOUT, exchange(&mut open.frames, question)).await;
         let answer = answer.map_err(|_| PeerError::NoAnswer)??;
-        self.open = Some((peer, frames));
+        crash_news::take_in(gateway, &answer.crash_news);
+        self.open = Some(open);
         Ok(ProbeAnswer {
             at: Revision(answer.at),
             data_centre: DataCentreId::from(answer.data_centre.as_str()),
@@ -144,11 +159,15 @@
     }
 
     /// The open connection, if it leads to `peer`, or a new one.
-    async fn connect(&mut self, peer: SocketAddr) -> Result<FramedStream, PeerError> {
-        match self.open.take() {
-            Some((address, frames)) if address == peer => Ok(frames),
-            _ => open(peer).await,
+    async fn connect(&mut self, peer: SocketAddr) -> Result<OpenPeer, PeerError> {
+        if let Some(open) = self.open.take().filter(|open| open.address == peer) {
+            return Ok(open);
         }
+        Ok(OpenPeer {
+            address: peer,
+            frames: open(peer).await?,
+            told_news: ToldNews::default(),
+        })
     }
 }
 
@@ -176,6 +195,7 @@
         tree_work: work_messages(&tree.work),
         is_for_work: false,
         proof_age_ms: proof_age_ms(gateway),
+        crash_news: Vec::new(),
     }
 }
 
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -10,6 +10,7 @@
 use crate::decisions::replication::hold::hold;
 use crate::duties::codec::report_of_message;
 use crate::gateway::Gateway;
+use crate::replication::crash_news::{self, ToldNews};
 use crate::replication::fleet::FresherDaemon;
 use crate::replication::message::{
     CLOCK_GRAIN_MS, path_message, put_update, work_messages, work_of_messages,
@@ -25,7 +26,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
 /// How long a daemon may take from one question to the next. Not measured, chosen because a
@@ -38,6 +39,10 @@
 /// daemons when all started at once, of 128 that were allowed then.
 const MAX_CONNECTIONS: u64 = 512;
 
+/// How long news of requests that end endpoints gather before they are told: an endpoint that ends makes
+/// many at once. Not measured by itself, chosen as a quarter of the time that a busy question is held.
+const GATHER_CRASH_NEWS: Duration = Duration::from_millis(50);
+
 /// Answers until the daemon ends.
 pub async fn run(gateway: Arc<Gateway>, listener: TcpListener) {
     let connections = Counter::default();
@@ -61,6 +66,7 @@
     let mut frames = Framed::new(stream, FrameCodec::default());
     // When the proof that was last sent on this connection was made.
     let mut sent_proof: Option<TimeMs> = None;
+    let mut told_news = ToldNews::default();
     let mut answers = 0;
     loop {
         let Ok(Some(frame)) = timeout(NEXT_QUESTION_TIMEOUT, frames.next()).await else {
@@ -77,20 +83,25 @@
             _ => return Ok(()),
         };
         note_proof(gateway, &question);
+        crash_news::take_in(gateway, &question.crash_news);
         let placement = if question.is_for_work {
             None
         } else {
             Some(place(gateway, &question))
         };
         let answer = match placement {
-            None => place_in_tree(gateway),
+            None => RecordsAnswer {
+                crash_news: told_news.next(gateway),
+                ..place_in_tree(gateway)
+            },
             Some(FollowerPlacement::Circle) => circle(gateway, &question),
             Some(FollowerPlacement::Redirect(address)) => redirection(gateway, address),
             Some(FollowerPlacement::Here) => {
                 let asked = Instant::now();
-                wait_for_news(gateway, sent_proof, &question, asked).await;
+                wait_for_news(gateway, sent_proof, &told_news, &question, asked).await;
                 let (mut answer, proved_at) = records(gateway, &question, asked);
                 sent_proof = proved_at;
+                answer.crash_news = told_news.next(gateway);
                 if answers % SIBLINGS_EVERY == 0 {
                     let siblings = gateway.fleet.siblings(&VmId::from(question.vm.as_str()));
                     answer.siblings = siblings.iter().map(ToString::to_string).collect();
@@ -197,6 +208,7 @@
 async fn wait_for_news(
     gateway: &Gateway,
     sent_proof: Option<TimeMs>,
+    told_news: &ToldNews,
     question: &RecordsWanted,
     asked: Instant,
 ) {
@@ -207,11 +219,19 @@
         has_changes || has_new_proof
     });
     let total_work = || gateway.fleet.total_work(&gateway.control.directory());
-    let is_busy = !question.tree_work.is_empty() || !total_work().is_small();
+    let is_busy = !question.tree_work.is_empty()
+        || !total_work().is_small()
+        || gateway.quarantine.has_suspects();
     let limits = gateway.settings.proof_limits();
     let hold = hold(is_busy, gateway.control.proof_age(), limits).as_std();
     // Without news the answer says so: it shows that this daemon is there.
-    let _ = timeout_at(asked + hold, waiting).await;
+    let _ = timeout_at(asked + hold, async {
+        tokio::select! {
+            _ = async { waiting.await.is_ok() } => {}
+            () = told_news.wait(gateway) => sleep(GATHER_CRASH_NEWS).await,
+        }
+    })
+    .await;
 }
 
 /// The records that the daemon lacks, and the moment of the proof that goes along.
--- a/crates/gateway/src/requests/fingerprint.rs
+++ b/crates/gateway/src/request_fingerprint.rs
@@ -1,14 +1,19 @@
-//! What makes two requests equal, whoever sends them and however often: caller, method, path and
+//! What makes two requests equal, whoever sends them and however often: customer, method, path and
 //! body. Two tries of a client have identifiers of their own, and the same fingerprint.
 
-use crate::requests::inbound::InboundRequest;
 use bridgevane_types::CustomerId;
 use bytes::Bytes;
-use derive_more::Display;
+use derive_more::{Display, Error};
 use http::Method;
 use http::uri::PathAndQuery;
+use std::str::FromStr;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+/// Hexadecimal digits of [`RequestFingerprint::customer`].
+const CUSTOMER_DIGITS: usize = 8;
+/// Hexadecimal digits of [`RequestFingerprint::content`].
+const CONTENT_DIGITS: usize = 16;
+
 /// A request's identity across tries, the same on every daemon.
 ///
 /// The customer has bits of its own: whoever makes up content whose hash is another's can meet only
@@ -43,9 +48,25 @@
             content: content.digest(),
         }
     }
+}
+
+/// A text that is no fingerprint.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("a fingerprint has 24 hexadecimal digits")]
+pub struct NoFingerprint;
 
-    pub(crate) fn of(inbound: &InboundRequest) -> Self {
-        let customer = inbound.customer.as_ref().map(|customer| &customer.id);
-        Self::new(customer, &inbound.method, &inbound.path, &inbound.body)
+impl FromStr for RequestFingerprint {
+    type Err = NoFingerprint;
+
+    fn from_str(text: &str) -> Result<Self, NoFingerprint> {
+        let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != CUSTOMER_DIGITS + CONTENT_DIGITS || !is_hex {
+            return Err(NoFingerprint);
+        }
+        let (customer, content) = text.split_at(CUSTOMER_DIGITS);
+        Ok(Self {
+            customer: u32::from_str_radix(customer, 16).map_err(|_| NoFingerprint)?,
+            content: u64::from_str_radix(content, 16).map_err(|_| NoFingerprint)?,
+        })
     }
 }
--- /dev/null
+++ b/crates/gateway/src/requests/crash_check.rs
@@ -0,0 +1,58 @@
+//! Crash check: when a connection to an endpoint breaks under a request, has the endpoint ended?
+//!
+//! Answers get lost, connections are reset and streams break off at endpoints that go on; only one
+//! that takes no new connection has ended. One connection is opened to find out, whatever the number
+//! of requests that broke there; at an endpoint that lives it is kept for the next request.
+
+use crate::decisions::endpoint::idle_connections::idle_timeout;
+use crate::decisions::resend::OpenError;
+use crate::endpoints::connection::Connection;
+use crate::endpoints::endpoint::Endpoint;
+use crate::gateway::Gateway;
+use crate::request_fingerprint::RequestFingerprint;
+use bridgevane_events::{Event, event};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// How long the new connection may take. Not measured, chosen because an endpoint that has ended
+/// refuses after one round trip; silence says that the way there is cut, and proves nothing.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A connection to the endpoint broke while this request was under way there.
+pub(crate) fn begin(gateway: &Arc<Gateway>, endpoint: &Arc<Endpoint>, request: RequestFingerprint) {
+    if endpoint.lost_requests.add(request) {
+        tokio::spawn(check(gateway.clone(), endpoint.clone()));
+    }
+}
+
+/// Waits until the check that is under way has ended.
+pub(crate) async fn finished(endpoint: &Endpoint) {
+    // A check that takes longer proves nothing.
+    let _ = timeout(CHECK_TIMEOUT, endpoint.lost_requests.checked()).await;
+}
+
+async fn check(gateway: Arc<Gateway>, endpoint: Arc<Endpoint>) {
+    let address = endpoint.record.load().address;
+    let opened = Connection::open(address, CHECK_TIMEOUT).await;
+    let lost = endpoint.lost_requests.end_check();
+    match opened {
+        Err(OpenError::Refused) => {
+            event!(
+                Event::EndpointCrashed,
+                endpoint = endpoint.record.load().id,
+                requests = lost.len()
+            );
+            gateway.quarantine.on_crashed(endpoint.hash, &lost);
+        }
+        Err(OpenError::TimedOut) => {}
+        Ok(connection) => {
+            if let Some(idle_timeout) = idle_timeout(None) {
+                let max_idle = gateway.max_idle_connections(&endpoint);
+                let idle_connections = &endpoint.idle_connections;
+                idle_connections.put(connection, idle_timeout, max_idle);
+            }
+        }
+    }
+    endpoint.lost_requests.release();
+}
--- a/crates/gateway/src/requests/exchange.rs
+++ b/crates/gateway/src/requests/exchange.rs
@@ -15,6 +15,7 @@
 use crate::endpoints::selection::{Selected, SelectionRequest, select_endpoint};
 use crate::gateway::Gateway;
 use crate::requests::attempt::{Attempt, EndpointAnswer, Hedge};
+use crate::requests::crash_check;
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head;
 use crate::route::Route;
@@ -85,7 +86,12 @@
             match self.attempt(&selected, last_event_id).await {
                 Ok(answer) if self.is_retried(&answer) => {}
                 Ok(answer) => return Ok(answer),
-                Err(error) => self.after_attempt(&selected.endpoint, error)?,
+                Err(error) => {
+                    if error == AttemptError::Broken {
+                        self.on_broken(&selected.endpoint).await;
+                    }
+                    self.after_attempt(&selected.endpoint, error)?;
+                }
             }
         }
     }
@@ -101,13 +107,39 @@
                 Ok(Err(_)) => AttemptError::Broken,
                 Err(_) => AttemptError::TimedOut,
             };
+            if error == AttemptError::Broken {
+                self.on_broken(answer.endpoint()).await;
+            }
             self.after_broken_answer(answer, error)?;
         }
     }
 
-    /// Selects an endpoint, and checks that time is left and that the configuration may still be
-    /// acted on.
+    /// A connection broke under the request: the endpoint may have ended, and the request be the
+    /// cause. One under which another has ended before isn't sent on until that is known.
+    pub(crate) async fn on_broken(&self, endpoint: &Arc<Endpoint>) {
+        crash_check::begin(&self.gateway, endpoint, self.inbound.fingerprint());
+        if self
+            .gateway
+            .quarantine
+            .is_suspect(|| self.inbound.fingerprint())
+        {
+            crash_check::finished(endpoint).await;
+        }
+    }
+
+    /// Whether the request is known to end the endpoints that run it.
+    fn is_stopped(&self) -> bool {
+        let fingerprint = || self.inbound.fingerprint();
+        self.gateway.quarantine.is_stopped(fingerprint)
+            || self.gateway.control.is_quarantined(fingerprint)
+    }
+
+    /// Selects an endpoint, and checks that time is left, that the request doesn't end endpoints, and
+    /// that the configuration may still be acted on.
     fn select(&self) -> Result<Selected, RefusalReason> {
+        if self.is_stopped() {
+            return Err(RefusalReason::EndsEndpoints);
+        }
         if self.inbound.remaining() < resend::MIN_REMAINING {
             return Err(RefusalReason::out_of_time(self.runs));
         }
@@ -358,6 +390,16 @@
     /// Counts an answer that reached its end, and logs it; of the plain successes a sample.
     pub(crate) fn on_served(&self, answer: &EndpointAnswer, pace: Pace) {
         let status = answer.head.status;
+        if status.is_success()
+            && self
+                .gateway
+                .quarantine
+                .is_suspect(|| self.inbound.fingerprint())
+        {
+            self.gateway
+                .quarantine
+                .on_served(self.inbound.fingerprint());
+        }
         let metrics = &self.gateway.metrics;
         metrics.served(&self.inbound.service, status.as_u16(), pace.first);
         let is_plain_success = status == StatusCode::OK && self.runs == 1;
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -5,7 +5,7 @@
 use crate::decisions::admission::priority::Priority;
 use crate::header_names::HeaderNames;
 use crate::prompt::Prompt;
-use crate::requests::fingerprint::RequestFingerprint;
+use crate::request_fingerprint::RequestFingerprint;
 use crate::route::{Customer, Route};
 use bridgevane_types::ServiceName;
 use bytes::Bytes;
@@ -54,7 +54,10 @@
 
     /// What it has in common with other tries of the same request.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
-        *(self.fingerprint).get_or_init(|| RequestFingerprint::of(self))
+        *(self.fingerprint).get_or_init(|| {
+            let customer = self.customer.as_ref().map(|customer| &customer.id);
+            RequestFingerprint::new(customer, &self.method, &self.path, &self.body)
+        })
     }
 
     /// Its identifier for logs.
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -7,18 +7,22 @@
 //! 4. [`relay`] passes a stream on and resumes it elsewhere ([`server_events`] cuts it into
 //!    events); [`answer_body`] is what the client reads.
 //!
+//! When an endpoint's connection breaks, [`crash_check`] looks whether the endpoint has ended, and
+//! [`quarantine`] remembers which requests ran there.
+//!
 //! What may be refused, retried or given up is decided in [`crate::decisions`]; these modules
 //! gather the inputs, act and log.
 
 pub(crate) mod admission;
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
+pub(crate) mod crash_check;
 pub(crate) mod exchange;
-pub(crate) mod fingerprint;
 pub(crate) mod front;
 pub(crate) mod handler;
 pub(crate) mod in_flight;
 pub(crate) mod inbound;
+pub(crate) mod quarantine;
 pub(crate) mod relay;
 pub(crate) mod request_headers;
 pub(crate) mod response_head;
--- /dev/null
+++ b/crates/gateway/src/requests/quarantine.rs
@@ -0,0 +1,188 @@
+//! The quarantine: which requests end the endpoints that run them, as far as this daemon knows.
+//!
+//! Owns the count behind a lock, and a view of it that requests read without one. Lost with the
+//! process; a new one hears it from other daemons, and reads from the control source what they have
+//! stored there ([`crate::replication::quarantine_writer`]). The rule is
+//! [`crate::decisions::resend::crash_count`].
+
+use crate::clock::Clock;
+use crate::decisions::resend::crash_count::{
+    CrashCount, CrashFact, CrashNews, NewsCursor, NewsOutcome,
+};
+use crate::request_fingerprint::RequestFingerprint;
+use crate::work_by_endpoint::EndpointHash;
+use arc_swap::ArcSwap;
+use bridgevane_events::{Event, event};
+use bridgevane_types::{DurationMs, TimeMs};
+use std::collections::{HashMap, HashSet};
+use std::sync::{Mutex, MutexGuard};
+use tokio::sync::{Notify, watch};
+
+/// What requests read.
+#[derive(Debug, Default)]
+struct View {
+    /// Requests that are stopped, and until when.
+    stopped: HashMap<RequestFingerprint, TimeMs>,
+    /// Requests under which endpoints have ended, too few to be stopped.
+    suspects: HashSet<RequestFingerprint>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    count: CrashCount,
+    /// Requests that this daemon's own observation put under quarantine, not stored yet.
+    to_store: Vec<RequestFingerprint>,
+}
+
+/// The quarantine.
+#[derive(Debug)]
+pub struct Quarantine {
+    clock: Clock,
+    state: Mutex<State>,
+    view: ArcSwap<View>,
+    /// Up to where there is news for other daemons.
+    newest: watch::Sender<NewsCursor>,
+    /// Wakes the task that stores the quarantine.
+    has_to_store: Notify,
+}
+
+impl Quarantine {
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            state: Mutex::default(),
+            view: ArcSwap::default(),
+            newest: watch::Sender::default(),
+            has_to_store: Notify::new(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no panic under this lock")
+    }
+
+    /// Whether a request is no longer passed on. Its fingerprint is worked out only if any is
+    /// stopped.
+    pub fn is_stopped(&self, request: impl FnOnce() -> RequestFingerprint) -> bool {
+        let view = self.view.load();
+        if view.stopped.is_empty() {
+            return false;
+        }
+        let until = view.stopped.get(&request());
+        until.is_some_and(|until| self.clock.now() < *until)
+    }
+
+    /// Whether endpoints have ended under a request that is still passed on.
+    pub fn is_suspect(&self, request: impl FnOnce() -> RequestFingerprint) -> bool {
+        let view = self.view.load();
+        !view.suspects.is_empty() && view.suspects.contains(&request())
+    }
+
+    /// Whether any request is suspect: news must travel soon.
+    pub(crate) fn has_suspects(&self) -> bool {
+        !self.view.load().suspects.is_empty()
+    }
+
+    /// This daemon saw an endpoint end while these requests were under way there.
+    pub fn on_crashed(&self, endpoint: EndpointHash, requests: &[RequestFingerprint]) {
+        let at = self.clock.now();
+        let news = requests.iter().map(|request| CrashNews {
+            request: *request,
+            at,
+            fact: CrashFact::Crashed(endpoint),
+        });
+        let stopped = self.take(news);
+        if stopped.is_empty() {
+            return;
+        }
+        log_stopped(&stopped, "this daemon");
+        self.state().to_store.extend(stopped);
+        self.has_to_store.notify_one();
+    }
+
+    /// A request was answered well.
+    pub(crate) fn on_served(&self, request: RequestFingerprint) {
+        self.take([CrashNews {
+            request,
+            at: self.clock.now(),
+            fact: CrashFact::Served,
+        }]);
+    }
+
+    /// Another daemon tells its news.
+    pub fn on_news(&self, news: impl IntoIterator<Item = CrashNews>) {
+        let stopped = self.take(news);
+        log_stopped(&stopped, "other daemons");
+    }
+
+    /// Takes news in; gives the requests that they put under quarantine.
+    fn take(&self, news: impl IntoIterator<Item = CrashNews>) -> Vec<RequestFingerprint> {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let before = state.count.newest();
+        let mut stopped = Vec::new();
+        for news in news {
+            if state.count.take(now, news) == NewsOutcome::Quarantines {
+                stopped.push(news.request);
+            }
+        }
+        let newest = state.count.newest();
+        if newest != before {
+            state.count.expire(now);
+            self.view.store(view(&state.count).into());
+            self.newest.send_replace(newest);
+        }
+        stopped
+    }
+
+    /// The oldest `max` news after `cursor`, and up to where they go.
+    pub fn news_after(&self, cursor: NewsCursor, max: usize) -> (Vec<CrashNews>, NewsCursor) {
+        self.state().count.news_after(cursor, max)
+    }
+
+    /// Waits until there is news after `cursor`.
+    pub(crate) async fn news_since(&self, cursor: NewsCursor) {
+        let mut newest = self.newest.subscribe();
+        // The sender is this owner's, and lives as long.
+        let _ = newest.wait_for(|newest| *newest > cursor).await;
+    }
+
+    /// Waits until a request is to be stored.
+    pub(crate) async fn wait_for_stopped(&self) {
+        self.has_to_store.notified().await;
+    }
+
+    /// The requests that this daemon put under quarantine itself since the last call.
+    pub(crate) fn take_to_store(&self) -> Vec<RequestFingerprint> {
+        std::mem::take(&mut self.state().to_store)
+    }
+
+    /// All requests that have been under quarantine for so long at least, and still are.
+    pub(crate) fn stopped_for(&self, age: DurationMs) -> Vec<RequestFingerprint> {
+        let now = self.clock.now();
+        let state = self.state();
+        let stopped = state.count.quarantined();
+        let is_due = |(_, until): &(RequestFingerprint, TimeMs)| {
+            *until > now
+                && until.since(now) + age <= crate::decisions::resend::crash_count::QUARANTINE
+        };
+        stopped.filter(is_due).map(|(request, _)| request).collect()
+    }
+}
+
+fn view(count: &CrashCount) -> View {
+    View {
+        stopped: count.quarantined().collect(),
+        suspects: count.suspects().collect(),
+    }
+}
+
+fn log_stopped(stopped: &[RequestFingerprint], told_by: &str) {
+    for request in stopped {
+        event!(
+            Event::RequestQuarantined,
+            fingerprint = request,
+            told_by = told_by
+        );
+    }
+}
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -166,6 +166,7 @@
         {
             let now = self.exchange.gateway.clock.now();
             answer.endpoint().health.on_failed(now);
+            self.exchange.on_broken(answer.endpoint()).await;
         }
         let resend = match &self.splitter {
             Some(_) => self.exchange.may_resend(Failure::StreamBroken),
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -117,7 +117,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "known red, see KNOWN-RED.txt: a request that ends engines is sent on for ever"]
 async fn a_request_that_has_ended_three_engines_is_stopped_on_every_daemon() {
     let source = source();
     let engines = CrashingEngines::start(&source, 24, RUN).await;
@@ -147,7 +146,6 @@
 
 /// No daemon keeps anything: after all have been replaced, only what lies at the source is left.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "known red, see KNOWN-RED.txt: a request that ends engines is sent on for ever"]
 async fn a_request_that_is_stopped_stays_so_when_all_daemons_are_replaced() {
     let source = source();
     let engines = CrashingEngines::start(&source, 24, RUN).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,7 +9,7 @@
 
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
 use bridgevane_gateway::{
-    Gateway, GatewaySettings, HeaderNames, follow_control_source, serve_clients,
+    Gateway, GatewaySettings, HeaderNames, follow_control_source, serve_clients, store_quarantine,
 };
 use bridgevane_types::{Bytes, DurationMs, Share};
 use http::HeaderName;
@@ -91,6 +91,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it listens");
     tokio::spawn(follow_control_source(gateway.clone(), source.clone()));
+    tokio::spawn(store_quarantine(gateway.clone(), source.clone()));
     tokio::spawn(serve_clients(gateway.clone(), listener));
     while !gateway.is_ready() {
         tokio::task::yield_now().await;
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -2,8 +2,8 @@
 
 use bridgevane_gateway::{
     Change, Changes, ClientLimits, ControlSource, Customer, EndpointRecord, FullState,
-    Repeatability, Revision, Route, RouteTarget, RoutingParts, RoutingTable, Service, SourceError,
-    SourceRecord, StreamPolicy,
+    QuarantineStore, Repeatability, RequestFingerprint, Revision, Route, RouteTarget, RoutingParts,
+    RoutingTable, Service, SourceError, SourceRecord, StreamPolicy,
 };
 use bridgevane_types::{Bytes, ConfigVersion, DurationMs, EndpointId, Tier};
 use std::collections::HashMap;
@@ -62,6 +62,8 @@
             Change::Routing(_) | Change::Unreadable(_) => (CONFIG.to_owned(), false),
             Change::DutyHolder(_) => (DUTY_HOLDER.to_owned(), false),
             Change::DutyHolderGone => (DUTY_HOLDER.to_owned(), true),
+            Change::Quarantined(request) => (format!("quarantine/{request}"), false),
+            Change::QuarantineOver(request) => (format!("quarantine/{request}"), true),
             Change::Endpoint(record) => (record.id.to_string(), false),
             Change::EndpointGone(id) => (id.to_string(), true),
         };
@@ -219,6 +221,19 @@
     }
 }
 
+impl QuarantineStore for ScriptedSource {
+    async fn store_quarantined(
+        &self,
+        requests: &[RequestFingerprint],
+        _kept_ms: DurationMs,
+    ) -> Result<(), SourceError> {
+        for request in requests {
+            self.put(Change::Quarantined(*request));
+        }
+        Ok(())
+    }
+}
+
 /// A route to a plain service, under `/name/`.
 pub fn plain_route(name: &str, repeatability: Repeatability, max_attempts: u32) -> Route {
     Route {
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -1,13 +1,14 @@
 //! Golden bytes of each message, and frames that must be refused.
 
+use bridgevane_protocol::crash_news::Fact;
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::record_change::Change;
 use bridgevane_protocol::{
-    ConfigDelta, ConfigSnapshot, ConfigWanted, EndpointWork, Frame, FrameCodec, FrameError,
-    GreetingError, Heartbeat, Hello, KeyClaim, KeyEnded, KeyVerdict, MAX_FRAME_BYTES, MemberState,
-    MemberUpdate, PROTOCOL_VERSION, PoolDispatch, PoolOffer, PoolOrder, PoolRefuse, PoolReport,
-    Proof, Query, QueryAnswer, RecordChange, RecordPatch, RecordsAnswer, RecordsWanted, Role,
-    SectionChange, SourcePath, greet, pool_order, pool_report, prove,
+    ConfigDelta, ConfigSnapshot, ConfigWanted, CrashNews, EndpointWork, Frame, FrameCodec,
+    FrameError, GreetingError, Heartbeat, Hello, KeyClaim, KeyEnded, KeyVerdict, MAX_FRAME_BYTES,
+    MemberState, MemberUpdate, PROTOCOL_VERSION, PoolDispatch, PoolOffer, PoolOrder, PoolRefuse,
+    PoolReport, Proof, Query, QueryAnswer, RecordChange, RecordPatch, RecordsAnswer, RecordsWanted,
+    Role, SectionChange, SourcePath, greet, pool_order, pool_report, prove,
 };
 use bytes::{BufMut, Bytes, BytesMut};
 use expect_test::expect;
@@ -197,6 +198,7 @@
                 is_for_work: true,
                 tree_depth: 2,
                 proof_age_ms: None,
+                crash_news: Vec::new(),
             }),
         ),
         (
@@ -225,6 +227,7 @@
                 packed_records: Bytes::from_static(b"packed"),
                 path: None,
                 siblings: Vec::new(),
+                crash_news: Vec::new(),
             }),
         ),
         (
@@ -238,9 +241,35 @@
                 ..Default::default()
             }),
         ),
+        (
+            "records_wanted crash news",
+            Body::RecordsWanted(RecordsWanted {
+                crash_news: vec![
+                    crash_news(Fact::CrashedEndpoint(0x0102_0304)),
+                    crash_news(Fact::Served(true)),
+                ],
+                ..Default::default()
+            }),
+        ),
+        (
+            "records_answer crash news",
+            Body::RecordsAnswer(RecordsAnswer {
+                crash_news: vec![crash_news(Fact::Quarantined(true))],
+                ..Default::default()
+            }),
+        ),
     ]
 }
 
+fn crash_news(fact: Fact) -> CrashNews {
+    CrashNews {
+        customer: 0x0a0b_0c0d,
+        content: 0x1112_1314_1516_1718,
+        age_ms: 400,
+        fact: Some(fact),
+    }
+}
+
 fn record_change(key: &str, revision: u64, change: Change) -> RecordChange {
     RecordChange {
         key: key.into(),
@@ -305,6 +334,8 @@
         records_wanted proof 000000068a010348bc05
         records_answer 0000005c920159080910f40318032a080a016110081a01782a070a0162100828012a120a01631009220b0804100a181422036e65773204626f2d633a0d31302e302e302e323a3730303040504a0a0d0500000010a01f180752067061636b6564
         records_answer path 000000349201315a200a0d31302e302e302e333a373030300a0d31302e302e302e343a373030301001620d31302e302e302e353a37303030
+        records_wanted crash news 000000308a012d52160d0d0c0b0a111817161514131211189003250403020152130d0d0c0b0a1118171615141312111890032801
+        records_answer crash news 000000189201156a130d0d0c0b0a1118171615141312111890033001
     "#]].assert_eq(&golden);
 }
 
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -16,7 +16,7 @@
 use bridgevane_events::{Event, event};
 use bridgevane_gateway::{
     Gateway, GatewaySettings, follow_control_source, hold_duties, report_last_usage, report_usage,
-    serve_clients, serve_peers, serve_readiness, stop_gracefully,
+    serve_clients, serve_peers, serve_readiness, stop_gracefully, store_quarantine,
 };
 use bridgevane_platform::{DutyApi, LeaseStore, Store, header_names};
 use std::time::Duration;
@@ -208,6 +208,8 @@
         tokio::spawn(serve_peers(gateway.clone(), listener));
     }
     tokio::spawn(follow_control_source(gateway.clone(), store));
+    let leases = LeaseStore::new(config.store_address, STORE_CONNECT_TIMEOUT);
+    tokio::spawn(store_quarantine(gateway.clone(), leases));
     if let Some(address) = config.duty_address {
         let leases = LeaseStore::new(config.store_address, STORE_CONNECT_TIMEOUT);
         let platform = DutyApi::new(address, STORE_CONNECT_TIMEOUT);
