--- /dev/null
+++ b/crates/gateway/benches/quarantine.rs
@@ -0,0 +1,91 @@
+//! What the quarantine of requests that end endpoints costs: on a request's way, and when engines
+//! end.
+#![allow(missing_docs)]
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use bridgevane_gateway::{EndpointHash, Gateway, RequestFingerprint};
+use bytes::Bytes;
+use criterion::{Criterion, criterion_group, criterion_main};
+use http::Method;
+use http::uri::PathAndQuery;
+use std::hint::black_box;
+use std::sync::Arc;
+
+/// Requests that an engine runs at once.
+const SLOTS: u64 = 64;
+/// As many as the rule keeps.
+const STOPPED: u64 = 4_096;
+const SUSPECTS: u64 = 1_024;
+
+fn request(content: u64) -> RequestFingerprint {
+    RequestFingerprint {
+        customer: 7,
+        content,
+    }
+}
+
+fn gateway() -> Arc<Gateway> {
+    let meter = opentelemetry::global::meter("bench");
+    Gateway::new(support::settings(), support::names(), &meter)
+}
+
+/// A gateway whose quarantine is as large as it gets.
+fn full_gateway() -> Arc<Gateway> {
+    let gateway = gateway();
+    for endpoint in 0..3 {
+        let stopped: Vec<_> = (0..STOPPED).map(request).collect();
+        gateway
+            .quarantine
+            .on_crashed(EndpointHash(endpoint), &stopped);
+    }
+    let suspects: Vec<_> = (0..SUSPECTS).map(|at| request(1 << 32 | at)).collect();
+    gateway.quarantine.on_crashed(EndpointHash(9), &suspects);
+    gateway
+}
+
+fn fingerprint(path: &PathAndQuery, body: &Bytes) -> RequestFingerprint {
+    let customer = "customer-1".into();
+    RequestFingerprint::new(Some(&customer), &Method::POST, path, body)
+}
+
+fn on_a_request_s_way(bench: &mut Criterion) {
+    let path = PathAndQuery::from_static("/reports/draft");
+    for kilobytes in [1, 16] {
+        let body = Bytes::from(vec![b'x'; kilobytes << 10]);
+        bench.bench_function(&format!("fingerprint of {kilobytes} KB"), |bench| {
+            bench.iter(|| fingerprint(black_box(&path), black_box(&body)));
+        });
+        for (name, gateway) in [("empty", gateway()), ("full", full_gateway())] {
+            let name = format!("check of {kilobytes} KB, {name} quarantine");
+            bench.bench_function(&name, |bench| {
+                bench.iter(|| {
+                    let quarantine = &gateway.quarantine;
+                    quarantine.is_stopped(|| fingerprint(black_box(&path), black_box(&body)))
+                });
+            });
+        }
+    }
+}
+
+fn when_an_engine_ends(bench: &mut Criterion) {
+    let mut next = 1 << 40;
+    for (name, gateway) in [("empty", gateway()), ("full", full_gateway())] {
+        bench.bench_function(
+            &format!("{SLOTS} requests lost, {name} quarantine"),
+            |bench| {
+                bench.iter(|| {
+                    let lost: Vec<_> = (next..next + SLOTS).map(request).collect();
+                    next += SLOTS;
+                    gateway
+                        .quarantine
+                        .on_crashed(EndpointHash((next >> 6) as u32), &lost);
+                });
+            },
+        );
+    }
+}
+
+criterion_group!(benches, on_a_request_s_way, when_an_engine_ends);
+criterion_main!(benches);
--- a/crates/gateway/src/decisions/resend/crash_count.rs
+++ b/crates/gateway/src/decisions/resend/crash_count.rs
@@ -26,6 +26,7 @@
 use crate::work_by_endpoint::EndpointHash;
 use bridgevane_types::{DurationMs, TimeMs};
 use std::collections::HashMap;
+use std::hash::Hash;
 
 /// Endpoints that end under a request before it is taken for the cause. The users' bound: more may be
 /// reached while the news travels, for as long as a daemon may be out of touch, and three later.
@@ -44,6 +45,9 @@
 /// Explained ends that are kept at most; the oldest give way. Not measured, chosen because news of
 /// an end come within seconds.
 const MAX_EXPLAINED: usize = 256;
+/// One in so many is dropped when there are too many. Not measured, chosen so that little is forgotten
+/// before it must be.
+const DROPPED_PART: usize = 8;
 
 /// One fact about a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -172,7 +176,9 @@
             let since = suspect.newest();
             return self.quarantine(news.request, since);
         }
-        self.bound_suspects();
+        bound(&mut self.suspects, MAX_SUSPECTS, |suspect| {
+            (suspect.crashes.len(), suspect.newest())
+        });
         NewsOutcome::New
     }
 
@@ -182,8 +188,8 @@
             at: news.at,
             cursor: self.next_cursor(),
         };
-        drop_one_if_full(&mut self.explained, MAX_EXPLAINED, |known| known.at);
         self.explained.insert(endpoint, explained);
+        bound(&mut self.explained, MAX_EXPLAINED, |known| known.at);
         for suspect in self.suspects.values_mut() {
             suspect.crashes.retain(|crash| crash.endpoint != endpoint);
         }
@@ -208,9 +214,9 @@
         }
         self.suspects.remove(&request);
         let cursor = self.next_cursor();
-        drop_one_if_full(&mut self.quarantined, MAX_QUARANTINED, |known| known.since);
-        self.quarantined
-            .insert(request, Quarantined { since, cursor });
+        let quarantined = Quarantined { since, cursor };
+        self.quarantined.insert(request, quarantined);
+        bound(&mut self.quarantined, MAX_QUARANTINED, |known| known.since);
         NewsOutcome::Quarantines
     }
 
@@ -219,12 +225,6 @@
         self.newest
     }
 
-    fn bound_suspects(&mut self) {
-        drop_one_if_full(&mut self.suspects, MAX_SUSPECTS + 1, |suspect| {
-            (suspect.crashes.len(), suspect.newest())
-        });
-    }
-
     /// Forgets what no longer counts.
     pub fn expire(&mut self, now: TimeMs) {
         self.quarantined
@@ -254,6 +254,9 @@
 
     /// The oldest `max` news after `cursor`, and up to where they go.
     pub fn news_after(&self, cursor: NewsCursor, max: usize) -> (Vec<CrashNews>, NewsCursor) {
+        if cursor == self.newest {
+            return (Vec::new(), cursor);
+        }
         let mut news: Vec<(NewsCursor, CrashNews)> = self.all_news().collect();
         news.retain(|(at, _)| *at > cursor);
         news.sort_unstable_by_key(|(at, _)| *at);
@@ -294,17 +297,20 @@
     now.since(at) >= QUARANTINE
 }
 
-/// Makes room for one more by dropping the entry with the least rank.
-fn drop_one_if_full<K: Copy + Eq + std::hash::Hash, V, R: Ord>(
+/// Keeps a map at `max` entries: where there are more, the least by rank go, an eighth of all at once,
+/// so that a flood of entries doesn't look for the least each time.
+fn bound<K: Copy + Eq + Hash, V, R: Ord + Copy>(
     map: &mut HashMap<K, V>,
     max: usize,
     rank: impl Fn(&V) -> R,
 ) {
-    if map.len() < max {
+    if map.len() <= max {
         return;
     }
-    let least = map.iter().min_by_key(|(_, value)| rank(value));
-    if let Some(key) = least.map(|(key, _)| *key) {
-        map.remove(&key);
+    let mut ranks: Vec<(R, K)> = map.iter().map(|(key, value)| (rank(value), *key)).collect();
+    let dropped = ranks.len() - max + max / DROPPED_PART;
+    ranks.select_nth_unstable_by_key(dropped, |(rank, _)| *rank);
+    for (_, key) in &ranks[..dropped] {
+        map.remove(key);
     }
 }
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -14,7 +14,7 @@
 mod support;
 
 use bridgevane_gateway::Repeatability::AtMostOnce;
-use bridgevane_gateway::{GatewaySettings, serve_peers};
+use bridgevane_gateway::{EndpointHash, GatewaySettings, RequestFingerprint, serve_peers};
 use std::net::SocketAddr;
 use std::time::Duration;
 use support::client::{Client, Got, request};
@@ -169,3 +169,54 @@
     let late = engines.reached(DEADLY) - before;
     assert!(late <= LATE_RUNS, "{late} runs of {tries} tries came late");
 }
+
+/// Daemons that all know the same three seeds, in a tree that they find themselves.
+async fn tree(source: &ScriptedSource, daemons: usize) -> Vec<Running> {
+    let mut listeners = Vec::new();
+    for _ in 0..daemons {
+        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    }
+    let seeds: Vec<SocketAddr> = (listeners.iter().take(3))
+        .map(|listener| listener.local_addr().unwrap())
+        .collect();
+    let starting = listeners.into_iter().enumerate().map(|(at, listener)| {
+        let (source, seeds) = (source.clone(), seeds.clone());
+        tokio::spawn(async move { daemon(&format!("vm-{at}"), &source, listener, &seeds).await })
+    });
+    let starting: Vec<_> = starting.collect();
+    let mut started = Vec::new();
+    for daemon in starting {
+        started.push(daemon.await.expect("it starts"));
+    }
+    started
+}
+
+/// News travel up and down a tree of some levels well within the time that they have: three ends, each
+/// seen by another daemon, stop the request on all.
+#[tokio::test(flavor = "multi_thread")]
+async fn three_ends_that_three_daemons_saw_are_known_to_eighty_in_time() {
+    let source = source();
+    let _engines = CrashingEngines::start(&source, 1, RUN).await;
+    let fleet = tree(&source, 80).await;
+    let mut slowest = Duration::ZERO;
+    for round in 0..4u64 {
+        let request = RequestFingerprint {
+            customer: 1,
+            content: round,
+        };
+        for end in 0..3 {
+            // Neither is a seed.
+            let seen_by = &fleet[3 + (17 * round as usize + 23 * end) % 77].gateway;
+            let endpoint = EndpointHash(100 * round as u32 + end as u32);
+            seen_by.quarantine.on_crashed(endpoint, &[request]);
+        }
+        let told = Instant::now();
+        let knows = |daemon: &&Running| daemon.gateway.quarantine.is_stopped(|| request);
+        while fleet.iter().filter(knows).count() < fleet.len() {
+            sleep(Duration::from_millis(5)).await;
+            assert!(told.elapsed() < CONTACT, "round {round}");
+        }
+        slowest = slowest.max(told.elapsed());
+    }
+    println!("known to {} daemons within {slowest:?}", fleet.len());
+}
