--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -20,13 +20,18 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{Duration, Instant};
 
+/// The exit code of a stand-in that a prompt has ended.
+const ENDED_BY_PROMPT: i32 = 70;
+
 /// What an engine stand-in is.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EngineStandinSettings {
     /// Speed and size.
     pub spec: EngineSpec,
     /// Whether it refuses orders with an old fencing token.
     pub checks_fence: bool,
+    /// A prompt with this text ends the process that is to run it.
+    pub ends_on: Option<String>,
 }
 
 type Key = (RequestId, AttemptNumber);
@@ -320,6 +325,10 @@
     Json(call): Json<GenerateCall>,
 ) -> Result<Response, StatusCode> {
     standin.admit().await?;
+    let ends_on = standin.settings.ends_on.as_ref();
+    if ends_on.is_some_and(|text| call.prompt.contains(text)) {
+        std::process::exit(ENDED_BY_PROMPT);
+    }
     let (sender, receiver) = mpsc::unbounded_channel();
     {
         let mut engine = standin.lock();
--- a/crates/standins/tests/contract.rs
+++ b/crates/standins/tests/contract.rs
@@ -169,7 +169,11 @@
         step_per_sequence_us: 0.0,
         ..EngineSpec::default()
     };
-    let standin = EngineStandin::new(EngineStandinSettings { spec, checks_fence });
+    let standin = EngineStandin::new(EngineStandinSettings {
+        spec,
+        checks_fence,
+        ends_on: None,
+    });
     let served = serve(loopback(), standin.router()).await.expect("a port");
     let adapter = HttpEngine::new(served.address);
     (standin, adapter, served)
--- a/src/commands/demo/stage.rs
+++ b/src/commands/demo/stage.rs
@@ -239,6 +239,7 @@
             ..EngineSpec::default()
         },
         checks_fence: true,
+        ends_on: None,
     }
 }
 
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -44,6 +44,9 @@
     /// engine: refuse orders with an old fencing token
     #[argh(switch)]
     checks_fence: bool,
+    /// engine: end the process when a prompt with this text is to run
+    #[argh(option)]
+    ends_on: Option<String>,
     /// plain: recognise a repeated idempotency key
     #[argh(switch)]
     deduplicates: bool,
@@ -100,6 +103,7 @@
             ..EngineSpec::default()
         },
         checks_fence: arguments.checks_fence,
+        ends_on: arguments.ends_on.clone(),
     }
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -48,6 +48,11 @@
         assert!(status.success());
     }
 
+    /// How it ended; none while it runs.
+    pub fn has_ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().expect("its state can be asked for")
+    }
+
     pub fn wait(&mut self) -> std::process::ExitStatus {
         self.child.wait().expect("the process ends")
     }
@@ -324,10 +329,14 @@
 }
 
 pub const DATA_CENTRE: &str = "rose-hill";
+/// A prompt with this text ends every engine that begins to run it.
+pub const DEADLY: &str = "a prompt that no engine survives";
 
 impl Fleet {
     pub async fn start(name: &str, engines: usize, daemons: usize) -> Self {
-        let engines: Vec<Process> = (0..engines).map(|_| standin(&["engine"])).collect();
+        let engines: Vec<Process> = (0..engines)
+            .map(|_| standin(&["engine", "--ends-on", DEADLY]))
+            .collect();
         let plain = standin(&["plain"]);
         let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
         let text = configuration(DATA_CENTRE, &addresses, &[plain.address]);
