--- a/crates/gateway/src/decisions/resend/crash_count.rs
+++ b/crates/decisions/src/crash_count.rs
@@ -1,6 +1,6 @@
 //! Crash count: which requests end the endpoints that run them, and are no longer passed on?
 //!
-//! Inputs: news of this daemon and of all others ([`CrashNews`]): a request was under way at an
+//! Inputs: news of this daemon, and in the gateway of all others, too ([`CrashNews`]): a request was under way at an
 //! endpoint when that ended; a request was answered well; a request is under quarantine. Each with
 //! its moment, by this daemon's clock (ms).
 //!
@@ -20,11 +20,9 @@
 //! News are a set: the order in which they come, and how often, makes no difference to the count.
 //! What is kept is bounded, see the constants.
 //!
-//! Tests: `crash_count.rs`, `crashing_requests.rs`.
+//! Tests: `crash_count.rs`; `crashing_requests.rs` of the gateway, `crashing_prompts.rs` of `serve`.
 
-use crate::request_fingerprint::RequestFingerprint;
-use crate::work_by_endpoint::EndpointHash;
-use bridgevane_types::{DurationMs, TimeMs};
+use bridgevane_types::{DurationMs, RequestFingerprint, TimeMs};
 use std::collections::HashMap;
 use std::hash::Hash;
 
@@ -51,20 +49,20 @@
 
 /// One fact about a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CrashNews {
+pub struct CrashNews<E> {
     /// The request.
     pub request: RequestFingerprint,
     /// When it was seen, by this daemon's clock.
     pub at: TimeMs,
     /// What was seen.
-    pub fact: CrashFact,
+    pub fact: CrashFact<E>,
 }
 
 /// What was seen of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CrashFact {
+pub enum CrashFact<E> {
     /// It was under way at this endpoint when that ended.
-    Crashed(EndpointHash),
+    Crashed(E),
     /// It was answered well.
     Served,
     /// It is under quarantine.
@@ -87,19 +85,28 @@
 pub struct NewsCursor(u64);
 
 #[derive(Clone, Copy, Debug)]
-struct CountedCrash {
-    endpoint: EndpointHash,
+struct CountedCrash<E> {
+    endpoint: E,
     at: TimeMs,
     cursor: NewsCursor,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    crashes: Vec<CountedCrash>,
+#[derive(Clone, Debug)]
+struct Suspect<E> {
+    crashes: Vec<CountedCrash<E>>,
     served: Option<(TimeMs, NewsCursor)>,
 }
 
-impl Suspect {
+impl<E> Default for Suspect<E> {
+    fn default() -> Self {
+        Self {
+            crashes: Vec::new(),
+            served: None,
+        }
+    }
+}
+
+impl<E: Copy + Eq> Suspect<E> {
     fn newest(&self) -> TimeMs {
         let crashes = self.crashes.iter().map(|crash| crash.at);
         let served = self.served.map(|(at, _)| at);
@@ -110,7 +117,7 @@
         self.served.is_some_and(|(served, _)| served >= at)
     }
 
-    fn has(&self, endpoint: EndpointHash) -> bool {
+    fn has(&self, endpoint: E) -> bool {
         self.crashes.iter().any(|crash| crash.endpoint == endpoint)
     }
 }
@@ -128,18 +135,29 @@
     cursor: NewsCursor,
 }
 
-/// What is known of all requests.
-#[derive(Debug, Default)]
-pub struct CrashCount {
-    suspects: HashMap<RequestFingerprint, Suspect>,
+/// What is known of all requests; `E` names one life of an endpoint.
+#[derive(Debug)]
+pub struct CrashCount<E> {
+    suspects: HashMap<RequestFingerprint, Suspect<E>>,
     quarantined: HashMap<RequestFingerprint, Quarantined>,
-    explained: HashMap<EndpointHash, Explained>,
+    explained: HashMap<E, Explained>,
     newest: NewsCursor,
 }
 
-impl CrashCount {
+impl<E> Default for CrashCount<E> {
+    fn default() -> Self {
+        Self {
+            suspects: HashMap::new(),
+            quarantined: HashMap::new(),
+            explained: HashMap::new(),
+            newest: NewsCursor::default(),
+        }
+    }
+}
+
+impl<E: Copy + Eq + Hash> CrashCount<E> {
     /// Takes a piece of news in.
-    pub fn take(&mut self, now: TimeMs, news: CrashNews) -> NewsOutcome {
+    pub fn take(&mut self, now: TimeMs, news: CrashNews<E>) -> NewsOutcome {
         if is_over(now, news.at) {
             return NewsOutcome::Known;
         }
@@ -150,7 +168,7 @@
         }
     }
 
-    fn on_crashed(&mut self, news: CrashNews, endpoint: EndpointHash) -> NewsOutcome {
+    fn on_crashed(&mut self, news: CrashNews<E>, endpoint: E) -> NewsOutcome {
         if self.explained.contains_key(&endpoint) {
             return NewsOutcome::Known;
         }
@@ -182,7 +200,7 @@
         NewsOutcome::New
     }
 
-    fn explain(&mut self, news: CrashNews, endpoint: EndpointHash) {
+    fn explain(&mut self, news: CrashNews<E>, endpoint: E) {
         let explained = Explained {
             by: news.request,
             at: news.at,
@@ -195,7 +213,7 @@
         }
     }
 
-    fn on_served(&mut self, news: CrashNews) -> NewsOutcome {
+    fn on_served(&mut self, news: CrashNews<E>) -> NewsOutcome {
         let cursor = self.next_cursor();
         let Some(suspect) = self.suspects.get_mut(&news.request) else {
             return NewsOutcome::Known;
@@ -234,6 +252,18 @@
             .retain(|_, suspect| !is_over(now, suspect.newest()));
     }
 
+    /// Whether a request is under quarantine at a moment.
+    pub fn is_quarantined(&self, now: TimeMs, request: RequestFingerprint) -> bool {
+        let known = self.quarantined.get(&request);
+        known.is_some_and(|known| !is_over(now, known.since))
+    }
+
+    /// Whether endpoints have ended under a request that isn't under quarantine.
+    pub fn is_suspect(&self, request: RequestFingerprint) -> bool {
+        let suspect = self.suspects.get(&request);
+        suspect.is_some_and(|suspect| !suspect.crashes.is_empty())
+    }
+
     /// The requests under quarantine, and until when.
     pub fn quarantined(&self) -> impl Iterator<Item = (RequestFingerprint, TimeMs)> {
         let known = self.quarantined.iter();
@@ -253,11 +283,11 @@
     }
 
     /// The oldest `max` news after `cursor`, and up to where they go.
-    pub fn news_after(&self, cursor: NewsCursor, max: usize) -> (Vec<CrashNews>, NewsCursor) {
+    pub fn news_after(&self, cursor: NewsCursor, max: usize) -> (Vec<CrashNews<E>>, NewsCursor) {
         if cursor == self.newest {
             return (Vec::new(), cursor);
         }
-        let mut news: Vec<(NewsCursor, CrashNews)> = self.all_news().collect();
+        let mut news: Vec<(NewsCursor, CrashNews<E>)> = self.all_news().collect();
         news.retain(|(at, _)| *at > cursor);
         news.sort_unstable_by_key(|(at, _)| *at);
         let is_cut = news.len() > max;
@@ -267,7 +297,7 @@
         (news.into_iter().map(|(_, news)| news).collect(), told)
     }
 
-    fn all_news(&self) -> impl Iterator<Item = (NewsCursor, CrashNews)> {
+    fn all_news(&self) -> impl Iterator<Item = (NewsCursor, CrashNews<E>)> {
         let crashes = self.suspects.iter().flat_map(|(request, suspect)| {
             let crashes = suspect.crashes.iter().map(|crash| {
                 let fact = CrashFact::Crashed(crash.endpoint);
@@ -289,7 +319,7 @@
     }
 }
 
-fn news(request: RequestFingerprint, at: TimeMs, fact: CrashFact) -> CrashNews {
+fn news<E>(request: RequestFingerprint, at: TimeMs, fact: CrashFact<E>) -> CrashNews<E> {
     CrashNews { request, at, fact }
 }
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod configs;
 mod context;
+pub mod crash_count;
 mod decision_log;
 mod effect;
 mod event;
--- a/crates/gateway/tests/crash_count.rs
+++ b/crates/decisions/tests/crash_count.rs
@@ -1,12 +1,15 @@
 //! The rule that tells requests that end endpoints from those that were only there.
 
-use bridgevane_gateway::decisions::resend::crash_count::{
-    CrashCount, CrashFact, CrashNews, NewsCursor, NewsOutcome, QUARANTINE,
+use bridgevane_decisions::crash_count::{
+    CrashCount as Count, CrashFact, CrashNews as News, NewsCursor, NewsOutcome, QUARANTINE,
 };
-use bridgevane_gateway::{EndpointHash, RequestFingerprint};
-use bridgevane_types::TimeMs;
+use bridgevane_types::{RequestFingerprint, TimeMs};
 use proptest::prelude::*;
 
+/// Endpoints are numbers here.
+type CrashCount = Count<u32>;
+type CrashNews = News<u32>;
+
 const DEADLY: RequestFingerprint = request(1);
 const INNOCENT: RequestFingerprint = request(2);
 
@@ -25,7 +28,7 @@
     CrashNews {
         request,
         at: at(second),
-        fact: CrashFact::Crashed(EndpointHash(endpoint)),
+        fact: CrashFact::Crashed(endpoint),
     }
 }
 
--- a/crates/gateway/benches/quarantine.rs
+++ b/crates/gateway/benches/quarantine.rs
@@ -5,11 +5,10 @@
 #[path = "../tests/support/mod.rs"]
 mod support;
 
-use bridgevane_gateway::{EndpointHash, Gateway, RequestFingerprint};
+use bridgevane_gateway::{EndpointHash, Gateway};
+use bridgevane_types::RequestFingerprint;
 use bytes::Bytes;
 use criterion::{Criterion, criterion_group, criterion_main};
-use http::Method;
-use http::uri::PathAndQuery;
 use std::hint::black_box;
 use std::sync::Arc;
 
@@ -45,24 +44,24 @@
     gateway
 }
 
-fn fingerprint(path: &PathAndQuery, body: &Bytes) -> RequestFingerprint {
+fn fingerprint(path: &str, body: &Bytes) -> RequestFingerprint {
     let customer = "customer-1".into();
-    RequestFingerprint::new(Some(&customer), &Method::POST, path, body)
+    RequestFingerprint::new(Some(&customer), "POST", path, body)
 }
 
 fn on_a_request_s_way(bench: &mut Criterion) {
-    let path = PathAndQuery::from_static("/reports/draft");
+    let path = "/reports/draft";
     for kilobytes in [1, 16] {
         let body = Bytes::from(vec![b'x'; kilobytes << 10]);
         bench.bench_function(&format!("fingerprint of {kilobytes} KB"), |bench| {
-            bench.iter(|| fingerprint(black_box(&path), black_box(&body)));
+            bench.iter(|| fingerprint(black_box(path), black_box(&body)));
         });
         for (name, gateway) in [("empty", gateway()), ("full", full_gateway())] {
             let name = format!("check of {kilobytes} KB, {name} quarantine");
             bench.bench_function(&name, |bench| {
                 bench.iter(|| {
                     let quarantine = &gateway.quarantine;
-                    quarantine.is_stopped(|| fingerprint(black_box(&path), black_box(&body)))
+                    quarantine.is_stopped(|| fingerprint(black_box(path), black_box(&body)))
                 });
             });
         }
--- a/crates/gateway/src/control/quarantine_store.rs
+++ b/crates/gateway/src/control/quarantine_store.rs
@@ -1,8 +1,7 @@
 //! What the quarantine needs of the platform: a place that outlives all daemons.
 
 use crate::control::source::SourceError;
-use crate::request_fingerprint::RequestFingerprint;
-use bridgevane_types::DurationMs;
+use bridgevane_types::{DurationMs, RequestFingerprint};
 use std::future::Future;
 
 /// Where requests under quarantine are stored. What is stored comes back through the control source
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -4,8 +4,7 @@
 use crate::control::holder_record::HolderRecord;
 use crate::control::routing_table::RoutingTable;
 use crate::endpoints::endpoint::EndpointRecord;
-use crate::request_fingerprint::RequestFingerprint;
-use bridgevane_types::{DurationMs, EndpointId};
+use bridgevane_types::{DurationMs, EndpointId, RequestFingerprint};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use std::future::Future;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -24,11 +24,10 @@
 use crate::decisions::admission::freshness::{Freshness, FreshnessPolicy};
 use crate::decisions::replication::record_expiry::{Removal, SourceOutage};
 use crate::endpoints::directory::Directory;
-use crate::request_fingerprint::RequestFingerprint;
 use crate::settings::GatewaySettings;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DurationMs, EndpointId, TimeMs};
+use bridgevane_types::{DurationMs, EndpointId, RequestFingerprint, TimeMs};
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::watch;
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -25,7 +25,7 @@
 //! | may the request be sent again, and why not? | [`resend`] |
 //! | when is a second endpoint asked while the first is silent? | [`resend::hedging`] |
 //! | how many retries may all daemons make together? | [`resend::retry_budget`] |
-//! | which requests end the endpoints that run them, and are stopped? | [`resend::crash_count`] |
+//! | which requests end the endpoints that run them, and are stopped? | [`bridgevane_decisions::crash_count`] |
 //! | whom does this daemon follow? | [`replication::upstream`] |
 //! | who may follow this daemon? | [`replication::followers`] |
 //! | how many daemons are there? | [`replication::fleet_size`] |
--- a/crates/gateway/src/decisions/resend/mod.rs
+++ b/crates/gateway/src/decisions/resend/mod.rs
@@ -23,7 +23,6 @@
 //!
 //! Tests: `resend.rs`; `exchange.rs::outcomes_of_plain_requests`.
 
-pub mod crash_count;
 pub mod hedging;
 pub mod retry_budget;
 
--- a/crates/gateway/src/endpoints/lost_requests.rs
+++ b/crates/gateway/src/endpoints/lost_requests.rs
@@ -1,7 +1,7 @@
 //! Requests that were under way at one endpoint when a connection to it broke, while it is checked
 //! whether the endpoint has ended ([`crate::requests::crash_check`]).
 
-use crate::request_fingerprint::RequestFingerprint;
+use bridgevane_types::RequestFingerprint;
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::watch;
 
--- a/crates/gateway/src/replication/crash_news.rs
+++ b/crates/gateway/src/replication/crash_news.rs
@@ -5,13 +5,12 @@
 //! every edge of the tree, whoever had them first, and everything there is over a new edge. A daemon
 //! that hears news is told nothing new by hearing them again.
 
-use crate::decisions::resend::crash_count::{CrashFact, CrashNews, NewsCursor};
 use crate::gateway::Gateway;
-use crate::request_fingerprint::RequestFingerprint;
 use crate::work_by_endpoint::EndpointHash;
+use bridgevane_decisions::crash_count::{CrashFact, CrashNews, NewsCursor};
 use bridgevane_protocol::CrashNews as CrashNewsMessage;
 use bridgevane_protocol::crash_news::Fact;
-use bridgevane_types::TimeMs;
+use bridgevane_types::{RequestFingerprint, TimeMs};
 
 /// News in one message at most. Not measured, chosen because an engine of 64 slots makes so many when
 /// it ends, and they take 1.5 KB; the rest goes with the next message.
@@ -48,7 +47,7 @@
     gateway.quarantine.on_news(news);
 }
 
-fn message(now: TimeMs, news: &CrashNews) -> CrashNewsMessage {
+fn message(now: TimeMs, news: &CrashNews<EndpointHash>) -> CrashNewsMessage {
     let fact = match news.fact {
         CrashFact::Crashed(endpoint) => Fact::CrashedEndpoint(endpoint.0),
         CrashFact::Served => Fact::Served(true),
@@ -63,7 +62,7 @@
 }
 
 /// None for a fact that a later version has added, and for one from before this daemon's clock.
-fn news(now: TimeMs, message: &CrashNewsMessage) -> Option<CrashNews> {
+fn news(now: TimeMs, message: &CrashNewsMessage) -> Option<CrashNews<EndpointHash>> {
     let fact = match message.fact? {
         Fact::CrashedEndpoint(endpoint) => CrashFact::Crashed(EndpointHash(endpoint)),
         Fact::Served(_) => CrashFact::Served,
--- a/crates/gateway/src/replication/quarantine_writer.rs
+++ b/crates/gateway/src/replication/quarantine_writer.rs
@@ -5,11 +5,10 @@
 //! daemons keep nothing, and all of them may be replaced at once.
 
 use crate::control::quarantine_store::QuarantineStore;
-use crate::decisions::resend::crash_count::QUARANTINE;
 use crate::gateway::Gateway;
-use crate::request_fingerprint::RequestFingerprint;
+use bridgevane_decisions::crash_count::QUARANTINE;
 use bridgevane_events::{Event, event};
-use bridgevane_types::DurationMs;
+use bridgevane_types::{DurationMs, RequestFingerprint};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -5,9 +5,8 @@
 use crate::decisions::admission::priority::Priority;
 use crate::header_names::HeaderNames;
 use crate::prompt::Prompt;
-use crate::request_fingerprint::RequestFingerprint;
 use crate::route::{Customer, Route};
-use bridgevane_types::ServiceName;
+use bridgevane_types::{RequestFingerprint, ServiceName};
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
@@ -56,7 +55,8 @@
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
         *(self.fingerprint).get_or_init(|| {
             let customer = self.customer.as_ref().map(|customer| &customer.id);
-            RequestFingerprint::new(customer, &self.method, &self.path, &self.body)
+            let path = self.path.as_str();
+            RequestFingerprint::new(customer, self.method.as_str(), path, &self.body)
         })
     }
 
--- a/crates/gateway/src/requests/quarantine.rs
+++ b/crates/gateway/src/requests/quarantine.rs
@@ -3,17 +3,16 @@
 //! Owns the count behind a lock, and a view of it that requests read without one. Lost with the
 //! process; a new one hears it from other daemons, and reads from the control source what they have
 //! stored there ([`crate::replication::quarantine_writer`]). The rule is
-//! [`crate::decisions::resend::crash_count`].
+//! [`bridgevane_decisions::crash_count`].
 
 use crate::clock::Clock;
-use crate::decisions::resend::crash_count::{
-    CrashCount, CrashFact, CrashNews, NewsCursor, NewsOutcome,
-};
-use crate::request_fingerprint::RequestFingerprint;
 use crate::work_by_endpoint::EndpointHash;
 use arc_swap::ArcSwap;
+use bridgevane_decisions::crash_count::{
+    CrashCount, CrashFact, CrashNews, NewsCursor, NewsOutcome,
+};
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DurationMs, TimeMs};
+use bridgevane_types::{DurationMs, RequestFingerprint, TimeMs};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::{Notify, watch};
@@ -29,7 +28,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    count: CrashCount,
+    count: CrashCount<EndpointHash>,
     /// Requests that this daemon's own observation put under quarantine, not stored yet.
     to_store: Vec<RequestFingerprint>,
 }
@@ -110,13 +109,16 @@
     }
 
     /// Another daemon tells its news.
-    pub fn on_news(&self, news: impl IntoIterator<Item = CrashNews>) {
+    pub fn on_news(&self, news: impl IntoIterator<Item = CrashNews<EndpointHash>>) {
         let stopped = self.take(news);
         log_stopped(&stopped, "other daemons");
     }
 
     /// Takes news in; gives the requests that they put under quarantine.
-    fn take(&self, news: impl IntoIterator<Item = CrashNews>) -> Vec<RequestFingerprint> {
+    fn take(
+        &self,
+        news: impl IntoIterator<Item = CrashNews<EndpointHash>>,
+    ) -> Vec<RequestFingerprint> {
         let now = self.clock.now();
         let mut state = self.state();
         let before = state.count.newest();
@@ -136,7 +138,11 @@
     }
 
     /// The oldest `max` news after `cursor`, and up to where they go.
-    pub fn news_after(&self, cursor: NewsCursor, max: usize) -> (Vec<CrashNews>, NewsCursor) {
+    pub fn news_after(
+        &self,
+        cursor: NewsCursor,
+        max: usize,
+    ) -> (Vec<CrashNews<EndpointHash>>, NewsCursor) {
         self.state().count.news_after(cursor, max)
     }
 
@@ -163,14 +169,13 @@
         let state = self.state();
         let stopped = state.count.quarantined();
         let is_due = |(_, until): &(RequestFingerprint, TimeMs)| {
-            *until > now
-                && until.since(now) + age <= crate::decisions::resend::crash_count::QUARANTINE
+            *until > now && until.since(now) + age <= bridgevane_decisions::crash_count::QUARANTINE
         };
         stopped.filter(is_due).map(|(request, _)| request).collect()
     }
 }
 
-fn view(count: &CrashCount) -> View {
+fn view(count: &CrashCount<EndpointHash>) -> View {
     View {
         stopped: count.quarantined().collect(),
         suspects: count.suspects().collect(),
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -14,7 +14,8 @@
 mod support;
 
 use bridgevane_gateway::Repeatability::AtMostOnce;
-use bridgevane_gateway::{EndpointHash, GatewaySettings, RequestFingerprint, serve_peers};
+use bridgevane_gateway::{EndpointHash, GatewaySettings, serve_peers};
+use bridgevane_types::RequestFingerprint;
 use std::net::SocketAddr;
 use std::time::Duration;
 use support::client::{Client, Got, request};
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -2,10 +2,10 @@
 
 use bridgevane_gateway::{
     Change, Changes, ClientLimits, ControlSource, Customer, EndpointRecord, FullState,
-    QuarantineStore, Repeatability, RequestFingerprint, Revision, Route, RouteTarget, RoutingParts,
-    RoutingTable, Service, SourceError, SourceRecord, StreamPolicy,
+    QuarantineStore, Repeatability, Revision, Route, RouteTarget, RoutingParts, RoutingTable,
+    Service, SourceError, SourceRecord, StreamPolicy,
 };
-use bridgevane_types::{Bytes, ConfigVersion, DurationMs, EndpointId, Tier};
+use bridgevane_types::{Bytes, ConfigVersion, DurationMs, EndpointId, RequestFingerprint, Tier};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod ids;
 mod outcome;
+mod request_fingerprint;
 mod sizes;
 mod time;
 
@@ -14,6 +15,7 @@
     ServiceName, VmId,
 };
 pub use outcome::{Outcome, RefusalCode};
+pub use request_fingerprint::{NoFingerprint, RequestFingerprint};
 pub use sizes::{
     Bytes, BytesPerSecond, CallsPerSecond, Share, Slots, Tier, Tokens, TokensPerSecond,
 };
--- a/crates/gateway/src/request_fingerprint.rs
+++ b/crates/types/src/request_fingerprint.rs
@@ -1,11 +1,8 @@
 //! What makes two requests equal, whoever sends them and however often: customer, method, path and
 //! body. Two tries of a client have identifiers of their own, and the same fingerprint.
 
-use bridgevane_types::CustomerId;
-use bytes::Bytes;
+use crate::CustomerId;
 use derive_more::{Display, Error};
-use http::Method;
-use http::uri::PathAndQuery;
 use std::str::FromStr;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
@@ -29,18 +26,13 @@
 
 impl RequestFingerprint {
     /// The fingerprint of a request that was read as a whole.
-    pub fn new(
-        customer: Option<&CustomerId>,
-        method: &Method,
-        path: &PathAndQuery,
-        body: &Bytes,
-    ) -> Self {
+    pub fn new(customer: Option<&CustomerId>, method: &str, path: &str, body: &[u8]) -> Self {
         let customer = customer.map_or(0, |id| (xxh3_64(id.as_str().as_bytes()) >> 32) as u32);
         let mut content = Xxh3::new();
-        content.update(method.as_str().as_bytes());
+        content.update(method.as_bytes());
         // No method and no path holds a blank.
         content.update(b" ");
-        content.update(path.as_str().as_bytes());
+        content.update(path.as_bytes());
         content.update(b" ");
         content.update(body);
         Self {
