--- a/crates/decisions/benches/decision.rs
+++ b/crates/decisions/benches/decision.rs
@@ -22,6 +22,7 @@
         max_tokens: Tokens(1_024),
         blocks: (0..16).map(|block| ((id % 500) << 8) | block).collect(),
         block_tokens: 64,
+        fingerprint: None,
         is_repeatable: true,
         is_preemptible: true,
     }
--- a/crates/decisions/benches/memory.rs
+++ b/crates/decisions/benches/memory.rs
@@ -58,6 +58,7 @@
             max_tokens: Tokens(1_024),
             blocks: (0..BLOCKS).map(|block| (id << 8) | block).collect(),
             block_tokens: 64,
+            fingerprint: None,
             is_repeatable: true,
             is_preemptible: true,
         };
--- a/crates/decisions/src/event.rs
+++ b/crates/decisions/src/event.rs
@@ -3,7 +3,7 @@
 use crate::context::PoolContext;
 use crate::decision_log::DecisionLog;
 use crate::index::{ClassIx, CustomerIx, EndpointIx, KindIx};
-use bridgevane_types::{AttemptNumber, DurationMs, RequestId, Tokens};
+use bridgevane_types::{AttemptNumber, DurationMs, RequestFingerprint, RequestId, Tokens};
 
 /// A request that asks to be served.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,6 +24,8 @@
     pub blocks: Vec<u64>,
     /// Prompt tokens that one entry of `blocks` stands for.
     pub block_tokens: u32,
+    /// What it has in common with equal requests; none: it isn't known.
+    pub fingerprint: Option<RequestFingerprint>,
     /// Whether an attempt may be sent again when its outcome isn't known.
     pub is_repeatable: bool,
     /// Whether a running attempt may be cancelled and resumed.
@@ -46,6 +48,11 @@
         /// Tokens that reached the caller.
         delivered: Tokens,
     },
+    /// The same, and the engine takes no connection any more: it has ended.
+    EngineEnded {
+        /// Tokens that reached the caller.
+        delivered: Tokens,
+    },
     /// The caller went away.
     CallerGone,
 }
--- a/crates/decisions/src/pool/admit.rs
+++ b/crates/decisions/src/pool/admit.rs
@@ -52,6 +52,10 @@
         let deadline = context.now + target_ms;
         let entry = Entry::new(offer, context.now, deadline, expected_tokens);
         self.requests.insert(request, entry);
+        if self.is_stopped(context.now, self.requests[&request].offer.fingerprint) {
+            self.give_up(context, request, RefusalCode::EndsEngines, 0.0);
+            return;
+        }
         if !self.has_usable_engine() {
             self.give_up(context, request, RefusalCode::NoEngine, NO_ENGINE_RETRY_MS);
             return;
@@ -249,8 +253,9 @@
         outcome,
     });
     // A call whose outcome isn't known must not be invited to run again, and one that engines
-    // reject would be rejected again.
-    let may_come_back = outcome != Outcome::Unknown && code != RefusalCode::Rejected;
+    // reject, or that ends them, would be refused again.
+    let is_final = matches!(code, RefusalCode::Rejected | RefusalCode::EndsEngines);
+    let may_come_back = outcome != Outcome::Unknown && !is_final;
     let retry_after_ms = may_come_back.then_some(retry_after_ms);
     context.effects.push(Effect::Refuse {
         request,
--- a/crates/decisions/src/pool/attempt.rs
+++ b/crates/decisions/src/pool/attempt.rs
@@ -50,6 +50,7 @@
         if let Some(entry) = self.requests.get_mut(&request) {
             entry.offer.blocks = blocks;
         }
+        self.note_alive(at);
         let engine = &mut self.engines[at.at()];
         engine.prefilling = engine.prefilling.saturating_sub(1);
         engine.prefill_tokens = engine.prefill_tokens.saturating_sub(uncached);
@@ -155,7 +156,10 @@
             return;
         };
         match end {
-            AttemptEnd::Done(tokens) => self.complete(context, request, attempt, tokens),
+            AttemptEnd::Done(tokens) => {
+                self.note_alive(running.engine);
+                self.complete(context, request, attempt, tokens);
+            }
             AttemptEnd::NotReached => {
                 self.engine_lost(context, running.engine);
                 self.retry_unrun(context, request, attempt, running);
@@ -169,6 +173,11 @@
                 self.stream_lost(context, running.engine);
                 self.retry_lost(context, request, attempt, running, delivered);
             }
+            AttemptEnd::EngineEnded { delivered } => {
+                self.note_ended(context, running.engine, request);
+                self.engine_lost(context, running.engine);
+                self.retry_lost(context, request, attempt, running, delivered);
+            }
             AttemptEnd::CallerGone => {}
         }
         self.dispatch_all(context);
@@ -198,6 +207,7 @@
             return;
         };
         let offer = &entry.offer;
+        self.note_served(context.now, offer.fingerprint);
         self.customers
             .release(offer.customer, entry.expected_tokens, tokens.0 as f64);
         self.estimates.learn_length(
--- a/crates/decisions/src/pool/mod.rs
+++ b/crates/decisions/src/pool/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod attempt;
+mod crashes;
 mod dispatch;
 mod entry;
 mod maintain;
@@ -13,6 +14,7 @@
 
 use crate::configs::Settings;
 use crate::context::PoolContext;
+use crate::crash_count::CrashCount;
 use crate::decision_log::DecisionLog;
 use crate::event::{AttemptEnd, Offer, Policy};
 use crate::index::{ClassIx, CustomerIx, EndpointIx};
@@ -29,6 +31,7 @@
 use crate::modules::victims::Victims;
 use crate::policy::{ClassPolicy, PoolPolicy};
 use bridgevane_types::{AttemptNumber, DurationMs, RequestId, TimeMs, Tokens};
+use crashes::EngineLife;
 use entry::Entry;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{HashMap, VecDeque};
@@ -50,6 +53,10 @@
     heard_at: TimeMs,
     /// Requests that run on it by this pool's decision.
     running: Vec<RequestId>,
+    /// Counts its starts, as far as they were seen.
+    life: u32,
+    /// It has ended, and was not heard since.
+    has_ended: bool,
 }
 
 /// A class of the pool.
@@ -81,6 +88,8 @@
     victims: Victims,
     /// Running attempts without a first token, oldest first.
     started: VecDeque<(RequestId, AttemptNumber)>,
+    /// Requests under which engines have ended.
+    crashes: CrashCount<EngineLife>,
     rng: Pcg64Mcg,
     queued: usize,
     ticked_at: TimeMs,
@@ -105,6 +114,7 @@
             cache: PrefixCache::default(),
             victims: Victims::new(),
             started: VecDeque::new(),
+            crashes: CrashCount::default(),
             rng: Pcg64Mcg::new(u128::from(seed) << 64 | 0xcafe_f00d),
             queued: 0,
             ticked_at: TimeMs(0),
@@ -138,6 +148,8 @@
                     prefill_tokens: 0,
                     heard_at: TimeMs(0),
                     running: Vec::new(),
+                    life: 0,
+                    has_ended: false,
                 }),
             }
         }
--- a/crates/decisions/src/pool/recover.rs
+++ b/crates/decisions/src/pool/recover.rs
@@ -87,8 +87,13 @@
         };
         entry.return_to_queue(context.now);
         entry.avoid = Some(failed);
+        let fingerprint = entry.offer.fingerprint;
         let has_attempts = entry.life.attempts() < context.settings.retry.max_attempts;
         let class = entry.offer.class;
+        if self.is_stopped(context.now, fingerprint) {
+            self.give_up(context, request, RefusalCode::EndsEngines, 0.0);
+            return;
+        }
         if has_attempts && self.classes[class.at()].retries.take() {
             self.requeue(request);
             return;
--- a/crates/decisions/tests/pool_sequences.rs
+++ b/crates/decisions/tests/pool_sequences.rs
@@ -8,7 +8,8 @@
 };
 use bridgevane_standins::check_promises;
 use bridgevane_types::{
-    AttemptNumber, DurationMs, Outcome, RefusalCode, RequestId, Share, Slots, Tier, TimeMs, Tokens,
+    AttemptNumber, DurationMs, Outcome, RefusalCode, RequestFingerprint, RequestId, Share, Slots,
+    Tier, TimeMs, Tokens,
 };
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -65,6 +66,10 @@
     Lost {
         pick: usize,
     },
+    /// The same, and the engine has ended.
+    EngineEnded {
+        pick: usize,
+    },
     NotReached {
         pick: usize,
     },
@@ -100,6 +105,7 @@
         3 => (pick(), 1..40u64).prop_map(|(pick, tokens)| Step::Progress { pick, tokens }),
         4 => pick().prop_map(|pick| Step::Done { pick }),
         2 => pick().prop_map(|pick| Step::Lost { pick }),
+        2 => pick().prop_map(|pick| Step::EngineEnded { pick }),
         1 => pick().prop_map(|pick| Step::NotReached { pick }),
         1 => pick().prop_map(|pick| Step::Unavailable { pick }),
         1 => pick().prop_map(|pick| Step::Rejected { pick }),
@@ -180,7 +186,8 @@
             } => {
                 assert!(self.open.remove(&request), "{request} was answered before");
                 assert!(!self.running.contains_key(&request));
-                let may_come_back = outcome != Outcome::Unknown && code != RefusalCode::Rejected;
+                let is_final = [RefusalCode::Rejected, RefusalCode::EndsEngines].contains(&code);
+                let may_come_back = outcome != Outcome::Unknown && !is_final;
                 assert_eq!(retry_after_ms.is_some(), may_come_back);
             }
         }
@@ -244,6 +251,10 @@
                 let delivered = Tokens(0);
                 self.end(pick, AttemptEnd::Lost { delivered });
             }
+            Step::EngineEnded { pick } => {
+                let delivered = Tokens(0);
+                self.end(pick, AttemptEnd::EngineEnded { delivered });
+            }
             Step::NotReached { pick } => self.end(pick, AttemptEnd::NotReached),
             Step::Unavailable { pick } => self.end(pick, AttemptEnd::Unavailable),
             Step::Rejected { pick } => self.end(pick, AttemptEnd::Rejected),
@@ -276,6 +287,11 @@
             max_tokens: Tokens(100),
             blocks: vec![prompt % 5, prompt],
             block_tokens: 64,
+            // Some requests are equal.
+            fingerprint: (!prompt.is_multiple_of(3)).then_some(RequestFingerprint {
+                customer,
+                content: prompt % 7,
+            }),
             is_repeatable,
             is_preemptible: is_repeatable,
         };
--- a/crates/decisions/tests/support/driver.rs
+++ b/crates/decisions/tests/support/driver.rs
@@ -306,6 +306,7 @@
             max_tokens: Tokens(MAX_TOKENS),
             blocks: arrival.blocks.clone(),
             block_tokens: BLOCK_TOKENS as u32,
+            fingerprint: None,
             is_repeatable: true,
             is_preemptible: true,
         };
--- a/crates/gateway/src/replication/crash_news.rs
+++ b/crates/gateway/src/replication/crash_news.rs
@@ -8,8 +8,10 @@
 use crate::gateway::Gateway;
 use crate::work_by_endpoint::EndpointHash;
 use bridgevane_decisions::crash_count::{CrashFact, CrashNews, NewsCursor};
-use bridgevane_protocol::CrashNews as CrashNewsMessage;
 use bridgevane_protocol::crash_news::Fact;
+use bridgevane_protocol::{
+    CrashNews as CrashNewsMessage, RequestFingerprint as FingerprintMessage,
+};
 use bridgevane_types::{RequestFingerprint, TimeMs};
 
 /// News in one message at most. Not measured, chosen because an engine of 64 slots makes so many when
@@ -54,8 +56,10 @@
         CrashFact::Quarantined => Fact::Quarantined(true),
     };
     CrashNewsMessage {
-        customer: news.request.customer,
-        content: news.request.content,
+        request: Some(FingerprintMessage {
+            customer: news.request.customer,
+            content: news.request.content,
+        }),
         age_ms: u32::try_from(now.since(news.at).0).unwrap_or(u32::MAX),
         fact: Some(fact),
     }
@@ -63,6 +67,7 @@
 
 /// None for a fact that a later version has added, and for one from before this daemon's clock.
 fn news(now: TimeMs, message: &CrashNewsMessage) -> Option<CrashNews<EndpointHash>> {
+    let request = message.request?;
     let fact = match message.fact? {
         Fact::CrashedEndpoint(endpoint) => CrashFact::Crashed(EndpointHash(endpoint)),
         Fact::Served(_) => CrashFact::Served,
@@ -70,8 +75,8 @@
     };
     Some(CrashNews {
         request: RequestFingerprint {
-            customer: message.customer,
-            content: message.content,
+            customer: request.customer,
+            content: request.content,
         },
         at: TimeMs(now.0.checked_sub(u64::from(message.age_ms))?),
         fact,
--- a/crates/gateway/src/requests/crash_check.rs
+++ b/crates/gateway/src/requests/crash_check.rs
@@ -11,13 +11,20 @@
 use crate::gateway::Gateway;
 use bridgevane_events::{Event, event};
 use bridgevane_types::RequestFingerprint;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// How long the new connection may take. Not measured, chosen because an endpoint that has ended
 /// refuses after one round trip; silence says that the way there is cut, and proves nothing.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// A new connection that is closed within so long proves nothing, and another is opened: an endpoint
+/// that ends closes its listener and its connections one after the other. Not measured.
+const SETTLE: Duration = Duration::from_millis(10);
+/// Connections that are opened at most in one check. Not measured, chosen because an endpoint ends
+/// within some milliseconds.
+const MAX_TRIES: usize = 3;
 
 /// A connection to the endpoint broke while this request was under way there.
 pub(crate) fn begin(gateway: &Arc<Gateway>, endpoint: &Arc<Endpoint>, request: RequestFingerprint) {
@@ -28,13 +35,25 @@
 
 /// Waits until the check that is under way has ended.
 pub(crate) async fn finished(endpoint: &Endpoint) {
-    // A check that takes longer proves nothing.
+    // The request doesn't wait longer: such a check proves nothing.
     let _ = timeout(CHECK_TIMEOUT, endpoint.lost_requests.checked()).await;
 }
 
+/// Opens a connection that stays open for a moment.
+async fn open_settled(address: SocketAddr) -> Result<Connection, OpenError> {
+    for _ in 0..MAX_TRIES {
+        let connection = Connection::open(address, CHECK_TIMEOUT).await?;
+        sleep(SETTLE).await;
+        if connection.is_open() {
+            return Ok(connection);
+        }
+    }
+    Err(OpenError::TimedOut)
+}
+
 async fn check(gateway: Arc<Gateway>, endpoint: Arc<Endpoint>) {
     let address = endpoint.record.load().address;
-    let opened = Connection::open(address, CHECK_TIMEOUT).await;
+    let opened = open_settled(address).await;
     let lost = endpoint.lost_requests.end_check();
     match opened {
         Err(OpenError::Refused) => {
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -8,7 +8,7 @@
     FrameError, GreetingError, Heartbeat, Hello, KeyClaim, KeyEnded, KeyVerdict, MAX_FRAME_BYTES,
     MemberState, MemberUpdate, PROTOCOL_VERSION, PoolDispatch, PoolOffer, PoolOrder, PoolRefuse,
     PoolReport, Proof, Query, QueryAnswer, RecordChange, RecordPatch, RecordsAnswer, RecordsWanted,
-    Role, SectionChange, SourcePath, greet, pool_order, pool_report, prove,
+    RequestFingerprint, Role, SectionChange, SourcePath, greet, pool_order, pool_report, prove,
 };
 use bytes::{BufMut, Bytes, BytesMut};
 use expect_test::expect;
@@ -39,6 +39,7 @@
         max_tokens: 64,
         blocks: vec![1, 2],
         block_tokens: 16,
+        fingerprint: Some(fingerprint()),
         is_repeatable: true,
         is_preemptible: true,
     }
@@ -82,6 +83,7 @@
         retry_after_ms: Some(250),
     };
     let report = |report| PoolReport {
+        has_engine_ended: false,
         service: "tutor".into(),
         request: request.clone(),
         attempt: 1,
@@ -128,6 +130,13 @@
             "pool_order refuse",
             Body::PoolOrder(order(pool_order::Order::Refuse(refuse))),
         ),
+        (
+            "pool_report engine ended",
+            Body::PoolReport(PoolReport {
+                has_engine_ended: true,
+                ..report(pool_report::Report::Lost(4))
+            }),
+        ),
         (
             "pool_report progress",
             Body::PoolReport(report(pool_report::Report::Progress(16))),
@@ -261,10 +270,16 @@
     ]
 }
 
-fn crash_news(fact: Fact) -> CrashNews {
-    CrashNews {
+fn fingerprint() -> RequestFingerprint {
+    RequestFingerprint {
         customer: 0x0a0b_0c0d,
         content: 0x1112_1314_1516_1718,
+    }
+}
+
+fn crash_news(fact: Fact) -> CrashNews {
+    CrashNews {
+        request: Some(fingerprint()),
         age_ms: 400,
         fact: Some(fact),
     }
@@ -320,9 +335,10 @@
         config_wanted 000000042a020803
         config_delta 000000243222080310041a130a07636c6173732e61120874696572203d2031210600000000000000
         config_snapshot 000000223a20080412130a07636c6173732e61120874696572203d2031190600000000000000
-        pool_offer 0000004642440a057475746f721210090909090909090909090909090909091a067265706f72742201632a016b30ac023840421001000000000000000200000000000000481050015801
+        pool_offer 0000005642540a057475746f721210090909090909090909090909090909091a067265706f72742201632a016b30ac023840421001000000000000000200000000000000481050015801620e0d0d0c0b0a111817161514131211
         pool_order dispatch 0000001f4a1d0a10090909090909090909090909090909091209080112016518022840
         pool_order refuse 0000002e4a2c0a100909090909090909090909090909090922180a0a71756575655f66756c6c12076e6f742d72756e18fa01
+        pool_report engine ended 0000002352210a057475746f7212100909090909090909090909090909090918014804581e6801
         pool_report progress 00000021521f0a057475746f7212100909090909090909090909090909090918012810581e
         pool_report lost 00000021521f0a057475746f7212100909090909090909090909090909090918014810581e
         key_claim 0000002b5a29080112046465736b1a016322016b2a1009090909090909090909090909090909310200000000000000
@@ -334,8 +350,8 @@
         records_wanted proof 000000068a010348bc05
         records_answer 0000005c920159080910f40318032a080a016110081a01782a070a0162100828012a120a01631009220b0804100a181422036e65773204626f2d633a0d31302e302e302e323a3730303040504a0a0d0500000010a01f180752067061636b6564
         records_answer path 000000349201315a200a0d31302e302e302e333a373030300a0d31302e302e302e343a373030301001620d31302e302e302e353a37303030
-        records_wanted crash news 000000308a012d52160d0d0c0b0a111817161514131211189003250403020152130d0d0c0b0a1118171615141312111890032801
-        records_answer crash news 000000189201156a130d0d0c0b0a1118171615141312111890033001
+        records_wanted crash news 000000348a013152180a0e0d0d0c0b0a111817161514131211189003250403020152150a0e0d0d0c0b0a1118171615141312111890032801
+        records_answer crash news 0000001a9201176a150a0e0d0d0c0b0a1118171615141312111890033001
     "#]].assert_eq(&golden);
 }
 
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -39,6 +39,9 @@
     /// The engines find fault with the request.
     #[display("rejected")]
     Rejected,
+    /// Engines have ended under the request, or under an equal one before.
+    #[display("ends_engines")]
+    EndsEngines,
     /// Attempts failed and no retry is left.
     #[display("retries_exhausted")]
     RetriesExhausted,
--- a/src/modules/serve/pools/actor.rs
+++ b/src/modules/serve/pools/actor.rs
@@ -175,6 +175,7 @@
             max_tokens: offer.max_tokens,
             blocks: offer.blocks.clone(),
             block_tokens: offer.block_tokens,
+            fingerprint: offer.fingerprint,
             is_repeatable: offer.is_repeatable,
             is_preemptible: offer.is_preemptible,
         })
--- a/src/modules/serve/pools/messages.rs
+++ b/src/modules/serve/pools/messages.rs
@@ -3,8 +3,8 @@
 use crate::modules::serve::pools::endpoint_link::EndpointLink;
 use bridgevane_decisions::{AttemptEnd, CancelCause};
 use bridgevane_types::{
-    AttemptNumber, ClassName, CustomerId, DurationMs, KindName, Outcome, RefusalCode, RequestId,
-    ServiceName, Tier, Tokens,
+    AttemptNumber, ClassName, CustomerId, DurationMs, KindName, Outcome, RefusalCode,
+    RequestFingerprint, RequestId, ServiceName, Tier, Tokens,
 };
 use std::sync::Arc;
 
@@ -33,6 +33,8 @@
     pub blocks: Vec<u64>,
     /// Prompt tokens that one block stands for.
     pub block_tokens: u32,
+    /// What it has in common with equal requests; none: a daemon that doesn't say it.
+    pub fingerprint: Option<RequestFingerprint>,
     /// Whether it may be sent again when its outcome isn't known.
     pub is_repeatable: bool,
     /// Whether a running attempt may be cancelled and resumed.
--- a/src/modules/serve/pools/wire.rs
+++ b/src/modules/serve/pools/wire.rs
@@ -6,15 +6,16 @@
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
     PoolCancel, PoolDispatch, PoolOffer, PoolOrder as WireOrder, PoolRefuse,
-    PoolReport as WireReport, pool_order, pool_report,
+    PoolReport as WireReport, RequestFingerprint as FingerprintMessage, pool_order, pool_report,
 };
 use bridgevane_types::{
-    AttemptNumber, DurationMs, Outcome, RefusalCode, RequestId, ServiceName, Tokens,
+    AttemptNumber, DurationMs, Outcome, RefusalCode, RequestFingerprint, RequestId, ServiceName,
+    Tokens,
 };
 
 /// The refusal code of a text; an unknown one tells nothing for sure.
 pub(crate) fn code_of(text: &str) -> RefusalCode {
-    const CODES: [RefusalCode; 8] = [
+    const CODES: [RefusalCode; 9] = [
         RefusalCode::CannotMeetTarget,
         RefusalCode::QueueFull,
         RefusalCode::CustomerLimit,
@@ -23,6 +24,7 @@
         RefusalCode::OutcomeUnknown,
         RefusalCode::Leaving,
         RefusalCode::Rejected,
+        RefusalCode::EndsEngines,
     ];
     let found = CODES.into_iter().find(|code| code.to_string() == text);
     found.unwrap_or(RefusalCode::OutcomeUnknown)
@@ -85,6 +87,10 @@
         max_tokens: offer.max_tokens.0,
         blocks: offer.blocks.clone(),
         block_tokens: offer.block_tokens,
+        fingerprint: offer.fingerprint.map(|request| FingerprintMessage {
+            customer: request.customer,
+            content: request.content,
+        }),
         is_repeatable: offer.is_repeatable,
         is_preemptible: offer.is_preemptible,
     }
@@ -102,6 +108,10 @@
         max_tokens: Tokens(offer.max_tokens),
         blocks: offer.blocks,
         block_tokens: offer.block_tokens,
+        fingerprint: offer.fingerprint.map(|request| RequestFingerprint {
+            customer: request.customer,
+            content: request.content,
+        }),
         is_repeatable: offer.is_repeatable,
         is_preemptible: offer.is_preemptible,
     })
@@ -114,7 +124,7 @@
     report: PoolReport,
 ) -> WireReport {
     use pool_report::Report;
-    let (attempt, report, gap_ms) = match report {
+    let (attempt, message, gap_ms) = match report {
         PoolReport::FirstToken(attempt) => (attempt, Report::FirstToken(true), 0),
         PoolReport::Progress(attempt, delivered, gap_ms) => {
             (attempt, Report::Progress(delivered.0), gap_ms.0)
@@ -125,18 +135,25 @@
                 AttemptEnd::NotReached => Report::NotReached(true),
                 AttemptEnd::Unavailable => Report::Unavailable(true),
                 AttemptEnd::Rejected => Report::Rejected(true),
-                AttemptEnd::Lost { delivered } => Report::Lost(delivered.0),
+                AttemptEnd::Lost { delivered } | AttemptEnd::EngineEnded { delivered } => {
+                    Report::Lost(delivered.0)
+                }
                 AttemptEnd::CallerGone => Report::CallerGone(true),
             };
             (attempt, report, 0)
         }
     };
+    let has_engine_ended = matches!(
+        report,
+        PoolReport::Finished(_, AttemptEnd::EngineEnded { .. })
+    );
     WireReport {
+        has_engine_ended,
         service: service.to_string(),
         request: request_bytes(request),
         attempt: attempt.0,
         gap_ms,
-        report: Some(report),
+        report: Some(message),
     }
 }
 
@@ -154,9 +171,14 @@
         Report::NotReached(_) => finished(AttemptEnd::NotReached),
         Report::Unavailable(_) => finished(AttemptEnd::Unavailable),
         Report::Rejected(_) => finished(AttemptEnd::Rejected),
-        Report::Lost(delivered) => finished(AttemptEnd::Lost {
-            delivered: Tokens(*delivered),
-        }),
+        Report::Lost(delivered) => {
+            let delivered = Tokens(*delivered);
+            finished(if report.has_engine_ended {
+                AttemptEnd::EngineEnded { delivered }
+            } else {
+                AttemptEnd::Lost { delivered }
+            })
+        }
         Report::CallerGone(_) => finished(AttemptEnd::CallerGone),
     })
 }
--- a/src/modules/serve/requests/mod.rs
+++ b/src/modules/serve/requests/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod caller;
 pub(crate) mod callers;
 pub(crate) mod chat_format;
+pub(crate) mod engine_state;
 pub(crate) mod model_answer;
 pub(crate) mod model_attempt;
 pub mod model_call;
--- a/src/modules/serve/requests/model_call.rs
+++ b/src/modules/serve/requests/model_call.rs
@@ -8,7 +8,7 @@
 use crate::modules::serve::requests::refusal::{BadRequest, CallerRefusal};
 use crate::modules::serve::requests::targets::Targets;
 use axum::extract::Request;
-use bridgevane_types::Tokens;
+use bridgevane_types::{RequestFingerprint, Tokens};
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
@@ -50,6 +50,12 @@
     let (kind, class) = caller.kind(&head.headers)?;
     let class_config = caller.class(&class)?;
     let body = read_body(context, caller.request, body).await?;
+    let fingerprint = RequestFingerprint::new(
+        Some(&caller.customer),
+        head.method.as_str(),
+        head.uri.path(),
+        &body,
+    );
     let parsed = ModelCall::parse(shape, &body);
     let call = parsed.ok_or_else(|| caller.bad(BadRequest::MalformedBody))?;
     let served = caller
@@ -70,6 +76,7 @@
         max_tokens: call.max_tokens(context.config.serving.default_max_tokens),
         blocks,
         block_tokens,
+        fingerprint: Some(fingerprint),
         is_repeatable: true,
         is_preemptible: true,
     };
--- a/src/modules/serve/requests/model_request.rs
+++ b/src/modules/serve/requests/model_request.rs
@@ -9,6 +9,7 @@
 use crate::modules::serve::pools::homes;
 use crate::modules::serve::pools::messages::{NamedOffer, PoolOrder, PoolReport, RETRY_SOON};
 use crate::modules::serve::pools::orders::OrderReceiver;
+use crate::modules::serve::requests::engine_state::with_state_of_model;
 use crate::modules::serve::requests::refusal::CallerRefusal;
 use crate::modules::serve::requests::targets::Targets;
 use bridgevane_adapters::EndReason;
@@ -199,6 +200,7 @@
             }
             AttemptResult::Failed(end) => {
                 self.interrupted_by = "lost";
+                let end = with_state_of_model(&attempt.engine, end).await;
                 self.finish_attempt(number, end).await;
                 false
             }
--- a/src/modules/serve/requests/plain_call.rs
+++ b/src/modules/serve/requests/plain_call.rs
@@ -14,7 +14,9 @@
 use axum::response::{IntoResponse, Response};
 use bridgevane_adapters::{PlainAnswer, PlainCall};
 use bridgevane_config::{RouteConfig, ServiceKind};
-use bridgevane_types::{IdempotencyKey, Outcome, RefusalCode, RequestId, ServiceName, Tokens};
+use bridgevane_types::{
+    IdempotencyKey, Outcome, RefusalCode, RequestFingerprint, RequestId, ServiceName, Tokens,
+};
 use std::sync::Arc;
 
 /// By which a caller makes a call safe to send again.
@@ -58,7 +60,7 @@
         call_digest: call_digest(&call),
     });
     let plain_request = PlainRequest {
-        offer: offer(&caller, service, &route),
+        offer: offer(&caller, service, &route, &call),
         call,
         key,
         targets,
@@ -103,7 +105,15 @@
     }
 }
 
-fn offer(caller: &Caller, service: ServiceName, route: &RouteConfig) -> NamedOffer {
+fn offer(
+    caller: &Caller,
+    service: ServiceName,
+    route: &RouteConfig,
+    call: &PlainCall,
+) -> NamedOffer {
+    let method = call.method.as_str();
+    let fingerprint =
+        RequestFingerprint::new(Some(&caller.customer), method, &call.path, &call.body);
     NamedOffer {
         service,
         request: caller.request,
@@ -114,6 +124,7 @@
         max_tokens: Tokens(1),
         blocks: Vec::new(),
         block_tokens: 0,
+        fingerprint: Some(fingerprint),
         is_repeatable: route.repeatable,
         is_preemptible: false,
     }
--- a/src/modules/serve/requests/plain_request.rs
+++ b/src/modules/serve/requests/plain_request.rs
@@ -7,6 +7,7 @@
 use crate::modules::serve::pools::homes;
 use crate::modules::serve::pools::messages::{NamedOffer, PoolOrder, PoolReport, RETRY_SOON};
 use crate::modules::serve::pools::orders::OrderReceiver;
+use crate::modules::serve::requests::engine_state::with_state_of_plain;
 use crate::modules::serve::requests::refusal::{BadRequest, CallerRefusal};
 use crate::modules::serve::requests::targets::Targets;
 use axum::http::StatusCode;
@@ -128,7 +129,7 @@
             } => {
                 let result = engine.plain.call(request.call.clone()).await;
                 has_sent |= result != Err(PlainCallError::NotReached);
-                let end = end_of(&result);
+                let end = with_state_of_plain(&engine, end_of(&result)).await;
                 let report = PoolReport::Finished(attempt, end);
                 let service = &request.offer.service;
                 homes::report(context, service, id, report).await;
--- a/src/modules/serve/requests/refusal.rs
+++ b/src/modules/serve/requests/refusal.rs
@@ -110,7 +110,9 @@
         let status = match code {
             RefusalCode::CustomerLimit => StatusCode::TOO_MANY_REQUESTS,
             RefusalCode::Rejected => StatusCode::BAD_REQUEST,
-            RefusalCode::RetriesExhausted | RefusalCode::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            RefusalCode::EndsEngines
+            | RefusalCode::RetriesExhausted
+            | RefusalCode::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             RefusalCode::CannotMeetTarget
             | RefusalCode::QueueFull
             | RefusalCode::NoEngine
--- a/tests/crashing_prompts.rs
+++ b/tests/crashing_prompts.rs
@@ -9,7 +9,6 @@
 use support::*;
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "known red, see KNOWN-RED.txt: a prompt that ends engines is tried on eight of them"]
 async fn a_prompt_that_has_ended_three_engines_is_stopped() {
     let mut fleet = Fleet::start("deadly", 8, 3).await;
     let mut answers = Vec::new();
