--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -5,10 +5,11 @@
 use bridgevane_protocol::record_change::Change;
 use bridgevane_protocol::{
     ConfigDelta, ConfigSnapshot, ConfigWanted, CrashNews, EndpointWork, Frame, FrameCodec,
-    FrameError, GreetingError, Heartbeat, Hello, KeyClaim, KeyEnded, KeyVerdict, MAX_FRAME_BYTES,
-    MemberState, MemberUpdate, PROTOCOL_VERSION, PoolDispatch, PoolOffer, PoolOrder, PoolRefuse,
-    PoolReport, Proof, Query, QueryAnswer, RecordChange, RecordPatch, RecordsAnswer, RecordsWanted,
-    RequestFingerprint, Role, SectionChange, SourcePath, greet, pool_order, pool_report, prove,
+    FrameError, GreetingError, Heartbeat, Hello, KeyClaim, KeyEnded, KeyEndedHeard, KeyVerdict,
+    MAX_FRAME_BYTES, MemberState, MemberUpdate, PROTOCOL_VERSION, PoolDispatch, PoolOffer,
+    PoolOrder, PoolRefuse, PoolReport, Proof, Query, QueryAnswer, RecordChange, RecordPatch,
+    RecordsAnswer, RecordsWanted, RequestFingerprint, Role, SectionChange, SourcePath, greet,
+    pool_order, pool_report, prove,
 };
 use bytes::{BufMut, Bytes, BytesMut};
 use expect_test::expect;
@@ -178,8 +179,13 @@
                 status: 200,
                 content_type: "a/b".into(),
                 body: Bytes::new(),
+                claim: 12,
             }),
         ),
+        (
+            "key_ended_heard",
+            Body::KeyEndedHeard(KeyEndedHeard { claim: 12 }),
+        ),
         (
             "query",
             Body::Query(Query {
@@ -343,7 +349,8 @@
         pool_report lost 00000021521f0a057475746f7212100909090909090909090909090909090918014810581e
         key_claim 0000002b5a29080112046465736b1a016322016b2a1009090909090909090909090909090909310200000000000000
         key_verdict 0000001262100801100318c8012203612f622a026f6b
-        key_ended 0000002a6a280a046465736b1201631a016b221009090909090909090909090909090909280130c8013a03612f62
+        key_ended 0000002c6a2a0a046465736b1201631a016b221009090909090909090909090909090909280130c8013a03612f62480c
+        key_ended_heard 00000005aa0102080c
         query 0000000e720c0801120873686f7720766d73
         query_answer 000000087a06080112025b5d
         records_wanted 000000328a012f0a04766d2d311204626f2d631a0d31302e302e302e313a3730303020072803320a0d0500000010a01f180738014002
--- a/src/modules/serve/peers/frames.rs
+++ b/src/modules/serve/peers/frames.rs
@@ -83,6 +83,8 @@
         Body::KeyEnded(ended) => claims::on_ended(context, &ended),
         Body::Query(query) => fan_out::on_query(context, link, query),
         Body::QueryAnswer(answer) => context.queries.on_answer(peer, answer),
+        // Nobody asks for it.
+        Body::KeyEndedHeard(_) => {}
         // Between gateways only.
         Body::RecordsWanted(_)
         | Body::RecordsAnswer(_)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! What end-to-end tests share: processes on loopback, ended by their own ids, and calls.
 #![allow(dead_code, missing_docs)]
 
+pub mod fake_home;
+
 use bridgevane_adapters::HttpClient;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -12,6 +14,8 @@
 
 pub const BINARY: &str = env!("CARGO_BIN_EXE_bridgevane");
 pub const CUSTOMER_KEY: &str = "key-of-grand-bay";
+/// The key that daemons share.
+pub const PEER_KEY: &str = "a-key-for-tests-only";
 pub const OPERATOR: &str = "nadia:operator-token-1";
 
 /// A process that is killed when the test ends.
@@ -91,7 +95,7 @@
         .args(["--peer-address", "127.0.0.1:0"])
         .args(["--platform-address", &platform.to_string()])
         .env("BRIDGEVANE_PEER_SEEDS", seeds.join(","))
-        .env("BRIDGEVANE_PEER_KEY", "a-key-for-tests-only")
+        .env("BRIDGEVANE_PEER_KEY", PEER_KEY)
         .env(
             "BRIDGEVANE_OPERATOR_TOKENS",
             format!("{OPERATOR},marco:operator-token-2"),
@@ -372,6 +376,17 @@
         }
     }
 
+    /// Waits until a daemon counts so many live members, some of which may be no daemons.
+    pub async fn sees_live(&self, daemon: &Process, count: usize) {
+        let address = daemon.operators;
+        eventually("the members are known", || async move {
+            let answer = ask(address, "show vms").await.json();
+            let rows = answer["rows"].as_array().cloned().unwrap_or_default();
+            rows.iter().any(|row| field(row, "live_members") == count)
+        })
+        .await;
+    }
+
     pub async fn sees(&self, daemon: &Process, count: usize) {
         let address = daemon.operators;
         eventually("the members are known", || async move {
