--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -8,17 +8,55 @@
 
 use bridgevane_types::{DurationMs, TimeMs, WallTimeMs};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
 /// What the clock shows when the daemon starts: proofs up to so old can be taken from another
 /// daemon. Chosen longer than a configuration may be served on (`--max-stale-s`).
 const START: TimeMs = TimeMs(8 * 24 * 60 * 60 * 1_000);
 
+/// Where a clock has its time from.
+#[derive(Clone, Copy, Debug)]
+enum TimeSource {
+    /// From the machine.
+    Machine { started: Instant },
+    /// From the runtime, changed by a script.
+    Scripted {
+        started: Instant,
+        script: &'static ClockScript,
+    },
+}
+
+/// Suspensions of the VM, as a test plays them.
+#[derive(Debug, Default)]
+pub struct ClockScript {
+    /// Time that only the clock that counts suspension has seen, in milliseconds.
+    ahead_ms: AtomicU64,
+    /// Time that the runtime has seen and the steady clock hasn't, in milliseconds.
+    behind_ms: AtomicU64,
+}
+
+impl ClockScript {
+    /// A script that lasts as long as the process: clocks are copied everywhere.
+    pub fn leaked() -> &'static Self {
+        Box::leak(Box::default())
+    }
+
+    /// The VM wakes from a suspension, while no time has passed for the runtime.
+    pub fn wake_after(&self, suspended: DurationMs) {
+        self.ahead_ms.fetch_add(suspended.0, Ordering::SeqCst);
+    }
+
+    /// The VM is suspended while so much time passes for the runtime.
+    pub fn stand_still(&self, suspended: DurationMs) {
+        self.behind_ms.fetch_add(suspended.0, Ordering::SeqCst);
+    }
+}
+
 /// Tells the time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    started: Instant,
+    source: TimeSource,
     /// The time of day at the start. It is read once: the time of day may be set while the daemon
     /// runs, and what it counts by the hour must not go back.
     started_wall: WallTimeMs,
@@ -27,15 +65,40 @@
 impl Clock {
     /// A clock that starts now.
     pub(crate) fn start() -> Self {
-        Self {
+        Self::from_source(TimeSource::Machine {
+            started: Instant::now(),
+        })
+    }
+
+    /// A clock that starts now and goes by a script.
+    pub fn scripted(script: &'static ClockScript) -> Self {
+        Self::from_source(TimeSource::Scripted {
             started: Instant::now(),
+            script,
+        })
+    }
+
+    fn from_source(source: TimeSource) -> Self {
+        Self {
+            source,
             started_wall: time_of_day(),
         }
     }
 
     /// Now.
     pub fn now(&self) -> TimeMs {
-        START + DurationMs(self.started.elapsed().as_millis() as u64)
+        START + self.elapsed()
+    }
+
+    /// The time since the start.
+    fn elapsed(&self) -> DurationMs {
+        match self.source {
+            TimeSource::Machine { started } => millis(started.elapsed()),
+            TimeSource::Scripted { started, script } => {
+                let behind_ms = script.behind_ms.load(Ordering::SeqCst);
+                DurationMs(millis(started.elapsed()).0 - behind_ms)
+            }
+        }
     }
 
     /// The time of day at a moment, by what it was when the daemon started.
@@ -44,6 +107,10 @@
     }
 }
 
+fn millis(time: Duration) -> DurationMs {
+    DurationMs(time.as_millis() as u64)
+}
+
 /// The time of day; a clock from before 1970 counts as unset.
 fn time_of_day() -> WallTimeMs {
     let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -61,7 +61,16 @@
 impl Gateway {
     /// A gateway that has heard nothing yet.
     pub fn new(settings: GatewaySettings, header_names: HeaderNames, meter: &Meter) -> Arc<Self> {
-        let clock = Clock::start();
+        Self::with_clock(settings, header_names, meter, Clock::start())
+    }
+
+    /// The same with a clock of the caller's.
+    pub fn with_clock(
+        settings: GatewaySettings,
+        header_names: HeaderNames,
+        meter: &Meter,
+        clock: Clock,
+    ) -> Arc<Self> {
         Arc::new(Self {
             control: ControlState::new(clock, &settings),
             fleet: Fleet::new(clock, &settings),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,6 +59,7 @@
 pub use sockets::accept;
 
 // State that tests of the rules set up.
+pub use clock::{Clock, ClockScript};
 pub use control::patch::{Patch, PatchDoesNotFit};
 pub use control::replica::{RecordOutcome, Replica, Update};
 pub use duties::book::DutyBook;
--- a/crates/gateway/tests/duties_search.rs
+++ b/crates/gateway/tests/duties_search.rs
@@ -24,6 +24,10 @@
 
 /// Seeds of the search. Chosen so that it takes some 20 s; `DUTY_SEEDS` gives another number.
 const SEEDS: u64 = 120;
+/// Kinds of faults at daemons and at the store.
+const FAULTS: u32 = 9;
+/// The same, and daemons whose VM is suspended.
+const FAULTS_AND_SUSPENSION: u32 = 10;
 /// Steps of one seed, each a fault or its end.
 const STEPS: usize = 14;
 /// The longest time that usage may take after a fault: a lease that runs out, one that a successor
@@ -185,8 +189,29 @@
     });
 }
 
+/// A VM that is suspended doesn't see time pass on its steady clock: when it wakes, its lease is over, a
+/// successor acts, and it must know.
+#[test]
+#[ignore = "known red, see KNOWN-RED.txt: the clock leaves suspension out"]
+fn a_holder_that_wakes_from_a_suspension_acts_no_more() {
+    on_virtual_clock(async {
+        for step in 0..20 {
+            let world = World::new();
+            let daemons = ["vm-a", "vm-b", "vm-c"].map(|vm| start(&world, vm, step));
+            sleep(Duration::from_millis(9_000 + 210 * step)).await;
+            let holder = world.holder().expect("a holder");
+            let suspended = daemons.iter().find(|daemon| daemon.vm == holder);
+            let suspended = suspended.expect("it runs");
+            let time = Duration::from_millis(2_000 + 400 * step);
+            suspended.suspend(&world, time).await;
+            sleep(Duration::from_secs(12)).await;
+            check_rules(&world.taken());
+        }
+    });
+}
+
 /// One seed: faults at daemons and the store begin and end at random moments.
-async fn play(seed: u64) {
+async fn play(seed: u64, faults: u32) {
     let mut random = Pcg32::seed_from_u64(seed);
     let world = World::new();
     let names = ["vm-a", "vm-b", "vm-c"];
@@ -205,7 +230,7 @@
         } else {
             drawn
         };
-        match random.random_range(0..9) {
+        match random.random_range(0..faults) {
             0 => drop(daemons.remove(vm)),
             1 => {
                 let store_cut = Link {
@@ -235,6 +260,12 @@
             5 => world.silence(false),
             6 => world.end_all_leases(),
             7 => world.link(vm, Link::default()),
+            9 => {
+                let time = Duration::from_millis(random.random_range(500..9_000));
+                if let Some(daemon) = daemons.get(vm) {
+                    daemon.suspend(&world, time).await;
+                }
+            }
             _ => {
                 daemons
                     .entry(vm)
@@ -261,7 +292,17 @@
     let seeds = asked.map_or(SEEDS, |seeds| seeds.parse().expect("a number of seeds"));
     for seed in 0..seeds {
         on_virtual_clock(async {
-            play(seed).await;
+            play(seed, FAULTS).await;
+        });
+    }
+}
+
+#[test]
+#[ignore = "known red, see KNOWN-RED.txt: the clock leaves suspension out"]
+fn no_order_of_faults_and_suspensions_breaks_a_rule() {
+    for seed in 0..SEEDS {
+        on_virtual_clock(async {
+            play(seed, FAULTS_AND_SUSPENSION).await;
         });
     }
 }
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -4,8 +4,8 @@
 
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
 use bridgevane_gateway::{
-    Gateway, GatewaySettings, Repeatability::Idempotent, SourceError, follow_control_source,
-    serve_clients,
+    Clock, ClockScript, Gateway, GatewaySettings, Repeatability::Idempotent, SourceError,
+    follow_control_source, serve_clients,
 };
 use bridgevane_types::DurationMs;
 use std::time::Duration;
@@ -297,3 +297,26 @@
     assert_eq!(status_of(&running, "/often/x", KEY).await, 503);
     assert_eq!(endpoint.count(), 0);
 }
+
+/// A suspended VM doesn't see time pass on its steady clock, and others go on meanwhile: keys are removed,
+/// endpoints leave. It is known before anything is answered.
+#[tokio::test]
+#[ignore = "known red, see KNOWN-RED.txt: the clock leaves suspension out"]
+async fn what_is_believed_ages_while_the_vm_is_suspended() {
+    let source = ScriptedSource::new();
+    source.configure(3, vec![plain_route("often", Idempotent, 2)], &[KEY]);
+    let endpoint = Endpoint::start(|_| vec![answer("200 OK", "fine")]).await;
+    source.endpoint("e-0", "plain", endpoint.address);
+    let script = ClockScript::leaked();
+    let clock = Clock::scripted(script);
+    let running = support::start_by(clock, source, support::settings()).await;
+    assert_eq!(status(&running).await, 200);
+    running.source.fail(Some(SourceError::NoAnswer));
+    script.wake_after(DurationMs(5_000));
+    assert!(!running.gateway.is_ready());
+    assert_eq!(status(&running).await, 503);
+    assert_eq!(endpoint.count(), 1);
+    running.source.fail(None);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(status(&running).await, 200);
+}
--- a/crates/gateway/tests/support/duty_sim/daemon.rs
+++ b/crates/gateway/tests/support/duty_sim/daemon.rs
@@ -1,22 +1,26 @@
 //! A daemon of the simulation: the product's tasks before the simulated platform.
 
-use super::store::{Way, World};
+use super::store::{Link, Way, World};
 use super::{LEASE, WINDOW};
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
 use bridgevane_gateway::decisions::duties::usage_window::UsageCalendar;
 use bridgevane_gateway::{
-    DutySettings, Gateway, GatewaySettings, follow_control_source, hold_duties,
+    Clock, ClockScript, DutySettings, Gateway, GatewaySettings, follow_control_source, hold_duties,
 };
 use bridgevane_types::{CustomerId, DurationMs};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
+
+/// How finely a suspension is played.
+const STEP: Duration = Duration::from_millis(5);
 
 /// A running daemon; dropped, it is killed.
 pub struct Daemon {
     pub vm: String,
     pub gateway: Arc<Gateway>,
+    clock: &'static ClockScript,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -52,7 +56,9 @@
     /// Starts a daemon that sees a request of one customer begin every `pause`.
     pub fn start(world: &World, vm: &str, pause: Duration) -> Self {
         let meter = opentelemetry::global::meter("test");
-        let gateway = Gateway::new(settings(vm), crate::support::names(), &meter);
+        let script = ClockScript::leaked();
+        let names = crate::support::names();
+        let gateway = Gateway::with_clock(settings(vm), names, &meter, Clock::scripted(script));
         let way = Way {
             world: world.clone(),
             vm: vm.to_owned(),
@@ -72,8 +78,20 @@
         ];
         Self {
             vm: vm.to_owned(),
+            clock: script,
             gateway,
             tasks,
         }
     }
+
+    /// Its VM is suspended for so long: nothing of it gets through, and its steady clock stands still.
+    pub async fn suspend(&self, world: &World, time: Duration) {
+        world.link(&self.vm, Link::suspended());
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            sleep(STEP).await;
+            self.clock.stand_still(DurationMs(STEP.as_millis() as u64));
+        }
+        world.link(&self.vm, Link::default());
+    }
 }
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -47,6 +47,17 @@
     pub platform_cut: bool,
 }
 
+impl Link {
+    /// Of a VM that is suspended.
+    pub fn suspended() -> Self {
+        Self {
+            store_cut: true,
+            platform_cut: true,
+            answers_lost: None,
+        }
+    }
+}
+
 #[derive(Default)]
 struct State {
     /// From 1 on: the configuration and the engine are there.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,7 +9,8 @@
 
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
 use bridgevane_gateway::{
-    Gateway, GatewaySettings, HeaderNames, follow_control_source, serve_clients, store_quarantine,
+    Clock, ClockScript, Gateway, GatewaySettings, HeaderNames, follow_control_source,
+    serve_clients, store_quarantine,
 };
 use bridgevane_types::{Bytes, DurationMs, Share};
 use http::HeaderName;
@@ -87,7 +88,13 @@
 
 /// The same with settings of the test's own.
 pub async fn start_with(source: ScriptedSource, settings: GatewaySettings) -> Running {
-    let gateway = Gateway::new(settings, names(), &opentelemetry::global::meter("test"));
+    start_by(Clock::scripted(ClockScript::leaked()), source, settings).await
+}
+
+/// The same with a clock of the test's own.
+pub async fn start_by(clock: Clock, source: ScriptedSource, settings: GatewaySettings) -> Running {
+    let meter = opentelemetry::global::meter("test");
+    let gateway = Gateway::with_clock(settings, names(), &meter, clock);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it listens");
     tokio::spawn(follow_control_source(gateway.clone(), source.clone()));
