--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -52,6 +52,7 @@
     1003 Stopped Info "all streams have ended and the daemon stops";
     1004 CannotListen Error "an address can't be listened on";
     1005 SettingsSignal Info "SIGHUP was received; settings are read at the next start";
+    1006 Suspended Warn "the VM was suspended";
     1101 ConfigInForce Info "a configuration version is in force";
     1102 ConfigRejected Error "a stored or received configuration can't be used";
     1103 ConfigProposed Info "an operator's change was decided";
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -3,10 +3,13 @@
 //! It doesn't begin at 0, so that moments before the daemon's start can be told: another daemon may
 //! have proved its configuration long before.
 //!
-//! It is steady and runs on while the process is paused, so that a proof of freshness ages through
-//! a freeze. Rules take its moments as arguments; tests pass their own.
+//! It counts the time in which the process is stopped or the VM suspended (`CLOCK_BOOTTIME`), so that a
+//! proof of freshness, a lease and a removed key age through it: whoever wakes knows at once. Rules take
+//! its moments as arguments; tests pass their own. Timers of the runtime stand on the steady clock, which
+//! leaves suspension out, and fire late by it: nothing that must not be done too late or too early hangs
+//! on a timer alone (docs/design/18).
 
-use bridgevane_types::{DurationMs, TimeMs, WallTimeMs};
+use bridgevane_types::{DurationMs, TimeMs, WallTimeMs, boot_time};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
@@ -19,7 +22,12 @@
 #[derive(Clone, Copy, Debug)]
 enum TimeSource {
     /// From the machine.
-    Machine { started: Instant },
+    Machine {
+        /// On the steady clock.
+        started: Instant,
+        /// Since the machine's start.
+        started_boot: TimeMs,
+    },
     /// From the runtime, changed by a script.
     Scripted {
         started: Instant,
@@ -67,6 +75,7 @@
     pub(crate) fn start() -> Self {
         Self::from_source(TimeSource::Machine {
             started: Instant::now(),
+            started_boot: boot_time(),
         })
     }
 
@@ -93,10 +102,24 @@
     /// The time since the start.
     fn elapsed(&self) -> DurationMs {
         match self.source {
-            TimeSource::Machine { started } => millis(started.elapsed()),
+            TimeSource::Machine { started_boot, .. } => boot_time().since(started_boot),
             TimeSource::Scripted { started, script } => {
-                let behind_ms = script.behind_ms.load(Ordering::SeqCst);
-                DurationMs(millis(started.elapsed()).0 - behind_ms)
+                let ahead_ms = script.ahead_ms.load(Ordering::SeqCst);
+                millis(started.elapsed()) + DurationMs(ahead_ms)
+            }
+        }
+    }
+
+    /// The time since the start in which the VM was suspended, as the two clocks differ.
+    pub(crate) fn suspended(&self) -> DurationMs {
+        match self.source {
+            TimeSource::Machine { started, .. } => {
+                let steady = millis(started.elapsed());
+                DurationMs(self.elapsed().0.saturating_sub(steady.0))
+            }
+            TimeSource::Scripted { script, .. } => {
+                let ahead_ms = script.ahead_ms.load(Ordering::SeqCst);
+                DurationMs(ahead_ms + script.behind_ms.load(Ordering::SeqCst))
             }
         }
     }
--- a/crates/gateway/src/decisions/endpoint/idle_connections.rs
+++ b/crates/gateway/src/decisions/endpoint/idle_connections.rs
@@ -48,10 +48,10 @@
 
 /// How long a connection may be idle; none: it is closed. `announced` is the endpoint's own
 /// timeout.
-pub(crate) fn idle_timeout(announced: Option<Duration>) -> Option<Duration> {
+pub(crate) fn idle_timeout(announced: Option<Duration>) -> Option<DurationMs> {
     let timeout = announced.unwrap_or(DEFAULT_IDLE_TIMEOUT);
     let timeout = timeout.saturating_sub(IDLE_TIMEOUT_MARGIN);
-    (!timeout.is_zero()).then_some(timeout)
+    (!timeout.is_zero()).then_some(DurationMs(timeout.as_millis() as u64))
 }
 
 /// Whether a request may go on an idle connection.
--- a/crates/gateway/src/endpoints/idle_connections.rs
+++ b/crates/gateway/src/endpoints/idle_connections.rs
@@ -3,20 +3,19 @@
 //! How many are kept and how long is decided in [`crate::decisions::endpoint::idle_connections`].
 
 use crate::endpoints::connection::Connection;
+use bridgevane_types::TimeMs;
 use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
-use tokio::time::Instant;
 
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
-    expires: Instant,
+    expires_at: TimeMs,
 }
 
 impl IdleConnection {
     /// The connection, if it may still be used.
-    fn into_usable(self) -> Option<Connection> {
-        let is_usable = self.connection.is_open() && Instant::now() < self.expires;
+    fn into_usable(self, now: TimeMs) -> Option<Connection> {
+        let is_usable = self.connection.is_open() && now < self.expires_at;
         is_usable.then_some(self.connection)
     }
 }
@@ -39,19 +38,19 @@
     }
 
     /// Takes the connection that was used last, if one may still be used.
-    pub(crate) fn take(&self) -> Option<Connection> {
+    pub(crate) fn take(&self, now: TimeMs) -> Option<Connection> {
         let mut state = self.state();
         while let Some(idle) = state.idle.pop() {
-            if let Some(connection) = idle.into_usable() {
+            if let Some(connection) = idle.into_usable(now) {
                 return Some(connection);
             }
         }
         None
     }
 
-    /// Keeps a connection for `timeout`; beyond `max_idle` the one that was unused the longest
+    /// Keeps a connection until `expires_at`; beyond `max_idle` the one that was unused the longest
     /// goes.
-    pub(crate) fn put(&self, connection: Connection, timeout: Duration, max_idle: usize) {
+    pub(crate) fn put(&self, connection: Connection, expires_at: TimeMs, max_idle: usize) {
         let mut state = self.state();
         if state.is_closed {
             return;
@@ -61,7 +60,7 @@
         }
         state.idle.push(IdleConnection {
             connection,
-            expires: Instant::now() + timeout,
+            expires_at,
         });
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use http::HeaderMap;
 use opentelemetry::metrics::Meter;
 use std::sync::Arc;
+use tokio::sync::Notify;
 
 /// The gateway's state.
 #[derive(Debug)]
@@ -41,6 +42,8 @@
     pub clock: Clock,
     /// What the control source says.
     pub control: ControlState,
+    /// Notified when the VM has been suspended.
+    pub(crate) woken: Notify,
     /// The steps of a planned stop.
     pub shutdown: Shutdown,
     pub(crate) header_names: HeaderNames,
@@ -79,6 +82,7 @@
             retry_budgets: RetryBudgets::new(clock.now(), &settings),
             settings,
             clock,
+            woken: Notify::new(),
             shutdown: Shutdown::new(),
             header_names,
             prompt_locations: PromptLocations::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub use header_names::HeaderNames;
 pub use lifecycle::readiness::run as serve_readiness;
 pub use lifecycle::stop::run as stop_gracefully;
+pub use lifecycle::suspension::run as watch_suspension;
 pub use replication::follow::run as follow_control_source;
 pub use replication::quarantine_writer::run as store_quarantine;
 pub use replication::server::run as serve_peers;
--- a/crates/gateway/src/lifecycle/mod.rs
+++ b/crates/gateway/src/lifecycle/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod readiness;
 pub(crate) mod shutdown;
 pub(crate) mod stop;
+pub(crate) mod suspension;
--- a/crates/gateway/src/lifecycle/stop.rs
+++ b/crates/gateway/src/lifecycle/stop.rs
@@ -15,7 +15,7 @@
 use bridgevane_events::{Event, event};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 /// How often open connections are counted at the end. Not measured, chosen because it is short
 /// against the seconds that a stop takes.
@@ -25,13 +25,13 @@
 pub async fn run(gateway: Arc<Gateway>) {
     let settings = &gateway.settings;
     let shutdown = &gateway.shutdown;
-    let end = Instant::now() + settings.stop_ms.as_std();
+    let end = gateway.clock.now() + settings.stop_ms;
     shutdown.begin();
     event!(Event::Stopping, in_progress = gateway.in_progress());
     sleep(settings.balancer_delay_ms.min(settings.stop_ms).as_std()).await;
     shutdown.end_accepting().await;
     shutdown.close_idle();
-    while gateway.open_connections() > 0 && Instant::now() < end {
+    while gateway.open_connections() > 0 && gateway.clock.now() < end {
         sleep(COUNT_INTERVAL).await;
     }
     event!(Event::Stopped, in_progress = gateway.in_progress());
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -132,6 +132,8 @@
         let result = tokio::select! {
             result = self.call_source() => result,
             () = gateway.fleet.wait_for_fresher() => Err(SourceError::NoAnswer),
+            // What was asked before a suspension is asked anew.
+            () = gateway.woken.notified() => return,
         };
         self.gateway.metrics.source_called(cause, result);
         match result {
@@ -230,6 +232,7 @@
             asked = self.parent_client.ask(&gateway, peer, after) => asked,
             // The question is dropped with its connection; the parent is kept.
             () = gateway.fleet.wait_for_fresher() => return,
+            () = gateway.woken.notified() => return,
             () = wait_for_turn(until_turn) => return,
         };
         let taken = asked.and_then(|answer| self.take_in(answer));
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -97,9 +97,10 @@
             Some(FollowerPlacement::Circle) => circle(gateway, &question),
             Some(FollowerPlacement::Redirect(address)) => redirection(gateway, address),
             Some(FollowerPlacement::Here) => {
+                let asked_at = gateway.clock.now();
                 let asked = Instant::now();
                 wait_for_news(gateway, sent_proof, &told_news, &question, asked).await;
-                let (mut answer, proved_at) = records(gateway, &question, asked);
+                let (mut answer, proved_at) = records(gateway, &question, asked_at);
                 sent_proof = proved_at;
                 answer.crash_news = told_news.next(gateway);
                 if answers % SIBLINGS_EVERY == 0 {
@@ -238,7 +239,7 @@
 fn records(
     gateway: &Gateway,
     question: &RecordsWanted,
-    asked: Instant,
+    asked_at: TimeMs,
 ) -> (RecordsAnswer, Option<TimeMs>) {
     // A proof is noted after the state that it proves: while the replica can't change, it holds at
     // least what the newest proof is about.
@@ -249,14 +250,14 @@
     drop(replica);
     // Age and holding are of one moment: the follower takes one from the other.
     let proof_age_ms = proof_age_ms(gateway, proved_at);
-    let held = asked.elapsed();
+    let held = gateway.clock.now().since(asked_at);
     let total_work = gateway.fleet.total_work(&gateway.control.directory());
     let path = gateway.fleet.path();
     let mut answer = RecordsAnswer {
         at: at.0,
         path: Some(path_message(&path)),
         proof_age_ms,
-        held_ms: held.as_millis() as u64,
+        held_ms: held.0,
         data_centre: gateway.settings.data_centre.to_string(),
         // 0 says that it isn't known.
         fleet_size: gateway.fleet.size().unwrap_or_default(),
--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -32,6 +32,7 @@
     arrived: Instant,
     request: Request<Incoming>,
 ) -> Result<InboundRequest, RefusalReason> {
+    let arrived_at = gateway.clock.now();
     let names = &gateway.header_names;
     let (head, body) = request.into_parts();
     let headers = gateway.client_headers(&head.headers);
@@ -45,7 +46,8 @@
     let id = decode::identifier(names, &head.headers)?;
     let path = head.uri.path_and_query().cloned();
     let path = path.ok_or(RefusalReason::Malformed)?;
-    let deadline = arrived + route_timeout(&route, client_timeout).as_std();
+    let allowed = route_timeout(&route, client_timeout);
+    let deadline = arrived + allowed.as_std();
     let prompt = if route.has_prompt_parts {
         decode::prompt(names, &headers)
     } else {
@@ -57,6 +59,8 @@
     Ok(InboundRequest {
         arrived,
         deadline,
+        deadline_at: arrived_at + allowed,
+        clock: gateway.clock,
         id,
         method: head.method,
         path,
--- a/crates/gateway/src/requests/attempt.rs
+++ b/crates/gateway/src/requests/attempt.rs
@@ -15,6 +15,7 @@
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head;
 use crate::unreadable_headers::{Sender, UnreadableHeaders};
+use bridgevane_types::TimeMs;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, response};
 use http_body_util::Full;
@@ -49,16 +50,16 @@
         &self.selected.endpoint
     }
 
-    /// The body was read to its end: keeps the connection for `idle_timeout`, if there is one, and
-    /// gives the head.
+    /// The body was read to its end: keeps the connection until `expires_at`, if there is such a moment,
+    /// and gives the head.
     pub(crate) fn keep_connection(
         self,
-        idle_timeout: Option<Duration>,
+        expires_at: Option<TimeMs>,
         max_idle: usize,
     ) -> response::Parts {
-        if let Some(timeout) = idle_timeout {
+        if let Some(expires_at) = expires_at {
             let idle_connections = &self.selected.endpoint.idle_connections;
-            idle_connections.put(self.connection, timeout, max_idle);
+            idle_connections.put(self.connection, expires_at, max_idle);
         }
         self.head
     }
@@ -177,7 +178,7 @@
         let may_reuse = may_reuse(may_run_again, self.clock.now(), heard_at);
         if may_reuse
             && idle_tries < MAX_IDLE_TRIES
-            && let Some(connection) = endpoint.idle_connections.take()
+            && let Some(connection) = endpoint.idle_connections.take(self.clock.now())
         {
             return Ok(connection);
         }
--- a/crates/gateway/src/requests/crash_check.rs
+++ b/crates/gateway/src/requests/crash_check.rs
@@ -69,7 +69,8 @@
             if let Some(idle_timeout) = idle_timeout(None) {
                 let max_idle = gateway.max_idle_connections(&endpoint);
                 let idle_connections = &endpoint.idle_connections;
-                idle_connections.put(connection, idle_timeout, max_idle);
+                let expires_at = gateway.clock.now() + idle_timeout;
+                idle_connections.put(connection, expires_at, max_idle);
             }
         }
     }
--- a/crates/gateway/src/requests/exchange.rs
+++ b/crates/gateway/src/requests/exchange.rs
@@ -384,7 +384,9 @@
         let headers = self.gateway.endpoint_headers(&answer.head.headers);
         let idle_timeout = response_head::idle_timeout(&headers);
         let max_idle = self.gateway.max_idle_connections(answer.endpoint());
-        answer.keep_connection(idle_timeout, max_idle)
+        let now = self.gateway.clock.now();
+        let expires_at = idle_timeout.map(|timeout| now + timeout);
+        answer.keep_connection(expires_at, max_idle)
     }
 
     /// Counts an answer that reached its end, and logs it; of the plain successes a sample.
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -2,11 +2,12 @@
 //!
 //! Owns the body until the last attempt; each attempt shares its bytes.
 
+use crate::clock::Clock;
 use crate::decisions::admission::priority::Priority;
 use crate::header_names::HeaderNames;
 use crate::prompt::Prompt;
 use crate::route::{Customer, Route};
-use bridgevane_types::{RequestFingerprint, ServiceName};
+use bridgevane_types::{RequestFingerprint, ServiceName, TimeMs};
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
@@ -19,10 +20,13 @@
 /// The request.
 #[derive(Debug)]
 pub(crate) struct InboundRequest {
+    pub(crate) clock: Clock,
     /// When its head had arrived.
     pub(crate) arrived: Instant,
-    /// When the client stops waiting, or the route's time is over.
+    /// When the client stops waiting, or the route's time is over, for timers.
     pub(crate) deadline: Instant,
+    /// The same by the clock that counts suspension: what is sent on must end by it.
+    pub(crate) deadline_at: TimeMs,
     /// The client's identifier for this try.
     pub(crate) id: HeaderValue,
     pub(crate) method: Method,
@@ -48,7 +52,9 @@
 impl InboundRequest {
     /// The time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        let by_timer = self.deadline.saturating_duration_since(Instant::now());
+        let by_clock = self.deadline_at.since(self.clock.now());
+        by_timer.min(by_clock.as_std())
     }
 
     /// What it has in common with other tries of the same request.
--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -76,7 +76,7 @@
 }
 
 /// How long the answer's connection may be idle; none: it can't be used again.
-pub(crate) fn idle_timeout(headers: &HeaderReader<'_>) -> Option<Duration> {
+pub(crate) fn idle_timeout(headers: &HeaderReader<'_>) -> Option<DurationMs> {
     let closes = headers.text(&CONNECTION);
     if closes.is_some_and(|value| value.eq_ignore_ascii_case("close")) {
         return None;
--- a/crates/gateway/tests/duties_search.rs
+++ b/crates/gateway/tests/duties_search.rs
@@ -192,7 +192,6 @@
 /// A VM that is suspended doesn't see time pass on its steady clock: when it wakes, its lease is over, a
 /// successor acts, and it must know.
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt: the clock leaves suspension out"]
 fn a_holder_that_wakes_from_a_suspension_acts_no_more() {
     on_virtual_clock(async {
         for step in 0..20 {
@@ -298,7 +297,6 @@
 }
 
 #[test]
-#[ignore = "known red, see KNOWN-RED.txt: the clock leaves suspension out"]
 fn no_order_of_faults_and_suspensions_breaks_a_rule() {
     for seed in 0..SEEDS {
         on_virtual_clock(async {
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -301,7 +301,6 @@
 /// A suspended VM doesn't see time pass on its steady clock, and others go on meanwhile: keys are removed,
 /// endpoints leave. It is known before anything is answered.
 #[tokio::test]
-#[ignore = "known red, see KNOWN-RED.txt: the clock leaves suspension out"]
 async fn what_is_believed_ages_while_the_vm_is_suspended() {
     let source = ScriptedSource::new();
     source.configure(3, vec![plain_route("often", Idempotent, 2)], &[KEY]);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
 use bridgevane_gateway::{
     Clock, ClockScript, Gateway, GatewaySettings, HeaderNames, follow_control_source,
-    serve_clients, store_quarantine,
+    serve_clients, store_quarantine, watch_suspension,
 };
 use bridgevane_types::{Bytes, DurationMs, Share};
 use http::HeaderName;
@@ -98,6 +98,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it listens");
     tokio::spawn(follow_control_source(gateway.clone(), source.clone()));
+    tokio::spawn(watch_suspension(gateway.clone()));
     tokio::spawn(store_quarantine(gateway.clone(), source.clone()));
     tokio::spawn(serve_clients(gateway.clone(), listener));
     while !gateway.is_ready() {
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -17,6 +17,7 @@
 use bridgevane_gateway::{
     Gateway, GatewaySettings, follow_control_source, hold_duties, report_last_usage, report_usage,
     serve_clients, serve_peers, serve_readiness, stop_gracefully, store_quarantine,
+    watch_suspension,
 };
 use bridgevane_platform::{DutyApi, LeaseStore, Store, header_names};
 use std::time::Duration;
@@ -203,6 +204,7 @@
         max_stale_ms = gateway.settings.freshness.max_stale_age_ms
     );
     let page = move || metrics.text();
+    tokio::spawn(watch_suspension(gateway.clone()));
     tokio::spawn(serve_readiness(gateway.clone(), ready_listener, page));
     if let Some(listener) = peers {
         tokio::spawn(serve_peers(gateway.clone(), listener));
--- a/src/modules/serve/context.rs
+++ b/src/modules/serve/context.rs
@@ -18,11 +18,10 @@
 use crate::modules::serve::rollouts::held::Rollouts;
 use bridgevane_adapters::HttpPlatform;
 use bridgevane_coordination::KeyMember;
-use bridgevane_types::{Incarnation, RequestId, TimeMs};
+use bridgevane_types::{Incarnation, RequestId, TimeMs, boot_time};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::Instant;
 
 /// The daemon's shared state. Everything behind it is read without locks on the path of a
 /// request.
@@ -57,7 +56,7 @@
     pub leaving: Leaving,
     /// This life of the VM.
     pub incarnation: Incarnation,
-    started: Instant,
+    started: TimeMs,
     next_request: AtomicU64,
 }
 
@@ -89,16 +88,17 @@
             burn: Burn::default(),
             leaving: Leaving::default(),
             incarnation,
-            started: Instant::now(),
+            started: boot_time(),
             next_request: AtomicU64::new(0),
             config,
         });
         (context, dials)
     }
 
-    /// Now, as the pure parts see it.
+    /// Now, as the pure parts see it: by the clock that counts a suspension of the VM, so that leases,
+    /// keys and members age through it as through a stop of the process.
     pub fn now(&self) -> TimeMs {
-        TimeMs(self.started.elapsed().as_millis() as u64)
+        TimeMs(boot_time().since(self.started).0)
     }
 
     /// A new identifier: this VM, this life of it, and a counter.
--- a/src/modules/serve/rollouts/carry_out.rs
+++ b/src/modules/serve/rollouts/carry_out.rs
@@ -18,7 +18,7 @@
     HeldLease, Rollout, RolloutEffect, RolloutObservation, RolloutPlan, RolloutStage,
 };
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DurationMs, FenceToken, ModelName, ServiceName, TimeMs};
+use bridgevane_types::{DurationMs, FenceToken, ModelName, ServiceName, boot_time};
 use derive_more::{Display, Error, From};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -54,12 +54,6 @@
     Malformed,
 }
 
-/// A clock that counts through a pause of the process and of the machine.
-fn boot_time() -> TimeMs {
-    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    TimeMs(now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000)
-}
-
 /// Carries rollouts out until the daemon ends.
 pub async fn run(context: Arc<Context>) {
     loop {
