--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -12,14 +12,19 @@
 use crate::work_by_endpoint::EndpointHash;
 use arc_swap::ArcSwap;
 use bridgevane_decisions::EndpointIx;
-use bridgevane_types::{DataCentreId, EndpointId, ServiceName, TimeMs};
+use bridgevane_types::{DataCentreId, EndpointId, ServiceName, TimeMs, WallTimeMs};
 use std::net::SocketAddr;
 
 /// An endpoint as it reports itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointRecord {
-    /// The endpoint: one start of a worker.
+    /// The endpoint: a worker.
     pub id: EndpointId,
+    /// When its process started, by its own VM's time of day: it may start again under its id, and then
+    /// knows nothing of before. None: it doesn't say.
+    pub born: Option<WallTimeMs>,
+    /// Counts what its process wrote of itself; none: it doesn't say.
+    pub sequence: Option<u64>,
     /// Its service.
     pub service: ServiceName,
     /// Where it listens. Another endpoint may get the address later.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -25,6 +25,8 @@
 fn service() -> ServiceEndpoints {
     let endpoints = (0..9).map(|at: u32| {
         let record = EndpointRecord {
+            born: None,
+            sequence: None,
             id: format!("e-{at}").as_str().into(),
             service: "model".into(),
             address: "127.0.0.1:1".parse().expect("an address"),
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -364,6 +364,8 @@
 /// Its only engine.
 fn engine() -> EndpointRecord {
     EndpointRecord {
+        born: None,
+        sequence: None,
         id: "e-1".into(),
         service: "model".into(),
         address: "127.0.0.1:1".parse().unwrap(),
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -5,7 +5,9 @@
     QuarantineStore, Repeatability, Revision, Route, RouteTarget, RoutingParts, RoutingTable,
     Service, SourceError, SourceRecord, StreamPolicy,
 };
-use bridgevane_types::{Bytes, ConfigVersion, DurationMs, EndpointId, RequestFingerprint, Tier};
+use bridgevane_types::{
+    Bytes, ConfigVersion, DurationMs, EndpointId, RequestFingerprint, Tier, WallTimeMs,
+};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -17,6 +19,14 @@
 pub const KEY: &str = "key-1";
 pub const OTHER_KEY: &str = "key-2";
 
+/// What an endpoint says of one of its lives.
+#[derive(Clone, Copy, Debug)]
+pub struct Life {
+    pub born: Option<u64>,
+    pub sequence: u64,
+    pub is_draining: bool,
+}
+
 #[derive(Default)]
 struct State {
     log: Vec<(SourceRecord, Change)>,
@@ -108,6 +118,15 @@
         self.put(Change::Endpoint(record(id, service, address, false)));
     }
 
+    /// A life of an endpoint: its record as it wrote it then.
+    pub fn life(&self, id: &str, service: &str, address: SocketAddr, life: Life) {
+        self.put(Change::Endpoint(EndpointRecord {
+            born: life.born.map(WallTimeMs),
+            sequence: Some(life.sequence),
+            ..record(id, service, address, life.is_draining)
+        }));
+    }
+
     pub fn drain(&self, id: &str, service: &str, address: SocketAddr) {
         self.put(Change::Endpoint(record(id, service, address, true)));
     }
@@ -155,6 +174,8 @@
 
 fn record(id: &str, service: &str, address: SocketAddr, is_draining: bool) -> EndpointRecord {
     EndpointRecord {
+        born: None,
+        sequence: None,
         id: EndpointId::from(id),
         service: service.into(),
         address,
