--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -87,6 +87,7 @@
     1405 EndpointLapsed Info "an endpoint's record expired during an outage of the control source";
     1406 EndpointCrashed Warn "an endpoint ended while requests were under way there";
     1407 EndpointRecordLate Info "a record of an earlier life of an endpoint came late and is passed over";
+    1408 EndpointRecordRejected Warn "a record among the endpoints' names no endpoint";
     1501 PeerRefused Warn "a connection between daemons was refused";
     1502 MemberChanged Info "the view of a daemon changed";
     1503 HomePassedOver Warn "a pool's home does not answer, its requests are decided here";
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -23,6 +23,8 @@
     Endpoint(EndpointRecord),
     /// An endpoint's record is gone.
     EndpointGone(EndpointId),
+    /// What stands under an endpoint's id names no endpoint: another writer left it there.
+    NoEndpoint(EndpointId, RecordFault),
     /// A daemon holds the duties.
     DutyHolder(HolderRecord),
     /// No daemon does.
@@ -35,6 +37,20 @@
     Unreadable(&'static str),
 }
 
+/// Why a record names no endpoint. The text is the reason in logs.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum RecordFault {
+    /// Its bytes can't be read.
+    #[display("unreadable")]
+    Unreadable,
+    /// A field is missing, or of another type.
+    #[display("a field is missing or of another type")]
+    HalfARecord,
+    /// A state that has no meaning here.
+    #[display("an unknown state")]
+    UnknownState,
+}
+
 /// A record in the source's own form. Daemons pass it on to each other without reading it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SourceRecord {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -203,6 +203,16 @@
                 Change::Routing(table) => self.put_in_force(table, revision),
                 Change::Endpoint(record) => registry.upsert(record, revision),
                 Change::EndpointGone(id) => registry.remove(&id, revision, removal),
+                Change::NoEndpoint(id, fault) => {
+                    event!(
+                        Event::EndpointRecordRejected,
+                        endpoint = id,
+                        reason = fault,
+                        revision = revision
+                    );
+                    // It was written, not lost: no outage makes it come back.
+                    registry.remove(&id, revision, Removal::AtOnce);
+                }
                 Change::DutyHolder(holder) => {
                     let entry = self.duty_holder.load();
                     let entry = entry.with_holder(revision, holder);
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -76,6 +76,7 @@
             Change::QuarantineOver(request) => (format!("quarantine/{request}"), true),
             Change::Endpoint(record) => (record.id.to_string(), false),
             Change::EndpointGone(id) => (id.to_string(), true),
+            Change::NoEndpoint(id, _) => (id.to_string(), false),
         };
         // The value is where the change stands in the log.
         let value = (!is_gone).then(|| revision.0.to_string().into());
