--- a/crates/decisions/src/crash_count.rs
+++ b/crates/decisions/src/crash_count.rs
@@ -264,10 +264,10 @@
         suspect.is_some_and(|suspect| !suspect.crashes.is_empty())
     }
 
-    /// The requests under quarantine, and until when.
+    /// The requests under quarantine, and since when.
     pub fn quarantined(&self) -> impl Iterator<Item = (RequestFingerprint, TimeMs)> {
         let known = self.quarantined.iter();
-        known.map(|(request, known)| (*request, known.since + QUARANTINE))
+        known.map(|(request, known)| (*request, known.since))
     }
 
     /// The requests under which endpoints have ended, and which aren't under quarantine.
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -222,7 +222,7 @@
     let total_work = || gateway.fleet.total_work(&gateway.control.directory());
     let is_busy = !question.tree_work.is_empty()
         || !total_work().is_small()
-        || gateway.quarantine.has_suspects();
+        || gateway.quarantine.has_fresh_news();
     let limits = gateway.settings.proof_limits();
     let hold = hold(is_busy, gateway.control.proof_age(), limits).as_std();
     // Without news the answer says so: it shows that this daemon is there.
--- a/crates/gateway/src/requests/quarantine.rs
+++ b/crates/gateway/src/requests/quarantine.rs
@@ -5,11 +5,11 @@
 //! stored there ([`crate::replication::quarantine_writer`]). The rule is
 //! [`bridgevane_decisions::crash_count`].
 
-use crate::clock::Clock;
+use crate::clock::{AtomicTime, Clock};
 use crate::work_by_endpoint::EndpointHash;
 use arc_swap::ArcSwap;
 use bridgevane_decisions::crash_count::{
-    CrashCount, CrashFact, CrashNews, NewsCursor, NewsOutcome,
+    CrashCount, CrashFact, CrashNews, NewsCursor, NewsOutcome, QUARANTINE,
 };
 use bridgevane_events::{Event, event};
 use bridgevane_types::{DurationMs, RequestFingerprint, TimeMs};
@@ -17,6 +17,10 @@
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::{Notify, watch};
 
+/// For so long after news of an endpoint's end more are expected. Not measured, chosen because a request
+/// that ends endpoints comes again within seconds.
+const FRESH_NEWS: DurationMs = DurationMs(5_000);
+
 /// What requests read.
 #[derive(Debug, Default)]
 struct View {
@@ -39,6 +43,8 @@
     clock: Clock,
     state: Mutex<State>,
     view: ArcSwap<View>,
+    /// When there was news.
+    news_at: AtomicTime,
     /// Up to where there is news for other daemons.
     newest: watch::Sender<NewsCursor>,
     /// Wakes the task that stores the quarantine.
@@ -51,6 +57,7 @@
             clock,
             state: Mutex::default(),
             view: ArcSwap::default(),
+            news_at: AtomicTime::default(),
             newest: watch::Sender::default(),
             has_to_store: Notify::new(),
         }
@@ -77,9 +84,10 @@
         !view.suspects.is_empty() && view.suspects.contains(&request())
     }
 
-    /// Whether any request is suspect: news must travel soon.
-    pub(crate) fn has_suspects(&self) -> bool {
-        !self.view.load().suspects.is_empty()
+    /// Whether endpoints have ended just now, and more news are to be expected.
+    pub(crate) fn has_fresh_news(&self) -> bool {
+        let news_at = self.news_at.get();
+        news_at.is_some_and(|at| self.clock.now() < at + FRESH_NEWS)
     }
 
     /// This daemon saw an endpoint end while these requests were under way there.
@@ -132,6 +140,7 @@
         if newest != before {
             state.count.expire(now);
             self.view.store(view(&state.count).into());
+            self.news_at.set_if_later(now);
             self.newest.send_replace(newest);
         }
         stopped
@@ -168,16 +177,18 @@
         let now = self.clock.now();
         let state = self.state();
         let stopped = state.count.quarantined();
-        let is_due = |(_, until): &(RequestFingerprint, TimeMs)| {
-            *until > now && until.since(now) + age <= bridgevane_decisions::crash_count::QUARANTINE
-        };
-        stopped.filter(is_due).map(|(request, _)| request).collect()
+        let old_enough = stopped.filter(|(_, since)| *since + age <= now);
+        let not_over = old_enough.filter(|(_, since)| now < *since + QUARANTINE);
+        not_over.map(|(request, _)| request).collect()
     }
 }
 
 fn view(count: &CrashCount<EndpointHash>) -> View {
     View {
-        stopped: count.quarantined().collect(),
+        stopped: count
+            .quarantined()
+            .map(|(request, since)| (request, since + QUARANTINE))
+            .collect(),
         suspects: count.suspects().collect(),
     }
 }
