--- a/crates/decisions/src/crash_count.rs
+++ b/crates/decisions/src/crash_count.rs
@@ -8,6 +8,9 @@
 //! - A request under which [`PROOF_CRASHES`] endpoints have ended is put under quarantine for
 //!   [`QUARANTINE`]. An endpoint counts once for a request, whoever saw its end and however often:
 //!   retries, hedges, resumed streams and other tries of the client are one count.
+//! - Endpoints that end within [`SAME_MOMENT`] count as one, unless the later run began after the earlier
+//!   end: whoever kills several at once ends them under whatever runs there, such as equal requests of
+//!   somebody who polls.
 //! - A good answer clears the request of the ends before it: whoever polls with equal requests
 //!   isn't to blame for what ended beside them.
 //! - An endpoint that ended under a request already under quarantine counts for no other request
@@ -26,9 +29,16 @@
 use std::collections::HashMap;
 use std::hash::Hash;
 
-/// Endpoints that end under a request before it is taken for the cause. The users' bound: more may be
+/// Moments at which endpoints end under a request before it is taken for the cause. The users' bound: more may be
 /// reached while the news travels, for as long as a daemon may be out of touch, and three later.
 pub const PROOF_CRASHES: usize = 3;
+/// Ends that are no further apart count once. Not measured, chosen because processes of one host that are
+/// killed together end within some 10 ms; a request that comes back every 40 ms ends two or three more
+/// endpoints for it.
+pub const SAME_MOMENT: DurationMs = DurationMs(50);
+/// Ends that are kept of one request at most. Not measured, chosen because so many within one moment are
+/// no request's doing.
+const MAX_CRASHES: usize = 16;
 /// How long a request stays under quarantine, and how long an end counts. Chosen because it is the
 /// longest lease of the users' store, under which a quarantine outlives all daemons; not measured.
 /// Longer keeps requests out for which the engines may have been mended meanwhile.
@@ -54,6 +64,8 @@
     pub request: RequestFingerprint,
     /// When it was seen, by this daemon's clock.
     pub at: TimeMs,
+    /// When the run of it that this is about began; none: it isn't known.
+    pub began_at: Option<TimeMs>,
     /// What was seen.
     pub fact: CrashFact<E>,
 }
@@ -87,6 +99,7 @@
 #[derive(Clone, Copy, Debug)]
 struct CountedCrash<E> {
     endpoint: E,
+    began_at: Option<TimeMs>,
     at: TimeMs,
     cursor: NewsCursor,
 }
@@ -117,6 +130,23 @@
         self.served.is_some_and(|(served, _)| served >= at)
     }
 
+    /// Moments at which endpoints have ended.
+    fn moments(&self) -> usize {
+        let mut crashes: Vec<&CountedCrash<E>> = self.crashes.iter().collect();
+        crashes.sort_unstable_by_key(|crash| crash.at);
+        let mut last: Option<TimeMs> = None;
+        let mut moments = 0;
+        for crash in crashes {
+            let is_later = last.is_none_or(|last| crash.at > last + SAME_MOMENT);
+            let began_later = last.is_some() && crash.began_at >= last;
+            if is_later || began_later {
+                last = Some(crash.at);
+                moments += 1;
+            }
+        }
+        moments
+    }
+
     fn has(&self, endpoint: E) -> bool {
         self.crashes.iter().any(|crash| crash.endpoint == endpoint)
     }
@@ -182,15 +212,17 @@
         }
         let cursor = self.next_cursor();
         let suspect = self.suspects.entry(news.request).or_default();
-        if suspect.is_cleared_at(news.at) || suspect.has(endpoint) {
+        let is_full = suspect.crashes.len() >= MAX_CRASHES;
+        if suspect.is_cleared_at(news.at) || suspect.has(endpoint) || is_full {
             return NewsOutcome::Known;
         }
         suspect.crashes.push(CountedCrash {
             endpoint,
+            began_at: news.began_at,
             at: news.at,
             cursor,
         });
-        if suspect.crashes.len() >= PROOF_CRASHES {
+        if suspect.moments() >= PROOF_CRASHES {
             let since = suspect.newest();
             return self.quarantine(news.request, since);
         }
@@ -301,7 +333,9 @@
         let crashes = self.suspects.iter().flat_map(|(request, suspect)| {
             let crashes = suspect.crashes.iter().map(|crash| {
                 let fact = CrashFact::Crashed(crash.endpoint);
-                (crash.cursor, news(*request, crash.at, fact))
+                let told = news(*request, crash.at, fact);
+                let began_at = crash.began_at;
+                (crash.cursor, CrashNews { began_at, ..told })
             });
             let served = suspect.served.into_iter();
             let served = served.map(|(at, cursor)| (cursor, news(*request, at, CrashFact::Served)));
@@ -320,7 +354,12 @@
 }
 
 fn news<E>(request: RequestFingerprint, at: TimeMs, fact: CrashFact<E>) -> CrashNews<E> {
-    CrashNews { request, at, fact }
+    CrashNews {
+        request,
+        at,
+        began_at: None,
+        fact,
+    }
 }
 
 fn is_over(now: TimeMs, at: TimeMs) -> bool {
--- a/crates/decisions/src/pool/attempt.rs
+++ b/crates/decisions/src/pool/attempt.rs
@@ -174,7 +174,7 @@
                 self.retry_lost(context, request, attempt, running, delivered);
             }
             AttemptEnd::EngineEnded { delivered } => {
-                self.note_ended(context, running.engine, request);
+                self.note_ended(context, request, running);
                 self.engine_lost(context, running.engine);
                 self.retry_lost(context, request, attempt, running, delivered);
             }
--- a/crates/decisions/src/pool/crashes.rs
+++ b/crates/decisions/src/pool/crashes.rs
@@ -2,6 +2,7 @@
 //! [`crate::crash_count`].
 
 use super::Pool;
+use super::entry::Running;
 use crate::context::PoolContext;
 use crate::crash_count::{CrashFact, CrashNews, NewsOutcome};
 use crate::decision_log::DecisionLog;
@@ -22,9 +23,10 @@
     pub(super) fn note_ended<L: DecisionLog>(
         &mut self,
         context: &mut PoolContext<'_, L>,
-        at: EndpointIx,
         request: RequestId,
+        running: Running,
     ) {
+        let at = running.engine;
         let engine = &mut self.engines[at.at()];
         // Of those that ran there each reports the end.
         if !std::mem::replace(&mut engine.has_ended, true) {
@@ -41,6 +43,7 @@
         let news = CrashNews {
             request: fingerprint,
             at: context.now,
+            began_at: Some(running.since),
             fact: CrashFact::Crashed(life),
         };
         if self.crashes.take(context.now, news) == NewsOutcome::Quarantines {
@@ -57,15 +60,13 @@
     pub(super) fn note_served(&mut self, now: TimeMs, fingerprint: Option<RequestFingerprint>) {
         let suspect = fingerprint.filter(|request| self.crashes.is_suspect(*request));
         if let Some(request) = suspect {
-            let fact = CrashFact::Served;
-            self.crashes.take(
-                now,
-                CrashNews {
-                    request,
-                    at: now,
-                    fact,
-                },
-            );
+            let news = CrashNews {
+                request,
+                at: now,
+                began_at: None,
+                fact: CrashFact::Served,
+            };
+            self.crashes.take(now, news);
         }
     }
 
--- a/crates/decisions/tests/crashing_requests.rs
+++ b/crates/decisions/tests/crashing_requests.rs
@@ -67,6 +67,7 @@
     }
 
     fn end(&mut self, sent: Sent, end: AttemptEnd) -> Vec<Effect> {
+        self.now = TimeMs(self.now.0 + 200);
         self.decide(|pool, context| pool.finished(context, sent.request, sent.attempt, end))
     }
 }
--- a/crates/gateway/benches/quarantine.rs
+++ b/crates/gateway/benches/quarantine.rs
@@ -38,6 +38,8 @@
         gateway
             .quarantine
             .on_crashed(EndpointHash(endpoint), &stopped);
+        // Ends at the same moment would count as one.
+        std::thread::sleep(std::time::Duration::from_millis(60));
     }
     let suspects: Vec<_> = (0..SUSPECTS).map(|at| request(1 << 32 | at)).collect();
     gateway.quarantine.on_crashed(EndpointHash(9), &suspects);
--- a/crates/gateway/src/replication/crash_news.rs
+++ b/crates/gateway/src/replication/crash_news.rs
@@ -79,6 +79,7 @@
             content: request.content,
         },
         at: TimeMs(now.0.checked_sub(u64::from(message.age_ms))?),
+        began_at: None,
         fact,
     })
 }
--- a/crates/gateway/src/requests/quarantine.rs
+++ b/crates/gateway/src/requests/quarantine.rs
@@ -96,6 +96,8 @@
         let news = requests.iter().map(|request| CrashNews {
             request: *request,
             at,
+            // Tries that follow each other so closely are one daemon's, and few.
+            began_at: None,
             fact: CrashFact::Crashed(endpoint),
         });
         let stopped = self.take(news);
@@ -112,6 +114,7 @@
         self.take([CrashNews {
             request,
             at: self.clock.now(),
+            began_at: None,
             fact: CrashFact::Served,
         }]);
     }
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -210,6 +210,8 @@
             let seen_by = &fleet[3 + (17 * round as usize + 23 * end) % 77].gateway;
             let endpoint = EndpointHash(100 * round as u32 + end as u32);
             seen_by.quarantine.on_crashed(endpoint, &[request]);
+            // Ends at the same moment would count as one.
+            sleep(Duration::from_millis(60)).await;
         }
         let told = Instant::now();
         let knows = |daemon: &&Running| daemon.gateway.quarantine.is_stopped(|| request);
