--- a/crates/gateway/src/lifecycle/suspension.rs
+++ b/crates/gateway/src/lifecycle/suspension.rs
@@ -12,9 +12,10 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// How often the two clocks are compared. Not measured, chosen as a tenth of the time in which a question
-/// is given up by itself.
-const INTERVAL: Duration = Duration::from_millis(100);
+/// How often the two clocks are compared. Not measured by itself, chosen because each look is a
+/// wake-up, of some 26 a second that a quiet daemon has (docs/CAPACITY.md), and the question would be
+/// given up by itself after a second or two.
+const INTERVAL: Duration = Duration::from_millis(500);
 /// A shorter suspension isn't noticed: within it no answer is late. Not measured, chosen because it is
 /// some times what a clock's grain and a busy VM make up.
 const MIN_SUSPENSION: DurationMs = DurationMs(100);
--- a/crates/gateway/src/replication/quarantine_writer.rs
+++ b/crates/gateway/src/replication/quarantine_writer.rs
@@ -31,8 +31,7 @@
 pub async fn run<S: QuarantineStore>(gateway: Arc<Gateway>, store: S) {
     let mut due = BTreeSet::new();
     loop {
-        // The time limit is what finds overdue ones.
-        let _ = timeout(PAUSE, gateway.quarantine.wait_for_stopped()).await;
+        wait(&gateway).await;
         due.extend(gateway.quarantine.take_to_store());
         if gateway.fleet.follows_source() {
             due.extend(gateway.quarantine.stopped_for(OVERDUE));
@@ -45,6 +44,18 @@
     }
 }
 
+/// Waits until there may be something to store: a daemon without anything under quarantine has nothing to
+/// wake up for.
+async fn wait(gateway: &Gateway) {
+    let stopped = gateway.quarantine.wait_for_stopped();
+    if gateway.quarantine.stops_any() {
+        // The time limit is what finds overdue ones.
+        let _ = timeout(PAUSE, stopped).await;
+    } else {
+        stopped.await;
+    }
+}
+
 /// Stores the first requests, and takes them out.
 async fn store_some<S: QuarantineStore>(store: &S, due: &mut BTreeSet<RequestFingerprint>) {
     let batch: Vec<RequestFingerprint> = due.iter().copied().take(MAX_IN_CALL).collect();
--- a/crates/gateway/src/requests/quarantine.rs
+++ b/crates/gateway/src/requests/quarantine.rs
@@ -13,6 +13,7 @@
 };
 use bridgevane_events::{Event, event};
 use bridgevane_types::{DurationMs, RequestFingerprint, TimeMs};
+use derive_more::Display;
 use std::collections::{HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::{Notify, watch};
@@ -21,6 +22,15 @@
 /// that ends endpoints comes again within seconds.
 const FRESH_NEWS: DurationMs = DurationMs(5_000);
 
+/// Who saw what news say. The text is for logs.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum Origin {
+    #[display("this daemon")]
+    ThisDaemon,
+    #[display("other daemons")]
+    OtherDaemons,
+}
+
 /// What requests read.
 #[derive(Debug, Default)]
 struct View {
@@ -47,7 +57,7 @@
     news_at: AtomicTime,
     /// Up to where there is news for other daemons.
     newest: watch::Sender<NewsCursor>,
-    /// Wakes the task that stores the quarantine.
+    /// Wakes the task that stores the quarantine when there is more in it.
     has_to_store: Notify,
 }
 
@@ -78,6 +88,11 @@
         until.is_some_and(|until| self.clock.now() < *until)
     }
 
+    /// Whether any request is no longer passed on.
+    pub(crate) fn stops_any(&self) -> bool {
+        !self.view.load().stopped.is_empty()
+    }
+
     /// Whether endpoints have ended under a request that is still passed on.
     pub fn is_suspect(&self, request: impl FnOnce() -> RequestFingerprint) -> bool {
         let view = self.view.load();
@@ -100,35 +115,32 @@
             began_at: None,
             fact: CrashFact::Crashed(endpoint),
         });
-        let stopped = self.take(news);
-        if stopped.is_empty() {
-            return;
-        }
-        log_stopped(&stopped, "this daemon");
-        self.state().to_store.extend(stopped);
-        self.has_to_store.notify_one();
+        let stopped = self.take(news, Origin::ThisDaemon);
+        log_stopped(&stopped, Origin::ThisDaemon);
     }
 
     /// A request was answered well.
     pub(crate) fn on_served(&self, request: RequestFingerprint) {
-        self.take([CrashNews {
+        let news = CrashNews {
             request,
             at: self.clock.now(),
             began_at: None,
             fact: CrashFact::Served,
-        }]);
+        };
+        self.take([news], Origin::ThisDaemon);
     }
 
     /// Another daemon tells its news.
     pub fn on_news(&self, news: impl IntoIterator<Item = CrashNews<EndpointHash>>) {
-        let stopped = self.take(news);
-        log_stopped(&stopped, "other daemons");
+        let stopped = self.take(news, Origin::OtherDaemons);
+        log_stopped(&stopped, Origin::OtherDaemons);
     }
 
     /// Takes news in; gives the requests that they put under quarantine.
     fn take(
         &self,
         news: impl IntoIterator<Item = CrashNews<EndpointHash>>,
+        origin: Origin,
     ) -> Vec<RequestFingerprint> {
         let now = self.clock.now();
         let mut state = self.state();
@@ -146,6 +158,12 @@
             self.news_at.set_if_later(now);
             self.newest.send_replace(newest);
         }
+        if origin == Origin::ThisDaemon {
+            state.to_store.extend(&stopped);
+        }
+        if !stopped.is_empty() {
+            self.has_to_store.notify_one();
+        }
         stopped
     }
 
@@ -196,7 +214,7 @@
     }
 }
 
-fn log_stopped(stopped: &[RequestFingerprint], told_by: &str) {
+fn log_stopped(stopped: &[RequestFingerprint], told_by: Origin) {
     for request in stopped {
         event!(
             Event::RequestQuarantined,
