--- a/tests/crashing_soak.rs
+++ b/tests/crashing_soak.rs
@@ -3,10 +3,12 @@
 //!
 //! Seeded; `CRASH_SEEDS` plays so many, from `CRASH_FIRST_SEED` on.
 
-use bridgevane_platform_emulator::{CONFIG_KEY, DEADLY, MortalWorkers, PLAIN, Store, document};
+use bridgevane_platform_emulator::{
+    CONFIG_KEY, DEADLY, FOREIGN_RECORDS, MortalWorkers, PLAIN, Store, document, foreign_record,
+    request_with_body, worker_key,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use serde_json::json;
 use std::net::SocketAddr;
 use std::process::Stdio;
 use std::sync::Arc;
@@ -88,11 +90,7 @@
 }
 
 fn request(id: &str, body: &str) -> String {
-    format!(
-        "POST /once/x HTTP/1.1\r\nhost: h.example\r\nattempt-id: {id}\r\ndeadline-ms: 3000\r\n\
-         authorization: Token k\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    )
+    request_with_body("/once/x", id, body)
 }
 
 async fn until_ready(gateway: &Gateway) {
@@ -104,25 +102,11 @@
     }
 }
 
-/// What another writer leaves among the workers' records.
+/// Another writer leaves something among the workers' records.
 fn leave_junk(store: &Store, random: &mut Pcg64) {
-    let key = format!("servers/i-junk-{}", random.random_range(0..40));
-    let address = "127.0.0.1:9";
-    let junk = match random.random_range(0..5) {
-        0 => json!({ "service": PLAIN, "address": address, "zone": "z" }),
-        1 => json!({
-            "service": PLAIN, "address": address, "zone": "z", "slots": 8, "state": "resting",
-        }),
-        2 => json!({
-            "service": PLAIN, "address": 7, "zone": "z", "slots": 8, "state": "ready",
-        }),
-        3 => json!("ready"),
-        _ => json!({
-            "service": PLAIN, "address": address, "zone": "z", "slots": 8, "state": "ready",
-            "born": "yesterday",
-        }),
-    };
-    store.put(&key, &junk);
+    let key = worker_key(&format!("i-junk-{}", random.random_range(0..40)));
+    let kind = random.random_range(0..FOREIGN_RECORDS);
+    store.put(&key, &foreign_record(kind));
 }
 
 /// What became of innocent requests.
