--- a/crates/gateway/src/control/endpoint_registry.rs
+++ b/crates/gateway/src/control/endpoint_registry.rs
@@ -60,7 +60,7 @@
                 return;
             }
             // Nothing that is known of the earlier life is true of this one.
-            self.drop_entry(&record.id.clone());
+            self.drop_entry(&record.id);
         }
         log_record(&record, revision);
         let index = EndpointIx(self.next_index);
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -14,6 +14,7 @@
 use bridgevane_decisions::EndpointIx;
 use bridgevane_types::{DataCentreId, EndpointId, ServiceName, TimeMs, WallTimeMs};
 use std::net::SocketAddr;
+use std::sync::OnceLock;
 
 /// An endpoint as it reports itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,8 +55,9 @@
     pub health: EndpointHealth,
     /// Open connections without a request.
     pub(crate) idle_connections: IdleConnections,
-    /// Requests that were under way when a connection broke.
-    pub(crate) lost_requests: LostRequests,
+    /// Made when a connection breaks for the first time: most endpoints never need it, and a daemon may
+    /// know thousands.
+    lost_requests: OnceLock<Box<LostRequests>>,
     /// When it counts as gone, since its record went during an outage of the source.
     expires_at: AtomicTime,
 }
@@ -70,11 +72,16 @@
             load: EndpointLoad::default(),
             health: EndpointHealth::default(),
             idle_connections: IdleConnections::default(),
-            lost_requests: LostRequests::default(),
+            lost_requests: OnceLock::new(),
             expires_at: AtomicTime::default(),
         }
     }
 
+    /// Requests that were under way when a connection broke.
+    pub(crate) fn lost_requests(&self) -> &LostRequests {
+        self.lost_requests.get_or_init(Box::default)
+    }
+
     /// Its record is gone; it is used until `at` nonetheless, or until an earlier moment set
     /// before.
     pub(crate) fn expire_at(&self, at: TimeMs) {
--- a/crates/gateway/src/replication/crash_news.rs
+++ b/crates/gateway/src/replication/crash_news.rs
@@ -8,14 +8,12 @@
 use crate::gateway::Gateway;
 use crate::work_by_endpoint::EndpointHash;
 use bridgevane_decisions::crash_count::{CrashFact, CrashNews, NewsCursor};
+use bridgevane_protocol::CrashNews as CrashNewsMessage;
 use bridgevane_protocol::crash_news::Fact;
-use bridgevane_protocol::{
-    CrashNews as CrashNewsMessage, RequestFingerprint as FingerprintMessage,
-};
-use bridgevane_types::{RequestFingerprint, TimeMs};
+use bridgevane_types::TimeMs;
 
 /// News in one message at most. Not measured, chosen because an engine of 64 slots makes so many when
-/// it ends, and they take 1.5 KB; the rest goes with the next message.
+/// it ends, and they take 1.7 KB; the rest goes with the next message.
 const MAX_NEWS: usize = 64;
 
 /// What one side of a connection has told the other.
@@ -56,10 +54,7 @@
         CrashFact::Quarantined => Fact::Quarantined(true),
     };
     CrashNewsMessage {
-        request: Some(FingerprintMessage {
-            customer: news.request.customer,
-            content: news.request.content,
-        }),
+        request: Some(news.request.into()),
         age_ms: u32::try_from(now.since(news.at).0).unwrap_or(u32::MAX),
         fact: Some(fact),
     }
@@ -67,17 +62,13 @@
 
 /// None for a fact that a later version has added, and for one from before this daemon's clock.
 fn news(now: TimeMs, message: &CrashNewsMessage) -> Option<CrashNews<EndpointHash>> {
-    let request = message.request?;
     let fact = match message.fact? {
         Fact::CrashedEndpoint(endpoint) => CrashFact::Crashed(EndpointHash(endpoint)),
         Fact::Served(_) => CrashFact::Served,
         Fact::Quarantined(_) => CrashFact::Quarantined,
     };
     Some(CrashNews {
-        request: RequestFingerprint {
-            customer: request.customer,
-            content: request.content,
-        },
+        request: message.request?.into(),
         at: TimeMs(now.0.checked_sub(u64::from(message.age_ms))?),
         began_at: None,
         fact,
--- a/crates/gateway/src/requests/crash_check.rs
+++ b/crates/gateway/src/requests/crash_check.rs
@@ -28,7 +28,7 @@
 
 /// A connection to the endpoint broke while this request was under way there.
 pub(crate) fn begin(gateway: &Arc<Gateway>, endpoint: &Arc<Endpoint>, request: RequestFingerprint) {
-    if endpoint.lost_requests.add(request) {
+    if endpoint.lost_requests().add(request) {
         tokio::spawn(check(gateway.clone(), endpoint.clone()));
     }
 }
@@ -36,7 +36,7 @@
 /// Waits until the check that is under way has ended.
 pub(crate) async fn finished(endpoint: &Endpoint) {
     // The request doesn't wait longer: such a check proves nothing.
-    let _ = timeout(CHECK_TIMEOUT, endpoint.lost_requests.checked()).await;
+    let _ = timeout(CHECK_TIMEOUT, endpoint.lost_requests().checked()).await;
 }
 
 /// Opens a connection that stays open for a moment.
@@ -54,7 +54,7 @@
 async fn check(gateway: Arc<Gateway>, endpoint: Arc<Endpoint>) {
     let address = endpoint.record.load().address;
     let opened = open_settled(address).await;
-    let lost = endpoint.lost_requests.end_check();
+    let lost = endpoint.lost_requests().end_check();
     match opened {
         Err(OpenError::Refused) => {
             event!(
@@ -74,5 +74,5 @@
             }
         }
     }
-    endpoint.lost_requests.release();
+    endpoint.lost_requests().release();
 }
--- a/crates/gateway/src/requests/exchange.rs
+++ b/crates/gateway/src/requests/exchange.rs
@@ -392,15 +392,9 @@
     /// Counts an answer that reached its end, and logs it; of the plain successes a sample.
     pub(crate) fn on_served(&self, answer: &EndpointAnswer, pace: Pace) {
         let status = answer.head.status;
-        if status.is_success()
-            && self
-                .gateway
-                .quarantine
-                .is_suspect(|| self.inbound.fingerprint())
-        {
-            self.gateway
-                .quarantine
-                .on_served(self.inbound.fingerprint());
+        if status.is_success() {
+            let fingerprint = || self.inbound.fingerprint();
+            self.gateway.quarantine.on_served(fingerprint);
         }
         let metrics = &self.gateway.metrics;
         metrics.served(&self.inbound.service, status.as_u16(), pace.first);
--- a/crates/gateway/src/requests/quarantine.rs
+++ b/crates/gateway/src/requests/quarantine.rs
@@ -119,8 +119,12 @@
         log_stopped(&stopped, Origin::ThisDaemon);
     }
 
-    /// A request was answered well.
-    pub(crate) fn on_served(&self, request: RequestFingerprint) {
+    /// A request was answered well. Its fingerprint is worked out only if any is suspect.
+    pub(crate) fn on_served(&self, request: impl Fn() -> RequestFingerprint) {
+        if !self.is_suspect(&request) {
+            return;
+        }
+        let request = request();
         let news = CrashNews {
             request,
             at: self.clock.now(),
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 //! is refused before any other frame is read.
 
 mod codec;
+mod fingerprint;
 mod greeting;
 
 /// Generated message code; written by `bridgevane-protogen`.
--- a/src/modules/serve/pools/wire.rs
+++ b/src/modules/serve/pools/wire.rs
@@ -6,11 +6,10 @@
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
     PoolCancel, PoolDispatch, PoolOffer, PoolOrder as WireOrder, PoolRefuse,
-    PoolReport as WireReport, RequestFingerprint as FingerprintMessage, pool_order, pool_report,
+    PoolReport as WireReport, pool_order, pool_report,
 };
 use bridgevane_types::{
-    AttemptNumber, DurationMs, Outcome, RefusalCode, RequestFingerprint, RequestId, ServiceName,
-    Tokens,
+    AttemptNumber, DurationMs, Outcome, RefusalCode, RequestId, ServiceName, Tokens,
 };
 
 /// The refusal code of a text; an unknown one tells nothing for sure.
@@ -87,10 +86,7 @@
         max_tokens: offer.max_tokens.0,
         blocks: offer.blocks.clone(),
         block_tokens: offer.block_tokens,
-        fingerprint: offer.fingerprint.map(|request| FingerprintMessage {
-            customer: request.customer,
-            content: request.content,
-        }),
+        fingerprint: offer.fingerprint.map(Into::into),
         is_repeatable: offer.is_repeatable,
         is_preemptible: offer.is_preemptible,
     }
@@ -108,10 +104,7 @@
         max_tokens: Tokens(offer.max_tokens),
         blocks: offer.blocks,
         block_tokens: offer.block_tokens,
-        fingerprint: offer.fingerprint.map(|request| RequestFingerprint {
-            customer: request.customer,
-            content: request.content,
-        }),
+        fingerprint: offer.fingerprint.map(Into::into),
         is_repeatable: offer.is_repeatable,
         is_preemptible: offer.is_preemptible,
     })
