feat(gateway): evacuated data centres get nothing new, cold endpoints what they bear

Cause: the operators' evacuations (a key for each data centre in the control source) were never read, and every daemon took cold, empty endpoints for the best ones. A request that found an endpoint lost went on to its neighbours, which are lost together. Change: evacuations are decoded in the adapter, kept by revision, and take the data centre's endpoints out of the directory; after them, and as endpoints say, endpoints are cold, and each daemon sends its part of what they bear, drawn anew each second; a try after a lost endpoint goes to another data centre.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -88,6 +88,9 @@
     1406 EndpointCrashed Warn "an endpoint ended while requests were under way there";
     1407 EndpointRecordLate Info "a record of an earlier life of an endpoint came late and is passed over";
     1408 EndpointRecordRejected Warn "a record among the endpoints' names no endpoint";
+    1409 EvacuationBegan Warn "a data centre is evacuated: its endpoints get nothing new";
+    1410 EvacuationOver Info "the evacuation of a data centre is over: its endpoints are used again, as cold ones";
+    1411 EvacuationRejected Warn "the record of an evacuation can't be read and changes nothing";
     1501 PeerRefused Warn "a connection between daemons was refused";
     1502 MemberChanged Info "the view of a daemon changed";
     1503 HomePassedOver Warn "a pool's home does not answer, its requests are decided here";
--- a/crates/gateway/src/control/endpoint_registry.rs
+++ b/crates/gateway/src/control/endpoint_registry.rs
@@ -8,12 +8,13 @@
 
 use crate::control::record_order::RecordOrder;
 use crate::control::source::Revision;
+use crate::decisions::endpoint::evacuation::Evacuations;
 use crate::decisions::replication::record_expiry::Removal;
 use crate::endpoints::directory::Directory;
 use crate::endpoints::endpoint::{Endpoint, EndpointRecord};
 use bridgevane_decisions::EndpointIx;
 use bridgevane_events::{Event, event};
-use bridgevane_types::{EndpointId, TimeMs};
+use bridgevane_types::{DataCentreId, DurationMs, EndpointId, ServiceName, TimeMs};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
@@ -35,13 +36,40 @@
 
 impl EndpointRegistry {
     /// The directory of the endpoints that may get work.
-    pub(crate) fn directory(&self) -> Directory {
+    pub(crate) fn directory(&self, evacuations: &Evacuations) -> Directory {
         let entries = self.entries.values();
-        Directory::new(entries.map(|entry| &entry.endpoint))
+        Directory::new(entries.map(|entry| &entry.endpoint), evacuations)
+    }
+
+    /// The endpoints of a data centre may have turned cold without having said so: each counts as cold for
+    /// as long as `cold_ms` says of its service. Gives how many there are.
+    pub(crate) fn suspect_cold(
+        &self,
+        data_centre: &DataCentreId,
+        now: TimeMs,
+        cold_ms: impl Fn(&ServiceName) -> DurationMs,
+    ) -> usize {
+        let endpoints = self.in_data_centre(data_centre);
+        endpoints
+            .map(|endpoint| {
+                let cold_ms = cold_ms(&endpoint.record.load().service);
+                endpoint.cold.extend(now, cold_ms);
+            })
+            .count()
+    }
+
+    /// The endpoints of a data centre.
+    pub(crate) fn in_data_centre(
+        &self,
+        data_centre: &DataCentreId,
+    ) -> impl Iterator<Item = &Arc<Endpoint>> {
+        let endpoints = self.entries.values().map(|entry| &entry.endpoint);
+        endpoints.filter(move |endpoint| endpoint.record.load().data_centre == *data_centre)
     }
 
     /// Takes a record in, unless a newer one is known.
-    pub(crate) fn upsert(&mut self, record: EndpointRecord, revision: Revision) {
+    pub(crate) fn upsert(&mut self, record: EndpointRecord, revision: Revision, now: TimeMs) {
+        let cold_remaining_ms = record.cold_remaining_ms;
         let order = RecordOrder::of(&record, revision);
         if let Some(entry) = self.entries.get_mut(&record.id) {
             if entry.revision >= revision {
@@ -57,6 +85,7 @@
             }
             if !order.is_later_life(&entry.order) {
                 entry.update(record, order, revision);
+                entry.endpoint.cold.extend(now, cold_remaining_ms);
                 return;
             }
             // Nothing that is known of the earlier life is true of this one.
@@ -67,6 +96,7 @@
         self.next_index += 1;
         let id = record.id.clone();
         let endpoint = Arc::new(Endpoint::new(index, record));
+        endpoint.cold.extend(now, cold_remaining_ms);
         self.entries.insert(
             id,
             RegistryEntry {
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -4,7 +4,7 @@
 use crate::control::holder_record::HolderRecord;
 use crate::control::routing_table::RoutingTable;
 use crate::endpoints::endpoint::EndpointRecord;
-use bridgevane_types::{DurationMs, EndpointId, RequestFingerprint};
+use bridgevane_types::{DataCentreId, DurationMs, EndpointId, RequestFingerprint};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use std::future::Future;
@@ -25,6 +25,12 @@
     EndpointGone(EndpointId),
     /// What stands under an endpoint's id names no endpoint: another writer left it there.
     NoEndpoint(EndpointId, RecordFault),
+    /// Operators evacuate a data centre.
+    Evacuated(DataCentreId),
+    /// They take it back.
+    EvacuationOver(DataCentreId),
+    /// What stands under a data centre's evacuation can't be read.
+    NoEvacuation(DataCentreId),
     /// A daemon holds the duties.
     DutyHolder(HolderRecord),
     /// No daemon does.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -8,7 +8,7 @@
 //! | holder of the duties | [`crate::replication::follow`] alone | the duties' tasks, without locks |
 //! | requests under quarantine | [`crate::replication::follow`] alone | requests, without locks (read-copy-update) |
 //! | replica | [`crate::replication::follow`] alone | daemons that follow this one, under a lock |
-//! | endpoint registry, last outage | [`crate::replication::follow`] alone | nobody else, under locks |
+//! | endpoint registry, evacuations, last outage | [`crate::replication::follow`] alone | nobody else, under locks |
 //!
 //! Versions only rise: an older routing table, record or proof never replaces a newer one. All is
 //! lost with the process; a new one reads it again from the source or from another daemon.
@@ -22,12 +22,15 @@
     Change, ChangeAt, Changes, ControlSource, FullState, Revision, SourceRecord,
 };
 use crate::decisions::admission::freshness::{Freshness, FreshnessPolicy};
+use crate::decisions::endpoint::evacuation::Evacuations;
 use crate::decisions::replication::record_expiry::{Removal, SourceOutage};
 use crate::endpoints::directory::Directory;
 use crate::settings::GatewaySettings;
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DurationMs, EndpointId, RequestFingerprint, TimeMs};
+use bridgevane_types::{
+    DataCentreId, DurationMs, EndpointId, RequestFingerprint, ServiceName, TimeMs,
+};
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::watch;
@@ -45,6 +48,7 @@
     proved_at: AtomicTime,
     replica: Mutex<Replica>,
     registry: Mutex<EndpointRegistry>,
+    evacuations: Mutex<Evacuations>,
     outage: Mutex<SourceOutage>,
     /// Counts what was taken in and proved.
     progress: watch::Sender<u64>,
@@ -63,6 +67,7 @@
             proved_at: AtomicTime::default(),
             replica: Mutex::default(),
             registry: Mutex::default(),
+            evacuations: Mutex::default(),
             outage: Mutex::default(),
             progress: watch::Sender::new(0),
         }
@@ -139,6 +144,10 @@
         self.registry.lock().expect("no panic under this lock")
     }
 
+    fn evacuations(&self) -> MutexGuard<'_, Evacuations> {
+        self.evacuations.lock().expect("no panic under this lock")
+    }
+
     /// Changes whenever something was taken in or proved.
     pub(crate) fn progress(&self) -> watch::Receiver<u64> {
         self.progress.subscribe()
@@ -176,6 +185,7 @@
                 self.on_duty_holder_gone(state.at);
             }
             self.take_quarantine_in(Arc::default(), &records);
+            self.end_unlisted_evacuations(&registry, &records, state.at);
             self.take_in(&mut registry, records, removal);
         }
         self.on_progress();
@@ -185,10 +195,16 @@
     pub(crate) fn drop_expired_endpoints(&self) {
         let mut registry = self.registry();
         if registry.drop_expired(self.clock.now()) {
-            self.directory.store(Arc::new(registry.directory()));
+            self.store_directory(&registry);
         }
     }
 
+    /// Puts the directory in force that follows from the registry and the evacuations.
+    fn store_directory(&self, registry: &EndpointRegistry) {
+        let directory = registry.directory(&self.evacuations());
+        self.directory.store(Arc::new(directory));
+    }
+
     /// What becomes of endpoints whose records are gone now.
     fn removal(&self) -> Removal {
         let proof_age = self.proof_age();
@@ -201,7 +217,9 @@
         for ChangeAt { revision, change } in changes {
             match change {
                 Change::Routing(table) => self.put_in_force(table, revision),
-                Change::Endpoint(record) => registry.upsert(record, revision),
+                Change::Endpoint(record) => {
+                    registry.upsert(record, revision, self.clock.now());
+                }
                 Change::EndpointGone(id) => registry.remove(&id, revision, removal),
                 Change::NoEndpoint(id, fault) => {
                     event!(
@@ -213,6 +231,19 @@
                     // It was written, not lost: no outage makes it come back.
                     registry.remove(&id, revision, Removal::AtOnce);
                 }
+                Change::Evacuated(data_centre) => {
+                    self.begin_evacuation(registry, &data_centre, revision);
+                }
+                Change::EvacuationOver(data_centre) => {
+                    self.end_evacuation(registry, &data_centre, revision);
+                }
+                Change::NoEvacuation(data_centre) => {
+                    event!(
+                        Event::EvacuationRejected,
+                        data_centre = data_centre,
+                        revision = revision
+                    );
+                }
                 Change::DutyHolder(holder) => {
                     let entry = self.duty_holder.load();
                     let entry = entry.with_holder(revision, holder);
@@ -226,7 +257,61 @@
                 }
             }
         }
-        self.directory.store(Arc::new(registry.directory()));
+        self.store_directory(registry);
+    }
+
+    fn begin_evacuation(
+        &self,
+        registry: &EndpointRegistry,
+        data_centre: &DataCentreId,
+        revision: Revision,
+    ) {
+        if self.evacuations().begin(data_centre, revision) {
+            event!(
+                Event::EvacuationBegan,
+                data_centre = data_centre,
+                endpoints = registry.in_data_centre(data_centre).count(),
+                revision = revision
+            );
+        }
+    }
+
+    fn end_evacuation(
+        &self,
+        registry: &EndpointRegistry,
+        data_centre: &DataCentreId,
+        revision: Revision,
+    ) {
+        if !self.evacuations().end(data_centre, revision) {
+            return;
+        }
+        let table = self.routing_table();
+        let cold_ms = |service: &ServiceName| {
+            let service = table.as_ref().and_then(|table| table.service(service));
+            let limits = service.and_then(|service| service.cold);
+            limits.map_or(DurationMs(0), |limits| limits.duration_ms)
+        };
+        let endpoints = registry.suspect_cold(data_centre, self.clock.now(), cold_ms);
+        event!(
+            Event::EvacuationOver,
+            data_centre = data_centre,
+            endpoints = endpoints,
+            revision = revision
+        );
+    }
+
+    /// Ends the evacuations that a whole state doesn't list.
+    fn end_unlisted_evacuations(
+        &self,
+        registry: &EndpointRegistry,
+        records: &[ChangeAt],
+        revision: Revision,
+    ) {
+        let listed = evacuated_data_centres(records);
+        let over = self.evacuations().unlisted(&listed, revision);
+        for data_centre in over {
+            self.end_evacuation(registry, &data_centre, revision);
+        }
     }
 
     /// Changes `quarantined` so, and puts it in force.
@@ -289,6 +374,17 @@
     endpoints.collect()
 }
 
+/// Data centres that a whole state names as evacuated. One whose record can't be read stays as it was.
+fn evacuated_data_centres(records: &[ChangeAt]) -> HashSet<DataCentreId> {
+    let data_centres = records.iter().filter_map(|record| match &record.change {
+        Change::Evacuated(data_centre) | Change::NoEvacuation(data_centre) => {
+            Some(data_centre.clone())
+        }
+        _ => None,
+    });
+    data_centres.collect()
+}
+
 fn names_duty_holder(records: &[ChangeAt]) -> bool {
     let is_holder = |record: &ChangeAt| matches!(record.change, Change::DutyHolder(_));
     records.iter().any(is_holder)
--- a/crates/gateway/src/decisions/endpoint/mod.rs
+++ b/crates/gateway/src/decisions/endpoint/mod.rs
@@ -3,7 +3,9 @@
 //! Their state is in `endpoints`; what they learn of an endpoint is lost with the process.
 
 pub mod cache_fetch;
+pub mod cold_start;
 pub mod ejection;
+pub mod evacuation;
 pub mod idle_connections;
 pub mod load_report;
 pub mod placement;
--- a/crates/gateway/src/decisions/endpoint/placement.rs
+++ b/crates/gateway/src/decisions/endpoint/placement.rs
@@ -59,6 +59,11 @@
 /// What a silent endpoint costs. Not measured, chosen because it must exceed any queue that is
 /// admitted, and stay below an ejected one.
 const SILENT_MS: f64 = 4_000.0;
+/// What an endpoint costs for a request that has found another one of its data centre lost: gone, or its
+/// address another's. Endpoints of a data centre go together, and come back with new ids at addresses that
+/// old records still name. Not measured by itself: it is [`UNTRUSTED_MS`], so that the request's prompt
+/// isn't held there, and less than a silent endpoint.
+const BESIDE_LOST_MS: f64 = UNTRUSTED_MS;
 /// What an ejected endpoint costs. Not measured, chosen because it must exceed everything else: it
 /// gets work only when all are ejected.
 const EJECTED_MS: f64 = 20_000.0;
@@ -100,6 +105,8 @@
     pub(crate) health: HealthSnapshot,
     /// Whether it is silent while a request waits.
     pub(crate) is_silent: bool,
+    /// Whether the request has found another endpoint of its data centre lost.
+    pub(crate) is_beside_lost: bool,
 }
 
 /// Which candidates go first whatever they cost.
@@ -210,7 +217,7 @@
     }
 }
 
-/// What speaks against an endpoint: ejection, silence, failures.
+/// What speaks against an endpoint: ejection, silence, lost neighbours, failures.
 fn doubt_ms(candidate: &Candidate) -> f64 {
     if candidate.health.trust == Trust::Ejected {
         return EJECTED_MS;
@@ -218,7 +225,12 @@
     if candidate.is_silent {
         return SILENT_MS;
     }
-    candidate.health.failure_share * ALWAYS_FAILING_MS
+    let beside_lost_ms = if candidate.is_beside_lost {
+        BESIDE_LOST_MS
+    } else {
+        0.0
+    };
+    beside_lost_ms + candidate.health.failure_share * ALWAYS_FAILING_MS
 }
 
 /// The share of an endpoint's slots that so many requests take; above 1 when some wait.
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -21,6 +21,8 @@
 //! | how long does reported load count? | [`endpoint::load_report`] |
 //! | is the endpoint still there? | [`endpoint::silence`] |
 //! | which endpoint gets no work for a while? | [`endpoint::ejection`] |
+//! | which endpoints does an evacuation leave out? | [`endpoint::evacuation`] |
+//! | how many requests does a cold endpoint get? | [`endpoint::cold_start`] |
 //! | which connections are kept and used again? | [`endpoint::idle_connections`] |
 //! | may the request be sent again, and why not? | [`resend`] |
 //! | when is a second endpoint asked while the first is silent? | [`resend::hedging`] |
--- a/crates/gateway/src/duties/engines.rs
+++ b/crates/gateway/src/duties/engines.rs
@@ -195,14 +195,15 @@
     }
 }
 
-/// The engines of a service that may get work.
+/// The engines of a service that don't drain. Those of an evacuated data centre run on: ordered again, they
+/// would run twice.
 fn running_engines(directory: &Directory, service: &ServiceName) -> EnginesByDataCentre {
     let mut running = EnginesByDataCentre::new();
-    let Some(endpoints) = directory.service(service) else {
-        return running;
-    };
-    for endpoint in &endpoints.all {
+    for endpoint in directory.endpoints() {
         let record = endpoint.record.load();
+        if record.service != *service {
+            continue;
+        }
         let counts = running.entry(record.data_centre.clone()).or_default();
         if record.is_reclaimable {
             counts.reclaimable += 1;
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -3,6 +3,7 @@
 //! It is immutable and read without locks; [`crate::control::state`] builds a new one on each
 //! change.
 
+use crate::decisions::endpoint::evacuation::Evacuations;
 use crate::decisions::endpoint::stream_reservation::{self, ReservationMember};
 use crate::endpoints::endpoint::Endpoint;
 use bridgevane_decisions::EndpointIx;
@@ -45,17 +46,28 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     by_service: HashMap<ServiceName, ServiceEndpoints>,
+    /// Endpoints of evacuated data centres: what runs there goes on.
+    evacuated: Vec<Arc<Endpoint>>,
 }
 
 impl Directory {
-    /// Sorts endpoints by service; those that drain are left out.
-    pub(crate) fn new<'a>(endpoints: impl Iterator<Item = &'a Arc<Endpoint>>) -> Self {
+    /// Sorts endpoints by service; those that drain are left out, and those of evacuated data centres get
+    /// no work.
+    pub(crate) fn new<'a>(
+        endpoints: impl Iterator<Item = &'a Arc<Endpoint>>,
+        evacuations: &Evacuations,
+    ) -> Self {
+        let mut evacuated = Vec::new();
         let mut by_service: HashMap<ServiceName, Vec<Arc<Endpoint>>> = HashMap::new();
         for endpoint in endpoints {
             let record = endpoint.record.load();
             if record.is_draining {
                 continue;
             }
+            if evacuations.contains(&record.data_centre) {
+                evacuated.push(endpoint.clone());
+                continue;
+            }
             let service = by_service.entry(record.service.clone()).or_default();
             service.push(endpoint.clone());
         }
@@ -64,6 +76,7 @@
             by_service: services
                 .map(|(name, all)| (name, ServiceEndpoints::new(all)))
                 .collect(),
+            evacuated,
         }
     }
 
@@ -72,9 +85,10 @@
         self.by_service.get(service)
     }
 
-    /// The endpoints of all services.
+    /// The endpoints of all services, those of evacuated data centres among them.
     pub(crate) fn endpoints(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
-        self.by_service.values().flat_map(|service| &service.all)
+        let working = self.by_service.values().flat_map(|service| &service.all);
+        working.chain(&self.evacuated)
     }
 
     /// How many endpoints may get work.
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -5,6 +5,7 @@
 //! reference count while they need it.
 
 use crate::clock::AtomicTime;
+use crate::endpoints::cold_state::ColdState;
 use crate::endpoints::health::EndpointHealth;
 use crate::endpoints::idle_connections::IdleConnections;
 use crate::endpoints::load::EndpointLoad;
@@ -12,7 +13,7 @@
 use crate::work_by_endpoint::EndpointHash;
 use arc_swap::ArcSwap;
 use bridgevane_decisions::EndpointIx;
-use bridgevane_types::{DataCentreId, EndpointId, ServiceName, TimeMs, WallTimeMs};
+use bridgevane_types::{DataCentreId, DurationMs, EndpointId, ServiceName, TimeMs, WallTimeMs};
 use std::net::SocketAddr;
 use std::sync::OnceLock;
 
@@ -38,6 +39,8 @@
     pub is_draining: bool,
     /// Whether the platform may take it back at any time.
     pub is_reclaimable: bool,
+    /// How much longer it is cold; 0: it isn't, or doesn't say.
+    pub cold_remaining_ms: DurationMs,
 }
 
 /// One life of an endpoint with its state on this daemon.
@@ -55,6 +58,8 @@
     pub health: EndpointHealth,
     /// Open connections without a request.
     pub(crate) idle_connections: IdleConnections,
+    /// Until when it is cold, and what it got meanwhile.
+    pub(crate) cold: ColdState,
     /// Made when a connection breaks for the first time: most endpoints never need it, and a daemon may
     /// know thousands.
     lost_requests: OnceLock<Box<LostRequests>>,
@@ -72,6 +77,7 @@
             load: EndpointLoad::default(),
             health: EndpointHealth::default(),
             idle_connections: IdleConnections::default(),
+            cold: ColdState::default(),
             lost_requests: OnceLock::new(),
             expires_at: AtomicTime::default(),
         }
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -4,6 +4,7 @@
 //! own; the rules over them are in [`crate::decisions::endpoint`]. All of it is lost with the
 //! process and learned again from answers.
 
+pub(crate) mod cold_state;
 pub(crate) mod connection;
 pub(crate) mod directory;
 pub(crate) mod endpoint;
--- a/crates/gateway/src/endpoints/selection.rs
+++ b/crates/gateway/src/endpoints/selection.rs
@@ -4,6 +4,7 @@
 //! Owns nothing. Takes two short locks an endpoint, for health and for the queue.
 
 use crate::decisions::endpoint::cache_fetch::CacheSource;
+use crate::decisions::endpoint::cold_start::ColdQuota;
 use crate::decisions::endpoint::ejection::Trust;
 use crate::decisions::endpoint::placement::{self, Candidate, Estimate, Estimator};
 use crate::decisions::endpoint::prompt_affinity::{self, PreferredEndpoints};
@@ -27,6 +28,10 @@
     pub prompt: &'a Prompt,
     /// Endpoints that the request was sent to before.
     pub tried: &'a [Arc<Endpoint>],
+    /// Data centres in which the request has found an endpoint lost.
+    pub lost_in: &'a [DataCentreId],
+    /// What this daemon may send to cold endpoints; none: as much as to others.
+    pub cold: Option<ColdQuota>,
 }
 
 /// The endpoint that a request goes to, and the estimate that was the lowest.
@@ -40,11 +45,45 @@
     pub cache_source: Option<SocketAddr>,
 }
 
-/// Selects an endpoint among those of a service; none when all were tried.
+impl SelectionRequest<'_> {
+    /// Whether an endpoint may get the request.
+    fn may_use(&self, endpoint: &Endpoint) -> bool {
+        let was_tried = |tried: &Arc<Endpoint>| tried.index == endpoint.index;
+        !endpoint.has_expired(self.now)
+            && !self.tried.iter().any(was_tried)
+            && self.admits_cold(endpoint)
+    }
+
+    fn admits_cold(&self, endpoint: &Endpoint) -> bool {
+        let cold = self.cold.as_ref();
+        cold.is_none_or(|quota| endpoint.cold.admits(self.now, quota, endpoint.hash))
+    }
+
+    /// Takes the request out of what a cold endpoint may get; false when another request took the last one.
+    fn take_cold_quota(&self, endpoint: &Endpoint) -> bool {
+        let cold = self.cold.as_ref();
+        cold.is_none_or(|quota| endpoint.cold.take(self.now, quota, endpoint.hash))
+    }
+}
+
+/// Selects an endpoint among those of a service; none when all were tried, or bear no more while cold.
 pub fn select_endpoint(
     locations: &PromptLocations,
     request: SelectionRequest<'_>,
     service: &ServiceEndpoints,
+) -> Option<Selected> {
+    loop {
+        let selected = lowest_estimate(locations, request, service)?;
+        if request.take_cold_quota(&selected.endpoint) {
+            return Some(selected);
+        }
+    }
+}
+
+fn lowest_estimate(
+    locations: &PromptLocations,
+    request: SelectionRequest<'_>,
+    service: &ServiceEndpoints,
 ) -> Option<Selected> {
     let mut estimator = Estimator {
         prompt: request.prompt,
@@ -53,11 +92,9 @@
         sources: Vec::new(),
     };
     estimator.sources = cache_sources(&request, service, &estimator);
-    let untried = service.all.iter().filter(|endpoint| {
-        let was_tried = |tried: &Arc<Endpoint>| tried.index == endpoint.index;
-        !endpoint.has_expired(request.now) && !request.tried.iter().any(was_tried)
-    });
-    let estimates = untried.map(|endpoint| {
+    let usable = service.all.iter();
+    let usable = usable.filter(|endpoint| request.may_use(endpoint));
+    let estimates = usable.map(|endpoint| {
         let candidate = candidate(&request, service, endpoint);
         (endpoint, estimator.estimate(&candidate))
     });
@@ -146,5 +183,6 @@
         observed_queue_ms: queue.expected_ms,
         health: endpoint.health.snapshot(request.now),
         is_silent: queue.is_silent,
+        is_beside_lost: request.lost_in.contains(&record.data_centre),
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::control::state::ControlState;
 use crate::counter::Counter;
+use crate::decisions::endpoint::cold_start::ColdQuota;
 use crate::decisions::endpoint::idle_connections;
 use crate::duties::book::DutyBook;
 use crate::endpoints::endpoint::Endpoint;
@@ -28,10 +29,12 @@
 use crate::requests::retry_budgets::RetryBudgets;
 use crate::settings::GatewaySettings;
 use crate::unreadable_headers::{HeaderReader, Sender, UnreadableHeaders};
+use bridgevane_types::ServiceName;
 use http::HeaderMap;
 use opentelemetry::metrics::Meter;
 use std::sync::Arc;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The gateway's state.
 #[derive(Debug)]
@@ -42,6 +45,8 @@
     pub clock: Clock,
     /// What the control source says.
     pub control: ControlState,
+    /// A hash of the VM's name.
+    vm_hash: u64,
     /// Notified when the VM has been suspended.
     pub(crate) woken: Notify,
     /// The steps of a planned stop.
@@ -80,6 +85,7 @@
             duty_book: DutyBook::new(clock, &settings),
             quarantine: Quarantine::new(clock),
             retry_budgets: RetryBudgets::new(clock.now(), &settings),
+            vm_hash: xxh3_64(settings.vm.as_str().as_bytes()),
             settings,
             clock,
             woken: Notify::new(),
@@ -130,6 +136,18 @@
         idle_connections::max_idle(max_connections, daemons)
     }
 
+    /// What this daemon may send to cold endpoints of a service; none: as much as to others.
+    pub(crate) fn cold_quota(&self, service: &ServiceName) -> Option<ColdQuota> {
+        let table = self.control.routing_table()?;
+        let limits = table.service(service)?.cold?;
+        let is_alone = self.settings.seed_addresses.is_empty();
+        Some(ColdQuota {
+            limits,
+            daemon: self.vm_hash,
+            daemons: self.fleet.size().or(is_alone.then_some(1)),
+        })
+    }
+
     /// Decodes headers of a client's request.
     pub(crate) fn client_headers<'a>(&'a self, headers: &'a HeaderMap) -> HeaderReader<'a> {
         self.unreadable_headers.reader(Sender::Client, headers)
--- a/crates/gateway/src/requests/exchange.rs
+++ b/crates/gateway/src/requests/exchange.rs
@@ -20,7 +20,7 @@
 use crate::requests::response_head;
 use crate::route::Route;
 use bridgevane_events::{Event, event};
-use bridgevane_types::TimeMs;
+use bridgevane_types::{DataCentreId, TimeMs};
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode, response};
 use http_body_util::{BodyExt, Limited};
@@ -58,6 +58,8 @@
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) inbound: InboundRequest,
     tried: Vec<Arc<Endpoint>>,
+    /// Data centres in which it found an endpoint lost.
+    lost_in: Vec<DataCentreId>,
     /// Attempts that ran, or may have run.
     runs: u32,
     /// Whether it was counted as its customer's usage.
@@ -70,6 +72,7 @@
             gateway,
             inbound,
             tried: Vec::new(),
+            lost_in: Vec::new(),
             runs: 0,
             is_counted: false,
         }
@@ -154,9 +157,11 @@
             data_centre: &self.gateway.settings.data_centre,
             prompt: &self.inbound.prompt,
             tried: &self.tried,
+            lost_in: &self.lost_in,
+            cold: self.gateway.cold_quota(&self.inbound.service),
         };
         let selected = select_endpoint(&self.gateway.prompt_locations, request, service);
-        let none_left = if self.tried.is_empty() {
+        let none_left = if self.tried.is_empty() && request.cold.is_none() {
             RefusalReason::NoEndpoint
         } else {
             RefusalReason::Overloaded
@@ -267,8 +272,15 @@
             AttemptError::TimedOut => !was_heard,
             _ => false,
         };
-        if is_lost && endpoint.health.on_lost(now) {
-            event!(Event::EndpointEjected, endpoint = endpoint.record.load().id);
+        if !is_lost {
+            return;
+        }
+        let record = endpoint.record.load();
+        if endpoint.health.on_lost(now) {
+            event!(Event::EndpointEjected, endpoint = record.id);
+        }
+        if !self.lost_in.contains(&record.data_centre) {
+            self.lost_in.push(record.data_centre.clone());
         }
     }
 
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -4,6 +4,7 @@
 //! them. They decide nothing.
 
 use crate::decisions::duties::engine_plan::EngineScaling;
+use crate::decisions::endpoint::cold_start::ColdLimits;
 use bridgevane_types::{Bytes, CustomerId, DurationMs, ServiceName, Tier};
 
 /// How often a request may run.
@@ -79,6 +80,8 @@
     pub name: ServiceName,
     /// Connections that one endpoint accepts from all daemons together; 0: it doesn't say.
     pub max_connections: u32,
+    /// What its endpoints bear while they are cold; none: as much as always.
+    pub cold: Option<ColdLimits>,
     /// How its engines may be ordered; none: they aren't.
     pub scaling: Option<EngineScaling>,
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -34,6 +34,7 @@
             slots: 64,
             is_draining: false,
             is_reclaimable: false,
+            cold_remaining_ms: DurationMs(0),
         };
         Arc::new(Endpoint::new(EndpointIx(at), record))
     });
@@ -66,6 +67,8 @@
         data_centre: &DataCentreId::from(data_centre),
         prompt,
         tried: &[],
+        lost_in: &[],
+        cold: None,
     };
     let selected = select_endpoint(&PromptLocations::default(), request, service);
     selected.expect("an endpoint")
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -350,6 +350,7 @@
         services: vec![Service {
             name: "model".into(),
             max_connections: 100,
+            cold: None,
             scaling: Some(scaling),
         }],
         customers: None,
@@ -373,6 +374,7 @@
         slots: 64,
         is_draining: false,
         is_reclaimable: false,
+        cold_remaining_ms: DurationMs(0),
     }
 }
 
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -6,7 +6,8 @@
     Service, SourceError, SourceRecord, StreamPolicy,
 };
 use bridgevane_types::{
-    Bytes, ConfigVersion, DurationMs, EndpointId, RequestFingerprint, Tier, WallTimeMs,
+    Bytes, ConfigVersion, DataCentreId, DurationMs, EndpointId, RequestFingerprint, Tier,
+    WallTimeMs,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -15,10 +16,15 @@
 use tokio::sync::watch;
 
 const CONFIG: &str = "config";
+const EVACUATION_PREFIX: &str = "evacuation/";
 const DUTY_HOLDER: &str = "holder-of-duties";
 pub const KEY: &str = "key-1";
 pub const OTHER_KEY: &str = "key-2";
 
+fn evacuation_key(data_centre: &DataCentreId) -> String {
+    format!("{EVACUATION_PREFIX}{data_centre}")
+}
+
 /// What an endpoint says of one of its lives.
 #[derive(Clone, Copy, Debug)]
 pub struct Life {
@@ -38,6 +44,7 @@
     full_reads: usize,
     waits: usize,
     full_read_takes: Duration,
+    forgets_history: bool,
 }
 
 /// The source; clones share one state.
@@ -77,6 +84,9 @@
             Change::Endpoint(record) => (record.id.to_string(), false),
             Change::EndpointGone(id) => (id.to_string(), true),
             Change::NoEndpoint(id, _) => (id.to_string(), false),
+            Change::Evacuated(data_centre) => (evacuation_key(data_centre), false),
+            Change::NoEvacuation(data_centre) => (evacuation_key(data_centre), false),
+            Change::EvacuationOver(data_centre) => (evacuation_key(data_centre), true),
         };
         // The value is where the change stands in the log.
         let value = (!is_gone).then(|| revision.0.to_string().into());
@@ -99,6 +109,7 @@
         let service = |name: &str| Service {
             name: name.into(),
             max_connections: 100,
+            cold: None,
             scaling: None,
         };
         let table = RoutingTable::new(RoutingParts {
@@ -119,6 +130,35 @@
         self.put(Change::Endpoint(record(id, service, address, false)));
     }
 
+    /// An endpoint of a data centre.
+    pub fn endpoint_in(&self, data_centre: &str, id: &str, service: &str, address: SocketAddr) {
+        self.put(Change::Endpoint(EndpointRecord {
+            data_centre: data_centre.into(),
+            ..record(id, service, address, false)
+        }));
+    }
+
+    /// Operators evacuate a data centre.
+    pub fn evacuate(&self, data_centre: &str) {
+        self.put(Change::Evacuated(data_centre.into()));
+    }
+
+    /// They take it back.
+    pub fn take_back(&self, data_centre: &str) {
+        self.put(Change::EvacuationOver(data_centre.into()));
+    }
+
+    /// The record of its evacuation becomes unreadable.
+    pub fn spoil_evacuation(&self, data_centre: &str) {
+        self.put(Change::NoEvacuation(data_centre.into()));
+    }
+
+    /// Forgets the history of changes: the next wait fails, and everything is read again.
+    pub fn fail_once_with_history_lost(&self) {
+        self.calls.lock().unwrap().forgets_history = true;
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     /// A life of an endpoint: its record as it wrote it then.
     pub fn life(&self, id: &str, service: &str, address: SocketAddr, life: Life) {
         self.put(Change::Endpoint(EndpointRecord {
@@ -161,8 +201,14 @@
     }
 
     fn since(&self, after: Revision) -> Result<Option<Changes>, SourceError> {
-        if let Some(fault) = self.calls.lock().unwrap().fault {
-            return Err(fault);
+        {
+            let mut calls = self.calls.lock().unwrap();
+            if let Some(fault) = calls.fault {
+                return Err(fault);
+            }
+            if std::mem::take(&mut calls.forgets_history) {
+                return Err(SourceError::HistoryLost);
+            }
         }
         let state = self.state.lock().unwrap();
         let records = state.log.iter().map(|(record, _)| record);
@@ -184,6 +230,7 @@
         slots: 8,
         is_draining,
         is_reclaimable: false,
+        cold_remaining_ms: DurationMs(0),
     }
 }
 
@@ -232,7 +279,10 @@
 
     fn decode(&self, record: &SourceRecord) -> Option<Change> {
         let Some(value) = &record.value else {
-            return Some(Change::EndpointGone(EndpointId::from(record.key.as_str())));
+            return Some(match record.key.strip_prefix(EVACUATION_PREFIX) {
+                Some(data_centre) => Change::EvacuationOver(data_centre.into()),
+                None => Change::EndpointGone(EndpointId::from(record.key.as_str())),
+            });
         };
         let revision: usize = std::str::from_utf8(value).ok()?.parse().ok()?;
         let state = self.state.lock().unwrap();
