feat(placement): endpoints that cost the same are ordered by daemon or by the prompt's first part

Cause: equal costs went to the first endpoint in the order in which records were read, the same on all daemons: with many more endpoints than requests each daemon of a data centre sends to the same idle endpoint. Change: plain requests take the daemon's own order by a hash, prompts the order of their first part.

--- a/crates/gateway/src/decisions/endpoint/mod.rs
+++ b/crates/gateway/src/decisions/endpoint/mod.rs
@@ -13,3 +13,4 @@
 pub mod queue_delay;
 pub mod silence;
 pub mod stream_reservation;
+pub mod tie_break;
--- a/crates/gateway/src/decisions/endpoint/placement.rs
+++ b/crates/gateway/src/decisions/endpoint/placement.rs
@@ -13,6 +13,9 @@
 //! that was tried and lost (docs/design/14); they lengthen the queue that shedding goes by. The
 //! requests that others run do: they fill an engine's slots.
 //!
+//! Endpoints that cost the same go by [`super::tie_break`]: where there are many more endpoints than requests,
+//! most requests are placed by it alone.
+//!
 //! What another engine keeps of the prompt needn't be read ([`super::cache_fetch`]).
 //!
 //! All weights are milliseconds of a request's time to first token, or what is worth as much.
@@ -27,7 +30,9 @@
 use super::prompt_affinity::{self, PreferredEndpoints};
 use super::queue_delay::prefill_ms;
 use super::stream_reservation::is_stream_like;
+use super::tie_break::TieBreak;
 use crate::prompt::Prompt;
+use crate::work_by_endpoint::EndpointHash;
 use bridgevane_decisions::{EndpointIx, Holders};
 
 /// What each request that runs on an engine adds. Not measured by itself; steps get slower with
@@ -89,6 +94,8 @@
 pub(crate) struct Candidate {
     /// Its index.
     pub(crate) index: EndpointIx,
+    /// The name of this life of it, the same on all daemons.
+    pub(crate) hash: EndpointHash,
     /// Requests that it runs at once.
     pub(crate) slots: u32,
     /// Whether it is in this daemon's data centre.
@@ -122,6 +129,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
     group: Group,
+    /// The lowest goes first among equal costs.
+    tie_rank: u64,
     /// The cost, in milliseconds.
     pub cost_ms: f64,
     /// Prompt tokens that the endpoint has to read.
@@ -133,11 +142,13 @@
     pub queue_ms: f64,
 }
 
-/// Picks the candidate with the lowest cost, the first of equal ones; none when there is none.
+/// Picks the candidate with the lowest cost, of equal ones the one with the lowest rank; none when there is
+/// none.
 pub(crate) fn best<T>(candidates: impl Iterator<Item = (T, Estimate)>) -> Option<(T, Estimate)> {
     candidates.min_by(|(_, a), (_, b)| {
         let by_cost = a.cost_ms.total_cmp(&b.cost_ms);
-        a.group.cmp(&b.group).then(by_cost)
+        let by_rank = a.tie_rank.cmp(&b.tie_rank);
+        a.group.cmp(&b.group).then(by_cost).then(by_rank)
     })
 }
 
@@ -152,6 +163,8 @@
     pub(crate) preferred: PreferredEndpoints,
     /// Engines that others may take cached parts of the prompt from.
     pub(crate) sources: Vec<CacheSource>,
+    /// How endpoints that cost the same are ordered.
+    pub(crate) tie_break: TieBreak,
 }
 
 impl Estimator<'_> {
@@ -173,6 +186,7 @@
         let doubt_ms = doubt_ms(candidate);
         Estimate {
             group: self.group(candidate, doubt_ms),
+            tie_rank: self.tie_break.rank(candidate.hash),
             cost_ms: work_ms + distance_ms + doubt_ms,
             prefill_tokens,
             fetch,
--- a/crates/gateway/src/endpoints/selection.rs
+++ b/crates/gateway/src/endpoints/selection.rs
@@ -8,6 +8,7 @@
 use crate::decisions::endpoint::ejection::Trust;
 use crate::decisions::endpoint::placement::{self, Candidate, Estimate, Estimator};
 use crate::decisions::endpoint::prompt_affinity::{self, PreferredEndpoints};
+use crate::decisions::endpoint::tie_break::TieBreak;
 use crate::decisions::endpoint::{silence, stream_reservation};
 use crate::endpoints::directory::ServiceEndpoints;
 use crate::endpoints::endpoint::Endpoint;
@@ -22,6 +23,8 @@
 pub struct SelectionRequest<'a> {
     /// Now.
     pub now: TimeMs,
+    /// A hash of this daemon's name.
+    pub daemon: u64,
     /// This daemon's data centre.
     pub data_centre: &'a DataCentreId,
     /// The prompt; empty for plain requests.
@@ -90,6 +93,7 @@
         holders: locations.holders(request.now, request.prompt),
         preferred: preferred_endpoints(&request, service),
         sources: Vec::new(),
+        tie_break: TieBreak::new(request.prompt, request.daemon),
     };
     estimator.sources = cache_sources(&request, service, &estimator);
     let usable = service.all.iter();
@@ -175,6 +179,7 @@
     let queue = endpoint.load.queue_snapshot(request.now, max_silence_ms);
     Candidate {
         index: endpoint.index,
+        hash: endpoint.hash,
         slots: record.slots,
         is_local: record.data_centre == *request.data_centre,
         is_reserved: service.reserved_for_streams.contains(&endpoint.index),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,7 +46,7 @@
     /// What the control source says.
     pub control: ControlState,
     /// A hash of the VM's name.
-    vm_hash: u64,
+    pub(crate) vm_hash: u64,
     /// Notified when the VM has been suspended.
     pub(crate) woken: Notify,
     /// The steps of a planned stop.
--- a/crates/gateway/src/requests/exchange.rs
+++ b/crates/gateway/src/requests/exchange.rs
@@ -154,6 +154,7 @@
         let service = service.ok_or(RefusalReason::NoEndpoint.unless_run(self.runs))?;
         let request = SelectionRequest {
             now: self.gateway.clock.now(),
+            daemon: self.gateway.vm_hash,
             data_centre: &self.gateway.settings.data_centre,
             prompt: &self.inbound.prompt,
             tried: &self.tried,
--- a/crates/gateway/tests/cold_start.rs
+++ b/crates/gateway/tests/cold_start.rs
@@ -101,6 +101,7 @@
 fn placed_beside(lost_in: &[DataCentreId], tried: &[Arc<Endpoint>]) -> DataCentreId {
     let request = SelectionRequest {
         now: NOW,
+        daemon: 1,
         data_centre: &DataCentreId::from("dc-0"),
         prompt: &Prompt::default(),
         tried,
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -64,6 +64,7 @@
 fn placed(service: &ServiceEndpoints, prompt: &Prompt, data_centre: &str) -> Selected {
     let request = SelectionRequest {
         now: NOW,
+        daemon: 1,
         data_centre: &DataCentreId::from(data_centre),
         prompt,
         tried: &[],
