feat(replica): a daemon that is far behind gets what it lacks, not everything

Cause: whoever was behind by more than 512 changes or 256 KB, or followed a daemon that had read everything anew, got a whole state: at 10,000 endpoints some MB for each such daemon, eight children each, over links of 20 Mbit/s. A release of 4 in 100 endpoints is 1,200 changes; the bound is a constant, what it holds is not. Change: beyond the patches, records newer than what the daemon has go to it, each once, with the removals since; as many removals are remembered as there are records. A state that was read anew tells what it no longer lists.

--- a/crates/gateway/src/control/replica.rs
+++ b/crates/gateway/src/control/replica.rs
@@ -1,7 +1,10 @@
 //! The replica: the records of the control source as this daemon has them, and the newest changes.
 //!
-//! Owns the records in the source's own form and a bounded list of changes, from which daemons that
-//! follow this one are brought up to date. A revision never goes back: what is older than the
+//! Owns the records in the source's own form, what was removed lately, and a bounded list of changes, from
+//! which daemons that follow this one are brought up to date. One that is behind by a little gets the changes;
+//! one that is behind by more gets the records that are newer than what it has, each once, and what was removed
+//! since; everything goes only to one that has nothing, or is behind by more than the removals that are
+//! remembered. A revision never goes back: what is older than the
 //! replica is passed over, so that nothing that is gone comes back by a daemon that is behind.
 //! Tests: `replica.rs`, among them every order of six steps of a source and two daemons.
 
@@ -10,9 +13,14 @@
 use bytes::Bytes;
 use std::collections::{BTreeMap, VecDeque};
 
-/// Changes that are remembered; a daemon that is further behind gets everything. Not measured,
-/// chosen because a release changes every endpoint's record once or twice within seconds.
+/// Changes that are remembered one by one, as patches. Not measured, chosen because a small fleet's release
+/// changes every endpoint's record once or twice within seconds. Beyond them nothing is lost: whole
+/// records take the place of patches.
 const MAX_CHANGES: usize = 512;
+/// Removals that are remembered at least; a replica with more records remembers as many as it has
+/// records, so that no release, whatever the fleet's size, makes a daemon that is behind ask for
+/// everything. Not measured, chosen because a removal takes some 60 bytes, a fifth of a record.
+const MIN_REMOVALS: usize = 512;
 /// Bytes of remembered changes. Not measured, chosen because it is small against the memory of the
 /// smallest VM (88 MB) and holds a hundred changes of a document as patches.
 const MAX_CHANGE_BYTES: usize = 256 * 1024;
@@ -75,6 +83,7 @@
 pub struct Replica {
     at: Revision,
     records: BTreeMap<String, Value>,
+    removals: Removals,
     /// Changes after this revision are all remembered.
     remembered_after: Revision,
     changes: VecDeque<RecordChange>,
@@ -97,11 +106,19 @@
             let revision = record.revision;
             Some((record.key.clone(), Value { revision, bytes }))
         });
-        self.records = valued.collect();
+        let records: BTreeMap<String, Value> = valued.collect();
+        // Records may be newer than the state as a whole.
+        let newest = records.values().map(|value| value.revision);
+        let newest = newest.fold(state.at, Revision::max);
+        let unlisted = self
+            .records
+            .keys()
+            .filter(|key| !records.contains_key(*key));
+        self.removals
+            .on_replaced(self.at, state.at, newest, unlisted.cloned().collect());
+        self.records = records;
         self.at = state.at;
-        // Records may be newer than the state as a whole; a daemon that lacks one gets everything.
-        let newest = self.records.values().map(|value| value.revision);
-        self.remembered_after = newest.fold(state.at, Revision::max);
+        self.remembered_after = newest;
         self.changes.clear();
         self.change_bytes = 0;
         true
@@ -136,6 +153,7 @@
         match &record.value {
             None => {
                 self.records.remove(&record.key);
+                self.removals.add(record.revision, record.key.clone());
             }
             Some(bytes) => {
                 let value = Value {
@@ -145,6 +163,7 @@
                 self.records.insert(record.key.clone(), value);
             }
         }
+        self.removals.forget_beyond(self.records.len());
         self.remember(RecordChange {
             key: record.key.clone(),
             revision: record.revision,
@@ -167,16 +186,31 @@
 
     /// What a daemon that has every change up to `after` lacks; 0: it has nothing.
     pub fn update_since(&self, after: Revision) -> Update {
-        if after < self.remembered_after || after == Revision(0) {
-            let all = self.records.iter().map(|(key, value)| RecordChange {
-                key: key.clone(),
-                revision: value.revision,
-                outcome: RecordOutcome::Whole(value.bytes.clone()),
-            });
-            return Update::Everything(all.collect());
+        if after == Revision(0) {
+            return Update::Everything(self.records_after(after).collect());
+        }
+        if after >= self.remembered_after {
+            let newer = self.changes.iter().filter(|change| change.revision > after);
+            return Update::Changes(newer.cloned().collect());
+        }
+        if !self.removals.are_known_after(after) {
+            return Update::Everything(self.records_after(Revision(0)).collect());
         }
-        let newer = self.changes.iter().filter(|change| change.revision > after);
-        Update::Changes(newer.cloned().collect())
+        let removed = self.removals.after(after);
+        let mut changes: Vec<RecordChange> = self.records_after(after).chain(removed).collect();
+        changes.sort_by_key(|change| change.revision);
+        Update::Changes(changes)
+    }
+
+    /// The records that were written after a revision, as whole values.
+    fn records_after(&self, after: Revision) -> impl Iterator<Item = RecordChange> {
+        let newer = self.records.iter();
+        let newer = newer.filter(move |(_, value)| value.revision > after);
+        newer.map(|(key, value)| RecordChange {
+            key: key.clone(),
+            revision: value.revision,
+            outcome: RecordOutcome::Whole(value.bytes.clone()),
+        })
     }
 
     /// The records that changes from another daemon lead to, each on top of those before it.
@@ -208,6 +242,68 @@
     }
 }
 
+/// Which records were removed lately, and from which revisions on all removals are known.
+#[derive(Debug, Default)]
+struct Removals {
+    /// Oldest first.
+    keys: VecDeque<(Revision, String)>,
+    /// Removals after this revision are all known, but for those of `unknown`.
+    known_after: Revision,
+    /// A whole state took the place of the records: what came and went between these two revisions was
+    /// never seen here.
+    unknown: Option<(Revision, Revision)>,
+}
+
+impl Removals {
+    fn add(&mut self, revision: Revision, key: String) {
+        self.keys.push_back((revision, key));
+    }
+
+    /// Forgets the oldest where there are more than the replica has records.
+    fn forget_beyond(&mut self, records: usize) {
+        while self.keys.len() > records.max(MIN_REMOVALS) {
+            let Some((revision, _)) = self.keys.pop_front() else {
+                return;
+            };
+            self.known_after = self.known_after.max(revision);
+        }
+    }
+
+    /// A whole state at `at`, with records up to `newest`, took the place of one at `before`; it doesn't list
+    /// some keys any more.
+    fn on_replaced(
+        &mut self,
+        before: Revision,
+        at: Revision,
+        newest: Revision,
+        unlisted: Vec<String>,
+    ) {
+        if before == Revision(0) {
+            self.known_after = newest;
+            return;
+        }
+        let unknown_from = self.unknown.map_or(before, |(from, _)| from);
+        self.unknown = Some((unknown_from, newest));
+        self.keys.extend(unlisted.into_iter().map(|key| (at, key)));
+    }
+
+    /// Whether all removals after a revision are known.
+    fn are_known_after(&self, after: Revision) -> bool {
+        let is_unknown = |(from, until)| after > from && after < until;
+        after >= self.known_after && !self.unknown.is_some_and(is_unknown)
+    }
+
+    fn after(&self, after: Revision) -> impl Iterator<Item = RecordChange> {
+        let newer = self.keys.iter();
+        let newer = newer.filter(move |(revision, _)| *revision > after);
+        newer.map(|(revision, key)| RecordChange {
+            key: key.clone(),
+            revision: *revision,
+            outcome: RecordOutcome::Gone,
+        })
+    }
+}
+
 /// The value of a record after a change; none: it is gone.
 fn value_after(
     change: &RecordChange,
