perf(control): records that change what an endpoint says of itself build no directory

Cause: every batch of changes made the whole directory anew, sorted and with its reservations, on each daemon: at 10,000 endpoints a look at each of them for every heartbeat that anyone wrote. Change: the registry says whether the directory of before is still true. Measured (test): a heartbeat leaves the directory as it is; on the whole fleet: to come.

--- a/crates/gateway/src/control/endpoint_registry.rs
+++ b/crates/gateway/src/control/endpoint_registry.rs
@@ -32,9 +32,17 @@
 pub(crate) struct EndpointRegistry {
     entries: HashMap<EndpointId, RegistryEntry>,
     next_index: u32,
+    /// Endpoints came or went, or may get work now and might not before, or the other way round.
+    needs_directory: bool,
 }
 
 impl EndpointRegistry {
+    /// Whether the directory of the last call is no longer true. Most records change what an endpoint says of
+    /// itself, and no directory: to build one takes a look at every endpoint.
+    pub(crate) fn take_needs_directory(&mut self) -> bool {
+        std::mem::take(&mut self.needs_directory)
+    }
+
     /// The directory of the endpoints that may get work.
     pub(crate) fn directory(&self, evacuations: &Evacuations) -> Directory {
         let entries = self.entries.values();
@@ -84,7 +92,7 @@
                 return;
             }
             if !order.is_later_life(&entry.order) {
-                entry.update(record, order, revision);
+                self.needs_directory |= entry.update(record, order, revision);
                 entry.endpoint.cold.extend(now, cold_remaining_ms);
                 return;
             }
@@ -92,6 +100,7 @@
             self.drop_entry(&record.id);
         }
         log_record(&record, revision);
+        self.needs_directory = true;
         let index = EndpointIx(self.next_index);
         self.next_index += 1;
         let id = record.id.clone();
@@ -156,6 +165,7 @@
 
     fn drop_entry(&mut self, id: &EndpointId) {
         if let Some(entry) = self.entries.remove(id) {
+            self.needs_directory = true;
             entry.endpoint.idle_connections.close();
             let revision = entry.revision;
             event!(Event::EndpointGone, endpoint = id, revision = revision);
@@ -164,15 +174,20 @@
 }
 
 impl RegistryEntry {
-    fn update(&mut self, record: EndpointRecord, order: RecordOrder, revision: Revision) {
+    /// Takes a newer record of the same life; true when the directory has to know.
+    fn update(&mut self, record: EndpointRecord, order: RecordOrder, revision: Revision) -> bool {
         self.revision = revision;
         self.order = order;
         self.endpoint.renew();
-        let was_draining = self.endpoint.record.load().is_draining;
-        if was_draining != record.is_draining {
+        let before = self.endpoint.record.load_full();
+        let drains_anew = before.is_draining != record.is_draining;
+        if drains_anew {
             log_record(&record, revision);
         }
+        let has_moved =
+            before.service != record.service || before.data_centre != record.data_centre;
         self.endpoint.record.store(Arc::new(record));
+        drains_anew || has_moved
     }
 }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -195,12 +195,17 @@
     pub(crate) fn drop_expired_endpoints(&self) {
         let mut registry = self.registry();
         if registry.drop_expired(self.clock.now()) {
-            self.store_directory(&registry);
+            self.renew_directory(&mut registry);
         }
     }
 
-    /// Puts the directory in force that follows from the registry and the evacuations.
-    fn store_directory(&self, registry: &EndpointRegistry) {
+    /// Puts the directory in force that follows from the registry and the evacuations, if it is another one.
+    fn renew_directory(&self, registry: &mut EndpointRegistry) {
+        let needs_directory = registry.take_needs_directory();
+        let has_evacuations = self.evacuations().take_changed();
+        if !needs_directory && !has_evacuations {
+            return;
+        }
         let directory = registry.directory(&self.evacuations());
         self.directory.store(Arc::new(directory));
     }
@@ -257,7 +262,7 @@
                 }
             }
         }
-        self.store_directory(registry);
+        self.renew_directory(registry);
     }
 
     fn begin_evacuation(
--- a/crates/gateway/src/decisions/endpoint/evacuation.rs
+++ b/crates/gateway/src/decisions/endpoint/evacuation.rs
@@ -32,6 +32,7 @@
 #[derive(Debug, Default)]
 pub struct Evacuations {
     by_data_centre: HashMap<DataCentreId, Entry>,
+    has_changed: bool,
 }
 
 impl Evacuations {
@@ -64,6 +65,11 @@
         over.map(|(data_centre, _)| data_centre.clone()).collect()
     }
 
+    /// Whether one has begun or ended since the last call.
+    pub(crate) fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.has_changed)
+    }
+
     fn set(&mut self, data_centre: &DataCentreId, revision: Revision, is_evacuated: bool) -> bool {
         let known = self.by_data_centre.get(data_centre).copied();
         if known.is_some_and(|known| known.revision > revision) {
@@ -74,6 +80,8 @@
             is_evacuated,
         };
         self.by_data_centre.insert(data_centre.clone(), entry);
-        known.is_some_and(|known| known.is_evacuated) != is_evacuated
+        let is_news = known.is_some_and(|known| known.is_evacuated) != is_evacuated;
+        self.has_changed |= is_news;
+        is_news
     }
 }
--- a/crates/gateway/tests/endpoint_lives.rs
+++ b/crates/gateway/tests/endpoint_lives.rs
@@ -95,6 +95,32 @@
     assert_eq!((second.count(), gone.count()), (2, 0));
 }
 
+/// With ten thousand endpoints a look at each of them for every heartbeat is most of what a daemon does.
+#[tokio::test]
+async fn a_heartbeat_builds_no_directory() {
+    let (running, endpoint) = stage(life(BORN, 1)).await;
+    let before = running.gateway.control.directory();
+    running
+        .source
+        .life("e-0", "plain", endpoint.address, life(BORN, 2));
+    settle().await;
+    let after = running.gateway.control.directory();
+    assert!(
+        Arc::ptr_eq(&before, &after),
+        "the same endpoints may get work"
+    );
+    let leaving = Life {
+        is_draining: true,
+        ..life(BORN, 3)
+    };
+    running
+        .source
+        .life("e-0", "plain", endpoint.address, leaving);
+    settle().await;
+    let directory = running.gateway.control.directory();
+    assert!(directory.service(&"plain".into()).is_none());
+}
+
 /// Where endpoints don't say when they were born, a record changes the endpoint that is known.
 #[tokio::test]
 async fn without_a_birth_it_is_the_same_endpoint() {
