--- a/crates/gateway/src/decisions/endpoint/ejection.rs
+++ b/crates/gateway/src/decisions/endpoint/ejection.rs
@@ -108,6 +108,10 @@
     }
 
     fn failure_share(&self, now: TimeMs) -> f64 {
+        // Most endpoints never failed, and each request asks it of each.
+        if self.failure_share == 0.0 {
+            return 0.0;
+        }
         let age_ms = now.since(self.failure_share_at).0 as f64;
         self.failure_share * 0.5_f64.powf(age_ms / FAILURE_HALF_LIFE_MS)
     }
--- a/crates/gateway/src/decisions/endpoint/mod.rs
+++ b/crates/gateway/src/decisions/endpoint/mod.rs
@@ -6,6 +6,7 @@
 pub mod cold_start;
 pub mod ejection;
 pub mod evacuation;
+mod hash_mix;
 pub mod idle_connections;
 pub mod load_report;
 pub mod placement;
--- a/crates/gateway/src/decisions/endpoint/placement.rs
+++ b/crates/gateway/src/decisions/endpoint/placement.rs
@@ -102,7 +102,7 @@
     pub(crate) is_local: bool,
     /// Whether it is reserved for streams.
     pub(crate) is_reserved: bool,
-    /// Where the request stands in the endpoint's order of requests, from 0 to 1.
+    /// Where the request stands in the endpoint's order of requests, from 0 to 1; 0 where nobody asks.
     pub(crate) order: f64,
     /// The load there.
     pub(crate) load: LoadSnapshot,
@@ -256,6 +256,11 @@
     taken_share(candidate, candidate.load.running()) * PLAIN_FULL_MS
 }
 
+/// Whether an endpoint may be crowded for some request, so that the request's place in its order counts.
+pub(crate) fn may_be_crowded(slots: u32, load: LoadSnapshot) -> bool {
+    f64::from(load.fleet_running()) > CROWDED_SHARES[0] * f64::from(slots)
+}
+
 fn crowded_ms(candidate: &Candidate) -> f64 {
     let taken_share = taken_share(candidate, candidate.load.fleet_running());
     let [first, last] = CROWDED_SHARES;
--- a/crates/gateway/src/decisions/endpoint/prompt_affinity.rs
+++ b/crates/gateway/src/decisions/endpoint/prompt_affinity.rs
@@ -17,9 +17,10 @@
 //! Tests: `decisions.rs::daemons_of_all_data_centres_place_a_session_at_the_same_engine`,
 //! `a_session_has_two_engines_and_no_third_while_they_live`.
 
+use super::hash_mix::mix;
 use crate::prompt::Prompt;
+use crate::work_by_endpoint::EndpointHash;
 use bridgevane_decisions::EndpointIx;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Shared tokens from which a prompt goes to its preferred endpoints only. Not measured by itself:
 /// chosen because it lies between the shared tokens of chats (some 200 to 600) and of reports
@@ -67,8 +68,8 @@
 }
 
 /// An endpoint's weight for a shared prefix: the same on all daemons.
-pub(crate) fn weight(endpoint_id: &str, prefix_id: u64) -> u64 {
-    xxh3_64_with_seed(endpoint_id.as_bytes(), prefix_id)
+pub(crate) fn weight(endpoint: EndpointHash, prefix_id: u64) -> u64 {
+    mix(prefix_id, endpoint)
 }
 
 /// Whether a prompt goes to its preferred endpoints only, while one of them is trusted.
--- a/crates/gateway/src/decisions/endpoint/queue_delay.rs
+++ b/crates/gateway/src/decisions/endpoint/queue_delay.rs
@@ -88,6 +88,10 @@
     }
 
     fn mean_ms(&self, now: TimeMs) -> f64 {
+        // Most endpoints showed no queue, and each request asks it of each.
+        if self.mean_ms == 0.0 {
+            return 0.0;
+        }
         let age_ms = now.since(self.sampled_at).0 as f64;
         self.mean_ms * 0.5_f64.powf(age_ms / MEAN_HALF_LIFE_MS)
     }
--- a/crates/gateway/src/decisions/endpoint/tie_break.rs
+++ b/crates/gateway/src/decisions/endpoint/tie_break.rs
@@ -17,13 +17,10 @@
 //! Measured: `tie_break.rs` (tests) has 197 daemons before 58 endpoints, one request each: the busiest got 197
 //! with one order for all, and 6 by the daemons' own.
 
+use super::hash_mix::mix;
 use crate::prompt::Prompt;
 use crate::work_by_endpoint::EndpointHash;
 
-/// Odd, with bits all over the word: a multiplication by it moves each bit of a hash into the upper half.
-/// 2^64 divided by the golden ratio.
-const MIXER: u64 = 0x9E37_79B9_7F4A_7C15;
-
 /// An order of all endpoints.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct TieBreak {
@@ -41,8 +38,6 @@
 
     /// Where an endpoint stands; the lowest goes first.
     pub(crate) fn rank(self, endpoint: EndpointHash) -> u64 {
-        // Cheap, since each request asks it of each endpoint.
-        let mixed = (self.seed ^ u64::from(endpoint.0)).wrapping_mul(MIXER);
-        (mixed ^ (mixed >> 32)).wrapping_mul(MIXER)
+        mix(self.seed, endpoint)
     }
 }
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -16,8 +16,8 @@
 pub struct ServiceEndpoints {
     /// All of them, by index.
     pub all: Vec<Arc<Endpoint>>,
-    /// Those that are reserved for streams.
-    pub reserved_for_streams: HashSet<EndpointIx>,
+    /// Whether each of them is reserved for streams.
+    is_reserved: Vec<bool>,
 }
 
 impl ServiceEndpoints {
@@ -33,13 +33,28 @@
                 id: record.id.as_str(),
                 data_centre: &record.data_centre,
             });
-        let reserved_for_streams = stream_reservation::reserve(members);
+        let reserved = stream_reservation::reserve(members);
         drop(records);
+        let is_reserved = all
+            .iter()
+            .map(|endpoint| reserved.contains(&endpoint.index));
         Self {
+            is_reserved: is_reserved.collect(),
             all,
-            reserved_for_streams,
         }
     }
+
+    /// All of them, and whether each is reserved for streams.
+    pub(crate) fn with_reservations(&self) -> impl Iterator<Item = (&Arc<Endpoint>, bool)> {
+        self.all.iter().zip(self.is_reserved.iter().copied())
+    }
+
+    /// Those that are reserved for streams.
+    pub fn reserved_for_streams(&self) -> HashSet<EndpointIx> {
+        let all = self.with_reservations();
+        let reserved = all.filter(|(_, is_reserved)| *is_reserved);
+        reserved.map(|(endpoint, _)| endpoint.index).collect()
+    }
 }
 
 /// All endpoints that may get work, by service.
--- a/crates/gateway/src/endpoints/selection.rs
+++ b/crates/gateway/src/endpoints/selection.rs
@@ -17,6 +17,7 @@
 use bridgevane_types::{DataCentreId, TimeMs};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A request that needs an endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -96,10 +97,10 @@
         tie_break: TieBreak::new(request.prompt, request.daemon),
     };
     estimator.sources = cache_sources(&request, service, &estimator);
-    let usable = service.all.iter();
-    let usable = usable.filter(|endpoint| request.may_use(endpoint));
-    let estimates = usable.map(|endpoint| {
-        let candidate = candidate(&request, service, endpoint);
+    let usable = service.with_reservations();
+    let usable = usable.filter(|(endpoint, _)| request.may_use(endpoint));
+    let estimates = usable.map(|(endpoint, is_reserved)| {
+        let candidate = candidate(&request, endpoint, is_reserved);
         (endpoint, estimator.estimate(&candidate))
     });
     let (endpoint, estimate) = placement::best(estimates)?;
@@ -148,14 +149,12 @@
         return preferred;
     };
     let wants_reserved = stream_reservation::is_stream_like(request.prompt);
-    for endpoint in &service.all {
-        let is_reserved = service.reserved_for_streams.contains(&endpoint.index);
+    for (endpoint, is_reserved) in service.with_reservations() {
         if is_reserved != wants_reserved || endpoint.has_expired(request.now) {
             continue;
         }
         if endpoint.health.trust(request.now) == Trust::Sound {
-            let record = endpoint.record.load();
-            let weight = prompt_affinity::weight(record.id.as_str(), prefix_id);
+            let weight = prompt_affinity::weight(endpoint.hash, prefix_id);
             preferred.offer(endpoint.index, weight);
         }
     }
@@ -165,15 +164,12 @@
 /// Where a prompt stands in an endpoint's order of prompts, from 0 to 1: the same on all daemons.
 fn order(prompt: &Prompt, endpoint_id: &str) -> f64 {
     let own_part = prompt.parts.last();
-    let weight = own_part.map_or(0, |part| prompt_affinity::weight(endpoint_id, part.id));
+    let weight = own_part.map_or(0, |part| xxh3_64_with_seed(endpoint_id.as_bytes(), part.id));
     weight as f64 / u64::MAX as f64
 }
 
-fn candidate(
-    request: &SelectionRequest<'_>,
-    service: &ServiceEndpoints,
-    endpoint: &Endpoint,
-) -> Candidate {
+fn candidate(request: &SelectionRequest<'_>, endpoint: &Endpoint, is_reserved: bool) -> Candidate {
+    let load = endpoint.load.snapshot(request.now);
     let record = endpoint.record.load();
     let max_silence_ms = silence::max_silence_ms(!request.prompt.is_empty());
     let queue = endpoint.load.queue_snapshot(request.now, max_silence_ms);
@@ -182,9 +178,13 @@
         hash: endpoint.hash,
         slots: record.slots,
         is_local: record.data_centre == *request.data_centre,
-        is_reserved: service.reserved_for_streams.contains(&endpoint.index),
-        order: order(request.prompt, record.id.as_str()),
-        load: endpoint.load.snapshot(request.now),
+        is_reserved,
+        order: if placement::may_be_crowded(record.slots, load) {
+            order(request.prompt, record.id.as_str())
+        } else {
+            0.0
+        },
+        load,
         observed_queue_ms: queue.expected_ms,
         health: endpoint.health.snapshot(request.now),
         is_silent: queue.is_silent,
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -101,12 +101,12 @@
 #[test]
 fn streams_and_long_prompts_go_to_different_engines() {
     let service = service();
-    assert_eq!(service.reserved_for_streams.len(), 3);
+    assert_eq!(service.reserved_for_streams().len(), 3);
     for session in 10..200 {
         let long = place(&service, &prompt(session, 6_000, 3_000, 200), "dc-0");
-        assert!(!service.reserved_for_streams.contains(&long), "{long}");
+        assert!(!service.reserved_for_streams().contains(&long), "{long}");
         let stream = place(&service, &prompt(session, 200, 500, 900), "dc-0");
-        assert!(service.reserved_for_streams.contains(&stream), "{stream}");
+        assert!(service.reserved_for_streams().contains(&stream), "{stream}");
     }
 }
 
@@ -368,12 +368,12 @@
     assert_ne!(place(&service, &stream, "dc-0"), near);
     // Where all that are kept for streams are full, the others take them.
     for endpoint in &service.all {
-        if service.reserved_for_streams.contains(&endpoint.index) {
+        if service.reserved_for_streams().contains(&endpoint.index) {
             endpoint.load.on_report(NOW, reported(60));
         }
     }
     let other = place(&service, &stream, "dc-0");
-    assert!(!service.reserved_for_streams.contains(&other));
+    assert!(!service.reserved_for_streams().contains(&other));
 }
 
 /// On ravaton-lessons-grown, `scale-2 --seed 1035943558913`, a burst on one key brought so many streams
