--- a/crates/gateway/tests/replica.rs
+++ b/crates/gateway/tests/replica.rs
@@ -237,7 +237,7 @@
                         daemons[at].replace(&whole_state(&log, read_before));
                     }
                 }
-                3 => _ = follow_or_ask_anew(&source, &mut daemons[0]),
+                3 => follow_or_ask_anew(&source, &mut daemons[0]),
                 4 => {
                     let [first, second] = &mut daemons;
                     follow_or_ask_anew(first, second);
