feat(replication): a whole state goes in parts, packed once for all that ask for it

Cause: a state is one message, given up after 3 s and refused above 2 MB. Sixteen daemons that start get it from each daemon above them over one link: at 10,000 endpoints 16 x 0.38 MB take 2.4 s at 20 Mbit/s, and 16 packings of 9 ms 1.1 s at 0.12 of a core; at twice that size the time is over before the state is there, and everything begins again. Change: parts of 256 KB before packing, for daemons that say that they take them; the time limit is for each message, so that the time for all grows with the fleet; the packed state of a revision is kept until the next.

--- a/crates/gateway/benches/fleet_state.rs
+++ b/crates/gateway/benches/fleet_state.rs
@@ -144,7 +144,7 @@
         let packed = whole_state(&replica).encoded_len();
         let pack_ms = shortest_ms(|| whole_state(&replica));
         let answer = whole_state(&replica);
-        let unpack_ms = shortest_ms(|| take_update(&mut answer.clone()));
+        let unpack_ms = shortest_ms(|| take_update(&mut [answer.clone()]));
         let directory_ms = shortest_ms(|| ServiceEndpoints::new(all.clone()));
         let service = ServiceEndpoints::new(all);
         println!(
@@ -162,7 +162,7 @@
 /// The messages of a whole state, not packed.
 fn whole_records(replica: &Replica) -> Vec<bridgevane_protocol::RecordChange> {
     let mut answer = whole_state(replica);
-    let update = take_update(&mut answer).expect("its own");
+    let update = take_update(std::slice::from_mut(&mut answer)).expect("its own");
     let mut unpacked = RecordsAnswer::default();
     put_update(&mut unpacked, update);
     let packed = std::mem::take(&mut unpacked.packed_records);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::lifecycle::shutdown::Shutdown;
 use crate::metrics::GatewayMetrics;
 use crate::replication::fleet::Fleet;
+use crate::replication::packed_state::PackedState;
 use crate::requests::quarantine::Quarantine;
 use crate::requests::retry_budgets::RetryBudgets;
 use crate::settings::GatewaySettings;
@@ -53,6 +54,8 @@
     pub shutdown: Shutdown,
     pub(crate) header_names: HeaderNames,
     pub(crate) fleet: Fleet,
+    /// The whole state for daemons that start.
+    pub(crate) packed_state: PackedState,
     /// This daemon's part in the duties.
     pub duty_book: DutyBook,
     pub(crate) prompt_locations: PromptLocations,
@@ -87,6 +90,7 @@
             retry_budgets: RetryBudgets::new(clock.now(), &settings),
             vm_hash: xxh3_64(settings.vm.as_str().as_bytes()),
             settings,
+            packed_state: PackedState::default(),
             clock,
             woken: Notify::new(),
             shutdown: Shutdown::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -71,7 +71,7 @@
 pub use endpoints::prompt_locations::PromptLocations;
 pub use endpoints::selection::{Selected, SelectionRequest, select_endpoint};
 pub use prompt::{Prompt, PromptPart};
-pub use replication::message::{MessageError, put_update, take_update};
+pub use replication::message::{MessageError, put_update, take_update, update_parts};
 pub use replication::work_reports::WorkReports;
 pub use requests::quarantine::Quarantine;
 pub use requests::retry_budgets::RetryBudgets;
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -17,13 +17,13 @@
 use crate::sockets::set_options;
 use crate::work_by_endpoint::WorkByEndpoint;
 use bridgevane_protocol::frame::Body;
-use bridgevane_protocol::{Frame, FrameCodec, RecordsAnswer, RecordsWanted};
+use bridgevane_protocol::{CrashNews, Frame, FrameCodec, RecordsAnswer, RecordsWanted};
 use bridgevane_types::{DataCentreId, TimeMs};
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_util::codec::Framed;
 
 /// How long a connection to a daemon may take to come up. Not measured, chosen because a lost
@@ -32,8 +32,10 @@
 /// How long an answer may take. Chosen because a question is held for up to 0.6 s (`server.rs`),
 /// and the rest must do for the way and a slow VM; not measured.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// The same for a whole state. Measured in commit 8f01409: 0.9 MB over a link of 10 Mbit/s that
-/// others share took over a second at 301 daemons.
+/// The same for the first message of a whole state, which its sender packs first; the others have
+/// [`ANSWER_TIMEOUT`] each, so that the time for all of them grows with the fleet. Measured in commit 8f01409: a
+/// state of 0.9 MB in one message over a link of 10 Mbit/s that others share took over a second at 301
+/// daemons.
 const WHOLE_STATE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// What another daemon answered.
@@ -59,6 +61,8 @@
     pub(crate) total_work: WorkByEndpoint,
     /// The same without this daemon's own when it asked.
     pub(crate) others_work: WorkByEndpoint,
+    /// What the other daemon hadn't told on this connection.
+    crash_news: Vec<CrashNews>,
 }
 
 /// A daemon's place in the tree, and the work that the daemons below it have under way.
@@ -115,11 +119,14 @@
             ANSWER_TIMEOUT
         };
         let asked_at = gateway.clock.now();
-        let answer = timeout(limit, exchange(&mut open.frames, question)).await;
-        let answer = answer.map_err(|_| PeerError::NoAnswer)??;
-        crash_news::take_in(gateway, &answer.crash_news);
+        let mut parts = vec![exchange(&mut open.frames, question, limit).await?];
+        while parts.last().is_some_and(|part| part.has_more) {
+            parts.push(next_answer(&mut open.frames, ANSWER_TIMEOUT).await?);
+        }
         self.open = Some(open);
-        decode(asked_at, answer, &own_work)
+        let answer = decode(asked_at, parts, &own_work)?;
+        crash_news::take_in(gateway, &answer.crash_news);
+        Ok(answer)
     }
 
     /// Asks a daemon for its place in the tree, and for the work below it.
@@ -140,8 +147,7 @@
             ..Default::default()
         };
         let asked_at = gateway.clock.now();
-        let answer = timeout(ANSWER_TIMEOUT, exchange(&mut open.frames, question)).await;
-        let answer = answer.map_err(|_| PeerError::NoAnswer)??;
+        let answer = exchange(&mut open.frames, question, ANSWER_TIMEOUT).await?;
         crash_news::take_in(gateway, &answer.crash_news);
         self.open = Some(open);
         Ok(ProbeAnswer {
@@ -196,6 +202,7 @@
         is_for_work: false,
         proof_age_ms: proof_age_ms(gateway),
         crash_news: Vec::new(),
+        takes_parts: true,
     }
 }
 
@@ -211,14 +218,28 @@
     Some(age.0 + CLOCK_GRAIN_MS)
 }
 
+/// Asks, and waits so long for the first message of the answer.
 async fn exchange(
     frames: &mut FramedStream,
     question: RecordsWanted,
+    limit: Duration,
 ) -> Result<RecordsAnswer, PeerError> {
+    let asked_at = Instant::now();
     let body = Some(Body::RecordsWanted(question));
-    let sent = frames.send(Frame { body }).await;
+    let sent = timeout(limit, frames.send(Frame { body })).await;
+    let sent = sent.map_err(|_| PeerError::NoAnswer)?;
     sent.map_err(|_| PeerError::Broken)?;
-    let frame = frames.next().await.ok_or(PeerError::Broken)?;
+    next_answer(frames, limit.saturating_sub(asked_at.elapsed())).await
+}
+
+/// Waits so long for the next message.
+async fn next_answer(
+    frames: &mut FramedStream,
+    limit: Duration,
+) -> Result<RecordsAnswer, PeerError> {
+    let frame = timeout(limit, frames.next()).await;
+    let frame = frame.map_err(|_| PeerError::NoAnswer)?;
+    let frame = frame.ok_or(PeerError::Broken)?;
     match frame.map_err(|_| PeerError::Broken)?.body {
         Some(Body::RecordsAnswer(answer)) => Ok(answer),
         _ => Err(PeerError::Unreadable),
@@ -236,14 +257,16 @@
     Ok(answer.proof_age_ms.and_then(proved_at))
 }
 
-/// Reads an answer to a question of `asked_at`.
+/// Reads the messages of an answer to a question of `asked_at`.
 fn decode(
     asked_at: TimeMs,
-    mut answer: RecordsAnswer,
+    mut parts: Vec<RecordsAnswer>,
     own_work: &WorkByEndpoint,
 ) -> Result<PeerAnswer, PeerError> {
+    let update = take_update(&mut parts).map_err(PeerError::BadRecords)?;
+    // All but records stands in the last one.
+    let answer = parts.pop().ok_or(PeerError::Unreadable)?;
     let total_work = work_of_messages(&answer.work);
-    let update = take_update(&mut answer).map_err(PeerError::BadRecords)?;
     Ok(PeerAnswer {
         at: Revision(answer.at),
         proved_at: proved_at(asked_at, &answer)?,
@@ -256,5 +279,6 @@
         fleet_size: answer.fleet_size,
         others_work: total_work.without(own_work),
         total_work,
+        crash_news: answer.crash_news,
     })
 }
--- a/crates/gateway/src/replication/message.rs
+++ b/crates/gateway/src/replication/message.rs
@@ -23,9 +23,15 @@
 /// Records are packed from so many bytes on. Not measured by itself (commit 8f01409: states of 0.9
 /// MB over links of 10 Mbit/s), chosen because below it packing saves a packet or two.
 const PACKED_FROM_BYTES: usize = 4 * 1024;
-/// The most that packed records may unpack to. Chosen because it is sixteen times the largest value
-/// of the platform's store; a sender can't make a daemon allocate more.
+/// The most that the packed records of one answer may unpack to. Chosen because it is sixteen times the
+/// largest value of the platform's store, and the records of some 60,000 endpoints at 270 bytes each; a
+/// sender can't make a daemon allocate more.
 const MAX_UNPACKED_BYTES: usize = 16 << 20;
+/// Records in one message of several, before they are packed. Chosen because packed they are some 40 KB
+/// (measured: `fleet_state`, benches), which sixteen followers each get within a third of a second over
+/// a link of 20 Mbit/s, whatever the fleet's size: so long a daemon waits for the next message before it takes
+/// its upstream for lost.
+const MAX_PART_BYTES: usize = 256 * 1024;
 /// Endpoints in one message at most, those with the most work. Not measured by itself, chosen
 /// because at some 13 bytes each they take 3.3 KB, five times a second, of a link of 10 Mbit/s.
 const MAX_REPORTED_ENDPOINTS: usize = 256;
@@ -53,27 +59,61 @@
     PatchDoesNotFit,
 }
 
-/// Puts an update into an answer.
+/// Puts an update into one answer.
 pub fn put_update(answer: &mut RecordsAnswer, update: Update) {
-    let (is_whole, changes) = match update {
-        Update::Everything(changes) => (true, changes),
-        Update::Changes(changes) => (false, changes),
-    };
+    let (is_whole, changes) = changes_of(update);
     answer.is_whole = is_whole;
     answer.records = changes.into_iter().map(change_message).collect();
     pack(answer);
 }
 
-/// Takes the update out of an answer.
+/// An update as messages, of which all but the last say that more follow; one at least.
+pub fn update_parts(update: Update) -> Vec<RecordsAnswer> {
+    let (is_whole, changes) = changes_of(update);
+    let mut parts = vec![RecordsAnswer::default()];
+    let mut part_bytes = 0;
+    for change in changes {
+        let message = change_message(change);
+        let bytes = message.encoded_len();
+        if part_bytes > 0 && part_bytes + bytes > MAX_PART_BYTES {
+            parts.push(RecordsAnswer::default());
+            part_bytes = 0;
+        }
+        part_bytes += bytes;
+        let last = parts.len() - 1;
+        parts[last].records.push(message);
+    }
+    let last = parts.len() - 1;
+    for (at, part) in parts.iter_mut().enumerate() {
+        part.is_whole = is_whole;
+        part.has_more = at < last;
+        pack(part);
+    }
+    parts
+}
+
+fn changes_of(update: Update) -> (bool, Vec<RecordChange>) {
+    match update {
+        Update::Everything(changes) => (true, changes),
+        Update::Changes(changes) => (false, changes),
+    }
+}
+
+/// Takes the update out of the messages of an answer.
 ///
 /// # Errors
 /// [`MessageError`] when a part of it can't be used here.
-pub fn take_update(answer: &mut RecordsAnswer) -> Result<Update, MessageError> {
-    unpack(answer)?;
-    let messages = std::mem::take(&mut answer.records);
-    let changes = messages.into_iter().map(change_of_message);
-    let changes: Vec<RecordChange> = changes.collect::<Result<_, _>>()?;
-    Ok(if answer.is_whole {
+pub fn take_update(parts: &mut [RecordsAnswer]) -> Result<Update, MessageError> {
+    let mut changes: Vec<RecordChange> = Vec::new();
+    let mut left_bytes = MAX_UNPACKED_BYTES;
+    for part in &mut *parts {
+        left_bytes -= unpack(part, left_bytes)?;
+        for message in std::mem::take(&mut part.records) {
+            changes.push(change_of_message(message)?);
+        }
+    }
+    let is_whole = parts.last().is_some_and(|last| last.is_whole);
+    Ok(if is_whole {
         Update::Everything(changes)
     } else {
         Update::Changes(changes)
@@ -130,20 +170,21 @@
     answer.packed_records = packed.into();
 }
 
-fn unpack(answer: &mut RecordsAnswer) -> Result<(), MessageError> {
+/// Unpacks the records of an answer, to `max_bytes` at most; gives how many bytes they are.
+fn unpack(answer: &mut RecordsAnswer, max_bytes: usize) -> Result<usize, MessageError> {
     let packed = std::mem::take(&mut answer.packed_records);
     if packed.is_empty() {
-        return Ok(());
+        return Ok(0);
     }
     let damaged = |_| MessageError::Damaged;
     let (length, _) = lz4_flex::block::uncompressed_size(&packed).map_err(damaged)?;
-    if length > MAX_UNPACKED_BYTES {
+    if length > max_bytes {
         return Err(MessageError::TooLarge);
     }
     let bytes = lz4_flex::decompress_size_prepended(&packed).map_err(damaged)?;
     let batch = RecordBatch::decode(Bytes::from(bytes)).map_err(|_| MessageError::Damaged)?;
     answer.records.extend(batch.records);
-    Ok(())
+    Ok(length)
 }
 
 /// Work as messages: the endpoints with the most.
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -12,9 +12,7 @@
 use crate::gateway::Gateway;
 use crate::replication::crash_news::{self, ToldNews};
 use crate::replication::fleet::FresherDaemon;
-use crate::replication::message::{
-    CLOCK_GRAIN_MS, path_message, put_update, work_messages, work_of_messages,
-};
+use crate::replication::message::{CLOCK_GRAIN_MS, path_message, work_messages, work_of_messages};
 use crate::sockets::{accept, set_options};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
@@ -100,7 +98,11 @@
                 let asked_at = gateway.clock.now();
                 let asked = Instant::now();
                 wait_for_news(gateway, sent_proof, &told_news, &question, asked).await;
-                let (mut answer, proved_at) = records(gateway, &question, asked_at);
+                let (parts, mut answer, proved_at) = records(gateway, &question, asked_at);
+                for part in parts {
+                    let body = Some(Body::RecordsAnswer(part));
+                    frames.send(Frame { body }).await?;
+                }
                 sent_proof = proved_at;
                 answer.crash_news = told_news.next(gateway);
                 if answers % SIBLINGS_EVERY == 0 {
@@ -235,25 +237,32 @@
     .await;
 }
 
-/// The records that the daemon lacks, and the moment of the proof that goes along.
+/// The records that the daemon lacks, and the moment of the proof that goes along. Those that don't fit into the
+/// last message stand in the ones before it.
 fn records(
     gateway: &Gateway,
     question: &RecordsWanted,
     asked_at: TimeMs,
-) -> (RecordsAnswer, Option<TimeMs>) {
+) -> (Vec<RecordsAnswer>, RecordsAnswer, Option<TimeMs>) {
+    let after = Revision(question.at);
+    let mut packed_state = gateway.packed_state.lock();
     // A proof is noted after the state that it proves: while the replica can't change, it holds at
     // least what the newest proof is about.
     let replica = gateway.control.replica();
     let proved_at = gateway.control.proved_at();
-    let update = replica.update_since(Revision(question.at));
     let at = replica.at();
+    let update = packed_state.update(&replica, after, question.takes_parts);
     drop(replica);
+    let mut parts = packed_state.parts(at, update, question.takes_parts);
+    drop(packed_state);
     // Age and holding are of one moment: the follower takes one from the other.
     let proof_age_ms = proof_age_ms(gateway, proved_at);
     let held = gateway.clock.now().since(asked_at);
     let total_work = gateway.fleet.total_work(&gateway.control.directory());
     let path = gateway.fleet.path();
-    let mut answer = RecordsAnswer {
+    // There is one at least.
+    let last = parts.pop().unwrap_or_default();
+    let answer = RecordsAnswer {
         at: at.0,
         path: Some(path_message(&path)),
         proof_age_ms,
@@ -262,8 +271,7 @@
         // 0 says that it isn't known.
         fleet_size: gateway.fleet.size().unwrap_or_default(),
         work: work_messages(&total_work),
-        ..Default::default()
+        ..last
     };
-    put_update(&mut answer, update);
-    (answer, proved_at)
+    (parts, answer, proved_at)
 }
--- a/crates/gateway/tests/replica.rs
+++ b/crates/gateway/tests/replica.rs
@@ -2,10 +2,11 @@
 
 use bridgevane_gateway::{
     Changes, FullState, MessageError, Patch, PatchDoesNotFit, RecordOutcome, Replica, Revision,
-    SourceRecord, Update, put_update, take_update,
+    SourceRecord, Update, put_update, take_update, update_parts,
 };
-use bridgevane_protocol::RecordsAnswer;
+use bridgevane_protocol::{MAX_FRAME_BYTES, RecordsAnswer};
 use bytes::Bytes;
+use prost::Message;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::HashMap;
@@ -325,7 +326,7 @@
         put_update(&mut answer, update.clone());
         assert_eq!(!answer.packed_records.is_empty(), is_packed);
         assert!(answer.packed_records.len() < 6_000);
-        assert_eq!(take_update(&mut answer), Ok(update));
+        assert_eq!(take_update(&mut [answer]), Ok(update));
     }
 }
 
@@ -333,11 +334,56 @@
 fn packed_records_that_would_unpack_to_too_much_are_refused() {
     let mut packed = (64_u32 << 20).to_le_bytes().to_vec();
     packed.extend([0; 40]);
-    let mut answer = RecordsAnswer {
+    let answer = RecordsAnswer {
         packed_records: packed.into(),
         ..Default::default()
     };
-    assert_eq!(take_update(&mut answer), Err(MessageError::TooLarge));
+    assert_eq!(take_update(&mut [answer]), Err(MessageError::TooLarge));
+}
+
+/// A fleet of 40,000 endpoints whose records pack badly: more than one frame may hold.
+#[test]
+fn a_large_state_goes_in_parts_that_are_small_at_any_size() {
+    let mut random = SmallRng::seed_from_u64(1);
+    let endpoints = (1..=40_000).map(|at| {
+        let value: String = (0..20)
+            .map(|_| format!("{:08x}", random.random::<u32>()))
+            .collect();
+        record(&format!("worker-{at}"), at, Some(&value))
+    });
+    let mut upstream = Replica::default();
+    upstream.replace(&state(40_000, endpoints.collect()));
+    let update = everything(&upstream);
+    let mut whole = RecordsAnswer::default();
+    put_update(&mut whole, update.clone());
+    assert!(whole.encoded_len() > MAX_FRAME_BYTES, "no frame holds it");
+    let mut parts = update_parts(update.clone());
+    for (at, part) in parts.iter().enumerate() {
+        assert!(part.encoded_len() < 300_000, "part {at}");
+        assert_eq!(part.has_more, at + 1 < parts.len());
+    }
+    assert_eq!(take_update(&mut parts), Ok(update));
+}
+
+#[test]
+fn an_update_without_records_is_one_message() {
+    let parts = update_parts(Update::Changes(Vec::new()));
+    assert_eq!(parts.len(), 1);
+    assert!(!parts[0].has_more);
+}
+
+/// What each part may unpack to bounds nothing if there may be any number of them.
+#[test]
+fn parts_that_would_unpack_to_too_much_together_are_refused() {
+    let update = || {
+        let value = "x".repeat(200_000);
+        let records = (1..=20).map(|at| record(&format!("worker-{at}"), at, Some(&value)));
+        let mut replica = Replica::default();
+        replica.replace(&state(20, records.collect()));
+        update_parts(everything(&replica))
+    };
+    let mut parts: Vec<RecordsAnswer> = (0..5).flat_map(|_| update()).collect();
+    assert_eq!(take_update(&mut parts), Err(MessageError::TooLarge));
 }
 
 #[test]
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -214,6 +214,7 @@
                 tree_depth: 2,
                 proof_age_ms: None,
                 crash_news: Vec::new(),
+                takes_parts: false,
             }),
         ),
         (
@@ -243,6 +244,7 @@
                 path: None,
                 siblings: Vec::new(),
                 crash_news: Vec::new(),
+                has_more: false,
             }),
         ),
         (
@@ -266,6 +268,20 @@
                 ..Default::default()
             }),
         ),
+        (
+            "records_wanted parts",
+            Body::RecordsWanted(RecordsWanted {
+                takes_parts: true,
+                ..Default::default()
+            }),
+        ),
+        (
+            "records_answer more",
+            Body::RecordsAnswer(RecordsAnswer {
+                has_more: true,
+                ..Default::default()
+            }),
+        ),
         (
             "records_answer crash news",
             Body::RecordsAnswer(RecordsAnswer {
@@ -358,6 +374,8 @@
         records_answer 0000005c920159080910f40318032a080a016110081a01782a070a0162100828012a120a01631009220b0804100a181422036e65773204626f2d633a0d31302e302e302e323a3730303040504a0a0d0500000010a01f180752067061636b6564
         records_answer path 000000349201315a200a0d31302e302e302e333a373030300a0d31302e302e302e343a373030301001620d31302e302e302e353a37303030
         records_wanted crash news 000000348a013152180a0e0d0d0c0b0a111817161514131211189003250403020152150a0e0d0d0c0b0a1118171615141312111890032801
+        records_wanted parts 000000058a01025801
+        records_answer more 000000059201027001
         records_answer crash news 0000001a9201176a150a0e0d0d0c0b0a1118171615141312111890033001
     "#]].assert_eq(&golden);
 }
