feat(replication): everything is read for as long as parts of it come

Cause: reading everything had 2 s at first for all of it. 10,000 endpoints are 50 pages one after the other: 12 s where the source takes 0.24 s for each, so that a daemon gave up after 2, 4 and 8 s before it was let to the end; at twice the size never within the longest limit of 16 s. Change: the limit is for each part; the adapter says when one has come. Measured (test): 4.5 s in nine parts are read at once; before, the reading was given up after 2 s and begun anew.

--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -9,6 +9,7 @@
 use derive_more::{Display, Error};
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// The counter that every change at the source raises.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord)]
@@ -113,14 +114,37 @@
     Unreadable,
 }
 
+/// How far the reading of everything has come. The caller gives up where nothing comes, however much there is
+/// to read.
+#[derive(Debug, Default)]
+pub struct ReadProgress {
+    parts: AtomicU64,
+}
+
+impl ReadProgress {
+    /// A part has come.
+    pub fn on_part(&self) {
+        self.parts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Parts that have come.
+    pub(crate) fn parts(&self) -> u64 {
+        self.parts.load(Ordering::Relaxed)
+    }
+}
+
 /// A source of routes, customers and endpoints. Calls have no timeout of their own: the caller
 /// drops them.
 pub trait ControlSource: Send + Sync + 'static {
-    /// Reads everything. What is read is at least as new as the moment of the call.
+    /// Reads everything, and says each time that a part has come. What is read is at least as new as the moment
+    /// of the call.
     ///
     /// # Errors
     /// [`SourceError`] when nothing was read.
-    fn full_state(&self) -> impl Future<Output = Result<FullState, SourceError>> + Send;
+    fn full_state(
+        &self,
+        progress: &ReadProgress,
+    ) -> impl Future<Output = Result<FullState, SourceError>> + Send;
 
     /// Waits at most `wait` for changes after `after`. An answer without changes proves that there
     /// was none when the call was made.
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -6,7 +6,9 @@
 //! and what it proves noted.
 
 use crate::control::replica::Update;
-use crate::control::source::{Changes, ControlSource, FullState, Revision, SourceError};
+use crate::control::source::{
+    Changes, ControlSource, FullState, ReadProgress, Revision, SourceError,
+};
 use crate::decisions::admission::freshness::Freshness;
 use crate::decisions::replication::source_pacing::{SourceCaller, watch_wait};
 use crate::decisions::replication::upstream::{PeerReport, Upstream, UpstreamSelector};
@@ -28,11 +30,12 @@
 /// The longest pause between failed questions. Not measured, chosen because a lost upstream must be
 /// replaced well within the 4.7 s that a proof lasts by default.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
-/// How long reading everything may take at first; each reading that is given up doubles the limit.
+/// How long a part of everything may take at first; each reading that is given up doubles the limit.
 /// Measured in commit 8f01409: with a fixed limit a large state on a slow VM was begun again for
-/// ever.
+/// ever. For all parts together there is no limit, since their number grows with the fleet: 10,000 endpoints
+/// are 50 pages, 12 s where the source takes 0.24 s for each.
 const FIRST_RELOAD_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// The longest that reading everything may take. Not measured, chosen because it is three
+/// The longest that a part of everything may take. Not measured, chosen because it is three
 /// doublings; a source that takes longer is as good as away.
 const MAX_RELOAD_TIMEOUT: Duration = Duration::from_millis(16_000);
 /// What a wait for changes may take beyond its own time. Not measured, chosen because a slow source
@@ -179,8 +182,9 @@
     }
 
     async fn reload(&mut self) -> Result<(), SourceError> {
-        let reading = timeout(self.reload_timeout, self.source.full_state()).await;
-        let Ok(state) = reading else {
+        let progress = ReadProgress::default();
+        let reading = self.source.full_state(&progress);
+        let Some(state) = while_parts_come(reading, &progress, self.reload_timeout).await else {
             self.reload_timeout = (self.reload_timeout * 2).min(MAX_RELOAD_TIMEOUT);
             return Err(SourceError::NoAnswer);
         };
@@ -363,6 +367,24 @@
     }
 }
 
+/// Reads on for as long as a part comes in each `limit`; none: it was given up.
+async fn while_parts_come<T>(
+    reading: impl Future<Output = T>,
+    progress: &ReadProgress,
+    limit: Duration,
+) -> Option<T> {
+    let mut reading = std::pin::pin!(reading);
+    loop {
+        let parts = progress.parts();
+        if let Ok(read) = timeout(limit, &mut reading).await {
+            return Some(read);
+        }
+        if progress.parts() == parts {
+            return None;
+        }
+    }
+}
+
 /// Returns after so long; never where there is no turn.
 async fn wait_for_turn(until_turn: Option<DurationMs>) {
     match until_turn {
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -172,9 +172,22 @@
 /// Before, a reading that took more than two seconds was given up and begun again for ever.
 #[tokio::test]
 async fn a_source_that_takes_long_to_read_is_read_nonetheless() {
+    let full_reads = full_reads_of_a_start(Duration::from_millis(2_500), 1).await;
+    assert_eq!(full_reads, 2, "the second is given longer");
+}
+
+/// A large fleet's state comes in many parts: what counts is that they come, not how long all of them take.
+#[tokio::test]
+async fn a_state_of_many_parts_is_read_at_once_however_long_it_takes() {
+    let full_reads = full_reads_of_a_start(Duration::from_millis(4_500), 9).await;
+    assert_eq!(full_reads, 1);
+}
+
+/// How often everything is read until a daemon that starts has it.
+async fn full_reads_of_a_start(takes: Duration, parts: u32) -> usize {
     let source = ScriptedSource::new();
     source.configure(3, vec![plain_route("often", Idempotent, 2)], &[KEY]);
-    source.slow_full_reads(Duration::from_millis(2_500));
+    source.slow_full_reads_in_parts(takes, parts);
     let settings = GatewaySettings {
         freshness: FreshnessPolicy {
             proof_lifetime_ms: DurationMs(10_000),
@@ -185,7 +198,7 @@
     let limit = Duration::from_secs(10);
     let started = tokio::time::timeout(limit, start_with(source, settings));
     let running = started.await.expect("it is read");
-    assert_eq!(running.source.full_reads(), 2, "the second is given longer");
+    running.source.full_reads()
 }
 
 #[tokio::test]
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -6,8 +6,8 @@
 use bridgevane_gateway::{
     Change, Changes, ClientLimits, ControlSource, Credentials, DutyCallError, DutyKey,
     DutyPlatform, DutyStore, EndpointRecord, FullState, HolderRecord, LeaseId, LeaseRenewal,
-    Revision, RoutingParts, RoutingTable, Service, SourceError, SourceRecord, StoredValue,
-    Transaction, TransactionOutcome,
+    ReadProgress, Revision, RoutingParts, RoutingTable, Service, SourceError, SourceRecord,
+    StoredValue, Transaction, TransactionOutcome,
 };
 use bridgevane_types::{Bytes as Size, ConfigVersion, DurationMs, ServiceName};
 use bytes::Bytes;
@@ -388,7 +388,7 @@
 }
 
 impl ControlSource for Way {
-    async fn full_state(&self) -> Result<FullState, SourceError> {
+    async fn full_state(&self, _progress: &ReadProgress) -> Result<FullState, SourceError> {
         self.call(|state| FullState {
             at: Revision(state.revision),
             records: state
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -2,8 +2,8 @@
 
 use bridgevane_gateway::{
     Change, Changes, ClientLimits, ControlSource, Customer, EndpointRecord, FullState,
-    QuarantineStore, Repeatability, Revision, Route, RouteTarget, RoutingParts, RoutingTable,
-    Service, SourceError, SourceRecord, StreamPolicy,
+    QuarantineStore, ReadProgress, Repeatability, Revision, Route, RouteTarget, RoutingParts,
+    RoutingTable, Service, SourceError, SourceRecord, StreamPolicy,
 };
 use bridgevane_types::{
     Bytes, ConfigVersion, DataCentreId, DurationMs, EndpointId, RequestFingerprint, Tier,
@@ -44,6 +44,7 @@
     full_reads: usize,
     waits: usize,
     full_read_takes: Duration,
+    full_read_parts: u32,
     forgets_history: bool,
 }
 
@@ -184,7 +185,14 @@
 
     /// From now on reading everything takes so long.
     pub fn slow_full_reads(&self, takes: Duration) {
-        self.calls.lock().unwrap().full_read_takes = takes;
+        self.slow_full_reads_in_parts(takes, 1);
+    }
+
+    /// From now on reading everything takes so long, in which so many parts come.
+    pub fn slow_full_reads_in_parts(&self, takes: Duration, parts: u32) {
+        let mut calls = self.calls.lock().unwrap();
+        calls.full_read_takes = takes;
+        calls.full_read_parts = parts;
     }
 
     pub fn full_reads(&self) -> usize {
@@ -235,7 +243,7 @@
 }
 
 impl ControlSource for ScriptedSource {
-    async fn full_state(&self) -> Result<FullState, SourceError> {
+    async fn full_state(&self, progress: &ReadProgress) -> Result<FullState, SourceError> {
         {
             let mut calls = self.calls.lock().unwrap();
             calls.full_reads += 1;
@@ -243,8 +251,14 @@
                 return Err(fault);
             }
         }
-        let takes = self.calls.lock().unwrap().full_read_takes;
-        tokio::time::sleep(takes).await;
+        let (takes, parts) = {
+            let calls = self.calls.lock().unwrap();
+            (calls.full_read_takes, calls.full_read_parts)
+        };
+        for _ in 0..parts {
+            tokio::time::sleep(takes / parts).await;
+            progress.on_part();
+        }
         let state = self.state.lock().unwrap();
         let mut newest: HashMap<String, SourceRecord> = HashMap::new();
         for (record, _) in &state.log {
