refactor(gateway): the exchange of a request is cut by job: selection, outcome, sending again

exchange.rs had 450 lines: the life of a request, what an attempt says of its endpoint, and whether it is sent again. Behaviour, events and their fields are as before; the gateway's tests are unchanged and pass.

--- a/crates/gateway/src/requests/exchange.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -2,15 +2,18 @@
 //! refused.
 //!
 //! Owns what became of the request so far. Whether it is shed, hedged or sent again is decided in
-//! [`crate::decisions`]; here the inputs are gathered, the verdicts carried out and logged.
+//! [`crate::decisions`]; here the inputs are gathered, the verdicts carried out and logged. [`outcome`] records
+//! what each attempt says of its endpoint, [`resending`] asks whether the request is sent again.
+
+mod outcome;
+mod resending;
+
+pub(crate) use outcome::Pace;
+pub(crate) use resending::resend_text;
 
 use crate::decisions::admission::load_shedding::{self, QueuedRequest};
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
-use crate::decisions::duties::usage_start::{self, Began, FailedRun, Run};
-use crate::decisions::endpoint::queue_delay::prefill_ms;
-use crate::decisions::resend::{
-    self, AttemptError, Failure, NoResend, ResendPolicy, ResendProgress, hedging,
-};
+use crate::decisions::resend::{self, AttemptError, Failure, hedging};
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::selection::{Selected, SelectionRequest, select_endpoint};
 use crate::gateway::Gateway;
@@ -18,13 +21,11 @@
 use crate::requests::crash_check;
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head;
-use crate::route::Route;
 use bridgevane_events::{Event, event};
 use bridgevane_types::{DataCentreId, TimeMs};
 use bytes::Bytes;
-use http::{HeaderValue, StatusCode, response};
+use http::{HeaderValue, response};
 use http_body_util::{BodyExt, Limited};
-use rand::RngExt;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -32,9 +33,6 @@
 /// The longest answer that is read whole before it is passed on. Not measured, chosen because
 /// answers of plain services have some KB, and a daemon holds many at once.
 const MAX_WHOLE_ANSWER_BYTES: usize = 256 * 1024;
-/// One plain success in so many is logged. Not measured, chosen because a line costs processor
-/// time, and successes need only a picture; everything else is logged.
-const SUCCESS_SAMPLE: u32 = 16;
 
 /// An answer that was read whole.
 #[derive(Debug)]
@@ -43,15 +41,6 @@
     pub(crate) body: Bytes,
 }
 
-/// The pace of an answer, for logs and metrics.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Pace {
-    /// From the request's arrival to the first bytes of the answer.
-    pub(crate) first: Duration,
-    /// The longest pause since.
-    pub(crate) longest_gap: Duration,
-}
-
 /// A request on its way through attempts.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -245,140 +234,6 @@
         }
     }
 
-    fn on_answered(&mut self, answer: &EndpointAnswer, sent_at: TimeMs) {
-        self.runs += 1;
-        self.count_run(Run::Answered(answer.head.status), sent_at);
-        if answer.head.status.is_server_error() {
-            answer.endpoint().health.on_failed(self.gateway.clock.now());
-        }
-    }
-
-    fn on_attempt_failed(&mut self, selected: &Selected, sent_at: TimeMs, error: AttemptError) {
-        let now = self.gateway.clock.now();
-        let endpoint = &selected.endpoint;
-        if error.may_have_run() {
-            self.runs += 1;
-            let estimate = &selected.estimate;
-            let failed = FailedRun {
-                error,
-                elapsed_ms: now.since(sent_at).0 as f64,
-                expected_ms: estimate.queue_ms + prefill_ms(estimate.prefill_tokens as f64),
-            };
-            self.count_run(Run::Failed(failed), sent_at);
-            endpoint.health.on_failed(now);
-        }
-        let was_heard = endpoint.load.was_heard_after(sent_at);
-        let is_lost = match error {
-            AttemptError::NotSent(_) | AttemptError::Misdirected => true,
-            AttemptError::TimedOut => !was_heard,
-            _ => false,
-        };
-        if !is_lost {
-            return;
-        }
-        let record = endpoint.record.load();
-        if endpoint.health.on_lost(now) {
-            event!(Event::EndpointEjected, endpoint = record.id);
-        }
-        if !self.lost_in.contains(&record.data_centre) {
-            self.lost_in.push(record.data_centre.clone());
-        }
-    }
-
-    /// Counts a run as its customer's usage, if it began. A prompt's success counts with its first
-    /// token instead ([`super::relay`]).
-    fn count_run(&mut self, run: Run, sent_at: TimeMs) {
-        let is_plain = self.inbound.prompt.is_empty();
-        if let Some(began) = usage_start::began(is_plain, run) {
-            let at = match began {
-                Began::WhenSent => sent_at,
-                Began::Now => self.gateway.clock.now(),
-            };
-            self.count_usage(at);
-        }
-    }
-
-    /// A run of the request began: the first one counts as its customer's usage.
-    pub(crate) fn count_usage(&mut self, began_at: TimeMs) {
-        if std::mem::replace(&mut self.is_counted, true) {
-            return;
-        }
-        if let Some(customer) = &self.inbound.customer {
-            let book = &self.gateway.duty_book;
-            book.on_request_began(began_at, &customer.id);
-        }
-    }
-
-    /// Goes on after a failed attempt, or refuses the request.
-    fn after_attempt(&self, endpoint: &Endpoint, error: AttemptError) -> Result<(), Refusal> {
-        let resend = self.may_resend(Failure::Attempt(error));
-        let load = endpoint.load.snapshot(self.gateway.clock.now());
-        self.gateway.metrics.attempt_failed(error);
-        event!(
-            Event::AttemptFailed,
-            request = self.inbound.id_text(),
-            endpoint = endpoint.record.load().id,
-            route = self.inbound.route.name,
-            customer = self.inbound.customer_text(),
-            fingerprint = self.inbound.fingerprint(),
-            cause = error,
-            running = load.running(),
-            runs = self.runs,
-            left_ms = self.inbound.remaining().as_millis(),
-            resend = resend_text(resend)
-        );
-        resend.map_err(|_| Refusal::after_failure(error, self.runs))
-    }
-
-    /// The same after the body of an answer broke off, or did not come to its end in time.
-    fn after_broken_answer(
-        &self,
-        answer: EndpointAnswer,
-        error: AttemptError,
-    ) -> Result<(), Refusal> {
-        let endpoint = answer.endpoint().clone();
-        let status = answer.head.status;
-        endpoint.health.on_failed(self.gateway.clock.now());
-        // Closes the connection, and counts the request there as ended.
-        drop(answer);
-        let resend = self.may_resend(Failure::Attempt(error));
-        self.gateway.metrics.attempt_failed(error);
-        event!(
-            Event::AttemptFailed,
-            request = self.inbound.id_text(),
-            endpoint = endpoint.record.load().id,
-            route = self.inbound.route.name,
-            customer = self.inbound.customer_text(),
-            fingerprint = self.inbound.fingerprint(),
-            cause = error,
-            status = status.as_u16(),
-            runs = self.runs,
-            resend = resend_text(resend)
-        );
-        resend.map_err(|_| Refusal::after_failure(error, self.runs))
-    }
-
-    /// Whether the request may be sent again after a failure, and why not; takes from the retry
-    /// budget.
-    pub(crate) fn may_resend(&self, failure: Failure) -> Result<(), NoResend> {
-        let progress = ResendProgress {
-            endpoints_tried: self.tried.len(),
-            runs: self.runs,
-            remaining: self.inbound.remaining(),
-        };
-        let policy = resend_policy(&self.inbound.route);
-        let take_from_budget = || {
-            let now = self.gateway.clock.now();
-            self.gateway.retry_budgets.take(now, &self.inbound.service)
-        };
-        resend::check(failure, policy, progress, take_from_budget)
-    }
-
-    /// Whether another endpoint is asked in place of an answer.
-    fn is_retried(&self, answer: &EndpointAnswer) -> bool {
-        answer.head.status.is_server_error() && self.may_resend(Failure::ServerError).is_ok()
-    }
-
     fn finish_whole(&self, answer: EndpointAnswer, body: Bytes) -> WholeAnswer {
         let pace = Pace {
             first: self.inbound.arrived.elapsed(),
@@ -401,55 +256,4 @@
         let expires_at = idle_timeout.map(|timeout| now + timeout);
         answer.keep_connection(expires_at, max_idle)
     }
-
-    /// Counts an answer that reached its end, and logs it; of the plain successes a sample.
-    pub(crate) fn on_served(&self, answer: &EndpointAnswer, pace: Pace) {
-        let status = answer.head.status;
-        if status.is_success() {
-            let fingerprint = || self.inbound.fingerprint();
-            self.gateway.quarantine.on_served(fingerprint);
-        }
-        let metrics = &self.gateway.metrics;
-        metrics.served(&self.inbound.service, status.as_u16(), pace.first);
-        let is_plain_success = status == StatusCode::OK && self.runs == 1;
-        if is_plain_success && !rand::rng().random_ratio(1, SUCCESS_SAMPLE) {
-            return;
-        }
-        let estimate = answer.selected.estimate;
-        event!(
-            Event::RequestServed,
-            request = self.inbound.id_text(),
-            endpoint = answer.endpoint().record.load().id,
-            status = status.as_u16(),
-            runs = self.runs,
-            route = self.inbound.route.name,
-            customer = self.inbound.customer_text(),
-            queue_ms = estimate.queue_ms as u64,
-            urgency = self.inbound.priority,
-            prompt_tokens = self.inbound.prompt.tokens,
-            max_answer_tokens = self.inbound.prompt.max_answer_tokens,
-            prefill_tokens = estimate.prefill_tokens,
-            fetched_tokens = estimate.fetch.map_or(0, |fetch| fetch.tokens),
-            cost_ms = estimate.cost_ms as u64,
-            own_running = answer.load.own_running,
-            others_running = answer.load.others_running,
-            first_ms = pace.first.as_millis(),
-            longest_gap_ms = pace.longest_gap.as_millis(),
-            took_ms = self.inbound.arrived.elapsed().as_millis()
-        );
-    }
-}
-
-/// The verdict on sending again, for logs: "yes", or why not.
-pub(crate) fn resend_text(resend: Result<(), NoResend>) -> String {
-    resend.map_or_else(|reason| reason.to_string(), |()| "yes".to_owned())
-}
-
-/// What a route allows after a failure.
-fn resend_policy(route: &Route) -> ResendPolicy {
-    ResendPolicy {
-        may_run_again: route.may_run_again(),
-        is_resumable: route.is_resumable(),
-        max_runs: route.max_attempts,
-    }
 }
--- /dev/null
+++ b/crates/gateway/src/requests/exchange/outcome.rs
@@ -0,0 +1,134 @@
+//! What an attempt says of its endpoint, and what the request becomes in usage, metrics and logs.
+
+use super::Exchange;
+use crate::decisions::duties::usage_start::{self, Began, FailedRun, Run};
+use crate::decisions::endpoint::queue_delay::prefill_ms;
+use crate::decisions::resend::AttemptError;
+use crate::endpoints::selection::Selected;
+use crate::requests::attempt::EndpointAnswer;
+use bridgevane_events::{Event, event};
+use bridgevane_types::TimeMs;
+use http::StatusCode;
+use rand::RngExt;
+use std::time::Duration;
+
+/// One plain success in so many is logged. Not measured, chosen because a line costs processor
+/// time, and successes need only a picture; everything else is logged.
+const SUCCESS_SAMPLE: u32 = 16;
+
+/// The pace of an answer, for logs and metrics.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pace {
+    /// From the request's arrival to the first bytes of the answer.
+    pub(crate) first: Duration,
+    /// The longest pause since.
+    pub(crate) longest_gap: Duration,
+}
+
+impl Exchange {
+    pub(super) fn on_answered(&mut self, answer: &EndpointAnswer, sent_at: TimeMs) {
+        self.runs += 1;
+        self.count_run(Run::Answered(answer.head.status), sent_at);
+        if answer.head.status.is_server_error() {
+            answer.endpoint().health.on_failed(self.gateway.clock.now());
+        }
+    }
+
+    pub(super) fn on_attempt_failed(
+        &mut self,
+        selected: &Selected,
+        sent_at: TimeMs,
+        error: AttemptError,
+    ) {
+        let now = self.gateway.clock.now();
+        let endpoint = &selected.endpoint;
+        if error.may_have_run() {
+            self.runs += 1;
+            let estimate = &selected.estimate;
+            let failed = FailedRun {
+                error,
+                elapsed_ms: now.since(sent_at).0 as f64,
+                expected_ms: estimate.queue_ms + prefill_ms(estimate.prefill_tokens as f64),
+            };
+            self.count_run(Run::Failed(failed), sent_at);
+            endpoint.health.on_failed(now);
+        }
+        let was_heard = endpoint.load.was_heard_after(sent_at);
+        let is_lost = match error {
+            AttemptError::NotSent(_) | AttemptError::Misdirected => true,
+            AttemptError::TimedOut => !was_heard,
+            _ => false,
+        };
+        if !is_lost {
+            return;
+        }
+        let record = endpoint.record.load();
+        if endpoint.health.on_lost(now) {
+            event!(Event::EndpointEjected, endpoint = record.id);
+        }
+        if !self.lost_in.contains(&record.data_centre) {
+            self.lost_in.push(record.data_centre.clone());
+        }
+    }
+
+    /// Counts a run as its customer's usage, if it began. A prompt's success counts with its first
+    /// token instead ([`super::relay`]).
+    pub(super) fn count_run(&mut self, run: Run, sent_at: TimeMs) {
+        let is_plain = self.inbound.prompt.is_empty();
+        if let Some(began) = usage_start::began(is_plain, run) {
+            let at = match began {
+                Began::WhenSent => sent_at,
+                Began::Now => self.gateway.clock.now(),
+            };
+            self.count_usage(at);
+        }
+    }
+
+    /// A run of the request began: the first one counts as its customer's usage.
+    pub(crate) fn count_usage(&mut self, began_at: TimeMs) {
+        if std::mem::replace(&mut self.is_counted, true) {
+            return;
+        }
+        if let Some(customer) = &self.inbound.customer {
+            let book = &self.gateway.duty_book;
+            book.on_request_began(began_at, &customer.id);
+        }
+    }
+
+    /// Counts an answer that reached its end, and logs it; of the plain successes a sample.
+    pub(crate) fn on_served(&self, answer: &EndpointAnswer, pace: Pace) {
+        let status = answer.head.status;
+        if status.is_success() {
+            let fingerprint = || self.inbound.fingerprint();
+            self.gateway.quarantine.on_served(fingerprint);
+        }
+        let metrics = &self.gateway.metrics;
+        metrics.served(&self.inbound.service, status.as_u16(), pace.first);
+        let is_plain_success = status == StatusCode::OK && self.runs == 1;
+        if is_plain_success && !rand::rng().random_ratio(1, SUCCESS_SAMPLE) {
+            return;
+        }
+        let estimate = answer.selected.estimate;
+        event!(
+            Event::RequestServed,
+            request = self.inbound.id_text(),
+            endpoint = answer.endpoint().record.load().id,
+            status = status.as_u16(),
+            runs = self.runs,
+            route = self.inbound.route.name,
+            customer = self.inbound.customer_text(),
+            queue_ms = estimate.queue_ms as u64,
+            urgency = self.inbound.priority,
+            prompt_tokens = self.inbound.prompt.tokens,
+            max_answer_tokens = self.inbound.prompt.max_answer_tokens,
+            prefill_tokens = estimate.prefill_tokens,
+            fetched_tokens = estimate.fetch.map_or(0, |fetch| fetch.tokens),
+            cost_ms = estimate.cost_ms as u64,
+            own_running = answer.load.own_running,
+            others_running = answer.load.others_running,
+            first_ms = pace.first.as_millis(),
+            longest_gap_ms = pace.longest_gap.as_millis(),
+            took_ms = self.inbound.arrived.elapsed().as_millis()
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/requests/exchange/resending.rs
@@ -0,0 +1,102 @@
+//! Whether a request is sent again after a failure: gathers what [`crate::decisions::resend`] decides on, and
+//! logs its verdict.
+
+use super::Exchange;
+use crate::decisions::admission::refusal::Refusal;
+use crate::decisions::resend::{
+    self, AttemptError, Failure, NoResend, ResendPolicy, ResendProgress,
+};
+use crate::endpoints::endpoint::Endpoint;
+use crate::requests::attempt::EndpointAnswer;
+use crate::route::Route;
+use bridgevane_events::{Event, event};
+
+impl Exchange {
+    /// Goes on after a failed attempt, or refuses the request.
+    pub(super) fn after_attempt(
+        &self,
+        endpoint: &Endpoint,
+        error: AttemptError,
+    ) -> Result<(), Refusal> {
+        let resend = self.may_resend(Failure::Attempt(error));
+        let load = endpoint.load.snapshot(self.gateway.clock.now());
+        self.gateway.metrics.attempt_failed(error);
+        event!(
+            Event::AttemptFailed,
+            request = self.inbound.id_text(),
+            endpoint = endpoint.record.load().id,
+            route = self.inbound.route.name,
+            customer = self.inbound.customer_text(),
+            fingerprint = self.inbound.fingerprint(),
+            cause = error,
+            running = load.running(),
+            runs = self.runs,
+            left_ms = self.inbound.remaining().as_millis(),
+            resend = resend_text(resend)
+        );
+        resend.map_err(|_| Refusal::after_failure(error, self.runs))
+    }
+
+    /// The same after the body of an answer broke off, or did not come to its end in time.
+    pub(super) fn after_broken_answer(
+        &self,
+        answer: EndpointAnswer,
+        error: AttemptError,
+    ) -> Result<(), Refusal> {
+        let endpoint = answer.endpoint().clone();
+        let status = answer.head.status;
+        endpoint.health.on_failed(self.gateway.clock.now());
+        // Closes the connection, and counts the request there as ended.
+        drop(answer);
+        let resend = self.may_resend(Failure::Attempt(error));
+        self.gateway.metrics.attempt_failed(error);
+        event!(
+            Event::AttemptFailed,
+            request = self.inbound.id_text(),
+            endpoint = endpoint.record.load().id,
+            route = self.inbound.route.name,
+            customer = self.inbound.customer_text(),
+            fingerprint = self.inbound.fingerprint(),
+            cause = error,
+            status = status.as_u16(),
+            runs = self.runs,
+            resend = resend_text(resend)
+        );
+        resend.map_err(|_| Refusal::after_failure(error, self.runs))
+    }
+
+    /// Whether the request may be sent again after a failure, and why not; takes from the retry
+    /// budget.
+    pub(crate) fn may_resend(&self, failure: Failure) -> Result<(), NoResend> {
+        let progress = ResendProgress {
+            endpoints_tried: self.tried.len(),
+            runs: self.runs,
+            remaining: self.inbound.remaining(),
+        };
+        let policy = resend_policy(&self.inbound.route);
+        let take_from_budget = || {
+            let now = self.gateway.clock.now();
+            self.gateway.retry_budgets.take(now, &self.inbound.service)
+        };
+        resend::check(failure, policy, progress, take_from_budget)
+    }
+
+    /// Whether another endpoint is asked in place of an answer.
+    pub(super) fn is_retried(&self, answer: &EndpointAnswer) -> bool {
+        answer.head.status.is_server_error() && self.may_resend(Failure::ServerError).is_ok()
+    }
+}
+
+/// The verdict on sending again, for logs: "yes", or why not.
+pub(crate) fn resend_text(resend: Result<(), NoResend>) -> String {
+    resend.map_or_else(|reason| reason.to_string(), |()| "yes".to_owned())
+}
+
+/// What a route allows after a failure.
+fn resend_policy(route: &Route) -> ResendPolicy {
+    ResendPolicy {
+        may_run_again: route.may_run_again(),
+        is_resumable: route.is_resumable(),
+        max_runs: route.max_attempts,
+    }
+}
