feat(placement): routes and customers may be limited to regions

Cause: allowedRegions of a route or a customer was read by nobody; requests went wherever they cost the least.

--- a/crates/gateway/benches/fleet_state.rs
+++ b/crates/gateway/benches/fleet_state.rs
@@ -6,6 +6,7 @@
 #![allow(missing_docs)]
 
 use bridgevane_decisions::EndpointIx;
+use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
 use bridgevane_gateway::{
     Endpoint, EndpointRecord, FullState, Prompt, PromptLocations, PromptPart, Replica, Revision,
     SelectionRequest, ServiceEndpoints, SourceRecord, put_update, select_endpoint, take_update,
@@ -119,6 +120,7 @@
             prompt,
             tried: &[],
             lost_in: &[],
+            region_limits: RegionLimits::EVERYWHERE,
             cold: None,
         };
         select_endpoint(&locations, request, service).is_some()
--- a/crates/gateway/src/decisions/endpoint/mod.rs
+++ b/crates/gateway/src/decisions/endpoint/mod.rs
@@ -12,6 +12,7 @@
 pub mod placement;
 pub mod prompt_affinity;
 pub mod queue_delay;
+pub mod region_limits;
 pub mod silence;
 pub mod stream_reservation;
 pub mod tie_break;
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -14,6 +14,7 @@
 //! | is it refused now rather than served late? | [`admission::load_shedding`] |
 //! | what does the client read, and when may it come back? | [`admission::refusal`] |
 //! | which endpoint gets it? | [`endpoint::placement`] |
+//! | in which regions may it be served? | [`endpoint::region_limits`] |
 //! | which of many endpoints that cost the same? | [`endpoint::tie_break`] |
 //! | where do prompts that share a prefix go? | [`endpoint::prompt_affinity`] |
 //! | which cached part of a prompt does an engine take from another? | [`endpoint::cache_fetch`] |
--- a/crates/gateway/src/endpoints/selection.rs
+++ b/crates/gateway/src/endpoints/selection.rs
@@ -8,6 +8,7 @@
 use crate::decisions::endpoint::ejection::Trust;
 use crate::decisions::endpoint::placement::{self, Candidate, Estimate, Estimator};
 use crate::decisions::endpoint::prompt_affinity::{self, PreferredEndpoints};
+use crate::decisions::endpoint::region_limits::RegionLimits;
 use crate::decisions::endpoint::tie_break::TieBreak;
 use crate::decisions::endpoint::{silence, stream_reservation};
 use crate::endpoints::directory::ServiceEndpoints;
@@ -34,6 +35,8 @@
     pub tried: &'a [Arc<Endpoint>],
     /// Data centres in which the request has found an endpoint lost.
     pub lost_in: &'a [DataCentreId],
+    /// Where the request may be served.
+    pub region_limits: RegionLimits<'a>,
     /// What this daemon may send to cold endpoints; none: as much as to others.
     pub cold: Option<ColdQuota>,
 }
@@ -55,9 +58,18 @@
         let was_tried = |tried: &Arc<Endpoint>| tried.index == endpoint.index;
         !endpoint.has_expired(self.now)
             && !self.tried.iter().any(was_tried)
+            && self.may_serve_at(endpoint)
             && self.admits_cold(endpoint)
     }
 
+    /// Whether the request may be served where an endpoint is.
+    fn may_serve_at(&self, endpoint: &Endpoint) -> bool {
+        !self.region_limits.is_limited()
+            || self
+                .region_limits
+                .allow(&endpoint.record.load().data_centre)
+    }
+
     fn admits_cold(&self, endpoint: &Endpoint) -> bool {
         let cold = self.cold.as_ref();
         cold.is_none_or(|quota| endpoint.cold.admits(self.now, quota, endpoint.hash))
@@ -130,6 +142,7 @@
         let tokens = estimator.cached_tokens(endpoint.index);
         let is_usable = tokens > 0
             && !endpoint.has_expired(request.now)
+            && request.may_serve_at(endpoint)
             && endpoint.health.trust(request.now) == Trust::Sound;
         is_usable.then_some(CacheSource {
             endpoint: endpoint.index,
@@ -150,7 +163,10 @@
     };
     let wants_reserved = stream_reservation::is_stream_like(request.prompt);
     for (endpoint, is_reserved) in service.with_reservations() {
-        if is_reserved != wants_reserved || endpoint.has_expired(request.now) {
+        if is_reserved != wants_reserved
+            || endpoint.has_expired(request.now)
+            || !request.may_serve_at(endpoint)
+        {
             continue;
         }
         if endpoint.health.trust(request.now) == Trust::Sound {
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::decisions::admission::load_shedding::{self, QueuedRequest};
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
+use crate::decisions::endpoint::region_limits::RegionLimits;
 use crate::decisions::resend::{self, AttemptError, Failure, hedging};
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::selection::{Selected, SelectionRequest, select_endpoint};
@@ -148,6 +149,7 @@
             prompt: &self.inbound.prompt,
             tried: &self.tried,
             lost_in: &self.lost_in,
+            region_limits: self.region_limits(),
             cold: self.gateway.cold_quota(&self.inbound.service),
         };
         let selected = select_endpoint(&self.gateway.prompt_locations, request, service);
@@ -159,6 +161,16 @@
         selected.ok_or(none_left.unless_run(self.runs))
     }
 
+    /// Where the request may be served.
+    fn region_limits(&self) -> RegionLimits<'_> {
+        let customer = self.inbound.customer.as_ref();
+        RegionLimits {
+            regions: &self.gateway.settings.regions,
+            route: self.inbound.route.allowed_regions.as_ref(),
+            customer: customer.and_then(|customer| customer.allowed_regions.as_ref()),
+        }
+    }
+
     /// Sheds the request if it would wait too long.
     fn check_queue(&self, selected: &Selected) -> Result<(), Refusal> {
         let queue_ms = selected.estimate.queue_ms;
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -5,6 +5,7 @@
 
 use crate::decisions::duties::engine_plan::EngineScaling;
 use crate::decisions::endpoint::cold_start::ColdLimits;
+use crate::decisions::endpoint::region_limits::AllowedRegions;
 use bridgevane_types::{Bytes, CustomerId, DurationMs, ServiceName, Tier};
 
 /// How often a request may run.
@@ -59,6 +60,8 @@
     pub is_public: bool,
     /// Whether requests carry the parts of a prompt.
     pub has_prompt_parts: bool,
+    /// Where its requests may be served; none: everywhere.
+    pub allowed_regions: Option<AllowedRegions>,
 }
 
 impl Route {
@@ -93,6 +96,8 @@
     pub id: CustomerId,
     /// The customer's own tier; goes before the tier of a route.
     pub tier: Option<Tier>,
+    /// Where the customer's requests may be served; none: everywhere.
+    pub allowed_regions: Option<AllowedRegions>,
 }
 
 /// What a client may send, and how long it may take.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 
 use crate::decisions::admission::freshness::FreshnessPolicy;
 use crate::decisions::duties::usage_window::UsageCalendar;
+use crate::decisions::endpoint::region_limits::RegionMap;
 use crate::decisions::replication::proof_limits::ProofLimits;
 use bridgevane_types::{Bytes, DataCentreId, DurationMs, Share, VmId};
 use std::net::SocketAddr;
@@ -16,6 +17,8 @@
     pub vm: VmId,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// The region of each data centre.
+    pub regions: RegionMap,
     /// Where clients connect.
     pub client_address: SocketAddr,
     /// Where the balancer asks whether the daemon is ready, and where metrics are served.
--- a/crates/gateway/tests/cold_start.rs
+++ b/crates/gateway/tests/cold_start.rs
@@ -7,6 +7,7 @@
 
 use bridgevane_decisions::EndpointIx;
 use bridgevane_gateway::decisions::endpoint::cold_start::{ColdLimits, ColdQuota};
+use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
 use bridgevane_gateway::{
     Endpoint, EndpointHash, EndpointRecord, Prompt, PromptLocations, SelectionRequest,
     ServiceEndpoints, select_endpoint,
@@ -106,6 +107,7 @@
         prompt: &Prompt::default(),
         tried,
         lost_in,
+        region_limits: RegionLimits::EVERYWHERE,
         cold: None,
     };
     let selected = select_endpoint(&PromptLocations::default(), request, &service());
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -8,6 +8,7 @@
 use bridgevane_gateway::decisions::endpoint::idle_connections::max_idle;
 use bridgevane_gateway::decisions::endpoint::load_report::ReportedLoad;
 use bridgevane_gateway::decisions::endpoint::queue_delay::{PendingRequest, QueueDelay};
+use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
 use bridgevane_gateway::decisions::replication::fleet_size::FleetSize;
 use bridgevane_gateway::{
     Customer, Endpoint, EndpointHealth, EndpointLoad, EndpointRecord, GatewaySettings, Prompt,
@@ -69,6 +70,7 @@
         prompt,
         tried: &[],
         lost_in: &[],
+        region_limits: RegionLimits::EVERYWHERE,
         cold: None,
     };
     let selected = select_endpoint(&PromptLocations::default(), request, service);
@@ -445,6 +447,7 @@
     Customer {
         id: "c".into(),
         tier: tier.map(Tier),
+        allowed_regions: None,
     }
 }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod source;
 
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
+use bridgevane_gateway::decisions::endpoint::region_limits::RegionMap;
 use bridgevane_gateway::{
     Clock, ClockScript, Gateway, GatewaySettings, HeaderNames, follow_control_source,
     serve_clients, store_quarantine, watch_suspension,
@@ -53,6 +54,7 @@
     GatewaySettings {
         vm: "vm-1".into(),
         data_centre: "dc-1".into(),
+        regions: RegionMap::default(),
         client_address: any,
         ready_address: any,
         peer_address: None,
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -105,6 +105,7 @@
         let customer = Arc::new(Customer {
             id: "customer-1".into(),
             tier: Some(Tier(1)),
+            allowed_regions: None,
         });
         let customers = keys.iter().map(|key| (key.to_string(), customer.clone()));
         let service = |name: &str| Service {
@@ -338,6 +339,7 @@
         max_attempts,
         is_public: false,
         has_prompt_parts: false,
+        allowed_regions: None,
     }
 }
 
--- a/crates/gateway/tests/tie_break.rs
+++ b/crates/gateway/tests/tie_break.rs
@@ -5,6 +5,7 @@
 //! own.
 
 use bridgevane_decisions::EndpointIx;
+use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
 use bridgevane_gateway::{
     Endpoint, EndpointRecord, Prompt, PromptLocations, PromptPart, SelectionRequest,
     ServiceEndpoints, select_endpoint,
@@ -61,6 +62,7 @@
             prompt,
             tried: &[],
             lost_in: &[],
+            region_limits: RegionLimits::EVERYWHERE,
             cold: None,
         };
         let selected = select_endpoint(&PromptLocations::default(), request, service);
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -102,6 +102,10 @@
     /// A named operator.
     OperatorName
 );
+text_id!(
+    /// A region: data centres that lie together, such as `mu-central`.
+    RegionId
+);
 text_id!(
     /// A service: a pool of engines, or a plain service.
     ServiceName
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,8 +13,8 @@
 pub use boot_clock::boot_time;
 pub use ids::{
     AttemptNumber, ClassName, ConfigVersion, CustomerId, DataCentreId, EndpointId, FenceToken,
-    IdempotencyKey, Incarnation, KindName, ModelName, OperationId, OperatorName, RequestId,
-    ServiceName, VmId,
+    IdempotencyKey, Incarnation, KindName, ModelName, OperationId, OperatorName, RegionId,
+    RequestId, ServiceName, VmId,
 };
 pub use outcome::{Outcome, RefusalCode};
 pub use request_fingerprint::{NoFingerprint, RequestFingerprint};
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -37,6 +37,9 @@
     /// name of its data centre
     #[argh(option)]
     pub data_centre: Option<String>,
+    /// the region of each data centre, as dc-a=region-1 with commas
+    #[argh(option)]
+    pub regions: Option<String>,
     /// address for clients, such as 10.0.0.4:8080
     #[argh(option)]
     pub client_address: Option<String>,
@@ -112,6 +115,7 @@
 setting_source!(
     GatewayArguments: vm_id,
     data_centre,
+    regions,
     client_address,
     ready_address,
     peer_address,
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -11,7 +11,8 @@
 use bridgevane_gateway::decisions::duties::usage_window::UsageCalendar;
 use bridgevane_gateway::{DutySettings, GatewaySettings};
 use bridgevane_platform::Duty;
-use bridgevane_types::{Bytes, DurationMs, Share};
+use bridgevane_types::{Bytes, DataCentreId, DurationMs, RegionId, Share};
+use derive_more::{Display, Error};
 use std::net::SocketAddr;
 
 /// Everything that `gateway` needs to know before it starts.
@@ -105,6 +106,7 @@
         let mut reader = SettingReader::new(source);
         let vm = reader.required("vm-id", NAME);
         let data_centre = reader.required("data-centre", NAME);
+        let regions: Vec<RegionOf> = reader.list("regions", "entries such as dc-a=region-1");
         let client_address = reader.required("client-address", ADDRESS);
         let ready_address = reader.required("ready-address", ADDRESS);
         let store_address = reader.required("store-address", ADDRESS);
@@ -123,6 +125,7 @@
             gateway: GatewaySettings {
                 vm: vm.value(&read),
                 data_centre: data_centre.value(&read),
+                regions: regions.into_iter().map(RegionOf::into_entry).collect(),
                 client_address: client_address.value(&read),
                 ready_address: ready_address.value(&read),
                 peer_address,
@@ -146,6 +149,39 @@
     }
 }
 
+/// The region of one data centre, as a setting says it.
+#[derive(Clone, Debug)]
+struct RegionOf {
+    data_centre: DataCentreId,
+    region: RegionId,
+}
+
+impl RegionOf {
+    fn into_entry(self) -> (DataCentreId, RegionId) {
+        (self.data_centre, self.region)
+    }
+}
+
+/// An entry that isn't a data centre, an equals sign and a region.
+#[derive(Clone, Copy, Debug, Display, Error)]
+#[display("not a data centre and its region")]
+struct NotARegion;
+
+impl std::str::FromStr for RegionOf {
+    type Err = NotARegion;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (data_centre, region) = text.split_once('=').ok_or(NotARegion)?;
+        if data_centre.is_empty() || region.is_empty() {
+            return Err(NotARegion);
+        }
+        Ok(Self {
+            data_centre: data_centre.into(),
+            region: region.into(),
+        })
+    }
+}
+
 /// A bound without its margin.
 fn less(bound_ms: u64, margin_ms: u64) -> DurationMs {
     DurationMs(bound_ms.saturating_sub(margin_ms))
