--- a/crates/gateway/benches/fleet_state.rs
+++ b/crates/gateway/benches/fleet_state.rs
@@ -45,10 +45,10 @@
     format!("i-{:010x}", xxh3_64(&at.to_le_bytes()) >> 24)
 }
 
-/// A record as a worker writes it.
+/// A record as long, and as much like the others, as an endpoint writes it.
 fn source_record(at: u32) -> SourceRecord {
     let value = format!(
-        r#"{{"service":"huvo11a","address":"10.{}.{}.{}:8080","zone":"data-centre-{}","version":"v1","slots":32,"state":"ready","coldRemainingMs":0,"stage":"mixed","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{},"born":{}}}"#,
+        r#"{{"service":"huvo11a","address":"10.{}.{}.{}:8080","zone":"data-centre-{}","version":"v1","slots":32,"state":"ready","remainingWarmUp":0,"stage":"mixed","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{},"born":{}}}"#,
         128 + at % DATA_CENTRES,
         at >> 8,
         at & 255,
@@ -57,7 +57,7 @@
         1_780_000_000_000_u64 + u64::from(at) * 37,
     );
     SourceRecord {
-        key: format!("servers/{}", id(at)),
+        key: format!("endpoints/{}", id(at)),
         revision: Revision(u64::from(at) + 1),
         value: Some(value.into()),
     }
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -53,6 +53,14 @@
     assert_eq!(milliseconds(&settings, "max_stale_age_ms"), 60_000);
 }
 
+#[test]
+fn regions_are_pairs_of_a_data_centre_and_its_region() {
+    let settings = printed(&["--regions", "z=north,y=south"]);
+    assert!(settings.contains("\"north\""), "{settings}");
+    let refused = refused(&["--regions", "z=north,y"]);
+    assert!(refused.contains("regions"), "{refused}");
+}
+
 #[test]
 fn settings_that_contradict_each_other_or_are_no_value_are_refused() {
     let strict = refused(&["--max-stale-s", "60"]);
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names of headers, fields and paths that mean nothing elsewhere.
-const NAMES: [&str; 36] = [
+const NAMES: [&str; 38] = [
     "attempt-id",
     "deadline-ms",
     "prompt-prefix",
@@ -33,6 +33,8 @@
     "spotprice",
     "zoneprices",
     "op/config",
+    "op/evacuate",
+    "allowedregions",
     "servers/",
     "pathprefix",
     "sincerev",
