--- a/crates/gateway/src/decisions/endpoint/region_limits.rs
+++ b/crates/gateway/src/decisions/endpoint/region_limits.rs
@@ -43,7 +43,7 @@
 }
 
 /// The regions that something is limited to.
-pub type AllowedRegions = BTreeSet<RegionId>;
+pub type RegionSet = BTreeSet<RegionId>;
 
 /// The limits of one request.
 #[derive(Clone, Copy, Debug)]
@@ -51,9 +51,9 @@
     /// The region of each data centre.
     pub regions: &'a RegionMap,
     /// What its route allows; none: every region.
-    pub route: Option<&'a AllowedRegions>,
+    pub route: Option<&'a RegionSet>,
     /// What its customer allows; none: every region.
-    pub customer: Option<&'a AllowedRegions>,
+    pub customer: Option<&'a RegionSet>,
 }
 
 static NO_REGIONS: RegionMap = RegionMap {
@@ -78,8 +78,7 @@
     /// Whether the request may be served in a data centre.
     pub fn allow(&self, data_centre: &DataCentreId) -> bool {
         let region = self.regions.region(data_centre);
-        let allows =
-            |allowed: &AllowedRegions| region.is_some_and(|region| allowed.contains(region));
+        let allows = |allowed: &RegionSet| region.is_some_and(|region| allowed.contains(region));
         self.route.is_none_or(allows) && self.customer.is_none_or(allows)
     }
 }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -5,7 +5,7 @@
 
 use crate::decisions::duties::engine_plan::EngineScaling;
 use crate::decisions::endpoint::cold_start::ColdLimits;
-use crate::decisions::endpoint::region_limits::AllowedRegions;
+use crate::decisions::endpoint::region_limits::RegionSet;
 use bridgevane_types::{Bytes, CustomerId, DurationMs, ServiceName, Tier};
 
 /// How often a request may run.
@@ -61,7 +61,7 @@
     /// Whether requests carry the parts of a prompt.
     pub has_prompt_parts: bool,
     /// Where its requests may be served; none: everywhere.
-    pub allowed_regions: Option<AllowedRegions>,
+    pub allowed_regions: Option<RegionSet>,
 }
 
 impl Route {
@@ -97,7 +97,7 @@
     /// The customer's own tier; goes before the tier of a route.
     pub tier: Option<Tier>,
     /// Where the customer's requests may be served; none: everywhere.
-    pub allowed_regions: Option<AllowedRegions>,
+    pub allowed_regions: Option<RegionSet>,
 }
 
 /// What a client may send, and how long it may take.
--- a/crates/gateway/tests/region_limits.rs
+++ b/crates/gateway/tests/region_limits.rs
@@ -2,9 +2,7 @@
 //! whatever that costs.
 
 use bridgevane_decisions::EndpointIx;
-use bridgevane_gateway::decisions::endpoint::region_limits::{
-    AllowedRegions, RegionLimits, RegionMap,
-};
+use bridgevane_gateway::decisions::endpoint::region_limits::{RegionLimits, RegionMap, RegionSet};
 use bridgevane_gateway::{
     Endpoint, EndpointRecord, Prompt, PromptLocations, PromptPart, Selected, SelectionRequest,
     ServiceEndpoints, select_endpoint,
@@ -40,15 +38,15 @@
     ServiceEndpoints::new(endpoints.collect())
 }
 
-fn allowed(names: &[&str]) -> AllowedRegions {
+fn allowed(names: &[&str]) -> RegionSet {
     names.iter().map(|name| (*name).into()).collect()
 }
 
 /// Every engine that a request gets, one after the other, until none is left.
 fn all_tries(
     service: &ServiceEndpoints,
-    route: Option<&AllowedRegions>,
-    customer: Option<&AllowedRegions>,
+    route: Option<&RegionSet>,
+    customer: Option<&RegionSet>,
     prompt: &Prompt,
 ) -> Vec<Selected> {
     let regions = regions();
