feat(placement): the engines of long prompts are pooled by their first part, as many as run there

Cause: a session's long prompts have two engines of their own among all: with many more engines than are needed nearly each session's first request reads the part that sessions share anew. Change: daemons tell each other how many long prompts are under way by their first part; a power of two of all engines, half a request each in the mean, takes them, by a hash that all daemons agree on; halved once a second from the first work on.

--- a/crates/gateway/src/decisions/endpoint/mod.rs
+++ b/crates/gateway/src/decisions/endpoint/mod.rs
@@ -5,6 +5,7 @@
 pub mod cache_fetch;
 pub mod cold_start;
 pub mod ejection;
+pub mod engine_pool;
 pub mod evacuation;
 mod hash_mix;
 pub mod idle_connections;
--- a/crates/gateway/tests/cold_start.rs
+++ b/crates/gateway/tests/cold_start.rs
@@ -9,8 +9,8 @@
 use bridgevane_gateway::decisions::endpoint::cold_start::{ColdLimits, ColdQuota};
 use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
 use bridgevane_gateway::{
-    Endpoint, EndpointHash, EndpointRecord, Prompt, PromptLocations, SelectionRequest,
-    ServiceEndpoints, select_endpoint,
+    Endpoint, EndpointHash, EndpointRecord, Prompt, PromptLocations, PromptsRunning,
+    SelectionRequest, ServiceEndpoints, select_endpoint,
 };
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 use std::sync::Arc;
@@ -108,6 +108,7 @@
         tried,
         lost_in,
         region_limits: RegionLimits::EVERYWHERE,
+        prompts_running: PromptsRunning::default(),
         cold: None,
     };
     let selected = select_endpoint(&PromptLocations::default(), request, &service());
--- a/crates/gateway/tests/region_limits.rs
+++ b/crates/gateway/tests/region_limits.rs
@@ -4,8 +4,8 @@
 use bridgevane_decisions::EndpointIx;
 use bridgevane_gateway::decisions::endpoint::region_limits::{RegionLimits, RegionMap, RegionSet};
 use bridgevane_gateway::{
-    Endpoint, EndpointRecord, Prompt, PromptLocations, PromptPart, Selected, SelectionRequest,
-    ServiceEndpoints, select_endpoint,
+    Endpoint, EndpointRecord, Prompt, PromptLocations, PromptPart, PromptsRunning, Selected,
+    SelectionRequest, ServiceEndpoints, select_endpoint,
 };
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs, Tokens};
 use std::sync::Arc;
@@ -65,6 +65,7 @@
                 route,
                 customer,
             },
+            prompts_running: PromptsRunning::default(),
             cold: None,
         };
         let next = select_endpoint(&PromptLocations::default(), request, service);
--- a/crates/gateway/tests/tie_break.rs
+++ b/crates/gateway/tests/tie_break.rs
@@ -7,8 +7,8 @@
 use bridgevane_decisions::EndpointIx;
 use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
 use bridgevane_gateway::{
-    Endpoint, EndpointRecord, Prompt, PromptLocations, PromptPart, SelectionRequest,
-    ServiceEndpoints, select_endpoint,
+    Endpoint, EndpointRecord, Prompt, PromptLocations, PromptPart, PromptsRunning,
+    SelectionRequest, ServiceEndpoints, select_endpoint,
 };
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs, Tokens};
 use std::collections::{HashMap, HashSet};
@@ -63,6 +63,7 @@
             tried: &[],
             lost_in: &[],
             region_limits: RegionLimits::EVERYWHERE,
+            prompts_running: PromptsRunning::default(),
             cold: None,
         };
         let selected = select_endpoint(&PromptLocations::default(), request, service);
