--- a/crates/gateway/src/control/endpoint_registry.rs
+++ b/crates/gateway/src/control/endpoint_registry.rs
@@ -27,16 +27,59 @@
     endpoint: Arc<Endpoint>,
 }
 
+/// Lines of endpoints in one batch of records at most. Not measured by itself, chosen because the log's buffer
+/// holds some 1,000 lines: the others of a whole state are made to be dropped, and keep a daemon that starts
+/// from serving.
+const MAX_LINES_OF_A_BATCH: usize = 256;
+
+/// What a newer record of an endpoint that is known changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordChange {
+    /// What it tells of itself.
+    Told,
+    /// Its service or its data centre.
+    Moved,
+    /// It drains, or doesn't any more.
+    DrainsAnew,
+}
+
 /// The registry.
 #[derive(Debug, Default)]
 pub(crate) struct EndpointRegistry {
     entries: HashMap<EndpointId, RegistryEntry>,
     next_index: u32,
+    /// Endpoints that aren't logged one by one any more in the batch that is taken in.
+    unlogged: usize,
+    /// Lines that the batch may still have.
+    lines_left: usize,
     /// Endpoints came or went, or may get work now and might not before, or the other way round.
     needs_directory: bool,
 }
 
 impl EndpointRegistry {
+    /// Another batch of records is taken in.
+    pub(crate) fn begin_batch(&mut self) {
+        self.lines_left = MAX_LINES_OF_A_BATCH;
+        self.unlogged = 0;
+    }
+
+    /// The batch is taken in: says how many endpoints weren't logged one by one.
+    pub(crate) fn end_batch(&mut self) {
+        let endpoints = std::mem::take(&mut self.unlogged);
+        if endpoints > 0 {
+            event!(Event::EndpointsSeen, endpoints = endpoints);
+        }
+    }
+
+    fn log_seen(&mut self, record: &EndpointRecord, revision: Revision) {
+        if self.lines_left == 0 {
+            self.unlogged += 1;
+            return;
+        }
+        self.lines_left -= 1;
+        log_record(record, revision);
+    }
+
     /// Whether the directory of the last call is no longer true. Most records change what an endpoint says of
     /// itself, and no directory: to build one takes a look at every endpoint.
     pub(crate) fn take_needs_directory(&mut self) -> bool {
@@ -92,14 +135,19 @@
                 return;
             }
             if !order.is_later_life(&entry.order) {
-                self.needs_directory |= entry.update(record, order, revision);
+                let change = entry.update(record, order, revision);
                 entry.endpoint.cold.extend(now, cold_remaining_ms);
+                let endpoint = entry.endpoint.clone();
+                self.needs_directory |= change != RecordChange::Told;
+                if change == RecordChange::DrainsAnew {
+                    self.log_seen(&endpoint.record.load(), revision);
+                }
                 return;
             }
             // Nothing that is known of the earlier life is true of this one.
             self.drop_entry(&record.id);
         }
-        log_record(&record, revision);
+        self.log_seen(&record, revision);
         self.needs_directory = true;
         let index = EndpointIx(self.next_index);
         self.next_index += 1;
@@ -174,20 +222,28 @@
 }
 
 impl RegistryEntry {
-    /// Takes a newer record of the same life; true when the directory has to know.
-    fn update(&mut self, record: EndpointRecord, order: RecordOrder, revision: Revision) -> bool {
+    /// Takes a newer record of the same life.
+    fn update(
+        &mut self,
+        record: EndpointRecord,
+        order: RecordOrder,
+        revision: Revision,
+    ) -> RecordChange {
         self.revision = revision;
         self.order = order;
         self.endpoint.renew();
         let before = self.endpoint.record.load_full();
         let drains_anew = before.is_draining != record.is_draining;
-        if drains_anew {
-            log_record(&record, revision);
-        }
         let has_moved =
             before.service != record.service || before.data_centre != record.data_centre;
         self.endpoint.record.store(Arc::new(record));
-        drains_anew || has_moved
+        if drains_anew {
+            RecordChange::DrainsAnew
+        } else if has_moved {
+            RecordChange::Moved
+        } else {
+            RecordChange::Told
+        }
     }
 }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -219,6 +219,7 @@
 
     fn take_in(&self, registry: &mut EndpointRegistry, changes: Vec<ChangeAt>, removal: Removal) {
         self.take_quarantine_in(self.quarantined.load_full(), &changes);
+        registry.begin_batch();
         for ChangeAt { revision, change } in changes {
             match change {
                 Change::Routing(table) => self.put_in_force(table, revision),
@@ -262,6 +263,7 @@
                 }
             }
         }
+        registry.end_batch();
         self.renew_directory(registry);
     }
 
