--- a/crates/gateway/benches/fleet_state.rs
+++ b/crates/gateway/benches/fleet_state.rs
@@ -6,7 +6,7 @@
 #![allow(missing_docs)]
 
 use bridgevane_decisions::EndpointIx;
-use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
+use bridgevane_gateway::decisions::eligibility::region_limits::RegionLimits;
 use bridgevane_gateway::{
     Endpoint, EndpointRecord, FullState, Prompt, PromptLocations, PromptPart, PromptsRunning,
     Replica, Revision, SelectionRequest, ServiceEndpoints, SourceRecord, put_update,
--- a/crates/gateway/src/control/endpoint_registry.rs
+++ b/crates/gateway/src/control/endpoint_registry.rs
@@ -8,7 +8,7 @@
 
 use crate::control::record_order::RecordOrder;
 use crate::control::source::Revision;
-use crate::decisions::endpoint::evacuation::Evacuations;
+use crate::decisions::eligibility::evacuation::Evacuations;
 use crate::decisions::replication::record_expiry::Removal;
 use crate::endpoints::directory::Directory;
 use crate::endpoints::endpoint::{Endpoint, EndpointRecord};
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -22,7 +22,7 @@
     Change, ChangeAt, Changes, ControlSource, FullState, Revision, SourceRecord,
 };
 use crate::decisions::admission::freshness::{Freshness, FreshnessPolicy};
-use crate::decisions::endpoint::evacuation::Evacuations;
+use crate::decisions::eligibility::evacuation::Evacuations;
 use crate::decisions::replication::record_expiry::{Removal, SourceOutage};
 use crate::endpoints::directory::Directory;
 use crate::settings::GatewaySettings;
--- /dev/null
+++ b/crates/gateway/src/decisions/eligibility/mod.rs
@@ -0,0 +1,5 @@
+//! Rules about which endpoints may get a request at all, before [`super::endpoint`] weighs them.
+
+pub mod cold_start;
+pub mod evacuation;
+pub mod region_limits;
--- a/crates/gateway/src/decisions/endpoint/mod.rs
+++ b/crates/gateway/src/decisions/endpoint/mod.rs
@@ -3,17 +3,14 @@
 //! Their state is in `endpoints`; what they learn of an endpoint is lost with the process.
 
 pub mod cache_fetch;
-pub mod cold_start;
 pub mod ejection;
 pub mod engine_pool;
-pub mod evacuation;
 mod hash_mix;
 pub mod idle_connections;
 pub mod load_report;
 pub mod placement;
 pub mod prompt_affinity;
 pub mod queue_delay;
-pub mod region_limits;
 pub mod silence;
 pub mod stream_reservation;
 pub mod tie_break;
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -14,7 +14,7 @@
 //! | is it refused now rather than served late? | [`admission::load_shedding`] |
 //! | what does the client read, and when may it come back? | [`admission::refusal`] |
 //! | which endpoint gets it? | [`endpoint::placement`] |
-//! | in which regions may it be served? | [`endpoint::region_limits`] |
+//! | in which regions may it be served? | [`eligibility::region_limits`] |
 //! | which of many endpoints that cost the same? | [`endpoint::tie_break`] |
 //! | where do prompts that share a prefix go? | [`endpoint::prompt_affinity`] |
 //! | how many engines take prompts with the same first part? | [`endpoint::engine_pool`] |
@@ -24,8 +24,8 @@
 //! | how long does reported load count? | [`endpoint::load_report`] |
 //! | is the endpoint still there? | [`endpoint::silence`] |
 //! | which endpoint gets no work for a while? | [`endpoint::ejection`] |
-//! | which endpoints does an evacuation leave out? | [`endpoint::evacuation`] |
-//! | how many requests does a cold endpoint get? | [`endpoint::cold_start`] |
+//! | which endpoints does an evacuation leave out? | [`eligibility::evacuation`] |
+//! | how many requests does a cold endpoint get? | [`eligibility::cold_start`] |
 //! | which connections are kept and used again? | [`endpoint::idle_connections`] |
 //! | may the request be sent again, and why not? | [`resend`] |
 //! | when is a second endpoint asked while the first is silent? | [`resend::hedging`] |
@@ -41,6 +41,7 @@
 
 pub mod admission;
 pub mod duties;
+pub mod eligibility;
 pub mod endpoint;
 pub mod replication;
 pub mod resend;
--- a/crates/gateway/src/endpoints/cold_state.rs
+++ b/crates/gateway/src/endpoints/cold_state.rs
@@ -1,9 +1,9 @@
 //! Until when an endpoint is cold, and what this daemon has sent it in the present window.
 //!
-//! Atomics; the rule is [`crate::decisions::endpoint::cold_start`].
+//! Atomics; the rule is [`crate::decisions::eligibility::cold_start`].
 
 use crate::clock::AtomicTime;
-use crate::decisions::endpoint::cold_start::{ColdQuota, window_at};
+use crate::decisions::eligibility::cold_start::{ColdQuota, window_at};
 use crate::work_by_endpoint::EndpointHash;
 use bridgevane_types::{DurationMs, TimeMs};
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -3,7 +3,7 @@
 //! It is immutable and read without locks; [`crate::control::state`] builds a new one on each
 //! change.
 
-use crate::decisions::endpoint::evacuation::Evacuations;
+use crate::decisions::eligibility::evacuation::Evacuations;
 use crate::decisions::endpoint::stream_reservation::{self, ReservationMember};
 use crate::endpoints::endpoint::Endpoint;
 use bridgevane_decisions::EndpointIx;
--- a/crates/gateway/src/endpoints/selection.rs
+++ b/crates/gateway/src/endpoints/selection.rs
@@ -3,13 +3,13 @@
 //!
 //! Owns nothing. Takes two short locks an endpoint, for health and for the queue.
 
+use crate::decisions::eligibility::cold_start::ColdQuota;
+use crate::decisions::eligibility::region_limits::RegionLimits;
 use crate::decisions::endpoint::cache_fetch::CacheSource;
-use crate::decisions::endpoint::cold_start::ColdQuota;
 use crate::decisions::endpoint::ejection::Trust;
 use crate::decisions::endpoint::engine_pool::{EnginePool, PoolInputs};
 use crate::decisions::endpoint::placement::{self, Candidate, Estimate, Estimator};
 use crate::decisions::endpoint::prompt_affinity::{self, PreferredEndpoints};
-use crate::decisions::endpoint::region_limits::RegionLimits;
 use crate::decisions::endpoint::tie_break::TieBreak;
 use crate::decisions::endpoint::{silence, stream_reservation};
 use crate::endpoints::directory::ServiceEndpoints;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use crate::clock::Clock;
 use crate::control::state::ControlState;
 use crate::counter::Counter;
-use crate::decisions::endpoint::cold_start::ColdQuota;
+use crate::decisions::eligibility::cold_start::ColdQuota;
 use crate::decisions::endpoint::idle_connections;
 use crate::duties::book::DutyBook;
 use crate::endpoints::endpoint::Endpoint;
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -13,8 +13,8 @@
 
 use crate::decisions::admission::load_shedding::{self, QueuedRequest};
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
+use crate::decisions::eligibility::region_limits::RegionLimits;
 use crate::decisions::endpoint::prompt_affinity;
-use crate::decisions::endpoint::region_limits::RegionLimits;
 use crate::decisions::resend::{self, AttemptError, Failure, hedging};
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::prompt_load::{PromptsRunning, RunningPrompt};
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -4,8 +4,8 @@
 //! them. They decide nothing.
 
 use crate::decisions::duties::engine_plan::EngineScaling;
-use crate::decisions::endpoint::cold_start::ColdLimits;
-use crate::decisions::endpoint::region_limits::RegionSet;
+use crate::decisions::eligibility::cold_start::ColdLimits;
+use crate::decisions::eligibility::region_limits::RegionSet;
 use bridgevane_types::{Bytes, CustomerId, DurationMs, ServiceName, Tier};
 
 /// How often a request may run.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,7 +5,7 @@
 
 use crate::decisions::admission::freshness::FreshnessPolicy;
 use crate::decisions::duties::usage_window::UsageCalendar;
-use crate::decisions::endpoint::region_limits::RegionMap;
+use crate::decisions::eligibility::region_limits::RegionMap;
 use crate::decisions::replication::proof_limits::ProofLimits;
 use bridgevane_types::{Bytes, DataCentreId, DurationMs, Share, VmId};
 use std::net::SocketAddr;
--- a/crates/gateway/tests/cold_start.rs
+++ b/crates/gateway/tests/cold_start.rs
@@ -5,15 +5,15 @@
 
 mod support;
 
-use bridgevane_decisions::EndpointIx;
-use bridgevane_gateway::decisions::endpoint::cold_start::{ColdLimits, ColdQuota};
-use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
+use bridgevane_gateway::decisions::eligibility::cold_start::{ColdLimits, ColdQuota};
+use bridgevane_gateway::decisions::eligibility::region_limits::RegionLimits;
 use bridgevane_gateway::{
-    Endpoint, EndpointHash, EndpointRecord, Prompt, PromptLocations, PromptsRunning,
-    SelectionRequest, ServiceEndpoints, select_endpoint,
+    Endpoint, EndpointHash, Prompt, PromptLocations, PromptsRunning, SelectionRequest,
+    ServiceEndpoints, select_endpoint,
 };
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 use std::sync::Arc;
+use support::records;
 use xxhash_rust::xxh3::xxh3_64;
 
 const LIMITS: ColdLimits = ColdLimits {
@@ -74,28 +74,9 @@
     assert_eq!(unknown.requests_in(EndpointHash(1), 1), 0);
 }
 
-fn record(at: u32, data_centre: &str) -> EndpointRecord {
-    EndpointRecord {
-        born: None,
-        sequence: None,
-        id: format!("e-{at}").as_str().into(),
-        service: "model".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        data_centre: data_centre.into(),
-        slots: 16,
-        is_draining: false,
-        is_reclaimable: false,
-        cold_remaining_ms: DurationMs(0),
-    }
-}
-
 /// Three endpoints in each of two data centres.
 fn service() -> ServiceEndpoints {
-    let endpoints = (0..6).map(|at: u32| {
-        let data_centre = format!("dc-{}", at / 3);
-        Arc::new(Endpoint::new(EndpointIx(at), record(at, &data_centre)))
-    });
-    ServiceEndpoints::new(endpoints.collect())
+    records::service(6, 16, |at| format!("dc-{}", at / 3))
 }
 
 /// The data centre of the endpoint that a request gets which has found endpoints lost in some.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -4,42 +4,27 @@
 
 use bridgevane_decisions::EndpointIx;
 use bridgevane_gateway::decisions::admission::priority::{Priority, PriorityRanking};
+use bridgevane_gateway::decisions::eligibility::region_limits::RegionLimits;
 use bridgevane_gateway::decisions::endpoint::ejection::Trust;
 use bridgevane_gateway::decisions::endpoint::idle_connections::max_idle;
 use bridgevane_gateway::decisions::endpoint::load_report::ReportedLoad;
 use bridgevane_gateway::decisions::endpoint::queue_delay::{PendingRequest, QueueDelay};
-use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
 use bridgevane_gateway::decisions::replication::fleet_size::FleetSize;
 use bridgevane_gateway::{
-    Customer, Endpoint, EndpointHealth, EndpointLoad, EndpointRecord, GatewaySettings, Prompt,
-    PromptLocations, PromptPart, PromptsRunning, RetryBudgets, Route, RouteTarget, Selected,
-    SelectionRequest, ServiceEndpoints, Work, select_endpoint,
+    Customer, EndpointHealth, EndpointLoad, GatewaySettings, Prompt, PromptLocations, PromptPart,
+    PromptsRunning, RetryBudgets, Route, RouteTarget, Selected, SelectionRequest, ServiceEndpoints,
+    Work, select_endpoint,
 };
 use bridgevane_types::{DataCentreId, DurationMs, ServiceName, Share, Tier, TimeMs, Tokens};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use support::records;
 
 const NOW: TimeMs = TimeMs(10_000);
 
 /// Three engines in each of three data centres.
 fn service() -> ServiceEndpoints {
-    let endpoints = (0..9).map(|at: u32| {
-        let record = EndpointRecord {
-            born: None,
-            sequence: None,
-            id: format!("e-{at}").as_str().into(),
-            service: "model".into(),
-            address: "127.0.0.1:1".parse().expect("an address"),
-            data_centre: format!("dc-{}", at / 3).as_str().into(),
-            slots: 64,
-            is_draining: false,
-            is_reclaimable: false,
-            cold_remaining_ms: DurationMs(0),
-        };
-        Arc::new(Endpoint::new(EndpointIx(at), record))
-    });
-    ServiceEndpoints::new(endpoints.collect())
+    records::service(9, 64, |at| format!("dc-{}", at / 3))
 }
 
 fn prompt(session: u64, shared: u64, own: u64, answer: u64) -> Prompt {
--- a/crates/gateway/tests/engine_pool.rs
+++ b/crates/gateway/tests/engine_pool.rs
@@ -3,17 +3,18 @@
 //! The load that is meant: 280 engines for long prompts, four first parts of 2,520 tokens, 400 sessions that
 //! each ask now and then. An engine that gets a first part for the first time reads it, whoever read it before.
 
+mod support;
+
 use bridgevane_decisions::EndpointIx;
+use bridgevane_gateway::decisions::eligibility::region_limits::RegionLimits;
 use bridgevane_gateway::decisions::endpoint::engine_pool::{EnginePool, PoolInputs};
-use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
 use bridgevane_gateway::{
-    Endpoint, EndpointHash, EndpointRecord, FirstPart, Prompt, PromptLoad, PromptLocations,
-    PromptPart, PromptsRunning, SelectionRequest, ServiceEndpoints, WorkByEndpoint,
-    select_endpoint,
+    EndpointHash, FirstPart, Prompt, PromptLoad, PromptLocations, PromptPart, PromptsRunning,
+    SelectionRequest, ServiceEndpoints, WorkByEndpoint, select_endpoint,
 };
-use bridgevane_types::{DataCentreId, DurationMs, TimeMs, Tokens};
+use bridgevane_types::{DataCentreId, TimeMs, Tokens};
 use std::collections::HashSet;
-use std::sync::Arc;
+use support::records;
 
 const NOW: TimeMs = TimeMs(60_000);
 const FIRST_PARTS: u64 = 4;
@@ -75,22 +76,7 @@
 }
 
 fn service() -> ServiceEndpoints {
-    let endpoints = (0..400).map(|at: u32| {
-        let record = EndpointRecord {
-            born: None,
-            sequence: None,
-            id: format!("e-{at}").as_str().into(),
-            service: "model".into(),
-            address: "127.0.0.1:1".parse().expect("an address"),
-            data_centre: "dc-0".into(),
-            slots: 32,
-            is_draining: false,
-            is_reclaimable: false,
-            cold_remaining_ms: DurationMs(0),
-        };
-        Arc::new(Endpoint::new(EndpointIx(at), record))
-    });
-    ServiceEndpoints::new(endpoints.collect())
+    records::service(400, 32, |_| "dc-0".to_owned())
 }
 
 /// Identifiers of parts are hashes of their names.
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -5,7 +5,7 @@
 
 use bridgevane_gateway::Repeatability::{AtMostOnce, Idempotent};
 use bridgevane_gateway::Revision;
-use bridgevane_gateway::decisions::endpoint::evacuation::Evacuations;
+use bridgevane_gateway::decisions::eligibility::evacuation::Evacuations;
 use bridgevane_types::DataCentreId;
 use std::collections::HashSet;
 use std::time::Duration;
--- a/crates/gateway/tests/region_limits.rs
+++ b/crates/gateway/tests/region_limits.rs
@@ -1,14 +1,17 @@
 //! Routes and customers that may be served in some regions only: nothing of their requests reaches another one,
 //! whatever that costs.
 
-use bridgevane_decisions::EndpointIx;
-use bridgevane_gateway::decisions::endpoint::region_limits::{RegionLimits, RegionMap, RegionSet};
+mod support;
+
+use bridgevane_gateway::decisions::eligibility::region_limits::{
+    RegionLimits, RegionMap, RegionSet,
+};
 use bridgevane_gateway::{
-    Endpoint, EndpointRecord, Prompt, PromptLocations, PromptPart, PromptsRunning, Selected,
-    SelectionRequest, ServiceEndpoints, select_endpoint,
+    Prompt, PromptLocations, PromptPart, PromptsRunning, Selected, SelectionRequest,
+    ServiceEndpoints, select_endpoint,
 };
-use bridgevane_types::{DataCentreId, DurationMs, TimeMs, Tokens};
-use std::sync::Arc;
+use bridgevane_types::{DataCentreId, TimeMs, Tokens};
+use support::records;
 
 const NOW: TimeMs = TimeMs(10_000);
 
@@ -20,22 +23,7 @@
 }
 
 fn service() -> ServiceEndpoints {
-    let endpoints = (0..16).map(|at: u32| {
-        let record = EndpointRecord {
-            born: None,
-            sequence: None,
-            id: format!("e-{at}").as_str().into(),
-            service: "model".into(),
-            address: format!("127.0.0.1:{}", at + 1).parse().expect("an address"),
-            data_centre: format!("dc-{}", at % 4).as_str().into(),
-            slots: 8,
-            is_draining: false,
-            is_reclaimable: false,
-            cold_remaining_ms: DurationMs(0),
-        };
-        Arc::new(Endpoint::new(EndpointIx(at), record))
-    });
-    ServiceEndpoints::new(endpoints.collect())
+    records::service(16, 8, |at| format!("dc-{}", at % 4))
 }
 
 fn allowed(names: &[&str]) -> RegionSet {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,10 +5,11 @@
 pub mod client;
 pub mod crashing;
 pub mod endpoint;
+pub mod records;
 pub mod source;
 
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
-use bridgevane_gateway::decisions::endpoint::region_limits::RegionMap;
+use bridgevane_gateway::decisions::eligibility::region_limits::RegionMap;
 use bridgevane_gateway::{
     Clock, ClockScript, Gateway, GatewaySettings, HeaderNames, follow_control_source,
     serve_clients, store_quarantine, watch_suspension,
--- /dev/null
+++ b/crates/gateway/tests/support/records.rs
@@ -0,0 +1,36 @@
+//! Endpoints of services that tests of the rules set up, as one daemon knows them.
+
+use bridgevane_decisions::EndpointIx;
+use bridgevane_gateway::{Endpoint, EndpointRecord, ServiceEndpoints};
+use bridgevane_types::DurationMs;
+use std::sync::Arc;
+
+/// The record of an endpoint with so many slots.
+pub fn record(at: u32, data_centre: &str, slots: u32) -> EndpointRecord {
+    EndpointRecord {
+        born: None,
+        sequence: None,
+        id: format!("e-{at}").as_str().into(),
+        service: "model".into(),
+        // The port tells endpoints apart.
+        address: format!("127.0.0.1:{}", at + 1).parse().expect("an address"),
+        data_centre: data_centre.into(),
+        slots,
+        is_draining: false,
+        is_reclaimable: false,
+        cold_remaining_ms: DurationMs(0),
+    }
+}
+
+/// Idle endpoints, of which `data_centre_of` says where each is.
+pub fn service(
+    endpoints: u32,
+    slots: u32,
+    data_centre_of: impl Fn(u32) -> String,
+) -> ServiceEndpoints {
+    let endpoints = (0..endpoints).map(|at| {
+        let record = record(at, &data_centre_of(at), slots);
+        Arc::new(Endpoint::new(EndpointIx(at), record))
+    });
+    ServiceEndpoints::new(endpoints.collect())
+}
--- a/crates/gateway/tests/tie_break.rs
+++ b/crates/gateway/tests/tie_break.rs
@@ -4,15 +4,18 @@
 //! than one request a second for each daemon, so that none knows of the others' requests when it sends its
 //! own.
 
+mod support;
+
 use bridgevane_decisions::EndpointIx;
-use bridgevane_gateway::decisions::endpoint::region_limits::RegionLimits;
+use bridgevane_gateway::decisions::eligibility::region_limits::RegionLimits;
 use bridgevane_gateway::{
-    Endpoint, EndpointRecord, Prompt, PromptLocations, PromptPart, PromptsRunning,
-    SelectionRequest, ServiceEndpoints, select_endpoint,
+    Endpoint, Prompt, PromptLocations, PromptPart, PromptsRunning, SelectionRequest,
+    ServiceEndpoints, select_endpoint,
 };
-use bridgevane_types::{DataCentreId, DurationMs, TimeMs, Tokens};
+use bridgevane_types::{DataCentreId, TimeMs, Tokens};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use support::records;
 use xxhash_rust::xxh3::xxh3_64;
 
 const DAEMONS: u32 = 197;
@@ -28,23 +31,8 @@
 }
 
 fn service_in(endpoints: u32, data_centres: &[&str]) -> ServiceEndpoints {
-    let endpoints = (0..endpoints).map(|at| {
-        let data_centre = data_centres[at as usize % data_centres.len()];
-        let record = EndpointRecord {
-            born: None,
-            sequence: None,
-            id: format!("i-{at}").as_str().into(),
-            service: "any".into(),
-            address: "127.0.0.1:1".parse().expect("an address"),
-            data_centre: data_centre.into(),
-            slots: 6,
-            is_draining: false,
-            is_reclaimable: false,
-            cold_remaining_ms: DurationMs(0),
-        };
-        Arc::new(Endpoint::new(EndpointIx(at), record))
-    });
-    ServiceEndpoints::new(endpoints.collect())
+    let data_centre_of = |at: u32| data_centres[at as usize % data_centres.len()].to_owned();
+    records::service(endpoints, 6, data_centre_of)
 }
 
 /// The endpoints that a daemon gives so many requests at once, by index.
