revert: engines of long prompts are no longer pooled

What they are for they didn't do, and why isn't traced (docs/design/20). On the wire two fields that never landed are gone.

--- a/crates/gateway/benches/fleet_state.rs
+++ b/crates/gateway/benches/fleet_state.rs
@@ -8,9 +8,8 @@
 use bridgevane_decisions::EndpointIx;
 use bridgevane_gateway::decisions::eligibility::region_limits::RegionLimits;
 use bridgevane_gateway::{
-    Endpoint, EndpointRecord, FullState, Prompt, PromptLocations, PromptPart, PromptsRunning,
-    Replica, Revision, SelectionRequest, ServiceEndpoints, SourceRecord, put_update,
-    select_endpoint, take_update,
+    Endpoint, EndpointRecord, FullState, Prompt, PromptLocations, PromptPart, Replica, Revision,
+    SelectionRequest, ServiceEndpoints, SourceRecord, put_update, select_endpoint, take_update,
 };
 use bridgevane_protocol::RecordsAnswer;
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs, Tokens};
@@ -122,7 +121,6 @@
             tried: &[],
             lost_in: &[],
             region_limits: RegionLimits::EVERYWHERE,
-            prompts_running: PromptsRunning::default(),
             cold: None,
         };
         select_endpoint(&locations, request, service).is_some()
--- a/crates/gateway/src/decisions/endpoint/mod.rs
+++ b/crates/gateway/src/decisions/endpoint/mod.rs
@@ -4,7 +4,6 @@
 
 pub mod cache_fetch;
 pub mod ejection;
-pub mod engine_pool;
 mod hash_mix;
 pub mod idle_connections;
 pub mod load_report;
--- a/crates/gateway/src/decisions/endpoint/prompt_affinity.rs
+++ b/crates/gateway/src/decisions/endpoint/prompt_affinity.rs
@@ -3,8 +3,7 @@
 //! Inputs: the id of the shared prefix, and the sound endpoints of the request's group (reserved
 //! for streams, or not).
 //!
-//! Rule: rendezvous hashing over all data centres, for long prompts within the pool of their first part
-//! ([`super::engine_pool`]); the two endpoints with the highest weight for
+//! Rule: rendezvous hashing over all data centres; the two endpoints with the highest weight for
 //! the prefix are its preferred ones, so that all daemons agree without a word. A prefix of
 //! `MIN_EXCLUSIVE_TOKENS` or more goes to no third endpoint while one of them is trusted: a copy
 //! more of what many share costs everyone on that engine. What a daemon has not seen an engine read
@@ -20,7 +19,7 @@
 
 use super::hash_mix::mix;
 use crate::prompt::Prompt;
-use crate::work_by_endpoint::{EndpointHash, FirstPart};
+use crate::work_by_endpoint::EndpointHash;
 use bridgevane_decisions::EndpointIx;
 
 /// Shared tokens from which a prompt goes to its preferred endpoints only. Not measured by itself:
@@ -49,11 +48,6 @@
         }
     }
 
-    /// Whether there are none.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.by_rank[0].is_none()
-    }
-
     fn rank(&self, endpoint: EndpointIx) -> Option<usize> {
         let is_endpoint = |best: &Option<(u64, EndpointIx)>| {
             best.is_some_and(|(_, preferred)| preferred == endpoint)
@@ -78,13 +72,6 @@
     mix(prefix_id, endpoint)
 }
 
-/// The first part of a long prompt, by which its engines are pooled ([`super::engine_pool`]); none: the prompt
-/// is short.
-pub(crate) fn pooled_part(prompt: &Prompt) -> Option<FirstPart> {
-    let first = prompt.parts.first()?;
-    is_exclusive(prompt).then(|| FirstPart::of_id(first.id))
-}
-
 /// Whether a prompt goes to its preferred endpoints only, while one of them is trusted.
 pub(crate) fn is_exclusive(prompt: &Prompt) -> bool {
     prompt.shared_tokens() >= MIN_EXCLUSIVE_TOKENS
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -17,7 +17,6 @@
 //! | in which regions may it be served? | [`eligibility::region_limits`] |
 //! | which of many endpoints that cost the same? | [`endpoint::tie_break`] |
 //! | where do prompts that share a prefix go? | [`endpoint::prompt_affinity`] |
-//! | how many engines take prompts with the same first part? | [`endpoint::engine_pool`] |
 //! | which cached part of a prompt does an engine take from another? | [`endpoint::cache_fetch`] |
 //! | which engines are reserved for streams? | [`endpoint::stream_reservation`] |
 //! | how long would it wait there? | [`endpoint::queue_delay`] |
--- a/crates/gateway/src/endpoints/directory.rs
+++ b/crates/gateway/src/endpoints/directory.rs
@@ -18,7 +18,6 @@
     pub all: Vec<Arc<Endpoint>>,
     /// Whether each of them is reserved for streams.
     is_reserved: Vec<bool>,
-    unreserved_len: usize,
 }
 
 impl ServiceEndpoints {
@@ -41,7 +40,6 @@
             .map(|endpoint| reserved.contains(&endpoint.index));
         Self {
             is_reserved: is_reserved.collect(),
-            unreserved_len: all.len() - reserved.len(),
             all,
         }
     }
@@ -51,11 +49,6 @@
         self.all.iter().zip(self.is_reserved.iter().copied())
     }
 
-    /// How many take long prompts: those that aren't reserved for streams.
-    pub(crate) fn unreserved_len(&self) -> usize {
-        self.unreserved_len
-    }
-
     /// Those that are reserved for streams.
     pub fn reserved_for_streams(&self) -> HashSet<EndpointIx> {
         let all = self.with_reservations();
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -12,6 +12,5 @@
 pub(crate) mod idle_connections;
 pub(crate) mod load;
 pub(crate) mod lost_requests;
-pub(crate) mod prompt_load;
 pub(crate) mod prompt_locations;
 pub(crate) mod selection;
--- a/crates/gateway/src/endpoints/selection.rs
+++ b/crates/gateway/src/endpoints/selection.rs
@@ -7,14 +7,12 @@
 use crate::decisions::eligibility::region_limits::RegionLimits;
 use crate::decisions::endpoint::cache_fetch::CacheSource;
 use crate::decisions::endpoint::ejection::Trust;
-use crate::decisions::endpoint::engine_pool::{EnginePool, PoolInputs};
 use crate::decisions::endpoint::placement::{self, Candidate, Estimate, Estimator};
 use crate::decisions::endpoint::prompt_affinity::{self, PreferredEndpoints};
 use crate::decisions::endpoint::tie_break::TieBreak;
 use crate::decisions::endpoint::{silence, stream_reservation};
 use crate::endpoints::directory::ServiceEndpoints;
 use crate::endpoints::endpoint::Endpoint;
-use crate::endpoints::prompt_load::PromptsRunning;
 use crate::endpoints::prompt_locations::PromptLocations;
 use crate::prompt::Prompt;
 use bridgevane_types::{DataCentreId, TimeMs};
@@ -39,8 +37,6 @@
     pub lost_in: &'a [DataCentreId],
     /// Where the request may be served.
     pub region_limits: RegionLimits<'a>,
-    /// How many prompts like this one are under way.
-    pub prompts_running: PromptsRunning,
     /// What this daemon may send to cold endpoints; none: as much as to others.
     pub cold: Option<ColdQuota>,
 }
@@ -156,42 +152,10 @@
     sources.collect()
 }
 
-/// The preferred endpoints of a prompt's shared prefix: among the sound ones of its pool, or of its group
-/// where none of the pool is sound.
+/// The preferred endpoints of a prompt's shared prefix: among the sound ones of its group.
 fn preferred_endpoints(
     request: &SelectionRequest<'_>,
     service: &ServiceEndpoints,
-) -> PreferredEndpoints {
-    let pool = engine_pool(request, service);
-    if let Some(pool) = pool.filter(|pool| pool.share() < 1.0) {
-        let is_in_pool = |endpoint: &Endpoint| pool.contains(endpoint.hash);
-        let preferred = preferred_among(request, service, is_in_pool);
-        if !preferred.is_empty() {
-            return preferred;
-        }
-    }
-    preferred_among(request, service, |_| true)
-}
-
-/// The engines that take a long prompt; none: the prompt isn't long.
-fn engine_pool(request: &SelectionRequest<'_>, service: &ServiceEndpoints) -> Option<EnginePool> {
-    let first_part = prompt_affinity::pooled_part(request.prompt)?;
-    Some(EnginePool::new(
-        first_part,
-        PoolInputs {
-            running: request.prompts_running.running,
-            engines: service.unreserved_len(),
-            busy_since: request.prompts_running.busy_since,
-            now: request.now,
-        },
-    ))
-}
-
-/// The preferred ones of some endpoints.
-fn preferred_among(
-    request: &SelectionRequest<'_>,
-    service: &ServiceEndpoints,
-    is_offered: impl Fn(&Endpoint) -> bool,
 ) -> PreferredEndpoints {
     let mut preferred = PreferredEndpoints::default();
     let Some(prefix_id) = request.prompt.shared_prefix_id() else {
@@ -201,7 +165,6 @@
     for (endpoint, is_reserved) in service.with_reservations() {
         if is_reserved != wants_reserved
             || endpoint.has_expired(request.now)
-            || !is_offered(endpoint)
             || !request.may_serve_at(endpoint)
         {
             continue;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,6 @@
 //! | [`ControlState`] | routes, customers, endpoints, and how recent they are |
 //! | [`Fleet`] | what is known of the other daemons |
 //! | [`PromptLocations`] | which engines read which prompts |
-//! | [`PromptLoad`] | long prompts under way, by their first part |
 //! | [`DutyBook`] | this daemon's part in the duties |
 //! | [`Quarantine`] | which requests end the endpoints that run them |
 //! | [`RetryBudgets`] | this daemon's requests and retries of the last window |
@@ -21,7 +20,6 @@
 use crate::decisions::endpoint::idle_connections;
 use crate::duties::book::DutyBook;
 use crate::endpoints::endpoint::Endpoint;
-use crate::endpoints::prompt_load::PromptLoad;
 use crate::endpoints::prompt_locations::PromptLocations;
 use crate::header_names::HeaderNames;
 use crate::lifecycle::shutdown::Shutdown;
@@ -61,8 +59,6 @@
     /// This daemon's part in the duties.
     pub duty_book: DutyBook,
     pub(crate) prompt_locations: PromptLocations,
-    /// Long prompts under way.
-    pub(crate) prompt_load: Arc<PromptLoad>,
     /// Requests that end the endpoints that run them.
     pub quarantine: Quarantine,
     pub(crate) retry_budgets: RetryBudgets,
@@ -86,11 +82,9 @@
         meter: &Meter,
         clock: Clock,
     ) -> Arc<Self> {
-        let prompt_load = Arc::new(PromptLoad::default());
         Arc::new(Self {
             control: ControlState::new(clock, &settings),
-            fleet: Fleet::new(clock, &settings, prompt_load.clone()),
-            prompt_load,
+            fleet: Fleet::new(clock, &settings),
             duty_book: DutyBook::new(clock, &settings),
             quarantine: Quarantine::new(clock),
             retry_budgets: RetryBudgets::new(clock.now(), &settings),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -69,7 +69,6 @@
 pub use endpoints::endpoint::Endpoint;
 pub use endpoints::health::EndpointHealth;
 pub use endpoints::load::EndpointLoad;
-pub use endpoints::prompt_load::{PromptLoad, PromptsRunning};
 pub use endpoints::prompt_locations::PromptLocations;
 pub use endpoints::selection::{Selected, SelectionRequest, select_endpoint};
 pub use prompt::{Prompt, PromptPart};
@@ -77,4 +76,4 @@
 pub use replication::work_reports::WorkReports;
 pub use requests::quarantine::Quarantine;
 pub use requests::retry_budgets::RetryBudgets;
-pub use work_by_endpoint::{EndpointHash, FirstPart, Work, WorkByEndpoint};
+pub use work_by_endpoint::{EndpointHash, Work, WorkByEndpoint};
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -8,9 +8,10 @@
 use crate::decisions::replication::source_path::SourcePath;
 use crate::gateway::Gateway;
 use crate::replication::crash_news::{self, ToldNews};
+use crate::replication::fleet::own_work;
 use crate::replication::message::{
-    CLOCK_GRAIN_MS, addresses_of_messages, path_of_message, prompt_messages, take_update,
-    work_messages, work_of_messages,
+    CLOCK_GRAIN_MS, addresses_of_messages, path_of_message, take_update, work_messages,
+    work_of_messages,
 };
 use crate::replication::peer_error::PeerError;
 use crate::sockets::set_options;
@@ -107,7 +108,7 @@
         after: Revision,
     ) -> Result<PeerAnswer, PeerError> {
         let mut open = self.connect(peer).await?;
-        let own_work = gateway.fleet.own_work(&gateway.control.directory());
+        let own_work = own_work(&gateway.control.directory());
         let question = RecordsWanted {
             crash_news: open.told_news.next(gateway),
             ..question(gateway, peer, after)
@@ -154,7 +155,7 @@
             data_centre: DataCentreId::from(answer.data_centre.as_str()),
             proved_at: proved_at(asked_at, &answer)?,
             path: path_of_message(answer.path).map_err(PeerError::BadRecords)?,
-            tree_work: work_of_messages(&answer.work, &answer.prompts),
+            tree_work: work_of_messages(&answer.work),
         })
     }
 
@@ -198,7 +199,6 @@
         tree_size: tree.size,
         tree_depth: tree.depth,
         tree_work: work_messages(&tree.work),
-        tree_prompts: prompt_messages(&tree.work),
         is_for_work: false,
         proof_age_ms: proof_age_ms(gateway),
         crash_news: Vec::new(),
@@ -266,7 +266,7 @@
     let update = take_update(&mut parts).map_err(PeerError::BadRecords)?;
     // All but records stands in the last one.
     let answer = parts.pop().ok_or(PeerError::Unreadable)?;
-    let total_work = work_of_messages(&answer.work, &answer.prompts);
+    let total_work = work_of_messages(&answer.work);
     Ok(PeerAnswer {
         at: Revision(answer.at),
         proved_at: proved_at(asked_at, &answer)?,
--- a/crates/gateway/src/replication/fleet.rs
+++ b/crates/gateway/src/replication/fleet.rs
@@ -9,13 +9,12 @@
 use crate::decisions::replication::followers::{Follower, FollowerPlacement, Followers, Tree};
 use crate::decisions::replication::source_path::SourcePath;
 use crate::endpoints::directory::Directory;
-use crate::endpoints::prompt_load::PromptLoad;
 use crate::replication::work_reports::WorkReports;
 use crate::settings::GatewaySettings;
 use crate::work_by_endpoint::WorkByEndpoint;
 use bridgevane_types::{TimeMs, VmId};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Mutex, MutexGuard};
 use tokio::sync::Notify;
 
 /// A daemon that says how recent its proof is.
@@ -39,15 +38,10 @@
     fresher_set: Notify,
     size: Mutex<FleetSize>,
     reports: Mutex<WorkReports>,
-    prompt_load: Arc<PromptLoad>,
 }
 
 impl Fleet {
-    pub(crate) fn new(
-        clock: Clock,
-        settings: &GatewaySettings,
-        prompt_load: Arc<PromptLoad>,
-    ) -> Self {
+    pub(crate) fn new(clock: Clock, settings: &GatewaySettings) -> Self {
         Self {
             clock,
             own_address: settings.peer_address,
@@ -58,7 +52,6 @@
             fresher_set: Notify::new(),
             size: Mutex::default(),
             reports: Mutex::default(),
-            prompt_load,
         }
     }
 
@@ -191,8 +184,7 @@
             Some(follower.address) != asked && !is_other_seed
         };
         let now = self.clock.now();
-        self.followers()
-            .tree(now, self.own_work(directory), is_counted)
+        self.followers().tree(now, own_work(directory), is_counted)
     }
 
     /// The work of all daemons, as far as this one knows.
@@ -236,7 +228,7 @@
     /// On a daemon that follows no other: works out what of the total isn't its own.
     pub(crate) fn update_others_work(&self, directory: &Directory) {
         let total = self.total_work(directory);
-        let others = total.without(&self.own_work(directory));
+        let others = total.without(&own_work(directory));
         self.set_others_work(directory, &others);
     }
 
@@ -245,16 +237,14 @@
         for endpoint in directory.endpoints() {
             endpoint.load.on_peers_report(now, others.at(endpoint.hash));
         }
-        self.prompt_load.on_report(now, others);
     }
+}
 
-    /// Work that this daemon has under way.
-    pub(crate) fn own_work(&self, directory: &Directory) -> WorkByEndpoint {
-        let mut work = WorkByEndpoint::default();
-        for endpoint in directory.endpoints() {
-            work.add(endpoint.hash, endpoint.load.own_work());
-        }
-        self.prompt_load.add_own(&mut work);
-        work
+/// Work that this daemon has under way.
+pub(crate) fn own_work(directory: &Directory) -> WorkByEndpoint {
+    let mut work = WorkByEndpoint::default();
+    for endpoint in directory.endpoints() {
+        work.add(endpoint.hash, endpoint.load.own_work());
     }
+    work
 }
--- a/crates/gateway/src/replication/message.rs
+++ b/crates/gateway/src/replication/message.rs
@@ -6,11 +6,11 @@
 use crate::control::replica::{RecordChange, RecordOutcome, Update};
 use crate::control::source::Revision;
 use crate::decisions::replication::source_path::SourcePath;
-use crate::work_by_endpoint::{EndpointHash, FirstPart, Work, WorkByEndpoint};
+use crate::work_by_endpoint::{EndpointHash, Work, WorkByEndpoint};
 use bridgevane_protocol::record_change::Change;
 use bridgevane_protocol::{
-    EndpointWork, PromptWork, RecordBatch, RecordChange as RecordChangeMessage, RecordPatch,
-    RecordsAnswer, SourcePath as SourcePathMessage,
+    EndpointWork, RecordBatch, RecordChange as RecordChangeMessage, RecordPatch, RecordsAnswer,
+    SourcePath as SourcePathMessage,
 };
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -35,10 +35,6 @@
 /// Endpoints in one message at most, those with the most work. Not measured by itself, chosen
 /// because at some 13 bytes each they take 3.3 KB, five times a second, of a link of 10 Mbit/s.
 const MAX_REPORTED_ENDPOINTS: usize = 256;
-/// First parts of prompts in one message at most, those with the most requests. Not measured by itself, chosen
-/// because at some 9 bytes each they take 0.6 KB; one that is left out has few requests, and its prompts go
-/// to the smallest pool all the same.
-const MAX_REPORTED_PROMPTS: usize = 64;
 /// A running request weighs as much as so many prompt tokens when endpoints are left out. Not
 /// measured, chosen because an engine reads so many in 30 ms, which decides nothing.
 const RUNNING_WEIGHT_TOKENS: u64 = 1_500;
@@ -210,25 +206,8 @@
     messages.collect()
 }
 
-/// Long prompts under way as messages: the first parts with the most.
-pub(super) fn prompt_messages(work: &WorkByEndpoint) -> Vec<PromptWork> {
-    let mut prompts: Vec<(FirstPart, u32)> = work.prompts().collect();
-    if prompts.len() > MAX_REPORTED_PROMPTS {
-        prompts.sort_unstable_by_key(|(_, running)| std::cmp::Reverse(*running));
-        prompts.truncate(MAX_REPORTED_PROMPTS);
-    }
-    let messages = prompts.into_iter().map(|(first_part, running)| PromptWork {
-        first_part: first_part.0,
-        running,
-    });
-    messages.collect()
-}
-
 /// Work of messages.
-pub(super) fn work_of_messages(
-    messages: &[EndpointWork],
-    prompts: &[PromptWork],
-) -> WorkByEndpoint {
+pub(super) fn work_of_messages(messages: &[EndpointWork]) -> WorkByEndpoint {
     let mut work = WorkByEndpoint::default();
     for message in messages {
         let endpoint = EndpointHash(message.endpoint);
@@ -238,9 +217,6 @@
         };
         work.add(endpoint, at_endpoint);
     }
-    for prompt in prompts {
-        work.add_prompts(FirstPart(prompt.first_part), prompt.running);
-    }
     work
 }
 
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -12,9 +12,7 @@
 use crate::gateway::Gateway;
 use crate::replication::crash_news::{self, ToldNews};
 use crate::replication::fleet::FresherDaemon;
-use crate::replication::message::{
-    CLOCK_GRAIN_MS, path_message, prompt_messages, work_messages, work_of_messages,
-};
+use crate::replication::message::{CLOCK_GRAIN_MS, path_message, work_messages, work_of_messages};
 use crate::sockets::{accept, set_options};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
@@ -158,7 +156,6 @@
         proof_age_ms: proof_age_ms(gateway, proved_at),
         path: Some(path_message(&path)),
         work: work_messages(&tree.work),
-        prompts: prompt_messages(&tree.work),
         ..Default::default()
     }
 }
@@ -205,7 +202,7 @@
         tree: Tree {
             size: question.tree_size,
             depth: question.tree_depth,
-            work: work_of_messages(&question.tree_work, &question.tree_prompts),
+            work: work_of_messages(&question.tree_work),
         },
     })
 }
@@ -274,7 +271,6 @@
         // 0 says that it isn't known.
         fleet_size: gateway.fleet.size().unwrap_or_default(),
         work: work_messages(&total_work),
-        prompts: prompt_messages(&total_work),
         ..last
     };
     (parts, answer, proved_at)
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -14,10 +14,8 @@
 use crate::decisions::admission::load_shedding::{self, QueuedRequest};
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
 use crate::decisions::eligibility::region_limits::RegionLimits;
-use crate::decisions::endpoint::prompt_affinity;
 use crate::decisions::resend::{self, AttemptError, Failure, hedging};
 use crate::endpoints::endpoint::Endpoint;
-use crate::endpoints::prompt_load::{PromptsRunning, RunningPrompt};
 use crate::endpoints::selection::{Selected, SelectionRequest, select_endpoint};
 use crate::gateway::Gateway;
 use crate::requests::attempt::{Attempt, EndpointAnswer, Hedge};
@@ -56,15 +54,11 @@
     runs: u32,
     /// Whether it was counted as its customer's usage.
     is_counted: bool,
-    /// Counts a long prompt as under way.
-    _running: Option<RunningPrompt>,
 }
 
 impl Exchange {
     pub(crate) fn new(gateway: Arc<Gateway>, inbound: InboundRequest) -> Self {
-        let first_part = prompt_affinity::pooled_part(&inbound.prompt);
         Self {
-            _running: first_part.map(|part| gateway.prompt_load.hold(part)),
             gateway,
             inbound,
             tried: Vec::new(),
@@ -148,16 +142,14 @@
         let directory = self.gateway.control.directory();
         let service = directory.service(&self.inbound.service);
         let service = service.ok_or(RefusalReason::NoEndpoint.unless_run(self.runs))?;
-        let now = self.gateway.clock.now();
         let request = SelectionRequest {
-            now,
+            now: self.gateway.clock.now(),
             daemon: self.gateway.vm_hash,
             data_centre: &self.gateway.settings.data_centre,
             prompt: &self.inbound.prompt,
             tried: &self.tried,
             lost_in: &self.lost_in,
             region_limits: self.region_limits(),
-            prompts_running: self.prompts_running(now),
             cold: self.gateway.cold_quota(&self.inbound.service),
         };
         let selected = select_endpoint(&self.gateway.prompt_locations, request, service);
@@ -169,13 +161,6 @@
         selected.ok_or(none_left.unless_run(self.runs))
     }
 
-    /// How many prompts like this one are under way; 0 for short ones, of which nobody counts them.
-    fn prompts_running(&self, now: TimeMs) -> PromptsRunning {
-        let first_part = prompt_affinity::pooled_part(&self.inbound.prompt);
-        let running = first_part.map(|part| self.gateway.prompt_load.running(now, part));
-        running.unwrap_or_default()
-    }
-
     /// Where the request may be served.
     fn region_limits(&self) -> RegionLimits<'_> {
         let customer = self.inbound.customer.as_ref();
--- a/crates/gateway/src/work_by_endpoint.rs
+++ b/crates/gateway/src/work_by_endpoint.rs
@@ -59,22 +59,10 @@
     }
 }
 
-/// The first part of a prompt in messages between daemons: the upper half of its id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct FirstPart(pub u32);
-
-impl FirstPart {
-    /// The first part with this id.
-    pub(crate) fn of_id(id: u64) -> Self {
-        Self((id >> 32) as u32)
-    }
-}
-
-/// Work at all endpoints, and how many long prompts of it begin with which part.
+/// Work at all endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkByEndpoint {
     by_endpoint: BTreeMap<EndpointHash, Work>,
-    prompts: BTreeMap<FirstPart, u32>,
 }
 
 impl WorkByEndpoint {
@@ -85,22 +73,11 @@
         }
     }
 
-    /// Adds long prompts that begin with a part.
-    pub fn add_prompts(&mut self, first_part: FirstPart, running: u32) {
-        if running > 0 {
-            let known = self.prompts.entry(first_part).or_default();
-            *known = known.saturating_add(running);
-        }
-    }
-
     /// Adds all of another's.
     pub(crate) fn add_all(&mut self, other: &Self) {
         for (endpoint, work) in other.iter() {
             self.add(endpoint, work);
         }
-        for (first_part, running) in other.prompts() {
-            self.add_prompts(first_part, running);
-        }
     }
 
     /// What is left without another's.
@@ -109,10 +86,6 @@
         for (endpoint, work) in self.iter() {
             rest.add(endpoint, work.saturating_sub(other.at(endpoint)));
         }
-        for (first_part, running) in self.prompts() {
-            let own = other.prompts.get(&first_part).copied();
-            rest.add_prompts(first_part, running.saturating_sub(own.unwrap_or_default()));
-        }
         rest
     }
 
@@ -133,11 +106,6 @@
             .all(|(_, work)| work.prefill_tokens < MIN_URGENT_TOKENS)
     }
 
-    /// Long prompts under way, by their first part.
-    pub(crate) fn prompts(&self) -> impl Iterator<Item = (FirstPart, u32)> {
-        self.prompts.iter().map(|(part, running)| (*part, *running))
-    }
-
     /// All endpoints with work.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (EndpointHash, Work)> {
         self.by_endpoint
--- a/crates/gateway/tests/cold_start.rs
+++ b/crates/gateway/tests/cold_start.rs
@@ -8,8 +8,8 @@
 use bridgevane_gateway::decisions::eligibility::cold_start::{ColdLimits, ColdQuota};
 use bridgevane_gateway::decisions::eligibility::region_limits::RegionLimits;
 use bridgevane_gateway::{
-    Endpoint, EndpointHash, Prompt, PromptLocations, PromptsRunning, SelectionRequest,
-    ServiceEndpoints, select_endpoint,
+    Endpoint, EndpointHash, Prompt, PromptLocations, SelectionRequest, ServiceEndpoints,
+    select_endpoint,
 };
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 use std::sync::Arc;
@@ -89,7 +89,6 @@
         tried,
         lost_in,
         region_limits: RegionLimits::EVERYWHERE,
-        prompts_running: PromptsRunning::default(),
         cold: None,
     };
     let selected = select_endpoint(&PromptLocations::default(), request, &service());
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -12,8 +12,8 @@
 use bridgevane_gateway::decisions::replication::fleet_size::FleetSize;
 use bridgevane_gateway::{
     Customer, EndpointHealth, EndpointLoad, GatewaySettings, Prompt, PromptLocations, PromptPart,
-    PromptsRunning, RetryBudgets, Route, RouteTarget, Selected, SelectionRequest, ServiceEndpoints,
-    Work, select_endpoint,
+    RetryBudgets, Route, RouteTarget, Selected, SelectionRequest, ServiceEndpoints, Work,
+    select_endpoint,
 };
 use bridgevane_types::{DataCentreId, DurationMs, ServiceName, Share, Tier, TimeMs, Tokens};
 use std::collections::{HashMap, HashSet};
@@ -56,7 +56,6 @@
         tried: &[],
         lost_in: &[],
         region_limits: RegionLimits::EVERYWHERE,
-        prompts_running: PromptsRunning::default(),
         cold: None,
     };
     let selected = select_endpoint(&PromptLocations::default(), request, service);
--- a/crates/gateway/tests/region_limits.rs
+++ b/crates/gateway/tests/region_limits.rs
@@ -7,8 +7,8 @@
     RegionLimits, RegionMap, RegionSet,
 };
 use bridgevane_gateway::{
-    Prompt, PromptLocations, PromptPart, PromptsRunning, Selected, SelectionRequest,
-    ServiceEndpoints, select_endpoint,
+    Prompt, PromptLocations, PromptPart, Selected, SelectionRequest, ServiceEndpoints,
+    select_endpoint,
 };
 use bridgevane_types::{DataCentreId, TimeMs, Tokens};
 use support::records;
@@ -53,7 +53,6 @@
                 route,
                 customer,
             },
-            prompts_running: PromptsRunning::default(),
             cold: None,
         };
         let next = select_endpoint(&PromptLocations::default(), request, service);
--- a/crates/gateway/tests/tie_break.rs
+++ b/crates/gateway/tests/tie_break.rs
@@ -9,8 +9,8 @@
 use bridgevane_decisions::EndpointIx;
 use bridgevane_gateway::decisions::eligibility::region_limits::RegionLimits;
 use bridgevane_gateway::{
-    Endpoint, Prompt, PromptLocations, PromptPart, PromptsRunning, SelectionRequest,
-    ServiceEndpoints, select_endpoint,
+    Endpoint, Prompt, PromptLocations, PromptPart, SelectionRequest, ServiceEndpoints,
+    select_endpoint,
 };
 use bridgevane_types::{DataCentreId, TimeMs, Tokens};
 use std::collections::{HashMap, HashSet};
@@ -51,7 +51,6 @@
             tried: &[],
             lost_in: &[],
             region_limits: RegionLimits::EVERYWHERE,
-            prompts_running: PromptsRunning::default(),
             cold: None,
         };
         let selected = select_endpoint(&PromptLocations::default(), request, service);
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -7,9 +7,9 @@
     ConfigDelta, ConfigSnapshot, ConfigWanted, CrashNews, EndpointWork, Frame, FrameCodec,
     FrameError, GreetingError, Heartbeat, Hello, KeyClaim, KeyEnded, KeyEndedHeard, KeyVerdict,
     MAX_FRAME_BYTES, MemberState, MemberUpdate, PROTOCOL_VERSION, PoolDispatch, PoolOffer,
-    PoolOrder, PoolRefuse, PoolReport, PromptWork, Proof, Query, QueryAnswer, RecordChange,
-    RecordPatch, RecordsAnswer, RecordsWanted, RequestFingerprint, Role, SectionChange, SourcePath,
-    greet, pool_order, pool_report, prove,
+    PoolOrder, PoolRefuse, PoolReport, Proof, Query, QueryAnswer, RecordChange, RecordPatch,
+    RecordsAnswer, RecordsWanted, RequestFingerprint, Role, SectionChange, SourcePath, greet,
+    pool_order, pool_report, prove,
 };
 use bytes::{BufMut, Bytes, BytesMut};
 use expect_test::expect;
@@ -215,7 +215,6 @@
                 proof_age_ms: None,
                 crash_news: Vec::new(),
                 takes_parts: false,
-                tree_prompts: Vec::new(),
             }),
         ),
         (
@@ -246,7 +245,6 @@
                 siblings: Vec::new(),
                 crash_news: Vec::new(),
                 has_more: false,
-                prompts: Vec::new(),
             }),
         ),
         (
@@ -277,16 +275,6 @@
                 ..Default::default()
             }),
         ),
-        (
-            "records_answer prompts",
-            Body::RecordsAnswer(RecordsAnswer {
-                prompts: vec![PromptWork {
-                    first_part: 0x0102_0304,
-                    running: 9,
-                }],
-                ..Default::default()
-            }),
-        ),
         (
             "records_answer more",
             Body::RecordsAnswer(RecordsAnswer {
@@ -387,7 +375,6 @@
         records_answer path 000000349201315a200a0d31302e302e302e333a373030300a0d31302e302e302e343a373030301001620d31302e302e302e353a37303030
         records_wanted crash news 000000348a013152180a0e0d0d0c0b0a111817161514131211189003250403020152150a0e0d0d0c0b0a1118171615141312111890032801
         records_wanted parts 000000058a01025801
-        records_answer prompts 0000000c9201097a070d040302011009
         records_answer more 000000059201027001
         records_answer crash news 0000001a9201176a150a0e0d0d0c0b0a1118171615141312111890033001
     "#]].assert_eq(&golden);
