fix(gateway): a 421 says that the endpoint is another one, also where it says that it has not run the request

Cause: a 421 with the header of a request that has not run counted as a full endpoint. Change: the status is looked at first.

--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -25,13 +25,14 @@
     head: &response::Parts,
     headers: &HeaderReader<'_>,
 ) -> Result<(), AttemptError> {
+    // Before the header of one that has not run it, which may come along: it isn't full, it is another one.
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(AttemptError::Misdirected);
+    }
     if head.headers.contains_key(&names.not_executed) {
         let retry_after = retry_after(headers);
         return Err(AttemptError::NotExecuted { retry_after });
     }
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(AttemptError::Misdirected);
-    }
     if head.headers.get(&names.request_id) != Some(request_id) {
         return Err(AttemptError::Crossed);
     }
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -335,3 +335,27 @@
     assert_eq!((got.status, got.is_whole), (200, false));
     assert_eq!(runs(&endpoints), 3, "it was taken up once");
 }
+
+/// On solcata, a day of our own (`engines-back-behind-a-cut.toml`, `--vary --seed 909757026075`): an endpoint came back at
+/// its address under another id, and said of each request for the old one that it isn't that one, and has not run
+/// it. Counted as full, and idle, the old one got every request first, until no retries were left.
+#[tokio::test]
+async fn an_endpoint_that_is_another_one_by_now_isnt_asked_by_each_request() {
+    let source = ScriptedSource::new();
+    source.configure(1, vec![plain_route("often", Idempotent, 2)], &[KEY]);
+    let misdirected = "HTTP/1.1 421 No\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    let other = Endpoint::start(move |_| vec![Act::Send(misdirected.to_owned())]).await;
+    let sound = Endpoint::start(|_| ok()).await;
+    for at in 0..3 {
+        source.endpoint(&format!("old-{at}"), "plain", other.address);
+    }
+    // Farther away, so that the others go before it.
+    source.endpoint_in("dc-2", "sound", "plain", sound.address);
+    let running = start(source).await;
+    for _ in 0..12 {
+        let got = ask(&running, "GET", "/often/x").await.expect("an answer");
+        assert_eq!(got.status, 200);
+    }
+    assert_eq!(sound.count(), 12);
+    assert!(other.count() <= 3, "{}: each is ejected", other.count());
+}
