fix(replication): the parts of an answer are bounded while they come

Cause: what an answer may unpack to was looked at when its last message had come, so that a daemon that always says that more follow could make another one keep any number of them. Change: what is kept is counted as it comes, against the same 16 MB; a sound answer is taken as before. Measured: replication, replica and crashing_requests tests pass; no test sends an endless answer.

--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -10,8 +10,8 @@
 use crate::replication::crash_news::{self, ToldNews};
 use crate::replication::fleet::own_work;
 use crate::replication::message::{
-    CLOCK_GRAIN_MS, addresses_of_messages, path_of_message, take_update, work_messages,
-    work_of_messages,
+    CLOCK_GRAIN_MS, MAX_UNPACKED_BYTES, MessageError, addresses_of_messages, path_of_message,
+    take_update, work_messages, work_of_messages,
 };
 use crate::replication::peer_error::PeerError;
 use crate::sockets::set_options;
@@ -20,6 +20,7 @@
 use bridgevane_protocol::{CrashNews, Frame, FrameCodec, RecordsAnswer, RecordsWanted};
 use bridgevane_types::{DataCentreId, TimeMs};
 use futures_util::{SinkExt, StreamExt};
+use prost::Message;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -119,10 +120,8 @@
             ANSWER_TIMEOUT
         };
         let asked_at = gateway.clock.now();
-        let mut parts = vec![exchange(&mut open.frames, question, limit).await?];
-        while parts.last().is_some_and(|part| part.has_more) {
-            parts.push(next_answer(&mut open.frames, ANSWER_TIMEOUT).await?);
-        }
+        let first = exchange(&mut open.frames, question, limit).await?;
+        let parts = all_parts(&mut open.frames, first).await?;
         self.open = Some(open);
         let answer = decode(asked_at, parts, &own_work)?;
         crash_news::take_in(gateway, &answer.crash_news);
@@ -232,6 +231,25 @@
     next_answer(frames, limit.saturating_sub(asked_at.elapsed())).await
 }
 
+/// The messages of an answer, of which the first has come. What they may unpack to bounds what is kept of them
+/// before they are unpacked, too.
+async fn all_parts(
+    frames: &mut FramedStream,
+    first: RecordsAnswer,
+) -> Result<Vec<RecordsAnswer>, PeerError> {
+    let mut kept_bytes = first.encoded_len();
+    let mut parts = vec![first];
+    while parts.last().is_some_and(|part| part.has_more) {
+        let part = next_answer(frames, ANSWER_TIMEOUT).await?;
+        kept_bytes += part.encoded_len();
+        if kept_bytes > MAX_UNPACKED_BYTES {
+            return Err(PeerError::BadRecords(MessageError::TooLarge));
+        }
+        parts.push(part);
+    }
+    Ok(parts)
+}
+
 /// Waits so long for the next message.
 async fn next_answer(
     frames: &mut FramedStream,
--- a/crates/gateway/src/replication/message.rs
+++ b/crates/gateway/src/replication/message.rs
@@ -26,7 +26,7 @@
 /// The most that the packed records of one answer may unpack to. Chosen because it is sixteen times the
 /// largest value of the platform's store, and the records of some 60,000 endpoints at 270 bytes each; a
 /// sender can't make a daemon allocate more.
-const MAX_UNPACKED_BYTES: usize = 16 << 20;
+pub(super) const MAX_UNPACKED_BYTES: usize = 16 << 20;
 /// Records in one message of several, before they are packed. Chosen because packed they are some 40 KB
 /// (measured: `fleet_state`, benches), which sixteen followers each get within a third of a second over
 /// a link of 20 Mbit/s, whatever the fleet's size: so long a daemon waits for the next message before it takes
