feat(gateway): each question to the retry budget is a line and a count

Cause: of a retry, logs said only that the budget was empty, so that a fleet over its bound couldn't be told from one whose parts are too large or whose processes are new. Change: event 1314 says what a daemon had made, may make, and its part of the slack; requests and retries by service on the metrics page; report logs counts them by service, VM and second.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -80,6 +80,7 @@
     1311 HeaderUnreadable Warn "a header can't be decoded and counts as absent";
     1312 RequestQuarantined Warn "a request ended several endpoints and is no longer passed on";
     1313 QuarantineNotStored Warn "the quarantine could not be written to the control source";
+    1314 RetryDecided Info "the retry budget was asked for a retry";
     1401 EngineUnreachable Warn "an engine's load report can't be read";
     1402 EndpointSeen Info "an endpoint was added or changed";
     1403 EndpointGone Info "an endpoint is gone";
--- a/crates/gateway/src/decisions/resend/retry_budget.rs
+++ b/crates/gateway/src/decisions/resend/retry_budget.rs
@@ -59,6 +59,21 @@
     }
 }
 
+/// The verdict on one retry, with what it was decided by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryDecision {
+    /// Whether the retry may be made; it counts from now on.
+    pub is_granted: bool,
+    /// This daemon's requests for the service in the last window.
+    pub requests: usize,
+    /// Its retries in the last window, before this one.
+    pub retries: usize,
+    /// Retries that it may make in a window, as things stand.
+    pub allowed: f64,
+    /// Of these, its part of the slack.
+    pub slack_share: f64,
+}
+
 /// The requests and retries of one service that this daemon made in the last window.
 #[derive(Debug, Default)]
 pub(crate) struct RetryWindow {
@@ -73,16 +88,28 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one retry; false when none is left.
-    pub(crate) fn take(&mut self, now: TimeMs, budget: &FleetBudget, slack_share: f64) -> bool {
+    /// Takes one retry, if one is left.
+    pub(crate) fn take(
+        &mut self,
+        now: TimeMs,
+        budget: &FleetBudget,
+        slack_share: f64,
+    ) -> RetryDecision {
         expire(&mut self.requests, now, budget.window);
         expire(&mut self.retries, now, budget.window);
-        let allowed = budget.ratio.0 * self.requests.len() as f64 + slack_share;
-        if self.retries.len() as f64 + 1.0 > allowed {
-            return false;
+        let (requests, retries) = (self.requests.len(), self.retries.len());
+        let allowed = budget.ratio.0 * requests as f64 + slack_share;
+        let is_granted = retries as f64 + 1.0 <= allowed;
+        if is_granted {
+            self.retries.push_back(now);
+        }
+        RetryDecision {
+            is_granted,
+            requests,
+            retries,
+            allowed,
+            slack_share,
         }
-        self.retries.push_back(now);
-        true
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     refused: Counter<u64>,
     broken_off: Counter<u64>,
     failed_attempts: Counter<u64>,
+    requests: Counter<u64>,
+    retries: Counter<u64>,
     source_calls: Counter<u64>,
     peer_questions: Counter<u64>,
     first_byte_s: Histogram<f64>,
@@ -46,6 +48,8 @@
             refused: counter("bridgevane_gateway_refused"),
             broken_off: counter("bridgevane_gateway_broken_off"),
             failed_attempts: counter("bridgevane_gateway_failed_attempts"),
+            requests: counter("bridgevane_gateway_requests"),
+            retries: counter("bridgevane_gateway_retries"),
             source_calls: counter("bridgevane_gateway_source_calls"),
             peer_questions: counter("bridgevane_gateway_peer_questions"),
             first_byte_s: meter
@@ -95,6 +99,19 @@
         self.failed_attempts.add(1, &[cause]);
     }
 
+    /// A request for a service was admitted: the retry budget grows with it.
+    pub(crate) fn request_admitted(&self, service: &ServiceName) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.requests.add(1, &[service]);
+    }
+
+    /// The retry budget was asked for a retry.
+    pub(crate) fn retry_decided(&self, service: &ServiceName, is_granted: bool) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.retries
+            .add(1, &[service, KeyValue::new("granted", is_granted)]);
+    }
+
     /// How many levels below the control source this daemon is; none: it follows nobody that does.
     pub(crate) fn tree_depth(&self, path: &SourcePath) {
         let depth = if path.reaches_source() {
--- a/crates/gateway/src/requests/exchange/resending.rs
+++ b/crates/gateway/src/requests/exchange/resending.rs
@@ -74,11 +74,30 @@
             remaining: self.inbound.remaining(),
         };
         let policy = resend_policy(&self.inbound.route);
-        let take_from_budget = || {
-            let now = self.gateway.clock.now();
-            self.gateway.retry_budgets.take(now, &self.inbound.service)
-        };
-        resend::check(failure, policy, progress, take_from_budget)
+        resend::check(failure, policy, progress, || self.take_from_budget())
+    }
+
+    /// Takes one retry from the budget, if one is left.
+    fn take_from_budget(&self) -> bool {
+        let now = self.gateway.clock.now();
+        let service = &self.inbound.service;
+        let decision = self.gateway.retry_budgets.take(now, service);
+        self.gateway
+            .metrics
+            .retry_decided(service, decision.is_granted);
+        event!(
+            Event::RetryDecided,
+            request = self.inbound.id_text(),
+            service = service,
+            route = self.inbound.route.name,
+            customer = self.inbound.customer_text(),
+            is_granted = decision.is_granted,
+            window_requests = decision.requests,
+            window_retries = decision.retries,
+            allowed = format_args!("{:.2}", decision.allowed),
+            slack_share = format_args!("{:.2}", decision.slack_share)
+        );
+        decision.is_granted
     }
 
     /// Whether another endpoint is asked in place of an answer.
--- a/crates/gateway/src/requests/handler.rs
+++ b/crates/gateway/src/requests/handler.rs
@@ -92,6 +92,7 @@
     gateway
         .retry_budgets
         .on_request(gateway.clock.now(), &inbound.service);
+    gateway.metrics.request_admitted(&inbound.service);
     let is_stream = inbound.route.stream.is_some();
     let mut exchange = Exchange::new(gateway.clone(), inbound);
     if !is_stream {
--- a/crates/gateway/src/requests/retry_budgets.rs
+++ b/crates/gateway/src/requests/retry_budgets.rs
@@ -3,7 +3,7 @@
 //! The rule is [`crate::decisions::resend::retry_budget`]. Lost with the process; a new one begins
 //! without its part of the slack.
 
-use crate::decisions::resend::retry_budget::{self, FleetBudget, RetryWindow};
+use crate::decisions::resend::retry_budget::{self, FleetBudget, RetryDecision, RetryWindow};
 use crate::settings::GatewaySettings;
 use bridgevane_types::{ServiceName, TimeMs};
 use std::collections::HashMap;
@@ -61,8 +61,8 @@
         window.on_request(now, self.fleet_budget.window);
     }
 
-    /// Takes one retry; false when none is left.
-    pub fn take(&self, now: TimeMs, service: &ServiceName) -> bool {
+    /// Takes one retry, if one is left.
+    pub fn take(&self, now: TimeMs, service: &ServiceName) -> RetryDecision {
         let parts = self.parts.load(Ordering::Relaxed);
         let parts = (parts != UNKNOWN_PARTS).then_some(parts);
         let slack_share =
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -209,7 +209,7 @@
     let service = ServiceName::from("s");
     let takes = |at: u64| {
         (0..100)
-            .filter(|_| budgets.take(TimeMs(at), &service))
+            .filter(|_| budgets.take(TimeMs(at), &service).is_granted)
             .count()
     };
     assert_eq!(takes(0), 2, "a twelfth of the slack");
@@ -240,7 +240,7 @@
     let service = ServiceName::from("s");
     let takes = |budgets: &RetryBudgets, at: u64| {
         (0..100)
-            .filter(|_| budgets.take(TimeMs(at), &service))
+            .filter(|_| budgets.take(TimeMs(at), &service).is_granted)
             .count()
     };
     let start = || RetryBudgets::new(TimeMs(0), &budget_settings(200, &seeds));
--- a/crates/log-report/src/counts.rs
+++ b/crates/log-report/src/counts.rs
@@ -21,6 +21,10 @@
     pub failed_attempts: u64,
     /// Attempts and streams after which the request was sent again.
     pub resent: u64,
+    /// Retries that the retry budget granted.
+    pub retries_granted: u64,
+    /// Retries that it denied.
+    pub retries_denied: u64,
     /// Streams that broke off.
     pub broken_off: u64,
     /// Streams that went on elsewhere.
@@ -38,6 +42,8 @@
             Event::AttemptFailed => counts.failed_attempts = 1,
             Event::RequestBrokenOff => counts.broken_off = 1,
             Event::StreamResumed => counts.resumed = 1,
+            Event::RetryDecided if line.is_granted == Some(true) => counts.retries_granted = 1,
+            Event::RetryDecided => counts.retries_denied = 1,
             _ => return None,
         }
         if line.resend.as_deref() == Some("yes") {
--- a/crates/log-report/src/line.rs
+++ b/crates/log-report/src/line.rs
@@ -53,6 +53,10 @@
     #[serde(borrow)]
     resend: Option<Cow<'a, str>>,
     #[serde(borrow)]
+    service: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    is_granted: Option<Cow<'a, str>>,
+    #[serde(borrow)]
     peers: Option<Cow<'a, str>>,
     #[serde(borrow)]
     upstream: Option<Cow<'a, str>>,
@@ -107,6 +111,10 @@
     pub cause: Option<Cow<'a, str>>,
     /// Whether it was sent again: "yes", or why not.
     pub resend: Option<Cow<'a, str>>,
+    /// The service that was asked for.
+    pub service: Option<Cow<'a, str>>,
+    /// Whether the retry budget granted a retry.
+    pub is_granted: Option<bool>,
     /// The address at which the daemon answers others.
     pub peers: Option<Cow<'a, str>>,
     /// Whom the daemon follows: another one's address, or the control source.
@@ -146,6 +154,8 @@
         customer: raw.customer,
         cause: raw.reason.or(raw.cause),
         resend: raw.resend,
+        service: raw.service,
+        is_granted: raw.is_granted.and_then(|text| text.parse().ok()),
         peers: raw.peers,
         upstream: raw.upstream,
         status: raw.status.as_ref().and_then(Number::value),
--- a/crates/log-report/src/summary.rs
+++ b/crates/log-report/src/summary.rs
@@ -32,6 +32,9 @@
     /// The endpoint.
     #[display("endpoint")]
     Endpoint,
+    /// The service; only decisions on retries name it.
+    #[display("service")]
+    Service,
     /// The route.
     #[display("route")]
     Route,
@@ -48,8 +51,9 @@
 
 impl Dimension {
     /// All of them, in the order in which they are shown.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Reason,
+        Self::Service,
         Self::Route,
         Self::Customer,
         Self::Endpoint,
@@ -61,6 +65,7 @@
         match self {
             Self::Reason => line.cause.as_deref(),
             Self::Endpoint => line.endpoint.as_deref(),
+            Self::Service => line.service.as_deref(),
             Self::Route => line.route.as_deref(),
             Self::Customer => line.customer.as_deref(),
             Self::DataCentre => line.data_centre.as_deref(),
--- a/crates/log-report/tests/report.rs
+++ b/crates/log-report/tests/report.rs
@@ -23,6 +23,13 @@
     line(second, "b", 1308, &fields)
 }
 
+fn retry(second: u64, request: &str, is_granted: bool) -> String {
+    let fields = format!(
+        r#""request":"{request}","service":"model","route":"chat","customer":"c-2","is_granted":"{is_granted}""#
+    );
+    line(second, "b", 1314, &fields)
+}
+
 fn served(second: u64, request: &str, runs: u32, queue_ms: u64) -> String {
     let fields = format!(
         r#""request":"{request}","endpoint":"i-1","route":"chat","customer":"c-2","status":"200","runs":"{runs}","queue_ms":"{queue_ms}""#
@@ -38,6 +45,33 @@
     (summary, reader.counts().clone())
 }
 
+#[test]
+fn retries_of_a_fleet_are_counted_by_service_vm_and_second() {
+    let text = [
+        retry(1, "r1", true),
+        retry(1, "r2", true),
+        retry(2, "r3", false),
+    ]
+    .join("\n");
+    let (summary, read) = read(&text);
+    assert_eq!((read.events, read.unread()), (3, 0));
+    for dimension in [Dimension::Service, Dimension::Vm] {
+        let rows = summary.rows(dimension);
+        let counts: Vec<_> = rows.iter().map(|row| row.counts).collect();
+        let retries: Vec<_> = counts
+            .iter()
+            .map(|counts| (counts.retries_granted, counts.retries_denied))
+            .collect();
+        assert_eq!(retries, [(2, 1)], "{dimension}");
+    }
+    let by_second: Vec<_> = summary
+        .timeline()
+        .buckets()
+        .map(|bucket| (bucket.counts.retries_granted, bucket.counts.retries_denied))
+        .collect();
+    assert_eq!(by_second, [(2, 0), (0, 1)]);
+}
+
 #[test]
 fn requests_are_counted_by_reason_endpoint_customer_and_data_centre() {
     let text = [
