fix(gateway): a fleet's retries keep to their budget over all lives of its daemons

Callers saw: while all endpoints turned work away and daemons were killed or restarted, or a burst ended, a service got up to 12 in 100 more retries than operators allow, load that comes on top of the trouble. Cause: a daemon may make the ratio of the requests of its own last window, at the moment of the retry. So the retries of one window are for the requests of two: a new process retries by the full ratio beside what the one before it did for earlier requests, and daemons look back from different moments while traffic falls. Change: a daemon makes half the ratio of its own requests, and its part of the slack among twice the daemons that are known; the sum is rounded by a number that each process draws, so that small parts neither stop all retries nor give each daemon one. Why it holds: the requests of a window and the one before it, each counted at one life of one daemon, at half the ratio, are at most the ratio of the larger of the two. It needs no memory of an earlier life and no clock but the daemon's own. In decisions.rs the exact number falls from 20 to 10 retries for 100 requests: it is the new rule's, and stricter.

--- a/crates/gateway/src/decisions/resend/retry_budget.rs
+++ b/crates/gateway/src/decisions/resend/retry_budget.rs
@@ -1,21 +1,28 @@
 //! Retry budget: how many retries all daemons together may make for one service.
 //!
 //! Inputs: the settings of the whole fleet (retries for each request, retries beyond that, a
-//! sliding window), the number of daemons, this daemon's requests and retries in the window, and
-//! when it started.
+//! sliding window), the number of daemons, this daemon's requests and retries in the window, when
+//! it started, and a number that it drew then.
 //!
-//! Rule: a daemon may make the ratio of its own requests, and its part of the slack. The slack is
-//! divided by a quarter more parts than there are daemons, since some may have joined unseen, and
-//! by `MIN_PARTS` at least. A daemon that hasn't learned how many there are has no part, nor has
-//! one in its first window: the process before it may have used the part up.
+//! Rule: in a window a daemon may make `OWN_RATIO_SHARE` of the ratio of its own requests, and its
+//! part of the slack. The slack is divided into `PARTS_PER_DAEMON` parts a daemon, and `MIN_PARTS`
+//! at least. A daemon that hasn't learned how many there are has no part, nor has one in its first
+//! window: the process before it may have used the part up. The sum is rounded up or down by what
+//! the daemon drew.
 //!
 //! Reason: the bound holds over all daemons in every window, while they come, go and are cut off;
-//! nobody can ask for a retry at the moment it is needed.
+//! nobody can ask for a retry at the moment it is needed. Retries of a window belong to requests of
+//! that window and of the one before it: at the moment of a retry its daemon looks back, and a new
+//! process knows nothing of the retries that the one before it made for earlier requests. Requests of
+//! two windows at half the ratio are what one window may have, whatever the daemons' lives and however
+//! traffic falls.
 //!
-//! Measured: commit 359f77a (80 daemons and a twelfth of the slack each: 1,068 retries where 677
-//! are allowed; none too many after).
+//! Alternatives: docs/design/06 has them side by side. A bucket that each request fills at the full
+//! ratio, and that holds the daemon's part of the slack at most, keeps the bound, too, but has few
+//! retries in the first second of a trouble.
 //!
-//! Tests: `decisions.rs::repeats_stay_within_the_ratio…`, `eighty_daemons…share_one_slack`.
+//! Tests: `retry_budget_fleet.rs`; `decisions.rs::repeats_stay_within_the_ratio…`,
+//! `eighty_daemons…share_one_slack`.
 
 use bridgevane_types::{DurationMs, Share, TimeMs};
 use std::collections::VecDeque;
@@ -24,9 +31,12 @@
 /// as the users' small sites have VMs: a daemon that follows nobody doesn't learn how many there
 /// are.
 pub(crate) const MIN_PARTS: u32 = 12;
-/// Parts for each daemon that is known. Not measured, chosen because up to a fifth of the daemons
-/// may not be counted yet; more waste slack.
-const PARTS_PER_DAEMON: f64 = 1.25;
+/// Parts of the slack for each daemon that is known. Chosen because the slack is kept while a daemon
+/// knows of half the fleet only; with a true number, the other half is for rounding.
+const PARTS_PER_DAEMON: f64 = 2.0;
+/// The part of the ratio that a daemon may use. Chosen because the retries of one window are for the
+/// requests of two.
+const OWN_RATIO_SHARE: f64 = 0.5;
 
 /// The budget of the whole fleet for one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -68,12 +78,31 @@
     pub requests: usize,
     /// Its retries in the last window, before this one.
     pub retries: usize,
-    /// Retries that it may make in a window, as things stand.
+    /// Retries that it may make in a window, as things stand, before rounding.
     pub allowed: f64,
     /// Of these, its part of the slack.
     pub slack_share: f64,
 }
 
+/// A number from 0 up to 1 that a process draws once, by which its retries are rounded to whole ones.
+///
+/// Where a daemon's part is a fraction of a retry, so many daemons may make one. Drawn for each process: daemons that
+/// start together and share the traffic evenly would otherwise all come to a whole retry at the same moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryRounding(pub f64);
+
+impl RetryRounding {
+    /// A new process's number.
+    pub fn draw() -> Self {
+        Self(rand::random())
+    }
+
+    /// A number of retries as a whole one: the mean over many draws is the number.
+    fn round(self, retries: f64) -> usize {
+        (retries + self.0) as usize
+    }
+}
+
 /// The requests and retries of one service that this daemon made in the last window.
 #[derive(Debug, Default)]
 pub(crate) struct RetryWindow {
@@ -94,12 +123,14 @@
         now: TimeMs,
         budget: &FleetBudget,
         slack_share: f64,
+        rounding: RetryRounding,
     ) -> RetryDecision {
         expire(&mut self.requests, now, budget.window);
         expire(&mut self.retries, now, budget.window);
         let (requests, retries) = (self.requests.len(), self.retries.len());
-        let allowed = budget.ratio.0 * requests as f64 + slack_share;
-        let is_granted = retries as f64 + 1.0 <= allowed;
+        let own_ratio = budget.ratio.0 * OWN_RATIO_SHARE;
+        let allowed = own_ratio * requests as f64 + slack_share;
+        let is_granted = retries < rounding.round(allowed);
         if is_granted {
             self.retries.push_back(now);
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::counter::Counter;
 use crate::decisions::eligibility::cold_start::ColdQuota;
 use crate::decisions::endpoint::idle_connections;
+use crate::decisions::resend::retry_budget::RetryRounding;
 use crate::duties::book::DutyBook;
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::prompt_locations::PromptLocations;
@@ -87,7 +88,7 @@
             fleet: Fleet::new(clock, &settings),
             duty_book: DutyBook::new(clock, &settings),
             quarantine: Quarantine::new(clock),
-            retry_budgets: RetryBudgets::new(clock.now(), &settings),
+            retry_budgets: RetryBudgets::new(clock.now(), &settings, RetryRounding::draw()),
             vm_hash: xxh3_64(settings.vm.as_str().as_bytes()),
             settings,
             packed_state: PackedState::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -64,6 +64,7 @@
 pub use clock::{Clock, ClockScript};
 pub use control::patch::{Patch, PatchDoesNotFit};
 pub use control::replica::{RecordOutcome, Replica, Update};
+pub use decisions::resend::retry_budget::RetryRounding;
 pub use duties::book::DutyBook;
 pub use endpoints::directory::ServiceEndpoints;
 pub use endpoints::endpoint::Endpoint;
--- a/crates/gateway/src/requests/retry_budgets.rs
+++ b/crates/gateway/src/requests/retry_budgets.rs
@@ -1,9 +1,11 @@
 //! Retry budgets of all services: this daemon's requests and retries, behind a lock.
 //!
-//! The rule is [`crate::decisions::resend::retry_budget`]. Lost with the process; a new one begins
-//! without its part of the slack.
+//! The rule is [`crate::decisions::resend::retry_budget`]. Lost with the process: the rule holds over
+//! all lives of a daemon without it.
 
-use crate::decisions::resend::retry_budget::{self, FleetBudget, RetryDecision, RetryWindow};
+use crate::decisions::resend::retry_budget::{
+    self, FleetBudget, RetryDecision, RetryRounding, RetryWindow,
+};
 use crate::settings::GatewaySettings;
 use bridgevane_types::{ServiceName, TimeMs};
 use std::collections::HashMap;
@@ -20,12 +22,13 @@
     /// Parts that the slack is divided into.
     parts: AtomicU32,
     slack_from: TimeMs,
+    rounding: RetryRounding,
     windows: Mutex<HashMap<ServiceName, RetryWindow>>,
 }
 
 impl RetryBudgets {
     /// The budgets of a daemon that starts now.
-    pub fn new(now: TimeMs, settings: &GatewaySettings) -> Self {
+    pub fn new(now: TimeMs, settings: &GatewaySettings, rounding: RetryRounding) -> Self {
         let follows_others = settings.peer_address.is_some() && !settings.seed_addresses.is_empty();
         let window = settings.retry_window_ms;
         Self {
@@ -40,6 +43,7 @@
                 retry_budget::MIN_PARTS
             }),
             slack_from: if follows_others { now + window } else { now },
+            rounding,
             windows: Mutex::default(),
         }
     }
@@ -69,6 +73,6 @@
             retry_budget::slack_share(&self.fleet_budget, parts, now, self.slack_from);
         let mut windows = self.windows();
         let window = windows.entry(service.clone()).or_default();
-        window.take(now, &self.fleet_budget, slack_share)
+        window.take(now, &self.fleet_budget, slack_share, self.rounding)
     }
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -12,8 +12,8 @@
 use bridgevane_gateway::decisions::replication::fleet_size::FleetSize;
 use bridgevane_gateway::{
     Customer, EndpointHealth, EndpointLoad, GatewaySettings, Prompt, PromptLocations, PromptPart,
-    RetryBudgets, Route, RouteTarget, Selected, SelectionRequest, ServiceEndpoints, Work,
-    select_endpoint,
+    RetryBudgets, RetryRounding, Route, RouteTarget, Selected, SelectionRequest, ServiceEndpoints,
+    Work, select_endpoint,
 };
 use bridgevane_types::{DataCentreId, DurationMs, ServiceName, Share, Tier, TimeMs, Tokens};
 use std::collections::{HashMap, HashSet};
@@ -21,6 +21,7 @@
 use support::records;
 
 const NOW: TimeMs = TimeMs(10_000);
+const ROUNDED_DOWN: RetryRounding = RetryRounding(0.0);
 
 /// Three engines in each of three data centres.
 fn service() -> ServiceEndpoints {
@@ -205,7 +206,7 @@
 
 #[test]
 fn repeats_stay_within_the_ratio_and_a_part_of_the_slack_in_every_window() {
-    let budgets = RetryBudgets::new(TimeMs(0), &budget_settings(24, &[]));
+    let budgets = RetryBudgets::new(TimeMs(0), &budget_settings(24, &[]), ROUNDED_DOWN);
     let service = ServiceName::from("s");
     let takes = |at: u64| {
         (0..100)
@@ -216,7 +217,11 @@
     for at in 0..100 {
         budgets.on_request(TimeMs(at), &service);
     }
-    assert_eq!(takes(100), 20);
+    assert_eq!(
+        takes(100),
+        10,
+        "half the ratio: a process before it may have used the rest"
+    );
     assert_eq!(takes(9_999), 0);
     assert_eq!(takes(10_099), 0, "repeats of the window still count");
     assert_eq!(takes(10_100), 2, "requests of old earn nothing more");
@@ -243,7 +248,7 @@
             .filter(|_| budgets.take(TimeMs(at), &service).is_granted)
             .count()
     };
-    let start = || RetryBudgets::new(TimeMs(0), &budget_settings(200, &seeds));
+    let start = || RetryBudgets::new(TimeMs(0), &budget_settings(200, &seeds), ROUNDED_DOWN);
     assert_eq!(takes(&start(), 60_000), 0, "how many there are is unknown");
     let fleet: Vec<RetryBudgets> = (0..80).map(|_| start()).collect();
     for budgets in &fleet {
--- a/crates/gateway/tests/retry_budget_fleet.rs
+++ b/crates/gateway/tests/retry_budget_fleet.rs
@@ -3,6 +3,14 @@
 //! Incident: in one window of 10 s, 1,994 attempts beyond the first of their request reached a service, for 7,805 requests;
 //! 1,777 are allowed. All endpoints turned work away for ten seconds, and six in ten daemons were killed at 3 and 6 s of
 //! them; it was so with daemons restarted in turn, and as traffic fell after a burst. Without either the bound was kept.
+//!
+//! Cause: each daemon took the full ratio of the requests in its own last window. A new process did so at once, while the
+//! retries that the one before it had made still counted; and where traffic falls, daemons that retry at different
+//! moments retry in one window for the requests of two.
+//!
+//! Proof: of 1,821 retries in that window, 551 were of processes started in it, all by the ratio; after a burst none were.
+//! The parts of the slack added up to 181 of 216. With half the ratio for each daemon every test here holds; with the full
+//! one, five of six fail.
 
 mod support;
 
@@ -50,7 +58,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn a_fleet_whose_daemons_are_killed_twice_keeps_its_budget() {
     let mut fleet = incident_fleet();
     run(&mut fleet, 30, REQUESTS_PER_S, true);
@@ -62,7 +69,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn a_fleet_that_is_restarted_in_turn_keeps_its_budget() {
     let mut fleet = incident_fleet();
     for first in (0..VMS).step_by(8) {
@@ -75,7 +81,6 @@
 
 /// Two short bursts less than a window apart: no window of which requests are counted holds both.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn a_fleet_whose_traffic_falls_keeps_its_budget() {
     let mut fleet = incident_fleet();
     run(&mut fleet, 15, 5.0 * REQUESTS_PER_S, false);
@@ -131,7 +136,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn no_series_of_faults_breaks_the_budget() {
     let number = |name: &str| std::env::var(name).ok()?.parse().ok();
     let first = number("RETRY_FIRST_SEED").unwrap_or(1);
@@ -152,7 +156,6 @@
 /// Where a daemon's part of the slack is a fraction of one retry, and few requests come to each, a fleet still retries a good
 /// part of what it may, but not once for each daemon.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn a_fleet_of_any_size_retries_a_part_of_what_it_may() {
     for vms in SIZES {
         let per_s = vms as f64;
--- a/crates/gateway/tests/support/retry_fleet.rs
+++ b/crates/gateway/tests/support/retry_fleet.rs
@@ -4,7 +4,7 @@
 //! retries are counted over the fleet from outside, and compared with what the operators allow.
 
 use crate::support::settings;
-use bridgevane_gateway::{GatewaySettings, RetryBudgets};
+use bridgevane_gateway::{GatewaySettings, RetryBudgets, RetryRounding};
 use bridgevane_types::{DurationMs, ServiceName, Share, TimeMs};
 use rand::RngExt;
 use rand_pcg::Pcg32;
@@ -159,7 +159,8 @@
 
     /// A new daemon.
     fn start(&mut self, step: usize) -> RetryBudgets {
-        let budgets = RetryBudgets::new(time(step), &self.settings);
+        let rounding = RetryRounding(self.rng.random());
+        let budgets = RetryBudgets::new(time(step), &self.settings, rounding);
         budgets.share_among(self.believed);
         budgets
     }
