fix(gateway): retries of a fleet may use all of their budget, in every window

Cause: half the ratio was paid always, for what happens only when processes are new or traffic falls. Change: of each window that a retry lies in, wherever it begins, a daemon makes half the ratio of its own requests of that window and the one before, counted in forty steps a window. Long troubles get the whole ratio, new processes half, as before. Why it holds: added up over daemons and lives, both sides are counts of the fleet over the same two windows. decisions.rs: what was free after 10,000 ms is so after 10,249, a step later, which is stricter.

--- a/crates/gateway/src/decisions/resend/retry_budget.rs
+++ b/crates/gateway/src/decisions/resend/retry_budget.rs
@@ -1,31 +1,29 @@
 //! Retry budget: how many retries all daemons together may make for one service.
 //!
 //! Inputs: the settings of the whole fleet (retries for each request, retries beyond that, a
-//! sliding window), the number of daemons, this daemon's requests and retries in the window, when
-//! it started, and a number that it drew then.
+//! sliding window), the number of daemons, this daemon's requests and retries of the last two
+//! windows, when it started, and a number that it drew then.
 //!
-//! Rule: in a window a daemon may make `OWN_RATIO_SHARE` of the ratio of its own requests, and its
-//! part of the slack. The slack is divided into `PARTS_PER_DAEMON` parts a daemon, and `MIN_PARTS`
-//! at least. A daemon that hasn't learned how many there are has no part, nor has one in its first
-//! window: the process before it may have used the part up. The sum is rounded up or down by what
-//! the daemon drew.
+//! Rule: in each window, wherever it begins, a daemon makes at most half the ratio of its own requests
+//! of that window and the one before it, and its part of the slack. The slack is divided into
+//! `PARTS_PER_DAEMON` parts a daemon, and `MIN_PARTS` at least. A daemon that hasn't learned how many
+//! there are has no part, nor has one in its first window: the process before it may have used the
+//! part up. The sum is rounded up or down by what the daemon drew.
 //!
 //! Reason: the bound holds over all daemons in every window, while they come, go and are cut off;
-//! nobody can ask for a retry at the moment it is needed. Retries of a window belong to requests of
-//! that window and of the one before it: at the moment of a retry its daemon looks back, and a new
-//! process knows nothing of the retries that the one before it made for earlier requests. Requests of
-//! two windows at half the ratio are what one window may have, whatever the daemons' lives and however
-//! traffic falls.
+//! nobody can ask for a retry at the moment it is needed. Added up over all daemons, both sides are
+//! counts of the fleet over the same two windows, whoever lived when, and half the requests of two
+//! windows are no more than those of the fuller one. A daemon that took the whole ratio of what came
+//! before each of its retries would not keep it: a new process would retry beside what the one before it
+//! did for earlier requests, and daemons that look back from different moments retry in one window for
+//! the requests of two.
 //!
-//! Alternatives: docs/design/06 has them side by side. A bucket that each request fills at the full
-//! ratio, and that holds the daemon's part of the slack at most, keeps the bound, too, but has few
-//! retries in the first second of a trouble.
+//! Alternatives: docs/design/22 has them side by side.
 //!
 //! Tests: `retry_budget_fleet.rs`; `decisions.rs::repeats_stay_within_the_ratio…`,
 //! `eighty_daemons…share_one_slack`.
 
 use bridgevane_types::{DurationMs, Share, TimeMs};
-use std::collections::VecDeque;
 
 /// Parts that the slack is divided into at least. Not measured, chosen because it is twice as many
 /// as the users' small sites have VMs: a daemon that follows nobody doesn't learn how many there
@@ -34,9 +32,13 @@
 /// Parts of the slack for each daemon that is known. Chosen because the slack is kept while a daemon
 /// knows of half the fleet only; with a true number, the other half is for rounding.
 const PARTS_PER_DAEMON: f64 = 2.0;
-/// The part of the ratio that a daemon may use. Chosen because the retries of one window are for the
-/// requests of two.
-const OWN_RATIO_SHARE: f64 = 0.5;
+/// Steps that a window is counted in. Chosen because a window that begins within a step loses that step's
+/// requests: one in forty.
+const STEPS: usize = 40;
+/// Steps that are kept: those of the windows that a retry lies in, and of the windows before them.
+const KEPT_STEPS: usize = 2 * STEPS;
+/// The part of the ratio that goes to a request of a window, and of the window before. Chosen because each request is in both.
+const SHARE_OF_RATIO: f64 = 0.5;
 
 /// The budget of the whole fleet for one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -74,11 +76,11 @@
 pub struct RetryDecision {
     /// Whether the retry may be made; it counts from now on.
     pub is_granted: bool,
-    /// This daemon's requests for the service in the last window.
-    pub requests: usize,
-    /// Its retries in the last window, before this one.
-    pub retries: usize,
-    /// Retries that it may make in a window, as things stand, before rounding.
+    /// This daemon's retries for the service, before this one, in the window that allows the fewest more.
+    pub retries: u32,
+    /// Its requests of that window and the one before.
+    pub requests: u32,
+    /// Retries that it may make in that window, before rounding.
     pub allowed: f64,
     /// Of these, its part of the slack.
     pub slack_share: f64,
@@ -98,26 +100,44 @@
     }
 
     /// A number of retries as a whole one: the mean over many draws is the number.
-    fn round(self, retries: f64) -> usize {
-        (retries + self.0) as usize
+    fn round(self, retries: f64) -> u32 {
+        (retries + self.0) as u32
     }
 }
 
-/// The requests and retries of one service that this daemon made in the last window.
-#[derive(Debug, Default)]
-pub(crate) struct RetryWindow {
-    requests: VecDeque<TimeMs>,
-    retries: VecDeque<TimeMs>,
+/// What one daemon did in one step of time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Step {
+    requests: u32,
+    retries: u32,
 }
 
-impl RetryWindow {
+/// The requests and retries of one service that this daemon made lately, in steps of time.
+#[derive(Debug)]
+pub(crate) struct RetryHistory {
+    /// Of step `n`, at `n` modulo the length.
+    steps: [Step; KEPT_STEPS],
+    /// The newest step.
+    newest: u64,
+}
+
+impl Default for RetryHistory {
+    fn default() -> Self {
+        Self {
+            steps: [Step::default(); KEPT_STEPS],
+            newest: 0,
+        }
+    }
+}
+
+impl RetryHistory {
     /// A request came in.
     pub(crate) fn on_request(&mut self, now: TimeMs, window: DurationMs) {
-        expire(&mut self.requests, now, window);
-        self.requests.push_back(now);
+        self.advance(now, window);
+        self.step_mut(0).requests += 1;
     }
 
-    /// Takes one retry, if one is left.
+    /// Takes one retry, if it keeps the budget in every window that it lies in.
     pub(crate) fn take(
         &mut self,
         now: TimeMs,
@@ -125,28 +145,58 @@
         slack_share: f64,
         rounding: RetryRounding,
     ) -> RetryDecision {
-        expire(&mut self.requests, now, budget.window);
-        expire(&mut self.retries, now, budget.window);
-        let (requests, retries) = (self.requests.len(), self.retries.len());
-        let own_ratio = budget.ratio.0 * OWN_RATIO_SHARE;
-        let allowed = own_ratio * requests as f64 + slack_share;
-        let is_granted = retries < rounding.round(allowed);
-        if is_granted {
-            self.retries.push_back(now);
-        }
-        RetryDecision {
-            is_granted,
-            requests,
-            retries,
-            allowed,
-            slack_share,
+        self.advance(now, budget.window);
+        let decision = self.decide(budget.ratio, slack_share, rounding);
+        if decision.is_granted {
+            self.step_mut(0).retries += 1;
         }
+        decision
     }
-}
 
-/// Forgets moments that are older than the window.
-fn expire(moments: &mut VecDeque<TimeMs>, now: TimeMs, window: DurationMs) {
-    while moments.front().is_some_and(|at| now.since(*at) >= window) {
-        moments.pop_front();
+    /// Looks at the window that begins within each step, and gives the verdict on the worst.
+    fn decide(&self, ratio: Share, slack_share: f64, rounding: RetryRounding) -> RetryDecision {
+        let mut retries = 0;
+        // Those of the window before which lie in whole steps of it.
+        let mut requests: u32 = (0..STEPS - 1).map(|ago| self.step(ago).requests).sum();
+        let verdicts = (0..=STEPS).map(|begin| {
+            retries += self.step(begin).retries;
+            requests += self.step(begin + STEPS - 1).requests;
+            let allowed = SHARE_OF_RATIO * ratio.0 * f64::from(requests) + slack_share;
+            RetryDecision {
+                is_granted: retries < rounding.round(allowed),
+                retries,
+                requests,
+                allowed,
+                slack_share,
+            }
+        });
+        let left = |verdict: &RetryDecision| verdict.allowed - f64::from(verdict.retries);
+        let worst = verdicts.min_by(|a, b| left(a).total_cmp(&left(b)));
+        worst.expect("a window has steps")
+    }
+
+    /// The step of so many steps ago.
+    fn step(&self, ago: usize) -> Step {
+        let number = self.newest.checked_sub(ago as u64);
+        number.map_or_else(Step::default, |number| {
+            self.steps[number as usize % KEPT_STEPS]
+        })
+    }
+
+    fn step_mut(&mut self, ago: u64) -> &mut Step {
+        &mut self.steps[(self.newest - ago) as usize % KEPT_STEPS]
+    }
+
+    /// Goes on to the step of a moment; the steps between were empty.
+    fn advance(&mut self, now: TimeMs, window: DurationMs) {
+        let step_ms = (window.0 / STEPS as u64).max(1);
+        let number = now.0 / step_ms;
+        let passed = number.saturating_sub(self.newest);
+        for _ in 0..passed.min(KEPT_STEPS as u64) {
+            self.newest += 1;
+            *self.step_mut(0) = Step::default();
+        }
+        // After a long pause all steps are empty.
+        self.newest = self.newest.max(number);
     }
 }
