docs(gateway): comments of the retry budget say what counts for which window

Cause: a reading of the change as a newcomer: three comments needed the design page to be understood. Nothing but comments changes. Measured: formatter clean; no run.

--- a/crates/gateway/src/decisions/resend/retry_budget.rs
+++ b/crates/gateway/src/decisions/resend/retry_budget.rs
@@ -37,7 +37,7 @@
 const STEPS: usize = 40;
 /// Steps that are kept: those of the windows that a retry lies in, and of the windows before them.
 const KEPT_STEPS: usize = 2 * STEPS;
-/// The part of the ratio that goes to a request of a window, and of the window before. Chosen because each request is in both.
+/// The part of the ratio that a request earns. Chosen because it counts for the window that it lies in and for the next one.
 const SHARE_OF_RATIO: f64 = 0.5;
 
 /// The budget of the whole fleet for one service.
@@ -88,8 +88,8 @@
 
 /// A number from 0 up to 1 that a process draws once, by which its retries are rounded to whole ones.
 ///
-/// Where a daemon's part is a fraction of a retry, so many daemons may make one. Drawn for each process: daemons that
-/// start together and share the traffic evenly would otherwise all come to a whole retry at the same moment.
+/// Where a daemon's part is a fraction of a retry, that fraction of the daemons may make one. Drawn for each process:
+/// daemons that start together and share the traffic evenly would otherwise all come to a whole retry at once.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryRounding(pub f64);
 
@@ -156,7 +156,7 @@
     /// Looks at the window that begins within each step, and gives the verdict on the worst.
     fn decide(&self, ratio: Share, slack_share: f64, rounding: RetryRounding) -> RetryDecision {
         let mut retries = 0;
-        // Those of the window before which lie in whole steps of it.
+        // The window begins somewhere within its first step: the step a whole window before that one doesn't count.
         let mut requests: u32 = (0..STEPS - 1).map(|ago| self.step(ago).requests).sum();
         let verdicts = (0..=STEPS).map(|begin| {
             retries += self.step(begin).retries;
@@ -187,7 +187,7 @@
         &mut self.steps[(self.newest - ago) as usize % KEPT_STEPS]
     }
 
-    /// Goes on to the step of a moment; the steps between were empty.
+    /// Goes on to the step of a moment; nothing happened in the steps between.
     fn advance(&mut self, now: TimeMs, window: DurationMs) {
         let step_ms = (window.0 / STEPS as u64).max(1);
         let number = now.0 / step_ms;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 //! | [`PromptLocations`] | which engines read which prompts |
 //! | [`DutyBook`] | this daemon's part in the duties |
 //! | [`Quarantine`] | which requests end the endpoints that run them |
-//! | [`RetryBudgets`] | this daemon's requests and retries of the last window |
+//! | [`RetryBudgets`] | this daemon's requests and retries of the last two windows |
 //! | [`Shutdown`] | how far a planned stop has come |
 //! | counters | requests in progress, clients' connections, bytes of bodies |
 //!
