docs(gateway): comments on orphaned daemons and on the search's time say what is so

Cause: the rule of a daemon without a parent pointed at an age that no line before it names; the limit it uses didn't say so; the search of the retry budget was said to take 20 s and takes a minute. Only comments change.

--- a/crates/gateway/src/decisions/replication/proof_limits.rs
+++ b/crates/gateway/src/decisions/replication/proof_limits.rs
@@ -47,7 +47,7 @@
     /// A daemon with a younger proof may become the upstream. With an own proof so old, one that asks and
     /// has a newer proof becomes it at once: before the own followers leave.
     pub adopt_below: DurationMs,
-    /// With an own proof so old another upstream is looked for.
+    /// With an own proof so old another upstream is looked for; a daemon that has none asks the source.
     pub leave_from: DurationMs,
     /// With an own proof so old, a daemon whom no other one answers asks the source.
     pub source_from: DurationMs,
--- a/crates/gateway/src/decisions/replication/upstream.rs
+++ b/crates/gateway/src/decisions/replication/upstream.rs
@@ -11,8 +11,9 @@
 //! - Then it probes others, one after the other (`candidates.rs`), and adopts the first whose proof is
 //!   young ([`ProofLimits::adopt_below`]) and whose source path doesn't lead back here.
 //! - Its parent is asked again after each probe that fails: it may have found a fresh one meanwhile.
-//! - While it has no parent and its proof is so old, it asks the source before it probes any more.
-//! - If there is none, it asks the source in its turn ([`super::source_pacing`]), and goes on looking. A
+//! - Without a parent, and with a proof as old as [`ProofLimits::leave_from`], it asks the source before it
+//!   probes any more.
+//! - If none can be adopted, it asks the source in its turn ([`super::source_pacing`]), and goes on looking. A
 //!   question that its stale parent still holds is given up for the turn.
 //! - Who becomes fresh in another way tells its former parent, which is stale, and may adopt it: one
 //!   daemon that reaches the source is enough for all.
--- a/crates/gateway/tests/retry_budget_fleet.rs
+++ b/crates/gateway/tests/retry_budget_fleet.rs
@@ -25,7 +25,7 @@
 const VMS: usize = 88;
 /// Its requests a second.
 const REQUESTS_PER_S: f64 = 780.0;
-/// Seeds of the search. Chosen so that it takes some 20 s; `RETRY_SEEDS` gives another number, `RETRY_FIRST_SEED` the
+/// Seeds of the search. Chosen so that it takes about a minute unoptimised; `RETRY_SEEDS` gives another number, `RETRY_FIRST_SEED` the
 /// first one.
 const SEEDS: u64 = 60;
 /// Sizes of fleets: the users' smallest to twice their largest.
