refactor(gateway): the retry history is read newest first, and a request copies no service name

Cause: each look into the ring of steps worked out its place anew, with a case for steps from before the start that the ring, empty then, has anyway, and one function took a number that was always 0; a lock and a copied name stood in two methods. Change: one iterator over the ring; one function that finds a service's history and copies the name on the first call only. Decisions are the same.

--- a/crates/gateway/src/decisions/resend/retry_budget.rs
+++ b/crates/gateway/src/decisions/resend/retry_budget.rs
@@ -115,7 +115,7 @@
 /// The requests and retries of one service that this daemon made lately, in steps of time.
 #[derive(Debug)]
 pub(crate) struct RetryHistory {
-    /// Of step `n`, at `n` modulo the length.
+    /// A ring: step `n` is at `n` modulo the length.
     steps: [Step; KEPT_STEPS],
     /// The newest step.
     newest: u64,
@@ -134,7 +134,7 @@
     /// A request came in.
     pub(crate) fn on_request(&mut self, now: TimeMs, window: DurationMs) {
         self.advance(now, window);
-        self.step_mut(0).requests += 1;
+        self.newest_mut().requests += 1;
     }
 
     /// Takes one retry, if it keeps the budget in every window that it lies in.
@@ -148,7 +148,7 @@
         self.advance(now, budget.window);
         let decision = self.decide(budget.ratio, slack_share, rounding);
         if decision.is_granted {
-            self.step_mut(0).retries += 1;
+            self.newest_mut().retries += 1;
         }
         decision
     }
@@ -157,10 +157,13 @@
     fn decide(&self, ratio: Share, slack_share: f64, rounding: RetryRounding) -> RetryDecision {
         let mut retries = 0;
         // The window begins somewhere within its first step: the step a whole window before that one doesn't count.
-        let mut requests: u32 = (0..STEPS - 1).map(|ago| self.step(ago).requests).sum();
-        let verdicts = (0..=STEPS).map(|begin| {
-            retries += self.step(begin).retries;
-            requests += self.step(begin + STEPS - 1).requests;
+        let newest = self.newest_first().take(STEPS - 1);
+        let mut requests: u32 = newest.map(|step| step.requests).sum();
+        let begins = self.newest_first().take(STEPS + 1);
+        let earliest_counted = self.newest_first().skip(STEPS - 1);
+        let verdicts = begins.zip(earliest_counted).map(|(begin, earliest)| {
+            retries += begin.retries;
+            requests += earliest.requests;
             let allowed = SHARE_OF_RATIO * ratio.0 * f64::from(requests) + slack_share;
             RetryDecision {
                 is_granted: retries < rounding.round(allowed),
@@ -175,16 +178,10 @@
         worst.expect("a window has steps")
     }
 
-    /// The step of so many steps ago.
-    fn step(&self, ago: usize) -> Step {
-        let number = self.newest.checked_sub(ago as u64);
-        number.map_or_else(Step::default, |number| {
-            self.steps[number as usize % KEPT_STEPS]
-        })
-    }
-
-    fn step_mut(&mut self, ago: u64) -> &mut Step {
-        &mut self.steps[(self.newest - ago) as usize % KEPT_STEPS]
+    /// All steps that are kept, the newest first.
+    fn newest_first(&self) -> impl Iterator<Item = &Step> {
+        let (older, newer) = self.steps.split_at(index(self.newest) + 1);
+        older.iter().rev().chain(newer.iter().rev())
     }
 
     /// Goes on to the step of a moment; nothing happened in the steps between.
@@ -194,9 +191,18 @@
         let passed = number.saturating_sub(self.newest);
         for _ in 0..passed.min(KEPT_STEPS as u64) {
             self.newest += 1;
-            *self.step_mut(0) = Step::default();
+            *self.newest_mut() = Step::default();
         }
         // After a long pause all steps are empty.
         self.newest = self.newest.max(number);
     }
+
+    fn newest_mut(&mut self) -> &mut Step {
+        &mut self.steps[index(self.newest)]
+    }
+}
+
+/// Where a step is in the ring.
+fn index(step: u64) -> usize {
+    step as usize % KEPT_STEPS
 }
--- a/crates/gateway/src/requests/retry_budgets.rs
+++ b/crates/gateway/src/requests/retry_budgets.rs
@@ -9,8 +9,8 @@
 use crate::settings::GatewaySettings;
 use bridgevane_types::{ServiceName, TimeMs};
 use std::collections::HashMap;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard};
 
 /// Stands for an unknown number of parts: a known one is never 0, from the rule's minimum.
 const UNKNOWN_PARTS: u32 = 0;
@@ -54,25 +54,33 @@
         self.parts.store(parts, Ordering::Relaxed);
     }
 
-    fn histories(&self) -> MutexGuard<'_, HashMap<ServiceName, RetryHistory>> {
-        self.histories.lock().expect("no panic under this lock")
+    /// Works on the history of a service; only the first call for it copies its name.
+    fn with_history<T>(
+        &self,
+        service: &ServiceName,
+        work: impl FnOnce(&mut RetryHistory) -> T,
+    ) -> T {
+        let mut histories = self.histories.lock().expect("no panic under this lock");
+        match histories.get_mut(service) {
+            Some(history) => work(history),
+            None => work(histories.entry(service.clone()).or_default()),
+        }
     }
 
     /// A request for a service came in.
     pub fn on_request(&self, now: TimeMs, service: &ServiceName) {
-        let mut histories = self.histories();
-        let history = histories.entry(service.clone()).or_default();
-        history.on_request(now, self.fleet_budget.window);
+        let window = self.fleet_budget.window;
+        self.with_history(service, |history| history.on_request(now, window));
     }
 
     /// Takes one retry, if one is left.
     pub fn take(&self, now: TimeMs, service: &ServiceName) -> RetryDecision {
+        let budget = &self.fleet_budget;
         let parts = self.parts.load(Ordering::Relaxed);
         let parts = (parts != UNKNOWN_PARTS).then_some(parts);
-        let slack_share =
-            retry_budget::slack_share(&self.fleet_budget, parts, now, self.slack_from);
-        let mut histories = self.histories();
-        let history = histories.entry(service.clone()).or_default();
-        history.take(now, &self.fleet_budget, slack_share, self.rounding)
+        let slack_share = retry_budget::slack_share(budget, parts, now, self.slack_from);
+        self.with_history(service, |history| {
+            history.take(now, budget, slack_share, self.rounding)
+        })
     }
 }
