--- a/crates/gateway/tests/cold_start.rs
+++ b/crates/gateway/tests/cold_start.rs
@@ -33,20 +33,20 @@
     }
 }
 
-/// What an endpoint gets in one window when all daemons send as much as they may.
-fn sent_by_all(daemons: u32, endpoint: EndpointHash, window: u64) -> u32 {
-    let sent = (0..daemons).map(|at| quota(at, daemons).requests_in(endpoint, window));
-    sent.sum()
+/// What an endpoint gets in one window when all daemons, which run for so long, send as much as they may.
+fn sent_by(daemons: u32, process_age: DurationMs, endpoint: EndpointHash, window: u64) -> u32 {
+    let quotas = (0..daemons).map(|at| ColdQuota {
+        process_age,
+        ..quota(at, daemons)
+    });
+    quotas
+        .map(|quota| quota.requests_in(endpoint, window))
+        .sum()
 }
 
-/// The same of processes that run for less than a second.
-fn sent_by_new(daemons: u32, endpoint: EndpointHash, window: u64) -> u32 {
-    let new = |at| ColdQuota {
-        process_age: DurationMs(999),
-        ..quota(at, daemons)
-    };
-    let sent = (0..daemons).map(|at| new(at).requests_in(endpoint, window));
-    sent.sum()
+/// The same of daemons that have long been running.
+fn sent_by_all(daemons: u32, endpoint: EndpointHash, window: u64) -> u32 {
+    sent_by(daemons, DurationMs(60_000), endpoint, window)
 }
 
 /// The last moment of a window and the first of the next lie in one second.
@@ -89,7 +89,7 @@
             for window in 0..3 {
                 let before = sent_by_all(daemons, endpoint, window + 10)
                     + sent_by_all(daemons, endpoint, window + 11);
-                let after = sent_by_new(daemons, endpoint, window);
+                let after = sent_by(daemons, DurationMs(999), endpoint, window);
                 over += u32::from(f64::from(before + after) > MOST_IN_A_SECOND);
             }
         }
