feat(gateway): a limit that an endpoint names in its answers is read, logged and counted

The logs could not tell whether daemons know of the rate that an endpoint names. The platform's header is decoded in the adapter's table of names, kept with the life of the endpoint (an answer without it ends the limit, if its request was sent after it was named last), reported as event 1413 and bridgevane_gateway_endpoint_limits. Nothing is decided by it yet.

--- a/crates/gateway/src/decisions/eligibility/mod.rs
+++ b/crates/gateway/src/decisions/eligibility/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod cold_start;
 pub mod evacuation;
+pub mod rate_limit;
 pub mod region_limits;
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -10,6 +10,7 @@
 use crate::endpoints::idle_connections::IdleConnections;
 use crate::endpoints::load::EndpointLoad;
 use crate::endpoints::lost_requests::LostRequests;
+use crate::endpoints::rate_limit::RateLimitState;
 use crate::work_by_endpoint::EndpointHash;
 use arc_swap::ArcSwap;
 use bridgevane_decisions::EndpointIx;
@@ -60,6 +61,8 @@
     pub(crate) idle_connections: IdleConnections,
     /// Until when it is cold, and what it got meanwhile.
     pub(crate) cold: ColdState,
+    /// The limit of its requests that it names.
+    pub(crate) rate_limit: RateLimitState,
     /// Made when a connection breaks for the first time: most endpoints never need it, and a daemon may
     /// know thousands.
     lost_requests: OnceLock<Box<LostRequests>>,
@@ -78,6 +81,7 @@
             health: EndpointHealth::default(),
             idle_connections: IdleConnections::default(),
             cold: ColdState::default(),
+            rate_limit: RateLimitState::default(),
             lost_requests: OnceLock::new(),
             expires_at: AtomicTime::default(),
         }
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -13,4 +13,5 @@
 pub(crate) mod load;
 pub(crate) mod lost_requests;
 pub(crate) mod prompt_locations;
+pub(crate) mod rate_limit;
 pub(crate) mod selection;
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -21,6 +21,8 @@
     pub expected_endpoint: HeaderName,
     /// An endpoint's load, on its answers.
     pub load: HeaderName,
+    /// On an endpoint's answers while it is so: requests a second that it takes from all daemons together.
+    pub rate_limit: HeaderName,
     /// On an answer: the endpoint did not run the request.
     pub not_executed: HeaderName,
     /// Tokens of the prompt, and the most of the answer.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     failed_attempts: Counter<u64>,
     requests: Counter<u64>,
     retries: Counter<u64>,
+    limits_heard: Counter<u64>,
     source_calls: Counter<u64>,
     peer_questions: Counter<u64>,
     first_byte_s: Histogram<f64>,
@@ -50,6 +51,7 @@
             failed_attempts: counter("bridgevane_gateway_failed_attempts"),
             requests: counter("bridgevane_gateway_requests"),
             retries: counter("bridgevane_gateway_retries"),
+            limits_heard: counter("bridgevane_gateway_endpoint_limits"),
             source_calls: counter("bridgevane_gateway_source_calls"),
             peer_questions: counter("bridgevane_gateway_peer_questions"),
             first_byte_s: meter
@@ -112,6 +114,13 @@
             .add(1, &[service, KeyValue::new("granted", is_granted)]);
     }
 
+    /// An endpoint of a service named another limit of its requests, or withdrew it.
+    pub(crate) fn limit_heard(&self, service: &ServiceName, is_limited: bool) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.limits_heard
+            .add(1, &[service, KeyValue::new("limited", is_limited)]);
+    }
+
     /// How many levels below the control source this daemon is; none: it follows nobody that does.
     pub(crate) fn tree_depth(&self, path: &SourcePath) {
         let depth = if path.reaches_source() {
--- a/crates/gateway/src/requests/attempt.rs
+++ b/crates/gateway/src/requests/attempt.rs
@@ -11,6 +11,8 @@
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::selection::Selected;
 use crate::header_names::HeaderNames;
+use crate::metrics::GatewayMetrics;
+use crate::requests::endpoint_signals::{EndpointSignals, Heard};
 use crate::requests::in_flight::InFlight;
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head;
@@ -100,6 +102,7 @@
     pub(crate) clock: Clock,
     pub(crate) names: &'a HeaderNames,
     pub(crate) unreadable: &'a UnreadableHeaders,
+    pub(crate) metrics: &'a GatewayMetrics,
     pub(crate) inbound: &'a InboundRequest,
     pub(crate) selected: &'a Selected,
     /// Resumes a stream after this event.
@@ -117,7 +120,8 @@
     ) -> Result<EndpointAnswer, AttemptError> {
         let endpoint = &self.selected.endpoint;
         let request = self.request()?;
-        let load = endpoint.load.snapshot(self.clock.now());
+        let sent_at = self.clock.now();
+        let load = endpoint.load.snapshot(sent_at);
         let in_flight = InFlight::begin(self.clock, self.selected);
         let (connection, response) = self.send(request, hedge).await?;
         let (head, body) = response.into_parts();
@@ -126,7 +130,11 @@
         if let Some(reported) = response_head::reported_load(self.names, &headers) {
             endpoint.load.on_report(self.clock.now(), reported);
         }
-        response_head::check(self.names, &self.inbound.id, &head, &headers)?;
+        let checked = response_head::check(self.names, &self.inbound.id, &head, &headers);
+        if matches!(checked, Ok(()) | Err(AttemptError::NotExecuted { .. })) {
+            EndpointSignals::read(self.names, &headers).take_in(&self.heard(sent_at));
+        }
+        checked?;
         Ok(EndpointAnswer {
             selected: self.selected.clone(),
             load,
@@ -137,6 +145,16 @@
         })
     }
 
+    /// Whose answer has come, and when.
+    fn heard(&self, sent_at: TimeMs) -> Heard<'_> {
+        Heard {
+            endpoint: &self.selected.endpoint,
+            metrics: self.metrics,
+            sent_at,
+            now: self.clock.now(),
+        }
+    }
+
     /// The request for this endpoint.
     fn request(&self) -> Result<Request<Full<Bytes>>, AttemptError> {
         let record = self.selected.endpoint.record.load();
--- /dev/null
+++ b/crates/gateway/src/requests/endpoint_signals.rs
@@ -0,0 +1,59 @@
+//! What an endpoint says of itself in its answers, beside its load: read from the head of each answer,
+//! kept with this life of the endpoint, and logged when it changes.
+//!
+//! Owns nothing. Only answers to the request that was sent count: one that belongs to another request, or
+//! comes from another endpoint at the address, says nothing of this one.
+
+use crate::decisions::eligibility::rate_limit::NamedLimit;
+use crate::endpoints::endpoint::Endpoint;
+use crate::header_names::HeaderNames;
+use crate::metrics::GatewayMetrics;
+use crate::requests::response_head;
+use crate::unreadable_headers::HeaderReader;
+use bridgevane_events::{Event, event};
+use bridgevane_types::TimeMs;
+
+/// An endpoint's answer, as far as its signals need it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Heard<'a> {
+    pub(crate) endpoint: &'a Endpoint,
+    pub(crate) metrics: &'a GatewayMetrics,
+    /// When the request was sent.
+    pub(crate) sent_at: TimeMs,
+    pub(crate) now: TimeMs,
+}
+
+/// The signals of one answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct EndpointSignals {
+    limit: NamedLimit,
+}
+
+impl EndpointSignals {
+    /// Reads the signals of an answer's head.
+    pub(crate) fn read(names: &HeaderNames, headers: &HeaderReader<'_>) -> Self {
+        Self {
+            limit: response_head::named_limit(names, headers),
+        }
+    }
+
+    /// Keeps the signals with their endpoint.
+    pub(crate) fn take_in(self, heard: &Heard<'_>) {
+        self.take_limit_in(heard);
+    }
+
+    fn take_limit_in(self, heard: &Heard<'_>) {
+        let limits = &heard.endpoint.rate_limit;
+        let Some(limit) = limits.on_answer(heard.now, heard.sent_at, self.limit) else {
+            return;
+        };
+        let record = heard.endpoint.record.load();
+        heard.metrics.limit_heard(&record.service, limit.is_some());
+        event!(
+            Event::EndpointRateLimited,
+            endpoint = record.id,
+            service = record.service,
+            requests_per_s = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
+        );
+    }
+}
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -215,6 +215,7 @@
             clock: self.gateway.clock,
             names: &self.gateway.header_names,
             unreadable: &self.gateway.unreadable_headers,
+            metrics: &self.gateway.metrics,
             inbound: &self.inbound,
             selected,
             last_event_id,
--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -2,12 +2,13 @@
 //!
 //! Owns nothing; a header that can't be decoded counts as absent, and is logged.
 
+use crate::decisions::eligibility::rate_limit::NamedLimit;
 use crate::decisions::endpoint::idle_connections;
 use crate::decisions::endpoint::load_report::ReportedLoad;
 use crate::decisions::resend::AttemptError;
 use crate::header_names::HeaderNames;
 use crate::unreadable_headers::HeaderReader;
-use bridgevane_types::DurationMs;
+use bridgevane_types::{DurationMs, RequestsPerSecond};
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, StatusCode, response};
 use std::time::Duration;
@@ -15,6 +16,10 @@
 /// Says how long an endpoint keeps an idle connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// The highest limit that counts as one, in requests a second. No endpoint serves as many; a higher number
+/// is taken for an error of the endpoint.
+const MAX_NAMED_RATE_PER_S: f64 = 1e6;
+
 /// Checks that an answer belongs to the request, and that the request ran.
 ///
 /// # Errors
@@ -71,6 +76,24 @@
     })
 }
 
+/// The header names no rate that an endpoint could mean.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct NotARate;
+
+/// The limit that the answer's endpoint names.
+pub(crate) fn named_limit(names: &HeaderNames, headers: &HeaderReader<'_>) -> NamedLimit {
+    if !headers.has(&names.rate_limit) {
+        return NamedLimit::None;
+    }
+    let rate = headers.parsed(&names.rate_limit).and_then(|rate: f64| {
+        let is_rate = (0.0..=MAX_NAMED_RATE_PER_S).contains(&rate);
+        headers.decoded(&names.rate_limit, is_rate.then_some(rate).ok_or(NotARate))
+    });
+    rate.map_or(NamedLimit::Unreadable, |rate| {
+        NamedLimit::Of(RequestsPerSecond(rate))
+    })
+}
+
 /// Whether only the end of the connection marks the end of the body.
 pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
     !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
--- a/crates/gateway/src/unreadable_headers.rs
+++ b/crates/gateway/src/unreadable_headers.rs
@@ -77,6 +77,11 @@
 }
 
 impl<'a> HeaderReader<'a> {
+    /// Whether a header is there, whatever its value.
+    pub(crate) fn has(&self, name: &HeaderName) -> bool {
+        self.headers.contains_key(name)
+    }
+
     /// The text of a header.
     pub(crate) fn text(&self, name: &HeaderName) -> Option<&'a str> {
         let value = self.headers.get(name)?;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -19,6 +19,7 @@
 pub use outcome::{Outcome, RefusalCode};
 pub use request_fingerprint::{NoFingerprint, RequestFingerprint};
 pub use sizes::{
-    Bytes, BytesPerSecond, CallsPerSecond, Share, Slots, Tier, Tokens, TokensPerSecond,
+    Bytes, BytesPerSecond, CallsPerSecond, RequestsPerSecond, Share, Slots, Tier, Tokens,
+    TokensPerSecond,
 };
 pub use time::{DurationMs, TimeMs, WallTimeMs};
--- a/crates/types/src/sizes.rs
+++ b/crates/types/src/sizes.rs
@@ -53,6 +53,10 @@
     /// Calls a second.
     CallsPerSecond
 );
+ratio!(
+    /// Requests a second.
+    RequestsPerSecond
+);
 ratio!(
     /// A part of a whole, from 0 to 1.
     Share
