feat(gateway): an endpoint that says in its answers that it leaves is logged

The logs could not tell whether daemons hear that an endpoint leaves before its record says so. Nothing is decided by it yet.

--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -17,6 +17,7 @@
 use bridgevane_types::{DataCentreId, DurationMs, EndpointId, ServiceName, TimeMs, WallTimeMs};
 use std::net::SocketAddr;
 use std::sync::OnceLock;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// An endpoint as it reports itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,6 +64,8 @@
     pub(crate) cold: ColdState,
     /// The limit of its requests that it names.
     pub(crate) rate_limit: RateLimitState,
+    /// Whether it has said that it leaves.
+    is_leaving: AtomicBool,
     /// Made when a connection breaks for the first time: most endpoints never need it, and a daemon may
     /// know thousands.
     lost_requests: OnceLock<Box<LostRequests>>,
@@ -82,11 +85,17 @@
             idle_connections: IdleConnections::default(),
             cold: ColdState::default(),
             rate_limit: RateLimitState::default(),
+            is_leaving: AtomicBool::new(false),
             lost_requests: OnceLock::new(),
             expires_at: AtomicTime::default(),
         }
     }
 
+    /// It says in an answer that it leaves; false when that was known. There is no way back in this life.
+    pub(crate) fn leave(&self) -> bool {
+        !self.is_leaving.swap(true, Ordering::AcqRel)
+    }
+
     /// Requests that were under way when a connection broke.
     pub(crate) fn lost_requests(&self) -> &LostRequests {
         self.lost_requests.get_or_init(Box::default)
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -23,6 +23,8 @@
     pub load: HeaderName,
     /// On an endpoint's answers while it is so: requests a second that it takes from all daemons together.
     pub rate_limit: HeaderName,
+    /// On all answers of an endpoint that leaves: "1".
+    pub leaving: HeaderName,
     /// On an answer: the endpoint did not run the request.
     pub not_executed: HeaderName,
     /// Tokens of the prompt, and the most of the answer.
--- a/crates/gateway/src/requests/endpoint_signals.rs
+++ b/crates/gateway/src/requests/endpoint_signals.rs
@@ -28,6 +28,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct EndpointSignals {
     limit: NamedLimit,
+    is_leaving: bool,
 }
 
 impl EndpointSignals {
@@ -35,12 +36,16 @@
     pub(crate) fn read(names: &HeaderNames, headers: &HeaderReader<'_>) -> Self {
         Self {
             limit: response_head::named_limit(names, headers),
+            is_leaving: response_head::says_it_leaves(names, headers),
         }
     }
 
     /// Keeps the signals with their endpoint.
     pub(crate) fn take_in(self, heard: &Heard<'_>) {
         self.take_limit_in(heard);
+        if self.is_leaving {
+            on_leaving(heard);
+        }
     }
 
     fn take_limit_in(self, heard: &Heard<'_>) {
@@ -59,3 +64,15 @@
         );
     }
 }
+
+fn on_leaving(heard: &Heard<'_>) {
+    if heard.endpoint.leave() {
+        let record = heard.endpoint.record.load();
+        event!(
+            Event::EndpointLeaves,
+            endpoint = record.id,
+            service = record.service,
+            is_recorded = record.is_draining
+        );
+    }
+}
--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -80,6 +80,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct NotARate;
 
+/// Whether the answer's endpoint says that it leaves.
+pub(crate) fn says_it_leaves(names: &HeaderNames, headers: &HeaderReader<'_>) -> bool {
+    let leaves: Option<u8> = headers.parsed(&names.leaving);
+    leaves.is_some_and(|leaves| leaves != 0)
+}
+
 /// The limit that the answer's endpoint names.
 pub(crate) fn named_limit(names: &HeaderNames, headers: &HeaderReader<'_>) -> NamedLimit {
     if !headers.has(&names.rate_limit) {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -35,6 +35,7 @@
         customer: name("x-customer"),
         expected_endpoint: name("x-endpoint"),
         load: name("x-load"),
+        leaving: name("x-leaving"),
         rate_limit: name("x-rate-limit"),
         not_executed: name("x-not-run"),
         token_counts: name("x-tokens"),
