feat(gateway): the rest that an endpoint asks for is logged and counted

1308 named each request that an endpoint turned away, and not what the endpoint asked for. Retry-After of a 503 is kept with the endpoint (0 to 3,600 s; anything else counts as absent, 1311), reported as event 1415 when a rest begins, and counted by bridgevane_gateway_endpoint_rests. Nothing is decided by it yet.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -95,6 +95,7 @@
     1412 EndpointsSeen Info "more endpoints were added or changed, too many for a line each";
     1413 EndpointRateLimited Info "an endpoint named another limit of its requests, or withdrew it";
     1414 EndpointLeaves Info "an endpoint said in an answer that it leaves: it gets nothing new";
+    1415 EndpointRests Info "an endpoint turned a request away and wants nothing from this daemon for a time";
     1501 PeerRefused Warn "a connection between daemons was refused";
     1502 MemberChanged Info "the view of a daemon changed";
     1503 HomePassedOver Warn "a pool's home does not answer, its requests are decided here";
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -67,6 +67,8 @@
     pub(crate) rate_limit: RateLimitState,
     /// Whether it has said that it leaves.
     is_leaving: AtomicBool,
+    /// Until when it wants nothing from this daemon.
+    resting_until: AtomicTime,
     /// Made when a connection breaks for the first time: most endpoints never need it, and a daemon may
     /// know thousands.
     lost_requests: OnceLock<Box<LostRequests>>,
@@ -87,6 +89,7 @@
             cold: ColdState::default(),
             rate_limit: RateLimitState::default(),
             is_leaving: AtomicBool::new(false),
+            resting_until: AtomicTime::default(),
             lost_requests: OnceLock::new(),
             expires_at: AtomicTime::default(),
         }
@@ -127,6 +130,19 @@
         !self.has_expired(now) && !self.has_said_it_leaves()
     }
 
+    /// It wants nothing from this daemon for so long; false when it was resting already.
+    pub(crate) fn rest(&self, now: TimeMs, rest: DurationMs) -> bool {
+        let was_resting = self.rest_left(now).is_some();
+        self.resting_until.set_if_later(now + rest);
+        !was_resting
+    }
+
+    /// How much longer it wants nothing from this daemon; none: it rests no more.
+    pub(crate) fn rest_left(&self, now: TimeMs) -> Option<DurationMs> {
+        let until = self.resting_until.get()?;
+        (now < until).then(|| until.since(now))
+    }
+
     /// Requests that were under way when a connection broke.
     pub(crate) fn lost_requests(&self) -> &LostRequests {
         self.lost_requests.get_or_init(Box::default)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,7 @@
     requests: Counter<u64>,
     retries: Counter<u64>,
     limits_heard: Counter<u64>,
+    rests_wanted: Counter<u64>,
     source_calls: Counter<u64>,
     peer_questions: Counter<u64>,
     first_byte_s: Histogram<f64>,
@@ -52,6 +53,7 @@
             requests: counter("bridgevane_gateway_requests"),
             retries: counter("bridgevane_gateway_retries"),
             limits_heard: counter("bridgevane_gateway_endpoint_limits"),
+            rests_wanted: counter("bridgevane_gateway_endpoint_rests"),
             source_calls: counter("bridgevane_gateway_source_calls"),
             peer_questions: counter("bridgevane_gateway_peer_questions"),
             first_byte_s: meter
@@ -121,6 +123,12 @@
             .add(1, &[service, KeyValue::new("limited", is_limited)]);
     }
 
+    /// An endpoint of a service wants nothing from this daemon for a time.
+    pub(crate) fn rest_wanted(&self, service: &ServiceName) {
+        let service = KeyValue::new("service", service.as_str().to_owned());
+        self.rests_wanted.add(1, &[service]);
+    }
+
     /// How many levels below the control source this daemon is; none: it follows nobody that does.
     pub(crate) fn tree_depth(&self, path: &SourcePath) {
         let depth = if path.reaches_source() {
--- a/crates/gateway/src/requests/attempt.rs
+++ b/crates/gateway/src/requests/attempt.rs
@@ -132,7 +132,8 @@
         }
         let checked = response_head::check(self.names, &self.inbound.id, &head, &headers);
         if matches!(checked, Ok(()) | Err(AttemptError::NotExecuted { .. })) {
-            EndpointSignals::read(self.names, &headers).take_in(&self.heard(sent_at));
+            let signals = EndpointSignals::read(self.names, head.status, &headers);
+            signals.take_in(&self.heard(sent_at));
         }
         checked?;
         Ok(EndpointAnswer {
--- a/crates/gateway/src/requests/endpoint_signals.rs
+++ b/crates/gateway/src/requests/endpoint_signals.rs
@@ -11,7 +11,8 @@
 use crate::requests::response_head;
 use crate::unreadable_headers::HeaderReader;
 use bridgevane_events::{Event, event};
-use bridgevane_types::TimeMs;
+use bridgevane_types::{DurationMs, TimeMs};
+use http::StatusCode;
 use rand::RngExt;
 
 /// An endpoint's answer, as far as its signals need it.
@@ -29,14 +30,20 @@
 pub(crate) struct EndpointSignals {
     limit: NamedLimit,
     is_leaving: bool,
+    wanted_rest: Option<DurationMs>,
 }
 
 impl EndpointSignals {
     /// Reads the signals of an answer's head.
-    pub(crate) fn read(names: &HeaderNames, headers: &HeaderReader<'_>) -> Self {
+    pub(crate) fn read(
+        names: &HeaderNames,
+        status: StatusCode,
+        headers: &HeaderReader<'_>,
+    ) -> Self {
         Self {
             limit: response_head::named_limit(names, headers),
             is_leaving: response_head::says_it_leaves(names, headers),
+            wanted_rest: response_head::wanted_rest(status, headers),
         }
     }
 
@@ -46,6 +53,9 @@
         if self.is_leaving {
             on_leaving(heard);
         }
+        if let Some(rest) = self.wanted_rest {
+            on_rest_wanted(heard, rest);
+        }
     }
 
     fn take_limit_in(self, heard: &Heard<'_>) {
@@ -76,3 +86,17 @@
         );
     }
 }
+
+fn on_rest_wanted(heard: &Heard<'_>, rest: DurationMs) {
+    if !heard.endpoint.rest(heard.now, rest) {
+        return;
+    }
+    let record = heard.endpoint.record.load();
+    heard.metrics.rest_wanted(&record.service);
+    event!(
+        Event::EndpointRests,
+        endpoint = record.id,
+        service = record.service,
+        rest_ms = rest
+    );
+}
--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -20,6 +20,9 @@
 /// is taken for an error of the endpoint.
 const MAX_NAMED_RATE_PER_S: f64 = 1e6;
 
+/// The longest time that counts as one, in seconds. Longer ones are taken for errors of the endpoint.
+const MAX_RETRY_AFTER_S: f64 = 3_600.0;
+
 /// Checks that an answer belongs to the request, and that the request ran.
 ///
 /// # Errors
@@ -44,10 +47,25 @@
     Ok(())
 }
 
+/// The header names no time that an endpoint could mean.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct NotATime;
+
 /// When to come back, as the endpoint says; fractions of seconds are allowed.
 fn retry_after(headers: &HeaderReader<'_>) -> Option<DurationMs> {
     let seconds: f64 = headers.parsed(&RETRY_AFTER)?;
-    Some(DurationMs((seconds * 1_000.0) as u64))
+    let is_time = (0.0..=MAX_RETRY_AFTER_S).contains(&seconds);
+    let seconds = headers.decoded(&RETRY_AFTER, is_time.then_some(seconds).ok_or(NotATime))?;
+    Some(DurationMs((seconds * 1_000.0).ceil() as u64))
+}
+
+/// How long the answer's endpoint wants nothing from this daemon, if it turns the request away and says so.
+pub(crate) fn wanted_rest(status: StatusCode, headers: &HeaderReader<'_>) -> Option<DurationMs> {
+    let is_turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
+    if !is_turned_away || !headers.has(&RETRY_AFTER) {
+        return None;
+    }
+    retry_after(headers)
 }
 
 /// The load that the endpoint reports, if it does.
