test(platform): the emulated worker names a limit, which a daemon as a process keeps

A worker names 0.5 requests a second; of 20 requests right after the first at most one reaches it. The header's name is kept out of other packages by tests/platform_names.rs.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,7 +1,7 @@
 //! The gateway as separate processes before the emulated platform.
 
 use bridgevane_platform_emulator::{
-    Behaviour, CONFIG_KEY, Fault, MODEL, PLAIN, Store, Worker, document, request,
+    Behaviour, CONFIG_KEY, Fault, MODEL, PLAIN, Store, Wish, Worker, document, request,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::net::SocketAddr;
@@ -239,3 +239,23 @@
     let got = stage.ask("/once/x", "c3").await;
     assert!(got.starts_with("HTTP/1.1 200"), "{got}");
 }
+
+/// Asks so often; gives how many were answered well.
+async fn served(stage: &Stage, requests: usize) -> usize {
+    let mut served = 0;
+    for at in 0..requests {
+        let got = stage.ask("/once/x", &format!("r{at}")).await;
+        served += usize::from(got.starts_with("HTTP/1.1 200"));
+    }
+    served
+}
+
+/// Guards against a worker's limit that is lost between the wire and the rule.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_gets_no_more_than_the_limit_that_it_names() {
+    let stage = stage(1).await;
+    stage.workers[0].ask_for(Some(Wish::Limit(0.5)));
+    assert_eq!(served(&stage, 1).await, 1);
+    // A second turn may come at once.
+    assert!(served(&stage, 20).await <= 1);
+}
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names of headers, fields and paths that mean nothing elsewhere.
-const NAMES: [&str; 38] = [
+const NAMES: [&str; 39] = [
     "attempt-id",
     "deadline-ms",
     "prompt-prefix",
@@ -11,6 +11,7 @@
     "target-instance",
     "instance-load",
     "instance-id",
+    "server-limit",
     "not-executed",
     "request-urgency",
     "response-signature",
