--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -259,3 +259,18 @@
     // A second turn may come at once.
     assert!(served(&stage, 20).await <= 1);
 }
+
+/// Guards against a worker that is taken for a ready one again, by its old record, after an outage in which it has said that it leaves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_that_leaves_during_an_outage_gets_nothing_after_it() {
+    let stage = stage(1).await;
+    let daemon = &stage.gateways[0];
+    stage.store.fault(Some(Fault::Silent));
+    stage.workers[0].ask_for(Some(Wish::Leaving));
+    assert_eq!(served(&stage, 1).await, 1);
+    wait_for("not ready", async || !is_ready(daemon).await).await;
+    stage.store.fault(None);
+    wait_for("ready", async || is_ready(daemon).await).await;
+    assert_eq!(served(&stage, 3).await, 0);
+    assert_eq!(stage.workers[0].ran().len(), 1);
+}
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names of headers, fields and paths that mean nothing elsewhere.
-const NAMES: [&str; 39] = [
+const NAMES: [&str; 40] = [
     "attempt-id",
     "deadline-ms",
     "prompt-prefix",
@@ -12,6 +12,7 @@
     "instance-load",
     "instance-id",
     "server-limit",
+    "server-leaving",
     "not-executed",
     "request-urgency",
     "response-signature",
