--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -274,3 +274,19 @@
     assert_eq!(served(&stage, 3).await, 0);
     assert_eq!(stage.workers[0].ran().len(), 1);
 }
+
+/// Guards against a worker's rest that is lost between the wire and the rule.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_that_asks_for_rest_gets_nothing_meanwhile() {
+    let stage = stage(1).await;
+    let worker = &stage.workers[0];
+    worker.ask_for(Some(Wish::Rest(Duration::from_secs(60))));
+    worker.behave(Behaviour::Full);
+    let got = stage.ask("/once/x", "s1").await;
+    assert!(
+        got.contains("retry-after: 5") || got.contains("retry-after: 60"),
+        "{got}"
+    );
+    worker.behave(Behaviour::Whole(Duration::ZERO));
+    assert_eq!(served(&stage, 20).await, 0);
+}
