feat(gateway): daemons tell each other what endpoints name as their limit, and that it is over

Cause: a daemon heard a limit only from the endpoint itself. So each daemon sent its usual share until it was told, and one with few turns (one of 985 has a turn in some 40 minutes at one request a second) would take the endpoint for limited long after its end. Change: a limit, and its end for 30 s, go with each question and answer between daemons and between seeds, as they stand; the later observation holds, and the same limit told again is no newer, so that two daemons that tell each other can't keep a word alive. Merging gives the same in whatever order three observations come.

--- a/crates/gateway/src/decisions/eligibility/rate_limit.rs
+++ b/crates/gateway/src/decisions/eligibility/rate_limit.rs
@@ -12,6 +12,9 @@
 //!   many daemons as this one knows, once in a hundred thousand if there are twice as many.
 //! - At least [`MIN_RATE`] is planned, so that daemons learn that the limit is over.
 //! - A daemon that doesn't know how many there are has no turns.
+//! - A limit stands until an answer without it comes to a request that was sent after it was last named. Daemons tell each
+//!   other both, and the later observation holds ([`LimitObservation`]): one that has few turns learns from the others
+//!   that a limit is over. The end is told for [`TOLD_END_MS`].
 //!
 //! Reason: daemons don't know in time what the others send. Even turns at drawn moments need no agreement, hold for
 //! processes that replace each other, and vary less than draws for each request. The endpoint is in need: what
@@ -31,12 +34,17 @@
 const TOLERATED_EXTRA: f64 = 5.0;
 /// How long a turn can be used, in milliseconds.
 const TURN_LIFE_MS: f64 = 1_000.0;
+/// The highest limit that counts as one: no endpoint serves as many, and a higher number is taken for an error.
+const MAX_LIMIT: RequestsPerSecond = RequestsPerSecond(1e6);
 /// The least limit that is planned for, of all daemons together.
 const MIN_RATE: RequestsPerSecond = RequestsPerSecond(0.5);
 /// The probability with which the turns of one window may exceed what is tolerated.
 const MAX_EXCESS: f64 = 1e-6;
 /// The same with twice as many daemons as are known: some join, or are counted late.
 const MAX_EXCESS_OF_TWICE_AS_MANY: f64 = 1e-5;
+/// How long daemons tell each other that a limit is over. Not measured, chosen because it is longer than a daemon is cut
+/// off from the others as a rule.
+pub(crate) const TOLD_END_MS: DurationMs = DurationMs(30_000);
 /// The planned share of a limit is a multiple of one in so many.
 const SHARE_STEPS: u32 = 20;
 
@@ -51,6 +59,34 @@
     Unreadable,
 }
 
+/// A limit that an endpoint or another daemon names, if it is one.
+pub(crate) fn checked(limit: RequestsPerSecond) -> Option<RequestsPerSecond> {
+    let is_limit = (0.0..=MAX_LIMIT.0).contains(&limit.0);
+    is_limit.then_some(limit)
+}
+
+/// What is known of an endpoint's limit, and since when.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitObservation {
+    /// The limit; none: it names none any more.
+    pub limit: Option<RequestsPerSecond>,
+    /// When an answer named it, or when an answer without one was asked for: what is said then holds later
+    /// than what was heard before.
+    pub at: TimeMs,
+}
+
+impl LimitObservation {
+    /// Whether what another daemon tells goes before what is known here. The same limit told again says nothing
+    /// new: its moment is less exact with each daemon that tells it on.
+    pub fn is_news(&self, known: Option<Self>) -> bool {
+        match known {
+            None => self.limit.is_some(),
+            Some(known) if known.limit == self.limit => false,
+            Some(known) => self.at > known.at,
+        }
+    }
+}
+
 /// The pace of one daemon's turns, where so many share the limit.
 pub fn daemon_rate(limit: RequestsPerSecond, daemons: u32) -> RequestsPerSecond {
     let daemons = daemons.max(1);
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -64,7 +64,7 @@
     /// Until when it is cold, and what it got meanwhile.
     pub(crate) cold: ColdState,
     /// The limit of its requests that it names.
-    pub(crate) rate_limit: RateLimitState,
+    pub rate_limit: RateLimitState,
     /// Whether it has said that it leaves.
     is_leaving: AtomicBool,
     /// Until when it wants nothing from this daemon.
--- a/crates/gateway/src/endpoints/rate_limit.rs
+++ b/crates/gateway/src/endpoints/rate_limit.rs
@@ -3,7 +3,9 @@
 //! Behind a lock that is taken only while there is a limit, or one is named. The rule is
 //! [`crate::decisions::eligibility::rate_limit`].
 
-use crate::decisions::eligibility::rate_limit::{NamedLimit, Turns, daemon_rate};
+use crate::decisions::eligibility::rate_limit::{
+    LimitObservation, NamedLimit, TOLD_END_MS, Turns, daemon_rate,
+};
 use bridgevane_types::{DurationMs, RequestsPerSecond, TimeMs};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -27,6 +29,8 @@
 #[derive(Debug, Default)]
 struct State {
     in_force: Option<InForce>,
+    /// When the newest answer without a limit was asked for, since one ended.
+    ended_at: Option<TimeMs>,
     /// What was reported last, and when.
     reported: Option<(Option<RequestsPerSecond>, TimeMs)>,
 }
@@ -35,6 +39,8 @@
 #[derive(Debug, Default)]
 pub struct RateLimitState {
     is_limited: AtomicBool,
+    /// Whether there is a limit, or its end is told.
+    is_known: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -48,6 +54,11 @@
         self.is_limited.load(Ordering::Acquire)
     }
 
+    /// Whether there is something to tell other daemons.
+    pub(crate) fn is_known(&self) -> bool {
+        self.is_known.load(Ordering::Acquire)
+    }
+
     /// An answer to a request that was sent at `sent_at` names this limit; `draw` is a random number from 0 to 1.
     /// Gives the limit that is in force now, where that is to be reported.
     pub fn on_answer(
@@ -57,22 +68,63 @@
         named: NamedLimit,
         draw: impl FnOnce() -> f64,
     ) -> Option<Option<RequestsPerSecond>> {
-        if named == NamedLimit::None && !self.is_limited() {
+        if named == NamedLimit::None && !self.is_known() {
             return None;
         }
-        let mut state = self.state();
-        match named {
-            NamedLimit::Of(limit) => state.put_in_force(now, limit, draw),
-            // Answers overtake each other: this one may be from before the limit was named.
-            NamedLimit::None if state.was_named_after(sent_at) => {}
-            NamedLimit::None => state.in_force = None,
+        self.change(now, |state| match named {
+            NamedLimit::Of(limit) => state.put_in_force(now, (limit, now), draw),
+            NamedLimit::None => state.end_by(sent_at),
             NamedLimit::Unreadable => {}
+        })
+    }
+
+    /// Another daemon tells what it knows; gives the limit that is in force now, where that is to be reported.
+    pub fn on_told(
+        &self,
+        now: TimeMs,
+        told: LimitObservation,
+        draw: impl FnOnce() -> f64,
+    ) -> Option<Option<RequestsPerSecond>> {
+        self.change(now, |state| {
+            if !told.is_news(state.known()) {
+                return;
+            }
+            match told.limit {
+                Some(limit) => state.put_in_force(now, (limit, told.at), draw),
+                None => state.end_by(told.at),
+            }
+        })
+    }
+
+    /// What other daemons should know.
+    pub fn observation(&self, now: TimeMs) -> Option<LimitObservation> {
+        if !self.is_known() {
+            return None;
         }
-        self.is_limited
-            .store(state.in_force.is_some(), Ordering::Release);
+        let mut state = self.state();
+        state.forget_old_end(now);
+        self.publish(&state);
+        state.known()
+    }
+
+    fn change(
+        &self,
+        now: TimeMs,
+        change: impl FnOnce(&mut State),
+    ) -> Option<Option<RequestsPerSecond>> {
+        let mut state = self.state();
+        change(&mut state);
+        self.publish(&state);
         state.take_report(now)
     }
 
+    fn publish(&self, state: &State) {
+        let is_limited = state.in_force.is_some();
+        self.is_limited.store(is_limited, Ordering::Release);
+        let is_known = state.known().is_some();
+        self.is_known.store(is_known, Ordering::Release);
+    }
+
     /// Whether one of so many daemons may send the endpoint a request now.
     pub(crate) fn admits(&self, now: TimeMs, daemons: Option<u32>) -> bool {
         self.at_turns(now, daemons, |turns| turns.is_open(now))
@@ -128,17 +180,24 @@
 
 impl State {
     /// A limit is named, for the first time or again.
-    fn put_in_force(&mut self, now: TimeMs, limit: RequestsPerSecond, draw: impl FnOnce() -> f64) {
+    fn put_in_force(
+        &mut self,
+        now: TimeMs,
+        named: (RequestsPerSecond, TimeMs),
+        draw: impl FnOnce() -> f64,
+    ) {
+        let (limit, heard_at) = named;
+        self.ended_at = None;
         let Some(in_force) = &mut self.in_force else {
             self.in_force = Some(InForce {
                 limit,
-                heard_at: now,
+                heard_at,
                 draw: draw(),
                 turns: None,
             });
             return;
         };
-        in_force.heard_at = now;
+        in_force.heard_at = heard_at;
         if in_force.limit == limit {
             return;
         }
@@ -148,8 +207,26 @@
         }
     }
 
-    fn was_named_after(&self, at: TimeMs) -> bool {
-        self.in_force.is_some_and(|limit| limit.heard_at > at)
+    /// An answer without a limit came to a request that was sent then.
+    fn end_by(&mut self, sent_at: TimeMs) {
+        // Answers overtake each other: this one may be from before the limit was named.
+        if self.in_force.is_some_and(|limit| limit.heard_at > sent_at) {
+            return;
+        }
+        self.in_force = None;
+        self.ended_at = self.ended_at.max(Some(sent_at));
+    }
+
+    fn known(&self) -> Option<LimitObservation> {
+        let named = self.in_force.map(|in_force| LimitObservation {
+            limit: Some(in_force.limit),
+            at: in_force.heard_at,
+        });
+        named.or(self.ended_at.map(|at| LimitObservation { limit: None, at }))
+    }
+
+    fn forget_old_end(&mut self, now: TimeMs) {
+        self.ended_at = self.ended_at.filter(|at| now.since(*at) < TOLD_END_MS);
     }
 
     /// The limit in force, if it is another than the one that was reported last, and time for a report.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -71,6 +71,7 @@
 pub use endpoints::health::EndpointHealth;
 pub use endpoints::load::EndpointLoad;
 pub use endpoints::prompt_locations::PromptLocations;
+pub use endpoints::rate_limit::RateLimitState;
 pub use endpoints::selection::{Selected, SelectionRequest, select_endpoint};
 pub use prompt::{Prompt, PromptPart};
 pub use replication::message::{MessageError, put_update, take_update, update_parts};
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -8,6 +8,7 @@
 use crate::decisions::replication::source_path::SourcePath;
 use crate::gateway::Gateway;
 use crate::replication::crash_news::{self, ToldNews};
+use crate::replication::endpoint_notices;
 use crate::replication::fleet::own_work;
 use crate::replication::message::{
     CLOCK_GRAIN_MS, MAX_UNPACKED_BYTES, MessageError, addresses_of_messages, path_of_message,
@@ -17,7 +18,9 @@
 use crate::sockets::set_options;
 use crate::work_by_endpoint::WorkByEndpoint;
 use bridgevane_protocol::frame::Body;
-use bridgevane_protocol::{CrashNews, Frame, FrameCodec, RecordsAnswer, RecordsWanted};
+use bridgevane_protocol::{
+    CrashNews, EndpointNotice, Frame, FrameCodec, RecordsAnswer, RecordsWanted,
+};
 use bridgevane_types::{DataCentreId, TimeMs};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
@@ -70,6 +73,7 @@
     pub(crate) others_work: WorkByEndpoint,
     /// What the other daemon hadn't told on this connection.
     crash_news: Vec<CrashNews>,
+    endpoint_notices: Vec<EndpointNotice>,
 }
 
 /// A daemon's place in the tree, and the work that the daemons below it have under way.
@@ -143,6 +147,7 @@
         self.open = Some(open);
         let answer = decode(asked_at, parts, &own_work)?;
         crash_news::take_in(gateway, &answer.crash_news);
+        endpoint_notices::take_in(gateway, &answer.endpoint_notices);
         Ok(answer)
     }
 
@@ -158,6 +163,7 @@
         let mut open = self.connect(peer).await?;
         let question = RecordsWanted {
             is_for_work: true,
+            endpoint_notices: endpoint_notices::messages(gateway),
             crash_news: open.told_news.next(gateway),
             peer_address: own_address(gateway),
             proof_age_ms: proof_age_ms(gateway),
@@ -166,6 +172,7 @@
         let asked_at = gateway.clock.now();
         let answer = exchange(&mut open.frames, question, PROBE_TIMEOUT).await?;
         crash_news::take_in(gateway, &answer.crash_news);
+        endpoint_notices::take_in(gateway, &answer.endpoint_notices);
         self.open = Some(open);
         Ok(ProbeAnswer {
             at: Revision(answer.at),
@@ -221,6 +228,7 @@
         proof_age_ms: proof_age_ms(gateway),
         crash_news: Vec::new(),
         takes_parts: true,
+        endpoint_notices: endpoint_notices::messages(gateway),
     }
 }
 
@@ -317,5 +325,6 @@
         others_work: total_work.without(own_work),
         total_work,
         crash_news: answer.crash_news,
+        endpoint_notices: answer.endpoint_notices,
     })
 }
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -11,6 +11,7 @@
 use crate::duties::codec::report_of_message;
 use crate::gateway::Gateway;
 use crate::replication::crash_news::{self, ToldNews};
+use crate::replication::endpoint_notices;
 use crate::replication::fleet::FresherDaemon;
 use crate::replication::message::{CLOCK_GRAIN_MS, path_message, work_messages, work_of_messages};
 use crate::sockets::{accept, set_options};
@@ -82,6 +83,7 @@
         };
         note_proof(gateway, &question);
         crash_news::take_in(gateway, &question.crash_news);
+        endpoint_notices::take_in(gateway, &question.endpoint_notices);
         let placement = if question.is_for_work {
             None
         } else {
@@ -105,6 +107,7 @@
                 }
                 sent_proof = proved_at;
                 answer.crash_news = told_news.next(gateway);
+                answer.endpoint_notices = endpoint_notices::messages(gateway);
                 if answers % SIBLINGS_EVERY == 0 {
                     let siblings = gateway.fleet.siblings(&VmId::from(question.vm.as_str()));
                     answer.siblings = siblings.iter().map(ToString::to_string).collect();
@@ -156,6 +159,7 @@
         proof_age_ms: proof_age_ms(gateway, proved_at),
         path: Some(path_message(&path)),
         work: work_messages(&tree.work),
+        endpoint_notices: endpoint_notices::messages(gateway),
         ..Default::default()
     }
 }
--- a/crates/gateway/src/requests/endpoint_signals.rs
+++ b/crates/gateway/src/requests/endpoint_signals.rs
@@ -11,7 +11,8 @@
 use crate::requests::response_head;
 use crate::unreadable_headers::HeaderReader;
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DurationMs, TimeMs};
+use bridgevane_types::{DurationMs, RequestsPerSecond, TimeMs};
+use derive_more::Display;
 use http::StatusCode;
 use rand::RngExt;
 
@@ -64,17 +65,38 @@
         let Some(limit) = limits.on_answer(heard.now, heard.sent_at, self.limit, draw) else {
             return;
         };
-        let record = heard.endpoint.record.load();
-        heard.metrics.limit_heard(&record.service, limit.is_some());
-        event!(
-            Event::EndpointRateLimited,
-            endpoint = record.id,
-            service = record.service,
-            requests_per_s = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
-        );
+        let metrics = heard.metrics;
+        on_limit_heard(heard.endpoint, metrics, limit, LimitHeardBy::ThisDaemon);
     }
 }
 
+/// Who heard an endpoint name its limit. The text is for logs.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum LimitHeardBy {
+    #[display("this daemon")]
+    ThisDaemon,
+    #[display("other daemons")]
+    OtherDaemons,
+}
+
+/// Reports the limit that is in force now at an endpoint; none: there is none any more.
+pub(crate) fn on_limit_heard(
+    endpoint: &Endpoint,
+    metrics: &GatewayMetrics,
+    limit: Option<RequestsPerSecond>,
+    heard_by: LimitHeardBy,
+) {
+    let record = endpoint.record.load();
+    metrics.limit_heard(&record.service, limit.is_some());
+    event!(
+        Event::EndpointRateLimited,
+        endpoint = record.id,
+        service = record.service,
+        requests_per_s = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string()),
+        heard_by = heard_by
+    );
+}
+
 fn on_leaving(heard: &Heard<'_>) {
     if heard.endpoint.leave() {
         let record = heard.endpoint.record.load();
--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns nothing; a header that can't be decoded counts as absent, and is logged.
 
-use crate::decisions::eligibility::rate_limit::NamedLimit;
+use crate::decisions::eligibility::rate_limit::{self, NamedLimit};
 use crate::decisions::endpoint::idle_connections;
 use crate::decisions::endpoint::load_report::ReportedLoad;
 use crate::decisions::resend::AttemptError;
@@ -16,10 +16,6 @@
 /// Says how long an endpoint keeps an idle connection.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
-/// The highest limit that counts as one, in requests a second. No endpoint serves as many; a higher number
-/// is taken for an error of the endpoint.
-const MAX_NAMED_RATE_PER_S: f64 = 1e6;
-
 /// The longest time that counts as one, in seconds. Longer ones are taken for errors of the endpoint.
 const MAX_RETRY_AFTER_S: f64 = 3_600.0;
 
@@ -110,12 +106,10 @@
         return NamedLimit::None;
     }
     let rate = headers.parsed(&names.rate_limit).and_then(|rate: f64| {
-        let is_rate = (0.0..=MAX_NAMED_RATE_PER_S).contains(&rate);
-        headers.decoded(&names.rate_limit, is_rate.then_some(rate).ok_or(NotARate))
+        let limit = rate_limit::checked(RequestsPerSecond(rate));
+        headers.decoded(&names.rate_limit, limit.ok_or(NotARate))
     });
-    rate.map_or(NamedLimit::Unreadable, |rate| {
-        NamedLimit::Of(RequestsPerSecond(rate))
-    })
+    rate.map_or(NamedLimit::Unreadable, NamedLimit::Of)
 }
 
 /// Whether only the end of the connection marks the end of the body.
--- a/crates/gateway/tests/endpoint_limits.rs
+++ b/crates/gateway/tests/endpoint_limits.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
+use bridgevane_gateway::RateLimitState;
 use bridgevane_gateway::Repeatability::AtMostOnce;
+use bridgevane_gateway::decisions::eligibility::rate_limit::{LimitObservation, NamedLimit};
+use bridgevane_types::{RequestsPerSecond, TimeMs};
 use futures_util::future::join_all;
 use std::time::Duration;
 use support::client::{Client, Got, request};
@@ -159,3 +162,62 @@
         "the limit named before stands"
     );
 }
+
+fn observation(limit: Option<f64>, at_ms: u64) -> LimitObservation {
+    LimitObservation {
+        limit: limit.map(RequestsPerSecond),
+        at: TimeMs(at_ms),
+    }
+}
+
+/// What a daemon believes after it was told these.
+fn believed(told: &[LimitObservation]) -> Option<LimitObservation> {
+    let state = RateLimitState::default();
+    for told in told {
+        state.on_told(TimeMs(20_000), *told, || 0.5);
+    }
+    state.observation(TimeMs(20_000))
+}
+
+/// Guards against an old word that goes before a newer one since it was told on a longer way.
+#[test]
+fn the_later_observation_holds_in_whatever_order_they_are_told() {
+    let named = observation(Some(1.0), 10_000);
+    let ended = observation(None, 11_000);
+    let renamed = observation(Some(2.0), 12_000);
+    assert_eq!(believed(&[ended]), None, "there was none here");
+    for told in [
+        [named, ended, renamed],
+        [named, renamed, ended],
+        [renamed, named, ended],
+        [renamed, ended, named],
+        [ended, renamed, named],
+        [ended, named, renamed],
+    ] {
+        assert_eq!(believed(&told), Some(renamed), "{told:?}");
+    }
+    assert_eq!(believed(&[named, ended]), Some(ended));
+    assert_eq!(believed(&[named, ended, named]), Some(ended));
+}
+
+/// Guards against a word whose moment moves on each time that two daemons tell it to each other, so that it outlasts its end.
+#[test]
+fn the_same_word_told_again_is_no_newer() {
+    let named = observation(Some(1.0), 10_000);
+    let again = observation(Some(1.0), 12_000);
+    assert_eq!(believed(&[named, again]), Some(named));
+}
+
+/// Guards against an end that is told for ever, of endpoints that were limited once.
+#[test]
+fn an_end_is_forgotten() {
+    let state = RateLimitState::default();
+    state.on_told(TimeMs(10_000), observation(Some(1.0), 10_000), || 0.5);
+    state.on_answer(TimeMs(12_000), TimeMs(11_900), NamedLimit::None, || 0.5);
+    assert!(!state.is_limited());
+    assert_eq!(
+        state.observation(TimeMs(41_000)),
+        Some(observation(None, 11_900))
+    );
+    assert_eq!(state.observation(TimeMs(42_000)), None);
+}
--- a/crates/gateway/tests/replication.rs
+++ b/crates/gateway/tests/replication.rs
@@ -5,6 +5,8 @@
 use bridgevane_gateway::{GatewaySettings, Repeatability::Idempotent, SourceError, serve_peers};
 use bridgevane_types::DurationMs;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use support::client::{Client, request};
 use support::endpoint::{Act, Endpoint, answer};
@@ -275,3 +277,67 @@
     let asked = source.waits() - waits;
     assert!((24..=48).contains(&asked), "{asked} calls in 2.4 s");
 }
+
+/// Whether the daemon takes the only plain endpoint for limited.
+fn takes_it_for_limited(peer: &Peer) -> bool {
+    let directory = peer.running.gateway.control.directory();
+    let service = directory.service(&"plain".into()).expect("the service");
+    service.all[0].rate_limit.is_limited()
+}
+
+/// Waits until all daemons take the endpoint for limited, or none does; `meanwhile` is done in between.
+async fn wait_for_limit(peers: &[&Peer], is_limited: bool, mut meanwhile: impl AsyncFnMut()) {
+    let agreed = async {
+        while peers
+            .iter()
+            .any(|peer| takes_it_for_limited(peer) != is_limited)
+        {
+            meanwhile().await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_millis(6_000), agreed).await;
+    waited.expect("the daemons tell each other in time");
+}
+
+/// Guards against daemons that send an endpoint in need their usual share until it has told each of them, and against daemons
+/// with few turns that take it for limited long after the others have heard that it isn't.
+#[tokio::test]
+async fn a_limit_and_its_end_are_told_up_and_down_the_tree_and_between_seeds() {
+    let source = ScriptedSource::new();
+    source.configure(3, vec![plain_route("often", Idempotent, 2)], &[KEY]);
+    let is_in_need = Arc::new(AtomicBool::new(true));
+    let in_need = is_in_need.clone();
+    let endpoint = Endpoint::start(move |_| {
+        let limit = if in_need.load(Ordering::SeqCst) {
+            "x-rate-limit: 40\r\n"
+        } else {
+            ""
+        };
+        let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\n";
+        vec![Act::Send(format!(
+            "{head}{limit}content-length: 4\r\n\r\nfine"
+        ))]
+    })
+    .await;
+    source.endpoint("e-0", "plain", endpoint.address);
+    let one = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let two = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let seeds = [one.local_addr().unwrap(), two.local_addr().unwrap()];
+    let first = peer_among("vm-1", &source, one, &seeds).await;
+    let second = peer_among("vm-2", &source, two, &seeds).await;
+    let child = peer("vm-3", &source, Some(first.address)).await;
+    let other = peer("vm-4", &source, Some(first.address)).await;
+    let all = [&first, &second, &child, &other];
+    // Only one daemon asks the endpoint, and only as often as its turns let it.
+    let ask = async || {
+        let mut client = Client::connect(child.running.address).await;
+        client.send(&request("GET", "/often/x", "a1", "", "")).await;
+        client.answer().await.expect("an answer");
+    };
+    ask().await;
+    wait_for_limit(&all, true, async || {}).await;
+    assert_eq!(endpoint.count(), 1, "the others were told");
+    is_in_need.store(false, Ordering::SeqCst);
+    wait_for_limit(&all, false, ask).await;
+}
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -4,12 +4,12 @@
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::record_change::Change;
 use bridgevane_protocol::{
-    ConfigDelta, ConfigSnapshot, ConfigWanted, CrashNews, EndpointWork, Frame, FrameCodec,
-    FrameError, GreetingError, Heartbeat, Hello, KeyClaim, KeyEnded, KeyEndedHeard, KeyVerdict,
-    MAX_FRAME_BYTES, MemberState, MemberUpdate, PROTOCOL_VERSION, PoolDispatch, PoolOffer,
-    PoolOrder, PoolRefuse, PoolReport, Proof, Query, QueryAnswer, RecordChange, RecordPatch,
-    RecordsAnswer, RecordsWanted, RequestFingerprint, Role, SectionChange, SourcePath, greet,
-    pool_order, pool_report, prove,
+    ConfigDelta, ConfigSnapshot, ConfigWanted, CrashNews, EndpointNotice, EndpointWork, Frame,
+    FrameCodec, FrameError, GreetingError, Heartbeat, Hello, KeyClaim, KeyEnded, KeyEndedHeard,
+    KeyVerdict, MAX_FRAME_BYTES, MemberState, MemberUpdate, PROTOCOL_VERSION, PoolDispatch,
+    PoolOffer, PoolOrder, PoolRefuse, PoolReport, Proof, Query, QueryAnswer, RecordChange,
+    RecordPatch, RecordsAnswer, RecordsWanted, RequestFingerprint, Role, SectionChange, SourcePath,
+    greet, pool_order, pool_report, prove,
 };
 use bytes::{BufMut, Bytes, BytesMut};
 use expect_test::expect;
@@ -215,6 +215,7 @@
                 proof_age_ms: None,
                 crash_news: Vec::new(),
                 takes_parts: false,
+                endpoint_notices: Vec::new(),
             }),
         ),
         (
@@ -245,6 +246,7 @@
                 siblings: Vec::new(),
                 crash_news: Vec::new(),
                 has_more: false,
+                endpoint_notices: Vec::new(),
             }),
         ),
         (
@@ -268,6 +270,20 @@
                 ..Default::default()
             }),
         ),
+        (
+            "records_wanted notices",
+            Body::RecordsWanted(RecordsWanted {
+                endpoint_notices: vec![endpoint_notice(Some(1.4)), endpoint_notice(None)],
+                ..Default::default()
+            }),
+        ),
+        (
+            "records_answer notices",
+            Body::RecordsAnswer(RecordsAnswer {
+                endpoint_notices: vec![endpoint_notice(Some(1.4))],
+                ..Default::default()
+            }),
+        ),
         (
             "records_wanted parts",
             Body::RecordsWanted(RecordsWanted {
@@ -299,6 +315,14 @@
     }
 }
 
+fn endpoint_notice(requests_per_s: Option<f64>) -> EndpointNotice {
+    EndpointNotice {
+        endpoint: 0x0102_0304,
+        requests_per_s,
+        age_ms: 300,
+    }
+}
+
 fn crash_news(fact: Fact) -> CrashNews {
     CrashNews {
         request: Some(fingerprint()),
@@ -374,6 +398,8 @@
         records_answer 0000005c920159080910f40318032a080a016110081a01782a070a0162100828012a120a01631009220b0804100a181422036e65773204626f2d633a0d31302e302e302e323a3730303040504a0a0d0500000010a01f180752067061636b6564
         records_answer path 000000349201315a200a0d31302e302e302e333a373030300a0d31302e302e302e343a373030301001620d31302e302e302e353a37303030
         records_wanted crash news 000000348a013152180a0e0d0d0c0b0a111817161514131211189003250403020152150a0e0d0d0c0b0a1118171615141312111890032801
+        records_wanted notices 000000208a011d62110d0403020111666666666666f63f18ac0262080d0403020118ac02
+        records_answer notices 000000169201137a110d0403020111666666666666f63f18ac02
         records_wanted parts 000000058a01025801
         records_answer more 000000059201027001
         records_answer crash news 0000001a9201176a150a0e0d0d0c0b0a1118171615141312111890033001
