fix(gateway): a caller that gets no retry is told when an endpoint may take its request

Callers saw: with the retry budget empty, a request that one endpoint had turned away was refused with that endpoint's rest (3 s) as its Retry-After, while another endpoint had room: a third of the time that it had left was gone. Cause: the refusal after a failed attempt repeated what the one endpoint said of itself. Change: it says when the first endpoint of the service may take the request, by the rule that refuses where none is left: the usual 0.1 s where one may now. A Retry-After of any answer that says "not run" counts as a rest, so that a 429 is one, too, and the error needn't carry the time. Tests: endpoint_rest.rs, a_caller_without_a_retry_is_not_told_to_wait_for_one_endpoint (60 s told before). resend.rs hands the time in where it was the endpoint's, and asserts it as before.

--- a/crates/gateway/src/decisions/admission/refusal.rs
+++ b/crates/gateway/src/decisions/admission/refusal.rs
@@ -135,37 +135,35 @@
     /// The refusal of a request for which no endpoint is left.
     pub fn none_selected(none: NoneSelected) -> Self {
         let has_endpoints = none.was_tried || none.may_be_cold || none.earliest_use.is_some();
-        let reason = if has_endpoints {
-            RefusalReason::Overloaded
+        if has_endpoints {
+            Self::overloaded(none.runs, none.earliest_use)
         } else {
-            RefusalReason::NoEndpoint
-        };
-        let reason = reason.unless_run(none.runs);
-        let earliest_use = none.earliest_use;
+            RefusalReason::NoEndpoint.unless_run(none.runs).into()
+        }
+    }
+
+    /// No endpoint takes the request now; it is told to come back when one does.
+    fn overloaded(runs: u32, earliest_use: Option<DurationMs>) -> Self {
+        let reason = RefusalReason::Overloaded.unless_run(runs);
         let retry_after = earliest_use.map(|wait| wait.max(OVERLOADED_RETRY_AFTER));
         Self {
             reason,
+            // A request that may have run isn't asked to come back.
             retry_after: retry_after.filter(|_| reason == RefusalReason::Overloaded),
         }
     }
 
     /// The refusal after a failed attempt that is not sent again; `runs` counts the attempts that
-    /// ran, or may have run.
-    pub fn after_failure(error: AttemptError, runs: u32) -> Self {
+    /// ran, or may have run, and `earliest_use` says how long it is until an endpoint may get the request (none: one
+    /// may now, and only the retry isn't allowed).
+    pub fn after_failure(error: AttemptError, runs: u32, earliest_use: Option<DurationMs>) -> Self {
         if error.may_have_run() {
             return match error {
                 AttemptError::TimedOut => RefusalReason::TimedOut.into(),
                 _ => RefusalReason::OutcomeUnknown.into(),
             };
         }
-        let retry_after = match error {
-            AttemptError::NotExecuted { retry_after } => retry_after,
-            _ => None,
-        };
-        Self {
-            reason: RefusalReason::Overloaded.unless_run(runs),
-            retry_after,
-        }
+        Self::overloaded(runs, earliest_use)
     }
 }
 
--- a/crates/gateway/src/decisions/resend/mod.rs
+++ b/crates/gateway/src/decisions/resend/mod.rs
@@ -26,7 +26,6 @@
 pub mod hedging;
 pub mod retry_budget;
 
-use bridgevane_types::DurationMs;
 use derive_more::{Display, Error};
 use std::time::Duration;
 
@@ -56,10 +55,7 @@
     NotSent(OpenError),
     /// The endpoint says that it did not run the request.
     #[display("not_executed")]
-    NotExecuted {
-        /// When to come back, if the endpoint says it.
-        retry_after: Option<DurationMs>,
-    },
+    NotExecuted,
     /// Another endpoint has the address now; it did not run the request.
     #[display("misdirected")]
     Misdirected,
--- a/crates/gateway/src/requests/attempt.rs
+++ b/crates/gateway/src/requests/attempt.rs
@@ -130,8 +130,8 @@
         if let Some(reported) = response_head::reported_load(self.names, &headers) {
             endpoint.load.on_report(self.clock.now(), reported);
         }
-        let checked = response_head::check(self.names, &self.inbound.id, &head, &headers);
-        if matches!(checked, Ok(()) | Err(AttemptError::NotExecuted { .. })) {
+        let checked = response_head::check(self.names, &self.inbound.id, &head);
+        if matches!(checked, Ok(()) | Err(AttemptError::NotExecuted)) {
             let signals = EndpointSignals::read(self.names, head.status, &headers);
             signals.take_in(&self.heard(sent_at));
         }
--- a/crates/gateway/src/requests/endpoint_signals.rs
+++ b/crates/gateway/src/requests/endpoint_signals.rs
@@ -44,7 +44,7 @@
         Self {
             limit: response_head::named_limit(names, headers),
             is_leaving: response_head::says_it_leaves(names, headers),
-            wanted_rest: response_head::wanted_rest(status, headers),
+            wanted_rest: response_head::wanted_rest(names, status, headers),
         }
     }
 
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -23,7 +23,7 @@
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head;
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DataCentreId, TimeMs};
+use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 use bytes::Bytes;
 use http::{HeaderValue, response};
 use http_body_util::{BodyExt, Limited};
@@ -148,17 +148,7 @@
         let directory = self.gateway.control.directory();
         let service = directory.service(&self.inbound.service);
         let service = service.ok_or(RefusalReason::NoEndpoint.unless_run(self.runs))?;
-        let request = SelectionRequest {
-            now: self.gateway.clock.now(),
-            daemon: self.gateway.vm_hash,
-            data_centre: &self.gateway.settings.data_centre,
-            prompt: &self.inbound.prompt,
-            tried: &self.tried,
-            lost_in: &self.lost_in,
-            region_limits: self.region_limits(),
-            daemons: self.gateway.fleet_size(),
-            cold: self.gateway.cold_quota(&self.inbound.service),
-        };
+        let request = self.selection_request();
         let selected = select_endpoint(&self.gateway.prompt_locations, request, service);
         selected.ok_or_else(|| {
             Refusal::none_selected(NoneSelected {
@@ -170,6 +160,27 @@
         })
     }
 
+    fn selection_request(&self) -> SelectionRequest<'_> {
+        SelectionRequest {
+            now: self.gateway.clock.now(),
+            daemon: self.gateway.vm_hash,
+            data_centre: &self.gateway.settings.data_centre,
+            prompt: &self.inbound.prompt,
+            tried: &self.tried,
+            lost_in: &self.lost_in,
+            region_limits: self.region_limits(),
+            daemons: self.gateway.fleet_size(),
+            cold: self.gateway.cold_quota(&self.inbound.service),
+        }
+    }
+
+    /// How long it is until an endpoint may get the request when it comes back; none: one may now, or there is none.
+    fn earliest_use(&self) -> Option<DurationMs> {
+        let directory = self.gateway.control.directory();
+        let service = directory.service(&self.inbound.service)?;
+        earliest_use(&self.selection_request(), service)
+    }
+
     /// Where the request may be served.
     fn region_limits(&self) -> RegionLimits<'_> {
         let customer = self.inbound.customer.as_ref();
--- a/crates/gateway/src/requests/exchange/resending.rs
+++ b/crates/gateway/src/requests/exchange/resending.rs
@@ -34,7 +34,7 @@
             left_ms = self.inbound.remaining().as_millis(),
             resend = resend_text(resend)
         );
-        resend.map_err(|_| Refusal::after_failure(error, self.runs))
+        resend.map_err(|_| Refusal::after_failure(error, self.runs, self.earliest_use()))
     }
 
     /// The same after the body of an answer broke off, or did not come to its end in time.
@@ -62,7 +62,7 @@
             runs = self.runs,
             resend = resend_text(resend)
         );
-        resend.map_err(|_| Refusal::after_failure(error, self.runs))
+        resend.map_err(|_| Refusal::after_failure(error, self.runs, self.earliest_use()))
     }
 
     /// Whether the request may be sent again after a failure, and why not; takes from the retry
--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -27,15 +27,13 @@
     names: &HeaderNames,
     request_id: &HeaderValue,
     head: &response::Parts,
-    headers: &HeaderReader<'_>,
 ) -> Result<(), AttemptError> {
     // Before the header of one that has not run it, which may come along: it isn't full, it is another one.
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptError::Misdirected);
     }
     if head.headers.contains_key(&names.not_executed) {
-        let retry_after = retry_after(headers);
-        return Err(AttemptError::NotExecuted { retry_after });
+        return Err(AttemptError::NotExecuted);
     }
     if head.headers.get(&names.request_id) != Some(request_id) {
         return Err(AttemptError::Crossed);
@@ -56,8 +54,13 @@
 }
 
 /// How long the answer's endpoint wants nothing from this daemon, if it turns the request away and says so.
-pub(crate) fn wanted_rest(status: StatusCode, headers: &HeaderReader<'_>) -> Option<DurationMs> {
-    let is_turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
+pub(crate) fn wanted_rest(
+    names: &HeaderNames,
+    status: StatusCode,
+    headers: &HeaderReader<'_>,
+) -> Option<DurationMs> {
+    let is_turned_away =
+        status == StatusCode::SERVICE_UNAVAILABLE || headers.has(&names.not_executed);
     if !is_turned_away || !headers.has(&RETRY_AFTER) {
         return None;
     }
--- a/crates/gateway/tests/endpoint_rest.rs
+++ b/crates/gateway/tests/endpoint_rest.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
+use bridgevane_gateway::GatewaySettings;
 use bridgevane_gateway::Repeatability::AtMostOnce;
+use bridgevane_types::Share;
 use std::time::{Duration, Instant};
 use support::client::{Client, Got, request};
 use support::endpoint::{Act, Endpoint, answer};
 use support::source::{KEY, ScriptedSource, plain_route};
-use support::{Running, start};
+use support::{Running, settings, start, start_with};
 
 /// Requests that may reach an endpoint while it rests.
 const MOST_WHILE_RESTING: usize = 2;
@@ -111,3 +113,31 @@
         assert_eq!(ask(&running).await.status, 200, "{unreadable}");
     }
 }
+
+/// Guards against callers that wait for the rest of one endpoint while another could take their request: the retry budget is
+/// empty, and only retries aren't allowed.
+#[tokio::test]
+async fn a_caller_without_a_retry_is_not_told_to_wait_for_one_endpoint() {
+    let settings = GatewaySettings {
+        retry_ratio: Share(0.0),
+        retry_slack: 0,
+        ..settings()
+    };
+    let resting = Endpoint::start(|_| wants_rest("60")).await;
+    let sound = Endpoint::start(|_| fine()).await;
+    let source = ScriptedSource::new();
+    source.configure(1, vec![plain_route("once", AtMostOnce, 1)], &[KEY]);
+    source.endpoint("e-0", "plain", resting.address);
+    source.endpoint("e-1", "plain", sound.address);
+    let running = start_with(source, settings).await;
+    let mut refused = 0;
+    for _ in 0..20 {
+        let got = ask(&running).await;
+        if got.status == 503 {
+            refused += 1;
+            let retry_after: f64 = got.header("retry-after").unwrap().parse().unwrap();
+            assert!(retry_after <= 0.2, "{retry_after}");
+        }
+    }
+    assert!(refused <= 1, "{refused} refused");
+}
--- a/crates/gateway/tests/resend.rs
+++ b/crates/gateway/tests/resend.rs
@@ -25,7 +25,7 @@
     max_runs: 2,
 };
 const NOT_SENT: Failure = Failure::Attempt(AttemptError::NotSent(OpenError::Refused));
-const NOT_RUN: Failure = Failure::Attempt(AttemptError::NotExecuted { retry_after: None });
+const NOT_RUN: Failure = Failure::Attempt(AttemptError::NotExecuted);
 const BROKEN: Failure = Failure::Attempt(AttemptError::Broken);
 
 fn progress(endpoints_tried: usize, runs: u32) -> ResendProgress {
@@ -191,12 +191,10 @@
 #[test]
 fn a_request_that_may_have_run_is_never_refused_with_a_promise() {
     let promises = [408, 421, 429, 503];
-    let full = AttemptError::NotExecuted {
-        retry_after: Some(DurationMs(70)),
-    };
-    let not_run = Refusal::after_failure(full, 0);
+    let full = AttemptError::NotExecuted;
+    let not_run = Refusal::after_failure(full, 0, Some(DurationMs(170)));
     assert_eq!(not_run.reason, RefusalReason::Overloaded);
-    assert_eq!(not_run.retry_after(), Some(DurationMs(70)));
+    assert_eq!(not_run.retry_after(), Some(DurationMs(170)));
     for error in [
         full,
         AttemptError::NotSent(OpenError::TimedOut),
@@ -205,7 +203,7 @@
         AttemptError::Crossed,
         AttemptError::TimedOut,
     ] {
-        let refusal = Refusal::after_failure(error, 1);
+        let refusal = Refusal::after_failure(error, 1, Some(DurationMs(170)));
         let status = refusal.reason.status().as_u16();
         assert!(!promises.contains(&status), "{error}: {status}");
     }
