refactor(gateway): what is known of an endpoint's limit has names in place of pairs

Read as a newcomer: the turns with their number of daemons, and what was reported last, are types; a named limit and when it was heard are two arguments. No behaviour changes; endpoint_limits, replication, endpoint_rest and endpoint_leaving pass as before.

--- a/crates/gateway/src/decisions/eligibility/rate_limit.rs
+++ b/crates/gateway/src/decisions/eligibility/rate_limit.rs
@@ -99,8 +99,8 @@
         excess(limit, *rate, daemons) <= MAX_EXCESS
             && excess(limit, *rate, daemons.saturating_mul(2)) <= MAX_EXCESS_OF_TWICE_AS_MANY
     };
-    let rates = (1..=SHARE_STEPS).rev().map(rate_at);
-    rates.into_iter().find(holds).unwrap_or(rate_at(1))
+    let mut rates = (1..=SHARE_STEPS).rev().map(rate_at);
+    rates.find(holds).unwrap_or(rate_at(1))
 }
 
 /// A bound of the probability that so many daemons at this pace exceed in one window what is tolerated.
--- a/crates/gateway/src/endpoints/rate_limit.rs
+++ b/crates/gateway/src/endpoints/rate_limit.rs
@@ -22,8 +22,23 @@
     heard_at: TimeMs,
     /// Where the first turn stands in its period, from 0 to 1.
     draw: f64,
-    /// This daemon's turns among so many daemons; none until their number is known.
-    turns: Option<(u32, Turns)>,
+    /// This daemon's turns; none until the number of daemons is known.
+    turns: Option<SharedTurns>,
+}
+
+/// This daemon's turns, and among how many daemons.
+#[derive(Clone, Copy, Debug)]
+struct SharedTurns {
+    daemons: u32,
+    turns: Turns,
+}
+
+/// What was reported last.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    /// None: the limit was over.
+    limit: Option<RequestsPerSecond>,
+    at: TimeMs,
 }
 
 #[derive(Debug, Default)]
@@ -31,8 +46,7 @@
     in_force: Option<InForce>,
     /// When the newest answer without a limit was asked for, since one ended.
     ended_at: Option<TimeMs>,
-    /// What was reported last, and when.
-    reported: Option<(Option<RequestsPerSecond>, TimeMs)>,
+    reported: Option<Report>,
 }
 
 /// The state of one endpoint.
@@ -72,7 +86,7 @@
             return None;
         }
         self.change(now, |state| match named {
-            NamedLimit::Of(limit) => state.put_in_force(now, (limit, now), draw),
+            NamedLimit::Of(limit) => state.put_in_force(now, limit, now, draw),
             NamedLimit::None => state.end_by(sent_at),
             NamedLimit::Unreadable => {}
         })
@@ -90,7 +104,7 @@
                 return;
             }
             match told.limit {
-                Some(limit) => state.put_in_force(now, (limit, told.at), draw),
+                Some(limit) => state.put_in_force(now, limit, told.at, draw),
                 None => state.end_by(told.at),
             }
         })
@@ -168,25 +182,28 @@
     fn turns(&mut self, now: TimeMs, daemons: u32) -> &mut Turns {
         let limit = self.limit;
         let rate = || daemon_rate(limit, daemons);
-        let first = || (daemons, Turns::begin(now, rate(), self.draw));
-        let (known, turns) = self.turns.get_or_insert_with(first);
-        if *known != daemons {
-            *known = daemons;
-            turns.set_rate(now, rate());
+        let first = || SharedTurns {
+            daemons,
+            turns: Turns::begin(now, rate(), self.draw),
+        };
+        let shared = self.turns.get_or_insert_with(first);
+        if shared.daemons != daemons {
+            shared.daemons = daemons;
+            shared.turns.set_rate(now, rate());
         }
-        turns
+        &mut shared.turns
     }
 }
 
 impl State {
-    /// A limit is named, for the first time or again.
+    /// A limit is named, for the first time or again; it was heard at `heard_at`.
     fn put_in_force(
         &mut self,
         now: TimeMs,
-        named: (RequestsPerSecond, TimeMs),
+        limit: RequestsPerSecond,
+        heard_at: TimeMs,
         draw: impl FnOnce() -> f64,
     ) {
-        let (limit, heard_at) = named;
         self.ended_at = None;
         let Some(in_force) = &mut self.in_force else {
             self.in_force = Some(InForce {
@@ -202,8 +219,9 @@
             return;
         }
         in_force.limit = limit;
-        if let Some((daemons, turns)) = &mut in_force.turns {
-            turns.set_rate(now, daemon_rate(limit, *daemons));
+        if let Some(shared) = &mut in_force.turns {
+            let rate = daemon_rate(limit, shared.daemons);
+            shared.turns.set_rate(now, rate);
         }
     }
 
@@ -232,12 +250,15 @@
     /// The limit in force, if it is another than the one that was reported last, and time for a report.
     fn take_report(&mut self, now: TimeMs) -> Option<Option<RequestsPerSecond>> {
         let limit = self.in_force.map(|in_force| in_force.limit);
-        let (reported, at) = self.reported.unwrap_or_default();
-        let is_soon = self.reported.is_some() && now.since(at) < REPORT_INTERVAL;
-        if limit == reported || is_soon && limit.is_some() {
+        let is_known = limit == self.reported.and_then(|reported| reported.limit);
+        let is_soon = self
+            .reported
+            .is_some_and(|reported| now.since(reported.at) < REPORT_INTERVAL);
+        // An end is reported at once.
+        if is_known || is_soon && limit.is_some() {
             return None;
         }
-        self.reported = Some((limit, now));
+        self.reported = Some(Report { limit, at: now });
         Some(limit)
     }
 }
--- a/crates/gateway/src/replication/mod.rs
+++ b/crates/gateway/src/replication/mod.rs
@@ -6,7 +6,7 @@
 //! ([`crate::decisions::replication::upstream`]). What it has taken in is its replica
 //! ([`crate::control::replica`]), from which it answers daemons that follow it ([`server`],
 //! [`client`]). Messages also carry how many daemons there are and the work that they have under way
-//! ([`fleet`]), and which requests end the endpoints that run them ([`crash_news`]), what endpoints ask for ([`endpoint_notices`]). Nothing is agreed on and nothing is kept: a replica is a cache of the source, and
+//! ([`fleet`]), which requests end the endpoints that run them ([`crash_news`]), and what endpoints ask for ([`endpoint_notices`]). Nothing is agreed on and nothing is kept: a replica is a cache of the source, and
 //! the source's revision is its only clock.
 
 pub(crate) mod client;
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -3,7 +3,8 @@
 //! 1. [`front`] accepts a connection, [`handler`] takes each request on it;
 //! 2. [`admission`] reads and checks it, into an [`inbound`] request ([`request_headers`] decodes);
 //! 3. [`exchange`] selects endpoints until one answers, [`attempt`] sends it to one of them,
-//!    [`response_head`] checks whose answer came, [`endpoint_signals`] takes in what it says of its endpoint, [`in_flight`] counts it meanwhile;
+//!    [`response_head`] checks whose answer came, [`endpoint_signals`] takes in what it says of its endpoint,
+//!    [`in_flight`] counts it meanwhile;
 //! 4. [`relay`] passes a stream on and resumes it elsewhere ([`server_events`] cuts it into
 //!    events); [`answer_body`] is what the client reads.
 //!
