feat(soak): workers name limits, and what they get from daemons that know is counted

The soak had no worker that asks for anything. Twice a run one names 0.3 to 1.2 requests a second, drawn apart from the faults, whose seeds stay what they were. Arrivals are noted with what the answer asked for; from the caller's answer on the daemon knows.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! The promises, as predicates over what callers and workers saw.
 
-use crate::history::{Call, End, History, Kind};
+use crate::history::{Arrived, Call, End, History, Kind};
+use bridgevane_platform_emulator::Wish;
 use derive_more::Display;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -13,11 +14,15 @@
 pub const CONTACT: Duration = Duration::from_millis(3_000);
 /// How soon after the last trouble requests are served again.
 pub const RECOVERY: Duration = Duration::from_millis(3_000);
+/// How soon a daemon that an answer has told acts on it.
+pub const TOLD: Duration = Duration::from_millis(500);
+/// The span in which a limit is counted.
+pub const LIMIT_WINDOW: Duration = Duration::from_millis(4_000);
 /// The part of them that must be.
 const RECOVERED_SHARE: f64 = 0.9;
 
 /// A promise that was broken.
-#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Debug, Display, PartialEq)]
 pub enum Broken {
     /// A success that isn't the worker's whole answer to this request.
     #[display("{id}: an answer that is not the worker's: {what}")]
@@ -67,6 +72,18 @@
         /// How long after the bound it came.
         late_ms: u128,
     },
+    /// A worker that named a limit got more from daemons that it had told.
+    #[display("{worker}: {got} requests in {} ms from daemons that knew its limit of {limit} a second, {allowed} are allowed", LIMIT_WINDOW.as_millis())]
+    Limited {
+        /// The worker.
+        worker: String,
+        /// Its limit in requests a second.
+        limit: f64,
+        /// What it got.
+        got: usize,
+        /// What it may get.
+        allowed: usize,
+    },
     /// A planned stop cut a request.
     #[display("{id}: cut by the planned stop of daemon {daemon}")]
     CutByStop {
@@ -104,6 +121,7 @@
     }
     found.extend(unasked(history));
     found.extend(drained(history));
+    found.extend(limited(history));
     found.extend(not_recovered(history));
     let ended = history.ended.iter();
     found.extend(ended.map(|daemon| Broken::Ended { daemon: *daemon }));
@@ -228,6 +246,81 @@
     history.runs.iter().filter_map(late).collect()
 }
 
+/// Workers that got more than their limit allows, from daemons that had passed on such an answer.
+fn limited(history: &History) -> Vec<Broken> {
+    let told = ToldDaemons::by(history, |wish| matches!(wish, Wish::Limit(_)));
+    let from_told: Vec<(&Arrived, f64)> = history
+        .arrivals
+        .iter()
+        .filter_map(|arrived| match arrived.wish {
+            Some(Wish::Limit(limit)) if told.knew(history, arrived, TOLD) => Some((arrived, limit)),
+            _ => None,
+        })
+        .collect();
+    let over = from_told.iter().filter_map(|(first, limit)| {
+        let window = first.at..first.at + LIMIT_WINDOW;
+        let in_window = |(arrived, _): &&(&Arrived, f64)| {
+            arrived.worker == first.worker && window.contains(&arrived.at)
+        };
+        let got = from_told.iter().filter(in_window).count();
+        let allowed = (limit * LIMIT_WINDOW.as_secs_f64() * 1.5 + 5.0).floor() as usize;
+        (got > allowed).then(|| Broken::Limited {
+            worker: first.worker.clone(),
+            limit: *limit,
+            got,
+            allowed,
+        })
+    });
+    over.take(1).collect()
+}
+
+/// When each daemon had first passed on an answer of a worker with a wish.
+struct ToldDaemons<'a> {
+    daemon_of: HashMap<&'a str, usize>,
+    told_at: HashMap<(&'a str, usize), Duration>,
+}
+
+impl<'a> ToldDaemons<'a> {
+    fn by(history: &'a History, is_meant: impl Fn(&Wish) -> bool) -> Self {
+        let calls = history.calls.iter();
+        let by_id: HashMap<&str, &Call> = calls.map(|call| (call.id.as_str(), call)).collect();
+        let mut told_at = HashMap::new();
+        for arrived in &history.arrivals {
+            let Some(call) = by_id.get(arrived.id.as_str()) else {
+                continue;
+            };
+            // The caller has its answer: the daemon has passed it on by then.
+            let is_answered = matches!(call.end, End::Answered { .. });
+            if is_answered && arrived.wish.as_ref().is_some_and(&is_meant) {
+                let key = (arrived.worker.as_str(), call.daemon);
+                let at = told_at.entry(key).or_insert(call.ended_at);
+                *at = call.ended_at.min(*at);
+            }
+        }
+        Self {
+            daemon_of: by_id
+                .into_iter()
+                .map(|(id, call)| (id, call.daemon))
+                .collect(),
+            told_at,
+        }
+    }
+
+    /// Whether the daemon that sent a request had been told so long before, and lived on since.
+    fn knew(&self, history: &History, arrived: &Arrived, before: Duration) -> bool {
+        let Some(daemon) = self.daemon_of.get(arrived.id.as_str()) else {
+            return false;
+        };
+        let told_at = self.told_at.get(&(arrived.worker.as_str(), *daemon));
+        told_at.is_some_and(|told_at| {
+            let was_stopped = history.stops.iter().any(|stop| {
+                stop.daemon == *daemon && stop.from <= arrived.at && *told_at <= stop.to
+            });
+            *told_at + before <= arrived.at && !was_stopped && history.is_calm(*told_at, arrived.at)
+        })
+    }
+}
+
 fn not_recovered(history: &History) -> Option<Broken> {
     let from = history.calm_from + RECOVERY;
     let removed: HashSet<&str> = history.removals.iter().map(|r| r.key.as_str()).collect();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,5 +1,6 @@
 //! What callers and workers saw in a run.
 
+use bridgevane_platform_emulator::Wish;
 use std::time::Duration;
 
 /// How a route's requests may run.
@@ -81,6 +82,19 @@
     pub at: Duration,
 }
 
+/// A request that reached a worker, whether it ran or not.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrived {
+    /// The request.
+    pub id: String,
+    /// The worker.
+    pub worker: String,
+    /// When it came.
+    pub at: Duration,
+    /// What the answer asked for.
+    pub wish: Option<Wish>,
+}
+
 /// A key that the store acknowledged as removed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Removal {
@@ -126,6 +140,8 @@
     pub calls: Vec<Call>,
     /// All runs.
     pub runs: Vec<Run>,
+    /// All requests that reached workers.
+    pub arrivals: Vec<Arrived>,
     /// Keys that were removed.
     pub removals: Vec<Removal>,
     /// Workers that left.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -11,6 +11,13 @@
 /// Nothing begins to go wrong in the last part: the last fault ends, and everything recovers.
 const CALM_END: Duration = Duration::from_millis(10_000);
 
+/// Tells the numbers of the wishes from those of the faults.
+const WISH_STREAM: u64 = 0x5157_0000_0000_0000;
+/// How long a worker asks for something: longer than the window in which a limit is counted.
+const WISH_LASTS: Duration = Duration::from_millis(5_000);
+/// The last wish begins so long after the last fault has begun, when most of them are over.
+const CALM_WISH_AFTER: Duration = Duration::from_millis(3_500);
+
 /// A loopback connection that leads through a proxy.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum Link {
@@ -114,6 +121,28 @@
     pub fault: Fault,
 }
 
+/// What a worker asks for in its answers for a while.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+pub enum WorkerWish {
+    /// So many requests a second at most, from all daemons together.
+    #[display("at most {_0} a second")]
+    Limit(f64),
+}
+
+/// A worker's wish at its time.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+#[display("{:>6} ms  worker {worker} asks for {wish} for {} ms", at.as_millis(), lasts.as_millis())]
+pub struct WishEvent {
+    /// When it begins, from the start of the calls.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// The worker's place.
+    pub worker: usize,
+    /// What it is.
+    pub wish: WorkerWish,
+}
+
 /// How much there is that can go wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Scale {
@@ -126,12 +155,14 @@
 }
 
 /// A whole run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
     /// Where it was drawn from.
     pub seed: u64,
     /// The faults, in order of time.
     pub events: Vec<Event>,
+    /// What workers ask for: once among the faults, and once when the last of them are over.
+    pub wishes: Vec<WishEvent>,
 }
 
 impl Plan {
@@ -151,10 +182,33 @@
             })
             .collect();
         events.sort_by_key(|event| event.at);
-        Self { seed, events }
+        Self {
+            seed,
+            events,
+            wishes: draw_wishes(seed, scale),
+        }
     }
 }
 
+/// Wishes have a stream of numbers of their own, so that the faults of a seed stay what they were.
+fn draw_wishes(seed: u64, scale: Scale) -> Vec<WishEvent> {
+    let mut random = Pcg64::seed_from_u64(seed ^ WISH_STREAM);
+    let calm_from = scale.length.saturating_sub(CALM_END);
+    [CALM_START, calm_from + CALM_WISH_AFTER]
+        .into_iter()
+        .map(|from| WishEvent {
+            at: from + Duration::from_millis(random.random_range(0..500)),
+            lasts: WISH_LASTS,
+            worker: random.random_range(0..scale.workers),
+            wish: draw_wish(&mut random),
+        })
+        .collect()
+}
+
+fn draw_wish(random: &mut Pcg64) -> WorkerWish {
+    WorkerWish::Limit(random.random_range(0.3..1.2))
+}
+
 fn draw_fault(random: &mut Pcg64, scale: Scale) -> Fault {
     let daemon = random.random_range(0..scale.daemons);
     let worker = random.random_range(0..scale.workers);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,10 +4,10 @@
 use crate::clients::{Caller, Calls};
 use crate::history::{Disruption, End, History, Leaving, PlannedStop, Removal};
 use crate::options::Options;
-use crate::plan::{Event, Fault, LinkMode, Plan};
+use crate::plan::{Event, Fault, LinkMode, Plan, WishEvent, WorkerWish};
 use crate::plot::{self, PlotError};
 use crate::stage::{STREAM_EVENTS, Stage};
-use bridgevane_platform_emulator::{Behaviour, Fault as StoreFault};
+use bridgevane_platform_emulator::{Behaviour, Fault as StoreFault, Wish};
 use derive_more::{Display, Error, From};
 use rustix::process::Signal;
 use std::sync::Arc;
@@ -126,6 +126,9 @@
     for event in plan.events.iter().copied() {
         faults.spawn(play(shared.clone(), event));
     }
+    for wish in plan.wishes.iter().copied() {
+        faults.spawn(play_wish(shared.clone(), wish));
+    }
     while let Some(played) = faults.join_next().await {
         played.map_err(std::io::Error::other)??;
     }
@@ -135,6 +138,7 @@
     let history = History {
         calls: calls.take(),
         runs: stage.runs(),
+        arrivals: stage.arrivals(),
         ended: stage.ended()?,
         removals: notes.removals,
         leavings: notes.leavings,
@@ -169,6 +173,20 @@
     Ok(())
 }
 
+/// A worker asks for something for a while; that is no trouble.
+async fn play_wish(shared: Arc<Shared>, event: WishEvent) -> Result<(), std::io::Error> {
+    sleep_until(shared.started + event.at).await;
+    let worker = shared.stage.lock().await.worker(event.worker);
+    match event.wish {
+        WorkerWish::Limit(per_s) => {
+            worker.ask_for(Some(Wish::Limit(per_s)));
+            sleep(event.lasts).await;
+            worker.ask_for(None);
+        }
+    }
+    Ok(())
+}
+
 /// Strikes and heals; true when it was planned work.
 async fn strike(shared: &Shared, event: Event) -> Result<bool, std::io::Error> {
     let lasts = event.lasts;
--- a/crates/soak/src/stage.rs
+++ b/crates/soak/src/stage.rs
@@ -1,7 +1,7 @@
 //! Store, workers, proxies and daemons of a run.
 
 use crate::checks::KEY_REMOVAL;
-use crate::history::Run;
+use crate::history::{Arrived, Run};
 use crate::options::Options;
 use crate::plan::{Link, LinkMode};
 use crate::processes::{Daemon, DaemonSettings};
@@ -208,6 +208,11 @@
         place.worker.behave(behaviour(place.service));
     }
 
+    /// The worker that is in a place now.
+    pub(crate) fn worker(&self, at: usize) -> Worker {
+        self.places[at].worker.clone()
+    }
+
     pub(crate) fn set_link(&self, link: Link, mode: LinkMode) {
         match link {
             Link::Callers(at) => self.proxies[at].callers.set(mode),
@@ -251,10 +256,29 @@
         key
     }
 
+    fn all_workers(&self) -> impl Iterator<Item = &Worker> {
+        let living = self.places.iter().map(|place| &place.worker);
+        living.chain(&self.gone)
+    }
+
+    /// All requests that reached workers.
+    pub(crate) fn arrivals(&self) -> Vec<Arrived> {
+        let of_worker = |worker: &Worker| {
+            let arrivals = worker.arrivals().into_iter();
+            let arrived = arrivals.map(|arrival| Arrived {
+                id: arrival.id,
+                worker: worker.id.clone(),
+                at: Instant::from_std(arrival.at).duration_since(self.started),
+                wish: arrival.wish,
+            });
+            arrived.collect::<Vec<_>>()
+        };
+        self.all_workers().flat_map(of_worker).collect()
+    }
+
     /// All runs at all workers.
     pub(crate) fn runs(&self) -> Vec<Run> {
-        let living = self.places.iter().map(|place| &place.worker);
-        let all = living.chain(&self.gone);
+        let all = self.all_workers();
         all.flat_map(|worker| {
             worker.runs().into_iter().map(|ran| Run {
                 id: ran.id,
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -1,8 +1,9 @@
 //! Each predicate catches a planted fault of its kind, and is content with a sound run.
 
+use bridgevane_platform_emulator::Wish;
 use bridgevane_soak::checks::{Broken, CONTACT, DRAIN, KEY_REMOVAL, RECOVERY, broken, whole_body};
 use bridgevane_soak::history::{
-    Call, Disruption, End, History, Kind, Leaving, PlannedStop, Removal, Run,
+    Arrived, Call, Disruption, End, History, Kind, Leaving, PlannedStop, Removal, Run,
 };
 use std::time::Duration;
 
@@ -204,3 +205,44 @@
     history.calm_from = ms(20_001) - RECOVERY;
     assert_eq!(broken(&history), vec![], "it was too soon");
 }
+
+/// A daemon's requests at a worker that asks for something, one each `every`, answered at once.
+fn asked_for(wish: Wish, requests: u64, every: u64) -> History {
+    let mut history = History {
+        stream_events: STREAM_EVENTS,
+        ..History::default()
+    };
+    for at in 0..requests {
+        let id = format!("w{at}");
+        let sent_at = ms(20_000 + at * every);
+        let end = served(Kind::Once, &id);
+        history.calls.push(call(&id, Kind::Once, sent_at, end));
+        history.runs.push(run(&id, sent_at));
+        history.arrivals.push(Arrived {
+            id,
+            worker: "worker".into(),
+            at: sent_at,
+            wish: Some(wish),
+        });
+    }
+    history
+}
+
+#[test]
+fn a_worker_that_gets_more_than_its_limit_is_found() {
+    // Told at 20.1 s: of those from 20.6 s on, 40 come in 4 s.
+    let found = broken(&asked_for(Wish::Limit(1.0), 60, 100));
+    assert!(matches!(
+        found.as_slice(),
+        [Broken::Limited {
+            got: 40,
+            allowed: 11,
+            ..
+        }]
+    ));
+    assert_eq!(broken(&asked_for(Wish::Limit(1.0), 12, 400)), []);
+    let mut excused = asked_for(Wish::Limit(1.0), 60, 100);
+    let (from, to) = (ms(20_500), ms(20_550));
+    excused.disruptions.push(Disruption { from, to });
+    assert_eq!(broken(&excused), [], "the daemon may have been restarted");
+}
