--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -18,6 +18,8 @@
 pub const TOLD: Duration = Duration::from_millis(500);
 /// The span in which a limit is counted.
 pub const LIMIT_WINDOW: Duration = Duration::from_millis(4_000);
+/// Requests that may reach a worker from a daemon while it rests.
+pub const WHILE_RESTING: usize = 2;
 /// The part of them that must be.
 const RECOVERED_SHARE: f64 = 0.9;
 
@@ -84,6 +86,26 @@
         /// What it may get.
         allowed: usize,
     },
+    /// A worker that had told a daemon that it leaves got a request from it after the bound.
+    #[display("{id}: reached {worker} from a daemon that knew that it leaves")]
+    SentToLeaving {
+        /// The request.
+        id: String,
+        /// The worker.
+        worker: String,
+    },
+    /// A worker that had asked a daemon for rest got more from it than allowed.
+    #[display("{worker}: {got} requests of daemon {daemon} in {} ms of rest", rest.as_millis())]
+    Unrested {
+        /// The worker.
+        worker: String,
+        /// The daemon.
+        daemon: usize,
+        /// How long it had asked for.
+        rest: Duration,
+        /// What it got.
+        got: usize,
+    },
     /// A planned stop cut a request.
     #[display("{id}: cut by the planned stop of daemon {daemon}")]
     CutByStop {
@@ -122,6 +144,8 @@
     found.extend(unasked(history));
     found.extend(drained(history));
     found.extend(limited(history));
+    found.extend(sent_to_leaving(history));
+    found.extend(unrested(history));
     found.extend(not_recovered(history));
     let ended = history.ended.iter();
     found.extend(ended.map(|daemon| Broken::Ended { daemon: *daemon }));
@@ -274,6 +298,52 @@
     over.take(1).collect()
 }
 
+/// Requests at workers that leave, from daemons that had passed on an answer that says so.
+fn sent_to_leaving(history: &History) -> Vec<Broken> {
+    let told = ToldDaemons::by(history, |wish| *wish == Wish::Leaving);
+    let late = history.arrivals.iter().filter(|arrived| {
+        arrived.wish == Some(Wish::Leaving) && told.knew(history, arrived, DRAIN)
+    });
+    late.map(|arrived| Broken::SentToLeaving {
+        id: arrived.id.clone(),
+        worker: arrived.worker.clone(),
+    })
+    .collect()
+}
+
+/// Workers that asked a daemon for rest, and got more from it meanwhile.
+fn unrested(history: &History) -> Vec<Broken> {
+    let calls = history.calls.iter();
+    let daemon_of: HashMap<&str, usize> =
+        calls.map(|call| (call.id.as_str(), call.daemon)).collect();
+    let daemon_of = |arrived: &Arrived| daemon_of.get(arrived.id.as_str()).copied();
+    let asked = history.arrivals.iter().filter_map(|arrived| {
+        let Some(Wish::Rest(rest)) = arrived.wish else {
+            return None;
+        };
+        Some((arrived, daemon_of(arrived)?, rest))
+    });
+    let broken = asked.filter_map(|(asked, daemon, rest)| {
+        let resting = asked.at + TOLD..asked.at + rest;
+        if !history.is_calm(asked.at, resting.end) {
+            return None;
+        }
+        let got = history.arrivals.iter().filter(|arrived| {
+            arrived.worker == asked.worker
+                && resting.contains(&arrived.at)
+                && daemon_of(arrived) == Some(daemon)
+        });
+        let got = got.count();
+        (got > WHILE_RESTING).then(|| Broken::Unrested {
+            worker: asked.worker.clone(),
+            daemon,
+            rest,
+            got,
+        })
+    });
+    broken.take(1).collect()
+}
+
 /// When each daemon had first passed on an answer of a worker with a wish.
 struct ToldDaemons<'a> {
     daemon_of: HashMap<&'a str, usize>,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -127,6 +127,12 @@
     /// So many requests a second at most, from all daemons together.
     #[display("at most {_0} a second")]
     Limit(f64),
+    /// Nothing new: it leaves, and its record says so only later.
+    #[display("nothing new")]
+    Leaving,
+    /// Nothing for so long from each daemon that it turns away, and it turns all away.
+    #[display("{} ms of rest", _0.as_millis())]
+    Rest(Duration),
 }
 
 /// A worker's wish at its time.
@@ -206,7 +212,11 @@
 }
 
 fn draw_wish(random: &mut Pcg64) -> WorkerWish {
-    WorkerWish::Limit(random.random_range(0.3..1.2))
+    match random.random_range(0..3) {
+        0 => WorkerWish::Limit(random.random_range(0.3..1.2)),
+        1 => WorkerWish::Leaving,
+        _ => WorkerWish::Rest(Duration::from_millis(random.random_range(1_000..3_000))),
+    }
 }
 
 fn draw_fault(random: &mut Pcg64, scale: Scale) -> Fault {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -183,6 +183,25 @@
             sleep(event.lasts).await;
             worker.ask_for(None);
         }
+        WorkerWish::Leaving => {
+            worker.ask_for(Some(Wish::Leaving));
+            sleep(event.lasts).await;
+            let mut stage = shared.stage.lock().await;
+            // Another fault may have replaced it.
+            if stage.worker(event.worker).id == worker.id {
+                stage.replace_worker(event.worker).await?;
+            }
+        }
+        WorkerWish::Rest(rest) => {
+            worker.behave(Behaviour::Full);
+            worker.ask_for(Some(Wish::Rest(rest)));
+            sleep(event.lasts).await;
+            worker.ask_for(None);
+            let stage = shared.stage.lock().await;
+            if stage.worker(event.worker).id == worker.id {
+                stage.behave_well(event.worker);
+            }
+        }
     }
     Ok(())
 }
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -246,3 +246,28 @@
     excused.disruptions.push(Disruption { from, to });
     assert_eq!(broken(&excused), [], "the daemon may have been restarted");
 }
+
+#[test]
+fn a_request_at_a_worker_that_leaves_is_found() {
+    let history = asked_for(Wish::Leaving, 30, 100);
+    // Told at 20.1 s: those from 22.1 s on.
+    let found = broken(&history);
+    assert_eq!(found.len(), 9, "{found:?}");
+    assert!(matches!(found[0], Broken::SentToLeaving { .. }));
+    assert_eq!(broken(&asked_for(Wish::Leaving, 21, 100)), []);
+}
+
+#[test]
+fn requests_at_a_worker_that_rests_are_found() {
+    let rest = |ms: u64| Wish::Rest(Duration::from_millis(ms));
+    let found = broken(&asked_for(rest(1_000), 20, 100));
+    assert!(
+        matches!(found.as_slice(), [Broken::Unrested { got: 5, .. }]),
+        "{found:?}"
+    );
+    assert_eq!(
+        broken(&asked_for(rest(1_000), 20, 250)),
+        [],
+        "two are allowed"
+    );
+}
