--- a/crates/gateway/src/decisions/eligibility/rate_limit.rs
+++ b/crates/gateway/src/decisions/eligibility/rate_limit.rs
@@ -6,15 +6,15 @@
 //! Rules:
 //! - Each daemon gets turns at an even pace, of which the first comes at a drawn moment of its first period. One turn
 //!   is one request, whatever it is sent for: a first try, a retry, a hedge or the rest of a stream.
-//! - A turn that isn't used within [`TURN_LIFE_MS`] lapses, so that turns of many daemons don't pile up.
+//! - A turn that isn't used within `TURN_LIFE_MS` lapses, so that turns of many daemons don't pile up.
 //! - The pace is the largest share of the limit at which the turns of all daemons, added up over any
-//!   [`WINDOW_MS`], hardly ever exceed what endpoints tolerate: less than once in a million windows if there are as
+//!   `WINDOW_MS`, hardly ever exceed what endpoints tolerate: less than once in a million windows if there are as
 //!   many daemons as this one knows, once in a hundred thousand if there are twice as many.
-//! - At least [`MIN_RATE`] is planned, so that daemons learn that the limit is over.
+//! - At least `MIN_RATE` is planned, so that daemons learn that the limit is over.
 //! - A daemon that doesn't know how many there are has no turns.
 //! - A limit stands until an answer without it comes to a request that was sent after it was last named. Daemons tell each
 //!   other both, and the later observation holds ([`LimitObservation`]): one that has few turns learns from the others
-//!   that a limit is over. The end is told for [`TOLD_END_MS`].
+//!   that a limit is over. The end is told for `TOLD_END_MS`.
 //!
 //! Reason: daemons don't know in time what the others send. Even turns at drawn moments need no agreement, hold for
 //! processes that replace each other, and vary less than draws for each request. The endpoint is in need: what
