fix(coordination): a key whose call ended after it was unknown is remembered from its end

Cause: record_lost_member and a later Done each put the key into the expiry queue; the first expiry removed the entry although its call had ended later, so that a repetition could run again, and the second one removed the entry of that newer call. Failing first: the repeated claim got Run in place of Done. Change: an entry knows its last end, and only the expiry of that end removes it. The test passes with it.

--- a/crates/coordination/src/modules/key_registry.rs
+++ b/crates/coordination/src/modules/key_registry.rs
@@ -94,6 +94,8 @@
     call_digest: u64,
     request: RequestId,
     state: ClaimState,
+    /// When the call ended, as last reported; `None` while it runs.
+    ended_at: Option<TimeMs>,
 }
 
 /// A daemon that counts as dead.
@@ -111,7 +113,7 @@
     own: KeyMember,
     started_at: TimeMs,
     entries: HashMap<String, KeyEntry>,
-    /// The keys whose calls have ended, with the time of the end, oldest first.
+    /// The keys whose calls have ended, with the time of each end, oldest first.
     expiry_queue: VecDeque<(TimeMs, String)>,
     lost: BTreeMap<VmId, LostMember>,
 }
@@ -171,6 +173,7 @@
             call_digest: claim.call_digest,
             request: claim.request,
             state,
+            ended_at: None,
         };
         self.entries.insert(claim.key, entry);
         Verdict::Run
@@ -201,6 +204,7 @@
             }
             KeyEnd::Unknown => entry.state = ClaimState::Unknown,
         }
+        entry.ended_at = Some(now);
         self.expiry_queue.push_back((now, key.to_owned()));
     }
 
@@ -212,6 +216,7 @@
         for (key, entry) in &mut self.entries {
             if matches!(&entry.state, ClaimState::Running { runner } if runner == vm) {
                 entry.state = ClaimState::Unknown;
+                entry.ended_at = Some(now);
                 self.expiry_queue.push_back((now, key.clone()));
             }
         }
@@ -255,7 +260,11 @@
             if now.since(*at) < self.config.remember_ms {
                 return;
             }
-            self.entries.remove(key);
+            // A key whose call ended more than once is in the queue once for each end.
+            let ended_at = self.entries.get(key).and_then(|entry| entry.ended_at);
+            if ended_at == Some(*at) {
+                self.entries.remove(key);
+            }
             self.expiry_queue.pop_front();
         }
     }
--- a/crates/coordination/tests/parts.rs
+++ b/crates/coordination/tests/parts.rs
@@ -484,3 +484,28 @@
         }
     }
 }
+
+/// Guards against a call that runs twice: its runner counts as dead, so that its key is unknown, and
+/// then reports that the call ran. The end counts from the report, and the older end must not remove
+/// the key early, nor a newer call's entry.
+#[test]
+fn a_key_that_was_unknown_before_its_call_ended_is_remembered_from_its_end() {
+    let members = vms(2);
+    let mut registry = old_registry(&members[0]);
+    let remember_ms = KeyRegistryConfig::default().remember_ms;
+    let claim_at = |registry: &mut KeyRegistry, now, request| {
+        registry.claim(now, claim("k", request, &members[1]), &members)
+    };
+    assert_eq!(claim_at(&mut registry, LATER, 1), Verdict::Run);
+    registry.record_lost_member(LATER, &members[1].vm);
+    let ended = LATER + DurationMs(1_000);
+    let answer = StoredAnswer::default();
+    registry.record_end(ended, "k", RequestId(1), KeyEnd::Done(answer.clone()));
+    let first_expiry = LATER + remember_ms;
+    let verdict = claim_at(&mut registry, first_expiry, 2);
+    assert_eq!(verdict, Verdict::Done(answer), "it ended 1 s later");
+    let second_expiry = ended + remember_ms;
+    assert_eq!(claim_at(&mut registry, second_expiry, 3), Verdict::Run);
+    let newer = claim_at(&mut registry, second_expiry + remember_ms, 4);
+    assert_eq!(newer, Verdict::Running, "no end of the first call counts");
+}
