fix(decisions): a completed request's newer attempt is cancelled, and silent engines count as slow whatever waits there

Failing first: no Cancel among the effects; request 9 went to the silent engine. Both tests pass with the change.

--- a/crates/decisions/src/pool/attempt.rs
+++ b/crates/decisions/src/pool/attempt.rs
@@ -191,7 +191,8 @@
         self.dispatch_all(context);
     }
 
-    /// Ends a request whose answer was complete before its cancellation arrived.
+    /// Ends a request whose answer was complete before its cancellation arrived, and cancels the
+    /// attempt that was dispatched since.
     fn complete_after_cancel<L: DecisionLog>(
         &mut self,
         context: &mut PoolContext<'_, L>,
@@ -199,8 +200,18 @@
         attempt: AttemptNumber,
         tokens: Tokens,
     ) {
-        self.release_slot(context, request);
+        let newer = self.requests.get(&request);
+        let newer = newer.map(|entry| entry.lifecycle.attempt());
+        let running = self.release_slot(context, request);
         self.complete(context, request, attempt, tokens);
+        if let Some((running, newer)) = running.zip(newer) {
+            context.effects.push(Effect::Cancel {
+                request,
+                attempt: newer,
+                engine: running.engine,
+                cause: CancelCause::CallerGone,
+            });
+        }
         self.dispatch_all(context);
     }
 
--- a/crates/decisions/src/pool/maintain.rs
+++ b/crates/decisions/src/pool/maintain.rs
@@ -203,9 +203,6 @@
                 continue;
             }
             let may_eject = self.may_eject(config.max_ejected_share);
-            if !entry.offer.is_preemptible {
-                continue;
-            }
             self.report_health_event(context, running.engine, HealthEvent::Slow { may_eject });
         }
         self.awaiting_first_token.extend(still_waiting);
