fix(report): - is standard input on the command line

Cause: argh takes a lone dash for an option, so that report logs, request and tree ended with 'Unrecognized argument: -' although their help offers it. Failing first with that text. A lone dash is replaced by the path of standard input before parsing; run as an operator types it for all three.

--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -67,6 +67,37 @@
     Standin(standin::StandinArguments),
 }
 
+/// The file name that stands for standard input on the command line.
+const STANDARD_INPUT: &str = "-";
+/// The path of standard input. The parser takes a word that begins with a dash for an option.
+const STANDARD_INPUT_PATH: &str = "/dev/stdin";
+
+impl Arguments {
+    /// Parses the command line of this process. After an error, or a request for help, the process
+    /// ends.
+    pub fn from_command_line() -> Self {
+        let mut words = std::env::args().map(|word| match word.as_str() {
+            STANDARD_INPUT => STANDARD_INPUT_PATH.to_owned(),
+            _ => word,
+        });
+        let program = words.next().unwrap_or_default();
+        let words: Vec<String> = words.collect();
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        Self::from_args(&[&program], &words).unwrap_or_else(|exit| {
+            let is_help = exit.status.is_ok();
+            if is_help {
+                print_line!("{}", exit.output);
+            } else {
+                eprintln!(
+                    "{}\nRun {program} --help for more information.",
+                    exit.output
+                );
+            }
+            std::process::exit(i32::from(!is_help))
+        })
+    }
+}
+
 /// Runs a command and returns its exit code.
 pub fn run(arguments: Arguments) -> ExitCode {
     if arguments.version {
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
-    commands::run(arguments)
+    commands::run(Arguments::from_command_line())
 }
--- a/tests/report_logs.rs
+++ b/tests/report_logs.rs
@@ -1,8 +1,9 @@
 //! `bridgevane report logs`, `report request` and `report tree` on log files.
 
 use std::fs;
+use std::io::Write;
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 const REFUSED: &str = r#"{"at":"2026-12-02T16:00:01.250Z","level":"INFO","text":"the gateway refused a request","vm":"vm-a","data_centre":"z","event":1306,"request":"a3","route":"chat","customer":"c-1","reason":"overloaded","status":"503","held_ms":"1"}"#;
 const FAILED: &str = r#"{"at":"2026-12-02T16:00:01.200Z","level":"WARN","text":"t","vm":"vm-a","data_centre":"z","event":1308,"request":"a3","endpoint":"i-7","route":"chat","customer":"c-1","cause":"not_executed","resend":"budget_empty"}"#;
@@ -132,3 +133,29 @@
         Some(1)
     );
 }
+
+/// Guards against a `-` that the parser of the command line takes for an option, although the help
+/// says that it is standard input.
+#[test]
+fn a_dash_is_standard_input_for_every_report_on_logs() {
+    for arguments in [&["logs", "-"][..], &["request", "a3", "-"], &["tree", "-"]] {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_bridgevane"))
+            .arg("report")
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program runs");
+        let mut input = program.stdin.take().expect("a pipe");
+        // The program may end before it has read everything.
+        let _ = writeln!(input, "{REFUSED}");
+        drop(input);
+        let output = program.wait_with_output().expect("it ends");
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(!errors.contains("Unrecognized"), "{arguments:?}: {errors}");
+        if arguments[0] != "tree" {
+            assert!(text(&output).contains("overloaded"), "{output:?}");
+        }
+    }
+}
