fix(duties): an unfilled order for permanent engines doesn't mark the data centre as without reclaimable ones

Cause: without_reclaimable looked at the outcome of an order, not at its kind. Failing first: an_unfilled_order_for_permanent_engines_says_nothing_about_reclaimable_ones.

--- a/crates/gateway/src/decisions/duties/engine_orders.rs
+++ b/crates/gateway/src/decisions/duties/engine_orders.rs
@@ -101,11 +101,12 @@
     }
 
     /// Returns the data centres that count as having no reclaimable engines: the platform couldn't
-    /// fill their last order.
+    /// fill the last order for them.
     pub fn without_reclaimable(&self) -> BTreeSet<DataCentreId> {
         let unavailable = self
             .answered
             .iter()
+            .filter(|(key, _)| key.kind == EngineKind::Reclaimable)
             .filter(|(_, answered)| answered.outcome == OrderOutcome::Unavailable);
         unavailable
             .map(|(key, _)| key.data_centre.clone())
--- a/crates/gateway/tests/duties_engines.rs
+++ b/crates/gateway/tests/duties_engines.rs
@@ -349,3 +349,13 @@
     book.on_answered(later, &refused, OrderOutcome::Accepted);
     assert!(book.without_reclaimable().is_empty());
 }
+
+/// Guards against a data centre that gets no reclaimable engines because an order for permanent ones
+/// couldn't be filled there.
+#[test]
+fn an_unfilled_order_for_permanent_engines_says_nothing_about_reclaimable_ones() {
+    let mut book = OrderBook::default();
+    let refused = order("rose-hill", EngineKind::Permanent, 3);
+    book.on_answered(START, &refused, OrderOutcome::Unavailable);
+    assert!(book.without_reclaimable().is_empty());
+}
