fix(gateway): the wait for closing idle connections begins before its flag is checked

Read as a lost notification between check and wait. It can't happen in the daemon, whose runtime has one thread and which doesn't yield between the two, so that no test brings it about; the order is now right for any runtime.

--- a/crates/gateway/src/lifecycle/shutdown.rs
+++ b/crates/gateway/src/lifecycle/shutdown.rs
@@ -85,9 +85,11 @@
     /// Waits until an idle connection must close. A connection that is accepted after that step gets
     /// [`LATE_CONNECTION_TIMEOUT`].
     pub(crate) async fn idle_close_requested(&self) {
+        // Created before the check, so that a notification between the two isn't missed.
+        let idle_closing = self.idle_closing.notified();
         if self.closes_idle.load(Ordering::Relaxed) {
             return tokio::time::sleep(LATE_CONNECTION_TIMEOUT).await;
         }
-        self.idle_closing.notified().await;
+        idle_closing.await;
     }
 }
