fix(gateway): a plain answer larger than the buffer is forwarded while it is read

Cause: whole_answer read at most 256 KB; a larger answer counted as broken, so that its healthy endpoint got a failure and a crash check, and an idempotent request ran again. Failing first: 502 for an answer of 700 KB. Change: what was read so far and the rest are forwarded like a stream, without resumption; smaller answers are buffered as before. Passes: 200, whole, one run, no failure counted.

--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -26,9 +26,10 @@
 use crate::requests::response_head;
 use bridgevane_events::{Event, event};
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, response};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -44,6 +45,19 @@
     pub(crate) body: Bytes,
 }
 
+/// An answer of a plain service.
+#[derive(Debug)]
+pub(crate) enum PlainAnswer {
+    /// It was read completely.
+    Whole(WholeAnswer),
+    /// It is larger than what is buffered, and is forwarded while it is read.
+    Large {
+        answer: EndpointAnswer,
+        /// The part of the body that was read.
+        read: Bytes,
+    },
+}
+
 /// A request and the state of its attempts.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -91,15 +105,17 @@
         }
     }
 
-    /// Sends the request and buffers the whole answer, so that an answer that breaks off can be
-    /// retried before the client gets any of it.
-    pub(crate) async fn whole_answer(&mut self) -> Result<WholeAnswer, Refusal> {
+    /// Sends the request and buffers the whole answer, unless it is large, so that an answer that
+    /// breaks off can be retried before the client gets any of it.
+    pub(crate) async fn plain_answer(&mut self) -> Result<PlainAnswer, Refusal> {
         loop {
             let mut answer = self.dispatch(None).await?;
-            let limited = Limited::new(&mut answer.body, MAX_WHOLE_ANSWER_BYTES);
-            let collected = timeout(self.inbound.remaining(), limited.collect()).await;
-            let error = match collected {
-                Ok(Ok(body)) => return Ok(self.finish_whole(answer, body.to_bytes())),
+            let reading = read_body(&mut answer.body, MAX_WHOLE_ANSWER_BYTES);
+            let error = match timeout(self.inbound.remaining(), reading).await {
+                Ok(Ok((body, true))) => {
+                    return Ok(PlainAnswer::Whole(self.finish_whole(answer, body)));
+                }
+                Ok(Ok((read, false))) => return Ok(PlainAnswer::Large { answer, read }),
                 Ok(Err(_)) => AttemptError::Broken,
                 Err(_) => AttemptError::TimedOut,
             };
@@ -295,3 +311,19 @@
         answer.keep_connection(expires_at, max_idle)
     }
 }
+
+/// Reads a body until its end, or until more than `max_bytes` were read; returns what was read and
+/// whether that is all.
+async fn read_body(body: &mut Incoming, max_bytes: usize) -> hyper::Result<(Bytes, bool)> {
+    let mut read = BytesMut::new();
+    while read.len() <= max_bytes {
+        let Some(frame) = body.frame().await else {
+            return Ok((read.freeze(), true));
+        };
+        // Trailers aren't forwarded.
+        if let Ok(data) = frame?.into_data() {
+            read.extend_from_slice(&data);
+        }
+    }
+    Ok((read.freeze(), false))
+}
--- a/crates/gateway/src/requests/handler.rs
+++ b/crates/gateway/src/requests/handler.rs
@@ -7,7 +7,7 @@
 use crate::gateway::Gateway;
 use crate::requests::admission::admit;
 use crate::requests::answer_body::{AnswerBody, StreamError};
-use crate::requests::exchange::Exchange;
+use crate::requests::exchange::{Exchange, PlainAnswer};
 use crate::requests::inbound::InboundRequest;
 use crate::requests::relay::Relay;
 use crate::requests::request_headers::remove_hop_by_hop;
@@ -96,18 +96,24 @@
     gateway.metrics.request_admitted(&inbound.service);
     let is_stream = inbound.route.stream.is_some();
     let mut exchange = Exchange::new(gateway.clone(), inbound);
-    if !is_stream {
-        let answered = exchange.whole_answer().await;
-        let answer =
-            answered.map_err(|refusal| RefusedRequest::admitted(refusal, &exchange.inbound))?;
-        let body = AnswerBody::Whole(Full::new(answer.body));
-        return Ok(Response::from_parts(client_head(answer.head), body));
-    }
-    let answered = exchange.dispatch(None).await;
-    let answer =
+    let answered = if is_stream {
+        let read = Bytes::new();
+        let answered = exchange.dispatch(None).await;
+        answered.map(|answer| PlainAnswer::Large { answer, read })
+    } else {
+        exchange.plain_answer().await
+    };
+    let answered =
         answered.map_err(|refusal| RefusedRequest::admitted(refusal, &exchange.inbound))?;
+    let (answer, read) = match answered {
+        PlainAnswer::Whole(answer) => {
+            let body = AnswerBody::Whole(Full::new(answer.body));
+            return Ok(Response::from_parts(client_head(answer.head), body));
+        }
+        PlainAnswer::Large { answer, read } => (answer, read),
+    };
     let head = client_head(answer.head.clone());
-    let relay = Relay::new(exchange, answer);
+    let relay = Relay::new(exchange, answer, read);
     // Keeps the request and its body counted until the stream ends.
     let state = (relay, in_progress, buffered);
     let frames = futures_util::stream::unfold(state, |(mut relay, guard, held)| async move {
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -1,4 +1,5 @@
-//! Forwards a stream to the client, and resumes it at another endpoint when it breaks off.
+//! Forwards a stream, or a large plain answer, to the client, and resumes a stream at another
+//! endpoint when it breaks off.
 //!
 //! Owns the exchange while the stream lasts. The relay is dropped when the client disconnects, which
 //! closes the endpoint's connection at once.
@@ -57,10 +58,13 @@
     /// Whether the last bytes ended an event.
     is_between_events: bool,
     timing: TimingMeter,
+    /// The part of the body that was read before; empty once it is forwarded.
+    read: Bytes,
 }
 
 impl Relay {
-    pub(crate) fn new(exchange: Exchange, answer: EndpointAnswer) -> Self {
+    /// Forwards an answer; `read` is the part of its body that was read before.
+    pub(crate) fn new(exchange: Exchange, answer: EndpointAnswer, read: Bytes) -> Self {
         let is_resumable = exchange.inbound.route.is_resumable();
         let is_success = answer.head.status.is_success();
         Self {
@@ -70,11 +74,16 @@
             has_first_chunk: false,
             is_between_events: true,
             timing: TimingMeter::default(),
+            read,
         }
     }
 
     /// Returns the next bytes for the client; `None` at the end of the stream.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
+        if !self.read.is_empty() {
+            let read = std::mem::take(&mut self.read);
+            return Some(Ok(self.accept_chunk(read)));
+        }
         loop {
             let answer = self.answer.as_mut()?;
             let frame = answer.body.frame();
@@ -141,7 +150,8 @@
         };
         let is_inside_event = match &self.splitter {
             Some(splitter) => splitter.is_inside_event(),
-            None => !self.is_between_events,
+            // A plain answer has no events.
+            None => self.exchange.inbound.route.stream.is_some() && !self.is_between_events,
         };
         is_inside_event
             && answer.head.status.is_success()
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -413,3 +413,24 @@
         replaced.request_count()
     );
 }
+
+/// Guards against a healthy endpoint that counts as failing, and a request that runs again, because
+/// its answer is larger than what the daemon buffers.
+#[tokio::test]
+async fn a_large_plain_answer_is_forwarded_whole() {
+    let body = "x".repeat(700_000);
+    let (running, endpoints) = start_gateway(vec![answer("200 OK", &body)], unused_model).await;
+    for path in ["/once/x", "/often/x"] {
+        let got = send_request(&running, "GET", path).await;
+        let got = got.expect("an answer");
+        assert_eq!((got.status, got.body.len()), (200, body.len()), "{path}");
+    }
+    assert_eq!(runs(&endpoints), 2);
+    let directory = running.gateway.control.directory();
+    let service = directory.service(&"plain".into()).expect("two endpoints");
+    let now = running.gateway.clock.now();
+    for endpoint in &service.all {
+        let health = endpoint.health.snapshot(now);
+        assert_eq!(health.failure_share, 0.0);
+    }
+}
