fix(serve): a rejected field isn't listed among the fields that are set

Cause: set_field inserted the value before it listed the entry's fields. Failing first: 'the fields set now are first_token_target_ms, made_up, …'.

--- a/src/modules/serve/configuration/change.rs
+++ b/src/modules/serve/configuration/change.rs
@@ -331,8 +331,8 @@
     let mut table = toml::Table::try_from(document).map_err(|_| not_found("the document"))?;
     let entry = find_entry(&mut table, target)?;
     let before = entry.get(field).cloned();
-    entry.insert(field.to_owned(), to_toml(value, before.as_ref()));
     let known: Vec<String> = entry.keys().cloned().collect();
+    entry.insert(field.to_owned(), to_toml(value, before.as_ref()));
     table.try_into().map_err(|error: toml::de::Error| {
         let reason = error.message().replace('\n', " ");
         not_found(format!(
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -260,3 +260,18 @@
         );
     }
 }
+
+/// Guards against an error that lists the field it rejects among the fields that are set.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rejected_field_is_not_listed_as_set() {
+    let fleet = Fleet::start("wrong_field", 1, 1).await;
+    let statement = "set class practice made_up = 3";
+    let answer = propose_change(fleet.daemons[0].operators, "op-1", statement).await;
+    assert_eq!(answer.status, 400, "{}", answer.text);
+    let (_, listed) = answer
+        .text
+        .split_once("the fields set now are")
+        .expect("a list of fields");
+    assert!(listed.contains("tier"), "{}", answer.text);
+    assert!(!listed.contains("made_up"), "{}", answer.text);
+}
