--- a/crates/gateway/src/decisions/endpoint/engine_pace.rs
+++ b/crates/gateway/src/decisions/endpoint/engine_pace.rs
@@ -1,7 +1,7 @@
 //! Engine pace: how long work takes at an endpoint, relative to the other endpoints of its service.
 //!
-//! Inputs: for each endpoint the lowest recent work time that it reported or that its streams
-//! showed ([`WorkTime`]), over all daemons.
+//! Inputs: for each endpoint the lowest recent work time that it reported ([`WorkTime`]), to any
+//! daemon.
 //!
 //! Rules:
 //! - The pace of an endpoint is its work time divided by the median of the service, rounded to a
@@ -23,15 +23,12 @@
 /// How long a low work time counts. Long enough for an engine with few requests to have an
 /// undisturbed one, short enough to notice an engine that has become slow for good.
 pub const WORK_TIME_WINDOW: DurationMs = DurationMs(10_000);
-/// The highest valid work time: a hundred times the usual one, in the finest unit in use (0.01 ms
-/// between two events).
-const MAX_WORK_TIME: u32 = 1_000_000;
+/// The highest valid work time: a thousand times the usual one. An endpoint that is slower does no work.
+const MAX_WORK_TIME: u32 = 100_000;
 /// The number of steps in an octave to which paces are rounded.
 const STEPS_PER_OCTAVE: f64 = 3.0;
 
-/// How long an endpoint takes for a fixed amount of work, in a unit that all endpoints of a service
-/// share: percent of the usual time where endpoints report it, otherwise hundredths of a millisecond
-/// between two events of a stream.
+/// How long an endpoint takes for a fixed amount of work, in percent of the usual time.
 #[derive(Clone, Copy, Debug, Display, FromStr, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WorkTime(pub u32);
 
--- a/crates/gateway/src/decisions/endpoint/mod.rs
+++ b/crates/gateway/src/decisions/endpoint/mod.rs
@@ -6,7 +6,6 @@
 pub mod ejection;
 pub mod engine_pace;
 pub mod engine_rates;
-pub mod event_gaps;
 mod hash_mix;
 pub mod idle_connections;
 pub mod load_report;
--- a/crates/gateway/src/endpoints/pace_state.rs
+++ b/crates/gateway/src/endpoints/pace_state.rs
@@ -7,7 +7,7 @@
 use crate::decisions::endpoint::recent_highest::RecentHighest;
 use bridgevane_types::TimeMs;
 use std::cmp::Reverse;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard};
 
 /// The recent work times, the lowest first.
@@ -26,8 +26,6 @@
 #[derive(Debug)]
 pub struct PaceState {
     work_times: Mutex<WorkTimes>,
-    /// Whether the endpoint itself reports its work time; otherwise its streams show it.
-    is_reported: AtomicBool,
     /// The bits of the pace.
     pace_bits: AtomicU32,
 }
@@ -39,7 +37,6 @@
                 own: LowestWorkTime::new(WORK_TIME_WINDOW),
                 peers: LowestWorkTime::new(WORK_TIME_WINDOW),
             }),
-            is_reported: AtomicBool::new(false),
             pace_bits: AtomicU32::new((Pace::USUAL.0 as f32).to_bits()),
         }
     }
@@ -52,17 +49,9 @@
 
     /// Records the work time that the endpoint reports.
     pub fn on_reported(&self, now: TimeMs, work_time: WorkTime) {
-        self.is_reported.store(true, Ordering::Relaxed);
         self.work_times().own.record(now, Reverse(work_time));
     }
 
-    /// Records the work time that a stream showed; ignored if the endpoint reports it itself.
-    pub fn on_observed(&self, now: TimeMs, work_time: WorkTime) {
-        if !self.is_reported.load(Ordering::Relaxed) {
-            self.work_times().own.record(now, Reverse(work_time));
-        }
-    }
-
     /// Records the lowest work time that other daemons report.
     pub fn on_peers_report(&self, now: TimeMs, work_time: WorkTime) {
         self.work_times().peers.record(now, Reverse(work_time));
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -4,7 +4,6 @@
 //! Owns the exchange while the stream lasts. The relay is dropped when the client disconnects, which
 //! closes the endpoint's connection at once.
 
-use crate::decisions::endpoint::event_gaps::EventGaps;
 use crate::decisions::resend::{Failure, NoResend};
 use crate::requests::answer_body::StreamError;
 use crate::requests::attempt::EndpointAnswer;
@@ -24,8 +23,6 @@
     /// The times from the request's arrival to the first and to the newest chunk.
     first_and_newest: Option<(Duration, Duration)>,
     longest_gap: Duration,
-    /// The first gaps of the stream, which show how long work takes at the engine.
-    gaps: EventGaps,
 }
 
 impl TimingMeter {
@@ -33,7 +30,6 @@
         let first = match self.first_and_newest {
             Some((first, newest)) => {
                 self.longest_gap = self.longest_gap.max(elapsed - newest);
-                self.gaps.on_gap(elapsed - newest);
                 first
             }
             None => elapsed,
@@ -174,9 +170,6 @@
         let now = self.exchange.gateway.clock.now();
         if answer.head.status.is_success() {
             answer.endpoint().health.on_served(now);
-            if let Some(work_time) = self.timing.gaps.work_time() {
-                answer.endpoint().pace.on_observed(now, work_time);
-            }
         }
         self.exchange.on_served(&answer, self.timing.timing());
         self.exchange.keep_connection(answer);
