fix(gateway): a prompt that waited long doesn't set the read rate

Cause, by reading: a daemon with few prompts may see only one that waited, and would take the engines for ten times slower for up to a minute, shed prompts and keep no stream at a quiet engine. Failing first: 3,000 tokens in 1 s counted. Change: rates under a quarter of the prior don't count.

--- a/crates/gateway/src/decisions/endpoint/engine_rates.rs
+++ b/crates/gateway/src/decisions/endpoint/engine_rates.rs
@@ -26,9 +26,10 @@
 const READ_RATE_PRIOR: TokensPerSecond = TokensPerSecond(50_000.0);
 /// The fetch rate of a service whose configuration has no link.
 const FETCH_RATE_PRIOR: TokensPerSecond = TokensPerSecond(250_000.0);
-/// The highest rate that counts as measured, as a factor of the prior: a faster one is an answer
-/// that didn't read the prompt.
-const MAX_MEASURED_FACTOR: f64 = 8.0;
+/// The rates that count as measured, as factors of the prior. A faster one is an answer that didn't
+/// read the prompt; a slower one is a prompt that waited, which would count for long on a daemon with
+/// few prompts.
+const MEASURED_FACTORS: std::ops::RangeInclusive<f64> = 0.25..=8.0;
 /// The smallest number of own tokens that shows a rate.
 const MIN_MEASURED_TOKENS: u64 = 2_000;
 /// The number of milliseconds in a second.
@@ -71,6 +72,6 @@
         return None;
     }
     let rate = own_tokens as f64 * MS_PER_S / first_token.0 as f64 * pace.0;
-    let is_plausible = rate <= READ_RATE_PRIOR.0 * MAX_MEASURED_FACTOR;
+    let is_plausible = MEASURED_FACTORS.contains(&(rate / READ_RATE_PRIOR.0));
     is_plausible.then_some(rate as u64)
 }
--- a/crates/gateway/tests/engine_pace.rs
+++ b/crates/gateway/tests/engine_pace.rs
@@ -88,6 +88,7 @@
     assert_eq!(rate(1_999, 10, 1.0), None);
     assert_eq!(rate(3_000, 0, 1.0), None);
     assert_eq!(rate(300_000, 1, 1.0), None, "it wasn't read");
+    assert_eq!(rate(3_000, 1_000, 1.0), None, "it waited");
 }
 
 /// Starts a gateway whose only endpoint reports this load, and asks it once.
