refactor(gateway): one computation of reading times, no profiles of plain services; one aid for tests of a pool

Cause: the re-read found a prompt's own tokens and its reading time computed twice in placement, the pause targets looked up in two ways, quiet engines refreshed and logged (1416) for plain services that don't use them, a test that named reports as its own without looking at them, and the pool of two test files written twice. No choice of an endpoint changes; event 1416 and its metrics no longer name plain services.

--- a/crates/decisions/tests/attempts.rs
+++ b/crates/decisions/tests/attempts.rs
@@ -1,47 +1,15 @@
 //! Attempts that end after their request was dispatched again, and attempts that never begin.
 
-#[path = "../benches/support/sized_policy.rs"]
-mod sized_policy;
+#[path = "support/test_pool.rs"]
+mod test_pool;
 
-use bridgevane_decisions::configs::Settings;
 use bridgevane_decisions::{
-    AttemptEnd, CancelCause, ClassIx, CustomerIx, Effect, EndpointIx, KindIx, NoLog, Offer, Pool,
-    PoolContext, Scheduler,
+    AttemptEnd, CancelCause, ClassIx, CustomerIx, Effect, EndpointIx, KindIx, Offer, Scheduler,
 };
 use bridgevane_types::{AttemptNumber, DurationMs, RequestId, TimeMs, Tokens};
-use sized_policy::policy;
-
-struct TestPool {
-    pool: Pool,
-    settings: Settings,
-    now: TimeMs,
-}
+use test_pool::TestPool;
 
 impl TestPool {
-    fn new(engines: u32, slots: u32) -> Self {
-        let settings = Settings::default();
-        Self {
-            pool: Pool::new(policy(engines, slots), &settings, 1),
-            settings,
-            now: TimeMs(1_000_000),
-        }
-    }
-
-    fn decide(
-        &mut self,
-        decide: impl FnOnce(&mut Pool, &mut PoolContext<'_, NoLog>),
-    ) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        let mut context = PoolContext {
-            now: self.now,
-            settings: &self.settings,
-            effects: &mut effects,
-            log: &mut NoLog,
-        };
-        decide(&mut self.pool, &mut context);
-        effects
-    }
-
     /// Offers a request and returns the engine and attempt that it is dispatched to.
     fn offer(&mut self, id: u128, is_preemptible: bool) -> Option<(EndpointIx, AttemptNumber)> {
         let offer = Offer {
--- a/crates/decisions/tests/crashing_requests.rs
+++ b/crates/decisions/tests/crashing_requests.rs
@@ -1,51 +1,19 @@
 //! The handling of requests under which engines crash.
 
-#[path = "../benches/support/sized_policy.rs"]
-mod sized_policy;
+#[path = "support/test_pool.rs"]
+mod test_pool;
 
-use bridgevane_decisions::configs::Settings;
 use bridgevane_decisions::{
-    AttemptEnd, ClassIx, CustomerIx, Effect, EndpointIx, KindIx, NoLog, Offer, Pool, PoolContext,
-    Scheduler,
+    AttemptEnd, ClassIx, CustomerIx, Effect, EndpointIx, KindIx, Offer, Scheduler,
 };
 use bridgevane_types::{
     AttemptNumber, Outcome, RefusalCode, RequestFingerprint, RequestId, TimeMs, Tokens,
 };
-use sized_policy::policy;
+use test_pool::TestPool;
 
 const CRASHING: u64 = 1;
 
-struct TestPool {
-    pool: Pool,
-    settings: Settings,
-    now: TimeMs,
-}
-
 impl TestPool {
-    fn new(engines: u32, slots: u32) -> Self {
-        let settings = Settings::default();
-        Self {
-            pool: Pool::new(policy(engines, slots), &settings, 1),
-            settings,
-            now: TimeMs(1_000_000),
-        }
-    }
-
-    fn decide(
-        &mut self,
-        decide: impl FnOnce(&mut Pool, &mut PoolContext<'_, NoLog>),
-    ) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        let mut context = PoolContext {
-            now: self.now,
-            settings: &self.settings,
-            effects: &mut effects,
-            log: &mut NoLog,
-        };
-        decide(&mut self.pool, &mut context);
-        effects
-    }
-
     fn offer(&mut self, id: u128, content: u64) -> Vec<Effect> {
         let offer = Offer {
             request: RequestId(id),
--- a/crates/gateway/src/decisions/endpoint/placement.rs
+++ b/crates/gateway/src/decisions/endpoint/placement.rs
@@ -180,12 +180,15 @@
         let fetched_tokens = fetch.map_or(0, |fetch| fetch.tokens);
         let prefill_tokens = self.prompt.tokens.0;
         let prefill_tokens = prefill_tokens.saturating_sub(cached_tokens + fetched_tokens);
+        let prefill_ms = self.rates.read_ms(prefill_tokens as f64, candidate.pace);
         let queue_ms = self.own_queue_ms(candidate);
         let work_ms = if self.prompt.is_empty() {
             plain_work_ms(candidate)
         } else {
             let fetch_ms = self.rates.fetch_ms(fetched_tokens);
-            queue_ms + fetch_ms * REREAD_WEIGHT + self.model_work_ms(candidate, prefill_tokens)
+            let pause_ms = self.pause_ms(candidate, prefill_ms);
+            let model_ms = self.model_work_ms(candidate, prefill_tokens) + pause_ms;
+            queue_ms + fetch_ms * REREAD_WEIGHT + model_ms
         };
         let distance_ms = if candidate.is_local { 0.0 } else { REMOTE_MS };
         let health_ms = health_ms(candidate);
@@ -196,7 +199,7 @@
             cost_ms: work_ms + distance_ms + health_ms,
             prefill_tokens,
             fetch,
-            prefill_ms: self.rates.read_ms(prefill_tokens as f64, candidate.pace),
+            prefill_ms,
             queue_ms: expected_queue_ms,
         }
     }
@@ -224,18 +227,16 @@
     fn model_work_ms(&self, candidate: &Candidate, prefill_tokens: u64) -> f64 {
         let running = f64::from(candidate.load.fleet_running());
         let running_ms = running * RUNNING_REQUEST_MS * candidate.pace.0;
-        let shared_tokens = self.prompt.shared_tokens().min(self.prompt.tokens.0);
-        let own_tokens = self.prompt.tokens.0 - shared_tokens;
+        let own_tokens = self.prompt.own_tokens();
         let reread_tokens = prefill_tokens.saturating_sub(own_tokens) as f64;
         let weighted_tokens = own_tokens as f64 + reread_tokens * REREAD_WEIGHT;
         let reading_ms = self.rates.read_ms(weighted_tokens, candidate.pace);
-        let read_ms = self.rates.read_ms(prefill_tokens as f64, candidate.pace);
-        running_ms + crowded_ms(candidate) + reading_ms + self.pause_ms(candidate, read_ms)
+        running_ms + crowded_ms(candidate) + reading_ms
     }
 
     /// Returns the cost of pauses: those of the request itself if it needs a quiet engine, otherwise
     /// those of the streams that run there, each of which waits while the prompt is read.
-    fn pause_ms(&self, candidate: &Candidate, reading_ms: f64) -> f64 {
+    fn pause_ms(&self, candidate: &Candidate, prefill_ms: f64) -> f64 {
         if self.needs_quiet {
             let pace = candidate.pace.0;
             return if candidate.is_quiet {
@@ -246,7 +247,7 @@
         }
         // Streams are about to come to a quiet engine that has none.
         let streams = candidate.load.quiet_streams.max(candidate.is_quiet.into());
-        f64::from(streams) * reading_ms
+        f64::from(streams) * prefill_ms
     }
 
     /// Returns the queue known to this daemon alone, by which an endpoint is chosen: the recent waits of
--- a/crates/gateway/src/decisions/endpoint/quiet_engines.rs
+++ b/crates/gateway/src/decisions/endpoint/quiet_engines.rs
@@ -11,9 +11,9 @@
 //!   target. Where routes don't differ, it needs one if its prompt is short or its answer is long
 //!   in proportion.
 //! - Where routes don't differ, `UNDIVIDED_SHARE` of the engines are quiet.
-//! - Otherwise there are enough quiet engines to run these streams in `MAX_OCCUPANCY` of their slots, at least
-//!   `MIN_SHARE` and at most `MAX_SHARE` of each data centre's engines, and one of three. The highest
-//!   number of streams within `DEMAND_WINDOW` counts.
+//! - Otherwise there are enough quiet engines to run these streams in `MAX_OCCUPANCY` of their
+//!   slots, at least `MIN_SHARE` and at most `MAX_SHARE` of each data centre's engines, and at least
+//!   one of `MIN_DIVIDED`. The highest number of streams within `DEMAND_WINDOW` counts.
 //! - The fastest engines are quiet; among equally fast ones, those with the lowest hash of their id.
 //!   All daemons that see the same endpoints choose the same ones.
 //! - The engines of `MIN_SHARE` hold no prefixes of prompts. The others that are quiet for a while go
--- a/crates/gateway/src/endpoints/engine_profiles.rs
+++ b/crates/gateway/src/endpoints/engine_profiles.rs
@@ -104,9 +104,9 @@
             return;
         }
         refresh_paces(now, service);
-        let count = service.all.iter();
-        let loads = count.map(|endpoint| endpoint.load.snapshot(now).quiet_streams);
-        let streams = loads.sum();
+        let loads = service.all.iter();
+        let loads = loads.map(|endpoint| endpoint.load.snapshot(now));
+        let streams = loads.map(|load| load.quiet_streams).sum();
         let mut by_service = self.by_service();
         let profile = by_service.entry(name.clone()).or_default();
         profile.quiet_streams.record(now, streams);
@@ -131,10 +131,8 @@
 
 /// Computes the paces of a service's endpoints from their work times.
 fn refresh_paces(now: TimeMs, service: &ServiceEndpoints) {
-    let work_times = service.all.iter();
-    let work_times: Vec<_> = work_times
-        .map(|endpoint| endpoint.pace.lowest(now))
-        .collect();
+    let endpoints = service.all.iter();
+    let work_times: Vec<_> = endpoints.map(|each| each.pace.lowest(now)).collect();
     let paces = engine_pace::paces(&work_times);
     for (endpoint, pace) in service.all.iter().zip(paces) {
         endpoint.pace.set_pace(pace);
--- a/crates/gateway/src/endpoints/pace_state.rs
+++ b/crates/gateway/src/endpoints/pace_state.rs
@@ -58,7 +58,7 @@
     }
 
     /// Returns the lowest recent work time of this daemon's answers.
-    pub(crate) fn own_lowest(&self, now: TimeMs) -> Option<WorkTime> {
+    pub fn own_lowest(&self, now: TimeMs) -> Option<WorkTime> {
         self.work_times().own.highest(now).map(|lowest| lowest.0)
     }
 
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -14,6 +14,7 @@
 use crate::decisions::admission::load_shedding::{self, QueuedRequest};
 use crate::decisions::admission::refusal::{NoEndpointLeft, Refusal, RefusalReason};
 use crate::decisions::eligibility::region_limits::RegionLimits;
+use crate::decisions::endpoint::quiet_engines::PauseTargets;
 use crate::decisions::resend::{self, AttemptError, Failure, hedging};
 use crate::endpoints::directory::ServiceEndpoints;
 use crate::endpoints::endpoint::Endpoint;
@@ -184,14 +185,24 @@
         })
     }
 
-    /// Refreshes what is known of the service's engines, if that is due.
+    /// Refreshes what is known of the service's engines, if that is due. Endpoints of plain services
+    /// are chosen without it.
     fn refresh_profile(&self, service: &ServiceEndpoints) {
-        let now = self.gateway.clock.now();
-        let name = &self.inbound.service;
+        if self.inbound.prompt.is_empty() {
+            return;
+        }
+        let gateway = &self.gateway;
+        let (now, name) = (gateway.clock.now(), &self.inbound.service);
+        let profiles = &gateway.engine_profiles;
+        profiles.refresh(now, name, service, &self.pause_targets(), &gateway.metrics);
+    }
+
+    /// Returns the pause targets of the routes that lead to the service.
+    fn pause_targets(&self) -> PauseTargets {
         let table = self.gateway.control.routing_table();
-        let targets = table.map_or_else(Default::default, |table| table.pause_targets(name));
-        let profiles = &self.gateway.engine_profiles;
-        profiles.refresh(now, name, service, &targets, &self.gateway.metrics);
+        table.map_or_else(PauseTargets::default, |table| {
+            table.pause_targets(&self.inbound.service)
+        })
     }
 
     fn selection_request(&self) -> SelectionRequest<'_> {
@@ -201,11 +212,10 @@
         let prompt = &self.inbound.prompt;
         let profiles = &self.gateway.engine_profiles;
         let rates = profiles.rates(now, table.as_deref(), service);
-        let pause_targets = table.as_ref().map(|table| table.pause_targets(service));
         let pause_target = self.inbound.route.pause_target();
         let needs_quiet = !prompt.is_empty()
-            && pause_targets
-                .unwrap_or_default()
+            && self
+                .pause_targets()
                 .needs_quiet(pause_target, prompt, &rates);
         SelectionRequest {
             now,
--- a/crates/gateway/tests/engine_pace.rs
+++ b/crates/gateway/tests/engine_pace.rs
@@ -74,6 +74,7 @@
     engine.on_peers_report(NOW, WorkTime(60));
     engine.on_reported(NOW, WorkTime(90));
     assert_eq!(engine.lowest(NOW), Some(WorkTime(60)));
+    assert_eq!(engine.own_lowest(NOW), Some(WorkTime(90)));
     let later = TimeMs(NOW.0 + 2 * WORK_TIME_WINDOW.0);
     assert_eq!(engine.lowest(later), None);
 }
