test(gateway): a gateway whose port is taken before it listens is started at other addresses

Traced by showing the daemon's log and the sockets: event 1004, 'Address already in use'; the port that the test had chosen and freed was held by another listener. Ruled out: anything in the daemon, which isn't changed. Change: loopback addresses of its own for each daemon, and a new start, at most four, only where the daemon's log says that the address was in use; any other end fails with its log. All assertions stay.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,8 +5,9 @@
     request,
 };
 use rustix::process::{Pid, Signal, kill_process};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,13 +28,46 @@
     ready: SocketAddr,
 }
 
-/// Returns an address whose port was just free.
+/// The most addresses that are tried for one gateway.
+const MAX_STARTS: usize = 4;
+/// The next loopback address of this process.
+static NEXT_ADDRESS: AtomicU32 = AtomicU32::new(1);
+
+/// Returns an address whose port was just free. Each call has a loopback address of its own, so that no
+/// other daemon answers there.
 async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let next = NEXT_ADDRESS.fetch_add(1, Ordering::Relaxed) % 1_024;
+    let chosen = (std::process::id() << 10 | next) % (1 << 24);
+    let ip = Ipv4Addr::from_bits(Ipv4Addr::new(127, 0, 0, 0).to_bits() | chosen);
+    let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
     listener.local_addr().expect("it listens")
 }
 
+/// Starts a gateway, at other addresses if it ends because one was taken meanwhile.
 async fn start_gateway(store: &EmulatedStore, name: &str) -> Gateway {
+    for _ in 0..MAX_STARTS {
+        let mut gateway = spawn_gateway(store, name).await;
+        let started = async || is_ready(&gateway).await || has_ended(&gateway);
+        wait_for("ready", started).await;
+        if !has_ended(&gateway) {
+            return gateway;
+        }
+        let mut log = String::new();
+        let output = gateway.process.stdout.as_mut().expect("it is piped");
+        output.read_to_string(&mut log).await.expect("its log");
+        assert!(log.contains("Address already in use"), "{log}");
+    }
+    panic!("all addresses were taken");
+}
+
+/// Returns whether the process of a gateway has ended.
+fn has_ended(gateway: &Gateway) -> bool {
+    let id = gateway.process.id().expect("it wasn't waited for");
+    let state = std::fs::read_to_string(format!("/proc/{id}/stat"));
+    state.is_ok_and(|state| state.contains(") Z "))
+}
+
+async fn spawn_gateway(store: &EmulatedStore, name: &str) -> Gateway {
     let (clients, ready) = (free_address().await, free_address().await);
     let process = Command::new(env!("CARGO_BIN_EXE_bridgevane"))
         .arg("gateway")
@@ -52,13 +86,11 @@
         .kill_on_drop(true)
         .spawn()
         .expect("the process starts");
-    let gateway = Gateway {
+    Gateway {
         process,
         clients,
         ready,
-    };
-    wait_for("ready", async || is_ready(&gateway).await).await;
-    gateway
+    }
 }
 
 async fn start_fleet(gateways: usize) -> GatewayFleet {
