test(gateway): a daemon that reaches no endpoint has to serve through another daemon

Fails on this code, as the users saw it: a daemon whose endpoints refuse connections serves 0 of 10 requests, one whose connections hang 0 of 3, and a stream gets no event, while another daemon reaches the same endpoints.

--- a/crates/gateway/tests/support/endpoint.rs
+++ b/crates/gateway/tests/support/endpoint.rs
@@ -62,6 +62,14 @@
         script: impl Fn(usize, &ReceivedRequest) -> Vec<Action> + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        Self::start_at(listener, script)
+    }
+
+    /// Starts an endpoint at a listener.
+    pub fn start_at(
+        listener: TcpListener,
+        script: impl Fn(usize, &ReceivedRequest) -> Vec<Action> + Send + Sync + 'static,
+    ) -> Self {
         let endpoint = Self {
             address: listener.local_addr().unwrap(),
             received: Arc::default(),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod endpoint;
 pub mod records;
 pub mod source;
+pub mod unreachable;
 
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
 use bridgevane_gateway::decisions::eligibility::region_limits::RegionMap;
