test(gateway): a cut under requests counts as no endpoint that they crash

Read as a way to quarantine equal requests for ten minutes; refuted: crashes within 50 ms count as one, and the next success clears them. The test passes on this code and guards it.

--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -284,3 +284,30 @@
         received(&unused)
     );
 }
+
+/// Guards against requests that are quarantined as crashing endpoints because a daemon was cut off
+/// under them: all its connections are reset at once, and all endpoints refuse new ones.
+#[tokio::test]
+async fn a_cut_under_requests_does_not_count_as_endpoints_that_they_crash() {
+    let endpoints = start_endpoints(|_| fine()).await;
+    let lost = start_endpoints(|_| vec![Action::Hang]).await;
+    let healthy = source_of(&addresses(&endpoints), &[]);
+    let fleet = start_fleet(&[source_of(&addresses(&lost), &[]), healthy]).await;
+    let mut clients = Vec::new();
+    for at in 0..24 {
+        let mut client = Client::connect(fleet[0].address).await;
+        let id = format!("a{at}");
+        client
+            .send(&request("GET", "/often/x", &id, DEADLINE, ""))
+            .await;
+        clients.push(client);
+    }
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    assert!(lost.iter().all(|endpoint| endpoint.request_count() > 0));
+    for endpoint in &lost {
+        endpoint.crashed.cancel();
+    }
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(served(&fleet[0], "GET", "/often/x", 5).await, 5);
+    assert_eq!(served(&fleet[1], "GET", "/often/x", 5).await, 5);
+}
