test(gateway): an endpoint that is silent for a second, and what TCP_USER_TIMEOUT ends

News of the users, each looked at: a silence of a second costs no request, sends none into it and is forgotten; TCP_USER_TIMEOUT (1.5 s) is longer than it, and no connection has keep-alive probes, which it would end as well.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,7 +61,7 @@
 pub use route::{
     ClientLimits, Customer, EngineSpec, Repeatability, Route, RouteTarget, Service, StreamPolicy,
 };
-pub use sockets::accept;
+pub use sockets::{accept, set_options};
 
 // State that tests and benchmarks of the rules set up.
 pub use clock::{Clock, ClockScript};
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -29,7 +29,7 @@
 ///
 /// # Errors
 /// The error of the system if it rejects an option.
-pub(crate) fn set_options(stream: &TcpStream) -> Result<(), std::io::Error> {
+pub fn set_options(stream: &TcpStream) -> Result<(), std::io::Error> {
     stream.set_nodelay(true)?;
     SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
