--- /dev/null
+++ b/crates/gateway/tests/brittle_endpoint.rs
@@ -0,0 +1,85 @@
+//! Tests of endpoints that announce how many requests they can turn away in a second before they
+//! crash.
+
+mod support;
+
+use bridgevane_gateway::Repeatability::AtMostOnce;
+use bridgevane_gateway::{GatewaySettings, serve_peers};
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::client::{Client, request};
+use support::endpoint::{Action, Endpoint};
+use support::source::{KEY, ScriptedSource, plain_route};
+use support::{RunningGateway, settings, start_with};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+/// The announced number, of all daemons together.
+const MAX_TURNED_AWAY_PER_S: usize = 3;
+/// The time after the first announcement from which the number holds.
+const NOTICE_TIME: Duration = Duration::from_millis(3_000);
+
+fn full() -> Vec<Action> {
+    let head = format!(
+        "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nserver-brittle: {MAX_TURNED_AWAY_PER_S}\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    vec![Action::Send(head)]
+}
+
+async fn start_daemon(
+    vm: &str,
+    source: &ScriptedSource,
+    listener: TcpListener,
+    seeds: &[SocketAddr],
+) -> RunningGateway {
+    let settings = GatewaySettings {
+        vm: vm.into(),
+        peer_address: Some(listener.local_addr().unwrap()),
+        seed_addresses: seeds.to_vec(),
+        ..settings()
+    };
+    let running = start_with(source.clone(), settings).await;
+    tokio::spawn(serve_peers(running.gateway.clone(), listener));
+    running
+}
+
+/// Guards against daemons that send requests to an endpoint which has no room and crashes when it
+/// turns more away in a second than it announces: each daemon alone, or all of them together.
+#[tokio::test]
+#[ignore = "known red"]
+async fn a_fleet_has_no_more_requests_turned_away_than_a_brittle_endpoint_can_bear() {
+    let source = ScriptedSource::new();
+    source.publish_configuration(1, vec![plain_route("once", AtMostOnce, 1)], &[KEY]);
+    let endpoint = Endpoint::start(|_| full()).await;
+    source.publish_endpoint("e-0", "plain", endpoint.address);
+    let first = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let second = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let seeds = [first.local_addr().unwrap(), second.local_addr().unwrap()];
+    let fleet = [
+        start_daemon("vm-1", &source, first, &seeds).await,
+        start_daemon("vm-2", &source, second, &seeds).await,
+    ];
+    let started_at = Instant::now();
+    let mut before = 0;
+    while started_at.elapsed() < NOTICE_TIME + Duration::from_secs(2) {
+        let second_ends_at = Instant::now() + Duration::from_secs(1);
+        for at in 0..20 {
+            let mut client = Client::connect(fleet[at % 2].address).await;
+            let id = format!("a{at}");
+            client
+                .send(&request("POST", "/once/x", &id, "x-deadline: 500\r\n", ""))
+                .await;
+            assert_eq!(client.answer().await.expect("an answer").status, 503);
+        }
+        let turned_away = endpoint.request_count() - before;
+        before += turned_away;
+        if started_at.elapsed() > NOTICE_TIME {
+            assert!(
+                turned_away <= MAX_TURNED_AWAY_PER_S,
+                "{turned_away} were turned away in a second"
+            );
+        }
+        sleep(second_ends_at - Instant::now()).await;
+    }
+}
--- a/crates/gateway/tests/store_from_copy.rs
+++ b/crates/gateway/tests/store_from_copy.rs
@@ -179,3 +179,28 @@
     client.send(&with_removed_key).await;
     assert_eq!(client.answer().await.expect("an answer").status, 401);
 }
+
+/// Guards against an older configuration on a daemon that starts between the return and the
+/// operator's next write: it reads the copy itself, while another daemon has what was acknowledged.
+#[tokio::test]
+#[ignore = "known red"]
+async fn a_daemon_that_starts_after_the_return_gets_the_newest_configuration_from_another() {
+    let drill = Drill::prepare().await;
+    let first = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let second = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let seeds = vec![first.local_addr().unwrap(), second.local_addr().unwrap()];
+    let settings_of = |vm: &str, at: usize| GatewaySettings {
+        seed_addresses: seeds.clone(),
+        ..peer_settings(vm, seeds[at], seeds[at])
+    };
+    let old = start_with(drill.source.clone(), settings_of("vm-1", 0)).await;
+    tokio::spawn(serve_peers(old.gateway.clone(), first));
+    drill.write_changes_to_lose().await;
+    drill.source.restore_copy(drill.copy);
+    sleep(Duration::from_millis(500)).await;
+    let started = start_with(drill.source.clone(), settings_of("vm-2", 1)).await;
+    tokio::spawn(serve_peers(started.gateway.clone(), second));
+    sleep(APPLY_TIME).await;
+    assert_eq!(status(&old, "/second/x").await, 200);
+    assert_eq!(status(&started, "/second/x").await, 200);
+}
