--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -195,6 +195,7 @@
         if is_applied {
             let mut records = decode(source, &state.records);
             let mut removal = self.removal();
+            // What this daemon knows outweighs the copy.
             if is_from_copy {
                 event!(Event::SourceCameFromCopy, revision = state.revision);
                 removal = Removal::ExpiresAt(self.clock.now() + self.expired_record_grace_ms);
--- a/crates/gateway/src/forwarding/connection.rs
+++ b/crates/gateway/src/forwarding/connection.rs
@@ -25,7 +25,7 @@
 
 /// Opens a connection for requests to another daemon; `None` if it can't be reached, or declines.
 pub(crate) async fn open(gateway: &Gateway, daemon: SocketAddr) -> Option<Connection> {
-    // The caller logs the failure and asks another daemon.
+    // The caller logs each failure as declined, and asks another daemon.
     let mut frames = open_connection(daemon).await.ok()?;
     let answer = timeout(HANDSHAKE_TIMEOUT, shake_hands(gateway, &mut frames)).await;
     let answer = answer.ok()??;
@@ -69,7 +69,7 @@
 ) -> Result<(), FrameError> {
     let guard = gateway.forwarded_connections.hold(1);
     let is_accepted = gateway.is_ready() && gateway.forwarded_connections.get() <= MAX_CONNECTIONS;
-    let places = gateway.daemons.sample(NAMED_DAEMONS, None);
+    let places = gateway.daemons.sample(NAMED_DAEMONS);
     let daemons = places
         .into_iter()
         .map(|(address, data_centre)| DaemonPlace {
--- a/crates/gateway/src/forwarding/daemons.rs
+++ b/crates/gateway/src/forwarding/daemons.rs
@@ -4,6 +4,7 @@
 //! Owns this state behind one short lock, which requests take only while they are forwarded. It is
 //! lost with the process, and learned again from the seeds and from other daemons.
 
+use crate::clock::AtomicTime;
 use crate::counter::{CountGuard, Counter};
 use crate::decisions::forwarding::{ForwardingCandidate, choose, decline_time};
 use crate::endpoints::connection::Connection;
@@ -43,7 +44,7 @@
 pub(crate) struct DaemonConnections {
     idle: IdleConnections,
     in_progress: Counter,
-    last_activity_at: crate::clock::AtomicTime,
+    last_activity_at: AtomicTime,
 }
 
 impl DaemonConnections {
@@ -129,8 +130,8 @@
             connections: Arc::default(),
         });
         daemon.heard_of_at = now;
-        if daemon.data_centre.as_ref() != data_centre && data_centre.is_some() {
-            daemon.data_centre = data_centre.cloned();
+        if let Some(data_centre) = data_centre {
+            daemon.data_centre = Some(data_centre.clone());
         }
         if known.len() > MAX_DAEMONS
             && let Some(oldest) = oldest(&known)
@@ -139,16 +140,11 @@
         }
     }
 
-    /// Returns some daemons with known data centres, for a daemon at `asking`.
-    pub(crate) fn sample(
-        &self,
-        count: usize,
-        asking: Option<SocketAddr>,
-    ) -> Vec<(SocketAddr, DataCentreId)> {
+    /// Returns up to `count` daemons with known data centres, in no particular order.
+    pub(crate) fn sample(&self, count: usize) -> Vec<(SocketAddr, DataCentreId)> {
         let known = self.known();
         let placed = known
             .iter()
-            .filter(|(address, _)| Some(**address) != asking)
             .filter_map(|(address, daemon)| Some((*address, daemon.data_centre.clone()?)));
         placed.take(count).collect()
     }
--- a/crates/gateway/src/replication/endpoint_notices.rs
+++ b/crates/gateway/src/replication/endpoint_notices.rs
@@ -1,6 +1,6 @@
-//! Rate limits and brittleness that endpoints announce, exchanged between daemons that follow each other: with each
-//! poll and each answer, and between seeds. Each message carries the current state, not
-//! changes, so daemons don't track what others know.
+//! Rate limits and brittleness that endpoints announce, exchanged between daemons that follow each
+//! other: with each poll and each answer, and between seeds. Each message carries the current state,
+//! not changes, so daemons don't track what others know.
 //!
 //! Notices that don't fit into a message are left out. A notice on an endpoint that isn't known
 //! here is ignored; it is sent again later.
--- a/crates/gateway/src/requests/exchange/forwarding.rs
+++ b/crates/gateway/src/requests/exchange/forwarding.rs
@@ -25,9 +25,10 @@
             Way::Direct => Ok(None),
             Way::Forwarded => self.forward(last_event_id).await,
             Way::Declined => {
-                let earlier_runs = self.inbound.origin.earlier_runs();
+                // Runs at the other daemon don't matter: it decides on its own what they mean.
+                let own_runs = self.runs - self.inbound.origin.earlier_runs();
                 let reason = RefusalReason::EndpointsUnreachable;
-                Err(reason.or_unknown_if_run(self.runs - earlier_runs).into())
+                Err(reason.or_unknown_if_run(own_runs).into())
             }
         }
     }
