--- a/crates/gateway/src/decisions/eligibility/brittle.rs
+++ b/crates/gateway/src/decisions/eligibility/brittle.rs
@@ -7,10 +7,10 @@
 //! Rules:
 //! - A request that the endpoint has room for is sent as usual: fewer of this daemon's requests run
 //!   there than its share of the slots, fewer of all daemons' than there are slots, and it turned
-//!   none away within [`TURNED_AWAY_MEMORY`]. Where there are more daemons than slots, at most half of
+//!   none away within `TURNED_AWAY_MEMORY`. Where there are more daemons than slots, at most half of
 //!   the slots may be taken.
 //! - Any other request may be turned away and needs a permit. Permits of all daemons together come at
-//!   [`PERMIT_SHARE`] of the announced number, shared as a [`super::rate_limit`] is.
+//!   `PERMIT_SHARE` of the announced number, shared as a [`super::rate_limit`] is.
 //! - The number holds until an answer no longer announces it, as a limit does.
 //!
 //! Reason: daemons don't know in time what the others send. Shares of the slots add up to the slots,
--- a/crates/gateway/src/decisions/endpoint/reachability.rs
+++ b/crates/gateway/src/decisions/endpoint/reachability.rs
@@ -4,13 +4,13 @@
 //! when it last opened a connection or got an answer, and the results of probes.
 //!
 //! Rules:
-//! - The service is suspected of being out of reach if connections to [`MIN_LOST_ENDPOINTS`]
+//! - The service is suspected of being out of reach if connections to `MIN_LOST_ENDPOINTS`
 //!   different endpoints failed since one was last opened, or if so many were silent since one last
 //!   answered. One is enough if the service has only one endpoint, or if nothing was heard of it
-//!   for [`RECENT_CONTACT`].
-//! - A suspicion starts a probe of up to [`MAX_PROBED_ENDPOINTS`] endpoints, of different data
+//!   for `RECENT_CONTACT`.
+//! - A suspicion starts a probe of up to `MAX_PROBED_ENDPOINTS` endpoints, of different data
 //!   centres where possible. An accepted connection ends it; otherwise the service is out of reach.
-//! - The probe is repeated every [`PROBE_INTERVAL`]. An accepted connection ends the state.
+//! - The probe is repeated every `PROBE_INTERVAL`. An accepted connection ends the state.
 //!
 //! Reason: the ejection of single endpoints can't tell an endpoint that is down from a daemon that
 //! is cut off. Open connections may live on while new ones fail, so answers on them don't count
--- a/crates/gateway/src/decisions/forwarding.rs
+++ b/crates/gateway/src/decisions/forwarding.rs
@@ -12,7 +12,7 @@
 //! - A daemon that has served the service lately goes before one of this data centre, and that one
 //!   before any other; among equals the one with the fewest requests of this daemon.
 //! - One that declined the service, or could not be reached, isn't asked for a while.
-//! - At most [`MAX_DAEMONS`] daemons are asked while the request has not been read by any.
+//! - At most `MAX_DAEMONS` daemons are asked while the request has not been read by any.
 //!
 //! Reason: a daemon that is cut off and one whose endpoints are all down look alike from inside.
 //! Other daemons know, and one that reaches no endpoint either declines at once.
