--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -26,11 +26,13 @@
 /// The number of low bits of a revision that hold the counter; the higher bits hold the era. The
 /// revisions of 8,192 eras fit into the 53 bits that every JSON parser reads exactly.
 const COUNTER_BITS: u32 = 40;
+/// The bits of the counter.
+const COUNTER_MASK: u64 = (1 << COUNTER_BITS) - 1;
 
 impl Revision {
     /// Creates a revision from the source's era and counter.
     pub fn new(era: SourceEra, counter: u64) -> Self {
-        Self(u64::from(era.0) << COUNTER_BITS | counter & (u64::MAX >> (64 - COUNTER_BITS)))
+        Self(u64::from(era.0) << COUNTER_BITS | counter & COUNTER_MASK)
     }
 
     /// Returns the source's era.
@@ -40,7 +42,7 @@
 
     /// Returns the source's counter.
     pub fn counter(self) -> u64 {
-        self.0 & (u64::MAX >> (64 - COUNTER_BITS))
+        self.0 & COUNTER_MASK
     }
 }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -185,7 +185,8 @@
     /// configuration and an endpoint that was leaving are recognised by their content; evacuations
     /// stay as they are; endpoints that are missing have some time to write their records again.
     pub(crate) fn replace(&self, source: &impl ControlSource, state: &FullState) -> bool {
-        let state = &*self.with_active_document(source, state);
+        let mut records = decode(source, &state.records);
+        let state = &*self.with_active_document(source, state, &records);
         let (is_from_copy, is_applied) = {
             let mut replica = self.replica();
             let before = replica.revision();
@@ -193,7 +194,6 @@
             (is_from_copy, replica.replace(state))
         };
         if is_applied {
-            let mut records = decode(source, &state.records);
             let mut removal = self.removal();
             // What this daemon knows outweighs the copy.
             if is_from_copy {
@@ -217,18 +217,24 @@
     }
 
     /// Returns the state with this daemon's document if the listed one is older: daemons that follow
-    /// this one must not get the older one.
+    /// this one must not get the older one. `decoded` are the state's records.
     fn with_active_document<'a>(
         &self,
         source: &impl ControlSource,
         state: &'a FullState,
+        decoded: &[ChangeAt],
     ) -> Cow<'a, FullState> {
-        let Some((at, listed)) = document(source, &state.records) else {
-            return Cow::Borrowed(state);
+        let active = self.config_version();
+        let is_older = |record: &ChangeAt| match &record.change {
+            Change::Routing(table) => table.version() < active,
+            _ => false,
         };
-        if listed >= self.config_version() {
+        if !decoded.iter().any(is_older) {
             return Cow::Borrowed(state);
         }
+        let Some((at, _)) = document(source, &state.records) else {
+            return Cow::Borrowed(state);
+        };
         let mut state = state.clone();
         let record = &mut state.records[at];
         if let Some(known) = self.replica().value(&record.key) {
--- a/crates/gateway/src/decisions/replication/followers.rs
+++ b/crates/gateway/src/decisions/replication/followers.rs
@@ -198,13 +198,6 @@
             .collect()
     }
 
-    /// Returns the addresses and data centres of all followers.
-    pub(crate) fn places(&self, now: TimeMs) -> Vec<(SocketAddr, DataCentreId)> {
-        let current = self.current(now);
-        let places = current.map(|known| (known.address, known.data_centre.clone()));
-        places.collect()
-    }
-
     fn add(&mut self, now: TimeMs, follower: Follower) {
         let known = KnownFollower {
             seen_at: now,
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -5,7 +5,7 @@
 //! reference count while they need it.
 
 use crate::clock::AtomicTime;
-use crate::decisions::eligibility::brittle::BrittleLoad;
+use crate::decisions::eligibility::brittle::{BrittleLoad, has_room};
 use crate::decisions::eligibility::leaving::EndpointIncarnation;
 use crate::endpoints::brittle_state::BrittleState;
 use crate::endpoints::cold_state::ColdState;
@@ -140,16 +140,20 @@
         !self.has_expired(now) && !self.has_announced_leaving()
     }
 
-    /// Returns what this daemon knows of the room there, if it is brittle.
-    pub(crate) fn brittle_load(&self, now: TimeMs, daemons: Option<u32>) -> BrittleLoad {
+    /// Returns whether a request needs one of the permits of a brittle endpoint.
+    pub(crate) fn needs_brittle_permit(&self, now: TimeMs, daemons: Option<u32>) -> bool {
+        if !self.brittle.permits.is_limited() {
+            return false;
+        }
         let load = self.load.snapshot(now);
-        BrittleLoad {
+        let load = BrittleLoad {
             slots: self.record.load().slots,
             daemons,
             own_running: load.own_running,
             running: load.fleet_running(),
             turned_away_at: self.brittle.turned_away_at(),
-        }
+        };
+        !has_room(now, load)
     }
 
     /// Starts a back-off of the length that it asked for; returns false if there already was one.
--- a/crates/gateway/src/endpoints/selection.rs
+++ b/crates/gateway/src/endpoints/selection.rs
@@ -89,15 +89,13 @@
     }
 
     fn admits_brittle(&self, endpoint: &Endpoint) -> bool {
-        let brittle = &endpoint.brittle;
-        !brittle.permits.is_limited()
-            || brittle.admits(self.now, endpoint.brittle_load(self.now, self.daemons))
+        !endpoint.needs_brittle_permit(self.now, self.daemons)
+            || endpoint.brittle.permits.admits(self.now, self.daemons)
     }
 
     fn try_acquire_brittle(&self, endpoint: &Endpoint) -> bool {
-        let brittle = &endpoint.brittle;
-        !brittle.permits.is_limited()
-            || brittle.try_acquire(self.now, endpoint.brittle_load(self.now, self.daemons))
+        !endpoint.needs_brittle_permit(self.now, self.daemons)
+            || endpoint.brittle.permits.try_acquire(self.now, self.daemons)
     }
 
     /// Counts the request against the limit or the cold quota of an endpoint; returns false if
@@ -144,11 +142,10 @@
 fn permit_wait(request: &SelectionRequest<'_>, endpoint: &Endpoint) -> Option<DurationMs> {
     let (now, daemons) = (request.now, request.daemons);
     let by_limit = endpoint.rate_limit.wait_time(now, daemons);
-    if !endpoint.brittle.permits.is_limited() {
+    if !endpoint.needs_brittle_permit(now, daemons) {
         return by_limit;
     }
-    let load = endpoint.brittle_load(now, daemons);
-    by_limit.max(endpoint.brittle.wait_time(now, load))
+    by_limit.max(endpoint.brittle.permits.wait_time(now, daemons))
 }
 
 fn lowest_estimate(
--- a/crates/gateway/src/forwarding/attempt.rs
+++ b/crates/gateway/src/forwarding/attempt.rs
@@ -12,6 +12,7 @@
 use crate::forwarding::{connection, headers};
 use crate::gateway::Gateway;
 use crate::requests::inbound::InboundRequest;
+use crate::requests::response_head::retry_after;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, response};
 use http_body_util::Full;
@@ -80,9 +81,13 @@
         let (connection, response) = self.send().await?;
         connections.on_activity(self.gateway.clock.now());
         let (mut head, body) = response.into_parts();
-        if let Some(refusal) = headers::refusal(&head.headers) {
+        if let Some(reason) = headers::refusal_reason(&head.headers) {
+            let retry_after = retry_after(&self.gateway.endpoint_headers(&head.headers));
             connections.put_idle(self.gateway.clock.now(), connection);
-            return Err(refused(refusal));
+            return Err(refused(Refusal {
+                reason,
+                retry_after,
+            }));
         }
         headers::remove(&mut head.headers);
         let names = &self.gateway.header_names;
--- a/crates/gateway/src/forwarding/connection.rs
+++ b/crates/gateway/src/forwarding/connection.rs
@@ -1,18 +1,18 @@
 //! Connections for forwarded requests: a handshake by frames at the peer address of a daemon, then
 //! HTTP/1.1.
 
+use crate::counter::CountGuard;
 use crate::endpoints::connection::Connection;
 use crate::gateway::Gateway;
 use crate::replication::client::{FramedStream, open_connection};
-use crate::requests::client_listener;
 use bridgevane_events::{Event, event};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{DaemonPlace, ForwardingAnswer, ForwardingWanted, Frame, FrameError};
 use bridgevane_types::DataCentreId;
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// How long the other daemon's answer to the handshake may take. It is sent at once.
@@ -60,14 +60,21 @@
     }
 }
 
-/// Answers a daemon that wants to forward requests on this connection, and serves them until it
-/// closes the connection.
-pub(crate) async fn serve(
-    gateway: &Arc<Gateway>,
+/// A connection on which another daemon forwards requests.
+#[derive(Debug)]
+pub(crate) struct AcceptedConnection {
+    pub(crate) stream: TcpStream,
+    /// Counts the connection until it is served.
+    pub(crate) counted: CountGuard,
+}
+
+/// Answers a daemon that wants to forward requests on this connection; `None` if that is declined.
+pub(crate) async fn accept(
+    gateway: &Gateway,
     mut frames: FramedStream,
-    wanted: ForwardingWanted,
-) -> Result<(), FrameError> {
-    let guard = gateway.forwarded_connections.hold(1);
+    wanted: &ForwardingWanted,
+) -> Result<Option<AcceptedConnection>, FrameError> {
+    let counted = gateway.forwarded_connections.hold(1);
     let is_accepted = gateway.is_ready() && gateway.forwarded_connections.get() <= MAX_CONNECTIONS;
     let places = gateway.daemons.sample(NAMED_DAEMONS);
     let daemons = places
@@ -88,9 +95,8 @@
         daemon = wanted.vm,
         is_accepted = is_accepted
     );
-    if is_accepted {
-        client_listener::serve_daemon(gateway.clone(), frames.into_inner()).await;
-    }
-    drop(guard);
-    Ok(())
+    Ok(is_accepted.then(|| AcceptedConnection {
+        stream: frames.into_inner(),
+        counted,
+    }))
 }
--- a/crates/gateway/src/forwarding/headers.rs
+++ b/crates/gateway/src/forwarding/headers.rs
@@ -1,9 +1,7 @@
 //! Headers that daemons add to forwarded requests and their answers. They never reach a client or an
 //! endpoint.
 
-use crate::decisions::admission::refusal::{Refusal, RefusalReason};
-use bridgevane_types::DurationMs;
-use http::header::RETRY_AFTER;
+use crate::decisions::admission::refusal::RefusalReason;
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 /// On requests: the number of attempts that ran or may have run.
@@ -34,19 +32,12 @@
     }
 }
 
-/// Returns the refusal that an answer is, with its retry time. An unknown reason of a later version
+/// Returns the reason if an answer is a daemon's own refusal. An unknown reason of a later version
 /// counts as an unknown outcome.
-pub(crate) fn refusal(headers: &HeaderMap) -> Option<Refusal> {
+pub(crate) fn refusal_reason(headers: &HeaderMap) -> Option<RefusalReason> {
     let code = headers.get(&REFUSAL)?.to_str().ok();
     let reason = code.and_then(RefusalReason::from_code);
-    let retry_after = headers.get(RETRY_AFTER).and_then(|value| {
-        let seconds: f64 = value.to_str().ok()?.parse().ok()?;
-        Some(DurationMs((seconds.max(0.0) * 1_000.0) as u64))
-    });
-    Some(Refusal {
-        reason: reason.unwrap_or(RefusalReason::OutcomeUnknown),
-        retry_after,
-    })
+    Some(reason.unwrap_or(RefusalReason::OutcomeUnknown))
 }
 
 /// Removes the headers that only daemons may set.
--- a/crates/gateway/src/forwarding/reach_probe.rs
+++ b/crates/gateway/src/forwarding/reach_probe.rs
@@ -12,7 +12,7 @@
 use bridgevane_types::{DataCentreId, ServiceName};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use rand::RngExt;
+use rand::seq::SliceRandom;
 use std::sync::Arc;
 use tokio::time::sleep;
 
@@ -75,9 +75,7 @@
         return Vec::new();
     };
     let mut endpoints: Vec<&Arc<Endpoint>> = service.all.iter().collect();
-    for at in (1..endpoints.len()).rev() {
-        endpoints.swap(at, rand::rng().random_range(0..=at));
-    }
+    endpoints.shuffle(&mut rand::rng());
     let data_centres: Vec<DataCentreId> = endpoints
         .iter()
         .map(|endpoint| endpoint.record.load().data_centre.clone())
--- a/crates/gateway/src/replication/fleet.rs
+++ b/crates/gateway/src/replication/fleet.rs
@@ -12,7 +12,7 @@
 use crate::replication::work_reports::WorkReports;
 use crate::settings::GatewaySettings;
 use crate::work_by_endpoint::{Work, WorkByEndpoint};
-use bridgevane_types::{DataCentreId, TimeMs, VmId};
+use bridgevane_types::{TimeMs, VmId};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -184,11 +184,6 @@
         self.followers().siblings(self.clock.now(), vm)
     }
 
-    /// Returns the addresses and data centres of the daemons that follow this one.
-    pub(crate) fn follower_places(&self) -> Vec<(SocketAddr, DataCentreId)> {
-        self.followers().places(self.clock.now())
-    }
-
     /// Returns the number of daemons, if known.
     pub(crate) fn size(&self) -> Option<u32> {
         let known_size = self.known_size.load(Ordering::Relaxed);
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -394,8 +394,9 @@
         let control = &self.gateway.control;
         if is_whole {
             let state = FullState { revision, records };
-            control.adopt_newer_document(&self.source, &state);
-            control.replace(&self.source, &state);
+            if !control.replace(&self.source, &state) {
+                control.adopt_newer_document(&self.source, &state);
+            }
         } else {
             control.apply(&self.source, Changes { revision, records });
         }
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -10,12 +10,13 @@
 use crate::decisions::replication::followers::{Follower, FollowerPlacement, Subtree};
 use crate::decisions::replication::hold::max_hold;
 use crate::duties::codec::decode_report;
-use crate::forwarding;
+use crate::forwarding::connection::{self, AcceptedConnection};
 use crate::gateway::Gateway;
 use crate::replication::crash_observations::{self, SentCrashObservations};
 use crate::replication::endpoint_notices;
 use crate::replication::fleet::FresherDaemon;
 use crate::replication::message::{CLOCK_RESOLUTION_MS, decode_work, encode_path, encode_work};
+use crate::requests::client_listener;
 use crate::sockets::{accept, set_options};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
@@ -82,7 +83,12 @@
                 continue;
             }
             Some(Body::ForwardingWanted(wanted)) => {
-                return forwarding::connection::serve(gateway, frames, wanted).await;
+                let accepted = connection::accept(gateway, frames, &wanted).await?;
+                if let Some(AcceptedConnection { stream, counted }) = accepted {
+                    client_listener::serve_daemon(gateway.clone(), stream).await;
+                    drop(counted);
+                }
+                return Ok(());
             }
             _ => return Ok(()),
         };
@@ -226,9 +232,13 @@
         // A daemon without an address can't be followed; it is answered here.
         return FollowerPlacement::Here;
     };
+    let data_centre = DataCentreId::from(poll.data_centre.as_str());
+    let now = gateway.clock.now();
+    let daemons = &gateway.daemons;
+    daemons.on_heard_of(now, address, Some(&data_centre));
     gateway.fleet.place_follower(Follower {
         vm: VmId::from(poll.vm.as_str()),
-        data_centre: DataCentreId::from(poll.data_centre.as_str()),
+        data_centre,
         address,
         subtree: Subtree {
             size: poll.tree_size,
--- a/crates/gateway/src/requests/exchange/forwarding.rs
+++ b/crates/gateway/src/requests/exchange/forwarding.rs
@@ -68,11 +68,6 @@
     fn choose_daemon(&self) -> Option<ChosenDaemon> {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
-        for (address, data_centre) in gateway.fleet.follower_places() {
-            gateway
-                .daemons
-                .on_heard_of(now, address, Some(&data_centre));
-        }
         let service = &self.inbound.service;
         gateway.daemons.choose(now, service, &self.daemons_asked)
     }
--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -51,7 +51,7 @@
 struct InvalidRetryAfter;
 
 /// Returns the time in the `Retry-After` header; fractions of seconds are allowed.
-fn retry_after(headers: &HeaderReader<'_>) -> Option<DurationMs> {
+pub(crate) fn retry_after(headers: &HeaderReader<'_>) -> Option<DurationMs> {
     let seconds: f64 = headers.parsed(&RETRY_AFTER)?;
     let is_valid = (0.0..=MAX_RETRY_AFTER_S).contains(&seconds);
     let seconds = headers.decoded(
