--- a/crates/gateway/benches/fleet_state.rs
+++ b/crates/gateway/benches/fleet_state.rs
@@ -90,6 +90,7 @@
             service: "model".into(),
             address: "127.0.0.1:1".parse().expect("an address"),
             data_centre: format!("data-centre-{}", at % DATA_CENTRES).as_str().into(),
+            version: None,
             slots: 32,
             is_draining: false,
             is_reclaimable: false,
--- a/crates/gateway/src/control/endpoint_registry.rs
+++ b/crates/gateway/src/control/endpoint_registry.rs
@@ -16,7 +16,9 @@
 use crate::endpoints::endpoint::{Endpoint, EndpointRecord};
 use bridgevane_decisions::EndpointIx;
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DataCentreId, DurationMs, EndpointId, ServiceName, TimeMs};
+use bridgevane_types::{
+    DataCentreId, DurationMs, EndpointId, ServiceName, SoftwareVersion, TimeMs,
+};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
@@ -265,6 +267,7 @@
         endpoint = record.id,
         service = record.service,
         address = record.address,
+        version = record.version.as_ref().map_or("-", SoftwareVersion::as_str),
         draining = record.is_draining,
         revision = revision
     );
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -18,7 +18,9 @@
 use crate::work_by_endpoint::EndpointHash;
 use arc_swap::ArcSwap;
 use bridgevane_decisions::EndpointIx;
-use bridgevane_types::{DataCentreId, DurationMs, EndpointId, ServiceName, TimeMs, WallTimeMs};
+use bridgevane_types::{
+    DataCentreId, DurationMs, EndpointId, ServiceName, SoftwareVersion, TimeMs, WallTimeMs,
+};
 use std::net::SocketAddr;
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -39,6 +41,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// The version of its software; `None` if not reported.
+    pub version: Option<SoftwareVersion>,
     /// The number of requests that it runs at once.
     pub slots: u32,
     /// Whether it is about to leave, and gets no new requests.
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -16,6 +16,9 @@
     pub prompt_parts: HeaderName,
     /// The last event of a stream that was received; the stream is resumed after it.
     pub last_event_id: HeaderName,
+    /// On a request that takes up a stream: the identifier of the attempt that brought the stream's
+    /// first event.
+    pub resumes: HeaderName,
     /// On requests to endpoints: the customer that the client's key belongs to.
     pub customer: HeaderName,
     /// The endpoint that a request is meant for; any other endpoint refuses it.
--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -58,6 +58,9 @@
     let body = read_body(gateway, &table, &headers, deadline, body).await?;
     let service = draw_service(&route);
     let key = key_header(&head.headers);
+    let taken_up = route
+        .is_resumable()
+        .then(|| decode::taken_up(names, &head.headers));
     let priority = table.priorities().priority(customer.as_deref(), &route);
     Ok(InboundRequest {
         arrived,
@@ -70,6 +73,7 @@
         origin,
         headers: decode::forwarded(names, head.headers),
         key,
+        taken_up: taken_up.flatten(),
         body,
         is_lowest_priority: table.priorities().is_lowest(priority, &service),
         priority,
--- a/crates/gateway/src/requests/answer.rs
+++ b/crates/gateway/src/requests/answer.rs
@@ -42,6 +42,14 @@
         }
     }
 
+    /// Returns the software version of the endpoint, for logs; "-" if it isn't known here.
+    pub(crate) fn version_text(&self) -> String {
+        let version = self
+            .endpoint()
+            .and_then(|endpoint| endpoint.record.load().version.clone());
+        version.map_or_else(|| "-".to_owned(), |version| version.to_string())
+    }
+
     /// Returns the name of the endpoint or the address of the daemon, for logs.
     pub(crate) fn source_text(&self) -> String {
         match self {
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -19,6 +19,15 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// A stream that an earlier attempt of the client began, and that the client takes up.
+#[derive(Clone, Debug)]
+pub(crate) struct TakenUpStream {
+    /// The identifier of the attempt that brought the first event; `None` if the client names none.
+    pub(crate) first_attempt: Option<HeaderValue>,
+    /// The last event that the client has.
+    pub(crate) last_event_id: HeaderValue,
+}
+
 /// An admitted request.
 #[derive(Debug)]
 pub(crate) struct InboundRequest {
@@ -42,6 +51,8 @@
     pub(crate) headers: HeaderMap,
     /// The header with its key, for another daemon; endpoints don't get it.
     pub(crate) key: Option<HeaderValue>,
+    /// What the client takes up; `None` for a new request.
+    pub(crate) taken_up: Option<TakenUpStream>,
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
     /// The service that was drawn from the route's targets.
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -195,6 +195,7 @@
             None => Err(NoResend::NotResumable),
         };
         self.log_broken_off(cause, resend);
+        let from = self.answer.as_ref().map(Answer::version_text);
         // Closes the connection and counts the request at that endpoint as ended.
         self.answer = None;
         resend.map_err(|_| cause)?;
@@ -213,6 +214,8 @@
             Event::StreamResumed,
             request = self.exchange.inbound.id_text(),
             endpoint = answer.source_text(),
+            from = from.unwrap_or_default(),
+            to = answer.version_text(),
             // -1 means that no event had arrived.
             after = last_event_id.map_or(-1, |id| id as i64)
         );
--- a/crates/gateway/src/requests/request_headers.rs
+++ b/crates/gateway/src/requests/request_headers.rs
@@ -7,6 +7,7 @@
 use crate::forwarding;
 use crate::header_names::HeaderNames;
 use crate::prompt::{Prompt, PromptPart};
+use crate::requests::inbound::TakenUpStream;
 use crate::unreadable_headers::HeaderReader;
 use bridgevane_types::{DurationMs, Tokens};
 use http::header::{self, HeaderName};
@@ -98,6 +99,14 @@
     }
 }
 
+/// Returns the stream that a request takes up.
+pub(crate) fn taken_up(names: &HeaderNames, headers: &HeaderMap) -> Option<TakenUpStream> {
+    Some(TakenUpStream {
+        last_event_id: headers.get(&names.last_event_id)?.clone(),
+        first_attempt: headers.get(&names.resumes).cloned(),
+    })
+}
+
 /// Returns how long the client will wait, if the header is present.
 pub(crate) fn client_timeout(
     names: &HeaderNames,
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -372,6 +372,7 @@
         service: "model".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "dc-1".into(),
+        version: None,
         slots: 64,
         is_draining: false,
         is_reclaimable: false,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -33,6 +33,7 @@
         deadline_ms: name("x-deadline"),
         prompt_parts: name("x-parts"),
         last_event_id: name("last-event-id"),
+        resumes: name("x-resumes"),
         customer: name("x-customer"),
         expected_endpoint: name("x-endpoint"),
         load: name("x-load"),
--- a/crates/gateway/tests/support/records.rs
+++ b/crates/gateway/tests/support/records.rs
@@ -15,6 +15,7 @@
         // Each endpoint has its own port.
         address: format!("127.0.0.1:{}", at + 1).parse().expect("an address"),
         data_centre: data_centre.into(),
+        version: None,
         slots,
         is_draining: false,
         is_reclaimable: false,
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -282,6 +282,7 @@
         service: service.into(),
         address,
         data_centre: "dc-1".into(),
+        version: None,
         slots: 8,
         is_draining,
         is_reclaimable: false,
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -78,6 +78,10 @@
     /// A data centre, such as `curepipe`.
     DataCentreId
 );
+text_id!(
+    /// The version of an endpoint's software, such as `v1.2`; not of a model's weights.
+    SoftwareVersion
+);
 text_id!(
     /// The identifier of an endpoint: a model engine or a worker of a plain service. A later process,
     /// which is another incarnation, may have the same identifier.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,7 +14,7 @@
 pub use ids::{
     AttemptNumber, ClassName, ConfigVersion, CustomerId, DataCentreId, EndpointId, FenceToken,
     IdempotencyKey, Incarnation, KindName, ModelName, OperationId, OperatorName, RegionId,
-    RequestId, ServiceName, VmId,
+    RequestId, ServiceName, SoftwareVersion, VmId,
 };
 pub use outcome::{Outcome, RefusalCode};
 pub use request_fingerprint::{InvalidFingerprint, RequestFingerprint};
