--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 pub mod records;
 pub mod source;
 pub mod unreachable;
+pub mod versions;
 
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
 use bridgevane_gateway::decisions::eligibility::region_limits::RegionMap;
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -140,6 +140,14 @@
         self.put(Change::Endpoint(record(id, service, address, false)));
     }
 
+    /// Publishes the record of an endpoint that runs this software version.
+    pub fn publish_version(&self, id: &str, service: &str, address: SocketAddr, version: &str) {
+        self.put(Change::Endpoint(EndpointRecord {
+            version: Some(version.into()),
+            ..record(id, service, address, false)
+        }));
+    }
+
     /// Publishes the record of an endpoint in a data centre.
     pub fn publish_endpoint_in(
         &self,
--- /dev/null
+++ b/crates/gateway/tests/support/versions.rs
@@ -0,0 +1,132 @@
+//! Engines of one service that run several software versions, and clients that take streams up.
+
+use super::client::{Client, ClientAnswer, request};
+use super::endpoint::{Action, Endpoint, event, last_chunk, stream_head};
+use super::source::ScriptedSource;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The number of events of a stream.
+const EVENTS: u64 = 3;
+
+/// What an engine does after the first event of a stream that it begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterFirstEvent {
+    /// It breaks the stream off.
+    BreakOff,
+    /// It sends nothing more until the client leaves.
+    Stall,
+}
+
+/// Engines of the service "model", with the software version of each.
+pub struct VersionedEngines {
+    engines: Vec<(&'static str, Endpoint)>,
+}
+
+impl VersionedEngines {
+    /// Starts an engine for each of `versions` and publishes its record.
+    pub async fn start(
+        source: &ScriptedSource,
+        versions: &[&'static str],
+        after_first: AfterFirstEvent,
+    ) -> Self {
+        let mut engines = Self {
+            engines: Vec::new(),
+        };
+        for version in versions {
+            engines.add(source, version, after_first).await;
+        }
+        engines
+    }
+
+    /// Starts one more engine and publishes its record.
+    pub async fn add(
+        &mut self,
+        source: &ScriptedSource,
+        version: &'static str,
+        after_first: AfterFirstEvent,
+    ) {
+        let engine = Endpoint::start_by_request(move |_, request| {
+            let last = request.header("last-event-id");
+            stream_after(last.and_then(|id| id.parse().ok()), after_first)
+        })
+        .await;
+        let id = format!("e-{}", self.engines.len());
+        source.publish_version(&id, "model", engine.address, version);
+        self.engines.push((version, engine));
+    }
+
+    /// Removes the records of all engines of a version.
+    pub fn remove(&self, source: &ScriptedSource, version: &str) {
+        for (at, (own, _)) in self.engines.iter().enumerate() {
+            if *own == version {
+                source.remove_endpoint(&format!("e-{at}"));
+            }
+        }
+    }
+
+    /// Returns the versions of the engines that got requests with this header value, in no order.
+    pub fn versions_with(&self, header: &str, value: &str) -> Vec<&'static str> {
+        let mut versions = Vec::new();
+        for (version, engine) in &self.engines {
+            let received = engine.received.lock().unwrap();
+            let matching = received
+                .iter()
+                .filter(|request| request.header(header).as_deref() == Some(value));
+            versions.extend(matching.map(|_| *version));
+        }
+        versions
+    }
+
+    /// Returns the number of streams that were begun at each version.
+    pub fn begun(&self) -> HashMap<&'static str, usize> {
+        let mut begun = HashMap::new();
+        for (version, engine) in &self.engines {
+            let received = engine.received.lock().unwrap();
+            let new = received
+                .iter()
+                .filter(|request| request.header("last-event-id").is_none());
+            *begun.entry(*version).or_default() += new.count();
+        }
+        begun
+    }
+}
+
+/// Returns the actions of an engine for a stream after event `last`; `None` begins it.
+fn stream_after(last: Option<u64>, after_first: AfterFirstEvent) -> Vec<Action> {
+    let Some(last) = last else {
+        let end = match after_first {
+            AfterFirstEvent::BreakOff => Action::Close,
+            AfterFirstEvent::Stall => Action::Hang,
+        };
+        return vec![stream_head(), event(1), end];
+    };
+    let mut actions = vec![stream_head()];
+    actions.extend((last + 1..=EVENTS).map(event));
+    actions.push(last_chunk());
+    actions
+}
+
+/// Begins a stream at a daemon and leaves after its first event; returns false if it didn't begin.
+pub async fn begin_and_leave(daemon: SocketAddr, id: &str) -> bool {
+    let mut client = Client::connect(daemon).await;
+    let text = request("POST", "/resume/x", id, "x-deadline: 1500\r\n", "");
+    client.send(&text).await;
+    client.read_until("piece 1").await.contains("piece 1")
+}
+
+/// Takes up the stream that the attempt `first` began.
+pub async fn take_up(daemon: SocketAddr, id: &str, first: &str) -> ClientAnswer {
+    let extra = format!("x-deadline: 1500\r\nx-resumes: {first}\r\nlast-event-id: 1\r\n");
+    let mut client = Client::connect(daemon).await;
+    client
+        .send(&request("POST", "/resume/x", id, &extra, ""))
+        .await;
+    client.answer().await.expect("an answer")
+}
+
+/// Waits until daemons know a change of the source.
+pub async fn wait_for_change() {
+    tokio::time::sleep(Duration::from_millis(350)).await;
+}
