--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -43,6 +43,11 @@
         self.parts.len().saturating_sub(1)
     }
 
+    /// Returns the parts that other requests may share.
+    pub(crate) fn shared(&self) -> &[PromptPart] {
+        &self.parts[..self.shared_parts()]
+    }
+
     /// Returns the number of tokens that other requests may share.
     pub(crate) fn shared_tokens(&self) -> u64 {
         self.prefix_tokens(self.shared_parts())
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -9,7 +9,7 @@
 use crate::header_names::HeaderNames;
 use crate::prompt::Prompt;
 use crate::route::{Customer, Route};
-use bridgevane_types::{RequestFingerprint, ServiceName, TimeMs};
+use bridgevane_types::{PartFingerprint, RequestFingerprint, ServiceName, TimeMs};
 use bytes::Bytes;
 use http::header::AUTHORIZATION;
 use http::uri::PathAndQuery;
@@ -88,6 +88,21 @@
         })
     }
 
+    /// Returns the fingerprints of the parts of its prompt that other requests may share.
+    pub(crate) fn shared_parts(&self) -> impl Iterator<Item = PartFingerprint> {
+        let shared = self.prompt.shared().iter();
+        shared.map(|part| PartFingerprint::new(&self.service, part.id))
+    }
+
+    /// Returns these fingerprints for logs, separated by commas; "-" if there are none.
+    pub(crate) fn shared_parts_text(&self) -> String {
+        let parts: Vec<String> = self.shared_parts().map(|part| part.to_string()).collect();
+        if parts.is_empty() {
+            return "-".to_owned();
+        }
+        parts.join(",")
+    }
+
     /// Returns the request's identifier for logs.
     pub(crate) fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("?")
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -242,6 +242,7 @@
             route = self.exchange.inbound.route.name,
             customer = self.exchange.inbound.customer_text(),
             fingerprint = self.exchange.inbound.fingerprint(),
+            parts = self.exchange.inbound.shared_parts_text(),
             cause = cause,
             begun = self.has_first_chunk,
             held_ms = self.exchange.inbound.arrived.elapsed().as_millis(),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 //! rejects a value of one kind where another kind is expected.
 
 mod boot_clock;
+mod crash_suspect;
 mod ids;
 mod outcome;
 mod request_fingerprint;
@@ -11,6 +12,7 @@
 mod time;
 
 pub use boot_clock::boot_time;
+pub use crash_suspect::{CrashSuspect, InvalidSuspect, PartFingerprint};
 pub use ids::{
     AttemptNumber, ClassName, ConfigVersion, CustomerId, DataCentreId, EndpointId, FenceToken,
     IdempotencyKey, Incarnation, KindName, ModelName, OperationId, OperatorName, RegionId,
