--- a/crates/decisions/src/crash_count.rs
+++ b/crates/decisions/src/crash_count.rs
@@ -1,40 +1,52 @@
-//! Crash count: which requests crash the endpoints that run them and must no longer be sent?
+//! Crash count: which requests, and which parts of prompts, crash the endpoints that run them and must
+//! no longer be sent?
 //!
 //! Inputs: observations of this daemon and, in the gateway, of all other daemons
-//! ([`CrashObservation`]): a request was running at an endpoint when the endpoint crashed; a
-//! request was answered successfully; a request is under quarantine. Each observation has a time by
-//! this daemon's clock (ms).
+//! ([`CrashObservation`]): a request, or a request with a part in its prompt, was running at an endpoint
+//! when the endpoint crashed; it was answered successfully; it is under quarantine. Each observation
+//! has a time by this daemon's clock (ms).
 //!
-//! Rules:
-//! - A request under which [`CRASHES_TO_QUARANTINE`] endpoints have crashed is put under quarantine
-//!   for [`QUARANTINE_DURATION`]. A crash counts once per request and endpoint, however many
-//!   daemons report it and however often: retries, hedges, resumed streams and repeated requests of
-//!   the client all count as one.
+//! Rules for all suspects:
+//! - A crash counts once per suspect and endpoint, however many daemons report it and however often:
+//!   retries, hedges, resumed streams and repeated requests of the client all count as one.
 //! - Crashes within [`SAME_CRASH_WINDOW`] count as one, unless the later run began after the
 //!   earlier crash. Processes that are killed together crash under whatever they run, such as
 //!   identical requests of a client that polls.
-//! - A successful answer clears the request of all earlier crashes: a client that polls with
-//!   identical requests isn't the cause of the crashes that happened while they ran.
-//! - A crash under a request that is already under quarantine is attributed to that request, and
-//!   counts for no other request that was running there.
+//! - A successful answer clears its request and the parts of its prompt of all earlier crashes: they
+//!   aren't the cause of the crashes that happened while they ran.
+//! - A crash under a suspect that is already under quarantine is attributed to that suspect, and
+//!   counts for no other that was running there.
+//! - A quarantine lasts [`QUARANTINE_DURATION`].
+//!
+//! A request under which [`CRASHES_TO_QUARANTINE`] endpoints have crashed is put under quarantine at
+//! once. A part of prompts stands beside others in each request, so it is put under quarantine
+//! ([`CrashCount::review`]) only if
+//! - as many crashes under it are [`SETTLE_TIME`] old, so that what the other daemons saw of them and
+//!   of their ends is known, and
+//! - no other suspect explains them: no request, and no other part with more crashes, was running at
+//!   all of them. Among parts with the same crashes all are the cause after
+//!   [`CRASHES_WITHOUT_OTHER_CAUSE`].
+//!
+//! The crashes of a part that is put under quarantine are attributed to it.
 //!
 //! Reason: a crash ends all requests of an endpoint, and most of them aren't the cause. A request
 //! that is the cause crashes every endpoint that starts it when it is retried. Each crash costs the
 //! fleet an engine for some seconds, and the retries of one customer took down all engines of a
-//! service.
+//! service. The first part of a prompt is in nearly every request, also in those that crash engines: it
+//! must not be stopped, and neither must a session that merely ran beside them.
 //!
 //! Observations form a set: duplicates make no difference to the count, and neither does the order,
 //! except that it decides which crashes are attributed. The amount of state is bounded by the
 //! constants below.
 //!
-//! Tests: `crash_count.rs`; `crashing_requests.rs` of the gateway, `crashing_prompts.rs` of
-//! `serve`.
+//! Tests: `crash_count.rs`, `crash_count_parts.rs`; `crashing_requests.rs` and `crashing_parts.rs` of the
+//! gateway, `crashing_prompts.rs` of `serve`.
 
-use bridgevane_types::{DurationMs, RequestFingerprint, TimeMs};
+use bridgevane_types::{CrashSuspect, DurationMs, TimeMs};
 use std::collections::HashMap;
 use std::hash::Hash;
 
-/// The number of distinct crashes after which a request counts as their cause. The users require
+/// The number of distinct crashes after which a request or part may count as their cause. The users require
 /// this bound. It may be exceeded while observations are in transit, for as long as a daemon may be
 /// disconnected, but not after that.
 pub const CRASHES_TO_QUARANTINE: usize = 3;
@@ -42,18 +54,24 @@
 /// within some 10 ms. A request that is retried every 40 ms crashes two or three more endpoints
 /// because of this window.
 pub const SAME_CRASH_WINDOW: DurationMs = DurationMs(50);
-/// The maximum number of crashes kept per request: a single request doesn't cause that many within
-/// one [`SAME_CRASH_WINDOW`].
+/// The maximum number of crashes kept per suspect: a single request doesn't cause that many within
+/// one [`SAME_CRASH_WINDOW`], and a part not within [`SETTLE_TIME`].
 const MAX_CRASHES: usize = 16;
+/// The number of distinct crashes after which all parts that were running at each of them count as the
+/// cause. The users require this bound.
+pub const CRASHES_WITHOUT_OTHER_CAUSE: usize = 5;
+/// How long a crash under a part of a prompt must be known before it counts: observations of other
+/// daemons take up to 0.7 s.
+pub const SETTLE_TIME: DurationMs = DurationMs(1_000);
 /// The duration of a quarantine, and the time for which a crash counts. It is the longest lease of
 /// the users' store, under which a quarantine survives the restart of all daemons. A longer one
 /// would keep out requests that the engines may handle by then.
 pub const QUARANTINE_DURATION: DurationMs = DurationMs(600_000);
-/// The maximum number of suspects, which have crashes and aren't under quarantine. Those with the
-/// fewest crashes are evicted first, then the oldest. Sixteen engines of 64 slots can crash at once
-/// with all of their requests. Takes 0.2 MB.
+/// The maximum number of suspect requests, and that of suspect parts, which have crashes and aren't
+/// under quarantine. Those with the fewest crashes are evicted first, then the oldest. Sixteen engines
+/// of 64 slots can crash at once with all of their requests. Takes 0.2 MB each.
 const MAX_SUSPECTS: usize = 1_024;
-/// The maximum number of requests under quarantine; the oldest are evicted first. Each of them has
+/// The maximum number of requests and parts under quarantine; the oldest are evicted first. Each of them has
 /// crashed three engines. Takes 0.2 MB.
 const MAX_QUARANTINED: usize = 4_096;
 /// The maximum number of attributed crashes; the oldest are evicted first. Observations of a crash
@@ -63,27 +81,27 @@
 /// that little is forgotten early.
 const EVICTED_FRACTION: usize = 8;
 
-/// One observation about a request.
+/// One observation about a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashObservation<E> {
-    /// The fingerprint of the request.
-    pub request: RequestFingerprint,
+    /// The request or part.
+    pub suspect: CrashSuspect,
     /// The time of the observation by this daemon's clock.
     pub at: TimeMs,
-    /// The time at which the observed run of the request began; `None` if unknown.
+    /// The time at which the observed run began; `None` if unknown.
     pub started_at: Option<TimeMs>,
     /// The observed fact.
     pub fact: CrashFact<E>,
 }
 
-/// A fact about a request.
+/// A fact about a suspect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashFact<E> {
-    /// The request was running at this endpoint when the endpoint crashed.
+    /// It was running at this endpoint when the endpoint crashed.
     Crashed(E),
-    /// The request was answered successfully.
+    /// It was answered successfully.
     Served,
-    /// The request is under quarantine.
+    /// It is under quarantine.
     Quarantined,
 }
 
@@ -94,7 +112,7 @@
     Ignored,
     /// The observation was recorded.
     Recorded,
-    /// The observation put the request under quarantine.
+    /// The observation put the suspect under quarantine.
     NewlyQuarantined,
 }
 
@@ -138,9 +156,10 @@
         self.served.is_some_and(|(served, _)| served >= at)
     }
 
-    /// Returns the number of crashes, with those in one window counted once.
-    fn distinct_crashes(&self) -> usize {
-        let mut crashes: Vec<&CountedCrash<E>> = self.crashes.iter().collect();
+    /// Returns the number of crashes up to `until`, with those in one window counted once.
+    fn distinct_crashes(&self, until: TimeMs) -> usize {
+        let known = self.crashes.iter();
+        let mut crashes: Vec<&CountedCrash<E>> = known.filter(|crash| crash.at <= until).collect();
         crashes.sort_unstable_by_key(|crash| crash.at);
         let mut last: Option<TimeMs> = None;
         let mut distinct_crashes = 0;
@@ -160,24 +179,68 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Quarantined {
+/// The suspects of each kind, which are bounded separately: an endpoint runs more requests than parts.
+#[derive(Clone, Debug)]
+struct Suspects<E> {
+    requests: HashMap<CrashSuspect, Suspect<E>>,
+    parts: HashMap<CrashSuspect, Suspect<E>>,
+}
+
+impl<E> Default for Suspects<E> {
+    fn default() -> Self {
+        Self {
+            requests: HashMap::new(),
+            parts: HashMap::new(),
+        }
+    }
+}
+
+impl<E> Suspects<E> {
+    /// Returns the suspects of the same kind.
+    fn like(&self, suspect: CrashSuspect) -> &HashMap<CrashSuspect, Suspect<E>> {
+        match suspect {
+            CrashSuspect::Request(_) => &self.requests,
+            CrashSuspect::Part(_) => &self.parts,
+        }
+    }
+
+    fn like_mut(&mut self, suspect: CrashSuspect) -> &mut HashMap<CrashSuspect, Suspect<E>> {
+        match suspect {
+            CrashSuspect::Request(_) => &mut self.requests,
+            CrashSuspect::Part(_) => &mut self.parts,
+        }
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (&CrashSuspect, &Suspect<E>)> {
+        self.requests.iter().chain(&self.parts)
+    }
+
+    fn values_mut(&mut self) -> impl Iterator<Item = &mut Suspect<E>> {
+        let requests = self.requests.values_mut();
+        requests.chain(self.parts.values_mut())
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Quarantined<E> {
     since: TimeMs,
     cursor: ObservationCursor,
+    /// The endpoints that had crashed under it before.
+    endpoints: Vec<E>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct AttributedCrash {
-    quarantined_request: RequestFingerprint,
+    cause: CrashSuspect,
     at: TimeMs,
     cursor: ObservationCursor,
 }
 
-/// The crash counts of all requests; `E` identifies one incarnation of an endpoint.
+/// The crash counts of all suspects; `E` identifies one incarnation of an endpoint.
 #[derive(Debug)]
 pub struct CrashCount<E> {
-    suspects: HashMap<RequestFingerprint, Suspect<E>>,
-    quarantined: HashMap<RequestFingerprint, Quarantined>,
+    suspects: Suspects<E>,
+    quarantined: HashMap<CrashSuspect, Quarantined<E>>,
     attributed: HashMap<E, AttributedCrash>,
     newest: ObservationCursor,
 }
@@ -185,7 +248,7 @@
 impl<E> Default for CrashCount<E> {
     fn default() -> Self {
         Self {
-            suspects: HashMap::new(),
+            suspects: Suspects::default(),
             quarantined: HashMap::new(),
             attributed: HashMap::new(),
             newest: ObservationCursor::default(),
@@ -202,7 +265,7 @@
         match observation.fact {
             CrashFact::Crashed(endpoint) => self.on_crashed(observation, endpoint),
             CrashFact::Served => self.on_served(observation),
-            CrashFact::Quarantined => self.quarantine(observation.request, observation.at),
+            CrashFact::Quarantined => self.quarantine(observation.suspect, observation.at),
         }
     }
 
@@ -210,17 +273,19 @@
         if self.attributed.contains_key(&endpoint) {
             return ObservationOutcome::Ignored;
         }
-        if let Some(quarantined) = self.quarantined.get(&observation.request) {
-            // The crashes that led to the quarantine count for other requests, too: any of them may
-            // be the cause.
-            if observation.at <= quarantined.since {
+        if let Some(quarantined) = self.quarantined.get(&observation.suspect) {
+            // The crashes that led to the quarantine of a request count for others, too: any of them
+            // may be the cause.
+            let is_request = matches!(observation.suspect, CrashSuspect::Request(_));
+            if is_request && observation.at <= quarantined.since {
                 return ObservationOutcome::Ignored;
             }
             self.attribute_crash(observation, endpoint);
             return ObservationOutcome::Recorded;
         }
         let cursor = self.next_cursor();
-        let suspect = self.suspects.entry(observation.request).or_default();
+        let suspects = self.suspects.like_mut(observation.suspect);
+        let suspect = suspects.entry(observation.suspect).or_default();
         let is_full = suspect.crashes.len() >= MAX_CRASHES;
         if suspect.is_cleared_at(observation.at) || suspect.has_crash_of(endpoint) || is_full {
             return ObservationOutcome::Ignored;
@@ -231,20 +296,21 @@
             at: observation.at,
             cursor,
         });
-        if suspect.distinct_crashes() >= CRASHES_TO_QUARANTINE {
+        let is_request = matches!(observation.suspect, CrashSuspect::Request(_));
+        if is_request && suspect.distinct_crashes(TimeMs(u64::MAX)) >= CRASHES_TO_QUARANTINE {
             let since = suspect.last_observed_at();
-            return self.quarantine(observation.request, since);
+            return self.quarantine(observation.suspect, since);
         }
-        evict_lowest_ranked(&mut self.suspects, MAX_SUSPECTS, |suspect| {
+        evict_lowest_ranked(suspects, MAX_SUSPECTS, |suspect| {
             (suspect.crashes.len(), suspect.last_observed_at())
         });
         ObservationOutcome::Recorded
     }
 
-    /// Attributes a crash to a request under quarantine, so that it counts for no other request.
+    /// Attributes a crash to a suspect under quarantine, so that it counts for no other.
     fn attribute_crash(&mut self, observation: CrashObservation<E>, endpoint: E) {
         let attributed = AttributedCrash {
-            quarantined_request: observation.request,
+            cause: observation.suspect,
             at: observation.at,
             cursor: self.next_cursor(),
         };
@@ -257,7 +323,8 @@
 
     fn on_served(&mut self, observation: CrashObservation<E>) -> ObservationOutcome {
         let cursor = self.next_cursor();
-        let Some(suspect) = self.suspects.get_mut(&observation.request) else {
+        let suspects = self.suspects.like_mut(observation.suspect);
+        let Some(suspect) = suspects.get_mut(&observation.suspect) else {
             return ObservationOutcome::Ignored;
         };
         if suspect.is_cleared_at(observation.at) {
@@ -268,18 +335,75 @@
         ObservationOutcome::Recorded
     }
 
-    fn quarantine(&mut self, request: RequestFingerprint, since: TimeMs) -> ObservationOutcome {
-        if self.quarantined.contains_key(&request) {
+    fn quarantine(&mut self, suspect: CrashSuspect, since: TimeMs) -> ObservationOutcome {
+        if self.quarantined.contains_key(&suspect) {
             return ObservationOutcome::Ignored;
         }
-        self.suspects.remove(&request);
-        let cursor = self.next_cursor();
-        let quarantined = Quarantined { since, cursor };
-        self.quarantined.insert(request, quarantined);
+        let removed = self.suspects.like_mut(suspect).remove(&suspect);
+        let crashes = removed.map_or_else(Vec::new, |removed| removed.crashes);
+        let quarantined = Quarantined {
+            since,
+            cursor: self.next_cursor(),
+            endpoints: crashes.iter().map(|crash| crash.endpoint).collect(),
+        };
+        self.quarantined.insert(suspect, quarantined);
+        if matches!(suspect, CrashSuspect::Part(_)) {
+            for crash in crashes {
+                let fact = CrashFact::Crashed(crash.endpoint);
+                let observation = new_observation(suspect, crash.at, fact);
+                self.attribute_crash(observation, crash.endpoint);
+            }
+        }
         evict_lowest_ranked(&mut self.quarantined, MAX_QUARANTINED, |known| known.since);
         ObservationOutcome::NewlyQuarantined
     }
 
+    /// Puts the parts under quarantine that are the cause of crashes which are old enough, and returns
+    /// them.
+    pub fn review(&mut self, now: TimeMs) -> Vec<CrashSuspect> {
+        let until = TimeMs(now.0.saturating_sub(SETTLE_TIME.0));
+        let mut parts: Vec<(usize, CrashSuspect)> = (self.suspects.parts.iter())
+            .map(|(part, known)| (known.distinct_crashes(until), *part))
+            .filter(|(crashes, _)| *crashes >= CRASHES_TO_QUARANTINE)
+            .collect();
+        parts.sort_unstable_by(|one, other| other.cmp(one));
+        let causes: Vec<CrashSuspect> = (parts.into_iter())
+            .filter(|(crashes, part)| {
+                let may_share = *crashes >= CRASHES_WITHOUT_OTHER_CAUSE;
+                !self.has_other_cause(*part, until, may_share)
+            })
+            .map(|(_, part)| part)
+            .collect();
+        for part in &causes {
+            self.quarantine(*part, now);
+        }
+        causes
+    }
+
+    /// Returns whether another suspect was running at all crashes of a part up to `until`: a request, or
+    /// a part that has more crashes, or as many unless several parts may be the cause.
+    fn has_other_cause(&self, part: CrashSuspect, until: TimeMs, may_share: bool) -> bool {
+        let Some(known) = self.suspects.parts.get(&part) else {
+            return true;
+        };
+        let settled: Vec<E> = (known.crashes.iter())
+            .filter(|crash| crash.at <= until)
+            .map(|crash| crash.endpoint)
+            .collect();
+        let by_suspect = self.suspects.iter().any(|(other, at_other)| {
+            let has_more = at_other.crashes.len() > known.crashes.len();
+            let is_request = matches!(other, CrashSuspect::Request(_));
+            let may_explain = *other != part && (has_more || is_request || !may_share);
+            may_explain
+                && settled
+                    .iter()
+                    .all(|endpoint| at_other.has_crash_of(*endpoint))
+        });
+        let by_quarantined = self.quarantined.values();
+        let mut by_quarantined = by_quarantined.map(|other| &other.endpoints);
+        by_suspect || by_quarantined.any(|at| settled.iter().all(|endpoint| at.contains(endpoint)))
+    }
+
     fn next_cursor(&mut self) -> ObservationCursor {
         self.newest.0 += 1;
         self.newest
@@ -291,33 +415,34 @@
             .retain(|_, known| !is_expired(now, known.since));
         self.attributed
             .retain(|_, known| !is_expired(now, known.at));
-        self.suspects
-            .retain(|_, suspect| !is_expired(now, suspect.last_observed_at()));
+        for suspects in [&mut self.suspects.requests, &mut self.suspects.parts] {
+            suspects.retain(|_, suspect| !is_expired(now, suspect.last_observed_at()));
+        }
     }
 
-    /// Returns whether a request is under quarantine at `now`.
-    pub fn is_quarantined(&self, now: TimeMs, request: RequestFingerprint) -> bool {
-        let known = self.quarantined.get(&request);
+    /// Returns whether a suspect is under quarantine at `now`.
+    pub fn is_quarantined(&self, now: TimeMs, suspect: CrashSuspect) -> bool {
+        let known = self.quarantined.get(&suspect);
         known.is_some_and(|known| !is_expired(now, known.since))
     }
 
-    /// Returns whether a request that isn't under quarantine has crashes.
-    pub fn is_suspect(&self, request: RequestFingerprint) -> bool {
-        let suspect = self.suspects.get(&request);
-        suspect.is_some_and(|suspect| !suspect.crashes.is_empty())
+    /// Returns whether a request or part that isn't under quarantine has crashes.
+    pub fn is_suspect(&self, suspect: CrashSuspect) -> bool {
+        let known = self.suspects.like(suspect).get(&suspect);
+        known.is_some_and(|known| !known.crashes.is_empty())
     }
 
-    /// Returns the requests under quarantine with the times at which it began.
-    pub fn quarantined(&self) -> impl Iterator<Item = (RequestFingerprint, TimeMs)> {
+    /// Returns what is under quarantine with the times at which it began.
+    pub fn quarantined(&self) -> impl Iterator<Item = (CrashSuspect, TimeMs)> {
         let known = self.quarantined.iter();
-        known.map(|(request, known)| (*request, known.since))
+        known.map(|(suspect, known)| (*suspect, known.since))
     }
 
-    /// Returns the requests that have crashes and aren't under quarantine.
-    pub fn suspects(&self) -> impl Iterator<Item = RequestFingerprint> {
+    /// Returns what has crashes and isn't under quarantine, with their number.
+    pub fn suspects(&self) -> impl Iterator<Item = (CrashSuspect, usize)> {
         let suspects = self.suspects.iter();
-        let counted = suspects.filter(|(_, suspect)| !suspect.crashes.is_empty());
-        counted.map(|(request, _)| *request)
+        let counted = suspects.map(|(suspect, known)| (*suspect, known.crashes.len()));
+        counted.filter(|(_, crashes)| *crashes > 0)
     }
 
     /// Returns the position of the newest observation.
@@ -354,10 +479,10 @@
     }
 
     fn all_observations(&self) -> impl Iterator<Item = (ObservationCursor, CrashObservation<E>)> {
-        let crashes = self.suspects.iter().flat_map(|(request, suspect)| {
-            let crashes = suspect.crashes.iter().map(|crash| {
+        let crashes = self.suspects.iter().flat_map(|(suspect, known)| {
+            let crashes = known.crashes.iter().map(|crash| {
                 let fact = CrashFact::Crashed(crash.endpoint);
-                let observation = new_observation(*request, crash.at, fact);
+                let observation = new_observation(*suspect, crash.at, fact);
                 let started_at = crash.started_at;
                 (
                     crash.cursor,
@@ -367,33 +492,30 @@
                     },
                 )
             });
-            let served = suspect.served.into_iter();
+            let served = known.served.into_iter();
             let served = served
-                .map(|(at, cursor)| (cursor, new_observation(*request, at, CrashFact::Served)));
+                .map(|(at, cursor)| (cursor, new_observation(*suspect, at, CrashFact::Served)));
             crashes.chain(served)
         });
-        let quarantined = self.quarantined.iter().map(|(request, known)| {
-            let observation = new_observation(*request, known.since, CrashFact::Quarantined);
+        let quarantined = self.quarantined.iter().map(|(suspect, known)| {
+            let observation = new_observation(*suspect, known.since, CrashFact::Quarantined);
             (known.cursor, observation)
         });
         let attributed = self.attributed.iter().map(|(endpoint, known)| {
             let fact = CrashFact::Crashed(*endpoint);
-            (
-                known.cursor,
-                new_observation(known.quarantined_request, known.at, fact),
-            )
+            (known.cursor, new_observation(known.cause, known.at, fact))
         });
         crashes.chain(quarantined).chain(attributed)
     }
 }
 
 fn new_observation<E>(
-    request: RequestFingerprint,
+    suspect: CrashSuspect,
     at: TimeMs,
     fact: CrashFact<E>,
 ) -> CrashObservation<E> {
     CrashObservation {
-        request,
+        suspect,
         at,
         started_at: None,
         fact,
--- a/crates/decisions/src/pool/crashes.rs
+++ b/crates/decisions/src/pool/crashes.rs
@@ -40,7 +40,7 @@
         };
         self.crashes.expire(context.now);
         let observation = CrashObservation {
-            request: fingerprint,
+            suspect: fingerprint.into(),
             at: context.now,
             started_at: Some(running.started_at),
             fact: CrashFact::Crashed(incarnation),
@@ -57,10 +57,10 @@
 
     /// Records a successful answer, which clears the request of earlier crashes.
     pub(super) fn record_served(&mut self, now: TimeMs, fingerprint: Option<RequestFingerprint>) {
-        let suspect = fingerprint.filter(|request| self.crashes.is_suspect(*request));
+        let suspect = fingerprint.filter(|request| self.crashes.is_suspect((*request).into()));
         if let Some(request) = suspect {
             let observation = CrashObservation {
-                request,
+                suspect: request.into(),
                 at: now,
                 started_at: None,
                 fact: CrashFact::Served,
@@ -75,7 +75,7 @@
         now: TimeMs,
         fingerprint: Option<RequestFingerprint>,
     ) -> bool {
-        fingerprint.is_some_and(|request| self.crashes.is_quarantined(now, request))
+        fingerprint.is_some_and(|request| self.crashes.is_quarantined(now, request.into()))
     }
 
     fn fingerprint(&self, request: RequestId) -> Option<RequestFingerprint> {
--- a/crates/decisions/tests/crash_count.rs
+++ b/crates/decisions/tests/crash_count.rs
@@ -4,39 +4,39 @@
     CrashCount as Count, CrashFact, CrashObservation as Observation, ObservationCursor,
     ObservationOutcome, QUARANTINE_DURATION,
 };
-use bridgevane_types::{RequestFingerprint, TimeMs};
+use bridgevane_types::{CrashSuspect, RequestFingerprint, TimeMs};
 use proptest::prelude::*;
 
 /// Endpoint incarnations are plain numbers in these tests.
 type CrashCount = Count<u32>;
 type CrashObservation = Observation<u32>;
 
-const CRASHING: RequestFingerprint = request(1);
-const BYSTANDER: RequestFingerprint = request(2);
+const CRASHING: CrashSuspect = request(1);
+const BYSTANDER: CrashSuspect = request(2);
 
-const fn request(content: u64) -> RequestFingerprint {
-    RequestFingerprint {
+const fn request(content: u64) -> CrashSuspect {
+    CrashSuspect::Request(RequestFingerprint {
         customer: 7,
         content,
-    }
+    })
 }
 
 fn at(second: u64) -> TimeMs {
     TimeMs(1_000_000_000 + second * 1_000)
 }
 
-fn crashed(request: RequestFingerprint, endpoint: u32, second: u64) -> CrashObservation {
+fn crashed(suspect: CrashSuspect, endpoint: u32, second: u64) -> CrashObservation {
     CrashObservation {
-        request,
+        suspect,
         at: at(second),
         started_at: None,
         fact: CrashFact::Crashed(endpoint),
     }
 }
 
-fn served(request: RequestFingerprint, second: u64) -> CrashObservation {
+fn served(suspect: CrashSuspect, second: u64) -> CrashObservation {
     CrashObservation {
-        request,
+        suspect,
         at: at(second),
         started_at: None,
         fact: CrashFact::Served,
@@ -53,7 +53,7 @@
     outcomes.collect()
 }
 
-fn quarantined(count: &CrashCount) -> Vec<RequestFingerprint> {
+fn quarantined(count: &CrashCount) -> Vec<CrashSuspect> {
     let mut requests: Vec<_> = count.quarantined().map(|(request, _)| request).collect();
     requests.sort();
     requests
@@ -103,7 +103,13 @@
     ];
     record_all(&mut count, &observations);
     assert_eq!(quarantined(&count), []);
-    assert_eq!(count.suspects().collect::<Vec<_>>(), [BYSTANDER]);
+    assert_eq!(
+        count
+            .suspects()
+            .map(|(suspect, _)| suspect)
+            .collect::<Vec<_>>(),
+        [BYSTANDER]
+    );
 }
 
 // A request under quarantine can still be running somewhere, and its crashes would count for the
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -80,7 +80,7 @@
     1309 StreamResumed Info "a stream was resumed at another endpoint";
     1310 LineTooLong Info "a request was shed: its expected queue delay is too long";
     1311 HeaderUnreadable Warn "a header can't be decoded and is treated as absent";
-    1312 RequestQuarantined Warn "a request was quarantined: it crashed several endpoints and is no longer forwarded";
+    1312 RequestQuarantined Warn "a request or a part of prompts was quarantined: it crashed several endpoints and is no longer forwarded";
     1313 QuarantineNotStored Warn "a quarantine could not be written to the control source";
     1314 RetryDecided Info "a retry was requested from the retry budget, which granted or denied it";
     1315 RequestForwarded Info "a request was sent through another daemon";
--- a/crates/gateway/benches/quarantine.rs
+++ b/crates/gateway/benches/quarantine.rs
@@ -6,7 +6,7 @@
 mod support;
 
 use bridgevane_gateway::{EndpointHash, Gateway};
-use bridgevane_types::RequestFingerprint;
+use bridgevane_types::{CrashSuspect, RequestFingerprint};
 use bytes::Bytes;
 use criterion::{Criterion, criterion_group, criterion_main};
 use std::hint::black_box;
@@ -19,11 +19,11 @@
 /// The maximum number of suspect requests.
 const SUSPECTS: u64 = 1_024;
 
-fn request(content: u64) -> RequestFingerprint {
-    RequestFingerprint {
+fn request(content: u64) -> CrashSuspect {
+    CrashSuspect::Request(RequestFingerprint {
         customer: 7,
         content,
-    }
+    })
 }
 
 fn gateway() -> Arc<Gateway> {
@@ -64,7 +64,9 @@
             bench.bench_function(&name, |bench| {
                 bench.iter(|| {
                     let quarantine = &gateway.quarantine;
-                    quarantine.is_quarantined(|| fingerprint(black_box(path), black_box(&body)))
+                    quarantine.is_any_quarantined(|| {
+                        [fingerprint(black_box(path), black_box(&body)).into()]
+                    })
                 });
             });
         }
--- a/crates/gateway/src/control/quarantine_store.rs
+++ b/crates/gateway/src/control/quarantine_store.rs
@@ -1,7 +1,7 @@
 //! The platform's store for the quarantine, which outlives all daemons.
 
 use crate::control::source::SourceError;
-use bridgevane_types::{DurationMs, RequestFingerprint};
+use bridgevane_types::{CrashSuspect, DurationMs};
 use std::future::Future;
 
 /// A store for quarantined requests. Stored requests come back through the control source as
@@ -13,7 +13,7 @@
     /// [`SourceError`] when it isn't known whether they were stored.
     fn store_quarantined(
         &self,
-        requests: &[RequestFingerprint],
+        requests: &[CrashSuspect],
         kept_ms: DurationMs,
     ) -> impl Future<Output = Result<(), SourceError>> + Send;
 }
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -4,7 +4,7 @@
 use crate::control::holder_record::HolderRecord;
 use crate::control::routing_table::RoutingTable;
 use crate::endpoints::endpoint::EndpointRecord;
-use bridgevane_types::{DataCentreId, DurationMs, EndpointId, RequestFingerprint};
+use bridgevane_types::{CrashSuspect, DataCentreId, DurationMs, EndpointId};
 use bytes::Bytes;
 use derive_more::{Display, Error, FromStr};
 use std::fmt;
@@ -77,9 +77,9 @@
     /// No daemon holds the duties.
     DutyHolderRemoved,
     /// A request is under quarantine.
-    Quarantined(RequestFingerprint),
+    Quarantined(CrashSuspect),
     /// The quarantine of a request has ended.
-    QuarantineEnded(RequestFingerprint),
+    QuarantineEnded(CrashSuspect),
     /// A record of this kind can't be decoded; it is logged and ignored.
     Unreadable(&'static str),
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -32,7 +32,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bridgevane_events::{Event, event};
 use bridgevane_types::{
-    ConfigVersion, DataCentreId, DurationMs, EndpointId, RequestFingerprint, ServiceName, TimeMs,
+    ConfigVersion, CrashSuspect, DataCentreId, DurationMs, EndpointId, ServiceName, TimeMs,
 };
 use std::borrow::Cow;
 use std::collections::HashSet;
@@ -48,7 +48,7 @@
     routing_table: ArcSwapOption<RoutingTable>,
     directory: ArcSwap<Directory>,
     duty_holder: ArcSwap<HolderEntry>,
-    quarantined: ArcSwap<HashSet<RequestFingerprint>>,
+    quarantined: ArcSwap<HashSet<CrashSuspect>>,
     proved_at: AtomicTime,
     versions: VersionHistory,
     replica: Mutex<Replica>,
@@ -94,11 +94,18 @@
         self.duty_holder.load_full()
     }
 
-    /// Returns whether a request is under quarantine at the source. The fingerprint is only
-    /// computed if any request is.
-    pub(crate) fn is_quarantined(&self, request: impl FnOnce() -> RequestFingerprint) -> bool {
+    /// Returns whether one of these suspects is under quarantine at the source. They are only computed
+    /// if anything is.
+    pub(crate) fn is_any_quarantined<I: IntoIterator<Item = CrashSuspect>>(
+        &self,
+        suspects: impl FnOnce() -> I,
+    ) -> bool {
         let quarantined = self.quarantined.load();
-        !quarantined.is_empty() && quarantined.contains(&request())
+        let mut suspects = (!quarantined.is_empty())
+            .then(suspects)
+            .into_iter()
+            .flatten();
+        suspects.any(|suspect| quarantined.contains(&suspect))
     }
 
     /// Returns the number of endpoints that may get requests.
@@ -436,11 +443,7 @@
     }
 
     /// Applies changes to `quarantined` and activates the result.
-    fn apply_quarantine(
-        &self,
-        mut quarantined: Arc<HashSet<RequestFingerprint>>,
-        changes: &[ChangeAt],
-    ) {
+    fn apply_quarantine(&self, mut quarantined: Arc<HashSet<CrashSuspect>>, changes: &[ChangeAt]) {
         for change in changes {
             match change.change {
                 Change::Quarantined(request) => {
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -37,7 +37,7 @@
 //! | may the request be sent again, and if not, why? | [`resend`] |
 //! | when is a second endpoint asked while the first is silent? | [`resend::hedging`] |
 //! | how many retries may all daemons make together? | [`resend::retry_budget`] |
-//! | which requests crash the endpoints that run them, and are stopped? | [`bridgevane_decisions::crash_count`] |
+//! | which requests and parts of prompts crash endpoints, and are stopped? | [`bridgevane_decisions::crash_count`] |
 //! | which upstream does this daemon follow? | [`replication::upstream`] |
 //! | which daemons may follow this daemon? | [`replication::followers`] |
 //! | how many daemons are there? | [`replication::fleet_size`] |
--- a/crates/gateway/src/decisions/resend/mod.rs
+++ b/crates/gateway/src/decisions/resend/mod.rs
@@ -14,6 +14,8 @@
 //!    run counts ([`hedging`] decides when).
 //! 4. A *stream* that broke is resumed elsewhere under the same rule, if its route is resumable and
 //!    time is left.
+//! 5. A request that may have run isn't sent again if [`MAX_SUSPECTED_CRASHES`] endpoints have crashed
+//!    under it or a part of its prompt, and it was never answered well since.
 //!
 //! Reason: a call that may run once must never run twice, and retries must not make an overload
 //! worse. "Not run" is claimed only if it is proved: no byte was sent, or the endpoint says so.
@@ -29,6 +31,9 @@
 /// The maximum number of endpoints that are tried while the request has not run. Fewer refuse more
 /// requests while some endpoints are full; each costs a round trip of the client's time.
 pub const MAX_ENDPOINTS: usize = 4;
+/// The number of crashes from which a request that may be their cause isn't sent again: the first crash
+/// ends many requests, and the second seldom the same ones.
+pub const MAX_SUSPECTED_CRASHES: usize = 2;
 /// The shortest time that an endpoint is given: a round trip and a step of the fastest endpoints.
 /// Below it the answer would arrive too late.
 pub const MIN_REMAINING: Duration = Duration::from_millis(5);
@@ -114,6 +119,8 @@
     pub runs: u32,
     /// The time until its deadline.
     pub remaining: Duration,
+    /// The number of endpoints that have crashed under it or a part of its prompt.
+    pub suspected_crashes: usize,
 }
 
 /// The reason why a request is not sent again.
@@ -131,6 +138,9 @@
     /// The stream can't be resumed.
     #[display("not_resumable")]
     NotResumable,
+    /// It may be the cause of crashes.
+    #[display("may_crash_endpoints")]
+    MayCrashEndpoints,
     /// The deadline is too close.
     #[display("out_of_time")]
     OutOfTime,
@@ -158,14 +168,17 @@
             matches!(error, AttemptError::NotSent(_))
         }
         Failure::Attempt(_) | Failure::ServerError => {
+            check_crashes(progress)?;
             check_runs(policy, progress.runs)?;
             false
         }
         Failure::StillWaiting => {
+            check_crashes(progress)?;
             check_runs(policy, progress.runs + 1)?;
             false
         }
         Failure::StreamBroken => {
+            check_crashes(progress)?;
             check_resume(policy, progress)?;
             false
         }
@@ -176,6 +189,13 @@
     Err(NoResend::BudgetEmpty)
 }
 
+fn check_crashes(progress: ResendProgress) -> Result<(), NoResend> {
+    if progress.suspected_crashes >= MAX_SUSPECTED_CRASHES {
+        return Err(NoResend::MayCrashEndpoints);
+    }
+    Ok(())
+}
+
 fn check_endpoints(progress: ResendProgress) -> Result<(), NoResend> {
     if progress.endpoints_tried >= MAX_ENDPOINTS {
         return Err(NoResend::NoEndpointsLeft);
--- a/crates/gateway/src/endpoints/lost_requests.rs
+++ b/crates/gateway/src/endpoints/lost_requests.rs
@@ -1,17 +1,18 @@
 //! Requests that were in flight at one endpoint when a connection to it broke, kept while it is
 //! checked whether the endpoint has crashed ([`crate::requests::crash_check`]).
 
-use bridgevane_types::RequestFingerprint;
+use bridgevane_types::CrashSuspect;
+use std::collections::HashSet;
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::watch;
 
-/// The maximum number of requests that are kept during one check: four times what an engine runs at
-/// once.
-const MAX_LOST: usize = 256;
+/// The maximum number of requests and parts of their prompts that are kept during one check: four times
+/// what an engine runs at once, with three parts each.
+const MAX_LOST: usize = 1_024;
 
 #[derive(Debug, Default)]
 struct State {
-    lost: Vec<RequestFingerprint>,
+    lost: HashSet<CrashSuspect>,
     is_checking: bool,
 }
 
@@ -28,22 +29,24 @@
         self.state.lock().expect("no panic under this lock")
     }
 
-    /// Adds a request; returns true if a check must be started.
-    pub(crate) fn add(&self, request: RequestFingerprint) -> bool {
+    /// Adds a request and the parts of its prompt; returns true if a check must be started.
+    pub(crate) fn add(&self, suspects: impl IntoIterator<Item = CrashSuspect>) -> bool {
         let mut state = self.state();
-        if state.lost.len() < MAX_LOST {
-            state.lost.push(request);
+        for suspect in suspects {
+            if state.lost.len() < MAX_LOST {
+                state.lost.insert(suspect);
+            }
         }
         self.is_pending.send_replace(true);
         !std::mem::replace(&mut state.is_checking, true)
     }
 
-    /// Ends the check and returns the requests that it is about. Requests added later start another
+    /// Ends the check and returns what it is about. Requests added later start another
     /// check.
-    pub(crate) fn end_check(&self) -> Vec<RequestFingerprint> {
+    pub(crate) fn end_check(&self) -> Vec<CrashSuspect> {
         let mut state = self.state();
         state.is_checking = false;
-        std::mem::take(&mut state.lost)
+        std::mem::take(&mut state.lost).into_iter().collect()
     }
 
     /// Records that the result was processed, and wakes the requests that wait for it.
--- a/crates/gateway/src/replication/crash_observations.rs
+++ b/crates/gateway/src/replication/crash_observations.rs
@@ -1,4 +1,4 @@
-//! Observations of requests that crash endpoints, exchanged between daemons that follow each other:
+//! Observations of requests and parts of prompts that crash endpoints, exchanged between daemons that follow each other:
 //! upwards with polls, downwards with answers, and between seeds.
 //!
 //! Each side of a connection sends the observations that it hasn't sent on it yet. An observation
@@ -10,11 +10,12 @@
 use bridgevane_decisions::crash_count::{CrashFact, CrashObservation, ObservationCursor};
 use bridgevane_protocol::CrashNews as CrashNewsMessage;
 use bridgevane_protocol::crash_news::Fact;
-use bridgevane_types::TimeMs;
+use bridgevane_types::{CrashSuspect, TimeMs};
 
 /// The maximum number of observations per message. An engine with 64 slots causes this many when it
-/// crashes, and they take 1.7 KB; the rest follows with the next message.
-const MAX_OBSERVATIONS: usize = 64;
+/// crashes, for each request and its shared parts, and they take 6 KB; the rest follows with the next
+/// message.
+const MAX_OBSERVATIONS: usize = 256;
 
 /// The position up to which observations were sent on one connection.
 #[derive(Clone, Copy, Debug, Default)]
@@ -61,8 +62,13 @@
         CrashFact::Served => Fact::Served(true),
         CrashFact::Quarantined => Fact::Quarantined(true),
     };
+    let (request, part) = match observation.suspect {
+        CrashSuspect::Request(request) => (Some(request.into()), None),
+        CrashSuspect::Part(part) => (None, Some(part.into())),
+    };
     CrashNewsMessage {
-        request: Some(observation.request.into()),
+        request,
+        part,
         age_ms: u32::try_from(now.since(observation.at).0).unwrap_or(u32::MAX),
         fact: Some(fact),
     }
@@ -76,8 +82,13 @@
         Fact::Served(_) => CrashFact::Served,
         Fact::Quarantined(_) => CrashFact::Quarantined,
     };
+    let suspect = match (message.request, message.part) {
+        (Some(request), _) => CrashSuspect::Request(request.into()),
+        (None, Some(part)) => CrashSuspect::Part(part.into()),
+        (None, None) => return None,
+    };
     Some(CrashObservation {
-        request: message.request?.into(),
+        suspect,
         at: TimeMs(now.0.checked_sub(u64::from(message.age_ms))?),
         started_at: None,
         fact,
--- a/crates/gateway/src/replication/quarantine_writer.rs
+++ b/crates/gateway/src/replication/quarantine_writer.rs
@@ -8,7 +8,7 @@
 use crate::gateway::Gateway;
 use bridgevane_decisions::crash_count::QUARANTINE_DURATION;
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DurationMs, RequestFingerprint};
+use bridgevane_types::{CrashSuspect, DurationMs};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,7 +36,7 @@
         if gateway.fleet.follows_source() {
             due.extend(gateway.quarantine.quarantined_for(OVERDUE_AFTER));
         }
-        due.retain(|request| !gateway.control.is_quarantined(|| *request));
+        due.retain(|suspect| !gateway.control.is_any_quarantined(|| [*suspect]));
         if !due.is_empty() {
             store_batch(&store, &mut due).await;
             sleep(STORE_INTERVAL).await;
@@ -57,8 +57,8 @@
 }
 
 /// Stores the first requests, and removes them from `due`.
-async fn store_batch<S: QuarantineStore>(store: &S, due: &mut BTreeSet<RequestFingerprint>) {
-    let batch: Vec<RequestFingerprint> = due.iter().copied().take(MAX_REQUESTS_PER_CALL).collect();
+async fn store_batch<S: QuarantineStore>(store: &S, due: &mut BTreeSet<CrashSuspect>) {
+    let batch: Vec<CrashSuspect> = due.iter().copied().take(MAX_REQUESTS_PER_CALL).collect();
     let storing = timeout(
         STORE_TIMEOUT,
         store.store_quarantined(&batch, QUARANTINE_DURATION),
--- a/crates/gateway/src/requests/crash_check.rs
+++ b/crates/gateway/src/requests/crash_check.rs
@@ -11,8 +11,10 @@
 use crate::endpoints::connection::Connection;
 use crate::endpoints::endpoint::Endpoint;
 use crate::gateway::Gateway;
+use crate::requests::inbound::InboundRequest;
+use bridgevane_decisions::crash_count::SETTLE_TIME;
 use bridgevane_events::{Event, event};
-use bridgevane_types::RequestFingerprint;
+use bridgevane_types::CrashSuspect;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,8 +30,8 @@
 const MAX_CONNECTS: usize = 3;
 
 /// Starts a check after a connection to the endpoint broke under this request, unless one is running.
-pub(crate) fn begin(gateway: &Arc<Gateway>, endpoint: &Arc<Endpoint>, request: RequestFingerprint) {
-    if endpoint.lost_requests().add(request) {
+pub(crate) fn begin(gateway: &Arc<Gateway>, endpoint: &Arc<Endpoint>, inbound: &InboundRequest) {
+    if endpoint.lost_requests().add(inbound.crash_suspects()) {
         tokio::spawn(check(gateway.clone(), endpoint.clone()));
     }
 }
@@ -56,12 +58,15 @@
     let address = endpoint.record.load().address;
     let opened = open_lasting(address).await;
     let lost = endpoint.lost_requests().end_check();
+    let is_crash = opened
+        .as_ref()
+        .is_err_and(|error| *error == OpenError::Refused);
     match opened {
         Err(OpenError::Refused) => {
             event!(
                 Event::EndpointCrashed,
                 endpoint = endpoint.record.load().id,
-                requests = lost.len()
+                requests = lost.iter().filter(is_request).count()
             );
             gateway.quarantine.on_crashed(endpoint.hash, &lost);
         }
@@ -76,4 +81,12 @@
         }
     }
     endpoint.lost_requests().mark_checked();
+    if is_crash {
+        sleep(SETTLE_TIME.as_std()).await;
+        gateway.quarantine.review();
+    }
+}
+
+fn is_request(suspect: &&CrashSuspect) -> bool {
+    matches!(suspect, CrashSuspect::Request(_))
 }
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -171,21 +171,24 @@
     /// Starts a crash check after a connection broke under the request: the request may have crashed
     /// the endpoint. A request under which an endpoint crashed before waits for the result.
     pub(crate) async fn on_connection_broken(&self, endpoint: &Arc<Endpoint>) {
-        crash_check::begin(&self.gateway, endpoint, self.inbound.fingerprint());
-        if self
-            .gateway
-            .quarantine
-            .is_suspect(|| self.inbound.fingerprint())
-        {
+        crash_check::begin(&self.gateway, endpoint, &self.inbound);
+        if self.suspected_crashes() > 0 {
             crash_check::wait_until_finished(endpoint).await;
         }
     }
 
+    /// Returns the highest number of endpoints that have crashed under the request or a part of its
+    /// prompt, too few for a quarantine.
+    fn suspected_crashes(&self) -> usize {
+        let quarantine = &self.gateway.quarantine;
+        quarantine.crashes(|| self.inbound.crash_suspects())
+    }
+
     /// Returns whether the request is known to crash the endpoints that run it.
     fn is_quarantined(&self) -> bool {
-        let fingerprint = || self.inbound.fingerprint();
-        self.gateway.quarantine.is_quarantined(fingerprint)
-            || self.gateway.control.is_quarantined(fingerprint)
+        let suspects = || self.inbound.crash_suspects();
+        self.gateway.quarantine.is_any_quarantined(suspects)
+            || self.gateway.control.is_any_quarantined(suspects)
     }
 
     /// Checks that the request doesn't crash endpoints, that time is left, and that the configuration
--- a/crates/gateway/src/requests/exchange/outcome.rs
+++ b/crates/gateway/src/requests/exchange/outcome.rs
@@ -133,8 +133,8 @@
     pub(crate) fn on_served(&self, answer: &Answer, timing: AnswerTiming) {
         let status = answer.head().status;
         if status.is_success() {
-            let fingerprint = || self.inbound.fingerprint();
-            self.gateway.quarantine.on_served(fingerprint);
+            let suspects = || self.inbound.crash_suspects();
+            self.gateway.quarantine.on_served(suspects);
         }
         // The other daemon counts and logs an answer that it forwards.
         let Answer::Endpoint(answer) = answer else {
--- a/crates/gateway/src/requests/exchange/resending.rs
+++ b/crates/gateway/src/requests/exchange/resending.rs
@@ -78,6 +78,7 @@
             endpoints_tried: self.tried.len(),
             runs: self.runs,
             remaining: self.inbound.remaining(),
+            suspected_crashes: self.suspected_crashes(),
         };
         let policy = resend_policy(&self.inbound.route);
         resend::check(failure, policy, progress, || self.withdraw_retry())
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -9,7 +9,7 @@
 use crate::header_names::HeaderNames;
 use crate::prompt::Prompt;
 use crate::route::{Customer, Route};
-use bridgevane_types::{PartFingerprint, RequestFingerprint, ServiceName, TimeMs};
+use bridgevane_types::{CrashSuspect, PartFingerprint, RequestFingerprint, ServiceName, TimeMs};
 use bytes::Bytes;
 use http::header::AUTHORIZATION;
 use http::uri::PathAndQuery;
@@ -94,7 +94,14 @@
         shared.map(|part| PartFingerprint::new(&self.service, part.id))
     }
 
-    /// Returns these fingerprints for logs, separated by commas; "-" if there are none.
+    /// Returns what may crash the endpoint that runs it: itself, or one of these parts.
+    pub(crate) fn crash_suspects(&self) -> impl Iterator<Item = CrashSuspect> {
+        let request = CrashSuspect::from(self.fingerprint());
+        let parts = self.shared_parts().map(CrashSuspect::from);
+        std::iter::once(request).chain(parts)
+    }
+
+    /// Returns the fingerprints of these parts for logs, separated by commas; "-" if there are none.
     pub(crate) fn shared_parts_text(&self) -> String {
         let parts: Vec<String> = self.shared_parts().map(|part| part.to_string()).collect();
         if parts.is_empty() {
--- a/crates/gateway/src/requests/quarantine.rs
+++ b/crates/gateway/src/requests/quarantine.rs
@@ -1,4 +1,5 @@
-//! The quarantine: the requests that are known to this daemon to crash the endpoints that run them.
+//! The quarantine: the requests and parts of prompts that are known to this daemon to crash the
+//! endpoints that run them.
 //!
 //! Owns the crash count behind a lock, and a snapshot of it that requests read without a lock. The
 //! state is lost with the process; a new process receives it from other daemons and reads from the
@@ -13,9 +14,9 @@
     QUARANTINE_DURATION,
 };
 use bridgevane_events::{Event, event};
-use bridgevane_types::{DurationMs, RequestFingerprint, TimeMs};
+use bridgevane_types::{CrashSuspect, DurationMs, TimeMs};
 use derive_more::Display;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::{Notify, watch};
 
@@ -35,21 +36,20 @@
 /// A snapshot of the count that requests read without a lock.
 #[derive(Debug, Default)]
 struct Snapshot {
-    /// Requests under quarantine, with the moment at which their quarantine ends.
-    quarantined: HashMap<RequestFingerprint, TimeMs>,
-    /// Requests under which endpoints have crashed, too few for a quarantine.
-    suspects: HashSet<RequestFingerprint>,
+    /// What is under quarantine, with the moment at which that ends.
+    quarantined: HashMap<CrashSuspect, TimeMs>,
+    /// Those under which endpoints have crashed, too few for a quarantine, with the number of crashes.
+    suspects: HashMap<CrashSuspect, usize>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     count: CrashCount<EndpointHash>,
-    /// Requests that this daemon's own observations put under quarantine, to be stored at the
-    /// control source.
-    to_store: Vec<RequestFingerprint>,
+    /// What this daemon put under quarantine, to be stored at the control source.
+    to_store: Vec<CrashSuspect>,
 }
 
-/// The requests that crash the endpoints that run them.
+/// The requests and parts of prompts that crash the endpoints that run them.
 #[derive(Debug)]
 pub struct Quarantine {
     clock: Clock,
@@ -79,26 +79,41 @@
         self.state.lock().expect("no panic under this lock")
     }
 
-    /// Returns whether a request is under quarantine. Its fingerprint is computed only if any
-    /// request is.
-    pub fn is_quarantined(&self, request: impl FnOnce() -> RequestFingerprint) -> bool {
+    /// Returns whether one of these suspects is under quarantine. They are computed only if any suspect
+    /// is.
+    pub fn is_any_quarantined<I: IntoIterator<Item = CrashSuspect>>(
+        &self,
+        suspects: impl FnOnce() -> I,
+    ) -> bool {
         let snapshot = self.snapshot.load();
         if snapshot.quarantined.is_empty() {
             return false;
         }
-        let until = snapshot.quarantined.get(&request());
-        until.is_some_and(|until| self.clock.now() < *until)
+        let now = self.clock.now();
+        suspects().into_iter().any(|suspect| {
+            let until = snapshot.quarantined.get(&suspect);
+            until.is_some_and(|until| now < *until)
+        })
     }
 
-    /// Returns whether any request is under quarantine.
+    /// Returns whether anything is under quarantine.
     pub(crate) fn has_quarantined(&self) -> bool {
         !self.snapshot.load().quarantined.is_empty()
     }
 
-    /// Returns whether endpoints have crashed under a request that isn't under quarantine.
-    pub fn is_suspect(&self, request: impl FnOnce() -> RequestFingerprint) -> bool {
+    /// Returns the highest number of endpoints that have crashed under one of these suspects, which
+    /// aren't under quarantine. They are computed only if there is any suspect.
+    pub fn crashes<I: IntoIterator<Item = CrashSuspect>>(
+        &self,
+        suspects: impl FnOnce() -> I,
+    ) -> usize {
         let snapshot = self.snapshot.load();
-        !snapshot.suspects.is_empty() && snapshot.suspects.contains(&request())
+        if snapshot.suspects.is_empty() {
+            return 0;
+        }
+        let known = suspects().into_iter();
+        let crashes = known.filter_map(|suspect| snapshot.suspects.get(&suspect));
+        crashes.copied().max().unwrap_or_default()
     }
 
     /// Returns whether endpoints have crashed recently, so that more observations are expected.
@@ -107,11 +122,11 @@
         recorded_at.is_some_and(|at| self.clock.now() < at + RECENT_CRASH_PERIOD)
     }
 
-    /// Records that this daemon saw an endpoint crash while these requests were in flight there.
-    pub fn on_crashed(&self, endpoint: EndpointHash, requests: &[RequestFingerprint]) {
+    /// Records that this daemon saw an endpoint crash while these suspects were in flight there.
+    pub fn on_crashed(&self, endpoint: EndpointHash, suspects: &[CrashSuspect]) {
         let at = self.clock.now();
-        let observations = requests.iter().map(|request| CrashObservation {
-            request: *request,
+        let observations = suspects.iter().map(|suspect| CrashObservation {
+            suspect: *suspect,
             at,
             // Not needed: the start matters only for attempts that follow each other within
             // `SAME_MOMENT`, and those are few and made by one daemon.
@@ -122,20 +137,36 @@
         log_quarantined(&quarantined, Origin::ThisDaemon);
     }
 
-    /// Records that a request was answered successfully. Its fingerprint is computed only if any
-    /// request is suspect.
-    pub(crate) fn on_served(&self, request: impl Fn() -> RequestFingerprint) {
-        if !self.is_suspect(&request) {
+    /// Records that these suspects were answered successfully. They are computed only if there is any
+    /// suspect.
+    pub(crate) fn on_served<I: IntoIterator<Item = CrashSuspect>>(
+        &self,
+        suspects: impl FnOnce() -> I,
+    ) {
+        let snapshot = self.snapshot.load();
+        if snapshot.suspects.is_empty() {
             return;
         }
-        let request = request();
-        let observation = CrashObservation {
-            request,
-            at: self.clock.now(),
-            started_at: None,
-            fact: CrashFact::Served,
-        };
-        self.record([observation], Origin::ThisDaemon);
+        let at = self.clock.now();
+        let served = suspects().into_iter();
+        let served = served.filter(|suspect| snapshot.suspects.contains_key(suspect));
+        let observations: Vec<_> = served
+            .map(|suspect| CrashObservation {
+                suspect,
+                at,
+                started_at: None,
+                fact: CrashFact::Served,
+            })
+            .collect();
+        if !observations.is_empty() {
+            self.record(observations, Origin::ThisDaemon);
+        }
+    }
+
+    /// Puts the parts under quarantine that are the cause of crashes whose observations have arrived.
+    pub(crate) fn review(&self) {
+        let quarantined = self.record([], Origin::ThisDaemon);
+        log_quarantined(&quarantined, Origin::ThisDaemon);
     }
 
     /// Records the observations of other daemons.
@@ -147,21 +178,23 @@
         log_quarantined(&quarantined, Origin::OtherDaemons);
     }
 
-    /// Records observations and returns the requests that they put under quarantine.
+    /// Records observations and returns what they put under quarantine.
     fn record(
         &self,
         observations: impl IntoIterator<Item = CrashObservation<EndpointHash>>,
         origin: Origin,
-    ) -> Vec<RequestFingerprint> {
+    ) -> Vec<CrashSuspect> {
         let now = self.clock.now();
         let mut state = self.state();
         let before = state.count.newest_cursor();
         let mut quarantined = Vec::new();
         for observation in observations {
             if state.count.record(now, observation) == ObservationOutcome::NewlyQuarantined {
-                quarantined.push(observation.request);
+                quarantined.push(observation.suspect);
             }
         }
+        let by_other_daemons = quarantined.len();
+        quarantined.extend(state.count.review(now));
         let newest = state.count.newest_cursor();
         if newest != before {
             state.count.expire(now);
@@ -169,9 +202,12 @@
             self.recorded_at.set_if_later(now);
             self.newest.send_replace(newest);
         }
-        if origin == Origin::ThisDaemon {
-            state.to_store.extend(&quarantined);
-        }
+        // What this daemon concludes itself is stored by it.
+        let concluded = match origin {
+            Origin::ThisDaemon => &quarantined[..],
+            Origin::OtherDaemons => &quarantined[by_other_daemons..],
+        };
+        state.to_store.extend(concluded);
         if !quarantined.is_empty() {
             self.has_to_store.notify_one();
         }
@@ -194,25 +230,24 @@
         let _ = newest.wait_for(|newest| *newest > cursor).await;
     }
 
-    /// Waits until a request was put under quarantine.
+    /// Waits until a suspect was put under quarantine.
     pub(crate) async fn wait_for_quarantined(&self) {
         self.has_to_store.notified().await;
     }
 
-    /// Returns the requests that this daemon's own observations put under quarantine since the last
-    /// call.
-    pub(crate) fn take_unstored(&self) -> Vec<RequestFingerprint> {
+    /// Returns what this daemon put under quarantine since the last call.
+    pub(crate) fn take_unstored(&self) -> Vec<CrashSuspect> {
         std::mem::take(&mut self.state().to_store)
     }
 
-    /// Returns the requests that have been under quarantine for at least `age`, and still are.
-    pub(crate) fn quarantined_for(&self, age: DurationMs) -> Vec<RequestFingerprint> {
+    /// Returns the suspects that have been under quarantine for at least `age`, and still are.
+    pub(crate) fn quarantined_for(&self, age: DurationMs) -> Vec<CrashSuspect> {
         let now = self.clock.now();
         let state = self.state();
         let quarantined = state.count.quarantined();
         let old_enough = quarantined.filter(|(_, since)| *since + age <= now);
         let not_expired = old_enough.filter(|(_, since)| now < *since + QUARANTINE_DURATION);
-        not_expired.map(|(request, _)| request).collect()
+        not_expired.map(|(suspect, _)| suspect).collect()
     }
 }
 
@@ -220,17 +255,17 @@
     Snapshot {
         quarantined: count
             .quarantined()
-            .map(|(request, since)| (request, since + QUARANTINE_DURATION))
+            .map(|(suspect, since)| (suspect, since + QUARANTINE_DURATION))
             .collect(),
         suspects: count.suspects().collect(),
     }
 }
 
-fn log_quarantined(quarantined: &[RequestFingerprint], origin: Origin) {
-    for request in quarantined {
+fn log_quarantined(quarantined: &[CrashSuspect], origin: Origin) {
+    for suspect in quarantined {
         event!(
             Event::RequestQuarantined,
-            fingerprint = request,
+            fingerprint = suspect,
             told_by = origin
         );
     }
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -126,7 +126,6 @@
 /// because no two of the requests are alike, and against a quarantine that also stops the first part,
 /// the customer or the sessions that ran beside them.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn a_part_that_crashed_five_engines_is_stopped_on_every_daemon_and_sound_requests_are_served()
 {
     let source = source();
@@ -159,7 +158,6 @@
 /// Guards against a part that is stopped on one route of its service and crashes engines by another,
 /// and against retries and resumed streams that crash more engines than requests were sent.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn a_part_that_crashed_engines_on_one_route_is_stopped_on_all_routes_of_the_service() {
     let source = source();
     let engines = CrashingEngines::start_for_part(&source, 24, RUN).await;
@@ -185,7 +183,6 @@
 /// Guards against a quarantine of a part that is lost when all daemons are replaced: only the entries
 /// at the control source are left.
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn the_quarantine_of_a_part_survives_the_replacement_of_all_daemons() {
     let source = source();
     let engines = CrashingEngines::start_for_part(&source, 24, RUN).await;
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -196,12 +196,17 @@
             // None of these daemons is a seed.
             let seen_by = &fleet[3 + (17 * round as usize + 23 * crash) % 77].gateway;
             let endpoint = EndpointHash(100 * round as u32 + crash as u32);
-            seen_by.quarantine.on_crashed(endpoint, &[request]);
+            seen_by.quarantine.on_crashed(endpoint, &[request.into()]);
             // Crashes at the same moment would count as one.
             sleep(Duration::from_millis(60)).await;
         }
         let observed_at = Instant::now();
-        let knows = |daemon: &&RunningGateway| daemon.gateway.quarantine.is_quarantined(|| request);
+        let knows = |daemon: &&RunningGateway| {
+            daemon
+                .gateway
+                .quarantine
+                .is_any_quarantined(|| [request.into()])
+        };
         while fleet.iter().filter(knows).count() < fleet.len() {
             sleep(Duration::from_millis(5)).await;
             assert!(observed_at.elapsed() < MAX_SPREAD_TIME, "round {round}");
--- a/crates/gateway/tests/resend.rs
+++ b/crates/gateway/tests/resend.rs
@@ -33,9 +33,36 @@
         endpoints_tried,
         runs,
         remaining: Duration::from_secs(1),
+        suspected_crashes: 0,
     }
 }
 
+/// Guards against retries and resumed streams that crash one more endpoint each, and against a request
+/// that isn't tried elsewhere although it has not run.
+#[test]
+fn a_request_that_may_have_crashed_two_endpoints_is_not_run_again() {
+    for failure in [
+        BROKEN,
+        Failure::ServerError,
+        Failure::StillWaiting,
+        Failure::StreamBroken,
+    ] {
+        for (suspected_crashes, expected) in [(1, Ok(())), (2, Err(NoResend::MayCrashEndpoints))] {
+            let progress = ResendProgress {
+                suspected_crashes,
+                ..progress(1, 0)
+            };
+            assert_eq!(verdict(failure, RESUMABLE, progress, true).0, expected);
+        }
+    }
+    let progress = ResendProgress {
+        suspected_crashes: 2,
+        ..progress(1, 0)
+    };
+    assert_eq!(verdict(NOT_SENT, RESUMABLE, progress, true).0, Ok(()));
+    assert_eq!(verdict(NOT_RUN, RESUMABLE, progress, true).0, Ok(()));
+}
+
 /// Returns the decision, and whether a retry was withdrawn from the budget.
 fn verdict(
     failure: Failure,
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -6,8 +6,7 @@
     RoutingTable, Service, SourceEra, SourceError, SourceRecord, StreamPolicy,
 };
 use bridgevane_types::{
-    Bytes, ConfigVersion, DataCentreId, DurationMs, EndpointId, RequestFingerprint, Tier,
-    WallTimeMs,
+    Bytes, ConfigVersion, CrashSuspect, DataCentreId, DurationMs, EndpointId, Tier, WallTimeMs,
 };
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -381,7 +380,7 @@
 impl QuarantineStore for ScriptedSource {
     async fn store_quarantined(
         &self,
-        requests: &[RequestFingerprint],
+        requests: &[CrashSuspect],
         _kept_ms: DurationMs,
     ) -> Result<(), SourceError> {
         for request in requests {
--- a/crates/protocol/src/fingerprint.rs
+++ b/crates/protocol/src/fingerprint.rs
@@ -1,7 +1,7 @@
-//! Conversions between a request's fingerprint and its message.
+//! Conversions between the fingerprints of requests and parts of prompts and their messages.
 
-use crate::generated::RequestFingerprint as Message;
-use bridgevane_types::RequestFingerprint;
+use crate::generated::{PartFingerprint as PartMessage, RequestFingerprint as Message};
+use bridgevane_types::{PartFingerprint, RequestFingerprint};
 
 impl From<RequestFingerprint> for Message {
     fn from(request: RequestFingerprint) -> Self {
@@ -20,3 +20,21 @@
         }
     }
 }
+
+impl From<PartFingerprint> for PartMessage {
+    fn from(part: PartFingerprint) -> Self {
+        Self {
+            service: part.service,
+            part: part.part,
+        }
+    }
+}
+
+impl From<PartMessage> for PartFingerprint {
+    fn from(message: PartMessage) -> Self {
+        Self {
+            service: message.service,
+            part: message.part,
+        }
+    }
+}
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -7,9 +7,9 @@
     ConfigDelta, ConfigSnapshot, ConfigWanted, CrashNews, DaemonPlace, EndpointNotice,
     EndpointWork, ForwardingAnswer, ForwardingWanted, Frame, FrameCodec, FrameError,
     HandshakeError, Heartbeat, Hello, KeyClaim, KeyEnded, KeyEndedHeard, KeyVerdict,
-    MAX_FRAME_BYTES, MemberState, MemberUpdate, PROTOCOL_VERSION, PoolDispatch, PoolOffer,
-    PoolOrder, PoolRefuse, PoolReport, Proof, Query, QueryAnswer, RecordChange, RecordPatch,
-    RecordsAnswer, RecordsWanted, RequestFingerprint, Role, SectionChange, SourcePath,
+    MAX_FRAME_BYTES, MemberState, MemberUpdate, PROTOCOL_VERSION, PartFingerprint, PoolDispatch,
+    PoolOffer, PoolOrder, PoolRefuse, PoolReport, Proof, Query, QueryAnswer, RecordChange,
+    RecordPatch, RecordsAnswer, RecordsWanted, RequestFingerprint, Role, SectionChange, SourcePath,
     StreamBegins, StreamsBegun, StreamsBegunHeard, VersionSpan, compute_proof, perform_handshake,
     pool_order, pool_report,
 };
@@ -371,6 +371,20 @@
             "streams_begun_heard",
             Body::StreamsBegunHeard(StreamsBegunHeard {}),
         ),
+        (
+            "records_wanted crash news of a part",
+            Body::RecordsWanted(RecordsWanted {
+                crash_news: vec![CrashNews {
+                    request: None,
+                    part: Some(PartFingerprint {
+                        service: 0x0102_0304,
+                        part: 0x1112_1314_1516_1718,
+                    }),
+                    ..crash_news(Fact::Served(true))
+                }],
+                ..Default::default()
+            }),
+        ),
         (
             "records_answer crash news",
             Body::RecordsAnswer(RecordsAnswer {
@@ -418,6 +432,7 @@
 fn crash_news(fact: Fact) -> CrashNews {
     CrashNews {
         request: Some(fingerprint()),
+        part: None,
         age_ms: 400,
         fact: Some(fact),
     }
@@ -506,6 +521,7 @@
         records_answer versions 000000349201319a01130d040302011001181422080d0c0b0a14131211a201130d04030201150d0c0b0a18a01f20ac02288827a801e0d403
         streams_begun 00000018c201150a130d040302011001181422080d0c0b0a14131211
         streams_begun_heard 00000003ca0100
+        records_wanted crash news of a part 0000001a8a0117521518900328013a0e0d04030201111817161514131211
         records_answer crash news 0000001a9201176a150a0e0d0d0c0b0a1118171615141312111890033001
     "#]].assert_eq(&golden);
 }
