fix(gateway): a stream without framing is whole between events, however its bytes arrive

A complete stream that ends with its connection was cut if its last blank line came in two pieces, since only the end of the last chunk was looked at. Its boundary is tracked byte by byte now.

--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -9,7 +9,7 @@
 use crate::requests::answer_body::StreamError;
 use crate::requests::exchange::{AnswerTiming, Exchange, resend_text};
 use crate::requests::response_head;
-use crate::requests::server_events::EventSplitter;
+use crate::requests::server_events::{EventBoundary, EventSplitter};
 use bridgevane_events::{Event, event};
 use bytes::Bytes;
 use http::HeaderValue;
@@ -55,8 +55,8 @@
     /// Set for streams that can be resumed: of these only whole events are forwarded.
     splitter: Option<EventSplitter>,
     has_first_chunk: bool,
-    /// Whether the last bytes ended an event.
-    is_between_events: bool,
+    /// Where a stream that isn't split is in its events.
+    boundary: EventBoundary,
     timing: TimingMeter,
     /// The part of the body that was read before; empty once it is forwarded.
     read: Bytes,
@@ -72,7 +72,7 @@
             exchange,
             answer: Some(answer),
             has_first_chunk: false,
-            is_between_events: true,
+            boundary: EventBoundary::default(),
             timing: TimingMeter::default(),
             read,
         }
@@ -113,10 +113,12 @@
     /// Records a chunk and returns the bytes that can be forwarded now.
     fn accept_chunk(&mut self, data: Bytes) -> Bytes {
         self.on_chunk();
-        self.is_between_events = data.ends_with(b"\n\n") || data.ends_with(b"\r\n\r\n");
         match &mut self.splitter {
             Some(splitter) => splitter.push(&data),
-            None => data,
+            None => {
+                self.boundary.push(&data);
+                data
+            }
         }
     }
 
@@ -160,7 +162,7 @@
         let is_inside_event = match &self.splitter {
             Some(splitter) => splitter.is_inside_event(),
             // A plain answer has no events.
-            None => self.exchange.inbound.route.stream.is_some() && !self.is_between_events,
+            None => self.exchange.inbound.route.stream.is_some() && self.boundary.is_inside_event(),
         };
         is_inside_event
             && answer.head().status.is_success()
--- a/crates/gateway/src/requests/server_events.rs
+++ b/crates/gateway/src/requests/server_events.rs
@@ -47,6 +47,39 @@
     }
 }
 
+/// Tracks whether a stream that is forwarded unsplit is between two events: before the first one, or
+/// behind the blank line that ends one, however its bytes arrive.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct EventBoundary {
+    /// Whether the current line has a byte other than a carriage return.
+    has_text_in_line: bool,
+    is_inside_event: bool,
+}
+
+impl EventBoundary {
+    /// Adds bytes.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match byte {
+                b'\n' => {
+                    self.is_inside_event = self.has_text_in_line;
+                    self.has_text_in_line = false;
+                }
+                b'\r' => {}
+                _ => {
+                    self.has_text_in_line = true;
+                    self.is_inside_event = true;
+                }
+            }
+        }
+    }
+
+    /// Returns whether an event has begun and isn't complete.
+    pub(crate) fn is_inside_event(self) -> bool {
+        self.is_inside_event
+    }
+}
+
 /// Returns the end of the first event, after its blank line.
 fn event_end(bytes: &[u8]) -> Option<usize> {
     let mut start = 0;
