--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -73,11 +73,17 @@
     send(daemon, path, &format!("c{at}"), &parts).await;
 }
 
-/// Sends a sound request; returns whether it was answered completely.
+/// Sends a sound request, which must not be stopped; returns whether it was answered completely.
 async fn send_sound(daemon: SocketAddr, at: usize) -> bool {
     let parts = format!("sys:100,session-{}:200,own-s{at}:10", at % SESSIONS);
     let answer = send(daemon, "/stream/x", &format!("s{at}"), &parts).await;
-    answer.is_some_and(|answer| answer.status == 200 && answer.is_whole)
+    answer.is_some_and(|answer| {
+        assert!(
+            !answer.body.contains("ends_endpoints"),
+            "a sound request is stopped"
+        );
+        answer.status == 200 && answer.is_whole
+    })
 }
 
 /// Sends requests with the crashing part until `until`, each to the next daemon.
