test(soak): workers of two software versions, and no stream that joins them

The emulator's workers record which event a stream is resumed after, half of them run another version, and the soak finds a stream that is resumed at a version which had not run it. Streams that callers take up at other daemons aren't played yet.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,6 +1,6 @@
 //! Checks the gateway's guarantees over the record of a run.
 
-use crate::history::{CallEnd, History, RecordedCall, RequestArrival, RouteKind};
+use crate::history::{CallEnd, History, RecordedCall, RequestArrival, RouteKind, Run};
 use bridgevane_platform_emulator::Announcement;
 use derive_more::Display;
 use std::collections::{HashMap, HashSet};
@@ -51,6 +51,16 @@
         /// The status of the answer.
         status: u16,
     },
+    /// A stream was resumed at a software version that had not run it before.
+    #[display("{id}: resumed by {worker} at version {version}, which did not begin it")]
+    ResumedAtOtherVersion {
+        /// The request.
+        id: String,
+        /// The worker.
+        worker: String,
+        /// The worker's version.
+        version: String,
+    },
     /// A worker ran a request that no caller sent.
     #[display("{id}: ran but was never sent")]
     NeverSent {
@@ -142,6 +152,7 @@
         found.extend(ran_with_removed_key(history, call, &runs));
         found.extend(cut_by_stop(history, call, &runs));
     }
+    found.extend(resumed_at_other_version(history));
     found.extend(never_sent(history));
     found.extend(sent_to_draining(history));
     found.extend(limit_exceeded(history));
@@ -153,6 +164,27 @@
     found
 }
 
+/// Finds streams that went on at a version of which no earlier run of the stream was.
+fn resumed_at_other_version(history: &History) -> Vec<Violation> {
+    let mut runs: HashMap<&str, Vec<&Run>> = HashMap::new();
+    for run in &history.runs {
+        runs.entry(run.id.as_str()).or_default().push(run);
+    }
+    let is_wrong = |run: &&Run| {
+        let mut others = runs[run.id.as_str()].iter();
+        let has_begun = others.any(|other| other.at < run.at && other.version == run.version);
+        run.last_event_id.is_some() && !has_begun
+    };
+    let wrong = history.runs.iter().filter(is_wrong);
+    wrong
+        .map(|run| Violation::ResumedAtOtherVersion {
+            id: run.id.clone(),
+            worker: run.worker.clone(),
+            version: run.version.clone(),
+        })
+        .collect()
+}
+
 type RunsById<'a> = HashMap<&'a str, usize>;
 
 fn runs_by_id(history: &History) -> RunsById<'_> {
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -60,6 +60,9 @@
 /// take a port between the check that it is free and the daemon's start.
 const PORTS: std::ops::Range<u16> = 20_000..32_000;
 
+/// The number of software versions that serve side by side.
+const VERSIONS: usize = 2;
+
 /// The number of ports that this process has assigned: runs in one process may be concurrent, and a
 /// daemon binds its port only some time later.
 static PORTS_ASSIGNED: AtomicU32 = AtomicU32::new(0);
@@ -171,8 +174,10 @@
         service: &'static str,
     ) -> Result<WorkerPosition, std::io::Error> {
         let id = format!("i-{}", self.workers_started);
+        // Services alternate, so that half of the workers of each service run another version.
+        let version = format!("v{}", self.workers_started / 2 % VERSIONS);
         self.workers_started += 1;
-        let worker = Worker::start(&id, normal_behaviour(service)).await;
+        let worker = Worker::start_version(&id, &version, normal_behaviour(service)).await;
         let proxy = Proxy::start(worker.address).await?;
         let record = worker.record_at(proxy.address, service, "z", "ready");
         self.store.put(&worker.key(), &record);
@@ -289,6 +294,8 @@
                 id: request.id,
                 worker: worker.id.clone(),
                 at: Instant::from_std(request.at).duration_since(self.started),
+                version: worker.version.clone(),
+                last_event_id: request.last_event_id,
             })
         })
         .collect()
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -80,6 +80,10 @@
     pub worker: String,
     /// When the request reached the worker.
     pub at: Duration,
+    /// The software version of the worker.
+    pub version: String,
+    /// The event after which a stream was resumed.
+    pub last_event_id: Option<u64>,
 }
 
 /// A request that reached a worker, whether it ran or not.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -46,9 +46,33 @@
         id: id.into(),
         worker: "worker".into(),
         at,
+        version: "v1".into(),
+        last_event_id: None,
     }
 }
 
+#[test]
+fn a_stream_resumed_at_another_version_is_found() {
+    let mut history = correct_record();
+    let first = history.runs[0].clone();
+    let resumed = |version: &str| Run {
+        at: first.at + ms(20),
+        version: version.into(),
+        last_event_id: Some(1),
+        ..first.clone()
+    };
+    let found = |history: &History| {
+        let violations = find_violations(history);
+        let of_version =
+            |found: &&Violation| matches!(found, Violation::ResumedAtOtherVersion { .. });
+        violations.iter().filter(of_version).count()
+    };
+    history.runs.push(resumed("v1"));
+    assert_eq!(found(&history), 0);
+    history.runs.push(resumed("v2"));
+    assert_eq!(found(&history), 1);
+}
+
 /// Returns a record of one correctly served call per kind, 20 s into the run.
 fn correct_record() -> History {
     let kinds = [RouteKind::Once, RouteKind::Stream, RouteKind::Resumable];
