refactor(gateway): one way to start a fleet in tests; a report that finds its connection closed is sent again at once

A connection for reports that was idle for 5 s is closed by the other daemon; the next report waited 0.2 s before it opened another. A daemon that follows another one looks once a second, not five times, whether it has to report to the seeds.

--- a/crates/gateway/src/replication/stream_reports.rs
+++ b/crates/gateway/src/replication/stream_reports.rs
@@ -30,7 +30,7 @@
 /// The delay after a report that failed: the upstream is replaced within some hundred milliseconds.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 /// The interval at which a seed that follows another daemon looks whether it follows the source.
-const IDLE_PAUSE: Duration = Duration::from_millis(200);
+const IDLE_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// The position up to which streams were sent on one connection.
 #[derive(Clone, Copy, Debug, Default)]
@@ -112,8 +112,11 @@
             continue;
         };
         let connection = open.take().filter(|open| open.address == address);
+        let is_reused = connection.is_some();
         match report(&gateway, connection, address).await {
             Ok(connection) => open = Some(connection),
+            // The other daemon closes connections that were idle for long; a new one is tried at once.
+            Err(_) if is_reused => {}
             // Not logged: polls to the same daemon fail, too, and log it.
             Err(_) => sleep(FAILURE_PAUSE).await,
         }
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! Owns the state of the request across its attempts. The rules for shedding, hedging and resending
 //! are in [`crate::decisions`]; this module gathers their inputs, acts on the results and logs them.
-//! [`stream_version`] restricts streams to a software version, [`outcome`] records what each attempt shows about its endpoint, [`resending`] checks whether the
-//! request is sent again, and [`forwarding`] sends it through another daemon.
+//! [`stream_version`] restricts streams to a software version, [`outcome`] records what each attempt
+//! shows about its endpoint, [`resending`] checks whether the request is sent again, and [`forwarding`]
+//! sends it through another daemon.
 
 mod forwarding;
 mod outcome;
--- a/crates/gateway/tests/brittle_endpoint.rs
+++ b/crates/gateway/tests/brittle_endpoint.rs
@@ -6,12 +6,11 @@
 use bridgevane_gateway::Repeatability::AtMostOnce;
 use bridgevane_gateway::decisions::eligibility::brittle::{BrittleLoad, Fullness, has_room};
 use bridgevane_types::TimeMs;
-use std::net::SocketAddr;
 use std::time::Duration;
 use support::client::{Client, request};
 use support::endpoint::{Action, Endpoint};
 use support::source::{KEY, ScriptedSource, plain_route};
-use support::start_daemon;
+use support::{start_daemon, start_fleet};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
@@ -47,17 +46,7 @@
     source.publish_configuration(1, vec![plain_route("once", AtMostOnce, 1)], &[KEY]);
     let endpoint = Endpoint::start(|_| full()).await;
     source.publish_endpoint("e-0", "plain", endpoint.address);
-    let mut listeners = Vec::new();
-    for _ in 0..daemons {
-        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
-    }
-    let seeds: Vec<SocketAddr> = (listeners.iter().take(2))
-        .map(|each| each.local_addr().unwrap())
-        .collect();
-    let mut fleet = Vec::new();
-    for (at, listener) in listeners.into_iter().enumerate() {
-        fleet.push(start_daemon(&format!("vm-{at}"), &source, listener, &seeds).await);
-    }
+    let fleet = start_fleet(&source, daemons).await;
     let started_at = Instant::now();
     let mut before = 0;
     while started_at.elapsed() < NOTICE_TIME + Duration::from_secs(2) {
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -9,8 +9,7 @@
 use support::client::{Client, ClientAnswer, request};
 use support::crashing::{CRASHING_PART, CrashingEngines};
 use support::source::{KEY, ScriptedSource, plain_route, stream_route};
-use support::{RunningGateway, start_daemon};
-use tokio::net::TcpListener;
+use support::{RunningGateway, start_fleet};
 use tokio::runtime::Runtime;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -43,21 +42,8 @@
     source
 }
 
-/// Starts two seeds, and two followers of each seed.
-async fn start_fleet(source: &ScriptedSource) -> Vec<RunningGateway> {
-    let mut listeners = Vec::new();
-    for _ in 0..6 {
-        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
-    }
-    let seeds: Vec<SocketAddr> = (listeners.iter().take(2))
-        .map(|listener| listener.local_addr().unwrap())
-        .collect();
-    let mut fleet = Vec::new();
-    for (at, listener) in listeners.into_iter().enumerate() {
-        fleet.push(start_daemon(&format!("vm-{at}"), source, listener, &seeds).await);
-    }
-    fleet
-}
+/// The number of daemons.
+const DAEMONS: usize = 6;
 
 async fn send(daemon: SocketAddr, path: &str, id: &str, parts: &str) -> Option<ClientAnswer> {
     let extra = format!("x-deadline: 900\r\nx-parts: {parts}\r\nx-tokens: 310,20\r\n");
@@ -136,7 +122,7 @@
 {
     let source = source();
     let engines = CrashingEngines::start_for_part(&source, 24, RUN).await;
-    let fleet = start_fleet(&source).await;
+    let fleet = start_fleet(&source, DAEMONS).await;
     let daemons = addresses(&fleet);
     let begin = Instant::now();
     let end = begin + 4 * CONTACT_TIME;
@@ -167,7 +153,7 @@
 async fn a_part_that_crashed_engines_on_one_route_is_stopped_on_all_routes_of_the_service() {
     let source = source();
     let engines = CrashingEngines::start_for_part(&source, 24, RUN).await;
-    let fleet = start_fleet(&source).await;
+    let fleet = start_fleet(&source, DAEMONS).await;
     let daemons = addresses(&fleet);
     let sound = tokio::spawn(sound_share(
         daemons.clone(),
@@ -194,14 +180,15 @@
     let engines = CrashingEngines::start_for_part(&source, 24, RUN).await;
     let first_runtime = Runtime::new().unwrap();
     let first_source = source.clone();
-    let starting = first_runtime.spawn(async move { addresses(&start_fleet(&first_source).await) });
+    let starting =
+        first_runtime.spawn(async move { addresses(&start_fleet(&first_source, DAEMONS).await) });
     let daemons = starting.await.expect("they start");
     let until = Instant::now() + 2 * CONTACT_TIME;
     let sound = tokio::spawn(sound_share(daemons.clone(), Instant::now(), until));
     send_crashing_until(daemons, "/stream/x", until).await;
     sound.await.expect("no panic");
     first_runtime.shutdown_background();
-    let second = start_fleet(&source).await;
+    let second = start_fleet(&source, DAEMONS).await;
     let before = engines.received_with_part(CRASHING_PART);
     for (at, daemon) in addresses(&second).into_iter().enumerate() {
         send_crashing(daemon, "/stream/x", 10_000 + at).await;
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -13,7 +13,7 @@
 use support::versions::{
     AfterFirstEvent, VersionedEngines, begin_and_leave, take_up, wait_for_change,
 };
-use support::{RunningGateway, settings, start_daemon, start_with};
+use support::{RunningGateway, settings, start_daemon, start_fleet, start_with};
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::time::sleep;
@@ -31,22 +31,6 @@
     source
 }
 
-/// Starts daemons that know each other.
-async fn start_fleet(source: &ScriptedSource, daemons: usize) -> Vec<RunningGateway> {
-    let mut listeners = Vec::new();
-    for _ in 0..daemons {
-        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
-    }
-    let seeds: Vec<SocketAddr> = (listeners.iter().take(2))
-        .map(|each| each.local_addr().unwrap())
-        .collect();
-    let mut fleet = Vec::new();
-    for (at, listener) in listeners.into_iter().enumerate() {
-        fleet.push(start_daemon(&format!("vm-{at}"), source, listener, &seeds).await);
-    }
-    fleet
-}
-
 /// Guards against a stream that breaks off and goes on at an engine of another version inside the
 /// same answer: the endpoint's version was not known when it was resumed.
 #[tokio::test]
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -106,6 +106,22 @@
     running
 }
 
+/// Starts daemons that know each other, of which the first two are seeds.
+pub async fn start_fleet(source: &ScriptedSource, daemons: usize) -> Vec<RunningGateway> {
+    let mut listeners = Vec::new();
+    for _ in 0..daemons {
+        listeners.push(TcpListener::bind("127.0.0.1:0").await.expect("a free port"));
+    }
+    let seeds: Vec<SocketAddr> = (listeners.iter().take(2))
+        .map(|listener| listener.local_addr().expect("it listens"))
+        .collect();
+    let mut fleet = Vec::new();
+    for (at, listener) in listeners.into_iter().enumerate() {
+        fleet.push(start_daemon(&format!("vm-{at}"), source, listener, &seeds).await);
+    }
+    fleet
+}
+
 /// A running gateway.
 pub struct RunningGateway {
     pub gateway: Arc<Gateway>,
--- a/crates/gateway/tests/uneven_connections.rs
+++ b/crates/gateway/tests/uneven_connections.rs
@@ -9,8 +9,6 @@
 use support::client::{Client, request};
 use support::endpoint::{Action, Endpoint};
 use support::source::{KEY, ScriptedSource, plain_route};
-use support::start_daemon;
-use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
@@ -42,19 +40,8 @@
         .await;
         source.publish_endpoint(&format!("e-{at}"), "plain", endpoint.address);
     }
-    let mut listeners = Vec::new();
-    for _ in 0..DAEMONS {
-        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
-    }
-    let seeds: Vec<SocketAddr> = (listeners.iter().take(2))
-        .map(|each| each.local_addr().unwrap())
-        .collect();
-    let mut daemons = Vec::new();
-    for (at, listener) in listeners.into_iter().enumerate() {
-        let daemon = start_daemon(&format!("vm-{at}"), &source, listener, &seeds).await;
-        daemons.push(daemon.address);
-    }
-    daemons
+    let fleet = support::start_fleet(&source, DAEMONS).await;
+    fleet.iter().map(|daemon| daemon.address).collect()
 }
 
 async fn is_served(daemon: SocketAddr, id: String) -> bool {
