refactor(gateway): notices of endpoints are matched once, and only if there are any

The mend of brittle endpoints built a map of all endpoints with every poll and answer, also when no notice came, and a second one when some did; what was sent was matched back to its endpoint by another map. One pass for limits and brittle endpoints, which returns at once without notices.

--- a/crates/gateway/src/replication/endpoint_notices.rs
+++ b/crates/gateway/src/replication/endpoint_notices.rs
@@ -7,7 +7,6 @@
 
 use crate::decisions::eligibility::brittle::Fullness;
 use crate::decisions::eligibility::rate_limit::{self, LimitObservation};
-use crate::endpoints::directory::Directory;
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::rate_limit::RateLimitState;
 use crate::gateway::Gateway;
@@ -25,42 +24,35 @@
 
 /// Returns the current limits, as notices for another daemon.
 pub(super) fn current(gateway: &Gateway) -> Vec<EndpointNotice> {
-    notices(gateway, |endpoint| &endpoint.rate_limit)
+    notices(gateway, |endpoint| &endpoint.rate_limit, encode)
 }
 
 /// Returns the permits of brittle endpoints, as notices for another daemon.
 pub(super) fn current_brittle(gateway: &Gateway) -> Vec<EndpointNotice> {
-    let mut messages = notices(gateway, |endpoint| &endpoint.brittle.permits);
-    if messages.is_empty() {
-        return messages;
-    }
-    let now = gateway.clock.now();
-    let directory = gateway.control.directory();
-    let by_hash = endpoints_by_hash(&directory);
-    let age_ms = |at: TimeMs| u32::try_from(now.since(at).0).unwrap_or(u32::MAX);
-    for message in &mut messages {
-        if let Some(endpoint) = by_hash.get(&EndpointHash(message.endpoint)) {
+    notices(
+        gateway,
+        |endpoint| &endpoint.brittle.permits,
+        |now, endpoint, observation| {
             let fullness = endpoint.brittle.fullness();
-            message.turned_away_ms = fullness.turned_away_at.map(age_ms);
-            message.had_room_ms = fullness.had_room_at.map(age_ms);
-        }
-    }
-    messages
-}
-
-fn endpoints_by_hash(directory: &Directory) -> HashMap<EndpointHash, &Arc<Endpoint>> {
-    let endpoints = directory.endpoints();
-    endpoints
-        .map(|endpoint| (endpoint.hash, endpoint))
-        .collect()
+            EndpointNotice {
+                turned_away_ms: fullness.turned_away_at.map(|at| age_ms(now, at)),
+                had_room_ms: fullness.had_room_at.map(|at| age_ms(now, at)),
+                ..encode(now, endpoint, observation)
+            }
+        },
+    )
 }
 
-fn notices(gateway: &Gateway, state: impl Fn(&Endpoint) -> &RateLimitState) -> Vec<EndpointNotice> {
+fn notices(
+    gateway: &Gateway,
+    state: impl Fn(&Endpoint) -> &RateLimitState,
+    encode: impl Fn(TimeMs, &Endpoint, LimitObservation) -> EndpointNotice,
+) -> Vec<EndpointNotice> {
     let now = gateway.clock.now();
     let directory = gateway.control.directory();
-    let mut known: Vec<(EndpointHash, LimitObservation)> = directory
+    let mut known: Vec<(&Arc<Endpoint>, LimitObservation)> = directory
         .endpoints()
-        .filter_map(|endpoint| Some((endpoint.hash, state(endpoint).observation(now)?)))
+        .filter_map(|endpoint| Some((endpoint, state(endpoint).observation(now)?)))
         .collect();
     known.sort_unstable_by_key(|(_, observation)| std::cmp::Reverse(observation.at));
     known.truncate(MAX_NOTICES);
@@ -71,72 +63,73 @@
 
 /// Applies another daemon's notices of limits.
 pub(super) fn apply(gateway: &Gateway, messages: &[EndpointNotice]) {
-    apply_to(
-        gateway,
-        messages,
-        |endpoint| &endpoint.rate_limit,
-        |endpoint, limit| {
+    let now = gateway.clock.now();
+    for_known_endpoints(gateway, messages, |endpoint, message| {
+        if let Some(limit) = apply_limit(now, &endpoint.rate_limit, message) {
             let metrics = &gateway.metrics;
             on_limit_changed(endpoint, metrics, limit, LimitObserver::OtherDaemons);
-        },
-    );
+        }
+    });
 }
 
 /// Applies another daemon's notices of brittle endpoints.
 pub(super) fn apply_brittle(gateway: &Gateway, messages: &[EndpointNotice]) {
-    apply_to(
-        gateway,
-        messages,
-        |endpoint| &endpoint.brittle.permits,
-        |endpoint, rate| on_brittle_changed(endpoint, rate, LimitObserver::OtherDaemons),
-    );
     let now = gateway.clock.now();
-    let directory = gateway.control.directory();
-    let by_hash = endpoints_by_hash(&directory);
-    for message in messages {
-        if let Some(endpoint) = by_hash.get(&EndpointHash(message.endpoint)) {
-            let fullness = decode_fullness(now, message);
-            endpoint.brittle.on_peer_observation(fullness);
+    for_known_endpoints(gateway, messages, |endpoint, message| {
+        if let Some(rate) = apply_limit(now, &endpoint.brittle.permits, message) {
+            on_brittle_changed(endpoint, rate, LimitObserver::OtherDaemons);
         }
-    }
+        let fullness = decode_fullness(now, message);
+        endpoint.brittle.on_peer_observation(fullness);
+    });
 }
 
-fn apply_to(
+/// Calls `apply` with each notice and its endpoint.
+fn for_known_endpoints(
     gateway: &Gateway,
     messages: &[EndpointNotice],
-    state: impl Fn(&Endpoint) -> &RateLimitState,
-    on_changed: impl Fn(&Endpoint, Option<RequestsPerSecond>),
+    apply: impl Fn(&Endpoint, &EndpointNotice),
 ) {
+    // Most messages carry none.
     if messages.is_empty() {
         return;
     }
-    let now = gateway.clock.now();
     let directory = gateway.control.directory();
-    let by_hash = endpoints_by_hash(&directory);
+    let by_hash: HashMap<EndpointHash, &Arc<Endpoint>> = directory
+        .endpoints()
+        .map(|endpoint| (endpoint.hash, endpoint))
+        .collect();
     for message in messages {
-        let endpoint = by_hash.get(&EndpointHash(message.endpoint));
-        let Some((endpoint, observed)) = endpoint.zip(decode(now, message)) else {
-            continue;
-        };
-        let draw = || rand::rng().random();
-        let changed = state(endpoint).on_peer_observation(now, observed, draw);
-        if let Some(limit) = changed {
-            on_changed(endpoint, limit);
+        if let Some(endpoint) = by_hash.get(&EndpointHash(message.endpoint)) {
+            apply(endpoint, message);
         }
     }
 }
 
-fn encode(now: TimeMs, endpoint: EndpointHash, observation: LimitObservation) -> EndpointNotice {
-    let age_ms = now.since(observation.at).0;
+/// Applies the limit of a notice. Returns the limit that now applies, if it is to be reported.
+fn apply_limit(
+    now: TimeMs,
+    state: &RateLimitState,
+    message: &EndpointNotice,
+) -> Option<Option<RequestsPerSecond>> {
+    let observed = decode(now, message)?;
+    state.on_peer_observation(now, observed, || rand::rng().random())
+}
+
+fn encode(now: TimeMs, endpoint: &Endpoint, observation: LimitObservation) -> EndpointNotice {
     EndpointNotice {
-        endpoint: endpoint.0,
+        endpoint: endpoint.hash.0,
         requests_per_s: observation.limit.map(|limit| limit.0),
-        age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+        age_ms: age_ms(now, observation.at),
         turned_away_ms: None,
         had_room_ms: None,
     }
 }
 
+fn age_ms(now: TimeMs, at: TimeMs) -> u32 {
+    u32::try_from(now.since(at).0).unwrap_or(u32::MAX)
+}
+
 /// Returns what the notice says of the room at a brittle endpoint. The time that the message took makes
 /// both observations later by as much.
 fn decode_fullness(now: TimeMs, message: &EndpointNotice) -> Fullness {
