refactor: one short hash of names, one question for a suspect's kind, a module for connections between daemons

The same hash was written in five places, whether a suspect is a request in five others, and the reports of streams and the client of polls used each other for the way to open a connection. The review of parts looks only at those with three crashes: it runs with every observation. Behaviour is the same: tests of decisions, types and protocol; stream_versions, stream_version_rule, crashing_parts, crashing_requests and forwarding of the gateway pass, clippy is clean.

--- a/crates/decisions/src/crash_count.rs
+++ b/crates/decisions/src/crash_count.rs
@@ -276,8 +276,7 @@
         if let Some(quarantined) = self.quarantined.get(&observation.suspect) {
             // The crashes that led to the quarantine of a request count for others, too: any of them
             // may be the cause.
-            let is_request = matches!(observation.suspect, CrashSuspect::Request(_));
-            if is_request && observation.at <= quarantined.since {
+            if observation.suspect.is_request() && observation.at <= quarantined.since {
                 return ObservationOutcome::Ignored;
             }
             self.attribute_crash(observation, endpoint);
@@ -296,8 +295,8 @@
             at: observation.at,
             cursor,
         });
-        let is_request = matches!(observation.suspect, CrashSuspect::Request(_));
-        if is_request && suspect.distinct_crashes(TimeMs(u64::MAX)) >= CRASHES_TO_QUARANTINE {
+        let crashes = || suspect.distinct_crashes(TimeMs(u64::MAX));
+        if observation.suspect.is_request() && crashes() >= CRASHES_TO_QUARANTINE {
             let since = suspect.last_observed_at();
             return self.quarantine(observation.suspect, since);
         }
@@ -347,7 +346,7 @@
             endpoints: crashes.iter().map(|crash| crash.endpoint).collect(),
         };
         self.quarantined.insert(suspect, quarantined);
-        if matches!(suspect, CrashSuspect::Part(_)) {
+        if !suspect.is_request() {
             for crash in crashes {
                 let fact = CrashFact::Crashed(crash.endpoint);
                 let observation = new_observation(suspect, crash.at, fact);
@@ -362,7 +361,9 @@
     /// them.
     pub fn review(&mut self, now: TimeMs) -> Vec<CrashSuspect> {
         let until = TimeMs(now.0.saturating_sub(SETTLE_TIME.0));
+        // Most parts have a single crash, and this runs with every observation.
         let mut parts: Vec<(usize, CrashSuspect)> = (self.suspects.parts.iter())
+            .filter(|(_, known)| known.crashes.len() >= CRASHES_TO_QUARANTINE)
             .map(|(part, known)| (known.distinct_crashes(until), *part))
             .filter(|(crashes, _)| *crashes >= CRASHES_TO_QUARANTINE)
             .collect();
@@ -392,8 +393,7 @@
             .collect();
         let by_suspect = self.suspects.iter().any(|(other, at_other)| {
             let has_more = at_other.crashes.len() > known.crashes.len();
-            let is_request = matches!(other, CrashSuspect::Request(_));
-            let may_explain = *other != part && (has_more || is_request || !may_share);
+            let may_explain = *other != part && (has_more || other.is_request() || !may_share);
             may_explain
                 && settled
                     .iter()
--- a/crates/gateway/src/control/version_history.rs
+++ b/crates/gateway/src/control/version_history.rs
@@ -9,10 +9,9 @@
     ServiceVersions, VersionEvidence, VersionHash, VersionSpan, notice_time,
 };
 use crate::settings::GatewaySettings;
-use bridgevane_types::{DurationMs, ServiceName, TimeMs};
+use bridgevane_types::{DurationMs, ServiceName, TimeMs, short_hash};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// The identifier of a service in messages between daemons: the upper half of a 64-bit hash of its
 /// name.
@@ -21,7 +20,7 @@
 
 impl ServiceHash {
     pub(crate) fn new(service: &ServiceName) -> Self {
-        Self((xxh3_64(service.as_str().as_bytes()) >> 32) as u32)
+        Self(short_hash(service.as_str().as_bytes()))
     }
 }
 
--- a/crates/gateway/src/decisions/eligibility/stream_version.rs
+++ b/crates/gateway/src/decisions/eligibility/stream_version.rs
@@ -21,9 +21,8 @@
 //!
 //! Tests: `stream_version_rule.rs`, `stream_versions.rs`.
 
-use bridgevane_types::{DurationMs, SoftwareVersion, TimeMs};
+use bridgevane_types::{DurationMs, SoftwareVersion, TimeMs, short_hash};
 use derive_more::Display;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// For how long a version counts after its last endpoint was gone. It is longer than any stream with
 /// all attempts of its client.
@@ -41,7 +40,7 @@
     /// Returns the hash of a version.
     pub fn new(version: Option<&SoftwareVersion>) -> Self {
         let text = version.map_or("", SoftwareVersion::as_str);
-        Self((xxh3_64(text.as_bytes()) >> 32) as u32)
+        Self(short_hash(text.as_bytes()))
     }
 }
 
--- a/crates/gateway/src/duties/reporter.rs
+++ b/crates/gateway/src/duties/reporter.rs
@@ -9,7 +9,7 @@
 use crate::decisions::duties::usage_window::UsageWindow;
 use crate::duties::codec::encode_report;
 use crate::gateway::Gateway;
-use crate::replication::client::{FramedStream, open_connection};
+use crate::replication::peer_connection::{FramedStream, open_connection};
 use crate::replication::peer_error::PeerError;
 use bridgevane_protocol::Frame;
 use bridgevane_protocol::frame::Body;
--- a/crates/gateway/src/forwarding/connection.rs
+++ b/crates/gateway/src/forwarding/connection.rs
@@ -4,7 +4,7 @@
 use crate::counter::CountGuard;
 use crate::endpoints::connection::Connection;
 use crate::gateway::Gateway;
-use crate::replication::client::{FramedStream, open_connection};
+use crate::replication::peer_connection::{FramedStream, open_connection};
 use bridgevane_events::{Event, event};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{DaemonPlace, ForwardingAnswer, ForwardingWanted, Frame, FrameError};
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -14,27 +14,21 @@
     CLOCK_RESOLUTION_MS, MAX_UNPACKED_BYTES, MessageError, decode_path, decode_revision,
     decode_update, decode_work, encode_work, parse_addresses,
 };
+use crate::replication::peer_connection::{FramedStream, open_connection};
 use crate::replication::peer_error::PeerError;
 use crate::replication::stream_reports;
-use crate::sockets::set_options;
 use crate::work_by_endpoint::WorkByEndpoint;
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
-    CrashNews, EndpointNotice, Frame, FrameCodec, RecordsAnswer, RecordsWanted, StreamBegins,
-    VersionSpan,
+    CrashNews, EndpointNotice, Frame, RecordsAnswer, RecordsWanted, StreamBegins, VersionSpan,
 };
 use bridgevane_types::{ConfigVersion, DataCentreId, TimeMs};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
-use tokio_util::codec::Framed;
 
-/// Timeout for connecting to a daemon. A lost SYN packet is retransmitted only after a second;
-/// another daemon has answered long before.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for the answer to a probe. The answer is small and sent immediately; the rest allows for
 /// a lost packet. A daemon that lost its parent may have to probe several unresponsive ones before
 /// a change must be active.
@@ -101,9 +95,6 @@
     pub(crate) config_version: ConfigVersion,
 }
 
-/// A connection between daemons.
-pub(crate) type FramedStream = Framed<TcpStream, FrameCodec>;
-
 /// A connection to one daemon, and the crash observations that were sent on it.
 #[derive(Debug)]
 struct OpenPeer {
@@ -227,16 +218,6 @@
     }
 }
 
-/// Opens a connection to another daemon.
-pub(crate) async fn open_connection(peer: SocketAddr) -> Result<FramedStream, PeerError> {
-    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await;
-    let stream = connecting
-        .map_err(|_| PeerError::NoAnswer)?
-        .map_err(|_| PeerError::Refused)?;
-    set_options(&stream).map_err(|_| PeerError::Refused)?;
-    Ok(Framed::new(stream, FrameCodec::default()))
-}
-
 /// Returns the poll for the records after a revision, with the reports of this daemon's subtree.
 fn records_poll(gateway: &Gateway, peer: SocketAddr, after: Revision) -> RecordsWanted {
     let settings = &gateway.settings;
--- a/crates/gateway/src/replication/mod.rs
+++ b/crates/gateway/src/replication/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) mod follow;
 pub(crate) mod message;
 pub(crate) mod packed_state;
+pub(crate) mod peer_connection;
 pub(crate) mod peer_error;
 pub(crate) mod quarantine_writer;
 pub(crate) mod seed_exchange;
--- a/crates/gateway/src/replication/stream_reports.rs
+++ b/crates/gateway/src/replication/stream_reports.rs
@@ -8,7 +8,7 @@
 use crate::control::version_history::ServiceHash;
 use crate::decisions::eligibility::stream_version::{VersionHash, VersionSpan};
 use crate::gateway::Gateway;
-use crate::replication::client::{FramedStream, open_connection};
+use crate::replication::peer_connection::{FramedStream, open_connection};
 use crate::replication::peer_error::PeerError;
 use crate::requests::begun_streams::{BegunStream, StreamCursor, StreamHash};
 use bridgevane_protocol::frame::Body;
--- a/crates/gateway/src/requests/begun_streams.rs
+++ b/crates/gateway/src/requests/begun_streams.rs
@@ -7,14 +7,13 @@
 
 use crate::clock::Clock;
 use crate::decisions::eligibility::stream_version::{VERSION_MEMORY, VersionHash};
-use bridgevane_types::TimeMs;
+use bridgevane_types::{TimeMs, short_hash};
 use http::HeaderValue;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::timeout;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// The maximum number of streams. At 3,000 streams a second it covers 21 s, longer than streams last.
 /// Takes some 4 MB.
@@ -28,7 +27,7 @@
 impl StreamHash {
     /// Returns the hash of the attempt with this identifier.
     pub fn new(attempt_id: &HeaderValue) -> Self {
-        Self((xxh3_64(attempt_id.as_bytes()) >> 32) as u32)
+        Self(short_hash(attempt_id.as_bytes()))
     }
 }
 
--- a/crates/gateway/src/requests/crash_check.rs
+++ b/crates/gateway/src/requests/crash_check.rs
@@ -14,7 +14,6 @@
 use crate::requests::inbound::InboundRequest;
 use bridgevane_decisions::crash_count::SETTLE_TIME;
 use bridgevane_events::{Event, event};
-use bridgevane_types::CrashSuspect;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,7 +65,7 @@
             event!(
                 Event::EndpointCrashed,
                 endpoint = endpoint.record.load().id,
-                requests = lost.iter().filter(is_request).count()
+                requests = lost.iter().filter(|suspect| suspect.is_request()).count()
             );
             gateway.quarantine.on_crashed(endpoint.hash, &lost);
         }
@@ -86,7 +85,3 @@
         gateway.quarantine.review();
     }
 }
-
-fn is_request(suspect: &&CrashSuspect) -> bool {
-    matches!(suspect, CrashSuspect::Request(_))
-}
--- a/crates/types/src/crash_suspect.rs
+++ b/crates/types/src/crash_suspect.rs
@@ -2,9 +2,9 @@
 
 use crate::ServiceName;
 use crate::request_fingerprint::{InvalidFingerprint, RequestFingerprint};
+use crate::short_hash::short_hash;
 use derive_more::{Display, Error, From};
 use std::str::FromStr;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// The text before a part's digits, which no request's fingerprint begins with.
 const PART_PREFIX: &str = "part-";
@@ -26,7 +26,7 @@
 impl PartFingerprint {
     /// Returns the fingerprint of the part with this hash.
     pub fn new(service: &ServiceName, part: u64) -> Self {
-        let service = (xxh3_64(service.as_str().as_bytes()) >> 32) as u32;
+        let service = short_hash(service.as_str().as_bytes());
         Self { service, part }
     }
 }
@@ -40,6 +40,13 @@
     Part(PartFingerprint),
 }
 
+impl CrashSuspect {
+    /// Returns whether it is a request.
+    pub fn is_request(&self) -> bool {
+        matches!(self, Self::Request(_))
+    }
+}
+
 /// The error for a text that isn't a suspect.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 #[display("a suspect is a request's fingerprint, or a part's behind \"part-\"")]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 mod ids;
 mod outcome;
 mod request_fingerprint;
+mod short_hash;
 mod sizes;
 mod time;
 
@@ -20,6 +21,7 @@
 };
 pub use outcome::{Outcome, RefusalCode};
 pub use request_fingerprint::{InvalidFingerprint, RequestFingerprint};
+pub use short_hash::short_hash;
 pub use sizes::{
     Bytes, BytesPerSecond, CallsPerSecond, RequestsPerSecond, Share, Slots, Tier, Tokens,
     TokensPerSecond,
--- a/crates/types/src/request_fingerprint.rs
+++ b/crates/types/src/request_fingerprint.rs
@@ -2,9 +2,10 @@
 //! request by a client have different identifiers and the same fingerprint.
 
 use crate::CustomerId;
+use crate::short_hash::short_hash;
 use derive_more::{Display, Error};
 use std::str::FromStr;
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+use xxhash_rust::xxh3::Xxh3;
 
 /// The number of hexadecimal digits of [`RequestFingerprint::customer`].
 const CUSTOMER_DIGITS: usize = 8;
@@ -27,7 +28,7 @@
 impl RequestFingerprint {
     /// Computes the fingerprint of a request whose body was read completely.
     pub fn new(customer: Option<&CustomerId>, method: &str, path: &str, body: &[u8]) -> Self {
-        let customer = customer.map_or(0, |id| (xxh3_64(id.as_str().as_bytes()) >> 32) as u32);
+        let customer = customer.map_or(0, |id| short_hash(id.as_str().as_bytes()));
         let mut content = Xxh3::new();
         content.update(method.as_bytes());
         // Neither a method nor a path contains a space, so the space separates them.
