fix(decisions): a crash observation that changes nothing answers no follower

Each daemon sends an observation back to the one that it got it from, and an observation that was known moved the position of the newest one: every follower's poll was answered at once, with nothing. The test failed (position 4 for 2) and passes.

--- a/crates/decisions/src/crash_count.rs
+++ b/crates/decisions/src/crash_count.rs
@@ -120,6 +120,12 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ObservationCursor(u64);
 
+impl ObservationCursor {
+    fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct CountedCrash<E> {
     endpoint: E,
@@ -282,13 +288,14 @@
             self.attribute_crash(observation, endpoint);
             return ObservationOutcome::Recorded;
         }
-        let cursor = self.next_cursor();
+        let cursor = self.newest.next();
         let suspects = self.suspects.like_mut(observation.suspect);
         let suspect = suspects.entry(observation.suspect).or_default();
         let is_full = suspect.crashes.len() >= MAX_CRASHES;
         if suspect.is_cleared_at(observation.at) || suspect.has_crash_of(endpoint) || is_full {
             return ObservationOutcome::Ignored;
         }
+        self.newest = cursor;
         suspect.crashes.push(CountedCrash {
             endpoint,
             started_at: observation.started_at,
@@ -321,7 +328,7 @@
     }
 
     fn on_served(&mut self, observation: CrashObservation<E>) -> ObservationOutcome {
-        let cursor = self.next_cursor();
+        let cursor = self.newest.next();
         let suspects = self.suspects.like_mut(observation.suspect);
         let Some(suspect) = suspects.get_mut(&observation.suspect) else {
             return ObservationOutcome::Ignored;
@@ -329,6 +336,7 @@
         if suspect.is_cleared_at(observation.at) {
             return ObservationOutcome::Ignored;
         }
+        self.newest = cursor;
         suspect.served = Some((observation.at, cursor));
         suspect.crashes.retain(|crash| crash.at > observation.at);
         ObservationOutcome::Recorded
@@ -405,7 +413,7 @@
     }
 
     fn next_cursor(&mut self) -> ObservationCursor {
-        self.newest.0 += 1;
+        self.newest = self.newest.next();
         self.newest
     }
 
--- a/crates/decisions/tests/crash_count.rs
+++ b/crates/decisions/tests/crash_count.rs
@@ -239,6 +239,30 @@
     assert!(count.quarantined().count() <= 4_096);
 }
 
+// Each daemon sends an observation back to the one that it got it from. When an observation that was
+// known already moved the position of the newest one, every follower was answered at once, with nothing.
+#[test]
+fn an_observation_that_changes_nothing_does_not_count_as_newer() {
+    let mut count = CrashCount::default();
+    record_all(&mut count, &[crashed(CRASHING, 1, 0), served(BYSTANDER, 0)]);
+    let newest = count.newest_cursor();
+    record_all(&mut count, &[crashed(CRASHING, 1, 0), served(BYSTANDER, 1)]);
+    assert_eq!(
+        count.newest_cursor(),
+        newest,
+        "a crash again, and no suspect"
+    );
+    record_all(&mut count, &[served(CRASHING, 2)]);
+    assert_ne!(count.newest_cursor(), newest);
+    let newest = count.newest_cursor();
+    record_all(&mut count, &[served(CRASHING, 1), crashed(CRASHING, 2, 1)]);
+    assert_eq!(
+        count.newest_cursor(),
+        newest,
+        "both are older than the answer"
+    );
+}
+
 // Daemons exchange observations in batches and continue at the cursor of the last one.
 #[test]
 fn observations_are_returned_in_batches_and_only_once() {
