feat(gateway): logs count all tries, and a report compares daemons that are cut off with the others

Cause: of the plain successes one in 16 is logged, and a request whose client left leaves no line, so logs can't show how clients of a daemon were served.

Change: event 1317 counts clients' requests by second of arrival, service, route and outcome, every 2 s. `bridgevane report reach` compares the tries at daemons that found a service out of reach (or that are named) with those at the others, by service, route and second.

Tests: report.rs (two new ones).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 //! | [`BegunStreams`] | the software versions at which streams began, as daemons report them |
 //! | [`Quarantine`] | the requests that crash the endpoints that run them |
 //! | [`RetryBudgets`] | this daemon's requests and retries of the last two windows |
+//! | [`TryCounts`] | how clients' requests ended since the last log lines |
 //! | [`Shutdown`] | the progress of a planned stop |
 //! | counters | requests in progress, client connections, buffered bytes |
 //!
@@ -38,6 +39,7 @@
 use crate::requests::begun_streams::BegunStreams;
 use crate::requests::quarantine::Quarantine;
 use crate::requests::retry_budgets::RetryBudgets;
+use crate::requests::try_counts::TryCounts;
 use crate::settings::GatewaySettings;
 use crate::unreadable_headers::{HeaderReader, Sender, UnreadableHeaders};
 use bridgevane_types::ServiceName;
@@ -78,6 +80,8 @@
     /// The requests that crash the endpoints that run them.
     pub quarantine: Quarantine,
     pub(crate) retry_budgets: RetryBudgets,
+    /// How clients' requests ended, until that is logged.
+    pub(crate) try_counts: TryCounts,
     pub(crate) requests_in_progress: Counter,
     pub(crate) open_connections: Counter,
     /// The connections on which other daemons forward requests.
@@ -107,6 +111,7 @@
             begun_streams: BegunStreams::new(clock),
             quarantine: Quarantine::new(clock),
             retry_budgets: RetryBudgets::new(clock.now(), &settings, RetryRounding::draw()),
+            try_counts: TryCounts::default(),
             daemons: Daemons::new(
                 settings.peer_address,
                 settings.data_centre.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub use replication::quarantine_writer::run as store_quarantine;
 pub use replication::server::run as serve_peers;
 pub use requests::client_listener::run as serve_clients;
+pub use requests::try_counts::run as log_try_counts;
 pub use settings::{DutySettings, GatewaySettings};
 
 // The interfaces and types that the adapter of a platform implements and fills in.
--- a/crates/gateway/src/lifecycle/stop.rs
+++ b/crates/gateway/src/lifecycle/stop.rs
@@ -32,5 +32,6 @@
     while gateway.open_connections() > 0 && gateway.clock.now() < end {
         sleep(COUNT_INTERVAL).await;
     }
+    gateway.try_counts.log();
     event!(Event::Stopped, in_progress = gateway.in_progress());
 }
--- a/crates/gateway/src/requests/exchange/forwarding.rs
+++ b/crates/gateway/src/requests/exchange/forwarding.rs
@@ -77,6 +77,7 @@
 
     fn on_forwarded(&mut self, daemon: &ChosenDaemon) {
         self.runs += 1;
+        self.was_forwarded = true;
         // The daemon that sent it to the endpoint has counted it.
         self.is_usage_counted = true;
         let now = self.gateway.clock.now();
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -90,6 +90,8 @@
     reported: Option<StreamCursor>,
     /// The daemons that it was forwarded to.
     daemons_asked: Vec<SocketAddr>,
+    /// Whether its newest answer came through another daemon.
+    was_forwarded: bool,
 }
 
 impl Exchange {
@@ -108,9 +110,15 @@
             versions: VersionFilter::Any,
             reported: None,
             daemons_asked: Vec::new(),
+            was_forwarded: false,
         }
     }
 
+    /// Returns whether the newest answer came through another daemon.
+    pub(crate) fn was_forwarded(&self) -> bool {
+        self.was_forwarded
+    }
+
     /// Sends a request whose answer is a stream, which may be one that the client takes up.
     pub(crate) async fn stream_answer(&mut self) -> Result<Answer, Refusal> {
         self.restrict_taken_up().await?;
--- a/crates/gateway/src/requests/exchange/outcome.rs
+++ b/crates/gateway/src/requests/exchange/outcome.rs
@@ -31,6 +31,7 @@
 impl Exchange {
     pub(super) fn on_answered(&mut self, answer: &EndpointAnswer, sent_at: TimeMs) {
         self.runs += 1;
+        self.was_forwarded = false;
         let now = self.gateway.clock.now();
         self.gateway
             .reachability
--- a/crates/gateway/src/requests/handler.rs
+++ b/crates/gateway/src/requests/handler.rs
@@ -13,6 +13,7 @@
 use crate::requests::inbound::InboundRequest;
 use crate::requests::relay::Relay;
 use crate::requests::request_headers::remove_hop_by_hop;
+use crate::requests::try_counts::{ClientTry, TryOutcome};
 use bridgevane_events::{Event, event};
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -123,11 +124,14 @@
     let inbound = admit(gateway, arrived, origin, request).await?;
     let buffered = gateway.buffered_bytes.hold(inbound.body.len() as u64);
     // Another daemon has counted a request that it forwards.
+    let mut client_try = None;
     if origin == RequestOrigin::Client {
         gateway
             .retry_budgets
             .on_request(gateway.clock.now(), &inbound.service);
         gateway.metrics.request_admitted(&inbound.service);
+        let route = &inbound.route.name;
+        client_try = Some(ClientTry::begin(gateway, &inbound.service, route));
     }
     let is_stream = inbound.route.stream.is_some();
     let mut exchange = Exchange::new(gateway.clone(), inbound);
@@ -140,27 +144,45 @@
     } else {
         exchange.plain_answer().await
     };
-    let answered =
-        answered.map_err(|refusal| RefusedRequest::admitted(refusal, &exchange.inbound))?;
+    let answered = answered.map_err(|refusal| {
+        end_try(&mut client_try, TryOutcome::Refused, &exchange);
+        RefusedRequest::admitted(refusal, &exchange.inbound)
+    })?;
     let (answer, read) = match answered {
         PlainAnswer::Whole(answer) => {
+            let outcome = TryOutcome::of_answer(answer.head.status);
+            end_try(&mut client_try, outcome, &exchange);
             let body = AnswerBody::Whole(Full::new(answer.body));
             return Ok(Response::from_parts(client_head(answer.head), body));
         }
         PlainAnswer::Large { answer, read } => (answer, read),
     };
     let head = client_head(answer.head().clone());
+    let complete = TryOutcome::of_answer(head.status);
     let relay = Relay::new(exchange, answer, read);
     // Keeps the request and its body counted until the stream ends.
-    let state = (relay, in_progress, buffered);
-    let frames = futures_util::stream::unfold(state, |(mut relay, guard, held)| async move {
-        let frame = relay.next().await?;
-        Some((frame.map(Frame::data), (relay, guard, held)))
+    let state = (relay, client_try, in_progress, buffered);
+    let frames = futures_util::stream::unfold(state, move |mut state| async move {
+        let (relay, client_try, ..) = &mut state;
+        let frame = relay.next().await;
+        match &frame {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => end_try(client_try, TryOutcome::BrokenOff, relay.exchange()),
+            None => end_try(client_try, complete, relay.exchange()),
+        }
+        Some((frame?.map(Frame::data), state))
     });
     let body = AnswerBody::Stream(Box::pin(StreamBody::new(frames)));
     Ok(Response::from_parts(head, body))
 }
 
+/// Records how a client's try ended; one that another daemon forwarded is counted there.
+fn end_try(client_try: &mut Option<ClientTry>, outcome: TryOutcome, exchange: &Exchange) {
+    if let Some(client_try) = client_try {
+        client_try.end(outcome, exchange.was_forwarded());
+    }
+}
+
 /// Returns the head for the client: the status and the end-to-end headers of the endpoint's head.
 fn client_head(head: response::Parts) -> response::Parts {
     let mut response = Response::new(());
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -13,6 +13,8 @@
 //! When a connection to an endpoint breaks, [`crash_check`] finds out whether the endpoint has
 //! crashed, and [`quarantine`] remembers which requests ran there.
 //!
+//! [`try_counts`] counts how clients' requests end.
+//!
 //! The rules for refusing, shedding, hedging and resending requests are in [`crate::decisions`];
 //! these modules gather the inputs, act on the results and log.
 
@@ -34,3 +36,4 @@
 pub(crate) mod response_head;
 pub(crate) mod retry_budgets;
 pub(crate) mod server_events;
+pub(crate) mod try_counts;
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns the exchange of the request.
+    pub(crate) fn exchange(&self) -> &Exchange {
+        &self.exchange
+    }
+
     /// Returns the next bytes for the client; `None` at the end of the stream.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
         if !self.read.is_empty() {
--- a/crates/log-report/src/line.rs
+++ b/crates/log-report/src/line.rs
@@ -68,6 +68,54 @@
     queue_ms: Option<Number<'a>>,
     #[serde(borrow)]
     line_ms: Option<Number<'a>>,
+    #[serde(borrow)]
+    second: Option<Number<'a>>,
+    #[serde(borrow)]
+    served: Option<Number<'a>>,
+    #[serde(borrow)]
+    served_by_daemons: Option<Number<'a>>,
+    #[serde(borrow)]
+    server_errors: Option<Number<'a>>,
+    #[serde(borrow)]
+    refused: Option<Number<'a>>,
+    #[serde(borrow)]
+    broken_off: Option<Number<'a>>,
+    #[serde(borrow)]
+    clients_left: Option<Number<'a>>,
+}
+
+impl RawLine<'_> {
+    fn tries(&self) -> EndedTries {
+        let count = |number: &Option<Number<'_>>| {
+            let value = number.as_ref().and_then(Number::value);
+            value.unwrap_or_default()
+        };
+        EndedTries {
+            served: count(&self.served),
+            served_by_daemons: count(&self.served_by_daemons),
+            server_errors: count(&self.server_errors),
+            refused: count(&self.refused),
+            broken_off: count(&self.broken_off),
+            clients_left: count(&self.clients_left),
+        }
+    }
+}
+
+/// The numbers of clients' requests that ended, by outcome; 0 in lines that don't count them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndedTries {
+    /// With a complete answer of an endpoint that is no server error.
+    pub served: u64,
+    /// Those of `served` whose answer came through another daemon.
+    pub served_by_daemons: u64,
+    /// With a server error of an endpoint.
+    pub server_errors: u64,
+    /// With a refusal of a daemon.
+    pub refused: u64,
+    /// With an answer that was broken off.
+    pub broken_off: u64,
+    /// Whose client left before the end of the answer.
+    pub clients_left: u64,
 }
 
 /// A number, or a text that contains one.
@@ -125,6 +173,10 @@
     pub runs: Option<u64>,
     /// The expected queueing time at the endpoint, in milliseconds.
     pub queue_ms: Option<u64>,
+    /// The second of arrival that counts are about, in Unix seconds.
+    pub second: Option<u64>,
+    /// Counts of requests that ended.
+    pub tries: EndedTries,
 }
 
 /// Decodes a line.
@@ -142,8 +194,12 @@
     let at = raw.at.as_deref().ok_or(Unread::NoEvent)?;
     let at = humantime::parse_rfc3339(at).map_err(|_| Unread::NoEvent)?;
     let event = Event::from_number(number).ok_or(Unread::UnknownEvent)?;
+    let second = raw.second.as_ref().and_then(Number::value);
+    let tries = raw.tries();
     let queue = raw.queue_ms.or(raw.line_ms);
     Ok(LogLine {
+        tries,
+        second,
         at_ms: unix_ms(at),
         event,
         vm: raw.vm,
--- a/crates/log-report/tests/report.rs
+++ b/crates/log-report/tests/report.rs
@@ -1,8 +1,10 @@
 //! Tests reports on logs, including logs that are cut, mixed or of another version.
 
 use bridgevane_log_report::{
-    Dimension, LogReader, ReadCounts, RequestHistory, Summary, timeline_svg,
+    Dimension, LogReader, ReachHistory, ReachQuery, ReadCounts, RequestHistory, Summary, TryCounts,
+    timeline_svg,
 };
+use std::collections::BTreeSet;
 
 /// Returns a line of the gateway with the fields that all lines have.
 fn line(second: u64, vm: &str, event: u32, fields: &str) -> String {
@@ -265,3 +267,83 @@
     );
     assert!(verdict(&[failed(1, "r1", "i-1", "yes")]).starts_with("no line says how it ended"));
 }
+
+fn tries(vm: &str, second: u64, route: &str, served: u64, through: u64, left: u64) -> String {
+    let fields = format!(
+        r#""second":"{second}","service":"model","route":"{route}","served":"{served}","served_by_daemons":"{through}","server_errors":"0","refused":"1","broken_off":"0","clients_left":"{left}""#
+    );
+    line(0, vm, 1317, &fields)
+}
+
+fn reach_history(lines: &[String]) -> ReachHistory {
+    let mut history = ReachHistory::default();
+    let mut reader = LogReader::default();
+    let text = lines.join("\n");
+    let read = reader.read(text.as_bytes(), |line, _| history.add(&line));
+    read.expect("a text can be read");
+    history
+}
+
+/// Guards against a route whose callers are served badly at daemons that are cut off, and that a sum
+/// over all routes or all daemons hides.
+#[test]
+fn tries_at_daemons_that_were_cut_off_are_compared_with_the_others_by_route() {
+    let history = reach_history(&[
+        line(0, "cut", 1418, r#""service":"model""#),
+        tries("cut", 10, "chat", 90, 80, 9),
+        tries("cut", 10, "report", 0, 0, 9),
+        tries("cut", 11, "chat", 5, 5, 4),
+        tries("fine", 10, "chat", 99, 0, 0),
+        tries("fine", 10, "report", 9, 0, 0),
+        tries("fine", 5, "chat", 0, 0, 50),
+        line(
+            10,
+            "cut",
+            1306,
+            r#""route":"-","reason":"not_ready","status":"503""#,
+        ),
+    ]);
+    let query = ReachQuery {
+        from_s: 10,
+        until_s: 12,
+        cut_off: BTreeSet::from(["cut".to_owned()]),
+    };
+    let rows = history.compare(&query);
+    let row = |route: Option<&str>, second: Option<u64>| {
+        let found = rows.iter().find(|row| {
+            row.service == "model" && row.route.as_deref() == route && row.second == second
+        });
+        found.expect("a row")
+    };
+    let chat = row(Some("chat"), None);
+    assert_eq!(
+        chat.cut_off,
+        TryCounts {
+            tries: 110,
+            served: 95,
+            served_by_daemons: 85,
+            server_errors: 0
+        }
+    );
+    assert_eq!(chat.others.tries, 100);
+    assert_eq!(row(Some("report"), None).ratio(), Some(0.0));
+    assert_eq!(row(None, Some(1)).cut_off.tries, 10);
+    assert_eq!(row(None, Some(1)).ratio(), None, "no tries at the others");
+}
+
+/// Guards against a comparison with the wrong daemons when none are named.
+#[test]
+fn the_daemons_that_found_a_service_out_of_reach_are_the_ones_that_were_cut_off() {
+    let history = reach_history(&[
+        line(0, "cut", 1418, r#""service":"model""#),
+        line(30, "later", 1418, r#""service":"model""#),
+        line(0, "fine", 1419, r#""service":"model""#),
+    ]);
+    let from_s = history.first_out_of_reach_s().expect("a line says so");
+    let query = ReachQuery {
+        from_s,
+        until_s: from_s + 10,
+        cut_off: BTreeSet::new(),
+    };
+    assert_eq!(history.cut_off(&query), BTreeSet::from(["cut".to_owned()]));
+}
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -15,9 +15,9 @@
 use argh::FromArgs;
 use bridgevane_events::{Event, event};
 use bridgevane_gateway::{
-    Gateway, GatewaySettings, follow_control_source, hold_duties, report_final_usage, report_usage,
-    serve_clients, serve_peers, serve_readiness, stop_gracefully, store_quarantine,
-    watch_suspension,
+    Gateway, GatewaySettings, follow_control_source, hold_duties, log_try_counts,
+    report_final_usage, report_usage, serve_clients, serve_peers, serve_readiness, stop_gracefully,
+    store_quarantine, watch_suspension,
 };
 use bridgevane_platform::{DutyApi, LeaseStore, Store, header_names};
 use std::time::Duration;
@@ -210,6 +210,7 @@
     );
     let page = move || metrics.text();
     tokio::spawn(watch_suspension(gateway.clone()));
+    tokio::spawn(log_try_counts(gateway.clone()));
     tokio::spawn(serve_readiness(gateway.clone(), ready_listener, page));
     if let Some(listener) = peers {
         tokio::spawn(serve_peers(gateway.clone(), listener));
--- a/src/commands/report/mod.rs
+++ b/src/commands/report/mod.rs
@@ -4,6 +4,7 @@
 mod burn_page;
 mod log_files;
 mod logs;
+mod reach;
 mod request;
 mod tree;
 
@@ -13,8 +14,8 @@
 
 /// Report service levels: attainment by class over windows, error budget and burn rate,
 /// goodput and wasted work, over all VMs of the data centre. The token is read from
-/// BRIDGEVANE_OPERATOR_TOKEN. `report logs`, `report request` and `report tree` read gateways' logs
-/// instead.
+/// BRIDGEVANE_OPERATOR_TOKEN. `report logs`, `report reach`, `report request` and `report tree` read
+/// gateways' logs instead.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "report")]
 pub struct ReportArguments {
@@ -39,6 +40,7 @@
 #[argh(subcommand)]
 enum LogReport {
     Logs(logs::LogsArguments),
+    Reach(reach::ReachArguments),
     Request(request::RequestArguments),
     Tree(tree::TreeArguments),
 }
@@ -48,6 +50,7 @@
     match &arguments.of_logs {
         None => burn::run(arguments),
         Some(LogReport::Logs(arguments)) => logs::run(arguments),
+        Some(LogReport::Reach(arguments)) => reach::run(arguments),
         Some(LogReport::Request(arguments)) => request::run(arguments),
         Some(LogReport::Tree(arguments)) => tree::run(arguments),
     }
