fix(gateway): forwarded requests leave a data centre whose daemons are cut off

Callers of daemons that are cut off with most of their data centre got 503 after 1.2 s: the three daemons that their request asked were all of that data centre and declined, and each of four endpoints was then tried for 0.3 s. Daemons elsewhere, which reached the service, were never asked.

Cause: daemons of the own data centre went before all others, whatever they answered.

Change: a daemon of a data centre that the request has asked goes after the others, then one of a data centre that declined lately and has not served since. Daemons that serve aren't forgotten before others, and those named to others are drawn at random.

--- a/crates/gateway/src/decisions/forwarding.rs
+++ b/crates/gateway/src/decisions/forwarding.rs
@@ -9,13 +9,16 @@
 //!   of the request has failed already.
 //! - A request that came from another daemon is declined instead: two daemons that both reach
 //!   nothing would send it back and forth.
-//! - A daemon that has served the service lately goes before one of this data centre, and that one
-//!   before any other; among equals the one with the fewest requests of this daemon.
+//! - A daemon that has served the service lately goes first. Of the others, one of a data centre that
+//!   the request hasn't asked goes before one of a data centre that it has asked; then one of a data
+//!   centre that hasn't declined lately, then one of this data centre; among equals the one with the
+//!   fewest requests of this daemon.
 //! - One that declined the service, or could not be reached, isn't asked for a while.
 //! - At most `MAX_DAEMONS` daemons are asked while the request has not been read by any.
 //!
 //! Reason: a daemon that is cut off and one whose endpoints are all down look alike from inside.
-//! Other daemons know, and one that reaches no endpoint either declines at once.
+//! Other daemons know, and one that reaches no endpoint either declines at once. The daemons of a data
+//! centre may all be cut off together, so that a decline says something about the others there.
 //!
 //! Tests: `reachability.rs`, `forwarding.rs`.
 
@@ -23,7 +26,7 @@
 use bridgevane_types::DurationMs;
 
 /// The maximum number of daemons that are asked for one request.
-pub(crate) const MAX_DAEMONS: usize = 3;
+pub const MAX_DAEMONS: usize = 3;
 /// The first time for which a daemon that declined isn't asked.
 const FIRST_DECLINE_MS: u64 = 500;
 /// The longest such time: it bounds how long a daemon that reaches the service again stays unused.
@@ -106,6 +109,10 @@
     pub is_backed_off: bool,
     /// Whether it has served requests of the service lately.
     pub has_served: bool,
+    /// Whether the request has asked a daemon of its data centre.
+    pub is_place_asked: bool,
+    /// Whether a daemon of its data centre declined lately, and none there has served since.
+    pub has_place_declined: bool,
     /// Whether it is in this daemon's data centre.
     pub is_local: bool,
     /// The requests of this daemon that are in progress there.
@@ -120,6 +127,8 @@
     let best = eligible.min_by_key(|(_, candidate)| {
         (
             !candidate.has_served,
+            candidate.is_place_asked,
+            candidate.has_place_declined,
             !candidate.is_local,
             candidate.in_progress,
             candidate.tie_break,
--- a/crates/gateway/src/forwarding/daemons.rs
+++ b/crates/gateway/src/forwarding/daemons.rs
@@ -10,11 +10,12 @@
 use crate::endpoints::connection::Connection;
 use crate::endpoints::idle_connections::IdleConnections;
 use bridgevane_types::{DataCentreId, DurationMs, ServiceName, TimeMs};
+use rand::seq::IteratorRandom;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// The maximum number of known daemons; those heard of the longest ago are forgotten.
+/// The maximum number of known daemons; those heard of the longest ago are forgotten first.
 const MAX_DAEMONS: usize = 64;
 /// How long a daemon counts as one that serves a service, after it last did.
 const SERVED_LIFETIME: DurationMs = DurationMs(5_000);
@@ -31,6 +32,17 @@
     served_at: Option<TimeMs>,
 }
 
+impl ServiceRecord {
+    fn is_backed_off(&self, now: TimeMs) -> bool {
+        now < self.declined_until
+    }
+
+    fn has_served(&self, now: TimeMs) -> bool {
+        self.served_at
+            .is_some_and(|at| now.since(at) < SERVED_LIFETIME)
+    }
+}
+
 #[derive(Debug)]
 struct KnownDaemon {
     data_centre: Option<DataCentreId>,
@@ -39,6 +51,64 @@
     connections: Arc<DaemonConnections>,
 }
 
+impl KnownDaemon {
+    fn record(&self, service: &ServiceName) -> ServiceRecord {
+        self.by_service.get(service).copied().unwrap_or_default()
+    }
+
+    fn has_served_any(&self, now: TimeMs) -> bool {
+        self.by_service
+            .values()
+            .any(|record| record.has_served(now))
+    }
+}
+
+/// What the known daemons show of their data centres, for one request.
+#[derive(Debug)]
+struct Places<'a> {
+    /// Those of the daemons that the request has asked.
+    asked: Vec<&'a DataCentreId>,
+    /// Those with a daemon that is backed off.
+    declined: Vec<&'a DataCentreId>,
+    /// Those with a daemon that has served the service lately.
+    served: Vec<&'a DataCentreId>,
+}
+
+impl<'a> Places<'a> {
+    fn new(
+        known: &'a HashMap<SocketAddr, KnownDaemon>,
+        now: TimeMs,
+        service: &ServiceName,
+        asked: &[SocketAddr],
+    ) -> Self {
+        let mut places = Self {
+            asked: Vec::new(),
+            declined: Vec::new(),
+            served: Vec::new(),
+        };
+        for (address, daemon) in known {
+            let Some(place) = &daemon.data_centre else {
+                continue;
+            };
+            let record = daemon.record(service);
+            for (is_in, list) in [
+                (asked.contains(address), &mut places.asked),
+                (record.is_backed_off(now), &mut places.declined),
+                (record.has_served(now), &mut places.served),
+            ] {
+                if is_in && !list.contains(&place) {
+                    list.push(place);
+                }
+            }
+        }
+        places
+    }
+
+    fn has_declined(&self, place: &DataCentreId) -> bool {
+        self.declined.contains(&place) && !self.served.contains(&place)
+    }
+}
+
 /// The connections to one daemon.
 #[derive(Debug, Default)]
 pub(crate) struct DaemonConnections {
@@ -77,14 +147,15 @@
 
 /// A daemon that was chosen for a request.
 #[derive(Clone, Debug)]
-pub(crate) struct ChosenDaemon {
-    pub(crate) address: SocketAddr,
+pub struct ChosenDaemon {
+    /// Its peer address.
+    pub address: SocketAddr,
     pub(crate) connections: Arc<DaemonConnections>,
 }
 
 /// The known daemons.
 #[derive(Debug)]
-pub(crate) struct Daemons {
+pub struct Daemons {
     own_address: Option<SocketAddr>,
     own_data_centre: DataCentreId,
     known: Mutex<HashMap<SocketAddr, KnownDaemon>>,
@@ -92,7 +163,7 @@
 
 impl Daemons {
     /// Creates the set of a daemon that knows the seeds.
-    pub(crate) fn new(
+    pub fn new(
         own_address: Option<SocketAddr>,
         own_data_centre: DataCentreId,
         seeds: &[SocketAddr],
@@ -113,7 +184,7 @@
     }
 
     /// Records that a daemon exists, and its data centre if that is known.
-    pub(crate) fn on_heard_of(
+    pub fn on_heard_of(
         &self,
         now: TimeMs,
         address: SocketAddr,
@@ -134,29 +205,30 @@
             daemon.data_centre = Some(data_centre.clone());
         }
         if known.len() > MAX_DAEMONS
-            && let Some(oldest) = oldest(&known)
+            && let Some(oldest) = oldest(&known, now)
         {
             known.remove(&oldest);
         }
     }
 
-    /// Returns up to `count` daemons with known data centres, in no particular order.
-    pub(crate) fn sample(&self, count: usize) -> Vec<(SocketAddr, DataCentreId)> {
+    /// Returns up to `count` daemons with known data centres, at random.
+    pub fn sample(&self, count: usize) -> Vec<(SocketAddr, DataCentreId)> {
         let known = self.known();
         let placed = known
             .iter()
             .filter_map(|(address, daemon)| Some((*address, daemon.data_centre.clone()?)));
-        placed.take(count).collect()
+        placed.sample(&mut rand::rng(), count)
     }
 
     /// Chooses the daemon that a request is forwarded to, without those already asked for it.
-    pub(crate) fn choose(
+    pub fn choose(
         &self,
         now: TimeMs,
         service: &ServiceName,
         asked: &[SocketAddr],
     ) -> Option<ChosenDaemon> {
         let known = self.known();
+        let places = Places::new(&known, now, service, asked);
         let candidates = known
             .iter()
             .filter(|(address, _)| !asked.contains(address))
@@ -165,7 +237,7 @@
                     address: *address,
                     connections: daemon.connections.clone(),
                 };
-                (chosen, self.candidate(now, service, daemon))
+                (chosen, self.candidate(now, service, daemon, &places))
             });
         choose(candidates)
     }
@@ -175,21 +247,23 @@
         now: TimeMs,
         service: &ServiceName,
         daemon: &KnownDaemon,
+        places: &Places<'_>,
     ) -> ForwardingCandidate {
-        let record = daemon.by_service.get(service).copied().unwrap_or_default();
+        let record = daemon.record(service);
+        let place = daemon.data_centre.as_ref();
         ForwardingCandidate {
-            is_backed_off: now < record.declined_until,
-            has_served: record
-                .served_at
-                .is_some_and(|at| now.since(at) < SERVED_LIFETIME),
-            is_local: daemon.data_centre.as_ref() == Some(&self.own_data_centre),
+            is_backed_off: record.is_backed_off(now),
+            has_served: record.has_served(now),
+            is_place_asked: place.is_some_and(|place| places.asked.contains(&place)),
+            has_place_declined: place.is_some_and(|place| places.has_declined(place)),
+            is_local: place == Some(&self.own_data_centre),
             in_progress: daemon.connections.in_progress.get(),
             tie_break: rand::random(),
         }
     }
 
     /// Records that a daemon declined a request of the service, or could not be reached.
-    pub(crate) fn on_declined(&self, now: TimeMs, daemon: SocketAddr, service: &ServiceName) {
+    pub fn on_declined(&self, now: TimeMs, daemon: SocketAddr, service: &ServiceName) {
         self.update(daemon, service, |record| {
             record.declines_in_a_row += 1;
             record.declined_until = now + decline_time(record.declines_in_a_row);
@@ -198,7 +272,7 @@
     }
 
     /// Records that an endpoint answered a request of the service through a daemon.
-    pub(crate) fn on_served(&self, now: TimeMs, daemon: SocketAddr, service: &ServiceName) {
+    pub fn on_served(&self, now: TimeMs, daemon: SocketAddr, service: &ServiceName) {
         self.update(daemon, service, |record| {
             *record = ServiceRecord {
                 served_at: Some(now),
@@ -220,7 +294,11 @@
     }
 }
 
-fn oldest(known: &HashMap<SocketAddr, KnownDaemon>) -> Option<SocketAddr> {
-    let oldest = known.iter().min_by_key(|(_, daemon)| daemon.heard_of_at);
+/// Returns the daemon that is forgotten first: of those that have served no service lately, the one
+/// heard of the longest ago.
+fn oldest(known: &HashMap<SocketAddr, KnownDaemon>, now: TimeMs) -> Option<SocketAddr> {
+    let oldest = known
+        .iter()
+        .min_by_key(|(_, daemon)| (daemon.has_served_any(now), daemon.heard_of_at));
     oldest.map(|(address, _)| *address)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -78,6 +78,7 @@
 pub use endpoints::prompt_locations::PromptLocations;
 pub use endpoints::rate_limit::RateLimitState;
 pub use endpoints::selection::{Selected, SelectionRequest, VersionFilter, select_endpoint};
+pub use forwarding::daemons::{ChosenDaemon, Daemons};
 pub use prompt::{Prompt, PromptPart};
 pub use replication::message::{MessageError, decode_update, encode_update, encode_update_parts};
 pub use replication::work_reports::WorkReports;
--- a/crates/gateway/tests/reachability.rs
+++ b/crates/gateway/tests/reachability.rs
@@ -132,6 +132,8 @@
 const CANDIDATE: ForwardingCandidate = ForwardingCandidate {
     is_backed_off: false,
     has_served: false,
+    is_place_asked: false,
+    has_place_declined: false,
     is_local: false,
     in_progress: 0,
     tie_break: 0,
@@ -180,6 +182,43 @@
     assert_eq!(pick(&[("declined", declined)]), None);
 }
 
+/// Guards against a request that asks only daemons of its own data centre, all of which may be cut off,
+/// and against one that leaves it although daemons there serve.
+#[test]
+fn a_daemon_of_another_data_centre_goes_before_those_of_one_that_declined() {
+    let local = ForwardingCandidate {
+        is_local: true,
+        ..CANDIDATE
+    };
+    let asked = ForwardingCandidate {
+        is_place_asked: true,
+        ..local
+    };
+    let declined = ForwardingCandidate {
+        has_place_declined: true,
+        ..local
+    };
+    let served = ForwardingCandidate {
+        has_served: true,
+        ..asked
+    };
+    let pick =
+        |candidates: &[(&'static str, ForwardingCandidate)]| choose(candidates.iter().copied());
+    assert_eq!(
+        pick(&[("declined", declined), ("other", CANDIDATE)]),
+        Some("other")
+    );
+    assert_eq!(
+        pick(&[("asked", asked), ("declined", declined)]),
+        Some("declined")
+    );
+    assert_eq!(
+        pick(&[("other", CANDIDATE), ("served", served)]),
+        Some("served")
+    );
+    assert_eq!(pick(&[("asked", asked)]), Some("asked"));
+}
+
 /// Guards against a daemon that is asked over and over, and against one that is never asked again.
 #[test]
 fn the_time_after_a_decline_doubles_up_to_a_limit() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod crashing;
 pub mod endpoint;
 pub mod records;
+pub mod seeded;
 pub mod source;
 pub mod unreachable;
 pub mod versions;
