fix(gateway): a request waits at no daemon that is cut off, frozen or gone

Callers of daemons that were cut off waited at other daemons that could not serve them either, until their deadline: at daemons that were cut off, too, and had no request yet from which to learn it (0.3 s each), and at daemons that were frozen or gone (0.3 s each, three at most). Where few daemons reached the service, the three that a request asked at random seldom held one.

Cause: a daemon accepted whatever was forwarded to it and found out by the request itself, one daemon was asked after the other, and nobody said who serves.

Change (docs/design/27): the handshake names the service, and the daemon that is asked accepts if it was in contact with the service within a second, else after a probe; its answer names the daemons that served it lately. A daemon that doesn't answer within 50 ms isn't waited for. Six are asked at most. While a service is out of reach and no daemon is known that serves it, one is asked with each probe of the endpoints, so that finding one doesn't take as long as the next requests. One that has served counts for 30 s: a wrong guess costs a round trip. The order of equals is drawn from a seed.

--- a/crates/gateway/src/decisions/endpoint/reachability.rs
+++ b/crates/gateway/src/decisions/endpoint/reachability.rs
@@ -11,6 +11,8 @@
 //! - A suspicion starts a probe of up to `MAX_PROBED_ENDPOINTS` endpoints, of different data
 //!   centres where possible. An accepted connection ends it; otherwise the service is out of reach.
 //! - The probe is repeated every `PROBE_INTERVAL`. An accepted connection ends the state.
+//! - Another daemon's requests are accepted if something was heard of the service for
+//!   `RECENT_CONTACT`, otherwise after a probe.
 //!
 //! Reason: the ejection of single endpoints can't tell an endpoint that is down from a daemon that
 //! is cut off. Open connections may live on while new ones fail, so answers on them don't count
@@ -52,6 +54,17 @@
     OutOfReach,
 }
 
+/// What a daemon's contact with a service shows of its reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// An endpoint answered or accepted a connection lately.
+    Recent,
+    /// No endpoint accepts a connection.
+    None,
+    /// Nothing was heard of it lately.
+    Unknown,
+}
+
 /// The result of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeVerdict {
@@ -114,19 +127,36 @@
         if lost.len() < MIN_LOST_ENDPOINTS && !lost.contains(&endpoint) {
             lost.push(endpoint);
         }
-        let had_contact = self
-            .last_contact_at
-            .is_some_and(|at| now.since(at) < RECENT_CONTACT);
-        let min_lost = if had_contact {
+        let lost = lost.len();
+        let min_lost = if self.had_contact(now) {
             MIN_LOST_ENDPOINTS.min(endpoints.max(1))
         } else {
             1
         };
-        let is_suspected = self.reach == Reach::InReach && lost.len() >= min_lost;
-        if is_suspected {
+        lost >= min_lost && self.suspect()
+    }
+
+    /// Suspects that the service is out of reach; returns true if a probe has to start.
+    pub fn suspect(&mut self) -> bool {
+        let is_new = self.reach == Reach::InReach;
+        if is_new {
             self.reach = Reach::Suspected;
         }
-        is_suspected
+        is_new
+    }
+
+    /// Returns what the contact with the service shows.
+    pub fn contact(&self, now: TimeMs) -> Contact {
+        match self.reach {
+            Reach::OutOfReach => Contact::None,
+            Reach::InReach if self.had_contact(now) => Contact::Recent,
+            Reach::InReach | Reach::Suspected => Contact::Unknown,
+        }
+    }
+
+    fn had_contact(&self, now: TimeMs) -> bool {
+        self.last_contact_at
+            .is_some_and(|at| now.since(at) < RECENT_CONTACT)
     }
 
     /// Records the result of a probe: whether an endpoint accepted a connection.
--- a/crates/gateway/src/decisions/forwarding.rs
+++ b/crates/gateway/src/decisions/forwarding.rs
@@ -9,12 +9,14 @@
 //!   of the request has failed already.
 //! - A request that came from another daemon is declined instead: two daemons that both reach
 //!   nothing would send it back and forth.
-//! - A daemon that has served the service lately goes first. Of the others, one of a data centre that
-//!   the request hasn't asked goes before one of a data centre that it has asked; then one of a data
-//!   centre that hasn't declined lately, then one of this data centre; among equals the one with the
-//!   fewest requests of this daemon.
+//! - A daemon that has served the service lately goes first, then one that others name as serving. Of
+//!   the others, one of a data centre that the request hasn't asked goes before one of a data centre
+//!   that it has asked; then one of a data centre that hasn't declined lately, then one of this data
+//!   centre; among equals the one with the fewest requests of this daemon.
 //! - One that declined the service, or could not be reached, isn't asked for a while.
-//! - At most `MAX_DAEMONS` daemons are asked while the request has not been read by any.
+//! - A daemon that hasn't answered within `ASK_INTERVAL` isn't waited for: the next one is asked beside
+//!   it, and the first that accepts gets the request.
+//! - At most `MAX_ASKED` daemons are asked, and `MAX_SENT` of them get the request.
 //!
 //! Reason: a daemon that is cut off and one whose endpoints are all down look alike from inside.
 //! Other daemons know, and one that reaches no endpoint either declines at once. The daemons of a data
@@ -24,9 +26,15 @@
 
 use super::endpoint::reachability::Reach;
 use bridgevane_types::DurationMs;
+use std::time::Duration;
 
 /// The maximum number of daemons that are asked for one request.
-pub const MAX_DAEMONS: usize = 3;
+pub const MAX_ASKED: usize = 6;
+/// The maximum number of daemons that one request is sent to.
+pub(crate) const MAX_SENT: usize = 3;
+/// How long a daemon may take to accept a request before the next one is asked. It takes two round
+/// trips; a daemon that is gone or frozen takes for ever.
+pub(crate) const ASK_INTERVAL: Duration = Duration::from_millis(50);
 /// The first time for which a daemon that declined isn't asked.
 const FIRST_DECLINE_MS: u64 = 500;
 /// The longest such time: it bounds how long a daemon that reaches the service again stays unused.
@@ -102,13 +110,24 @@
     DurationMs((FIRST_DECLINE_MS << doublings).min(MAX_DECLINE_MS))
 }
 
+/// What is known of a daemon's service, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Experience {
+    /// It has served requests of this daemon lately.
+    Served,
+    /// Another daemon lately named it as one that serves.
+    NamedAsServing,
+    /// None.
+    Unknown,
+}
+
 /// A daemon that a request may be forwarded to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ForwardingCandidate {
     /// Whether it declined lately, or could not be reached.
     pub is_backed_off: bool,
-    /// Whether it has served requests of the service lately.
-    pub has_served: bool,
+    /// What is known of it.
+    pub experience: Experience,
     /// Whether the request has asked a daemon of its data centre.
     pub is_place_asked: bool,
     /// Whether a daemon of its data centre declined lately, and none there has served since.
@@ -126,7 +145,7 @@
     let eligible = candidates.filter(|(_, candidate)| !candidate.is_backed_off);
     let best = eligible.min_by_key(|(_, candidate)| {
         (
-            !candidate.has_served,
+            candidate.experience,
             candidate.is_place_asked,
             candidate.has_place_declined,
             !candidate.is_local,
--- a/crates/gateway/src/endpoints/reachability.rs
+++ b/crates/gateway/src/endpoints/reachability.rs
@@ -3,7 +3,7 @@
 //! The rule is [`crate::decisions::endpoint::reachability`]. Lost with the process, and learned
 //! again with the first requests.
 
-use crate::decisions::endpoint::reachability::{Loss, ProbeVerdict, Reach, ServiceReach};
+use crate::decisions::endpoint::reachability::{Contact, Loss, ProbeVerdict, Reach, ServiceReach};
 use bridgevane_decisions::EndpointIx;
 use bridgevane_types::{ServiceName, TimeMs};
 use std::collections::HashMap;
@@ -38,6 +38,19 @@
             .unwrap_or_default()
     }
 
+    /// Returns what this daemon's contact with a service shows.
+    pub(crate) fn contact(&self, now: TimeMs, service: &ServiceName) -> Contact {
+        let services = self.services();
+        let reach = services.get(service);
+        reach.map_or(Contact::Unknown, |reach| reach.contact(now))
+    }
+
+    /// Records that no endpoint of the service accepted a connection; returns true if a probe has to
+    /// start.
+    pub(crate) fn suspect(&self, service: &ServiceName) -> bool {
+        self.update(service, ServiceReach::suspect)
+    }
+
     /// Records that a connection to an endpoint of the service was opened.
     pub(crate) fn on_opened(&self, now: TimeMs, service: &ServiceName) {
         self.update(service, |reach| reach.on_opened(now));
--- a/crates/gateway/src/forwarding/attempt.rs
+++ b/crates/gateway/src/forwarding/attempt.rs
@@ -6,7 +6,6 @@
 use crate::counter::CountGuard;
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
 use crate::decisions::eligibility::stream_version::VersionHash;
-use crate::decisions::endpoint::idle_connections::{MAX_IDLE_TRIES, may_reuse};
 use crate::decisions::resend::AttemptError;
 use crate::endpoints::connection::Connection;
 use crate::forwarding::daemons::{ChosenDaemon, DaemonConnections};
@@ -22,6 +21,9 @@
 use std::sync::Arc;
 use tokio::time::timeout_at;
 
+/// How often a connection is opened again for one request.
+const MAX_REOPENED: usize = 1;
+
 /// Why another daemon gave no answer of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ForwardingError {
@@ -76,14 +78,17 @@
 }
 
 impl ForwardingAttempt<'_> {
-    /// Sends the request and reads the head of the answer.
+    /// Sends the request on a connection that the daemon has accepted, and reads the head of the answer.
     ///
     /// # Errors
     /// [`ForwardingError`] if there is no answer of an endpoint.
-    pub(crate) async fn run(self) -> Result<ForwardedAnswer, ForwardingError> {
+    pub(crate) async fn run(
+        self,
+        connection: Connection,
+    ) -> Result<ForwardedAnswer, ForwardingError> {
         let connections = &self.daemon.connections;
         let in_progress = connections.begin_request();
-        let (connection, response) = self.send().await?;
+        let (connection, response) = self.send(connection).await?;
         connections.on_activity(self.gateway.clock.now());
         let (mut head, body) = response.into_parts();
         if let Some(reason) = headers::refusal_reason(&head.headers) {
@@ -109,12 +114,14 @@
         })
     }
 
-    /// Sends the request on an idle or a new connection, and waits for the answer's head.
-    async fn send(&self) -> Result<(Connection, Response<Incoming>), ForwardingError> {
+    /// Sends the request, and waits for the answer's head. If the connection turns out to be closed
+    /// before a byte was sent on it, a new one is opened.
+    async fn send(
+        &self,
+        mut connection: Connection,
+    ) -> Result<(Connection, Response<Incoming>), ForwardingError> {
         let mut request = self.request();
-        for tries in 0..=MAX_IDLE_TRIES {
-            let connection = self.connection(tries).await;
-            let mut connection = connection.ok_or(ForwardingError::Declined)?;
+        for _ in 0..=MAX_REOPENED {
             let sending = connection.sender.try_send_request(request);
             let sent = timeout_at(self.inbound.deadline, sending).await;
             match sent.map_err(|_| ForwardingError::Failed(AttemptError::TimedOut))? {
@@ -124,23 +131,13 @@
                     None => return Err(ForwardingError::Failed(AttemptError::Broken)),
                 },
             }
+            let service = &self.inbound.service;
+            let opened = connection::open(self.gateway, self.daemon.address, service).await;
+            connection = opened.ok_or(ForwardingError::Declined)?;
         }
         Err(ForwardingError::Declined)
     }
 
-    async fn connection(&self, idle_tries: usize) -> Option<Connection> {
-        let connections = &self.daemon.connections;
-        let now = self.gateway.clock.now();
-        let may_run_again = self.inbound.route.may_run_again();
-        if idle_tries < MAX_IDLE_TRIES
-            && may_reuse(may_run_again, now, connections.last_activity_at())
-            && let Some(connection) = connections.take_idle(now)
-        {
-            return Some(connection);
-        }
-        connection::open(self.gateway, self.daemon.address).await
-    }
-
     /// Builds the request for the other daemon: the client's, with the time that is left.
     fn request(&self) -> Request<Full<Bytes>> {
         let names = &self.gateway.header_names;
--- a/crates/gateway/src/forwarding/connection.rs
+++ b/crates/gateway/src/forwarding/connection.rs
@@ -3,42 +3,53 @@
 
 use crate::counter::CountGuard;
 use crate::endpoints::connection::Connection;
+use crate::forwarding::reach_probe;
 use crate::gateway::Gateway;
 use crate::replication::peer_connection::{FramedStream, open_connection};
 use bridgevane_events::{Event, event};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{DaemonPlace, ForwardingAnswer, ForwardingWanted, Frame, FrameError};
-use bridgevane_types::DataCentreId;
+use bridgevane_types::{DataCentreId, ServiceName};
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// How long the other daemon's answer to the handshake may take. It is sent at once.
+/// How long the other daemon's answer to the handshake may take. It is sent at once, or after a probe.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(300);
 /// The maximum number of connections for other daemons' requests. A request takes its body and some
 /// KB of buffers, of the smallest VM's 88 MB.
 const MAX_CONNECTIONS: u64 = 128;
-/// The number of further daemons that are named in an answer.
+/// The maximum number of further daemons that are named in an answer, and of those that serve.
 const NAMED_DAEMONS: usize = 8;
 
-/// Opens a connection for requests to another daemon; `None` if it can't be reached, or declines.
-pub(crate) async fn open(gateway: &Gateway, daemon: SocketAddr) -> Option<Connection> {
+/// Opens a connection for requests of a service to another daemon; `None` if it can't be reached, or
+/// declines.
+pub(crate) async fn open(
+    gateway: &Gateway,
+    daemon: SocketAddr,
+    service: &ServiceName,
+) -> Option<Connection> {
     // The caller logs each failure as declined, and asks another daemon.
     let mut frames = open_connection(daemon).await.ok()?;
-    let answer = timeout(HANDSHAKE_TIMEOUT, shake_hands(gateway, &mut frames)).await;
+    let answer = timeout(
+        HANDSHAKE_TIMEOUT,
+        shake_hands(gateway, service, &mut frames),
+    )
+    .await;
     let answer = answer.ok()??;
     let now = gateway.clock.now();
     let data_centre = DataCentreId::from(answer.data_centre.as_str());
     gateway.daemons.on_heard_of(now, daemon, Some(&data_centre));
-    for place in &answer.daemons {
-        if let Ok(address) = place.peer_address.parse() {
-            let data_centre = DataCentreId::from(place.data_centre.as_str());
-            gateway
-                .daemons
-                .on_heard_of(now, address, Some(&data_centre));
-        }
+    for (address, data_centre) in places(&answer.daemons) {
+        let daemons = &gateway.daemons;
+        daemons.on_heard_of(now, address, Some(&data_centre));
+    }
+    for (address, data_centre) in places(&answer.serving) {
+        let daemons = &gateway.daemons;
+        daemons.on_named_as_serving(now, address, &data_centre, service);
     }
     if !answer.is_accepted {
         return None;
@@ -47,8 +58,31 @@
     Connection::over(frames.into_inner()).await.ok()
 }
 
-async fn shake_hands(gateway: &Gateway, frames: &mut FramedStream) -> Option<ForwardingAnswer> {
+/// Decodes the places of daemons; those without a valid address are left out.
+fn places(places: &[DaemonPlace]) -> impl Iterator<Item = (SocketAddr, DataCentreId)> {
+    places.iter().filter_map(|place| {
+        let address = place.peer_address.parse().ok()?;
+        Some((address, DataCentreId::from(place.data_centre.as_str())))
+    })
+}
+
+fn encode_places(places: Vec<(SocketAddr, DataCentreId)>) -> Vec<DaemonPlace> {
+    let places = places.into_iter();
+    places
+        .map(|(address, data_centre)| DaemonPlace {
+            peer_address: address.to_string(),
+            data_centre: data_centre.to_string(),
+        })
+        .collect()
+}
+
+async fn shake_hands(
+    gateway: &Gateway,
+    service: &ServiceName,
+    frames: &mut FramedStream,
+) -> Option<ForwardingAnswer> {
     let wanted = ForwardingWanted {
+        service: service.to_string(),
         vm: gateway.settings.vm.to_string(),
         data_centre: gateway.settings.data_centre.to_string(),
     };
@@ -70,29 +104,31 @@
 
 /// Answers a daemon that wants to forward requests on this connection; `None` if that is declined.
 pub(crate) async fn accept(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     mut frames: FramedStream,
     wanted: &ForwardingWanted,
 ) -> Result<Option<AcceptedConnection>, FrameError> {
     let counted = gateway.forwarded_connections.hold(1);
-    let is_accepted = gateway.is_ready() && gateway.forwarded_connections.get() <= MAX_CONNECTIONS;
-    let places = gateway.daemons.sample(NAMED_DAEMONS);
-    let daemons = places
-        .into_iter()
-        .map(|(address, data_centre)| DaemonPlace {
-            peer_address: address.to_string(),
-            data_centre: data_centre.to_string(),
-        });
+    let service = ServiceName::from(wanted.service.as_str());
+    let has_room = gateway.forwarded_connections.get() <= MAX_CONNECTIONS;
+    // A daemon of an earlier version names no service; its requests are declined one by one.
+    let is_accepted = gateway.is_ready()
+        && has_room
+        && (wanted.service.is_empty() || reach_probe::reaches(gateway, &service).await);
+    let daemons = &gateway.daemons;
+    let serving = daemons.serving(gateway.clock.now(), &service, NAMED_DAEMONS);
     let answer = ForwardingAnswer {
         is_accepted,
         data_centre: gateway.settings.data_centre.to_string(),
-        daemons: daemons.collect(),
+        daemons: encode_places(daemons.sample(NAMED_DAEMONS)),
+        serving: encode_places(serving),
     };
     let body = Some(Body::ForwardingAnswer(answer));
     frames.send(Frame { body }).await?;
     event!(
         Event::ForwardingAsked,
         daemon = wanted.vm,
+        service = service,
         is_accepted = is_accepted
     );
     Ok(is_accepted.then(|| AcceptedConnection {
--- a/crates/gateway/src/forwarding/daemons.rs
+++ b/crates/gateway/src/forwarding/daemons.rs
@@ -6,19 +6,22 @@
 
 use crate::clock::AtomicTime;
 use crate::counter::{CountGuard, Counter};
-use crate::decisions::forwarding::{ForwardingCandidate, choose, decline_time};
+use crate::decisions::forwarding::{Experience, ForwardingCandidate, choose, decline_time};
 use crate::endpoints::connection::Connection;
 use crate::endpoints::idle_connections::IdleConnections;
 use bridgevane_types::{DataCentreId, DurationMs, ServiceName, TimeMs};
+use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
-use std::collections::HashMap;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// The maximum number of known daemons; those heard of the longest ago are forgotten first.
 const MAX_DAEMONS: usize = 64;
-/// How long a daemon counts as one that serves a service, after it last did.
-const SERVED_LIFETIME: DurationMs = DurationMs(5_000);
+/// How long a daemon counts as one that serves a service, after it last did. One that no longer does
+/// declines, which costs a round trip.
+const SERVED_LIFETIME: DurationMs = DurationMs(30_000);
 /// How long an idle connection to a daemon is kept.
 const IDLE_TIMEOUT: DurationMs = DurationMs(2_000);
 /// The maximum number of idle connections to one daemon.
@@ -30,6 +33,8 @@
     declines_in_a_row: u32,
     declined_until: TimeMs,
     served_at: Option<TimeMs>,
+    /// When another daemon last named it as one that serves.
+    named_at: Option<TimeMs>,
 }
 
 impl ServiceRecord {
@@ -38,8 +43,17 @@
     }
 
     fn has_served(&self, now: TimeMs) -> bool {
-        self.served_at
-            .is_some_and(|at| now.since(at) < SERVED_LIFETIME)
+        is_recent(self.served_at, now)
+    }
+
+    fn experience(&self, now: TimeMs) -> Experience {
+        if self.has_served(now) {
+            Experience::Served
+        } else if is_recent(self.named_at, now) {
+            Experience::NamedAsServing
+        } else {
+            Experience::Unknown
+        }
     }
 }
 
@@ -51,15 +65,18 @@
     connections: Arc<DaemonConnections>,
 }
 
+fn is_recent(at: Option<TimeMs>, now: TimeMs) -> bool {
+    at.is_some_and(|at| now.since(at) < SERVED_LIFETIME)
+}
+
 impl KnownDaemon {
     fn record(&self, service: &ServiceName) -> ServiceRecord {
         self.by_service.get(service).copied().unwrap_or_default()
     }
 
-    fn has_served_any(&self, now: TimeMs) -> bool {
-        self.by_service
-            .values()
-            .any(|record| record.has_served(now))
+    fn serves_any(&self, now: TimeMs) -> bool {
+        let mut records = self.by_service.values();
+        records.any(|record| record.experience(now) != Experience::Unknown)
     }
 }
 
@@ -76,7 +93,7 @@
 
 impl<'a> Places<'a> {
     fn new(
-        known: &'a HashMap<SocketAddr, KnownDaemon>,
+        known: &'a BTreeMap<SocketAddr, KnownDaemon>,
         now: TimeMs,
         service: &ServiceName,
         asked: &[SocketAddr],
@@ -158,20 +175,31 @@
 pub struct Daemons {
     own_address: Option<SocketAddr>,
     own_data_centre: DataCentreId,
-    known: Mutex<HashMap<SocketAddr, KnownDaemon>>,
+    known: Mutex<Known>,
+}
+
+#[derive(Debug)]
+struct Known {
+    daemons: BTreeMap<SocketAddr, KnownDaemon>,
+    /// Draws the order of equals, so that daemons that are cut off together don't all ask the same.
+    random: StdRng,
 }
 
 impl Daemons {
-    /// Creates the set of a daemon that knows the seeds.
+    /// Creates the set of a daemon that knows the seeds; `random_seed` determines the order of equals.
     pub fn new(
         own_address: Option<SocketAddr>,
         own_data_centre: DataCentreId,
         seeds: &[SocketAddr],
+        random_seed: u64,
     ) -> Self {
         let daemons = Self {
             own_address,
             own_data_centre,
-            known: Mutex::default(),
+            known: Mutex::new(Known {
+                daemons: BTreeMap::new(),
+                random: StdRng::seed_from_u64(random_seed),
+            }),
         };
         for seed in seeds {
             daemons.on_heard_of(TimeMs(0), *seed, None);
@@ -179,7 +207,7 @@
         daemons
     }
 
-    fn known(&self) -> MutexGuard<'_, HashMap<SocketAddr, KnownDaemon>> {
+    fn known(&self) -> MutexGuard<'_, Known> {
         self.known.lock().expect("no panic under this lock")
     }
 
@@ -193,7 +221,7 @@
         if Some(address) == self.own_address {
             return;
         }
-        let mut known = self.known();
+        let known = &mut self.known().daemons;
         let daemon = known.entry(address).or_insert_with(|| KnownDaemon {
             data_centre: None,
             heard_of_at: now,
@@ -205,7 +233,7 @@
             daemon.data_centre = Some(data_centre.clone());
         }
         if known.len() > MAX_DAEMONS
-            && let Some(oldest) = oldest(&known, now)
+            && let Some(oldest) = oldest(known, now)
         {
             known.remove(&oldest);
         }
@@ -213,11 +241,12 @@
 
     /// Returns up to `count` daemons with known data centres, at random.
     pub fn sample(&self, count: usize) -> Vec<(SocketAddr, DataCentreId)> {
-        let known = self.known();
-        let placed = known
+        let mut known = self.known();
+        let Known { daemons, random } = &mut *known;
+        let placed = daemons
             .iter()
             .filter_map(|(address, daemon)| Some((*address, daemon.data_centre.clone()?)));
-        placed.sample(&mut rand::rng(), count)
+        placed.sample(random, count)
     }
 
     /// Chooses the daemon that a request is forwarded to, without those already asked for it.
@@ -227,9 +256,10 @@
         service: &ServiceName,
         asked: &[SocketAddr],
     ) -> Option<ChosenDaemon> {
-        let known = self.known();
-        let places = Places::new(&known, now, service, asked);
-        let candidates = known
+        let mut known = self.known();
+        let Known { daemons, random } = &mut *known;
+        let places = Places::new(daemons, now, service, asked);
+        let candidates = daemons
             .iter()
             .filter(|(address, _)| !asked.contains(address))
             .map(|(address, daemon)| {
@@ -237,7 +267,14 @@
                     address: *address,
                     connections: daemon.connections.clone(),
                 };
-                (chosen, self.candidate(now, service, daemon, &places))
+                let candidate = self.candidate(now, service, daemon, &places);
+                (
+                    chosen,
+                    ForwardingCandidate {
+                        tie_break: random.random(),
+                        ..candidate
+                    },
+                )
             });
         choose(candidates)
     }
@@ -253,24 +290,85 @@
         let place = daemon.data_centre.as_ref();
         ForwardingCandidate {
             is_backed_off: record.is_backed_off(now),
-            has_served: record.has_served(now),
+            experience: record.experience(now),
             is_place_asked: place.is_some_and(|place| places.asked.contains(&place)),
             has_place_declined: place.is_some_and(|place| places.has_declined(place)),
             is_local: place == Some(&self.own_data_centre),
             in_progress: daemon.connections.in_progress.get(),
-            tie_break: rand::random(),
+            tie_break: 0,
         }
     }
 
+    /// Records that another daemon named this one as serving requests of the service.
+    pub fn on_named_as_serving(
+        &self,
+        now: TimeMs,
+        daemon: SocketAddr,
+        data_centre: &DataCentreId,
+        service: &ServiceName,
+    ) {
+        self.on_heard_of(now, daemon, Some(data_centre));
+        self.update(daemon, service, |record| record.named_at = Some(now));
+    }
+
+    /// Returns whether a daemon is known that serves requests of the service.
+    pub fn knows_serving(&self, now: TimeMs, service: &ServiceName) -> bool {
+        let known = self.known();
+        let mut records = known.daemons.values().map(|daemon| daemon.record(service));
+        records.any(|record| {
+            record.experience(now) != Experience::Unknown && !record.is_backed_off(now)
+        })
+    }
+
+    /// Returns up to `count` daemons that have served requests of the service lately, at random.
+    pub fn serving(
+        &self,
+        now: TimeMs,
+        service: &ServiceName,
+        count: usize,
+    ) -> Vec<(SocketAddr, DataCentreId)> {
+        let mut known = self.known();
+        let Known { daemons, random } = &mut *known;
+        let serving = daemons
+            .iter()
+            .filter(|(_, daemon)| daemon.record(service).has_served(now))
+            .filter_map(|(address, daemon)| Some((*address, daemon.data_centre.clone()?)));
+        serving.sample(random, count)
+    }
+
     /// Records that a daemon declined a request of the service, or could not be reached.
     pub fn on_declined(&self, now: TimeMs, daemon: SocketAddr, service: &ServiceName) {
         self.update(daemon, service, |record| {
             record.declines_in_a_row += 1;
             record.declined_until = now + decline_time(record.declines_in_a_row);
             record.served_at = None;
+            record.named_at = None;
         });
     }
 
+    /// Records the end of a handshake that no request waits for: an accepted connection is kept for the
+    /// next request.
+    pub(crate) fn on_handshake(
+        &self,
+        now: TimeMs,
+        daemon: ChosenDaemon,
+        service: &ServiceName,
+        accepted: Option<Connection>,
+    ) {
+        let Some(connection) = accepted else {
+            return self.on_declined(now, daemon.address, service);
+        };
+        self.update(daemon.address, service, |record| {
+            *record = ServiceRecord {
+                served_at: record.served_at,
+                named_at: Some(now),
+                ..ServiceRecord::default()
+            };
+        });
+        daemon.connections.on_activity(now);
+        daemon.connections.put_idle(now, connection);
+    }
+
     /// Records that an endpoint answered a request of the service through a daemon.
     pub fn on_served(&self, now: TimeMs, daemon: SocketAddr, service: &ServiceName) {
         self.update(daemon, service, |record| {
@@ -287,18 +385,18 @@
         service: &ServiceName,
         update: impl FnOnce(&mut ServiceRecord),
     ) {
-        let mut known = self.known();
+        let known = &mut self.known().daemons;
         if let Some(daemon) = known.get_mut(&daemon) {
             update(daemon.by_service.entry(service.clone()).or_default());
         }
     }
 }
 
-/// Returns the daemon that is forgotten first: of those that have served no service lately, the one
-/// heard of the longest ago.
-fn oldest(known: &HashMap<SocketAddr, KnownDaemon>, now: TimeMs) -> Option<SocketAddr> {
+/// Returns the daemon that is forgotten first: of those that aren't known to serve, the one heard of
+/// the longest ago.
+fn oldest(known: &BTreeMap<SocketAddr, KnownDaemon>, now: TimeMs) -> Option<SocketAddr> {
     let oldest = known
         .iter()
-        .min_by_key(|(_, daemon)| (daemon.has_served_any(now), daemon.heard_of_at));
+        .min_by_key(|(_, daemon)| (daemon.serves_any(now), daemon.heard_of_at));
     oldest.map(|(address, _)| *address)
 }
--- a/crates/gateway/src/forwarding/reach_probe.rs
+++ b/crates/gateway/src/forwarding/reach_probe.rs
@@ -1,11 +1,15 @@
 //! The probe of a service that may be out of reach: opens connections to a few of its endpoints
-//! until one is accepted.
+//! until one is accepted. Meanwhile it searches for a daemon that serves the service, so that this
+//! doesn't take as long as the next requests.
 //!
 //! One task for each such service; it ends when the service is in reach.
 
-use crate::decisions::endpoint::reachability::{PROBE_INTERVAL, ProbeVerdict, probe_targets};
+use crate::decisions::endpoint::reachability::{
+    Contact, PROBE_INTERVAL, ProbeVerdict, probe_targets,
+};
 use crate::endpoints::connection::Connection;
 use crate::endpoints::endpoint::Endpoint;
+use crate::forwarding::connection;
 use crate::gateway::Gateway;
 use crate::requests::attempt::CONNECT_TIMEOUT;
 use bridgevane_events::{Event, event};
@@ -18,12 +22,37 @@
 
 /// Starts to probe a service.
 pub(crate) fn start(gateway: &Arc<Gateway>, service: &ServiceName) {
-    tokio::spawn(run(gateway.clone(), service.clone()));
+    let (gateway, service) = (gateway.clone(), service.clone());
+    tokio::spawn(async move {
+        let is_accepted = probe(&gateway, &service).await;
+        run(gateway, service, is_accepted).await;
+    });
+}
+
+/// Returns whether this daemon reaches a service, for another daemon that wants to forward requests.
+/// Probes the service if it wasn't in contact with it lately; if that fails, the probe goes on.
+pub(crate) async fn reaches(gateway: &Arc<Gateway>, service: &ServiceName) -> bool {
+    match gateway.reachability.contact(gateway.clock.now(), service) {
+        Contact::Recent => return true,
+        Contact::None => return false,
+        Contact::Unknown => {}
+    }
+    if gateway.control.directory().service(service).is_none() {
+        return false;
+    }
+    let is_accepted = probe(gateway, service).await;
+    if is_accepted {
+        let now = gateway.clock.now();
+        gateway.reachability.on_opened(now, service);
+    } else if gateway.reachability.suspect(service) {
+        tokio::spawn(run(gateway.clone(), service.clone(), false));
+    }
+    is_accepted
 }
 
-async fn run(gateway: Arc<Gateway>, service: ServiceName) {
+/// Probes a service until it is in reach; `is_accepted` is the result of the first probe.
+async fn run(gateway: Arc<Gateway>, service: ServiceName, mut is_accepted: bool) {
     loop {
-        let is_accepted = probe(&gateway, &service).await;
         let now = gateway.clock.now();
         match gateway.reachability.on_probed(now, &service, is_accepted) {
             ProbeVerdict::InReach => return,
@@ -34,8 +63,25 @@
             }
             ProbeVerdict::StillLost => {}
         }
+        tokio::spawn(search(gateway.clone(), service.clone()));
         sleep(PROBE_INTERVAL).await;
+        is_accepted = probe(&gateway, &service).await;
+    }
+}
+
+/// Asks another daemon whether it serves the service, unless one is known that does. A later request
+/// finds the connection open.
+async fn search(gateway: Arc<Gateway>, service: ServiceName) {
+    let daemons = &gateway.daemons;
+    let now = gateway.clock.now();
+    if daemons.knows_serving(now, &service) {
+        return;
     }
+    let Some(daemon) = daemons.choose(now, &service, &[]) else {
+        return;
+    };
+    let connection = connection::open(&gateway, daemon.address, &service).await;
+    daemons.on_handshake(gateway.clock.now(), daemon, &service, connection);
 }
 
 /// Ends the ejections of the service's endpoints: they showed nothing but that this daemon was cut
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -116,6 +116,7 @@
                 settings.peer_address,
                 settings.data_centre.clone(),
                 &settings.seed_addresses,
+                rand::random(),
             ),
             vm_hash: xxh3_64(settings.vm.as_str().as_bytes()),
             settings,
--- a/crates/gateway/src/requests/exchange/forwarding.rs
+++ b/crates/gateway/src/requests/exchange/forwarding.rs
@@ -3,12 +3,22 @@
 
 use super::{Exchange, FORWARDED_ATTEMPTS};
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
-use crate::decisions::forwarding::{self, MAX_DAEMONS, Way};
+use crate::decisions::endpoint::idle_connections::may_reuse;
+use crate::decisions::forwarding::{self, ASK_INTERVAL, MAX_ASKED, MAX_SENT, Way};
 use crate::decisions::resend::{AttemptError, Failure};
+use crate::endpoints::connection::Connection;
 use crate::forwarding::attempt::{ForwardedAnswer, ForwardingAttempt, ForwardingError};
+use crate::forwarding::connection;
 use crate::forwarding::daemons::ChosenDaemon;
+use crate::gateway::Gateway;
 use bridgevane_events::{Event, event};
+use bridgevane_types::ServiceName;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use http::HeaderValue;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
 
 impl Exchange {
     /// Forwards the request if that is due; returns `None` if it isn't, or if no daemon accepts it.
@@ -37,12 +47,11 @@
         &mut self,
         last_event_id: Option<&HeaderValue>,
     ) -> Result<Option<ForwardedAnswer>, Refusal> {
-        while self.daemons_asked.len() < MAX_DAEMONS {
+        for _ in 0..MAX_SENT {
             self.check_may_send()?;
-            let Some(daemon) = self.choose_daemon() else {
+            let Some((daemon, connection)) = self.connect_to_daemon().await else {
                 return Ok(None);
             };
-            self.daemons_asked.push(daemon.address);
             let attempt = ForwardingAttempt {
                 gateway: &self.gateway,
                 inbound: &self.inbound,
@@ -52,9 +61,9 @@
                 version: self.begun_at(),
                 last_event_id,
             };
-            let result = attempt.run().await;
+            let result = attempt.run(connection).await;
             self.attempts += FORWARDED_ATTEMPTS;
-            self.log_forwarded(&daemon, &result);
+            self.log_forwarded(&daemon, result_text(&result));
             match result {
                 Ok(answer) => {
                     self.on_forwarded(&daemon);
@@ -68,6 +77,76 @@
         Ok(None)
     }
 
+    /// Returns a daemon that accepts the request and a connection to it; `None` if none does. One
+    /// after the other is asked, without waiting long for any.
+    async fn connect_to_daemon(&mut self) -> Option<(ChosenDaemon, Connection)> {
+        let mut handshakes = FuturesUnordered::new();
+        loop {
+            let next = self.next_to_ask();
+            let is_last = next.is_none();
+            if let Some(daemon) = next {
+                if let Some(connection) = self.idle_connection(&daemon) {
+                    self.finish_handshakes(handshakes);
+                    return Some((daemon, connection));
+                }
+                let service = self.inbound.service.clone();
+                handshakes.push(shake_hands(self.gateway.clone(), daemon, service));
+            }
+            let interval = if is_last { Duration::MAX } else { ASK_INTERVAL };
+            match timeout(interval, handshakes.next()).await {
+                Ok(Some((daemon, Some(connection)))) => {
+                    self.finish_handshakes(handshakes);
+                    return Some((daemon, connection));
+                }
+                Ok(Some((daemon, None))) => {
+                    self.log_forwarded(&daemon, "declined");
+                    self.on_declined(&daemon);
+                }
+                Ok(None) if is_last => return None,
+                Ok(None) | Err(_) => {}
+            }
+        }
+    }
+
+    /// Returns the next daemon to ask; `None` if enough were asked, or no other is known.
+    fn next_to_ask(&mut self) -> Option<ChosenDaemon> {
+        if self.daemons_asked.len() >= MAX_ASKED {
+            return None;
+        }
+        let daemon = self.choose_daemon()?;
+        self.daemons_asked.push(daemon.address);
+        Some(daemon)
+    }
+
+    /// Returns an idle connection to a daemon, if one may be reused.
+    fn idle_connection(&self, daemon: &ChosenDaemon) -> Option<Connection> {
+        let now = self.gateway.clock.now();
+        let connections = &daemon.connections;
+        // A daemon may be frozen: the handshake on a new connection shows it before a byte is sent.
+        may_reuse(false, now, connections.last_activity_at())
+            .then(|| connections.take_idle(now))
+            .flatten()
+    }
+
+    /// Ends the handshakes that the request doesn't wait for.
+    fn finish_handshakes<F>(&self, mut handshakes: FuturesUnordered<F>)
+    where
+        F: Future<Output = Handshake> + Send + 'static,
+    {
+        if handshakes.is_empty() {
+            return;
+        }
+        let gateway = self.gateway.clone();
+        let service = self.inbound.service.clone();
+        tokio::spawn(async move {
+            while let Some((daemon, connection)) = handshakes.next().await {
+                let now = gateway.clock.now();
+                let daemons = &gateway.daemons;
+                daemons.on_handshake(now, daemon, &service, connection);
+            }
+        });
+    }
+
     fn choose_daemon(&self) -> Option<ChosenDaemon> {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
@@ -98,17 +177,7 @@
         resend.map_err(|_| Refusal::after_failure(error, self.runs, None))
     }
 
-    fn log_forwarded(
-        &self,
-        daemon: &ChosenDaemon,
-        result: &Result<ForwardedAnswer, ForwardingError>,
-    ) {
-        let text = match result {
-            Ok(_) => "answered",
-            Err(ForwardingError::Declined) => "declined",
-            Err(ForwardingError::Refused(_)) => "refused",
-            Err(ForwardingError::Failed(_)) => "failed",
-        };
+    fn log_forwarded(&self, daemon: &ChosenDaemon, text: &'static str) {
         let gateway = &self.gateway;
         gateway.metrics.forwarded(&self.inbound.service, text);
         event!(
@@ -124,3 +193,25 @@
         );
     }
 }
+
+/// A daemon that was asked, and the connection that it accepted.
+type Handshake = (ChosenDaemon, Option<Connection>);
+
+async fn shake_hands(
+    gateway: Arc<Gateway>,
+    daemon: ChosenDaemon,
+    service: ServiceName,
+) -> Handshake {
+    let connection = connection::open(&gateway, daemon.address, &service).await;
+    (daemon, connection)
+}
+
+/// Returns the result of an attempt for logs and metrics.
+fn result_text(result: &Result<ForwardedAnswer, ForwardingError>) -> &'static str {
+    match result {
+        Ok(_) => "answered",
+        Err(ForwardingError::Declined) => "declined",
+        Err(ForwardingError::Refused(_)) => "refused",
+        Err(ForwardingError::Failed(_)) => "failed",
+    }
+}
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -59,6 +59,14 @@
 
 /// Starts daemons that know each other, one for each source.
 async fn start_fleet(sources: &[ScriptedSource]) -> Vec<RunningGateway> {
+    start_fleet_beside(sources, &[]).await
+}
+
+/// Starts daemons that know each other, one for each source, and `others`.
+async fn start_fleet_beside(
+    sources: &[ScriptedSource],
+    others: &[SocketAddr],
+) -> Vec<RunningGateway> {
     let mut listeners = Vec::new();
     for _ in sources {
         listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -66,6 +74,7 @@
     let seeds: Vec<SocketAddr> = listeners
         .iter()
         .map(|each| each.local_addr().unwrap())
+        .chain(others.iter().copied())
         .collect();
     let mut fleet = Vec::new();
     for (at, (source, listener)) in sources.iter().zip(listeners).enumerate() {
@@ -300,3 +309,48 @@
     assert_eq!(served(&fleet[0], "GET", "/often/x", 5).await, 5);
     assert_eq!(served(&fleet[1], "GET", "/often/x", 5).await, 5);
 }
+
+/// The number of fleets that a test starts: which daemon is asked first is drawn at random.
+const ROUNDS: usize = 4;
+
+/// Guards against a request that waits at a daemon which is cut off, too, and doesn't know it yet: it
+/// had no request of its own from which to learn.
+#[tokio::test]
+async fn no_request_waits_at_idle_daemons_that_are_cut_off_and_do_not_know() {
+    for _ in 0..ROUNDS {
+        let endpoints = start_endpoints(|_| fine()).await;
+        let hanging: Vec<_> = (0..3).map(|_| UnreachableAddress::hanging()).collect();
+        let hanging: Vec<SocketAddr> = hanging.iter().map(|each| each.address).collect();
+        let mut sources: Vec<_> = (0..5).map(|_| source_of(&hanging, &[])).collect();
+        sources.push(source_of(&addresses(&endpoints), &[]));
+        let fleet = start_fleet(&sources).await;
+        let mut client = Client::connect(fleet[0].address).await;
+        let extra = "x-deadline: 800\r\n";
+        client
+            .send(&request("POST", "/once/x", "a1", extra, ""))
+            .await;
+        assert_eq!(client.answer().await.expect("an answer").status, 200);
+    }
+}
+
+/// Guards against a request whose time is spent at daemons that accept connections and never answer,
+/// because their processes are frozen.
+#[tokio::test]
+async fn frozen_daemons_do_not_hold_up_a_request() {
+    for _ in 0..ROUNDS {
+        let endpoints = start_endpoints(|_| fine()).await;
+        let dead = UnreachableAddress::refusing();
+        let mut frozen = Vec::new();
+        for _ in 0..4 {
+            frozen.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+        }
+        let frozen_addresses: Vec<SocketAddr> = frozen
+            .iter()
+            .map(|each| each.local_addr().unwrap())
+            .collect();
+        let healthy = source_of(&addresses(&endpoints), &[]);
+        let sources = [source_of(&[dead.address; 3], &[]), healthy];
+        let fleet = start_fleet_beside(&sources, &frozen_addresses).await;
+        assert_eq!(served(&fleet[0], "POST", "/once/x", 5).await, 5);
+    }
+}
--- a/crates/gateway/tests/reachability.rs
+++ b/crates/gateway/tests/reachability.rs
@@ -6,7 +6,7 @@
     Loss, ProbeVerdict, Reach, ServiceReach, probe_targets,
 };
 use bridgevane_gateway::decisions::forwarding::{
-    ForwardingCandidate, RequestOrigin, Way, choose, decline_time, next_way,
+    Experience, ForwardingCandidate, RequestOrigin, Way, choose, decline_time, next_way,
 };
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 
@@ -131,7 +131,7 @@
 
 const CANDIDATE: ForwardingCandidate = ForwardingCandidate {
     is_backed_off: false,
-    has_served: false,
+    experience: Experience::Unknown,
     is_place_asked: false,
     has_place_declined: false,
     is_local: false,
@@ -144,7 +144,7 @@
 #[test]
 fn a_daemon_that_serves_goes_first_then_a_local_one_then_the_least_loaded() {
     let served = ForwardingCandidate {
-        has_served: true,
+        experience: Experience::Served,
         in_progress: 9,
         ..CANDIDATE
     };
@@ -199,7 +199,7 @@
         ..local
     };
     let served = ForwardingCandidate {
-        has_served: true,
+        experience: Experience::Served,
         ..asked
     };
     let pick =
@@ -212,10 +212,18 @@
         pick(&[("asked", asked), ("declined", declined)]),
         Some("declined")
     );
+    let named = ForwardingCandidate {
+        experience: Experience::NamedAsServing,
+        ..asked
+    };
     assert_eq!(
-        pick(&[("other", CANDIDATE), ("served", served)]),
+        pick(&[("other", CANDIDATE), ("named", named), ("served", served)]),
         Some("served")
     );
+    assert_eq!(
+        pick(&[("other", CANDIDATE), ("named", named)]),
+        Some("named")
+    );
     assert_eq!(pick(&[("asked", asked)]), Some("asked"));
 }
 
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -193,6 +193,7 @@
             Body::ForwardingWanted(ForwardingWanted {
                 vm: "vm-1".into(),
                 data_centre: "bo-c".into(),
+                service: "model".into(),
             }),
         ),
         (
@@ -204,6 +205,10 @@
                     peer_address: "10.0.0.3:7000".into(),
                     data_centre: "mi-a".into(),
                 }],
+                serving: vec![DaemonPlace {
+                    peer_address: "10.0.0.4:7000".into(),
+                    data_centre: "mi-a".into(),
+                }],
             }),
         ),
         (
@@ -504,8 +509,8 @@
         key_verdict 0000001262100801100318c8012203612f622a026f6b
         key_ended 0000002c6a2a0a046465736b1201631a016b221009090909090909090909090909090909280130c8013a03612f62480c
         key_ended_heard 00000005aa0102080c
-        forwarding_wanted 0000000fb2010c0a04766d2d311204626f2d63
-        forwarding_answer 00000022ba011f08011204626f2d631a150a0d31302e302e302e333a3730303012046d692d61
+        forwarding_wanted 00000016b201130a04766d2d311204626f2d631a056d6f64656c
+        forwarding_answer 00000039ba013608011204626f2d631a150a0d31302e302e302e333a3730303012046d692d6122150a0d31302e302e302e343a3730303012046d692d61
         query 0000000e720c0801120873686f7720766d73
         query_answer 000000087a06080112025b5d
         records_wanted 000000368a01330a04766d2d311204626f2d631a0d31302e302e302e313a3730303020072803320e0d0500000010a01f18072003283c38014002
