fix(gateway): one waiting request shows that its daemon is cut off, and is sent on where it may run again

Cause: only the failure of a request said anything about the reach, and a request on an open connection fails at its hedge or deadline.

Change: a request that waits while nothing is heard of its service for 150 ms and twice the estimated time until its answer opens a connection to that endpoint, at most once a second for a service. It is kept for the next request; if it isn't accepted within 100 ms, the service is suspected and probed as before. Requests that wait when a service is found out of reach, and of which their endpoint has sent nothing, are sent on at once where the route allows a second run, with a retry from the budget. Events of streams count as contact.

--- a/crates/gateway/src/decisions/endpoint/reachability.rs
+++ b/crates/gateway/src/decisions/endpoint/reachability.rs
@@ -10,6 +10,10 @@
 //!   for `RECENT_CONTACT`.
 //! - A suspicion starts a probe of up to `MAX_PROBED_ENDPOINTS` endpoints, of different data
 //!   centres where possible. An accepted connection ends it; otherwise the service is out of reach.
+//! - A request that waits for its endpoint while nothing is heard of the service for [`silence_limit`]
+//!   starts a check: a connection to that endpoint, at most one each `CHECK_PAUSE` for a service. If it
+//!   isn't accepted, the service is suspected.
+//! - A request that waits when its service is found out of reach is sent again, where it may run again.
 //! - The probe is repeated every `PROBE_INTERVAL`. An accepted connection ends the state.
 //! - Another daemon's requests are accepted if something was heard of the service for
 //!   `RECENT_CONTACT`, otherwise after a probe.
@@ -28,6 +32,14 @@
 const MIN_LOST_ENDPOINTS: usize = 2;
 /// For how long an answer or an opened connection makes a single lost endpoint unsuspicious.
 const RECENT_CONTACT: DurationMs = DurationMs(1_000);
+/// The shortest silence of a service that starts a check: several round trips to the farthest endpoint.
+const MIN_SILENCE_MS: f64 = 150.0;
+/// The part of the expected time until an answer that is added to it: estimates are rough.
+const EXPECTED_SHARE: f64 = 2.0;
+/// The shortest time between two checks of one service: each costs a connection.
+const CHECK_PAUSE: DurationMs = DurationMs(1_000);
+/// The timeout of a check: a round trip to the farthest endpoint, twice.
+pub(crate) const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// The maximum number of endpoints in one probe.
 pub(crate) const MAX_PROBED_ENDPOINTS: usize = 3;
 /// The pause between two probes while the service is out of reach.
@@ -87,6 +99,7 @@
     /// The endpoints that were silent since one last answered.
     silent: Vec<EndpointIx>,
     last_contact_at: Option<TimeMs>,
+    last_check_at: Option<TimeMs>,
 }
 
 impl ServiceReach {
@@ -111,6 +124,24 @@
         self.last_contact_at = Some(now);
     }
 
+    /// Records that bytes arrived from an endpoint.
+    pub fn on_heard(&mut self, now: TimeMs) {
+        self.last_contact_at = Some(now);
+    }
+
+    /// Returns whether a request that waits for an endpoint has to check the reach, since nothing was
+    /// heard of the service for `limit`; the check counts as made.
+    pub fn is_check_due(&mut self, now: TimeMs, limit: DurationMs) -> bool {
+        let is_before = |at: Option<TimeMs>, time| at.is_none_or(|at| now.since(at) >= time);
+        let is_due = self.reach == Reach::InReach
+            && is_before(self.last_contact_at, limit)
+            && is_before(self.last_check_at, CHECK_PAUSE);
+        if is_due {
+            self.last_check_at = Some(now);
+        }
+        is_due
+    }
+
     /// Records a lost endpoint of a service with `endpoints` endpoints; returns true if a probe has
     /// to start.
     pub fn on_lost(
@@ -165,6 +196,7 @@
         if is_accepted {
             *self = Self {
                 last_contact_at: Some(now),
+                last_check_at: self.last_check_at,
                 ..Self::default()
             };
         } else if before != Reach::InReach {
@@ -179,6 +211,12 @@
     }
 }
 
+/// Returns how long a service may be silent before a request that waits for an answer checks its
+/// reach; `expected_ms` is the estimated time until the answer, in milliseconds.
+pub(crate) fn silence_limit(expected_ms: f64) -> DurationMs {
+    DurationMs((MIN_SILENCE_MS + EXPECTED_SHARE * expected_ms) as u64)
+}
+
 /// Returns the positions of the endpoints to probe, given their data centres in a random order:
 /// first one of each data centre.
 pub fn probe_targets(data_centres: &[DataCentreId]) -> Vec<usize> {
--- a/crates/gateway/src/endpoints/reachability.rs
+++ b/crates/gateway/src/endpoints/reachability.rs
@@ -5,14 +5,18 @@
 
 use crate::decisions::endpoint::reachability::{Contact, Loss, ProbeVerdict, Reach, ServiceReach};
 use bridgevane_decisions::EndpointIx;
-use bridgevane_types::{ServiceName, TimeMs};
+use bridgevane_types::{DurationMs, ServiceName, TimeMs};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard};
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 
 /// The reach of all services.
 #[derive(Debug, Default)]
 pub(crate) struct Reachability {
     services: Mutex<HashMap<ServiceName, ServiceReach>>,
+    /// Notified when a service is found out of reach.
+    out_of_reach: Notify,
 }
 
 impl Reachability {
@@ -76,6 +80,26 @@
         })
     }
 
+    /// Records that bytes arrived from an endpoint of the service.
+    pub(crate) fn on_heard(&self, now: TimeMs, service: &ServiceName) {
+        self.update(service, |reach| reach.on_heard(now));
+    }
+
+    /// Returns whether a request that waits for an endpoint has to check the reach of its service.
+    pub(crate) fn is_check_due(
+        &self,
+        now: TimeMs,
+        service: &ServiceName,
+        limit: DurationMs,
+    ) -> bool {
+        self.update(service, |reach| reach.is_check_due(now, limit))
+    }
+
+    /// Waits until a service is found out of reach.
+    pub(crate) fn found_out_of_reach(&self) -> Notified<'_> {
+        self.out_of_reach.notified()
+    }
+
     /// Records the result of a probe: whether an endpoint accepted a connection.
     pub(crate) fn on_probed(
         &self,
@@ -83,6 +107,10 @@
         service: &ServiceName,
         is_accepted: bool,
     ) -> ProbeVerdict {
-        self.update(service, |reach| reach.on_probed(now, is_accepted))
+        let verdict = self.update(service, |reach| reach.on_probed(now, is_accepted));
+        if verdict == ProbeVerdict::Lost {
+            self.out_of_reach.notify_waiters();
+        }
+        verdict
     }
 }
--- a/crates/gateway/src/forwarding/reach_probe.rs
+++ b/crates/gateway/src/forwarding/reach_probe.rs
@@ -5,7 +5,7 @@
 //! One task for each such service; it ends when the service is in reach.
 
 use crate::decisions::endpoint::reachability::{
-    Contact, PROBE_INTERVAL, ProbeVerdict, probe_targets,
+    CHECK_TIMEOUT, Contact, PROBE_INTERVAL, ProbeVerdict, probe_targets,
 };
 use crate::endpoints::connection::Connection;
 use crate::endpoints::endpoint::Endpoint;
@@ -29,6 +29,25 @@
     });
 }
 
+/// Checks whether an endpoint accepts a connection, which is kept for the next request; if it doesn't,
+/// its service is probed.
+pub(crate) fn check(gateway: &Arc<Gateway>, service: &ServiceName, endpoint: &Arc<Endpoint>) {
+    let (gateway, service, endpoint) = (gateway.clone(), service.clone(), endpoint.clone());
+    tokio::spawn(async move {
+        let address = endpoint.record.load().address;
+        let opened = Connection::open(address, CHECK_TIMEOUT).await;
+        let now = gateway.clock.now();
+        match opened {
+            Ok(connection) => {
+                gateway.reachability.on_opened(now, &service);
+                gateway.keep_idle(now, &endpoint, connection);
+            }
+            Err(_) if gateway.reachability.suspect(&service) => start(&gateway, &service),
+            Err(_) => {}
+        }
+    });
+}
+
 /// Returns whether this daemon reaches a service, for another daemon that wants to forward requests.
 /// Probes the service if it wasn't in contact with it lately; if that fails, the probe goes on.
 pub(crate) async fn reaches(gateway: &Arc<Gateway>, service: &ServiceName) -> bool {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::decisions::endpoint::idle_connections;
 use crate::decisions::resend::retry_budget::RetryRounding;
 use crate::duties::usage_tracker::UsageTracker;
+use crate::endpoints::connection::Connection;
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::engine_profiles::EngineProfiles;
 use crate::endpoints::prompt_locations::PromptLocations;
@@ -42,7 +43,7 @@
 use crate::requests::try_counts::TryCounts;
 use crate::settings::GatewaySettings;
 use crate::unreadable_headers::{HeaderReader, Sender, UnreadableHeaders};
-use bridgevane_types::ServiceName;
+use bridgevane_types::{ServiceName, TimeMs};
 use http::HeaderMap;
 use opentelemetry::metrics::Meter;
 use std::sync::Arc;
@@ -173,6 +174,16 @@
         idle_connections::max_idle(max_connections, daemons)
     }
 
+    /// Keeps a connection to an endpoint on which no request was sent.
+    pub(crate) fn keep_idle(&self, now: TimeMs, endpoint: &Endpoint, connection: Connection) {
+        let Some(idle_timeout) = idle_connections::idle_timeout(None) else {
+            return;
+        };
+        let max_idle = self.max_idle_connections(endpoint);
+        let idle = &endpoint.idle_connections;
+        idle.put(connection, now + idle_timeout, max_idle);
+    }
+
     /// Returns what this daemon may send to the cold endpoints of a service; `None` if they take as
     /// much as others.
     pub(crate) fn cold_quota(&self, service: &ServiceName) -> Option<ColdQuota> {
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -4,11 +4,13 @@
 //! are in [`crate::decisions`]; this module gathers their inputs, acts on the results and logs them.
 //! [`stream_version`] restricts streams to a software version, [`outcome`] records what each attempt
 //! shows about its endpoint, [`resending`] checks whether the request is sent again, and [`forwarding`]
-//! sends it through another daemon.
+//! sends it through another daemon, [`silence`] ends its wait for an endpoint that this daemon doesn't
+//! reach.
 
 mod forwarding;
 mod outcome;
 mod resending;
+mod silence;
 mod stream_version;
 
 pub(crate) use outcome::AnswerTiming;
@@ -354,7 +356,10 @@
             selected,
             last_event_id,
         };
-        let result = attempt.run(self.hedge(endpoint, sent_at)).await;
+        let result = tokio::select! {
+            result = attempt.run(self.hedge(endpoint, sent_at)) => result,
+            () = self.cut_off_while_waiting(selected, sent_at) => Err(AttemptError::Silent),
+        };
         match &result {
             Ok(answer) => self.on_answered(answer, sent_at),
             Err(error) => self.on_attempt_failed(selected, sent_at, *error),
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -137,6 +137,9 @@
             return;
         };
         answer.endpoint().load.on_activity(gateway.clock.now());
+        gateway
+            .reachability
+            .on_heard(gateway.clock.now(), &inbound.service);
         if !is_first {
             return;
         }
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -354,3 +354,54 @@
         assert_eq!(served(&fleet[0], "POST", "/once/x", 5).await, 5);
     }
 }
+
+/// Starts a daemon that has open connections to endpoints which are lost now, beside one that reaches
+/// others; returns both and the endpoints of the other.
+async fn start_fleet_with_lost_endpoints(
+    script: impl Fn(usize) -> Vec<Action> + Copy + Send + Sync + 'static,
+    path: &str,
+) -> (Vec<RunningGateway>, Vec<Endpoint>) {
+    let endpoints = start_endpoints(script).await;
+    let lost = start_endpoints(script).await;
+    let (healthy, own) = (addresses(&endpoints), addresses(&lost));
+    let fleet = start_fleet(&[source_of(&own, &own), source_of(&healthy, &healthy)]).await;
+    assert_eq!(served(&fleet[0], "POST", path, 12).await, 12);
+    for endpoint in &lost {
+        endpoint.lost.cancel();
+    }
+    (fleet, endpoints)
+}
+
+/// Guards against a daemon that finds out by the number of its requests that it is cut off: one that
+/// waits on a connection which was open before shows it, and the next must not pay again.
+#[tokio::test]
+async fn a_single_request_that_waits_shows_the_cut() {
+    let (fleet, endpoints) = start_fleet_with_lost_endpoints(|_| fine(), "/once/x").await;
+    let mut waiting = Client::connect(fleet[0].address).await;
+    waiting
+        .send(&request("POST", "/once/x", "b1", "", ""))
+        .await;
+    tokio::time::sleep(Duration::from_millis(650)).await;
+    let mut client = Client::connect(fleet[0].address).await;
+    let extra = "x-deadline: 250\r\n";
+    client
+        .send(&request("POST", "/once/x", "b2", extra, ""))
+        .await;
+    assert_eq!(client.answer().await.expect("an answer").status, 200);
+    assert_eq!(received(&endpoints), 1, "the first one runs once");
+}
+
+/// Guards against a request that may run again and waits on an open connection, while its daemon has
+/// found out that it reaches no endpoint.
+#[tokio::test]
+async fn a_stream_that_waits_when_the_cut_is_found_begins_through_another_daemon() {
+    let script = |_| vec![stream_head(), event(0), last_chunk()];
+    let (fleet, endpoints) = start_fleet_with_lost_endpoints(script, "/stream/x").await;
+    let mut client = Client::connect(fleet[0].address).await;
+    let extra = "x-deadline: 800\r\n";
+    client
+        .send(&request("POST", "/stream/x", "b1", extra, ""))
+        .await;
+    client.read_until("piece 0").await;
+    assert_eq!(received(&endpoints), 1);
+}
--- a/crates/gateway/tests/support/endpoint.rs
+++ b/crates/gateway/tests/support/endpoint.rs
@@ -49,6 +49,8 @@
     pub abandoned: Arc<Mutex<usize>>,
     /// Cancelled when the endpoint crashes.
     pub crashed: CancellationToken,
+    /// Cancelled when the network loses the endpoint: open connections live on, and nothing passes.
+    pub lost: CancellationToken,
 }
 
 impl Endpoint {
@@ -75,13 +77,21 @@
             received: Arc::default(),
             abandoned: Arc::default(),
             crashed: CancellationToken::new(),
+            lost: CancellationToken::new(),
         };
         let own = endpoint.clone();
         let script = Arc::new(script);
         let crashed = endpoint.crashed.clone();
         tokio::spawn(crashed.run_until_cancelled_owned(async move {
+            let mut fillers = Vec::new();
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
+                let accepted = own.lost.run_until_cancelled(listener.accept()).await;
+                let Some(accepted) = accepted else {
+                    fill_backlog(&listener, &mut fillers);
+                    std::future::pending::<()>().await;
+                    return;
+                };
+                let (stream, _) = accepted.unwrap();
                 let serving = serve(own.clone(), stream, script.clone());
                 tokio::spawn(own.crashed.clone().run_until_cancelled_owned(serving));
             }
@@ -102,6 +112,17 @@
     }
 }
 
+/// Fills the listen backlog, so that further connections are left without an answer.
+fn fill_backlog(listener: &TcpListener, fillers: &mut Vec<std::net::TcpStream>) {
+    let socket = socket2::SockRef::from(listener);
+    socket.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    for _ in 0..2 {
+        let filler = std::net::TcpStream::connect_timeout(&address, Duration::from_millis(100));
+        fillers.extend(filler);
+    }
+}
+
 /// Reads one request; `unparsed` holds bytes that were received and not parsed yet.
 async fn read_request(stream: &mut TcpStream, unparsed: &mut Vec<u8>) -> Option<ReceivedRequest> {
     loop {
@@ -133,6 +154,9 @@
 ) {
     let mut unparsed = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut unparsed).await {
+        if endpoint.lost.is_cancelled() {
+            std::future::pending::<()>().await;
+        }
         let id = request.header("x-id").unwrap_or_default();
         let at = endpoint.record(request.clone());
         for action in script(at, &request) {
