fix(decisions): an answer that clears no crash of a part isn't passed on, and a message holds 64 observations

Change: an answer counts for a part only if it clears a known crash of it; a message holds 64 observations.

Evidence: `an_answer_that_clears_no_crash_of_a_part_is_not_passed_on` fails without the change.

--- a/crates/decisions/src/crash_count.rs
+++ b/crates/decisions/src/crash_count.rs
@@ -13,7 +13,8 @@
 //!   earlier crash. Processes that are killed together crash under whatever they run, such as
 //!   identical requests of a client that polls.
 //! - A successful answer clears its request and the parts of its prompt of all earlier crashes: they
-//!   aren't the cause of the crashes that happened while they ran.
+//!   aren't the cause of the crashes that happened while they ran. One that clears no known crash of a
+//!   part is ignored: every daemon has answers with a part that many requests have.
 //! - A crash under a suspect that is already under quarantine is attributed to that suspect, and
 //!   counts for no other that was running there.
 //! - A quarantine lasts [`QUARANTINE_DURATION`].
@@ -36,8 +37,8 @@
 //! must not be stopped, and neither must a session that merely ran beside them.
 //!
 //! Observations form a set: duplicates make no difference to the count, and neither does the order,
-//! except that it decides which crashes are attributed. The amount of state is bounded by the
-//! constants below.
+//! except that it decides which crashes are attributed, and which answers with a part are ignored. The
+//! amount of state is bounded by the constants below.
 //!
 //! Tests: `crash_count.rs`, `crash_count_parts.rs`; `crashing_requests.rs` and `crashing_parts.rs` of the
 //! gateway, `crashing_prompts.rs` of `serve`.
@@ -333,7 +334,13 @@
         let Some(suspect) = suspects.get_mut(&observation.suspect) else {
             return ObservationOutcome::Ignored;
         };
-        if suspect.is_cleared_at(observation.at) {
+        let clears_crash = suspect
+            .crashes
+            .iter()
+            .any(|crash| crash.at <= observation.at);
+        // Every daemon answers requests with a part that many have.
+        let is_needed = observation.suspect.is_request() || clears_crash;
+        if suspect.is_cleared_at(observation.at) || !is_needed {
             return ObservationOutcome::Ignored;
         }
         self.newest = cursor;
--- a/crates/decisions/tests/crash_count_parts.rs
+++ b/crates/decisions/tests/crash_count_parts.rs
@@ -209,6 +209,24 @@
     }
 }
 
+/// Guards against a message from every daemon for each answer with a part that many requests have, long
+/// after the first of them cleared it.
+#[test]
+fn an_answer_that_clears_no_crash_of_a_part_is_not_passed_on() {
+    let mut count = CrashCount::default();
+    crash(&mut count, 0, 1, &[FIRST]);
+    serve(&mut count, 100, &[FIRST]);
+    let newest = count.newest_cursor();
+    for daemon in 0..88 {
+        serve(&mut count, 101 + daemon, &[FIRST]);
+    }
+    assert_eq!(count.newest_cursor(), newest);
+    crash(&mut count, 1_000, 2, &[FIRST]);
+    serve(&mut count, 1_100, &[FIRST]);
+    assert!(count.newest_cursor() > newest);
+    assert!(!count.is_suspect(FIRST));
+}
+
 /// Guards against state that grows with the crashes, and against the cause that is forgotten for parts
 /// with one crash each: five engines of 64 slots crash, and requests have four parts.
 #[test]
--- a/crates/gateway/src/replication/crash_observations.rs
+++ b/crates/gateway/src/replication/crash_observations.rs
@@ -12,10 +12,9 @@
 use bridgevane_protocol::crash_news::Fact;
 use bridgevane_types::{CrashSuspect, TimeMs};
 
-/// The maximum number of observations per message. An engine with 64 slots causes this many when it
-/// crashes, for each request and its shared parts, and they take 6 KB; the rest follows with the next
-/// message.
-const MAX_OBSERVATIONS: usize = 256;
+/// The maximum number of observations per message, which take 1.7 KB; the rest follows with the next
+/// message. A connection that only probes a daemon carries a single one.
+const MAX_OBSERVATIONS: usize = 64;
 
 /// The position up to which observations were sent on one connection.
 #[derive(Clone, Copy, Debug, Default)]
