test(soak): daemons that are cut off from all workers, and their callers' first tries

Cause: the soak's proxies stand in front of workers for all daemons at once, and a proxy that accepts connections and is silent looks to a daemon like a worker that can be reached; no soak cut single daemons off.

Checked: first tries at daemons that are cut off against the others, by route; at most once; "not run". `--program` plays another build.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -14,12 +14,26 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-/// The deadline of a call; the request carries it, too.
-const DEADLINE: Duration = Duration::from_millis(3_000);
 /// The timeout of a connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// The range of the pause between two calls of a caller, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 10..80;
+
+/// How callers send their calls.
+#[derive(Clone, Debug)]
+pub(crate) struct CallPace {
+    /// The deadline of a call; the request carries it, too.
+    pub(crate) deadline: Duration,
+    /// The range of the pause between two calls of a caller, in milliseconds.
+    pub(crate) pause_ms: std::ops::Range<u64>,
+}
+
+impl Default for CallPace {
+    fn default() -> Self {
+        Self {
+            deadline: Duration::from_millis(3_000),
+            pause_ms: 10..80,
+        }
+    }
+}
 
 type Body = http_body_util::Full<bytes::Bytes>;
 
@@ -44,6 +58,7 @@
     pub(crate) client_addresses: Vec<SocketAddr>,
     pub(crate) started: Instant,
     pub(crate) until: Instant,
+    pub(crate) pace: CallPace,
     pub(crate) calls: Calls,
 }
 
@@ -73,7 +88,7 @@
             let (daemon, end) = match open {
                 None => (daemon, CallEnd::NotConnected),
                 Some(mut open) => {
-                    let end = call(&mut open.sender, kind, &id, key).await;
+                    let end = call(&mut open.sender, kind, &id, key, self.pace.deadline).await;
                     let daemon = open.daemon;
                     if matches!(end, CallEnd::Answered { .. }) {
                         connection = Some(open);
@@ -90,7 +105,7 @@
                 ended_at: self.started.elapsed(),
                 end,
             });
-            let pause = Duration::from_millis(random.random_range(PAUSE_MS));
+            let pause = Duration::from_millis(random.random_range(self.pace.pause_ms.clone()));
             tokio::time::sleep(pause).await;
         }
     }
@@ -107,15 +122,27 @@
     Some(Connection { daemon, sender })
 }
 
-async fn call(sender: &mut SendRequest<Body>, kind: RouteKind, id: &str, key: &str) -> CallEnd {
-    let calling = exchange(sender, kind, id, key);
-    timeout(DEADLINE, calling)
+async fn call(
+    sender: &mut SendRequest<Body>,
+    kind: RouteKind,
+    id: &str,
+    key: &str,
+    deadline: Duration,
+) -> CallEnd {
+    let calling = exchange(sender, kind, id, key, deadline);
+    timeout(deadline, calling)
         .await
         .unwrap_or(CallEnd::TimedOut)
 }
 
-async fn exchange(sender: &mut SendRequest<Body>, kind: RouteKind, id: &str, key: &str) -> CallEnd {
-    let deadline_ms = DEADLINE.as_millis() as u64;
+async fn exchange(
+    sender: &mut SendRequest<Body>,
+    kind: RouteKind,
+    id: &str,
+    key: &str,
+    deadline: Duration,
+) -> CallEnd {
+    let deadline_ms = deadline.as_millis() as u64;
     let (head, _) = keyed_request(kind.path(), id, key, deadline_ms).into_parts();
     let request = http::Request::from_parts(head, Body::from("hi"));
     let answer = match sender.try_send_request(request).await {
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -69,12 +69,12 @@
 
 /// Assigns free ports, starting at an offset derived from the process id.
 #[derive(Debug)]
-struct Ports {
+pub(crate) struct Ports {
     first: u32,
 }
 
 impl Ports {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             first: std::process::id() * 97,
         }
@@ -86,7 +86,7 @@
         PORTS.start + position as u16
     }
 
-    async fn free_address(&self) -> Result<SocketAddr, std::io::Error> {
+    pub(crate) async fn free_address(&self) -> Result<SocketAddr, std::io::Error> {
         loop {
             let address = SocketAddr::from(([127, 0, 0, 1], self.next()));
             match TcpListener::bind(address).await {
@@ -98,7 +98,8 @@
     }
 }
 
-fn normal_behaviour(service: &str) -> Behaviour {
+/// Returns how a worker of a service answers while nothing is wrong.
+pub(crate) fn normal_behaviour(service: &str) -> Behaviour {
     if service == PLAIN {
         Behaviour::Whole(PLAIN_DURATION)
     } else {
@@ -153,6 +154,7 @@
             };
             let settings = DaemonSettings {
                 name: format!("vm-{at}"),
+                data_centre: "z".to_owned(),
                 clients,
                 ready: ports.free_address().await?,
                 peers: peers[at],
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct DaemonSettings {
     pub(crate) name: String,
+    pub(crate) data_centre: String,
     pub(crate) clients: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) peers: SocketAddr,
@@ -87,7 +88,8 @@
     let seeds: Vec<String> = settings.seeds.iter().map(ToString::to_string).collect();
     Command::new(program)
         .arg("gateway")
-        .args(["--vm-id", &settings.name, "--data-centre", "z"])
+        .args(["--vm-id", &settings.name])
+        .args(["--data-centre", &settings.data_centre])
         .args(["--client-address", &settings.clients.to_string()])
         .args(["--ready-address", &settings.ready.to_string()])
         .args(["--peer-address", &settings.peers.to_string()])
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! One run: starts the processes and callers, injects the plan's faults, and checks the record.
 
-use crate::callers::{CallerTask, Calls};
+use crate::callers::{CallPace, CallerTask, Calls};
 use crate::checks::{Violation, find_violations};
 use crate::environment::{Environment, STREAM_EVENTS};
 use crate::history::{CallEnd, Disruption, History, KeyRemoval, PlannedStop, WorkerDrain};
@@ -113,6 +113,7 @@
             client_addresses: environment.client_addresses(),
             started,
             until,
+            pace: CallPace::default(),
             calls: calls.clone(),
         };
         callers.spawn(caller.run());
--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -32,9 +32,15 @@
     /// number of callers (default: 12)
     #[argh(option, default = "12")]
     pub callers: usize,
+    /// cut daemons off from workers in place of the other faults
+    #[argh(switch)]
+    pub cut_off: bool,
     /// daemons keep serving while the store is unavailable (--strict-key-removal false)
     #[argh(switch)]
     pub serve_stale: bool,
+    /// program under test (default: this one)
+    #[argh(option)]
+    pub program: Option<PathBuf>,
     /// folder for logs and plots, with one folder per seed (default: target/soak)
     #[argh(option, default = "PathBuf::from(\"target/soak\")")]
     pub folder: PathBuf,
@@ -75,7 +81,7 @@
     let mut failed = 0;
     for seed in arguments.first_seed..arguments.first_seed + arguments.seeds {
         let options = SoakOptions {
-            program: std::env::current_exe()?,
+            program: program_under_test(arguments)?,
             folder: arguments.folder.join(seed.to_string()),
             seed,
             size: RunSize {
@@ -86,6 +92,10 @@
             callers: arguments.callers,
             serves_stale: arguments.serve_stale,
         };
+        if arguments.cut_off {
+            failed += u64::from(!is_kept_under_cuts(&options).await?);
+            continue;
+        }
         let outcome = bridgevane_soak::run(&options).await?;
         print_line!("{}", outcome.summary());
         if !outcome.violations.is_empty() {
@@ -99,6 +109,33 @@
     Ok(failed)
 }
 
+fn program_under_test(arguments: &SoakArguments) -> Result<PathBuf, std::io::Error> {
+    match &arguments.program {
+        Some(program) => Ok(program.clone()),
+        None => std::env::current_exe(),
+    }
+}
+
+/// Runs one seed with daemons cut off from workers; returns whether all promises were kept.
+async fn is_kept_under_cuts(options: &SoakOptions) -> Result<bool, SoakError> {
+    let outcome = bridgevane_soak::run_cut_off(options).await?;
+    print_line!("{}", outcome.summary());
+    let is_kept = outcome.violations.is_empty();
+    if !is_kept {
+        for cut in &outcome.plan.cuts {
+            print_line!("  {cut}");
+        }
+        for event in &outcome.plan.strikes {
+            print_line!("  {event}");
+        }
+        for violation in &outcome.violations {
+            print_line!("  BROKEN {violation}");
+        }
+        print_line!("logs: {}", options.folder.display());
+    }
+    Ok(is_kept)
+}
+
 /// Prints the planned faults and the broken promises.
 fn print_failure(outcome: &SoakOutcome) {
     for event in &outcome.plan.events {
