test(soak): calls of daemons that are cut off count only while a daemon reaches the workers

Change: a call counts only while an undisturbed daemon that isn't cut off exists; one that is left is enough. Test: `calls_count_only_while_a_daemon_reaches_the_workers`.

--- a/crates/soak/src/cut_checks.rs
+++ b/crates/soak/src/cut_checks.rs
@@ -121,7 +121,8 @@
                 && span.contains(&call.sent_at)
                 // A cut that heals under a call is another trouble.
                 && call.ended_at < cut.at + cut.lasts
-                && !self.is_disturbed(call);
+                && !self.is_disturbed(call.daemon, call)
+                && self.has_way(cut, call);
             if is_counted {
                 let is_cut_off = cut.target.strikes(call.daemon, self.daemons);
                 tries.add(is_cut_off, is_served(call));
@@ -139,10 +140,18 @@
         ratios.reduce(f64::min)
     }
 
-    fn is_disturbed(&self, call: &RecordedCall) -> bool {
+    /// Returns whether a daemon that wasn't disturbed lately reached the workers during a call.
+    fn has_way(&self, cut: &Cut, call: &RecordedCall) -> bool {
+        let mut spared =
+            (0..self.daemons).filter(|daemon| !cut.target.strikes(*daemon, self.daemons));
+        spared.any(|daemon| !self.is_disturbed(daemon, call))
+    }
+
+    /// Returns whether a daemon was disturbed during a call, or shortly before.
+    fn is_disturbed(&self, daemon: usize, call: &RecordedCall) -> bool {
         let mut disturbances = self.disturbances.iter();
         disturbances.any(|disturbance| {
-            disturbance.daemon == call.daemon
+            disturbance.daemon == daemon
                 && disturbance.from <= call.ended_at
                 && call.sent_at <= disturbance.to + CONTACT_TIME
         })
--- a/crates/soak/tests/cut_off.rs
+++ b/crates/soak/tests/cut_off.rs
@@ -78,6 +78,23 @@
     assert!(find_cut_violations(&disturbed).is_empty());
 }
 
+/// Guards against failures that no daemon could prevent, because the only one that reached the workers
+/// was being stopped, and against one stopped daemon that excuses all failures.
+#[test]
+fn calls_count_only_while_a_daemon_reaches_the_workers() {
+    let stopped = |daemon| Disturbance {
+        daemon,
+        from: Duration::ZERO,
+        to: CUT.at + Duration::from_secs(1),
+    };
+    let mut some_left = history(100);
+    some_left.disturbances = vec![stopped(1), stopped(2)];
+    assert_eq!(some_left.tries(&CUT, RouteKind::Once).cut_off, 100);
+    let mut none_left = history(100);
+    none_left.disturbances = vec![stopped(1), stopped(2), stopped(3)];
+    assert_eq!(none_left.tries(&CUT, RouteKind::Once).cut_off, 0);
+}
+
 /// Guards against forwarded requests that run twice, or run after they were refused, without being
 /// found.
 #[test]
