--- a/crates/gateway/src/requests/crash_check.rs
+++ b/crates/gateway/src/requests/crash_check.rs
@@ -6,7 +6,6 @@
 //! requests that broke at the endpoint; if the endpoint is running, the connection is kept for the
 //! next request.
 
-use crate::decisions::endpoint::idle_connections::idle_timeout;
 use crate::decisions::resend::OpenError;
 use crate::endpoints::connection::Connection;
 use crate::endpoints::endpoint::Endpoint;
@@ -70,14 +69,7 @@
             gateway.quarantine.on_crashed(endpoint.hash, &lost);
         }
         Err(OpenError::TimedOut) => {}
-        Ok(connection) => {
-            if let Some(idle_timeout) = idle_timeout(None) {
-                let max_idle = gateway.max_idle_connections(&endpoint);
-                let idle_connections = &endpoint.idle_connections;
-                let expires_at = gateway.clock.now() + idle_timeout;
-                idle_connections.put(connection, expires_at, max_idle);
-            }
-        }
+        Ok(connection) => gateway.keep_idle(gateway.clock.now(), &endpoint, connection),
     }
     endpoint.lost_requests().mark_checked();
     if is_crash {
