--- a/crates/gateway/src/decisions/eligibility/brittle.rs
+++ b/crates/gateway/src/decisions/eligibility/brittle.rs
@@ -27,7 +27,7 @@
 const PERMIT_SHARE: f64 = 1.0 / 3.0;
 
 /// Returns the rate of permits of all daemons together.
-pub(crate) fn permit_rate(max_turned_away: RequestsPerSecond) -> RequestsPerSecond {
+pub fn permit_rate(max_turned_away: RequestsPerSecond) -> RequestsPerSecond {
     RequestsPerSecond(max_turned_away.0 * PERMIT_SHARE)
 }
 
