refactor: no modules that use each other in a circle, one start of a soak's callers, one reading of a time

What a reading of the change found: the counts of tries held the gateway, and the handshake used the probe that uses the handshake; both soaks started their callers by the same lines, and two reports read times by the same function. Behaviour stays.

--- a/crates/gateway/src/forwarding/connection.rs
+++ b/crates/gateway/src/forwarding/connection.rs
@@ -3,7 +3,6 @@
 
 use crate::counter::CountGuard;
 use crate::endpoints::connection::Connection;
-use crate::forwarding::reach_probe;
 use crate::gateway::Gateway;
 use crate::replication::peer_connection::{FramedStream, open_connection};
 use bridgevane_events::{Event, event};
@@ -12,7 +11,6 @@
 use bridgevane_types::{DataCentreId, ServiceName};
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -103,18 +101,16 @@
 }
 
 /// Answers a daemon that wants to forward requests on this connection; `None` if that is declined.
+/// `can_serve` is whether this daemon is ready and reaches the service.
 pub(crate) async fn accept(
-    gateway: &Arc<Gateway>,
+    gateway: &Gateway,
     mut frames: FramedStream,
     wanted: &ForwardingWanted,
+    can_serve: bool,
 ) -> Result<Option<AcceptedConnection>, FrameError> {
     let counted = gateway.forwarded_connections.hold(1);
+    let is_accepted = can_serve && gateway.forwarded_connections.get() <= MAX_CONNECTIONS;
     let service = ServiceName::from(wanted.service.as_str());
-    let has_room = gateway.forwarded_connections.get() <= MAX_CONNECTIONS;
-    // A daemon of an earlier version names no service; its requests are declined one by one.
-    let is_accepted = gateway.is_ready()
-        && has_room
-        && (wanted.service.is_empty() || reach_probe::reaches(gateway, &service).await);
     let daemons = &gateway.daemons;
     let serving = daemons.serving(gateway.clock.now(), &service, NAMED_DAEMONS);
     let answer = ForwardingAnswer {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -82,7 +82,7 @@
     pub quarantine: Quarantine,
     pub(crate) retry_budgets: RetryBudgets,
     /// How clients' requests ended, until that is logged.
-    pub(crate) try_counts: TryCounts,
+    pub(crate) try_counts: Arc<TryCounts>,
     pub(crate) requests_in_progress: Counter,
     pub(crate) open_connections: Counter,
     /// The connections on which other daemons forward requests.
@@ -112,7 +112,7 @@
             begun_streams: BegunStreams::new(clock),
             quarantine: Quarantine::new(clock),
             retry_budgets: RetryBudgets::new(clock.now(), &settings, RetryRounding::draw()),
-            try_counts: TryCounts::default(),
+            try_counts: Arc::default(),
             daemons: Daemons::new(
                 settings.peer_address,
                 settings.data_centre.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,11 +38,11 @@
 pub use lifecycle::readiness::run as serve_readiness;
 pub use lifecycle::stop::run as stop_gracefully;
 pub use lifecycle::suspension::run as watch_suspension;
+pub use lifecycle::try_log::run as log_try_counts;
 pub use replication::follow::run as follow_control_source;
 pub use replication::quarantine_writer::run as store_quarantine;
 pub use replication::server::run as serve_peers;
 pub use requests::client_listener::run as serve_clients;
-pub use requests::try_counts::run as log_try_counts;
 pub use settings::{DutySettings, GatewaySettings};
 
 // The interfaces and types that the adapter of a platform implements and fills in.
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -11,6 +11,7 @@
 use crate::decisions::replication::hold::max_hold;
 use crate::duties::codec::decode_report;
 use crate::forwarding::connection::{self, AcceptedConnection};
+use crate::forwarding::reach_probe;
 use crate::gateway::Gateway;
 use crate::replication::crash_observations::{self, SentCrashObservations};
 use crate::replication::endpoint_notices;
@@ -21,10 +22,10 @@
 use crate::sockets::{accept, set_options};
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
-    Frame, FrameCodec, FrameError, RecordsAnswer, RecordsWanted, SourcePath, StreamsBegunHeard,
-    UsageHeard,
+    ForwardingWanted, Frame, FrameCodec, FrameError, RecordsAnswer, RecordsWanted, SourcePath,
+    StreamsBegunHeard, UsageHeard,
 };
-use bridgevane_types::{DataCentreId, TimeMs, VmId};
+use bridgevane_types::{DataCentreId, ServiceName, TimeMs, VmId};
 use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -98,7 +99,8 @@
                 continue;
             }
             Some(Body::ForwardingWanted(wanted)) => {
-                let accepted = connection::accept(gateway, frames, &wanted).await?;
+                let can_serve = can_serve_for_daemon(gateway, &wanted).await;
+                let accepted = connection::accept(gateway, frames, &wanted, can_serve).await?;
                 if let Some(AcceptedConnection { stream, counted }) = accepted {
                     client_listener::serve_daemon(gateway.clone(), stream).await;
                     drop(counted);
@@ -245,6 +247,16 @@
     }
 }
 
+/// Returns whether this daemon can serve requests that another one wants to forward. A daemon of an
+/// earlier version names no service; its requests are declined one by one.
+async fn can_serve_for_daemon(gateway: &Arc<Gateway>, wanted: &ForwardingWanted) -> bool {
+    if wanted.service.is_empty() || !gateway.is_ready() {
+        return gateway.is_ready();
+    }
+    let service = ServiceName::from(wanted.service.as_str());
+    reach_probe::reaches(gateway, &service).await
+}
+
 /// Decides which daemon answers. This happens before any record is sent: a full state is large for
 /// the link of a small VM.
 fn place_follower(gateway: &Gateway, poll: &RecordsWanted) -> FollowerPlacement {
--- a/crates/gateway/src/requests/handler.rs
+++ b/crates/gateway/src/requests/handler.rs
@@ -131,7 +131,11 @@
             .on_request(gateway.clock.now(), &inbound.service);
         gateway.metrics.request_admitted(&inbound.service);
         let route = &inbound.route.name;
-        client_try = Some(ClientTry::begin(gateway, &inbound.service, route));
+        client_try = Some(ClientTry::begin(
+            &gateway.try_counts,
+            &inbound.service,
+            route,
+        ));
     }
     let is_stream = inbound.route.stream.is_some();
     let mut exchange = Exchange::new(gateway.clone(), inbound);
--- a/crates/gateway/src/requests/try_counts.rs
+++ b/crates/gateway/src/requests/try_counts.rs
@@ -4,17 +4,12 @@
 //! the counts until they are logged (event 1317), behind one short lock for each request. A request
 //! whose client has left is counted by the drop of its [`ClientTry`].
 
-use crate::gateway::Gateway;
 use bridgevane_events::{Event, event};
 use bridgevane_types::ServiceName;
 use http::StatusCode;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::time::sleep;
-
-/// How often counts are logged.
-const LOG_INTERVAL: Duration = Duration::from_secs(2);
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// How a try ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,18 +106,10 @@
     }
 }
 
-/// Logs the counts until the daemon ends.
-pub async fn run(gateway: Arc<Gateway>) {
-    loop {
-        sleep(LOG_INTERVAL).await;
-        gateway.try_counts.log();
-    }
-}
-
 /// A client's try, counted when it is dropped.
 #[derive(Debug)]
 pub(crate) struct ClientTry {
-    gateway: Arc<Gateway>,
+    counts: Arc<TryCounts>,
     key: TryKey,
     outcome: TryOutcome,
     is_forwarded: bool,
@@ -130,11 +117,11 @@
 
 impl ClientTry {
     /// Begins to count a request that has just arrived.
-    pub(crate) fn begin(gateway: &Arc<Gateway>, service: &ServiceName, route: &str) -> Self {
+    pub(crate) fn begin(counts: &Arc<TryCounts>, service: &ServiceName, route: &str) -> Self {
         // A clock before 1970 counts as 1970.
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         Self {
-            gateway: gateway.clone(),
+            counts: counts.clone(),
             key: TryKey {
                 second: since_epoch.unwrap_or_default().as_secs(),
                 service: service.clone(),
@@ -155,7 +142,6 @@
 impl Drop for ClientTry {
     fn drop(&mut self) {
         let key = self.key.clone();
-        let counts = &self.gateway.try_counts;
-        counts.add(key, self.outcome, self.is_forwarded);
+        self.counts.add(key, self.outcome, self.is_forwarded);
     }
 }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -2,6 +2,7 @@
 
 use crate::environment::KEYS;
 use crate::history::{CallEnd, RecordedCall, RouteKind};
+use crate::options::SoakOptions;
 use bridgevane_platform_emulator::{is_signed, keyed_request};
 use http_body_util::BodyExt;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -12,6 +13,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 
 /// The timeout of a connection attempt.
@@ -52,14 +54,34 @@
 }
 
 /// One caller, with its own stream of random numbers.
-pub(crate) struct CallerTask {
-    pub(crate) number: usize,
-    pub(crate) seed: u64,
-    pub(crate) client_addresses: Vec<SocketAddr>,
-    pub(crate) started: Instant,
-    pub(crate) until: Instant,
-    pub(crate) pace: CallPace,
-    pub(crate) calls: Calls,
+struct CallerTask {
+    number: usize,
+    seed: u64,
+    client_addresses: Vec<SocketAddr>,
+    started: Instant,
+    until: Instant,
+    pace: CallPace,
+    calls: Calls,
+}
+
+/// Starts the callers of a run.
+pub(crate) fn start(
+    options: &SoakOptions,
+    client_addresses: &[SocketAddr],
+    started: Instant,
+    pace: &CallPace,
+    calls: &Calls,
+) -> JoinSet<()> {
+    let callers = (0..options.callers).map(|number| CallerTask {
+        number,
+        seed: options.seed,
+        client_addresses: client_addresses.to_vec(),
+        started,
+        until: started + options.size.duration,
+        pace: pace.clone(),
+        calls: calls.clone(),
+    });
+    callers.map(CallerTask::run).collect()
 }
 
 struct Connection {
@@ -69,7 +91,7 @@
 
 impl CallerTask {
     /// Sends calls until `until`, each to a random daemon unless the connection is reused.
-    pub(crate) async fn run(self) {
+    async fn run(self) {
         let mut random = Pcg64::seed_from_u64(self.seed ^ (self.number as u64) << 32);
         let mut connection: Option<Connection> = None;
         let mut count = 0;
@@ -88,7 +110,13 @@
             let (daemon, end) = match open {
                 None => (daemon, CallEnd::NotConnected),
                 Some(mut open) => {
-                    let end = call(&mut open.sender, kind, &id, key, self.pace.deadline).await;
+                    let call = Call {
+                        kind,
+                        id: &id,
+                        key,
+                        deadline: self.pace.deadline,
+                    };
+                    let end = send(&mut open.sender, call).await;
                     let daemon = open.daemon;
                     if matches!(end, CallEnd::Answered { .. }) {
                         connection = Some(open);
@@ -122,27 +150,25 @@
     Some(Connection { daemon, sender })
 }
 
-async fn call(
-    sender: &mut SendRequest<Body>,
+/// One call that is sent.
+#[derive(Clone, Copy, Debug)]
+struct Call<'a> {
     kind: RouteKind,
-    id: &str,
-    key: &str,
+    id: &'a str,
+    key: &'a str,
     deadline: Duration,
-) -> CallEnd {
-    let calling = exchange(sender, kind, id, key, deadline);
-    timeout(deadline, calling)
+}
+
+async fn send(sender: &mut SendRequest<Body>, call: Call<'_>) -> CallEnd {
+    let calling = exchange(sender, call);
+    timeout(call.deadline, calling)
         .await
         .unwrap_or(CallEnd::TimedOut)
 }
 
-async fn exchange(
-    sender: &mut SendRequest<Body>,
-    kind: RouteKind,
-    id: &str,
-    key: &str,
-    deadline: Duration,
-) -> CallEnd {
-    let deadline_ms = deadline.as_millis() as u64;
+async fn exchange(sender: &mut SendRequest<Body>, call: Call<'_>) -> CallEnd {
+    let Call { kind, id, key, .. } = call;
+    let deadline_ms = call.deadline.as_millis() as u64;
     let (head, _) = keyed_request(kind.path(), id, key, deadline_ms).into_parts();
     let request = http::Request::from_parts(head, Body::from("hi"));
     let answer = match sender.try_send_request(request).await {
--- a/crates/soak/src/cut_run.rs
+++ b/crates/soak/src/cut_run.rs
@@ -4,7 +4,7 @@
 //! Each daemon has a store of its own, all with the same content but for the workers' addresses: those
 //! lead through its own paths, which can be cut for this daemon alone.
 
-use crate::callers::{CallPace, CallerTask, Calls};
+use crate::callers::{self, CallPace, Calls};
 use crate::checks::KEY_REMOVAL_BOUND;
 use crate::cut_checks::{CutHistory, CutViolation, Disturbance, find_cut_violations};
 use crate::cut_path::{CutPath, PathState};
@@ -162,22 +162,12 @@
     sleep(START_PERIOD).await;
     let started = Instant::now();
     let calls = Calls::default();
-    let mut callers = JoinSet::new();
-    for number in 0..options.callers {
-        let caller = CallerTask {
-            number,
-            seed: options.seed,
-            client_addresses: environment.client_addresses(),
-            started,
-            until: started + options.size.duration,
-            pace: CallPace {
-                deadline: DEADLINE,
-                pause_ms: PAUSE_MS,
-            },
-            calls: calls.clone(),
-        };
-        callers.spawn(caller.run());
-    }
+    let pace = CallPace {
+        deadline: DEADLINE,
+        pause_ms: PAUSE_MS,
+    };
+    let addresses = environment.client_addresses();
+    let callers = callers::start(options, &addresses, started, &pace, &calls);
     let environment = Arc::new(Mutex::new(environment));
     let mut events = JoinSet::new();
     for cut in plan.cuts.iter().copied() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! One run: starts the processes and callers, injects the plan's faults, and checks the record.
 
-use crate::callers::{CallPace, CallerTask, Calls};
+use crate::callers::{self, CallPace, Calls};
 use crate::checks::{Violation, find_violations};
 use crate::environment::{Environment, STREAM_EVENTS};
 use crate::history::{CallEnd, Disruption, History, KeyRemoval, PlannedStop, WorkerDrain};
@@ -103,21 +103,10 @@
     sleep(START_PERIOD).await;
     environment.started = Instant::now();
     let started = environment.started;
-    let until = started + options.size.duration;
     let calls = Calls::default();
-    let mut callers = JoinSet::new();
-    for number in 0..options.callers {
-        let caller = CallerTask {
-            number,
-            seed: options.seed,
-            client_addresses: environment.client_addresses(),
-            started,
-            until,
-            pace: CallPace::default(),
-            calls: calls.clone(),
-        };
-        callers.spawn(caller.run());
-    }
+    let pace = CallPace::default();
+    let addresses = environment.client_addresses();
+    let mut callers = callers::start(options, &addresses, started, &pace, &calls);
     let shared = Arc::new(RunState {
         environment: Mutex::new(environment),
         record: Mutex::default(),
--- a/src/commands/report/log_files.rs
+++ b/src/commands/report/log_files.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::{self, BufReader};
 use std::path::{Path, PathBuf};
+use std::time::SystemTime;
 
 /// The file name for standard input.
 const STANDARD_INPUT: &str = "-";
@@ -19,6 +20,14 @@
     source: io::Error,
 }
 
+/// Reads a time of an argument, such as 2026-12-02T16:00:01.5Z.
+///
+/// # Errors
+/// The problem, for the user.
+pub(super) fn parse_time(text: &str) -> Result<SystemTime, String> {
+    humantime::parse_rfc3339_weak(text).map_err(|error| error.to_string())
+}
+
 /// Reads all events of the logs.
 ///
 /// # Errors
--- a/src/commands/report/reach.rs
+++ b/src/commands/report/reach.rs
@@ -1,7 +1,7 @@
 //! `bridgevane report reach`: how clients were served by daemons that were cut off from endpoints, and
 //! by the others, from the gateways' logs.
 
-use crate::commands::report::log_files::{read_all, unread_text};
+use crate::commands::report::log_files::{parse_time, read_all, unread_text};
 use crate::commands::{exit, print_line};
 use argh::FromArgs;
 use bridgevane_log_report::{ReachHistory, ReachQuery, ReachRow, TryCounts};
@@ -36,10 +36,6 @@
     json: bool,
 }
 
-fn parse_time(text: &str) -> Result<SystemTime, String> {
-    humantime::parse_rfc3339_weak(text).map_err(|error| error.to_string())
-}
-
 fn parse_names(text: &str) -> Result<BTreeSet<String>, String> {
     Ok(text.split(',').map(str::to_owned).collect())
 }
--- a/src/commands/report/tree.rs
+++ b/src/commands/report/tree.rs
@@ -1,6 +1,6 @@
 //! `bridgevane report tree`: the tree of followers over time, from the gateways' logs.
 
-use crate::commands::report::log_files::{read_all, unread_text};
+use crate::commands::report::log_files::{parse_time, read_all, unread_text};
 use crate::commands::{exit, print_line};
 use argh::FromArgs;
 use bridgevane_log_report::{TreeHistory, TreeRow};
@@ -30,10 +30,6 @@
     json: bool,
 }
 
-fn parse_time(text: &str) -> Result<SystemTime, String> {
-    humantime::parse_rfc3339_weak(text).map_err(|error| error.to_string())
-}
-
 /// Runs the command and returns the exit code.
 pub(super) fn run(arguments: &TreeArguments) -> u8 {
     if arguments.files.is_empty() {
