fix(gateway): a request isn't held past its deadline while daemons are asked, and waits for the limit before it is sent on

Change: the wait for handshakes ends at the deadline; a request is sent on after it has waited for the silence limit itself.

--- a/crates/gateway/src/requests/exchange/forwarding.rs
+++ b/crates/gateway/src/requests/exchange/forwarding.rs
@@ -17,7 +17,6 @@
 use futures_util::stream::FuturesUnordered;
 use http::HeaderValue;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::time::timeout;
 
 impl Exchange {
@@ -92,8 +91,13 @@
                 let service = self.inbound.service.clone();
                 handshakes.push(shake_hands(self.gateway.clone(), daemon, service));
             }
-            let interval = if is_last { Duration::MAX } else { ASK_INTERVAL };
-            match timeout(interval, handshakes.next()).await {
+            let remaining = self.inbound.remaining();
+            let wait = if is_last {
+                remaining
+            } else {
+                remaining.min(ASK_INTERVAL)
+            };
+            match timeout(wait, handshakes.next()).await {
                 Ok(Some((daemon, Some(connection)))) => {
                     self.finish_handshakes(handshakes);
                     return Some((daemon, connection));
@@ -103,6 +107,10 @@
                     self.on_declined(&daemon);
                 }
                 Ok(None) if is_last => return None,
+                Err(_) if self.inbound.remaining().is_zero() => {
+                    self.finish_handshakes(handshakes);
+                    return None;
+                }
                 Ok(None) | Err(_) => {}
             }
         }
--- a/crates/gateway/src/requests/exchange/silence.rs
+++ b/crates/gateway/src/requests/exchange/silence.rs
@@ -18,8 +18,9 @@
         let limit = silence_limit(selected.estimate.queue_ms + selected.estimate.prefill_ms);
         loop {
             self.wait_for_silence(limit).await;
-            let is_out_of_reach = self.reach() == Reach::OutOfReach;
-            if is_out_of_reach && !selected.endpoint.load.was_active_after(sent_at) {
+            let waited = self.gateway.clock.now().since(sent_at);
+            let is_silent = waited >= limit && !selected.endpoint.load.was_active_after(sent_at);
+            if is_silent && self.reach() == Reach::OutOfReach {
                 break;
             }
             self.check_silence(selected, limit);
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -405,3 +405,31 @@
     client.read_until("piece 0").await;
     assert_eq!(received(&endpoints), 1);
 }
+
+/// Guards against a request that is held past its deadline while daemons are asked that never answer.
+#[tokio::test]
+async fn a_request_is_not_held_past_its_deadline_while_daemons_are_asked() {
+    let dead = UnreachableAddress::refusing();
+    let mut frozen = Vec::new();
+    for _ in 0..6 {
+        frozen.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    }
+    let frozen: Vec<(SocketAddr, TcpListener)> = frozen
+        .into_iter()
+        .map(|each| (each.local_addr().unwrap(), each))
+        .collect();
+    let others: Vec<SocketAddr> = frozen.iter().map(|(address, _)| *address).collect();
+    let fleet = start_fleet_beside(&[source_of(&[dead.address; 3], &[])], &others).await;
+    let asked_at = Instant::now();
+    let mut client = Client::connect(fleet[0].address).await;
+    let extra = "x-deadline: 150\r\n";
+    client
+        .send(&request("POST", "/once/x", "a1", extra, ""))
+        .await;
+    assert!(client.answer().await.expect("an answer").status >= 500);
+    assert!(
+        asked_at.elapsed() < Duration::from_millis(300),
+        "{:?}",
+        asked_at.elapsed()
+    );
+}
