--- a/crates/gateway/src/decisions/endpoint/reachability.rs
+++ b/crates/gateway/src/decisions/endpoint/reachability.rs
@@ -213,7 +213,7 @@
 
 /// Returns how long a service may be silent before a request that waits for an answer checks its
 /// reach; `expected_ms` is the estimated time until the answer, in milliseconds.
-pub(crate) fn silence_limit(expected_ms: f64) -> DurationMs {
+pub fn silence_limit(expected_ms: f64) -> DurationMs {
     DurationMs((MIN_SILENCE_MS + EXPECTED_SHARE * expected_ms) as u64)
 }
 
--- a/crates/gateway/tests/reachability.rs
+++ b/crates/gateway/tests/reachability.rs
@@ -3,7 +3,7 @@
 
 use bridgevane_decisions::EndpointIx;
 use bridgevane_gateway::decisions::endpoint::reachability::{
-    Loss, ProbeVerdict, Reach, ServiceReach, probe_targets,
+    Contact, Loss, ProbeVerdict, Reach, ServiceReach, probe_targets, silence_limit,
 };
 use bridgevane_gateway::decisions::forwarding::{
     Experience, ForwardingCandidate, RequestOrigin, Way, choose, decline_time, next_way,
@@ -103,6 +103,42 @@
     assert_eq!(reach.reach(), Reach::InReach);
 }
 
+/// Guards against a connection for each request that waits, against one while the service is heard of,
+/// and against none when it has fallen silent.
+#[test]
+fn a_waiting_request_checks_a_silent_service_once_a_second() {
+    let limit = silence_limit(25.0);
+    assert_eq!(limit, DurationMs(200));
+    let mut reach = in_contact(TimeMs(10_000));
+    assert!(!reach.is_check_due(TimeMs(10_199), limit), "not yet");
+    reach.on_heard(TimeMs(10_150));
+    assert!(
+        !reach.is_check_due(TimeMs(10_300), limit),
+        "it was heard of"
+    );
+    assert!(reach.is_check_due(TimeMs(10_350), limit));
+    assert!(!reach.is_check_due(TimeMs(11_349), limit), "once a second");
+    assert!(reach.is_check_due(TimeMs(11_350), limit));
+    assert!(reach.suspect());
+    assert!(!reach.suspect(), "one probe is enough");
+    assert!(!reach.is_check_due(TimeMs(20_000), limit), "it is probed");
+}
+
+/// Guards against a daemon that accepts others' requests while it is cut off, and against a probe for
+/// each of them while it isn't.
+#[test]
+fn a_daemon_answers_for_its_reach_by_what_it_heard_lately() {
+    let mut reach = in_contact(TimeMs(10_000));
+    assert_eq!(reach.contact(TimeMs(10_999)), Contact::Recent);
+    assert_eq!(reach.contact(TimeMs(11_000)), Contact::Unknown);
+    reach.suspect();
+    assert_eq!(reach.contact(TimeMs(10_500)), Contact::Unknown);
+    reach.on_probed(TimeMs(11_100), false);
+    assert_eq!(reach.contact(TimeMs(11_200)), Contact::None);
+    reach.on_probed(TimeMs(11_300), true);
+    assert_eq!(reach.contact(TimeMs(11_400)), Contact::Recent);
+}
+
 /// Guards against a probe of one data centre alone, which may be lost with all its endpoints.
 #[test]
 fn a_probe_goes_to_different_data_centres_first() {
