--- a/crates/gateway/src/decisions/forwarding.rs
+++ b/crates/gateway/src/decisions/forwarding.rs
@@ -32,8 +32,8 @@
 pub const MAX_ASKED: usize = 6;
 /// The maximum number of daemons that one request is sent to.
 pub(crate) const MAX_SENT: usize = 3;
-/// How long a daemon may take to accept a request before the next one is asked. It takes two round
-/// trips; a daemon that is gone or frozen takes for ever.
+/// How long a daemon may take to accept a request before the next one is asked. A handshake takes two
+/// round trips; a daemon that is gone or frozen doesn't answer.
 pub(crate) const ASK_INTERVAL: Duration = Duration::from_millis(50);
 /// The first time for which a daemon that declined isn't asked.
 const FIRST_DECLINE_MS: u64 = 500;
--- a/crates/soak/src/cut_path.rs
+++ b/crates/soak/src/cut_path.rs
@@ -125,7 +125,7 @@
     fillers.filter_map(Result::ok).collect()
 }
 
-/// Carries one connection until it ends, is silenced for good or reset.
+/// Carries one connection until it ends or is cut. One that was silenced stays silent.
 async fn carry(near: TcpStream, worker: SocketAddr, mut state: watch::Receiver<PathState>) {
     let Ok(far) = TcpStream::connect(worker).await else {
         return;
