--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -6,12 +6,16 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import threading
 import time
 import tomllib
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -102,9 +106,9 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self.expire, daemon=True).start()
 
-    def put(self, key, value, lease=0):
+    def put(self, key, value, lease=0, is_new_change=True):
         with self.changed:
-            self.revision += 1
+            self.revision += is_new_change
             made = self.items[key]["made"] if key in self.items else self.revision
             item = {"key": key, "value": value, "revision": self.revision, "made": made, "lease": lease}
             self.items[key] = item
@@ -114,10 +118,10 @@
     def put_json(self, key, value):
         self.put(key, base64.b64encode(json.dumps(value).encode()).decode())
 
-    def remove(self, key):
+    def remove(self, key, is_new_change=True):
         with self.changed:
             if self.items.pop(key, None) is not None:
-                self.revision += 1
+                self.revision += is_new_change
                 self.history.append({"key": key, "revision": self.revision, "gone": True})
                 self.changed.notify_all()
 
@@ -162,10 +166,11 @@
                     return 412, {"items": [item for item in now.values() if item]}
                 if any(p.get("lease", 0) and p["lease"] not in self.leases for p in body.get("put", [])):
                     return 404, {}
+                self.revision += 1  # One change, whatever its entries.
                 for each in body.get("put", []):
-                    self.put(each["key"], each["value"], each.get("lease", 0))
+                    self.put(each["key"], each["value"], each.get("lease", 0), is_new_change=False)
                 for key in body.get("remove", []):
-                    self.remove(key)
+                    self.remove(key, is_new_change=False)
                 return 200, {"revision": self.revision}
             if path == "/kv-lease":
                 self.next_lease += 1
@@ -275,3 +280,17 @@
         }
         built.append(Gateway(fields, folder))
     return built
+
+
+def play(case):
+    """Runs a case in a temporary folder; exits with its result, or with 2 if it couldn't run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    folder = tempfile.mkdtemp()
+    result = 2
+    try:
+        result = case(folder)
+    except Exception:  # A stand-in or a gateway failed, so nothing was shown.
+        traceback.print_exc()
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+    sys.exit(result)
