--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -64,6 +64,7 @@
     def __init__(self, ip="127.0.0.1"):
         self.items, self.history, self.leases = {}, [], {}
         self.revision, self.next_lease = 1, 1
+        self.era, self.known_from, self.is_away = 0, 0, False
         self.changed = threading.Condition()
         store = self
 
@@ -75,7 +76,7 @@
 
             def answer(self, status, body=None):
                 data = json.dumps(body).encode()
-                head = (f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
+                head = (f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nStore-Era: {store.era}\r\n"
                         f"Content-Length: {len(data)}\r\n\r\n").encode()
                 try:
                     self.wfile.write(head + data)
@@ -93,7 +94,12 @@
                 body = json.loads(self.rfile.read(length)) if length else {}
                 url = urlsplit(self.path)
                 query = {k: v[0] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
-                self.answer(*store.call(self.command, url.path, query, body))
+                era = store.era
+                answer = None if store.is_away else store.call(self.command, url.path, query, body)
+                if answer is None or store.is_away or era != store.era:
+                    self.close_connection = True  # The store is away, or was: the call gets no answer.
+                else:
+                    self.answer(*answer)
 
             do_GET = do_POST = do_DELETE = call
 
@@ -139,6 +145,19 @@
             self.remove(key)
         return True
 
+    def copy(self):
+        """Makes a copy from which the store can come back."""
+        with self.changed:
+            return self.revision, {key: dict(item) for key, item in self.items.items()}
+
+    def come_back_from(self, copy):
+        """Takes the place of the store with a copy of it: what was written since is gone, leases too."""
+        with self.changed:
+            self.revision, self.items = copy[0], {k: i for k, i in copy[1].items() if not i["lease"]}
+            self.leases, self.history = {}, []
+            self.known_from, self.era = self.revision, self.era + 1
+            self.changed.notify_all()
+
     def call(self, method, path, query, body):
         with self.changed:
             if path == "/kv-key":
@@ -153,6 +172,9 @@
                 since, prefix = int(query["sinceRev"]), query.get("pathPrefix", "")
                 end = time.monotonic() + int(query.get("waitMs", 0)) / 1000
 
+                if not self.known_from <= since <= self.revision:
+                    return 410, {}
+
                 def newer():
                     return [e for e in self.history if e["revision"] > since and e["key"].startswith(prefix)]
 
