--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -3,6 +3,7 @@
 Only Python's standard library. Everything listens on loopback addresses and free ports.
 """
 import base64
+import ctypes
 import json
 import os
 import re
@@ -234,6 +235,15 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda match: value(match[1], fields), text)
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    """Lets the system kill a gateway whose script is gone, even if the script was killed itself."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Gateway:
     """A gateway process, started with the command of the deploy file."""
 
@@ -252,7 +262,7 @@
         self.log = open(self.folder / f"{self.name}.log", "a")
         self.process = subprocess.Popen(
             words, cwd=ROOT, env={**passed, **variables, "BRIDGEVANE_BOOT": str(boot)},
-            stdout=self.log, stderr=self.log, stdin=subprocess.DEVNULL)
+            stdout=self.log, stderr=self.log, stdin=subprocess.DEVNULL, preexec_fn=end_with_parent)
 
     def is_ready(self):
         try:
