feat(duties): logs name the duty state that a holder took over, and what it submitted again

Seen in reports of windows that differ after the store came back from a copy: the logs showed who became the holder, but not over which state, nor that it submitted windows of that state again.

Nothing else changes.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -119,6 +119,7 @@
     1703 UsageTold Info "the usage of a window was submitted to the platform";
     1704 DutyCallFailed Warn "a call for a duty failed";
     1705 EnginesOrdered Info "engines were ordered from the platform";
+    1706 UsageRepeated Info "usage that the duty state lists was submitted to the platform again";
 }
 
 /// Logs an event with fields: `event!(Event::Started, vm = id)`. Values must implement `Display`.
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -158,7 +158,10 @@
             Event::DutiesTaken,
             fence = revision,
             predecessor = predecessor,
-            acts_in_ms = acts_in
+            acts_in_ms = acts_in,
+            state_at = before.map_or(Revision(0), |stored| stored.revision),
+            // 0 means that the state has no window.
+            newest_window = state.newest_window().unwrap_or_default()
         );
         Ok(Some(SessionStart {
             vm: self.gateway.settings.vm.clone(),
--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -51,6 +51,12 @@
         // The previous holder may not have submitted these.
         for usage in &state.submitted_windows {
             self.submit(usage).await?;
+            event!(
+                Event::UsageRepeated,
+                window = usage.window,
+                requests = usage.counts.total(),
+                fence = self.session.credentials().fence
+            );
         }
         let mut window = self.first_window(state.newest_window());
         loop {
@@ -129,6 +135,7 @@
             Event::UsageTold,
             window = window,
             requests = usage.counts.total(),
+            fence = self.session.credentials().fence,
             daemons = daemons,
             complete = is_complete,
             after_end_ms = after_end
