refactor(duties): which counts a daemon reports is a rule of its own

Moved from the task that sends the reports to decisions/duties/unreported_usage, so that the rule can be tested without connections. What is sent stays as it was.

--- a/crates/gateway/src/decisions/duties/mod.rs
+++ b/crates/gateway/src/decisions/duties/mod.rs
@@ -5,6 +5,7 @@
 //! | which daemon may hold the duties, and until when may it act? | [`tenure`] |
 //! | to which window does a time belong, and when is its usage due? | [`usage_window`] |
 //! | does a run count as usage, and from when? | [`usage_start`] |
+//! | which counts does a daemon report to the holder? | [`unreported_usage`] |
 //! | how many requests did the fleet start in a window, and are all counted? | [`usage_collection`] |
 //! | what does a successor need to know? | [`duty_state`] |
 //! | how many engines does a service need? | [`engine_need`] |
@@ -19,6 +20,7 @@
 pub mod engine_orders;
 pub mod engine_plan;
 pub mod tenure;
+pub mod unreported_usage;
 pub mod usage_collection;
 pub mod usage_counts;
 pub mod usage_ledger;
--- a/crates/gateway/src/duties/reporter.rs
+++ b/crates/gateway/src/duties/reporter.rs
@@ -5,8 +5,8 @@
 
 use crate::control::duty_holder::HolderView;
 use crate::control::holder_record::HolderRecord;
+use crate::decisions::duties::unreported_usage::UnreportedUsage;
 use crate::decisions::duties::usage_collection::{DaemonIncarnation, UsageReport};
-use crate::decisions::duties::usage_window::UsageWindow;
 use crate::duties::codec::encode_report;
 use crate::gateway::Gateway;
 use crate::replication::peer_connection::{FramedStream, open_connection};
@@ -14,7 +14,6 @@
 use bridgevane_protocol::Frame;
 use bridgevane_protocol::frame::Body;
 use futures_util::{SinkExt, StreamExt};
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -38,7 +37,7 @@
     let mut reporter = Reporter {
         gateway,
         connection: None,
-        acknowledged: None,
+        unreported: UnreportedUsage::default(),
     };
     loop {
         sleep(reporter.until_next_report(phase_ms)).await;
@@ -57,26 +56,16 @@
     let mut reporter = Reporter {
         gateway,
         connection: None,
-        acknowledged: None,
+        unreported: UnreportedUsage::default(),
     };
     // Not retried: the process ends.
     let _ = reporter.send_report(&holder, &report).await;
 }
 
-/// The counts that a holder has acknowledged.
-#[derive(Debug)]
-struct AcknowledgedCounts {
-    holder: DaemonIncarnation,
-    first_open: UsageWindow,
-    /// The number of reported requests by window. Counts only increase, so a different sum shows
-    /// that a window has changed.
-    requests: BTreeMap<UsageWindow, u64>,
-}
-
 struct Reporter {
     gateway: Arc<Gateway>,
     connection: Option<(DaemonIncarnation, FramedStream)>,
-    acknowledged: Option<AcknowledgedCounts>,
+    unreported: UnreportedUsage,
 }
 
 impl Reporter {
@@ -95,36 +84,17 @@
             self.connection = None;
             return;
         };
-        let Some(mut report) = self.gateway.usage_tracker.own_report() else {
+        let Some(own) = self.gateway.usage_tracker.own_report() else {
+            return;
+        };
+        let Some(report) = self.unreported.report(&holder.daemon, &own) else {
             return;
         };
-        let acknowledged = self.acknowledged.take();
-        let acknowledged = acknowledged.filter(|acknowledged| acknowledged.holder == holder.daemon);
-        let requests: BTreeMap<UsageWindow, u64> = report
-            .windows
-            .iter()
-            .map(|(window, counts)| (*window, counts.total()))
-            .collect();
-        if let Some(acknowledged) = &acknowledged {
-            let has_changed =
-                |window: &UsageWindow| acknowledged.requests.get(window) != requests.get(window);
-            report.windows.retain(|(window, _)| has_changed(window));
-            if report.windows.is_empty() && acknowledged.first_open == report.first_open {
-                self.acknowledged = Some(AcknowledgedCounts {
-                    holder: holder.daemon,
-                    first_open: report.first_open,
-                    requests,
-                });
-                return;
-            }
-        }
         // Not logged: the report is repeated until it is acknowledged.
         if self.send_report(&holder, &report).await == Ok(true) {
-            self.acknowledged = Some(AcknowledgedCounts {
-                holder: holder.daemon,
-                first_open: report.first_open,
-                requests,
-            });
+            self.unreported.on_acknowledged(holder.daemon, &own);
+        } else {
+            self.unreported.on_not_acknowledged();
         }
     }
 
