test(duties): the simulated store comes back from copies, daemons report their usage to the holder

The simulated fleet knew neither: each daemon's counts stayed its own, and the store never went back. A copy takes revisions, lease ids and keys without a lease back to its time; the era rises.

--- a/crates/gateway/src/duties/usage_tracker.rs
+++ b/crates/gateway/src/duties/usage_tracker.rs
@@ -62,7 +62,7 @@
     }
 
     /// Returns this daemon's counts of the newest windows; none if the fleet doesn't submit usage.
-    pub(crate) fn own_report(&self) -> Option<UsageReport> {
+    pub fn own_report(&self) -> Option<UsageReport> {
         let calendar = self.calendar?;
         let now = self.clock.wall_time_at(self.clock.now());
         let first_open = calendar.first_open_at(now);
@@ -107,7 +107,7 @@
     }
 
     /// Stores another daemon's report; returns whether this daemon holds the duties.
-    pub(crate) fn on_report(&self, report: UsageReport) -> bool {
+    pub fn on_report(&self, report: UsageReport) -> bool {
         let mut collection = self.collection();
         let Some(collection) = collection.as_mut() else {
             return false;
--- a/crates/gateway/tests/support/duty_sim/daemon.rs
+++ b/crates/gateway/tests/support/duty_sim/daemon.rs
@@ -3,6 +3,7 @@
 use super::store::{LinkFaults, PlatformClient, SimulatedPlatform};
 use super::{LEASE, WINDOW};
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
+use bridgevane_gateway::decisions::duties::unreported_usage::UnreportedUsage;
 use bridgevane_gateway::decisions::duties::usage_window::UsageCalendar;
 use bridgevane_gateway::{
     Clock, ClockScript, DutySettings, Gateway, GatewaySettings, follow_control_source, hold_duties,
@@ -16,6 +17,9 @@
 /// The step in which a suspension is simulated.
 const SUSPENSION_STEP: Duration = Duration::from_millis(5);
 
+/// The interval between two reports of a daemon's usage.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A running daemon; dropping it kills it.
 pub struct Daemon {
     pub vm: String,
@@ -52,6 +56,27 @@
     }
 }
 
+/// Reports a daemon's usage to the holder.
+async fn report_usage(platform: SimulatedPlatform, gateway: Arc<Gateway>) {
+    let mut unreported = UnreportedUsage::default();
+    let vm = gateway.settings.vm.to_string();
+    loop {
+        sleep(REPORT_INTERVAL).await;
+        let Some((holder, holder_gateway)) = platform.holder_for(&vm) else {
+            continue;
+        };
+        let own = gateway.usage_tracker.own_report().expect("usage windows");
+        let Some(report) = unreported.report(&holder.daemon, &own) else {
+            continue;
+        };
+        if holder_gateway.usage_tracker.on_report(report) {
+            unreported.on_acknowledged(holder.daemon, &own);
+        } else {
+            unreported.on_not_acknowledged();
+        }
+    }
+}
+
 impl Daemon {
     /// Starts a daemon that sees a request of one customer start every `interval`.
     pub fn start(platform: &SimulatedPlatform, vm: &str, interval: Duration) -> Self {
@@ -63,8 +88,10 @@
             platform: platform.clone(),
             vm: vm.to_owned(),
         };
+        platform.register(vm, &gateway);
         let counting_gateway = gateway.clone();
         let tasks = vec![
+            tokio::spawn(report_usage(platform.clone(), gateway.clone())),
             tokio::spawn(follow_control_source(gateway.clone(), client.clone())),
             tokio::spawn(hold_duties(gateway.clone(), client.clone(), client)),
             tokio::spawn(async move {
--- a/crates/gateway/tests/support/duty_sim/mod.rs
+++ b/crates/gateway/tests/support/duty_sim/mod.rs
@@ -2,13 +2,17 @@
 //! store with leases and conditional writes, one interface for usage, and their faults.
 //!
 //! Each daemon runs the product's own tasks. A daemon is cut off, loses responses or is killed
-//! individually; a silent store affects all, and may end leases early meanwhile.
+//! individually; a silent store affects all, and may end leases early meanwhile. The store may come
+//! back from a copy. Each daemon reports its usage to the holder.
 
 mod daemon;
+mod rules;
 mod store;
 
 pub use daemon::Daemon;
-pub use store::{AcceptedCall, LinkFaults, SimulatedPlatform};
+pub use rules::{check_rules, run_on_virtual_clock, start_daemon};
+#[allow(unused_imports)]
+pub use store::{AcceptedCall, LinkFaults, SimulatedPlatform, StoreCopy};
 
 use std::time::Duration;
 
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -5,14 +5,14 @@
 use bridgevane_gateway::decisions::duties::engine_plan::EngineScaling;
 use bridgevane_gateway::{
     Change, Changes, ClientLimits, ControlSource, Credentials, DutyCallError, DutyKey,
-    DutyPlatform, DutyStore, EndpointRecord, FullState, HolderRecord, LeaseId, LeaseRenewal,
-    ReadProgress, Revision, RoutingParts, RoutingTable, Service, SourceError, SourceRecord,
-    StoredValue, Transaction, TransactionOutcome,
+    DutyPlatform, DutyStore, EndpointRecord, FullState, Gateway, HolderRecord, LeaseId,
+    LeaseRenewal, ReadProgress, Revision, RoutingParts, RoutingTable, Service, SourceEra,
+    SourceError, SourceRecord, StoredValue, Transaction, TransactionOutcome,
 };
 use bridgevane_types::{Bytes as Size, ConfigVersion, DurationMs, ServiceName};
 use bytes::Bytes;
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -58,18 +58,47 @@
     }
 }
 
+/// A value in the store.
+#[derive(Clone)]
+struct Item {
+    /// The counter of the change that wrote it.
+    counter: u64,
+    value: Bytes,
+    lease: Option<u64>,
+}
+
+/// A change of the holder's key; no value: the key was removed.
+#[derive(Clone)]
+struct HolderChange {
+    counter: u64,
+    value: Option<Bytes>,
+}
+
+/// What the store had at one moment, from which it can come back.
+#[derive(Clone)]
+pub struct StoreCopy {
+    counter: u64,
+    items: HashMap<&'static str, Item>,
+    next_lease: u64,
+}
+
 #[derive(Default)]
 struct State {
+    /// Rises each time the store comes back from a copy.
+    era: u32,
     /// Starts at 1: the configuration and the engine exist.
-    revision: u64,
-    items: HashMap<&'static str, StoredValue>,
+    counter: u64,
+    /// The oldest counter from which changes are known.
+    known_from: u64,
+    items: HashMap<&'static str, Item>,
     leases: HashMap<u64, Instant>,
     next_lease: u64,
-    /// The changes of the holder's key, as the control source returns them.
-    holder_changes: Vec<SourceRecord>,
+    holder_changes: Vec<HolderChange>,
     is_silent: bool,
     link_faults: HashMap<String, LinkFaults>,
     accepted_calls: Vec<AcceptedCall>,
+    /// The running daemons, by VM.
+    gateways: HashMap<String, Weak<Gateway>>,
 }
 
 /// The simulated platform; clones share its state.
@@ -87,32 +116,51 @@
 }
 
 impl State {
-    fn write(&mut self, key: &'static str, value: Bytes, lease: Option<LeaseId>) {
-        let revision = Revision(self.revision);
+    /// Returns the revision of a change of the current era.
+    fn revision(&self, counter: u64) -> Revision {
+        Revision::new(SourceEra(self.era), counter)
+    }
+
+    fn stored(&self, item: &Item) -> StoredValue {
+        StoredValue {
+            revision: self.revision(item.counter),
+            value: item.value.clone(),
+            lease: item.lease.map(LeaseId),
+        }
+    }
+
+    fn source_record(&self, change: &HolderChange) -> SourceRecord {
+        SourceRecord {
+            key: HOLDER.to_owned(),
+            revision: self.revision(change.counter),
+            value: change.value.clone(),
+        }
+    }
+
+    fn write(&mut self, key: &'static str, value: Bytes, lease: Option<u64>) {
+        let counter = self.counter;
         if key == HOLDER {
-            self.holder_changes.push(SourceRecord {
-                key: HOLDER.to_owned(),
-                revision,
+            self.holder_changes.push(HolderChange {
+                counter,
                 value: Some(value.clone()),
             });
         }
-        let stored = StoredValue {
-            revision,
+        let item = Item {
+            counter,
             value,
             lease,
         };
-        self.items.insert(key, stored);
+        self.items.insert(key, item);
     }
 
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
-        let is_attached = |stored: &StoredValue| stored.lease == Some(LeaseId(lease));
+        let is_attached = |item: &Item| item.lease == Some(lease);
         if self.items.get(HOLDER).is_some_and(is_attached) {
             self.items.remove(HOLDER);
-            self.revision += 1;
-            self.holder_changes.push(SourceRecord {
-                key: HOLDER.to_owned(),
-                revision: Revision(self.revision),
+            self.counter += 1;
+            self.holder_changes.push(HolderChange {
+                counter: self.counter,
                 value: None,
             });
         }
@@ -121,7 +169,7 @@
     fn transact(&mut self, transaction: &Transaction) -> TransactionOutcome {
         let is_met = |(key, expected): &(DutyKey, Revision)| {
             let found = self.items.get(store_key(*key));
-            found.map_or(Revision(0), |found| found.revision) == *expected
+            found.map_or(0, |found| found.counter) == expected.counter()
         };
         if !transaction.expected.iter().all(is_met) {
             return TransactionOutcome::Conflict;
@@ -133,11 +181,25 @@
         {
             return TransactionOutcome::LeaseEnded;
         }
-        self.revision += 1;
+        self.counter += 1;
         for put in &transaction.puts {
-            self.write(store_key(put.key), put.value.clone(), put.lease);
+            let lease = put.lease.map(|lease| lease.0);
+            self.write(store_key(put.key), put.value.clone(), lease);
         }
-        TransactionOutcome::Done(Revision(self.revision))
+        TransactionOutcome::Done(self.revision(self.counter))
+    }
+
+    /// Takes the place of the store with a copy: what was written since is gone, leases too, and
+    /// revisions and lease ids are given out again.
+    fn restore(&mut self, copy: &StoreCopy) {
+        self.era += 1;
+        self.counter = copy.counter;
+        self.known_from = copy.counter;
+        self.items = copy.items.clone();
+        self.items.retain(|_, item| item.lease.is_none());
+        self.leases.clear();
+        self.next_lease = copy.next_lease;
+        self.holder_changes.clear();
     }
 }
 
@@ -145,7 +207,7 @@
     pub fn new() -> Self {
         let platform = Self {
             state: Arc::new(Mutex::new(State {
-                revision: 1,
+                counter: 1,
                 ..State::default()
             })),
             changed: Arc::new(watch::Sender::new(0)),
@@ -192,6 +254,43 @@
         self.on_changed();
     }
 
+    /// Makes a copy from which the store can come back.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy {
+            counter: state.counter,
+            items: state.items.clone(),
+            next_lease: state.next_lease,
+        }
+    }
+
+    /// Brings the store back from a copy.
+    pub fn come_back_from(&self, copy: &StoreCopy) {
+        self.lock().restore(copy);
+        self.on_changed();
+    }
+
+    /// Registers a daemon, so that others can report their usage to it.
+    pub fn register(&self, vm: &str, gateway: &Arc<Gateway>) {
+        let gateway = Arc::downgrade(gateway);
+        self.lock().gateways.insert(vm.to_owned(), gateway);
+    }
+
+    /// Returns the holder according to the store, with its gateway, for a daemon that isn't
+    /// suspended.
+    pub fn holder_for(&self, vm: &str) -> Option<(HolderRecord, Arc<Gateway>)> {
+        let state = self.lock();
+        let stored = state.items.get(HOLDER)?;
+        let holder = HolderRecord::decode(&stored.value).unwrap();
+        let holder_vm = holder.daemon.vm.to_string();
+        let is_suspended = |vm: &str| state.link_faults.get(vm) == Some(&LinkFaults::suspended());
+        if holder_vm == vm || is_suspended(vm) || is_suspended(&holder_vm) {
+            return None;
+        }
+        let gateway = state.gateways.get(&holder_vm)?.upgrade()?;
+        Some((holder, gateway))
+    }
+
     /// Sets whether the store answers no daemon.
     pub fn set_silent(&self, is_silent: bool) {
         self.lock().is_silent = is_silent;
@@ -286,8 +385,11 @@
     }
 
     async fn read(&self, key: DutyKey) -> Result<Option<StoredValue>, SourceError> {
-        self.call(move |state| state.items.get(store_key(key)).cloned())
-            .await
+        self.call(move |state| {
+            let item = state.items.get(store_key(key));
+            item.map(|item| state.stored(item))
+        })
+        .await
     }
 
     async fn write(&self, transaction: &Transaction) -> Result<TransactionOutcome, SourceError> {
@@ -381,10 +483,10 @@
 }
 
 /// Returns a record that exists from the beginning.
-fn first_record(key: &str) -> SourceRecord {
+fn first_record(key: &str, revision: Revision) -> SourceRecord {
     SourceRecord {
         key: key.to_owned(),
-        revision: Revision(1),
+        revision,
         value: Some(Bytes::from_static(b"-")),
     }
 }
@@ -392,14 +494,17 @@
 impl ControlSource for PlatformClient {
     async fn full_state(&self, _progress: &ReadProgress) -> Result<FullState, SourceError> {
         self.call(|state| FullState {
-            revision: Revision(state.revision),
+            revision: state.revision(state.counter),
             records: state
                 .holder_changes
                 .last()
-                .cloned()
+                .filter(|change| change.value.is_some())
+                .map(|change| state.source_record(change))
                 .into_iter()
-                .filter(|record| record.value.is_some())
-                .chain([first_record(CONFIG), first_record(ENGINE)])
+                .chain([
+                    first_record(CONFIG, state.revision(1)),
+                    first_record(ENGINE, state.revision(1)),
+                ])
                 .collect(),
         })
         .await
@@ -411,14 +516,18 @@
         loop {
             let found = self
                 .call(move |state| {
-                    let changes = state.holder_changes.iter();
-                    let newer = changes.filter(|record| record.revision > after);
-                    Changes {
-                        revision: Revision(state.revision),
-                        records: newer.cloned().collect(),
+                    let known = state.known_from..=state.counter;
+                    if after.era() != SourceEra(state.era) || !known.contains(&after.counter()) {
+                        return Err(SourceError::HistoryLost);
                     }
+                    let changes = state.holder_changes.iter();
+                    let newer = changes.filter(|change| change.counter > after.counter());
+                    Ok(Changes {
+                        revision: state.revision(state.counter),
+                        records: newer.map(|change| state.source_record(change)).collect(),
+                    })
                 })
-                .await?;
+                .await??;
             if !found.records.is_empty() || Instant::now() >= until {
                 return Ok(found);
             }
