fix(duties): the last holder is the first candidate for the duties

What callers saw: nothing by itself. After a lease that ended early another daemon took the duties over, and acted a lease (3 s) later than the last holder could have.

Cause: 'was the last holder' was noted only while the daemon waited for the duties and saw itself as their holder. A daemon that becomes the holder stops waiting, and when its session ends the key is gone already.

--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -146,6 +146,7 @@
         let Some(revision) = self.write_holder(lease, &transaction).await? else {
             return Ok(None);
         };
+        self.was_holder = true;
         let tenure = Tenure::begin(TenureStart {
             fence: FenceToken(revision.0),
             lease_requested_at,
--- a/crates/gateway/tests/duties_search.rs
+++ b/crates/gateway/tests/duties_search.rs
@@ -126,6 +126,24 @@
     });
 }
 
+/// A holder whose lease ended early had to wait as long as every other candidate, so that another
+/// daemon took over and waited for a lease of its own.
+#[test]
+fn the_last_holder_takes_the_duties_again_when_its_lease_ended_early() {
+    run_on_virtual_clock(async {
+        for round in 0..20 {
+            let platform = SimulatedPlatform::new();
+            let _daemons = ["vm-a", "vm-b", "vm-c"].map(|vm| start_daemon(&platform, vm, round));
+            sleep(Duration::from_millis(9_000 + 170 * round)).await;
+            let holder = platform.holder();
+            platform.expire_all_leases();
+            sleep(Duration::from_secs(2)).await;
+            assert_eq!(platform.holder(), holder);
+            check_rules(&platform.accepted_calls());
+        }
+    });
+}
+
 /// A holder that can reach the store but not the platform would otherwise keep the duties without
 /// acting.
 #[test]
