fix(duties): a new session of a holder gets the counts of all daemons again

What callers saw: usage of a customer far too low, in windows that had ended but were not yet submitted when the holder's session ended and the same process took the duties again.

Cause: what a daemon took for acknowledged hung on the holder's process, what the holder had on its session. A new session (a lease that ended early, the platform out of reach and back, a store that came back from a copy) began with an empty collection; the others sent only windows that had changed since.

A report names the session (by its fence) whose acknowledged windows it leaves out, and a holder's answer names its own. A session takes no report that leaves out what another one has; the daemon then sends all its windows at once. A holder of an earlier version names no fence, and behaves as before.

--- a/crates/gateway/src/decisions/duties/usage_collection.rs
+++ b/crates/gateway/src/decisions/duties/usage_collection.rs
@@ -6,7 +6,9 @@
 //! Rules:
 //! 1. Counts are kept by daemon and incarnation; of two reports the larger count of each customer
 //!    is kept. So a report may arrive again, late, or after a newer one.
-//! 2. A window is complete when every daemon that reported recently has closed it, and no fewer
+//! 2. A report that leaves out what another session of a holder acknowledged isn't taken: this
+//!    collection doesn't have the rest.
+//! 3. A window is complete when every daemon that reported recently has closed it, and no fewer
 //!    daemons than for the last submitted window. A partitioned daemon is awaited as long as the
 //!    window's deadline allows ([`super::usage_window`]); one that is silent for `DAEMON_TTL`, or
 //!    that has a newer incarnation, isn't. No window is complete before the holder has collected
@@ -16,7 +18,7 @@
 
 use super::usage_counts::UsageCounts;
 use super::usage_window::UsageWindow;
-use bridgevane_types::{DurationMs, Incarnation, TimeMs, VmId};
+use bridgevane_types::{DurationMs, FenceToken, Incarnation, TimeMs, VmId};
 use std::collections::BTreeMap;
 
 /// How long a silent daemon is awaited: one and a half times as long as usage may be late. A daemon
@@ -46,6 +48,15 @@
     pub first_open: UsageWindow,
     /// The counts by window.
     pub windows: Vec<(UsageWindow, UsageCounts)>,
+    /// The fence of the session that has acknowledged the windows left out; `None`: none is.
+    pub acknowledged_by: Option<FenceToken>,
+}
+
+impl UsageReport {
+    /// Returns whether the session with this fence has all that the report leaves out.
+    pub fn is_taken_by(&self, fence: FenceToken) -> bool {
+        self.acknowledged_by.is_none_or(|by| by == fence)
+    }
 }
 
 #[derive(Debug)]
@@ -58,6 +69,8 @@
 /// The reported usage of all daemons.
 #[derive(Debug)]
 pub struct UsageCollection {
+    /// The fence of the holder's session.
+    fence: FenceToken,
     by_daemon: BTreeMap<DaemonIncarnation, DaemonUsage>,
     /// When the holder started to collect.
     started_at: TimeMs,
@@ -66,18 +79,27 @@
 }
 
 impl UsageCollection {
-    /// Creates the collection of a holder that starts at `now`, where `daemons` closed the last
-    /// submitted window.
-    pub fn new(now: TimeMs, daemons: usize) -> Self {
+    /// Creates the collection of a holder's session that starts at `now`, where `daemons` closed the
+    /// last submitted window.
+    pub fn new(fence: FenceToken, now: TimeMs, daemons: usize) -> Self {
         Self {
+            fence,
             by_daemon: BTreeMap::new(),
             started_at: now,
             expected_daemons: daemons,
         }
     }
 
-    /// Records a daemon's report.
+    /// Returns the fence of the holder's session.
+    pub fn fence(&self) -> FenceToken {
+        self.fence
+    }
+
+    /// Records a daemon's report, unless it leaves out what this session doesn't have.
     pub fn on_report(&mut self, now: TimeMs, report: UsageReport) {
+        if !report.is_taken_by(self.fence) {
+            return;
+        }
         let known = self.by_daemon.entry(report.daemon).or_insert(DaemonUsage {
             last_report_at: now,
             first_open: report.first_open,
--- a/crates/gateway/src/duties/codec.rs
+++ b/crates/gateway/src/duties/codec.rs
@@ -8,12 +8,16 @@
 use crate::decisions::duties::usage_counts::UsageCounts;
 use crate::decisions::duties::usage_window::UsageWindow;
 use bridgevane_protocol::{
-    CustomerRequests, DutyState as DutyStateMessage, NeededEngines, UsageReported, WindowRequests,
+    CustomerRequests, DutyState as DutyStateMessage, NeededEngines, UsageHeard, UsageReported,
+    WindowRequests,
 };
-use bridgevane_types::{CustomerId, Incarnation, ServiceName, VmId};
+use bridgevane_types::{CustomerId, FenceToken, Incarnation, ServiceName, VmId};
 use bytes::Bytes;
 use prost::{DecodeError, Message};
 
+/// The fence in messages that name none.
+const NO_FENCE: FenceToken = FenceToken(0);
+
 /// Encodes the duties' state as a value of the store.
 pub(super) fn encode_state(state: &DutyState) -> Bytes {
     let needed = state.needed_engines.iter();
@@ -62,6 +66,7 @@
                 customers: encode_customers(counts),
             })
             .collect(),
+        acknowledged_fence: report.acknowledged_by.unwrap_or(NO_FENCE).0,
     }
 }
 
@@ -72,9 +77,24 @@
         daemon: decode_daemon(&message.vm, message.incarnation),
         first_open: UsageWindow(message.first_open_window),
         windows: windows.map(|usage| (usage.window, usage.counts)).collect(),
+        acknowledged_by: Some(FenceToken(message.acknowledged_fence))
+            .filter(|fence| *fence != NO_FENCE),
+    }
+}
+
+/// Encodes the answer to a usage report: the fence of this daemon's session, if it holds the duties.
+pub(crate) fn encode_heard(fence: Option<FenceToken>) -> UsageHeard {
+    UsageHeard {
+        is_holder: fence.is_some(),
+        fence: fence.unwrap_or(NO_FENCE).0,
     }
 }
 
+/// Decodes the answer to a usage report; a holder of an earlier version names no fence.
+pub(super) fn decode_heard(heard: &UsageHeard) -> Option<FenceToken> {
+    heard.is_holder.then_some(FenceToken(heard.fence))
+}
+
 fn decode_daemon(vm: &str, incarnation: u64) -> DaemonIncarnation {
     DaemonIncarnation {
         vm: VmId::from(vm),
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -230,7 +230,10 @@
     /// Performs the duties until the session ends.
     async fn perform_duties(&mut self, start: SessionStart) {
         let gateway = self.gateway.clone();
-        gateway.usage_tracker.start_collecting(start.state.daemons);
+        let fence = start.tenure.fence();
+        gateway
+            .usage_tracker
+            .start_collecting(fence, start.state.daemons);
         gateway.metrics.duties_held(true);
         let session = HolderSession::begin(gateway.clock, &self.store, start);
         let end = tokio::select! {
--- a/crates/gateway/src/duties/reporter.rs
+++ b/crates/gateway/src/duties/reporter.rs
@@ -7,12 +7,13 @@
 use crate::control::holder_record::HolderRecord;
 use crate::decisions::duties::unreported_usage::UnreportedUsage;
 use crate::decisions::duties::usage_collection::{DaemonIncarnation, UsageReport};
-use crate::duties::codec::encode_report;
+use crate::duties::codec::{decode_heard, encode_report};
 use crate::gateway::Gateway;
 use crate::replication::peer_connection::{FramedStream, open_connection};
 use crate::replication::peer_error::PeerError;
 use bridgevane_protocol::Frame;
 use bridgevane_protocol::frame::Body;
+use bridgevane_types::FenceToken;
 use futures_util::{SinkExt, StreamExt};
 use std::sync::Arc;
 use std::time::Duration;
@@ -87,23 +88,29 @@
         let Some(own) = self.gateway.usage_tracker.own_report() else {
             return;
         };
-        let Some(report) = self.unreported.report(&holder.daemon, &own) else {
-            return;
-        };
-        // Not logged: the report is repeated until it is acknowledged.
-        if self.send_report(&holder, &report).await == Ok(true) {
-            self.unreported.on_acknowledged(holder.daemon, &own);
-        } else {
-            self.unreported.on_not_acknowledged();
+        // A session that doesn't take the report gets all counts at once.
+        for _ in 0..2 {
+            let Some(report) = self.unreported.report(&holder.daemon, &own) else {
+                return;
+            };
+            // Not logged: the report is repeated until it is acknowledged.
+            let Ok(Some(fence)) = self.send_report(&holder, &report).await else {
+                self.unreported.on_no_answer();
+                return;
+            };
+            let unreported = &mut self.unreported;
+            if unreported.on_answer(&holder.daemon, &own, &report, fence) {
+                return;
+            }
         }
     }
 
-    /// Sends a report; returns whether the other daemon holds the duties.
+    /// Sends a report; returns the fence of the other daemon's session, if it holds the duties.
     async fn send_report(
         &mut self,
         holder: &HolderRecord,
         report: &UsageReport,
-    ) -> Result<bool, PeerError> {
+    ) -> Result<Option<FenceToken>, PeerError> {
         let address = holder.peer_address.ok_or(PeerError::Refused)?;
         let mut frames = match self.connection.take() {
             Some((daemon, frames)) if daemon == holder.daemon => frames,
@@ -115,14 +122,14 @@
             sent.map_err(|_| PeerError::Broken)?;
             let frame = frames.next().await.ok_or(PeerError::Broken)?;
             match frame.map_err(|_| PeerError::Broken)?.body {
-                Some(Body::UsageHeard(heard)) => Ok(heard.is_holder),
+                Some(Body::UsageHeard(heard)) => Ok(decode_heard(&heard)),
                 _ => Err(PeerError::Unreadable),
             }
         };
         let sent = timeout(ANSWER_TIMEOUT, sending).await;
-        let is_holder = sent.map_err(|_| PeerError::NoAnswer)??;
+        let fence = sent.map_err(|_| PeerError::NoAnswer)??;
         self.connection = Some((holder.daemon.clone(), frames));
-        Ok(is_holder)
+        Ok(fence)
     }
 }
 
--- a/crates/gateway/src/duties/usage_tracker.rs
+++ b/crates/gateway/src/duties/usage_tracker.rs
@@ -9,7 +9,7 @@
 use crate::decisions::duties::usage_ledger::UsageLedger;
 use crate::decisions::duties::usage_window::{UsageCalendar, UsageWindow};
 use crate::settings::GatewaySettings;
-use bridgevane_types::{CustomerId, Incarnation, TimeMs};
+use bridgevane_types::{CustomerId, FenceToken, Incarnation, TimeMs};
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::Notify;
 
@@ -78,6 +78,7 @@
             windows: windows
                 .map(|(window, counts)| (window, counts.clone()))
                 .collect(),
+            acknowledged_by: None,
         })
     }
 
@@ -95,10 +96,10 @@
     }
 
     /// Starts collecting reports from a fleet of `daemons` daemons; called when this daemon becomes
-    /// the holder.
-    pub(super) fn start_collecting(&self, daemons: usize) {
+    /// the holder, under `fence`.
+    pub(super) fn start_collecting(&self, fence: FenceToken, daemons: usize) {
         let now = self.clock.now();
-        *self.collection() = Some(UsageCollection::new(now, daemons));
+        *self.collection() = Some(UsageCollection::new(fence, now, daemons));
     }
 
     /// Stops collecting reports; called when this daemon is no longer the holder.
@@ -106,15 +107,14 @@
         *self.collection() = None;
     }
 
-    /// Stores another daemon's report; returns whether this daemon holds the duties.
-    pub fn on_report(&self, report: UsageReport) -> bool {
+    /// Stores another daemon's report; returns the fence of this daemon's session as the holder of
+    /// the duties, none if it doesn't hold them.
+    pub fn on_report(&self, report: UsageReport) -> Option<FenceToken> {
         let mut collection = self.collection();
-        let Some(collection) = collection.as_mut() else {
-            return false;
-        };
+        let collection = collection.as_mut()?;
         collection.on_report(self.clock.now(), report);
         self.report_arrived.notify_one();
-        true
+        Some(collection.fence())
     }
 
     /// Runs `work` on the reports of all daemons, including this one; returns none if this daemon
--- a/crates/gateway/tests/duties_usage.rs
+++ b/crates/gateway/tests/duties_usage.rs
@@ -1,6 +1,7 @@
 //! Tests of usage: windows, counts, reports to the holder, and when the holder submits.
 
 use bridgevane_gateway::decisions::duties::duty_state::{DutyState, WindowUsage};
+use bridgevane_gateway::decisions::duties::unreported_usage::UnreportedUsage;
 use bridgevane_gateway::decisions::duties::usage_collection::{
     DaemonIncarnation, UsageCollection, UsageReport,
 };
@@ -11,7 +12,7 @@
 };
 use bridgevane_gateway::decisions::duties::usage_window::{UsageCalendar, UsageDue, UsageWindow};
 use bridgevane_gateway::decisions::resend::AttemptError;
-use bridgevane_types::{CustomerId, DurationMs, Incarnation, TimeMs, WallTimeMs};
+use bridgevane_types::{CustomerId, DurationMs, FenceToken, Incarnation, TimeMs, WallTimeMs};
 use http::StatusCode;
 
 /// Windows of 5 s, submitted within 10 s of their end.
@@ -24,6 +25,8 @@
 /// When the holder started, long enough before `NOW` for windows to be complete.
 const HOLDER_START: TimeMs = TimeMs(996_000);
 const NOW: TimeMs = TimeMs(1_000_000);
+/// The fence of the holder's session.
+const FENCE: FenceToken = FenceToken(7);
 
 fn counts(entries: &[(&str, u32)]) -> UsageCounts {
     let entries = entries.iter();
@@ -44,6 +47,7 @@
         daemon,
         first_open: UsageWindow(first_open),
         windows: vec![(WINDOW, counts(entries))],
+        acknowledged_by: None,
     }
 }
 
@@ -106,7 +110,7 @@
 /// Reports may arrive several times and in any order; each request must count once.
 #[test]
 fn repeated_late_and_reordered_reports_count_once() {
-    let mut collection = UsageCollection::new(HOLDER_START, 0);
+    let mut collection = UsageCollection::new(FENCE, HOLDER_START, 0);
     let one = daemon_process("vm-1", 1);
     for entries in [
         [("a", 3), ("b", 1)],
@@ -119,10 +123,37 @@
     assert_eq!(collection.total(WINDOW), counts(&[("a", 5), ("b", 1)]));
 }
 
+/// A session that took a report without the windows that the session before had acknowledged would
+/// count this daemon as complete, and miss those windows.
+#[test]
+fn a_new_session_of_a_holder_gets_all_counts_again() {
+    let holder = daemon_process("vm-1", 1);
+    let own = report(daemon_process("vm-2", 1), 11, &[("a", 3)]);
+    let mut unreported = UnreportedUsage::default();
+    let first = unreported.report(&holder, &own).expect("a report");
+    assert!(unreported.on_answer(&holder, &own, &first, FENCE));
+    let later = UsageReport {
+        first_open: UsageWindow(12),
+        ..own.clone()
+    };
+    let partial = unreported.report(&holder, &later).expect("a report");
+    assert_eq!(partial.windows, []);
+    let new_fence = FenceToken(8);
+    let mut collection = UsageCollection::new(new_fence, HOLDER_START, 0);
+    collection.on_report(NOW, partial.clone());
+    assert_eq!(collection.daemons_closed(WINDOW), 0);
+    assert!(!unreported.on_answer(&holder, &later, &partial, new_fence));
+    let whole = unreported.report(&holder, &later).expect("a report");
+    collection.on_report(NOW, whole.clone());
+    assert!(unreported.on_answer(&holder, &later, &whole, new_fence));
+    assert_eq!(collection.total(WINDOW), counts(&[("a", 3)]));
+    assert_eq!(unreported.report(&holder, &later), None);
+}
+
 /// A daemon that restarts counts from zero; its earlier counts must not be replaced.
 #[test]
 fn counts_of_successive_incarnations_add_up() {
-    let mut collection = UsageCollection::new(HOLDER_START, 0);
+    let mut collection = UsageCollection::new(FENCE, HOLDER_START, 0);
     collection.on_report(NOW, report(daemon_process("vm-1", 1), 10, &[("a", 3)]));
     collection.on_report(
         NOW + DurationMs(500),
@@ -137,7 +168,7 @@
 /// none.
 #[test]
 fn a_partitioned_daemon_is_awaited_for_a_limited_time() {
-    let mut collection = UsageCollection::new(HOLDER_START, 0);
+    let mut collection = UsageCollection::new(FENCE, HOLDER_START, 0);
     collection.on_report(NOW, report(daemon_process("vm-1", 1), 11, &[("a", 3)]));
     collection.on_report(NOW, report(daemon_process("vm-2", 1), 10, &[("a", 3)]));
     assert!(!collection.is_complete(NOW + DurationMs(9_000), WINDOW));
@@ -152,7 +183,7 @@
 /// counts.
 #[test]
 fn a_new_holder_awaits_as_many_daemons_as_closed_the_last_window() {
-    let mut collection = UsageCollection::new(HOLDER_START, 2);
+    let mut collection = UsageCollection::new(FENCE, HOLDER_START, 2);
     assert!(!collection.is_complete(NOW, WINDOW));
     collection.on_report(NOW, report(daemon_process("vm-1", 1), 11, &[("a", 3)]));
     assert!(!collection.is_complete(NOW, WINDOW));
@@ -163,7 +194,7 @@
 /// The first windows of a starting fleet were submitted without most of its counts.
 #[test]
 fn a_new_holder_collects_for_some_seconds_before_a_window_is_complete() {
-    let mut collection = UsageCollection::new(NOW, 0);
+    let mut collection = UsageCollection::new(FENCE, NOW, 0);
     collection.on_report(NOW, report(daemon_process("vm-1", 1), 11, &[("a", 3)]));
     assert!(!collection.is_complete(NOW + DurationMs(3_499), WINDOW));
     collection.on_report(NOW, report(daemon_process("vm-2", 1), 11, &[("a", 3)]));
@@ -173,7 +204,7 @@
 /// The last report of a stopped daemon is final; its windows must not wait for it.
 #[test]
 fn a_stopped_daemon_has_closed_every_window() {
-    let mut collection = UsageCollection::new(HOLDER_START, 0);
+    let mut collection = UsageCollection::new(FENCE, HOLDER_START, 0);
     collection.on_report(
         NOW,
         report(daemon_process("vm-1", 1), u64::MAX, &[("a", 3)]),
@@ -185,7 +216,7 @@
 /// Dropping a window too early would lose counts, keeping it would use memory without limit.
 #[test]
 fn submitted_windows_are_dropped_and_newer_ones_kept() {
-    let mut collection = UsageCollection::new(HOLDER_START, 0);
+    let mut collection = UsageCollection::new(FENCE, HOLDER_START, 0);
     let mut both = report(daemon_process("vm-1", 1), 11, &[("a", 3)]);
     both.windows.push((WINDOW.next(), counts(&[("a", 1)])));
     collection.on_report(NOW, both);
--- a/crates/gateway/tests/support/duty_sim/daemon.rs
+++ b/crates/gateway/tests/support/duty_sim/daemon.rs
@@ -66,13 +66,18 @@
             continue;
         };
         let own = gateway.usage_tracker.own_report().expect("usage windows");
-        let Some(report) = unreported.report(&holder.daemon, &own) else {
-            continue;
-        };
-        if holder_gateway.usage_tracker.on_report(report) {
-            unreported.on_acknowledged(holder.daemon, &own);
-        } else {
-            unreported.on_not_acknowledged();
+        // A session that doesn't take the report gets all counts at once.
+        for _ in 0..2 {
+            let Some(report) = unreported.report(&holder.daemon, &own) else {
+                break;
+            };
+            let Some(fence) = holder_gateway.usage_tracker.on_report(report.clone()) else {
+                unreported.on_no_answer();
+                break;
+            };
+            if unreported.on_answer(&holder.daemon, &own, &report, fence) {
+                break;
+            }
         }
     }
 }
