fix(duties): a lease or a condition of before a return from a copy counts for nothing

What callers saw: calls to the platform under a lower fence than one before, by a daemon that no longer held the duties (the rule for holders of a duty).

Cause: a store that came back from a copy gives out the numbers of leases and the revisions again. A holder that couldn't reach it for a moment renewed the lease of its successor by that number, and its conditions on revisions were met by the successor's writes. A lease was its number alone, and the era of an answer was read only where a revision came with it.

A lease has its store's era, and a renewal or a conditional write that is answered in another one is not what was asked for: the session ends.

--- a/crates/gateway/src/duties/api.rs
+++ b/crates/gateway/src/duties/api.rs
@@ -4,7 +4,7 @@
 //! Calls have no timeout and are made once: the caller drops them, and decides on retries. A
 //! dropped call must not reach the platform later: its connection is reset.
 
-use crate::control::source::{Revision, SourceError};
+use crate::control::source::{Revision, SourceEra, SourceError};
 use crate::decisions::duties::duty_state::WindowUsage;
 use crate::decisions::duties::engine_orders::{EngineOrder, OrderOutcome};
 use bridgevane_types::{DurationMs, FenceToken, ServiceName, VmId};
@@ -21,9 +21,15 @@
     State,
 }
 
-/// The id of a lease of the store.
+/// A lease of the store. After a return from a copy the store gives out numbers again.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub struct LeaseId(pub u64);
+#[display("{era}.{number}")]
+pub struct LeaseId {
+    /// The store's era when it granted the lease.
+    pub era: SourceEra,
+    /// The store's number for the lease.
+    pub number: u64,
+}
 
 /// The result of renewing a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +38,8 @@
     Renewed,
     /// The lease has ended.
     Ended,
+    /// The store has come back from a copy, which has no leases.
+    StoreRestored,
 }
 
 /// The value of a key.
@@ -65,6 +73,17 @@
     pub puts: Vec<Put>,
 }
 
+impl Transaction {
+    /// Returns the era of the expected revisions and leases; `None` if there are none.
+    pub fn era(&self) -> Option<SourceEra> {
+        let expected = self.expected.iter().map(|(_, revision)| *revision);
+        let existing = expected.filter(|revision| *revision != Revision(0));
+        let leases = self.puts.iter().filter_map(|put| put.lease);
+        let eras = existing.map(Revision::era);
+        eras.chain(leases.map(|lease| lease.era)).max()
+    }
+}
+
 /// The result of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TransactionOutcome {
@@ -74,6 +93,9 @@
     Conflict,
     /// The lease has ended; nothing was written.
     LeaseEnded,
+    /// The store has come back from a copy since the conditions were read. Revisions are given out
+    /// again, so that the writes may have been applied nevertheless.
+    StoreRestored,
 }
 
 /// The store, as far as the duties use it.
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -210,7 +210,11 @@
     ) -> Result<Option<Revision>, SourceError> {
         match call_store(self.store.write(transaction)).await {
             Ok(TransactionOutcome::Done(revision)) => return Ok(Some(revision)),
-            Ok(TransactionOutcome::Conflict | TransactionOutcome::LeaseEnded) => {}
+            Ok(
+                TransactionOutcome::Conflict
+                | TransactionOutcome::LeaseEnded
+                | TransactionOutcome::StoreRestored,
+            ) => {}
             // The write may have been applied, or may be applied later. Only a key under this lease
             // proves that it was: the key of an earlier attempt is removed with that attempt's
             // lease.
--- a/crates/gateway/src/duties/holder_session.rs
+++ b/crates/gateway/src/duties/holder_session.rs
@@ -142,7 +142,7 @@
         let renewing = timeout(STORE_CALL_TIMEOUT, self.store.renew_lease(self.lease)).await;
         match renewing {
             Ok(Ok(LeaseRenewal::Renewed)) => self.tenure().on_renewed(asked_at),
-            Ok(Ok(LeaseRenewal::Ended)) => self.tenure().end(),
+            Ok(Ok(LeaseRenewal::Ended | LeaseRenewal::StoreRestored)) => self.tenure().end(),
             // Not logged: the task that follows the store logs that it is unavailable.
             Ok(Err(_)) | Err(_) => return false,
         }
@@ -181,7 +181,9 @@
                 Ok(Ok(TransactionOutcome::Conflict)) => {
                     break self.find_applied_write(&transaction).await?;
                 }
-                Ok(Ok(TransactionOutcome::LeaseEnded)) => return Err(SessionEnd::Lost),
+                Ok(Ok(TransactionOutcome::LeaseEnded | TransactionOutcome::StoreRestored)) => {
+                    return Err(SessionEnd::Lost);
+                }
                 // Not logged: the task that follows the store logs that it is unavailable.
                 Ok(Err(_)) | Err(_) => sleep(RETRY_PAUSE).await,
             }
--- a/crates/gateway/tests/support/duty_sim/rules.rs
+++ b/crates/gateway/tests/support/duty_sim/rules.rs
@@ -12,6 +12,11 @@
         let first = *counts.entry(usage.window.0).or_insert(usage);
         assert_eq!(first, usage, "a window was submitted with different counts");
     }
+    check_one_holder_at_a_time(calls);
+}
+
+/// Asserts that fencing tokens never fall, and that no holder acts beside another.
+pub fn check_one_holder_at_a_time(calls: &[AcceptedCall]) {
     let is_usage = |call: &&AcceptedCall| call.usage.is_some();
     let (usage, orders): (Vec<&AcceptedCall>, Vec<&AcceptedCall>) =
         calls.iter().partition(is_usage);
