fix(duties): a duty state from a copy of the store doesn't say what was submitted

Cause: a new holder took the duty state of the copy for the newest one, and the holder named in it for the last one. So it submitted windows again that only the lost part of the state listed, with the counts that it could still get: those of a killed daemon are gone, and a window that is overdue is submitted before the others report. It also acted at once where the copy named itself, beside a later holder that still acted by its own clock.

The state names the era of the store in which it was written. One of an earlier era is from a copy: the daemon that held the duties until the return, by its own clock, continues from its own state; any other one submits nothing that may have been submitted before (1707), also not what the copy lists, and waits for one lease.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -120,6 +120,7 @@
     1704 DutyCallFailed Warn "a call for a duty failed";
     1705 EnginesOrdered Info "engines were ordered from the platform";
     1706 UsageRepeated Info "usage that the duty state lists was submitted to the platform again";
+    1707 UsageLeftOut Warn "windows are not submitted: the store came back from a copy, and they may have been submitted before";
 }
 
 /// Logs an event with fields: `event!(Event::Started, vm = id)`. Values must implement `Display`.
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -74,24 +74,30 @@
 impl Clock {
     /// Creates a clock that starts now.
     pub(crate) fn start() -> Self {
-        Self::from_source(TimeSource::Machine {
+        let source = TimeSource::Machine {
             started: Instant::now(),
             started_boot: boot_time(),
-        })
+        };
+        Self {
+            source,
+            started_wall: time_of_day(),
+        }
     }
 
     /// Creates a clock that starts now and is changed by a script.
     pub fn scripted(script: &'static ClockScript) -> Self {
-        Self::from_source(TimeSource::Scripted {
-            started: Instant::now(),
-            script,
-        })
+        Self::scripted_at(script, time_of_day())
     }
 
-    fn from_source(source: TimeSource) -> Self {
+    /// Creates a clock that starts now, at this time of day, and is changed by a script.
+    pub fn scripted_at(script: &'static ClockScript, started_wall: WallTimeMs) -> Self {
+        let source = TimeSource::Scripted {
+            started: Instant::now(),
+            script,
+        };
         Self {
             source,
-            started_wall: time_of_day(),
+            started_wall,
         }
     }
 
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -17,6 +17,13 @@
 #[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SourceEra(pub u32);
 
+impl SourceEra {
+    /// Returns the era after the next return from a copy.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 /// A position in the order of all changes at the source: its era, then the counter that every change
 /// increments. One number holds both, so that messages between daemons and fencing tokens keep this
 /// order.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -21,7 +21,7 @@
 use crate::control::replica::Replica;
 use crate::control::routing_table::RoutingTable;
 use crate::control::source::{
-    Change, ChangeAt, Changes, ControlSource, FullState, Revision, SourceRecord,
+    Change, ChangeAt, Changes, ControlSource, FullState, Revision, SourceEra, SourceRecord,
 };
 use crate::control::version_history::VersionHistory;
 use crate::decisions::admission::freshness::{Freshness, FreshnessPolicy};
@@ -145,6 +145,11 @@
         Some(self.clock.now().since(proved_at))
     }
 
+    /// Returns the era of the replica.
+    pub(crate) fn source_era(&self) -> SourceEra {
+        self.replica().revision().era()
+    }
+
     /// Returns how recent the configuration is.
     pub(crate) fn freshness(&self) -> Freshness {
         self.freshness_policy.freshness(self.proof_age())
--- a/crates/gateway/src/decisions/duties/duty_state.rs
+++ b/crates/gateway/src/decisions/duties/duty_state.rs
@@ -4,13 +4,15 @@
 //! before it is submitted to the platform. A successor reads it in the write that makes it the
 //! holder, submits the same counts again (the platform ignores an exact repeat), and continues with
 //! the next window. So two holders never submit different counts for one window, whether the first
-//! one's calls succeeded or not.
+//! one's calls succeeded or not. A state that the store has from a copy isn't the newest one; the
+//! era in it shows that ([`super::succession`]).
 //!
 //! Tests: `duties_usage.rs`, `duties_search.rs`.
 
 use super::usage_collection::DaemonIncarnation;
 use super::usage_counts::UsageCounts;
 use super::usage_window::UsageWindow;
+use crate::control::source::SourceEra;
 use bridgevane_types::ServiceName;
 use std::collections::BTreeMap;
 
@@ -32,6 +34,10 @@
 pub struct DutyState {
     /// The process that wrote it.
     pub holder: DaemonIncarnation,
+    /// The store's era when it was written.
+    pub era: SourceEra,
+    /// The first window that may be submitted under this state.
+    pub first_window: UsageWindow,
     /// The newest windows with final counts, oldest first.
     pub submitted_windows: Vec<WindowUsage>,
     /// The number of daemons that closed the newest of these windows.
@@ -42,18 +48,33 @@
 
 impl DutyState {
     /// Returns the state of a first holder.
-    pub fn initial(holder: DaemonIncarnation) -> Self {
+    pub fn initial(holder: DaemonIncarnation, era: SourceEra) -> Self {
         Self {
             holder,
+            era,
+            first_window: UsageWindow::default(),
             submitted_windows: Vec::new(),
             daemons: 0,
             needed_engines: BTreeMap::new(),
         }
     }
 
-    /// Returns the same state under another holder.
-    pub fn with_holder(self, holder: DaemonIncarnation) -> Self {
-        Self { holder, ..self }
+    /// Returns the same state under another holder, written in `era`.
+    pub fn with_holder(self, holder: DaemonIncarnation, era: SourceEra) -> Self {
+        Self {
+            holder,
+            era,
+            ..self
+        }
+    }
+
+    /// Returns the state under which no window before `first` is submitted.
+    pub fn without_windows_before(self, first: UsageWindow) -> Self {
+        Self {
+            first_window: first,
+            submitted_windows: Vec::new(),
+            ..self
+        }
     }
 
     /// Returns the state with one more window, which this number of daemons closed.
@@ -77,4 +98,10 @@
     pub fn newest_window(&self) -> Option<UsageWindow> {
         self.submitted_windows.last().map(|usage| usage.window)
     }
+
+    /// Returns the first window whose counts aren't final and that may be submitted.
+    pub fn next_window(&self) -> UsageWindow {
+        let next = self.newest_window().map(UsageWindow::next);
+        next.unwrap_or_default().max(self.first_window)
+    }
 }
--- a/crates/gateway/src/decisions/duties/mod.rs
+++ b/crates/gateway/src/decisions/duties/mod.rs
@@ -3,6 +3,7 @@
 //! | question | module |
 //! |---|---|
 //! | which daemon may hold the duties, and until when may it act? | [`tenure`] |
+//! | from which state does a new holder continue? | [`succession`] |
 //! | to which window does a time belong, and when is its usage due? | [`usage_window`] |
 //! | does a run count as usage, and from when? | [`usage_start`] |
 //! | which counts does a daemon report to the holder? | [`unreported_usage`] |
@@ -19,6 +20,7 @@
 pub mod engine_need;
 pub mod engine_orders;
 pub mod engine_plan;
+pub mod succession;
 pub mod tenure;
 pub mod unreported_usage;
 pub mod usage_collection;
--- /dev/null
+++ b/crates/gateway/src/decisions/duties/succession.rs
@@ -0,0 +1,101 @@
+//! Succession: from which state a new holder of the duties continues.
+//!
+//! Inputs: the duty state in the store, the store's era, the state of this daemon's own last session
+//! if that session lasted until the store came back from a copy, and the current usage window.
+//!
+//! Rules:
+//! 1. A state that was written in the store's current era has all that holders submitted: each one
+//!    writes usage there before it submits it. The new holder continues from it.
+//! 2. After a return from a copy the store has an older state or none, and nothing in the store says
+//!    which windows were submitted meanwhile. If this daemon was the holder until then, it continues
+//!    from its own state: no other daemon acted after it.
+//! 3. Any other daemon submits no window that may have been submitted under an earlier era, not even
+//!    one that the copy lists: those before the current window. Nobody can know whether they were
+//!    submitted, nor with which counts. A window that is left out is missed; one that is submitted
+//!    with other counts makes the platform's usage wrong.
+//! 4. Whose state a copy has doesn't matter for when the new holder may act: a later holder of the
+//!    earlier era may still act by its own clock, for the rest of its lease.
+//! 5. A store without a state that never came back from a copy is that of a new fleet.
+//!
+//! Tests: `duties_succession.rs` (rules), `duties_store_from_copy.rs` (daemons and returns).
+
+use super::duty_state::DutyState;
+use super::tenure::Predecessor;
+use super::usage_collection::DaemonIncarnation;
+use super::usage_window::UsageWindow;
+use crate::control::source::SourceEra;
+
+/// What a daemon knows when it is about to become the holder.
+#[derive(Clone, Debug)]
+pub struct SuccessionInputs {
+    /// The daemon.
+    pub daemon: DaemonIncarnation,
+    /// The era in which the store granted its lease.
+    pub era: SourceEra,
+    /// The state in the store.
+    pub stored: Option<DutyState>,
+    /// The state of its last session, if that lasted until the store came back from a copy.
+    pub own: Option<DutyState>,
+    /// The current usage window.
+    pub current_window: UsageWindow,
+}
+
+/// How a new holder begins.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Succession {
+    /// The previous holder.
+    pub predecessor: Predecessor,
+    /// The state that the new holder continues from, under its own name.
+    pub state: DutyState,
+    /// Whether windows are left out that may have been submitted under an earlier era.
+    pub leaves_out_windows: bool,
+}
+
+/// Returns how a new holder begins.
+pub fn succeed(inputs: SuccessionInputs) -> Succession {
+    let SuccessionInputs {
+        daemon,
+        era,
+        stored,
+        own,
+        current_window,
+    } = inputs;
+    let is_new_fleet = stored.is_none() && era == SourceEra::default();
+    if is_new_fleet {
+        return Succession {
+            predecessor: Predecessor::None,
+            state: DutyState::initial(daemon, era),
+            leaves_out_windows: false,
+        };
+    }
+    let is_current = |state: &DutyState| state.era == era;
+    if let Some(state) = stored.clone().filter(is_current) {
+        let predecessor = if state.holder == daemon {
+            Predecessor::Itself
+        } else {
+            Predecessor::Another
+        };
+        return Succession {
+            predecessor,
+            state: state.with_holder(daemon, era),
+            leaves_out_windows: false,
+        };
+    }
+    // Between this daemon's session and a later return nobody else held the duties.
+    let is_of_last_era = |state: &DutyState| state.era.next() == era;
+    if let Some(state) = own.filter(is_of_last_era) {
+        return Succession {
+            predecessor: Predecessor::Another,
+            state: state.with_holder(daemon, era),
+            leaves_out_windows: false,
+        };
+    }
+    let known = stored.unwrap_or_else(|| DutyState::initial(daemon.clone(), era));
+    Succession {
+        predecessor: Predecessor::Another,
+        state: known
+            .with_holder(daemon, era)
+            .without_windows_before(current_window),
+        leaves_out_windows: true,
+    }
+}
--- a/crates/gateway/src/decisions/duties/tenure.rs
+++ b/crates/gateway/src/decisions/duties/tenure.rs
@@ -17,7 +17,8 @@
 //!    within one lease.
 //! 4. It needn't wait if there was no holder before, or if it was itself the last holder in this
 //!    incarnation of its process: the write that makes it the holder is conditional on the duty
-//!    state, which every holder writes, so no other holder can have come between.
+//!    state, which every holder writes, so no other holder can have come between. A state from a copy
+//!    doesn't show that ([`super::succession`]).
 //! 5. Daemons that follow the store become candidates for a vacant key one after the other: the
 //!    last holder at once, then the seeds in the order of their settings, then others. That saves
 //!    rejected writes; safety doesn't depend on it.
@@ -146,6 +147,11 @@
         self.is_over
     }
 
+    /// Returns whether its lease surely lasts by this daemon's clock, if the store didn't end it early.
+    pub fn lease_lasts(&self, now: TimeMs) -> bool {
+        self.lease.may_act(now, DurationMs(0))
+    }
+
     /// Returns the time from which this holder may act.
     pub fn may_act_from(&self) -> TimeMs {
         self.may_act_from
--- a/crates/gateway/src/duties/codec.rs
+++ b/crates/gateway/src/duties/codec.rs
@@ -3,6 +3,7 @@
 //!
 //! The messages are defined in `bridgevane-protocol`; their field numbers never change.
 
+use crate::control::source::SourceEra;
 use crate::decisions::duties::duty_state::{DutyState, WindowUsage};
 use crate::decisions::duties::usage_collection::{DaemonIncarnation, UsageReport};
 use crate::decisions::duties::usage_counts::UsageCounts;
@@ -32,6 +33,8 @@
                 engines: *engines,
             })
             .collect(),
+        era: state.era.0,
+        first_window: state.first_window.0,
     };
     message.encode_to_vec().into()
 }
@@ -42,6 +45,8 @@
     let needed = message.needed_engines.into_iter();
     Ok(DutyState {
         holder: decode_daemon(&message.vm, message.incarnation),
+        era: SourceEra(message.era),
+        first_window: UsageWindow(message.first_window),
         submitted_windows: message.told.into_iter().map(decode_window).collect(),
         daemons: message.daemons as usize,
         needed_engines: needed
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -5,11 +5,10 @@
 
 use crate::control::duty_holder::HolderView;
 use crate::control::holder_record::HolderRecord;
-use crate::control::source::{Revision, SourceError};
+use crate::control::source::{Revision, SourceEra, SourceError};
 use crate::decisions::duties::duty_state::DutyState;
-use crate::decisions::duties::tenure::{
-    CandidateRank, Predecessor, Tenure, TenureStart, candidacy_starts_at,
-};
+use crate::decisions::duties::succession::{Succession, SuccessionInputs, succeed};
+use crate::decisions::duties::tenure::{CandidateRank, Tenure, TenureStart, candidacy_starts_at};
 use crate::duties::api::{
     DutyKey, DutyPlatform, DutyStore, LeaseId, Put, StoredValue, Transaction, TransactionOutcome,
 };
@@ -47,6 +46,7 @@
         spread,
         was_holder: false,
         cooldown_until: None,
+        own_state: None,
     };
     loop {
         candidate.wait_for_candidacy().await;
@@ -72,6 +72,8 @@
     was_holder: bool,
     /// Until when this daemon does not become a candidate.
     cooldown_until: Option<TimeMs>,
+    /// The state of its last session, if that lasted until the store came back from a copy.
+    own_state: Option<DutyState>,
 }
 
 impl<S: DutyStore, P: DutyPlatform> DutyCandidate<S, P> {
@@ -127,26 +129,28 @@
     /// Tries to become the holder; returns none if another daemon did.
     async fn try_become_holder(&mut self) -> Result<Option<SessionStart>, SourceError> {
         let before = call_store(self.store.read(DutyKey::State)).await?;
-        let daemon = self.gateway.usage_tracker.daemon().clone();
-        let previous = before.as_ref().map(|stored| decode_state(&stored.value));
-        let previous = previous.transpose().map_err(|_| SourceError::Unreadable)?;
-        let predecessor = match &previous {
-            None => Predecessor::None,
-            Some(state) if state.holder == daemon => Predecessor::Itself,
-            Some(_) => Predecessor::Another,
-        };
-        let state = match previous {
-            None => DutyState::initial(daemon),
-            Some(state) => state.with_holder(daemon),
-        };
+        let stored = before.as_ref().map(|stored| decode_state(&stored.value));
+        let stored = stored.transpose().map_err(|_| SourceError::Unreadable)?;
         let lease_ms = self.settings.lease_ms;
         let lease_requested_at = self.gateway.clock.now();
         let lease = call_store(self.store.grant_lease(lease_ms)).await?;
+        let Succession {
+            predecessor,
+            state,
+            leaves_out_windows,
+        } = succeed(SuccessionInputs {
+            daemon: self.gateway.usage_tracker.daemon().clone(),
+            era: lease.era,
+            stored,
+            own: self.own_state.clone(),
+            current_window: self.gateway.usage_tracker.current_window(),
+        });
         let transaction = self.holder_transaction(lease, before.as_ref(), &state);
         let Some(revision) = self.write_holder(lease, &transaction).await? else {
             return Ok(None);
         };
         self.was_holder = true;
+        self.own_state = None;
         let tenure = Tenure::begin(TenureStart {
             fence: FenceToken(revision.0),
             lease_requested_at,
@@ -164,6 +168,13 @@
             // 0 means that the state has no window.
             newest_window = state.newest_window().unwrap_or_default()
         );
+        if leaves_out_windows {
+            event!(
+                Event::UsageLeftOut,
+                before_window = state.first_window,
+                fence = revision
+            );
+        }
         Ok(Some(SessionStart {
             vm: self.gateway.settings.vm.clone(),
             lease,
@@ -210,11 +221,9 @@
     ) -> Result<Option<Revision>, SourceError> {
         match call_store(self.store.write(transaction)).await {
             Ok(TransactionOutcome::Done(revision)) => return Ok(Some(revision)),
-            Ok(
-                TransactionOutcome::Conflict
-                | TransactionOutcome::LeaseEnded
-                | TransactionOutcome::StoreRestored,
-            ) => {}
+            Ok(TransactionOutcome::Conflict | TransactionOutcome::LeaseEnded) => {}
+            // The lease is gone, and its number may be another daemon's.
+            Ok(TransactionOutcome::StoreRestored) => return Ok(None),
             // The write may have been applied, or may be applied later. Only a key under this lease
             // proves that it was: the key of an earlier attempt is removed with that attempt's
             // lease.
@@ -245,6 +254,7 @@
             end = usage::submit_windows(&gateway, &session, &self.platform) => end,
             end = engines::order_engines(&gateway, &session, &self.platform, &self.settings) => end,
             () = wait_for_stop(&gateway) => SessionEnd::Stopping,
+            () = wait_for_later_era(&gateway, session.era()) => SessionEnd::StoreRestored,
         };
         gateway.usage_tracker.stop_collecting();
         gateway.metrics.duties_held(false);
@@ -255,6 +265,8 @@
         );
         match end {
             SessionEnd::Lost => {}
+            // The lease is gone, and its number may be another daemon's.
+            SessionEnd::StoreRestored => self.own_state = session.state_if_still_held().await,
             SessionEnd::Stopping => session.release().await,
             SessionEnd::PlatformUnreachable => {
                 session.release().await;
@@ -270,6 +282,16 @@
     }
 }
 
+/// Waits until the replica is of a later era of the store, so that the holder learns of it as early
+/// as the other candidates.
+async fn wait_for_later_era(gateway: &Gateway, era: SourceEra) {
+    let mut progress = gateway.control.progress();
+    while gateway.control.source_era() <= era {
+        // Never fails: the sender lives as long as the gateway.
+        drop(progress.changed().await);
+    }
+}
+
 /// Makes a call to the store, with a timeout.
 async fn call_store<T>(
     calling: impl Future<Output = Result<T, SourceError>>,
--- a/crates/gateway/src/duties/holder_session.rs
+++ b/crates/gateway/src/duties/holder_session.rs
@@ -4,7 +4,7 @@
 //! [`crate::decisions::duties::tenure`] decides whether the holder may act.
 
 use crate::clock::Clock;
-use crate::control::source::Revision;
+use crate::control::source::{Revision, SourceEra};
 use crate::decisions::duties::duty_state::DutyState;
 use crate::decisions::duties::tenure::Tenure;
 use crate::duties::api::{
@@ -44,6 +44,9 @@
     /// This daemon stops.
     #[display("the daemon stops")]
     Stopping,
+    /// The store came back from a copy, which has no leases.
+    #[display("the store came back from a copy")]
+    StoreRestored,
 }
 
 #[derive(Debug)]
@@ -127,26 +130,45 @@
         let interval = self.lease_ms.as_std() / RENEWALS_PER_LEASE;
         loop {
             sleep(interval).await;
-            while !self.renew().await {
-                sleep(RETRY_PAUSE).await;
-            }
-            if self.tenure().is_over() {
-                return SessionEnd::Lost;
+            match self.renew().await {
+                LeaseRenewal::Renewed => {}
+                LeaseRenewal::Ended => return SessionEnd::Lost,
+                LeaseRenewal::StoreRestored => return SessionEnd::StoreRestored,
             }
         }
     }
 
-    /// Renews the lease once; returns false when it isn't known whether it was renewed.
-    async fn renew(&self) -> bool {
-        let asked_at = self.clock.now();
-        let renewing = timeout(STORE_CALL_TIMEOUT, self.store.renew_lease(self.lease)).await;
-        match renewing {
-            Ok(Ok(LeaseRenewal::Renewed)) => self.tenure().on_renewed(asked_at),
-            Ok(Ok(LeaseRenewal::Ended | LeaseRenewal::StoreRestored)) => self.tenure().end(),
+    /// Renews the lease, with retries until it is known whether it was renewed.
+    async fn renew(&self) -> LeaseRenewal {
+        loop {
+            let asked_at = self.clock.now();
+            let renewing = timeout(STORE_CALL_TIMEOUT, self.store.renew_lease(self.lease)).await;
             // Not logged: the task that follows the store logs that it is unavailable.
-            Ok(Err(_)) | Err(_) => return false,
+            let Ok(Ok(renewal)) = renewing else {
+                sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            match renewal {
+                LeaseRenewal::Renewed => self.tenure().on_renewed(asked_at),
+                LeaseRenewal::Ended | LeaseRenewal::StoreRestored => self.tenure().end(),
+            }
+            return renewal;
+        }
+    }
+
+    /// Returns the store's era in which the session began.
+    pub(super) fn era(&self) -> SourceEra {
+        self.lease.era
+    }
+
+    /// Returns the state if no other daemon can have held the duties since the session began. Called
+    /// when the store has come back from a copy.
+    pub(super) async fn state_if_still_held(&self) -> Option<DutyState> {
+        let is_held = self.tenure().lease_lasts(self.clock.now());
+        if !is_held {
+            return None;
         }
-        true
+        Some(self.state().await)
     }
 
     /// Ends the lease, so that a successor doesn't wait for it to expire.
@@ -181,8 +203,9 @@
                 Ok(Ok(TransactionOutcome::Conflict)) => {
                     break self.find_applied_write(&transaction).await?;
                 }
-                Ok(Ok(TransactionOutcome::LeaseEnded | TransactionOutcome::StoreRestored)) => {
-                    return Err(SessionEnd::Lost);
+                Ok(Ok(TransactionOutcome::LeaseEnded)) => return Err(SessionEnd::Lost),
+                Ok(Ok(TransactionOutcome::StoreRestored)) => {
+                    return Err(SessionEnd::StoreRestored);
                 }
                 // Not logged: the task that follows the store logs that it is unavailable.
                 Ok(Err(_)) | Err(_) => sleep(RETRY_PAUSE).await,
--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -58,7 +58,7 @@
                 fence = self.session.credentials().fence
             );
         }
-        let mut window = self.first_window(state.newest_window());
+        let mut window = state.next_window().max(self.oldest_remembered_window());
         loop {
             self.wait_until_due(window).await;
             self.submit_window(window).await?;
@@ -77,15 +77,6 @@
         current.minus(retained_windows(self.calendar) - 1)
     }
 
-    /// Returns the first window that no holder has stored.
-    fn first_window(&self, newest_stored: Option<UsageWindow>) -> UsageWindow {
-        match newest_stored {
-            Some(newest) => newest.next().max(self.oldest_remembered_window()),
-            // No window was stored yet: starts with the oldest one that daemons remember.
-            None => self.oldest_remembered_window(),
-        }
-    }
-
     async fn wait_until_due(&self, window: UsageWindow) {
         loop {
             let tracker = &self.gateway.usage_tracker;
--- a/crates/gateway/src/duties/usage_tracker.rs
+++ b/crates/gateway/src/duties/usage_tracker.rs
@@ -53,6 +53,13 @@
         self.calendar
     }
 
+    /// Returns the current usage window; the first of all if the fleet doesn't submit usage.
+    pub(super) fn current_window(&self) -> UsageWindow {
+        let now = self.clock.wall_time_at(self.clock.now());
+        let calendar = self.calendar;
+        calendar.map_or_else(UsageWindow::default, |calendar| calendar.window_at(now))
+    }
+
     /// Counts a customer's request that began to run.
     pub fn on_request_began(&self, at: TimeMs, customer: &CustomerId) {
         if let Some(ledger) = &self.ledger {
--- a/crates/gateway/tests/duties_search.rs
+++ b/crates/gateway/tests/duties_search.rs
@@ -31,6 +31,10 @@
 const FAULT_KINDS: u32 = 9;
 /// The same, with suspensions of a daemon's VM.
 const FAULT_KINDS_WITH_SUSPENSION: u32 = 10;
+/// The same, with a store that comes back from a copy, at once or after a second without answers.
+const FAULT_KINDS_WITH_COPIES: u32 = 14;
+/// How many of the newest steps a copy may be old.
+const COPY_STEPS: usize = 4;
 /// Steps of one seed, each the start or end of a fault.
 const STEPS: usize = 14;
 /// The longest time until usage is submitted after a fault: a lease that expires, one that a
@@ -197,7 +201,10 @@
         daemons.insert(vm, start_daemon(&platform, vm, seed));
     }
     sleep(Duration::from_secs(7)).await;
+    let mut copies = Vec::new();
     for step in 0..STEPS {
+        copies.push(platform.copy());
+        let oldest = copies.len().saturating_sub(COPY_STEPS);
         let holder = platform.holder();
         let random_vm = names[random.random_range(0..names.len())];
         // Faults affect the holder more often than other daemons.
@@ -237,6 +244,15 @@
             5 => platform.set_silent(false),
             6 => platform.expire_all_leases(),
             7 => platform.set_faults(vm, LinkFaults::default()),
+            10 | 11 => {
+                platform.set_silent(true);
+                sleep(Duration::from_secs(1)).await;
+                platform.come_back_from(&copies[random.random_range(oldest..copies.len())]);
+                platform.set_silent(false);
+            }
+            12 | 13 => {
+                platform.come_back_from(&copies[random.random_range(oldest..copies.len())]);
+            }
             9 => {
                 let time = Duration::from_millis(random.random_range(500..9_000));
                 if let Some(daemon) = daemons.get(vm) {
@@ -284,3 +300,13 @@
         });
     }
 }
+
+/// The same, with a store that comes back from copies of some seconds before.
+#[test]
+fn no_order_of_faults_and_returns_from_copies_breaks_a_rule() {
+    for seed in 0..SEEDS {
+        run_on_virtual_clock(async {
+            run_seed(seed, FAULT_KINDS_WITH_COPIES).await;
+        });
+    }
+}
--- a/crates/gateway/tests/duties_store_from_copy.rs
+++ b/crates/gateway/tests/duties_store_from_copy.rs
@@ -1,5 +1,8 @@
 //! Tests of the duties when a holder takes them again, and when the store comes back from a copy, on
 //! a virtual clock: three daemons report their usage to the holder, which submits it.
+//!
+//! The store is away for a second, then has the state of some seconds before: what was written
+//! since is gone, leases too, and revisions and lease ids are given out again.
 
 mod support;
 
@@ -8,15 +11,19 @@
 mod duty_sim;
 
 use duty_sim::{
-    Daemon, LinkFaults, SimulatedPlatform, WINDOW, check_one_holder_at_a_time, check_rules,
-    run_on_virtual_clock, start_daemon,
+    Daemon, LinkFaults, SimulatedPlatform, StoreCopy, WINDOW, check_one_holder_at_a_time,
+    check_rules, run_on_virtual_clock, start_daemon,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::sleep;
 
 const VMS: [&str; 3] = ["vm-a", "vm-b", "vm-c"];
-/// The times of a fault within a window, in steps of `ROUND_STEP`.
+/// How much older than the store a copy is.
+const COPY_AGE: Duration = Duration::from_millis(6_000);
+/// How long the store is away before it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(1_000);
+/// The times of a drill within a window, in steps of `ROUND_STEP`.
 const ROUNDS: u32 = 10;
 const ROUND_STEP: Duration = Duration::from_millis(500);
 /// By how much of a window's requests its usage may be off.
@@ -49,12 +56,31 @@
         self.daemons.insert(vm, daemon);
     }
 
+    fn kill(&mut self, vm: &str) {
+        self.daemons.remove(vm);
+    }
+
     fn holder(&self) -> &'static str {
         let holder = self.platform.holder().expect("a holder");
         let mut names = VMS.into_iter();
         names.find(|vm| *vm == holder).expect("a daemon")
     }
 
+    /// Takes the store away, and brings it back from a copy.
+    async fn drill(&self, copy: &StoreCopy) {
+        self.platform.set_silent(true);
+        sleep(AWAY).await;
+        self.platform.come_back_from(copy);
+        self.platform.set_silent(false);
+    }
+
+    /// Returns a copy that is `COPY_AGE` old when this returns.
+    async fn aged_copy(&self) -> StoreCopy {
+        let copy = self.platform.copy();
+        sleep(COPY_AGE).await;
+        copy
+    }
+
     /// Asserts that the platform got one set of counts for each window.
     fn check(&self) {
         check_rules(&self.platform.accepted_calls());
@@ -89,6 +115,133 @@
     }
 }
 
+/// The store came back from a copy, and its holder submitted windows again that only the lost part
+/// of the state listed, with the counts that had reached its new session.
+#[test]
+fn a_holder_submits_no_window_differently_after_the_store_came_back_from_a_copy() {
+    run_on_virtual_clock(async {
+        for round in 0..ROUNDS {
+            let fleet = Fleet::start(round).await;
+            let copy = fleet.aged_copy().await;
+            fleet.drill(&copy).await;
+            sleep(WINDOW * 4).await;
+            fleet.check();
+            fleet.check_no_requests_missing();
+        }
+    });
+}
+
+/// The next holder is another daemon or another process, which knows nothing of what was submitted
+/// before the store came back; the counts of the killed one are gone.
+#[test]
+fn a_successor_submits_no_window_differently_after_the_store_came_back_from_a_copy() {
+    run_on_virtual_clock(async {
+        let moments = [Duration::ZERO, AWAY / 2, AWAY + Duration::from_millis(500)];
+        for (round, killed_after) in (0..ROUNDS).zip(moments.into_iter().cycle()) {
+            let mut fleet = Fleet::start(round).await;
+            let copy = fleet.aged_copy().await;
+            let holder = fleet.holder();
+            let platform = fleet.platform.clone();
+            let drill = tokio::spawn(async move {
+                platform.set_silent(true);
+                sleep(AWAY).await;
+                platform.come_back_from(&copy);
+                platform.set_silent(false);
+            });
+            sleep(killed_after).await;
+            fleet.kill(holder);
+            sleep(Duration::from_millis(800)).await;
+            fleet.start_daemon(holder);
+            drill.await.unwrap();
+            sleep(WINDOW * 5).await;
+            fleet.check();
+        }
+    });
+}
+
+/// A holder that is frozen while the store comes back submits what it stored before, and doesn't
+/// know of its successor.
+#[test]
+fn a_holder_frozen_during_the_return_from_a_copy_submits_no_window_differently() {
+    run_on_virtual_clock(async {
+        for round in 0..ROUNDS {
+            let fleet = Fleet::start(round).await;
+            let copy = fleet.aged_copy().await;
+            let frozen = &fleet.daemons[fleet.holder()];
+            let freeze = frozen.suspend(&fleet.platform, Duration::from_secs(4));
+            tokio::join!(freeze, fleet.drill(&copy));
+            sleep(WINDOW * 5).await;
+            fleet.check();
+        }
+    });
+}
+
+/// A holder that can't reach the store doesn't know that it came back, and may act by its own clock
+/// for the rest of its lease.
+#[test]
+fn a_holder_cut_off_from_the_store_that_came_back_never_acts_beside_its_successor() {
+    run_on_virtual_clock(async {
+        for round in 0..ROUNDS {
+            let fleet = Fleet::start(round).await;
+            let copy = fleet.aged_copy().await;
+            let holder = fleet.holder();
+            let cut = LinkFaults {
+                store_cut: true,
+                ..LinkFaults::default()
+            };
+            fleet.platform.set_faults(holder, cut);
+            fleet.platform.come_back_from(&copy);
+            sleep(Duration::from_secs(8)).await;
+            fleet.platform.set_faults(holder, LinkFaults::default());
+            sleep(WINDOW * 3).await;
+            fleet.check();
+        }
+    });
+}
+
+/// The second copy is of a time before the first return, so that the state of the era between them
+/// is lost as well.
+#[test]
+fn two_returns_from_copies_in_a_row_lead_to_no_window_submitted_differently() {
+    run_on_virtual_clock(async {
+        let pauses_ms = [300, 2_000, 5_000, 8_000];
+        for (round, pause_ms) in (0..ROUNDS).zip(pauses_ms.into_iter().cycle()) {
+            let fleet = Fleet::start(round).await;
+            let copy = fleet.aged_copy().await;
+            fleet.drill(&copy).await;
+            sleep(Duration::from_millis(pause_ms)).await;
+            fleet.drill(&copy).await;
+            sleep(WINDOW * 5).await;
+            fleet.check();
+        }
+    });
+}
+
+/// A copy from before the first holder has no state of the duties at all, like the store of a new
+/// fleet.
+#[test]
+fn a_copy_without_a_state_leads_to_no_window_submitted_differently() {
+    run_on_virtual_clock(async {
+        for round in 0..ROUNDS {
+            let platform = SimulatedPlatform::new();
+            let copy = platform.copy();
+            let mut fleet = Fleet {
+                platform,
+                daemons: BTreeMap::new(),
+                starts: 0,
+            };
+            VMS.into_iter().for_each(|vm| fleet.start_daemon(vm));
+            sleep(Duration::from_secs(12) + ROUND_STEP * round).await;
+            let holder = fleet.holder();
+            fleet.kill(holder);
+            fleet.drill(&copy).await;
+            fleet.start_daemon(holder);
+            sleep(WINDOW * 5).await;
+            fleet.check();
+        }
+    });
+}
+
 /// A new session of one process collected only what the other daemons had not reported to the
 /// session before; here its lease ended early.
 #[test]
--- /dev/null
+++ b/crates/gateway/tests/duties_succession.rs
@@ -0,0 +1,93 @@
+//! Tests of the state from which a new holder of the duties continues.
+
+use bridgevane_gateway::SourceEra;
+use bridgevane_gateway::decisions::duties::duty_state::{DutyState, WindowUsage};
+use bridgevane_gateway::decisions::duties::succession::{Succession, SuccessionInputs, succeed};
+use bridgevane_gateway::decisions::duties::tenure::Predecessor;
+use bridgevane_gateway::decisions::duties::usage_collection::DaemonIncarnation;
+use bridgevane_gateway::decisions::duties::usage_counts::UsageCounts;
+use bridgevane_gateway::decisions::duties::usage_window::UsageWindow;
+use bridgevane_types::{CustomerId, Incarnation};
+
+/// The current window.
+const CURRENT: UsageWindow = UsageWindow(20);
+
+fn daemon(vm: &str) -> DaemonIncarnation {
+    DaemonIncarnation {
+        vm: vm.into(),
+        incarnation: Incarnation(1),
+    }
+}
+
+/// Returns a state that was written in `era` and whose newest window is this one.
+fn state(vm: &str, era: u32, newest: u64) -> DutyState {
+    let counts: UsageCounts = [(CustomerId::from("c"), 5)].into_iter().collect();
+    let usage = WindowUsage {
+        window: UsageWindow(newest),
+        counts,
+    };
+    DutyState::initial(daemon(vm), SourceEra(era)).with_window(usage, 3)
+}
+
+/// Returns how `vm-a` begins in this era.
+fn succession(era: u32, stored: Option<DutyState>, own: Option<DutyState>) -> Succession {
+    succeed(SuccessionInputs {
+        daemon: daemon("vm-a"),
+        era: SourceEra(era),
+        stored,
+        own,
+        current_window: CURRENT,
+    })
+}
+
+/// A state of the current era is the newest one; waiting or leaving out windows would cost usage.
+#[test]
+fn a_holder_continues_from_a_state_of_the_current_era() {
+    let next = succession(2, Some(state("vm-b", 2, 17)), None);
+    assert_eq!(next.predecessor, Predecessor::Another);
+    assert_eq!(next.state.next_window(), UsageWindow(18));
+    assert!(!next.leaves_out_windows);
+    let again = succession(2, Some(state("vm-a", 2, 17)), None);
+    assert_eq!(again.predecessor, Predecessor::Itself);
+}
+
+/// The state of a copy was taken for the newest one, and its holder for the last one: the windows
+/// after it were submitted again, beside a holder that still acted by its own clock.
+#[test]
+fn a_state_from_a_copy_says_neither_what_was_submitted_nor_who_held_the_duties_last() {
+    let next = succession(3, Some(state("vm-a", 2, 17)), None);
+    assert_eq!(next.predecessor, Predecessor::Another);
+    assert_eq!(next.state.next_window(), CURRENT);
+    // Not even the windows that it lists are submitted again.
+    assert_eq!(next.state.submitted_windows, []);
+    assert_eq!(next.state.era, SourceEra(3));
+    assert!(next.leaves_out_windows);
+}
+
+/// A copy from before the first holder looks like the store of a new fleet.
+#[test]
+fn a_store_without_a_state_is_that_of_a_new_fleet_only_if_it_never_came_back_from_a_copy() {
+    assert_eq!(succession(0, None, None).predecessor, Predecessor::None);
+    let next = succession(1, None, None);
+    assert_eq!(next.predecessor, Predecessor::Another);
+    assert_eq!(next.state.next_window(), CURRENT);
+}
+
+/// The daemon that held the duties until the store came back knows what was submitted: windows that
+/// were due but not submitted would be missed otherwise.
+#[test]
+fn the_last_holder_before_a_return_from_a_copy_continues_from_its_own_state() {
+    let next = succession(3, Some(state("vm-b", 2, 15)), Some(state("vm-a", 2, 17)));
+    assert_eq!(next.state.next_window(), UsageWindow(18));
+    assert_eq!(next.predecessor, Predecessor::Another);
+    assert!(!next.leaves_out_windows);
+}
+
+/// In an era between two returns another daemon may have submitted windows, of which the store has
+/// nothing any more.
+#[test]
+fn a_state_of_its_own_from_an_earlier_era_than_the_last_one_counts_for_nothing() {
+    let next = succession(4, Some(state("vm-a", 2, 15)), Some(state("vm-a", 2, 17)));
+    assert_eq!(next.state.next_window(), CURRENT);
+    assert!(next.leaves_out_windows);
+}
--- a/crates/gateway/tests/duties_usage.rs
+++ b/crates/gateway/tests/duties_usage.rs
@@ -1,5 +1,6 @@
 //! Tests of usage: windows, counts, reports to the holder, and when the holder submits.
 
+use bridgevane_gateway::SourceEra;
 use bridgevane_gateway::decisions::duties::duty_state::{DutyState, WindowUsage};
 use bridgevane_gateway::decisions::duties::unreported_usage::UnreportedUsage;
 use bridgevane_gateway::decisions::duties::usage_collection::{
@@ -228,7 +229,7 @@
 /// A successor repeats the newest windows and awaits as many daemons as its predecessor.
 #[test]
 fn a_successor_inherits_the_newest_windows_and_the_daemon_count() {
-    let mut state = DutyState::initial(daemon_process("vm-1", 1));
+    let mut state = DutyState::initial(daemon_process("vm-1", 1), SourceEra::default());
     for window in 0..10 {
         let usage = WindowUsage {
             window: UsageWindow(window),
@@ -236,7 +237,7 @@
         };
         state = state.with_window(usage, 88);
     }
-    let state = state.with_holder(daemon_process("vm-2", 5));
+    let state = state.with_holder(daemon_process("vm-2", 5), SourceEra::default());
     assert_eq!(state.holder, daemon_process("vm-2", 5));
     assert_eq!(state.newest_window(), Some(UsageWindow(9)));
     assert_eq!((state.submitted_windows.len(), state.daemons), (4, 88));
--- a/crates/gateway/tests/support/duty_sim/daemon.rs
+++ b/crates/gateway/tests/support/duty_sim/daemon.rs
@@ -8,7 +8,7 @@
 use bridgevane_gateway::{
     Clock, ClockScript, DutySettings, Gateway, GatewaySettings, follow_control_source, hold_duties,
 };
-use bridgevane_types::{CustomerId, DurationMs};
+use bridgevane_types::{CustomerId, DurationMs, WallTimeMs};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -85,10 +85,22 @@
 impl Daemon {
     /// Starts a daemon that sees a request of one customer start every `interval`.
     pub fn start(platform: &SimulatedPlatform, vm: &str, interval: Duration) -> Self {
+        Self::start_with_clock(platform, vm, interval, DurationMs(0))
+    }
+
+    /// Starts a daemon whose time of day is behind.
+    pub fn start_with_clock(
+        platform: &SimulatedPlatform,
+        vm: &str,
+        interval: Duration,
+        behind: DurationMs,
+    ) -> Self {
         let meter = opentelemetry::global::meter("test");
         let script = ClockScript::leaked();
+        let started_wall = WallTimeMs(platform.time_of_day().0 - behind.0);
+        let clock = Clock::scripted_at(script, started_wall);
         let names = crate::support::names();
-        let gateway = Gateway::with_clock(settings(vm), names, &meter, Clock::scripted(script));
+        let gateway = Gateway::with_clock(settings(vm), names, &meter, clock);
         let client = PlatformClient {
             platform: platform.clone(),
             vm: vm.to_owned(),
--- a/crates/gateway/tests/support/duty_sim/mod.rs
+++ b/crates/gateway/tests/support/duty_sim/mod.rs
@@ -10,6 +10,7 @@
 mod store;
 
 pub use daemon::Daemon;
+#[allow(unused_imports)]
 pub use rules::{check_one_holder_at_a_time, check_rules, run_on_virtual_clock, start_daemon};
 #[allow(unused_imports)]
 pub use store::{AcceptedCall, LinkFaults, SimulatedPlatform, StoreCopy};
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -9,7 +9,7 @@
     LeaseRenewal, ReadProgress, Revision, RoutingParts, RoutingTable, Service, SourceEra,
     SourceError, SourceRecord, StoredValue, Transaction, TransactionOutcome,
 };
-use bridgevane_types::{Bytes as Size, ConfigVersion, DurationMs, ServiceName};
+use bridgevane_types::{Bytes as Size, ConfigVersion, DurationMs, ServiceName, WallTimeMs};
 use bytes::Bytes;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
@@ -19,6 +19,8 @@
 
 /// How long a call takes.
 const CALL_DURATION: Duration = Duration::from_millis(8);
+/// The time of day at the platform's start, in the middle of a usage window.
+const START: WallTimeMs = WallTimeMs(1_800_000_002_500);
 /// The holder's key in the simulated store.
 const HOLDER: &str = "holder";
 /// The configuration's key.
@@ -104,6 +106,7 @@
 /// The simulated platform; clones share its state.
 #[derive(Clone)]
 pub struct SimulatedPlatform {
+    started: Instant,
     state: Arc<Mutex<State>>,
     changed: Arc<watch::Sender<u64>>,
 }
@@ -223,6 +226,7 @@
 impl SimulatedPlatform {
     pub fn new() -> Self {
         let platform = Self {
+            started: Instant::now(),
             state: Arc::new(Mutex::new(State {
                 counter: 1,
                 ..State::default()
@@ -233,6 +237,11 @@
         platform
     }
 
+    /// Returns the true time of day.
+    pub fn time_of_day(&self) -> WallTimeMs {
+        START + DurationMs(self.started.elapsed().as_millis() as u64)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap()
     }
