fix(duties): daemons know the newest window that a holder has stored, whatever their time of day

Cause: after a return from a copy only the time of day told a new holder which windows may have been submitted. A daemon reads the time of day once, at its start, so that a wrong one lasts as long as the process.

The holder names the newest window that it has stored in its answers, daemons pass it on in their reports; 8 bytes each (16 KB a second at 985 daemons). A new holder leaves out what is known to be stored, also where it learns of it later.

--- a/crates/gateway/src/decisions/duties/succession.rs
+++ b/crates/gateway/src/decisions/duties/succession.rs
@@ -1,7 +1,8 @@
 //! Succession: from which state a new holder of the duties continues.
 //!
 //! Inputs: the duty state in the store, the store's era, the state of this daemon's own last session
-//! if that session lasted until the store came back from a copy, and the current usage window.
+//! if that session lasted until the store came back from a copy, the current usage window, and the
+//! newest window that daemons know to be stored.
 //!
 //! Rules:
 //! 1. A state that was written in the store's current era has all that holders submitted: each one
@@ -10,8 +11,9 @@
 //!    which windows were submitted meanwhile. If this daemon was the holder until then, it continues
 //!    from its own state: no other daemon acted after it.
 //! 3. Any other daemon submits no window that may have been submitted under an earlier era, not even
-//!    one that the copy lists: those before the current window. Nobody can know whether they were
-//!    submitted, nor with which counts. A window that is left out is missed; one that is submitted
+//!    one that the copy lists: those before the current window, and those that daemons know to be
+//!    stored, since the clocks of VMs differ. Nobody can know whether they were submitted, nor with
+//!    which counts. A window that is left out is missed; one that is submitted
 //!    with other counts makes the platform's usage wrong.
 //! 4. Whose state a copy has doesn't matter for when the new holder may act: a later holder of the
 //!    earlier era may still act by its own clock, for the rest of its lease.
@@ -38,6 +40,8 @@
     pub own: Option<DutyState>,
     /// The current usage window.
     pub current_window: UsageWindow,
+    /// The newest window that a holder has stored, as far as the daemon knows.
+    pub newest_stored: UsageWindow,
 }
 
 /// How a new holder begins.
@@ -59,6 +63,7 @@
         stored,
         own,
         current_window,
+        newest_stored,
     } = inputs;
     let is_new_fleet = stored.is_none() && era == SourceEra::default();
     if is_new_fleet {
@@ -90,12 +95,13 @@
             leaves_out_windows: false,
         };
     }
+    let first_window = current_window.max(newest_stored.next());
     let known = stored.unwrap_or_else(|| DutyState::initial(daemon.clone(), era));
     Succession {
         predecessor: Predecessor::Another,
         state: known
             .with_holder(daemon, era)
-            .without_windows_before(current_window),
+            .without_windows_before(first_window),
         leaves_out_windows: true,
     }
 }
--- a/crates/gateway/src/decisions/duties/usage_collection.rs
+++ b/crates/gateway/src/decisions/duties/usage_collection.rs
@@ -50,6 +50,17 @@
     pub windows: Vec<(UsageWindow, UsageCounts)>,
     /// The fence of the session that has acknowledged the windows left out; `None`: none is.
     pub acknowledged_by: Option<FenceToken>,
+    /// The newest window that a holder has stored, as far as the daemon knows; 0: it knows none.
+    pub newest_stored: UsageWindow,
+}
+
+/// The answer of a holder to a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportAnswer {
+    /// The fence of the holder's session.
+    pub fence: FenceToken,
+    /// The newest window that a holder has stored, as far as this one knows; 0: it knows none.
+    pub newest_stored: UsageWindow,
 }
 
 impl UsageReport {
--- a/crates/gateway/src/duties/codec.rs
+++ b/crates/gateway/src/duties/codec.rs
@@ -5,7 +5,7 @@
 
 use crate::control::source::SourceEra;
 use crate::decisions::duties::duty_state::{DutyState, WindowUsage};
-use crate::decisions::duties::usage_collection::{DaemonIncarnation, UsageReport};
+use crate::decisions::duties::usage_collection::{DaemonIncarnation, ReportAnswer, UsageReport};
 use crate::decisions::duties::usage_counts::UsageCounts;
 use crate::decisions::duties::usage_window::UsageWindow;
 use bridgevane_protocol::{
@@ -72,6 +72,7 @@
             })
             .collect(),
         acknowledged_fence: report.acknowledged_by.unwrap_or(NO_FENCE).0,
+        newest_stored_window: report.newest_stored.0,
     }
 }
 
@@ -84,20 +85,25 @@
         windows: windows.map(|usage| (usage.window, usage.counts)).collect(),
         acknowledged_by: Some(FenceToken(message.acknowledged_fence))
             .filter(|fence| *fence != NO_FENCE),
+        newest_stored: UsageWindow(message.newest_stored_window),
     }
 }
 
-/// Encodes the answer to a usage report: the fence of this daemon's session, if it holds the duties.
-pub(crate) fn encode_heard(fence: Option<FenceToken>) -> UsageHeard {
+/// Encodes the answer to a usage report; none: this daemon doesn't hold the duties.
+pub(crate) fn encode_answer(answer: Option<ReportAnswer>) -> UsageHeard {
     UsageHeard {
-        is_holder: fence.is_some(),
-        fence: fence.unwrap_or(NO_FENCE).0,
+        is_holder: answer.is_some(),
+        fence: answer.map_or(NO_FENCE, |answer| answer.fence).0,
+        newest_stored_window: answer.map_or(0, |answer| answer.newest_stored.0),
     }
 }
 
 /// Decodes the answer to a usage report; a holder of an earlier version names no fence.
-pub(super) fn decode_heard(heard: &UsageHeard) -> Option<FenceToken> {
-    heard.is_holder.then_some(FenceToken(heard.fence))
+pub(super) fn decode_answer(heard: &UsageHeard) -> Option<ReportAnswer> {
+    heard.is_holder.then_some(ReportAnswer {
+        fence: FenceToken(heard.fence),
+        newest_stored: UsageWindow(heard.newest_stored_window),
+    })
 }
 
 fn decode_daemon(vm: &str, incarnation: u64) -> DaemonIncarnation {
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -144,6 +144,7 @@
             stored,
             own: self.own_state.clone(),
             current_window: self.gateway.usage_tracker.current_window(),
+            newest_stored: self.gateway.usage_tracker.newest_stored(),
         });
         let transaction = self.holder_transaction(lease, before.as_ref(), &state);
         let Some(revision) = self.write_holder(lease, &transaction).await? else {
--- a/crates/gateway/src/duties/reporter.rs
+++ b/crates/gateway/src/duties/reporter.rs
@@ -6,14 +6,13 @@
 use crate::control::duty_holder::HolderView;
 use crate::control::holder_record::HolderRecord;
 use crate::decisions::duties::unreported_usage::UnreportedUsage;
-use crate::decisions::duties::usage_collection::{DaemonIncarnation, UsageReport};
-use crate::duties::codec::{decode_heard, encode_report};
+use crate::decisions::duties::usage_collection::{DaemonIncarnation, ReportAnswer, UsageReport};
+use crate::duties::codec::{decode_answer, encode_report};
 use crate::gateway::Gateway;
 use crate::replication::peer_connection::{FramedStream, open_connection};
 use crate::replication::peer_error::PeerError;
 use bridgevane_protocol::Frame;
 use bridgevane_protocol::frame::Body;
-use bridgevane_types::FenceToken;
 use futures_util::{SinkExt, StreamExt};
 use std::sync::Arc;
 use std::time::Duration;
@@ -94,23 +93,25 @@
                 return;
             };
             // Not logged: the report is repeated until it is acknowledged.
-            let Ok(Some(fence)) = self.send_report(&holder, &report).await else {
+            let Ok(Some(answer)) = self.send_report(&holder, &report).await else {
                 self.unreported.on_no_answer();
                 return;
             };
+            let tracker = &self.gateway.usage_tracker;
+            tracker.on_window_stored(answer.newest_stored);
             let unreported = &mut self.unreported;
-            if unreported.on_answer(&holder.daemon, &own, &report, fence) {
+            if unreported.on_answer(&holder.daemon, &own, &report, answer.fence) {
                 return;
             }
         }
     }
 
-    /// Sends a report; returns the fence of the other daemon's session, if it holds the duties.
+    /// Sends a report; returns the other daemon's answer, if it holds the duties.
     async fn send_report(
         &mut self,
         holder: &HolderRecord,
         report: &UsageReport,
-    ) -> Result<Option<FenceToken>, PeerError> {
+    ) -> Result<Option<ReportAnswer>, PeerError> {
         let address = holder.peer_address.ok_or(PeerError::Refused)?;
         let mut frames = match self.connection.take() {
             Some((daemon, frames)) if daemon == holder.daemon => frames,
@@ -122,14 +123,14 @@
             sent.map_err(|_| PeerError::Broken)?;
             let frame = frames.next().await.ok_or(PeerError::Broken)?;
             match frame.map_err(|_| PeerError::Broken)?.body {
-                Some(Body::UsageHeard(heard)) => Ok(decode_heard(&heard)),
+                Some(Body::UsageHeard(heard)) => Ok(decode_answer(&heard)),
                 _ => Err(PeerError::Unreadable),
             }
         };
         let sent = timeout(ANSWER_TIMEOUT, sending).await;
-        let fence = sent.map_err(|_| PeerError::NoAnswer)??;
+        let answer = sent.map_err(|_| PeerError::NoAnswer)??;
         self.connection = Some((holder.daemon.clone(), frames));
-        Ok(fence)
+        Ok(answer)
     }
 }
 
--- a/crates/gateway/src/duties/usage.rs
+++ b/crates/gateway/src/duties/usage.rs
@@ -48,6 +48,9 @@
 impl<S: DutyStore, P: DutyPlatform> UsageSubmitter<'_, S, P> {
     async fn run(&self) -> Result<std::convert::Infallible, SessionEnd> {
         let state = self.session.state().await;
+        if let Some(newest) = state.newest_window() {
+            self.gateway.usage_tracker.on_window_stored(newest);
+        }
         // The previous holder may not have submitted these.
         for usage in &state.submitted_windows {
             self.submit(usage).await?;
@@ -61,7 +64,16 @@
         let mut window = state.next_window().max(self.oldest_remembered_window());
         loop {
             self.wait_until_due(window).await;
-            self.submit_window(window).await?;
+            if window > self.gateway.usage_tracker.newest_stored() {
+                self.submit_window(window).await?;
+            } else {
+                // Stored under an earlier era, as another daemon has reported since.
+                event!(
+                    Event::UsageLeftOut,
+                    before_window = window.next(),
+                    fence = self.session.credentials().fence
+                );
+            }
             window = window.next().max(self.oldest_remembered_window());
         }
     }
@@ -120,6 +132,7 @@
         self.session
             .write_state(|state| state.with_window(stored, daemons))
             .await?;
+        tracker.on_window_stored(window);
         self.submit(&usage).await?;
         let after_end = self.now().since(self.calendar.end_of(window));
         event!(
--- a/crates/gateway/src/duties/usage_tracker.rs
+++ b/crates/gateway/src/duties/usage_tracker.rs
@@ -5,11 +5,14 @@
 //! ledger's lock once, when it begins to run.
 
 use crate::clock::Clock;
-use crate::decisions::duties::usage_collection::{DaemonIncarnation, UsageCollection, UsageReport};
+use crate::decisions::duties::usage_collection::{
+    DaemonIncarnation, ReportAnswer, UsageCollection, UsageReport,
+};
 use crate::decisions::duties::usage_ledger::UsageLedger;
 use crate::decisions::duties::usage_window::{UsageCalendar, UsageWindow};
 use crate::settings::GatewaySettings;
 use bridgevane_types::{CustomerId, FenceToken, Incarnation, TimeMs};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::Notify;
 
@@ -21,6 +24,8 @@
     /// The usage windows; none if the fleet doesn't submit usage.
     calendar: Option<UsageCalendar>,
     ledger: Option<Mutex<UsageLedger>>,
+    /// The newest window that a holder has stored, as far as this daemon knows.
+    newest_stored: AtomicU64,
     /// Set while this daemon holds the duties, or is about to.
     collection: Mutex<Option<UsageCollection>>,
     /// Wakes the task that submits usage when a report has arrived.
@@ -38,6 +43,7 @@
             },
             calendar,
             ledger: calendar.map(|calendar| Mutex::new(UsageLedger::new(calendar))),
+            newest_stored: AtomicU64::default(),
             collection: Mutex::default(),
             report_arrived: Notify::new(),
         }
@@ -86,6 +92,7 @@
                 .map(|(window, counts)| (window, counts.clone()))
                 .collect(),
             acknowledged_by: None,
+            newest_stored: self.newest_stored(),
         })
     }
 
@@ -114,14 +121,28 @@
         *self.collection() = None;
     }
 
-    /// Stores another daemon's report; returns the fence of this daemon's session as the holder of
-    /// the duties, none if it doesn't hold them.
-    pub fn on_report(&self, report: UsageReport) -> Option<FenceToken> {
+    /// Records that a holder has stored a window.
+    pub fn on_window_stored(&self, window: UsageWindow) {
+        self.newest_stored.fetch_max(window.0, Ordering::Relaxed);
+    }
+
+    /// Returns the newest window that a holder has stored, as far as this daemon knows; 0 if it knows
+    /// none.
+    pub(super) fn newest_stored(&self) -> UsageWindow {
+        UsageWindow(self.newest_stored.load(Ordering::Relaxed))
+    }
+
+    /// Stores another daemon's report; returns none if this daemon doesn't hold the duties.
+    pub fn on_report(&self, report: UsageReport) -> Option<ReportAnswer> {
         let mut collection = self.collection();
         let collection = collection.as_mut()?;
+        self.on_window_stored(report.newest_stored);
         collection.on_report(self.clock.now(), report);
         self.report_arrived.notify_one();
-        Some(collection.fence())
+        Some(ReportAnswer {
+            fence: collection.fence(),
+            newest_stored: self.newest_stored(),
+        })
     }
 
     /// Runs `work` on the reports of all daemons, including this one; returns none if this daemon
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -9,7 +9,7 @@
 use crate::counter::Counter;
 use crate::decisions::replication::followers::{Follower, FollowerPlacement, Subtree};
 use crate::decisions::replication::hold::max_hold;
-use crate::duties::codec::{decode_report, encode_heard};
+use crate::duties::codec::{decode_report, encode_answer};
 use crate::forwarding::connection::{self, AcceptedConnection};
 use crate::forwarding::reach_probe;
 use crate::gateway::Gateway;
@@ -87,8 +87,8 @@
         let poll = match frame?.body {
             Some(Body::RecordsWanted(poll)) => poll,
             Some(Body::UsageReported(report)) => {
-                let fence = gateway.usage_tracker.on_report(decode_report(report));
-                let body = Some(Body::UsageHeard(encode_heard(fence)));
+                let answer = gateway.usage_tracker.on_report(decode_report(report));
+                let body = Some(Body::UsageHeard(encode_answer(answer)));
                 frames.send(Frame { body }).await?;
                 continue;
             }
--- a/crates/gateway/tests/duties_store_from_copy.rs
+++ b/crates/gateway/tests/duties_store_from_copy.rs
@@ -10,6 +10,7 @@
 #[allow(dead_code)]
 mod duty_sim;
 
+use bridgevane_types::DurationMs;
 use duty_sim::{
     Daemon, LinkFaults, SimulatedPlatform, StoreCopy, WINDOW, check_one_holder_at_a_time,
     check_rules, run_on_virtual_clock, start_daemon,
@@ -56,6 +57,14 @@
         self.daemons.insert(vm, daemon);
     }
 
+    /// Starts a daemon whose time of day is behind, in place of the one on this VM.
+    fn start_daemon_behind(&mut self, vm: &'static str, behind: DurationMs) {
+        self.kill(vm);
+        let interval = Duration::from_millis(70);
+        let daemon = Daemon::start_with_clock(&self.platform, vm, interval, behind);
+        self.daemons.insert(vm, daemon);
+    }
+
     fn kill(&mut self, vm: &str) {
         self.daemons.remove(vm);
     }
@@ -159,6 +168,28 @@
     });
 }
 
+/// The successor's time of day is behind, so that a window that was submitted seems to be still
+/// open; the other daemons know its number from the holder before.
+#[test]
+fn a_successor_whose_clock_is_behind_submits_no_window_differently() {
+    run_on_virtual_clock(async {
+        for round in 0..ROUNDS {
+            let mut fleet = Fleet::start(round).await;
+            let holder = fleet.holder();
+            for vm in VMS.into_iter().filter(|vm| *vm != holder) {
+                fleet.start_daemon_behind(vm, DurationMs(12_000));
+            }
+            sleep(WINDOW * 4).await;
+            let copy = fleet.aged_copy().await;
+            let holder = fleet.holder();
+            fleet.kill(holder);
+            fleet.drill(&copy).await;
+            sleep(WINDOW * 5).await;
+            fleet.check();
+        }
+    });
+}
+
 /// A holder that is frozen while the store comes back submits what it stored before, and doesn't
 /// know of its successor.
 #[test]
--- a/crates/gateway/tests/duties_succession.rs
+++ b/crates/gateway/tests/duties_succession.rs
@@ -37,6 +37,7 @@
         stored,
         own,
         current_window: CURRENT,
+        newest_stored: UsageWindow(18),
     })
 }
 
@@ -91,3 +92,18 @@
     assert_eq!(next.state.next_window(), CURRENT);
     assert!(next.leaves_out_windows);
 }
+
+/// The clock of the new holder may be behind that of the one before, whose newest window other
+/// daemons know.
+#[test]
+fn a_window_that_is_known_to_be_stored_is_left_out_whatever_the_time_of_day() {
+    let next = succeed(SuccessionInputs {
+        daemon: daemon("vm-a"),
+        era: SourceEra(3),
+        stored: Some(state("vm-b", 2, 17)),
+        own: None,
+        current_window: CURRENT,
+        newest_stored: UsageWindow(21),
+    });
+    assert_eq!(next.state.next_window(), UsageWindow(22));
+}
--- a/crates/gateway/tests/duties_usage.rs
+++ b/crates/gateway/tests/duties_usage.rs
@@ -49,6 +49,7 @@
         first_open: UsageWindow(first_open),
         windows: vec![(WINDOW, counts(entries))],
         acknowledged_by: None,
+        newest_stored: UsageWindow(0),
     }
 }
 
--- a/crates/gateway/tests/support/duty_sim/daemon.rs
+++ b/crates/gateway/tests/support/duty_sim/daemon.rs
@@ -71,11 +71,12 @@
             let Some(report) = unreported.report(&holder.daemon, &own) else {
                 break;
             };
-            let Some(fence) = holder_gateway.usage_tracker.on_report(report.clone()) else {
+            let Some(answer) = holder_gateway.usage_tracker.on_report(report.clone()) else {
                 unreported.on_no_answer();
                 break;
             };
-            if unreported.on_answer(&holder.daemon, &own, &report, fence) {
+            gateway.usage_tracker.on_window_stored(answer.newest_stored);
+            if unreported.on_answer(&holder.daemon, &own, &report, answer.fence) {
                 break;
             }
         }
