fix(gateway): an answer whose end is ambiguous reaches no client, and a client is told the length that it is sent

Found beside it, by the test: a resumable stream whose first head told a length was cut when another endpoint went on with it.

Cause: a request with two framings was refused since long, an answer never. The daemon decoded the chunks, dropped Transfer-Encoding and passed the endpoint's Content-Length on. More generally, the head for a client told the length of the endpoint's body, whatever body the daemon sent.

Two rules, both in requests/answer_framing. An answer with both framings, with lengths that differ or are no number, or with another coding than chunked alone is no answer: attempt error 'misframed', the connection is closed, and the request counts as one that may have run (502, or sent again where the route allows it). That holds for answers through another daemon, too. And the head to a client keeps a length only where the endpoint's bytes are forwarded unchanged; of a buffered body the server tells it, of split events nobody does. HEAD keeps what it is told.

--- a/crates/gateway/src/decisions/duties/usage_start.rs
+++ b/crates/gateway/src/decisions/duties/usage_start.rs
@@ -78,7 +78,10 @@
     let first_token_ms = run.expected_ms * EXPECTED_TIME_SHARE + MIN_FIRST_TOKEN_MS;
     let may_have_begun = matches!(
         run.error,
-        AttemptError::Broken | AttemptError::TimedOut | AttemptError::Silent
+        AttemptError::Broken
+            | AttemptError::Misframed
+            | AttemptError::TimedOut
+            | AttemptError::Silent
     );
     may_have_begun && run.elapsed_ms >= first_token_ms
 }
--- a/crates/gateway/src/decisions/resend/mod.rs
+++ b/crates/gateway/src/decisions/resend/mod.rs
@@ -67,6 +67,9 @@
     /// The answer belongs to another request: the request may have run.
     #[display("crossed")]
     Crossed,
+    /// The answer's end can't be known from its head: the request may have run.
+    #[display("misframed")]
+    Misframed,
     /// No answer before the deadline: the request may have run.
     #[display("timed_out")]
     TimedOut,
@@ -81,7 +84,7 @@
     pub fn may_have_run(self) -> bool {
         matches!(
             self,
-            Self::Broken | Self::Crossed | Self::TimedOut | Self::Silent
+            Self::Broken | Self::Crossed | Self::Misframed | Self::TimedOut | Self::Silent
         )
     }
 }
--- a/crates/gateway/src/forwarding/attempt.rs
+++ b/crates/gateway/src/forwarding/attempt.rs
@@ -11,6 +11,7 @@
 use crate::forwarding::daemons::{ChosenDaemon, DaemonConnections};
 use crate::forwarding::{connection, headers};
 use crate::gateway::Gateway;
+use crate::requests::answer_framing;
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head::retry_after;
 use bytes::Bytes;
@@ -91,6 +92,9 @@
         let (connection, response) = self.send(connection).await?;
         connections.on_activity(self.gateway.clock.now());
         let (mut head, body) = response.into_parts();
+        if !answer_framing::is_valid(&head) {
+            return Err(ForwardingError::Failed(AttemptError::Misframed));
+        }
         if let Some(reason) = headers::refusal_reason(&head.headers) {
             let retry_after = retry_after(&self.gateway.endpoint_headers(&head.headers));
             connections.put_idle(self.gateway.clock.now(), connection);
--- a/crates/gateway/src/requests/attempt.rs
+++ b/crates/gateway/src/requests/attempt.rs
@@ -13,6 +13,7 @@
 use crate::endpoints::selection::Selected;
 use crate::header_names::HeaderNames;
 use crate::metrics::GatewayMetrics;
+use crate::requests::answer_framing;
 use crate::requests::endpoint_signals::{AnswerOrigin, EndpointSignals};
 use crate::requests::in_flight::InFlight;
 use crate::requests::inbound::InboundRequest;
@@ -127,6 +128,9 @@
         let in_flight = InFlight::begin(self.clock, self.selected);
         let (connection, response) = self.send(request, hedge).await?;
         let (head, body) = response.into_parts();
+        if !answer_framing::is_valid(&head) {
+            return Err(AttemptError::Misframed);
+        }
         let headers = self.unreadable.reader(Sender::Endpoint, &head.headers);
         endpoint.load.on_activity(self.clock.now());
         if let Some(reported) = response_head::reported_load(self.names, &headers) {
--- a/crates/gateway/src/requests/handler.rs
+++ b/crates/gateway/src/requests/handler.rs
@@ -9,6 +9,7 @@
 use crate::gateway::Gateway;
 use crate::requests::admission::admit;
 use crate::requests::answer_body::{AnswerBody, StreamError};
+use crate::requests::answer_framing::{self, SentBody};
 use crate::requests::exchange::{Exchange, PlainAnswer};
 use crate::requests::inbound::InboundRequest;
 use crate::requests::relay::Relay;
@@ -17,7 +18,7 @@
 use bridgevane_events::{Event, event};
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use http::{HeaderMap, Request, Response, response};
+use http::{HeaderMap, Method, Request, Response, response};
 use http_body::{Body, Frame};
 use http_body_util::{Full, StreamBody};
 use hyper::body::Incoming;
@@ -156,14 +157,17 @@
         PlainAnswer::Whole(answer) => {
             let outcome = TryOutcome::of_answer(answer.head.status);
             end_try(&mut client_try, outcome, &exchange);
+            let head = client_head(answer.head, &exchange.inbound.method, SentBody::Buffered);
             let body = AnswerBody::Whole(Full::new(answer.body));
-            return Ok(Response::from_parts(client_head(answer.head), body));
+            return Ok(Response::from_parts(head, body));
         }
         PlainAnswer::Large { answer, read } => (answer, read),
     };
-    let head = client_head(answer.head().clone());
+    let head = answer.head().clone();
     let complete = TryOutcome::of_answer(head.status);
     let relay = Relay::new(exchange, answer, read);
+    let method = &relay.exchange().inbound.method;
+    let head = client_head(head, method, relay.sent_body());
     // Keeps the request and its body counted until the stream ends.
     let state = (relay, client_try, in_progress, buffered);
     let frames = futures_util::stream::unfold(state, move |mut state| async move {
@@ -187,8 +191,10 @@
     }
 }
 
-/// Returns the head for the client: the status and the end-to-end headers of the endpoint's head.
-fn client_head(head: response::Parts) -> response::Parts {
+/// Returns the head for the client: the status and the end-to-end headers of the endpoint's head, with
+/// the length of the body that is sent.
+fn client_head(mut head: response::Parts, method: &Method, sent_body: SentBody) -> response::Parts {
+    answer_framing::set_length(&mut head, method, sent_body);
     let mut response = Response::new(());
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -7,6 +7,7 @@
 use crate::decisions::resend::{Failure, NoResend};
 use crate::requests::answer::Answer;
 use crate::requests::answer_body::StreamError;
+use crate::requests::answer_framing::SentBody;
 use crate::requests::exchange::{AnswerTiming, Exchange, resend_text};
 use crate::requests::response_head;
 use crate::requests::server_events::{EventBoundary, EventSplitter};
@@ -83,6 +84,14 @@
         &self.exchange
     }
 
+    /// Returns what the client is sent.
+    pub(crate) fn sent_body(&self) -> SentBody {
+        match self.splitter {
+            Some(_) => SentBody::Events,
+            None => SentBody::Unchanged,
+        }
+    }
+
     /// Returns the next bytes for the client; `None` at the end of the stream.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, StreamError>> {
         if !self.read.is_empty() {
--- a/crates/gateway/tests/support/client.rs
+++ b/crates/gateway/tests/support/client.rs
@@ -93,7 +93,14 @@
             .expect("an answer arrives")
     }
 
-    async fn read_answer(&mut self) -> Option<ClientAnswer> {
+    /// Reads the head of an answer without a body; returns `None` if the connection ends before it.
+    pub async fn head(&mut self) -> Option<String> {
+        timeout(TIMEOUT, self.read_head())
+            .await
+            .expect("a head arrives")
+    }
+
+    async fn read_head(&mut self) -> Option<String> {
         let end = loop {
             if let Some(end) = self
                 .unparsed
@@ -108,6 +115,11 @@
         };
         let head = String::from_utf8_lossy(&self.unparsed[..end]).into_owned();
         self.unparsed.drain(..end + 4);
+        Some(head)
+    }
+
+    async fn read_answer(&mut self) -> Option<ClientAnswer> {
+        let head = self.read_head().await?;
         let status = head.split(' ').nth(1).unwrap().parse().unwrap();
         let lower = head.to_lowercase();
         let length = lower
