fix(gateway): headers between client and endpoint pass even if Connection lists them

What callers saw: a success without the worker's signature, where the worker's answer named it in Connection. In the other direction a request's token counts could be kept from its worker that way.

Cause: whatever Connection lists was removed as a header of one connection. The identifier of a request was excepted by hand, all else wasn't, and nothing in answers.

Evidence: headers_between_client_and_endpoint_pass_even_if_connection_lists_them failed before (200 without x-sign).

Other names are removed as before.

--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -43,6 +43,9 @@
     pub cache_source: HeaderName,
     /// Headers that only the system itself may set; they are removed from clients' requests.
     pub reserved: Vec<HeaderName>,
+    /// Headers between client and endpoint, which pass even if their sender lists them in
+    /// `Connection`.
+    pub end_to_end: Vec<HeaderName>,
     /// The scheme before the key in `Authorization`.
     pub key_scheme: &'static str,
 }
--- a/crates/gateway/src/requests/handler.rs
+++ b/crates/gateway/src/requests/handler.rs
@@ -7,6 +7,7 @@
 use crate::decisions::forwarding::RequestOrigin;
 use crate::forwarding;
 use crate::gateway::Gateway;
+use crate::header_names::HeaderNames;
 use crate::requests::admission::admit;
 use crate::requests::answer_body::{AnswerBody, StreamError};
 use crate::requests::answer_framing::{self, SentBody};
@@ -157,7 +158,12 @@
         PlainAnswer::Whole(answer) => {
             let outcome = TryOutcome::of_answer(answer.head.status);
             end_try(&mut client_try, outcome, &exchange);
-            let head = client_head(answer.head, &exchange.inbound.method, SentBody::Buffered);
+            let head = client_head(
+                &gateway.header_names,
+                answer.head,
+                &exchange.inbound.method,
+                SentBody::Buffered,
+            );
             let body = AnswerBody::Whole(Full::new(answer.body));
             return Ok(Response::from_parts(head, body));
         }
@@ -167,7 +173,7 @@
     let complete = TryOutcome::of_answer(head.status);
     let relay = Relay::new(exchange, answer, read);
     let method = &relay.exchange().inbound.method;
-    let head = client_head(head, method, relay.sent_body());
+    let head = client_head(&gateway.header_names, head, method, relay.sent_body());
     // Keeps the request and its body counted until the stream ends.
     let state = (relay, client_try, in_progress, buffered);
     let frames = futures_util::stream::unfold(state, move |mut state| async move {
@@ -193,12 +199,17 @@
 
 /// Returns the head for the client: the status and the end-to-end headers of the endpoint's head, with
 /// the length of the body that is sent.
-fn client_head(mut head: response::Parts, method: &Method, sent_body: SentBody) -> response::Parts {
+fn client_head(
+    names: &HeaderNames,
+    mut head: response::Parts,
+    method: &Method,
+    sent_body: SentBody,
+) -> response::Parts {
     answer_framing::set_length(&mut head, method, sent_body);
     let mut response = Response::new(());
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
-    remove_hop_by_hop(response.headers_mut());
+    remove_hop_by_hop(names, response.headers_mut());
     forwarding::headers::remove(response.headers_mut());
     response.into_parts().0
 }
--- a/crates/gateway/src/requests/request_headers.rs
+++ b/crates/gateway/src/requests/request_headers.rs
@@ -27,14 +27,16 @@
     header::UPGRADE,
 ];
 
-/// Removes the headers that apply to one connection only.
-pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
+/// Removes the headers that apply to one connection only: the usual ones, and those that `Connection`
+/// lists, unless they are meant for the other end.
+pub(crate) fn remove_hop_by_hop(names: &HeaderNames, headers: &mut HeaderMap) {
     let connection = headers.get_all(header::CONNECTION).iter();
     // Entries that aren't valid header names can't match a header.
     let listed: Vec<HeaderName> = connection
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !names.end_to_end.contains(name))
         .collect();
     for name in listed.iter().chain(&HOP_BY_HOP) {
         headers.remove(name);
@@ -44,8 +46,7 @@
 /// Returns the headers that are forwarded: without those of the connection, the key, and those that
 /// only the system itself may set.
 pub(crate) fn forwarded(names: &HeaderNames, mut headers: HeaderMap) -> HeaderMap {
-    let id = headers.get(&names.request_id).cloned();
-    remove_hop_by_hop(&mut headers);
+    remove_hop_by_hop(names, &mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::AUTHORIZATION);
     headers.remove(header::EXPECT);
@@ -53,10 +54,6 @@
     for name in &names.reserved {
         headers.remove(name);
     }
-    // The identifier is kept even if the client lists it in `Connection`.
-    if let Some(id) = id {
-        headers.insert(names.request_id.clone(), id);
-    }
     headers
 }
 
--- a/crates/gateway/tests/answer_framing.rs
+++ b/crates/gateway/tests/answer_framing.rs
@@ -208,3 +208,24 @@
         }
     }
 }
+
+/// An endpoint's success that lists its signature in `Connection` reached the client without it, and
+/// so does a request's header its endpoint.
+#[tokio::test]
+async fn headers_between_client_and_endpoint_pass_even_if_connection_lists_them() {
+    let text = "HTTP/1.1 200 OK\r\nconnection: x-sign, x-hop\r\nx-id: {id}\r\nx-sign: s\r\n\
+                x-hop: 1\r\ncontent-length: 4\r\n\r\nfine";
+    let script = move |_, _: &ReceivedRequest| vec![Action::Send(text.to_owned())];
+    let (running, endpoint) = start_gateway(script).await;
+    let mut client = Client::connect(running.address).await;
+    let extra = "connection: x-id, x-tokens, x-hop\r\nx-tokens: 8,1\r\nx-hop: 1\r\n";
+    let text = request("POST", "/once/x", "a1", extra, "");
+    client.send(&text).await;
+    let got = client.answer().await.expect("an answer");
+    assert_eq!((got.status, got.header("x-sign")), (200, Some("s")));
+    assert_eq!(got.header("x-hop"), None);
+    let received = endpoint.received.lock().unwrap()[0].clone();
+    assert_eq!(received.header("x-tokens"), Some("8,1".to_owned()));
+    assert_eq!(received.header("x-id"), Some("a1".to_owned()));
+    assert_eq!(received.header("x-hop"), None);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -52,6 +52,7 @@
             name("x-urgency"),
             name("x-cache-source"),
         ],
+        end_to_end: vec![name("x-id"), name("x-sign"), name("x-tokens")],
         key_scheme: "Token",
     }
 }
