--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -138,6 +138,28 @@
     assert_eq!(stage.request_counts().await, [REQUESTS, 0]);
 }
 
+/// Guards against an evacuation that ends because the store came back from a copy without it, and
+/// against one that begins again because the copy still has it.
+#[tokio::test]
+async fn a_return_from_a_copy_neither_ends_an_evacuation_nor_begins_one_again() {
+    let stage = start_stage(Duration::ZERO).await;
+    let source = &stage.running.source;
+    let without = source.newest();
+    source.evacuate("dc-1");
+    wait_for_update().await;
+    source.restore_copy(without);
+    wait_for_update().await;
+    assert_eq!(stage.request_counts().await, [0, REQUESTS]);
+    source.evacuate("dc-1");
+    wait_for_update().await;
+    let with = source.newest();
+    source.end_evacuation("dc-1");
+    wait_for_update().await;
+    source.restore_copy(with);
+    wait_for_update().await;
+    assert_eq!(stage.request_counts().await, [REQUESTS, 0]);
+}
+
 /// Guards against an unreadable record that begins or ends an evacuation.
 #[tokio::test]
 async fn an_unreadable_record_changes_nothing() {
