fix(gateway): a late surplus answer of an earlier request says nothing about the one that runs

Cause: response_head::check believed 421 and Not-Executed before it compared the identifier; load, rests, limits and farewells of such an answer were applied as well.

An identifier of another request goes before all else that an answer says. A refusal without one is believed as before: endpoints refuse without an id, and surplus answers carry theirs.

--- a/crates/gateway/src/requests/attempt.rs
+++ b/crates/gateway/src/requests/attempt.rs
@@ -131,18 +131,10 @@
         if !answer_framing::is_valid(&head) {
             return Err(AttemptError::Misframed);
         }
-        let headers = self.unreadable.reader(Sender::Endpoint, &head.headers);
-        endpoint.load.on_activity(self.clock.now());
-        if let Some(reported) = response_head::reported_load(self.names, &headers) {
-            endpoint.load.on_report(self.clock.now(), reported);
-            if let Some(work_time) = reported.work_time {
-                endpoint.pace.on_reported(self.clock.now(), work_time);
-            }
-        }
         let checked = response_head::check(self.names, &self.inbound.id, &head);
+        // Nothing that another answer says is about the state of this endpoint now.
         if matches!(checked, Ok(()) | Err(AttemptError::NotExecuted)) {
-            let signals = EndpointSignals::read(self.names, head.status, &headers);
-            signals.apply(&self.answer_origin(sent_at));
+            self.apply_signals(&head, sent_at);
         }
         checked?;
         Ok(EndpointAnswer {
@@ -155,6 +147,22 @@
         })
     }
 
+    /// Applies what an answer to this request says about its endpoint.
+    fn apply_signals(&self, head: &response::Parts, sent_at: TimeMs) {
+        let endpoint = &self.selected.endpoint;
+        let now = self.clock.now();
+        let headers = self.unreadable.reader(Sender::Endpoint, &head.headers);
+        endpoint.load.on_activity(now);
+        if let Some(reported) = response_head::reported_load(self.names, &headers) {
+            endpoint.load.on_report(now, reported);
+            if let Some(work_time) = reported.work_time {
+                endpoint.pace.on_reported(now, work_time);
+            }
+        }
+        let signals = EndpointSignals::read(self.names, head.status, &headers);
+        signals.apply(&self.answer_origin(sent_at));
+    }
+
     /// Returns the origin of the answer that has just arrived.
     fn answer_origin(&self, sent_at: TimeMs) -> AnswerOrigin<'_> {
         AnswerOrigin {
--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -24,6 +24,11 @@
 
 /// Checks that an answer belongs to the request, and that the request ran.
 ///
+/// An identifier of another request goes before all else that the answer says: it is a late surplus
+/// answer, and the request that was sent may run. A refusal without an identifier is believed, on a
+/// connection that was used before, too: endpoints refuse without one, and surplus answers have
+/// theirs.
+///
 /// # Errors
 /// [`AttemptError`] if the answer belongs to another request, or the endpoint says that it did not
 /// run this one.
@@ -32,6 +37,10 @@
     request_id: &HeaderValue,
     head: &response::Parts,
 ) -> Result<(), AttemptError> {
+    let mut ids = head.headers.get_all(&names.request_id).iter();
+    if ids.any(|id| id != request_id) {
+        return Err(AttemptError::Crossed);
+    }
     // Checked before the "not executed" header, which may come with it: the endpoint isn't full, it
     // is a different one.
     if head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -40,7 +49,7 @@
     if head.headers.contains_key(&names.not_executed) {
         return Err(AttemptError::NotExecuted);
     }
-    if head.headers.get(&names.request_id) != Some(request_id) {
+    if !head.headers.contains_key(&names.request_id) {
         return Err(AttemptError::Crossed);
     }
     Ok(())
