fix(gateway): memory for bodies is reserved before their bytes are taken

Cause: the announced length was checked against the bodies that had been read whole; those that were arriving counted for nothing, chunked ones never.

Small bodies reserve their length from a part of their own, others step by step; what doesn't fit waits unread for 0.25 s (1 s altogether while it arrives), then 503 with a time, and the rest is read and dropped so that its client reads it. While others wait, a body too slow for its deadline is given up. Bodies are kept in segments of one size. 60 % of the memory may hold bodies (25 % before).

--- a/crates/gateway/src/decisions/admission/body_limits.rs
+++ b/crates/gateway/src/decisions/admission/body_limits.rs
@@ -1,44 +1,119 @@
-//! Body limits: a request whose body is too large is refused before it is read.
+//! Body limits: how much memory the bodies of requests may use, and which body is read when.
 //!
-//! Inputs: the announced length (bytes; 0 for a chunked body), the configuration's limit for one
-//! body, the bytes of bodies that the daemon holds, and its limit for all of them together.
+//! Inputs: the announced length (bytes; a chunked body has none), the configuration's limit for one
+//! body, the memory for all bodies, and how a body arrives.
 //!
-//! Rules: a body longer than the limit for one body is refused for good; a body that would exceed
-//! the limit for all bodies is refused for now. Both limits are settings (the operator's document,
-//! a quarter of `--memory-mb`).
+//! Rules:
+//! 1. A body longer than the limit for one body is refused for good.
+//! 2. Memory is reserved before bytes are taken, and given back at the end of the request. A small body
+//!    reserves its length, from a part of the memory that large ones can't use. Any other one reserves
+//!    a step after the other as it arrives, so that a slow one uses no more than it has sent.
+//! 3. A large body starts only if there is room for all of it now; until then it waits unread, for
+//!    `START_WAIT` at the most. One that is arriving waits for its steps for `GROWTH_WAIT` altogether.
+//!    After that it is refused, and its client is told when to come back.
+//! 4. While others wait for memory, a body that arrives too slowly to be whole by its deadline is
+//!    refused at once.
 //!
 //! Reason: bodies are read whole before they are sent, so that an incomplete one never reaches an
 //! endpoint; the memory of the VM that they use must be bounded.
 //!
-//! Tests: `admission.rs::bodies_are_bounded_one_by_one_and_all_together`,
+//! Tests: `admission.rs`, `uploads.rs`,
 //! `exchange.rs::invalid_requests_get_an_error_code_and_reach_no_endpoint`.
 
 use super::refusal::RefusalReason;
 use bridgevane_types::Bytes;
+use std::time::Duration;
 
-/// The lengths and limits that are known before a body is read.
+/// The longest body that counts as small.
+pub const MAX_SMALL_BODY: Bytes = Bytes(64 * 1024);
+/// The part of the memory that is kept for small bodies, as a divisor.
+const SMALL_MEMORY_DIVISOR: u64 = 8;
+/// How much a body that is arriving reserves at a time.
+pub const RESERVE_STEP: Bytes = Bytes(64 * 1024);
+/// How long a body waits unread for memory. A client that is refused this soon has time to try again.
+pub const START_WAIT: Duration = Duration::from_millis(250);
+/// How often a body that waits to start looks for room.
+pub const START_RETRY_INTERVAL: Duration = Duration::from_millis(25);
+/// How long a body that is arriving waits for its steps altogether. What it has sent would be sent again
+/// after a refusal, so that it waits longer than one that starts.
+pub const GROWTH_WAIT: Duration = Duration::from_millis(1_000);
+/// How long a body may take to arrive before its pace counts.
+const PACE_GRACE: Duration = Duration::from_millis(500);
+
+/// The size of a body as it is known before it is read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BodyToRead {
-    /// The announced length; 0 if the client announces none.
-    pub announced: Bytes,
-    /// The longest body that the configuration allows.
-    pub max_body: Bytes,
-    /// The bytes of bodies that the daemon holds now.
-    pub buffered: Bytes,
-    /// The bytes of bodies that it may hold.
-    pub max_buffered: Bytes,
+pub enum BodySize {
+    /// Its length, at most [`MAX_SMALL_BODY`].
+    Small(Bytes),
+    /// Its length.
+    Large(Bytes),
+    /// It announces none.
+    Unknown,
 }
 
-/// Checks whether a body may be read.
+impl BodySize {
+    /// Returns the size of a body that announces this length.
+    pub fn new(announced: Option<Bytes>) -> Self {
+        match announced {
+            Some(length) if length <= MAX_SMALL_BODY => Self::Small(length),
+            Some(length) => Self::Large(length),
+            None => Self::Unknown,
+        }
+    }
+}
+
+/// Returns the part of the memory for bodies that is kept for small ones.
+pub fn memory_for_small_bodies(max_buffered: Bytes) -> Bytes {
+    Bytes(max_buffered.0 / SMALL_MEMORY_DIVISOR)
+}
+
+/// Checks the length that a body announces.
 ///
 /// # Errors
-/// [`RefusalReason::BodyTooLarge`] (final) or [`RefusalReason::MemoryFull`] (may be retried).
-pub fn check(body: BodyToRead) -> Result<(), RefusalReason> {
-    if body.announced > body.max_body {
+/// [`RefusalReason::BodyTooLarge`], which is final.
+pub fn check(announced: Option<Bytes>, max_body: Bytes) -> Result<(), RefusalReason> {
+    if announced.is_some_and(|length| length > max_body) {
         return Err(RefusalReason::BodyTooLarge);
     }
-    if body.buffered + body.announced > body.max_buffered {
-        return Err(RefusalReason::MemoryFull);
+    Ok(())
+}
+
+/// How a body arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyProgress {
+    /// Its size.
+    pub size: BodySize,
+    /// The bytes that have arrived.
+    pub received: Bytes,
+    /// The time since the first of them was awaited.
+    pub elapsed: Duration,
+    /// The time until its deadline.
+    pub remaining: Duration,
+}
+
+/// Checks whether a body of which nothing has arrived for a moment is awaited further; `is_short`:
+/// others wait for memory.
+///
+/// # Errors
+/// [`RefusalReason::BodyTimeout`] if it isn't.
+pub fn check_progress(progress: BodyProgress, is_short: bool) -> Result<(), RefusalReason> {
+    if progress.remaining.is_zero() || (is_short && is_too_slow(progress)) {
+        return Err(RefusalReason::BodyTimeout);
     }
     Ok(())
 }
+
+/// Returns whether a body won't be whole by its deadline if it goes on as before.
+fn is_too_slow(progress: BodyProgress) -> bool {
+    if progress.elapsed < PACE_GRACE {
+        return false;
+    }
+    let length = match progress.size {
+        BodySize::Small(length) | BodySize::Large(length) => length.0,
+        // At least as much again as has arrived.
+        BodySize::Unknown => progress.received.0 * 2,
+    };
+    let missing = length.saturating_sub(progress.received.0) as f64;
+    let pace = progress.received.0 as f64 / progress.elapsed.as_secs_f64();
+    missing > pace * progress.remaining.as_secs_f64()
+}
--- a/crates/gateway/src/endpoints/connection.rs
+++ b/crates/gateway/src/endpoints/connection.rs
@@ -3,9 +3,8 @@
 //! No request is sent twice here: the retry of the HTTP library isn't used.
 
 use crate::decisions::resend::OpenError;
+use crate::endpoints::request_body::RequestBody;
 use crate::sockets::set_options;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -32,7 +31,7 @@
 #[derive(Debug)]
 pub struct Connection {
     /// Sends requests.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<RequestBody>,
     task: AbortHandle,
 }
 
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -18,4 +18,5 @@
 pub(crate) mod prompt_locations;
 pub(crate) mod rate_limit;
 pub(crate) mod reachability;
+pub(crate) mod request_body;
 pub(crate) mod selection;
--- a/crates/gateway/src/forwarding/attempt.rs
+++ b/crates/gateway/src/forwarding/attempt.rs
@@ -8,15 +8,14 @@
 use crate::decisions::eligibility::stream_version::VersionHash;
 use crate::decisions::resend::AttemptError;
 use crate::endpoints::connection::Connection;
+use crate::endpoints::request_body::RequestBody;
 use crate::forwarding::daemons::{ChosenDaemon, DaemonConnections};
 use crate::forwarding::{connection, headers};
 use crate::gateway::Gateway;
 use crate::requests::answer_framing;
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head::retry_after;
-use bytes::Bytes;
 use http::{HeaderValue, Request, Response, response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -143,7 +142,7 @@
     }
 
     /// Builds the request for the other daemon: the client's, with the time that is left.
-    fn request(&self) -> Request<Full<Bytes>> {
+    fn request(&self) -> Request<RequestBody> {
         let names = &self.gateway.header_names;
         let mut request = self.inbound.forwarded(names, self.last_event_id);
         headers::set_runs(request.headers_mut(), self.runs);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,7 @@
 use crate::replication::fleet::Fleet;
 use crate::replication::packed_state::PackedState;
 use crate::requests::begun_streams::BegunStreams;
+use crate::requests::body_reader::BodyMemory;
 use crate::requests::quarantine::Quarantine;
 use crate::requests::retry_budgets::RetryBudgets;
 use crate::requests::try_counts::TryCounts;
@@ -87,7 +88,7 @@
     pub(crate) open_connections: Counter,
     /// The connections on which other daemons forward requests.
     pub(crate) forwarded_connections: Counter,
-    pub(crate) buffered_bytes: Counter,
+    pub(crate) body_memory: BodyMemory,
     pub(crate) unreadable_headers: UnreadableHeaders,
     pub(crate) metrics: GatewayMetrics,
 }
@@ -105,6 +106,7 @@
         meter: &Meter,
         clock: Clock,
     ) -> Arc<Self> {
+        let max_buffered = settings.max_buffered_bytes;
         Arc::new(Self {
             control: ControlState::new(clock, &settings),
             fleet: Fleet::new(clock, &settings),
@@ -132,7 +134,7 @@
             requests_in_progress: Counter::default(),
             open_connections: Counter::default(),
             forwarded_connections: Counter::default(),
-            buffered_bytes: Counter::default(),
+            body_memory: BodyMemory::new(max_buffered),
             unreadable_headers: UnreadableHeaders::new(clock),
             metrics: GatewayMetrics::new(meter),
         })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -77,6 +77,7 @@
 pub use endpoints::pace_state::PaceState;
 pub use endpoints::prompt_locations::PromptLocations;
 pub use endpoints::rate_limit::RateLimitState;
+pub use endpoints::request_body::RequestBody;
 pub use endpoints::selection::{Selected, SelectionRequest, VersionFilter, select_endpoint};
 pub use forwarding::daemons::{ChosenDaemon, Daemons};
 pub use prompt::{Prompt, PromptPart};
--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -4,25 +4,22 @@
 //! recent configuration, the route, the key, the identifier, the deadline, the body.
 
 use crate::control::routing_table::RoutingTable;
-use crate::decisions::admission::body_limits::{self, BodyToRead};
 use crate::decisions::admission::refusal::RefusalReason;
 use crate::decisions::admission::{freshness, traffic_split};
 use crate::decisions::forwarding::RequestOrigin;
 use crate::gateway::Gateway;
 use crate::prompt::Prompt;
+use crate::requests::body_reader::{self, BodyLimits};
 use crate::requests::inbound::InboundRequest;
 use crate::requests::request_headers as decode;
 use crate::route::{Customer, Route};
-use crate::unreadable_headers::HeaderReader;
 use bridgevane_types::{Bytes as ByteCount, DurationMs, ServiceName};
-use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_LENGTH};
 use http::{HeaderMap, HeaderValue, Request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use std::sync::{Arc, OnceLock};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 
 /// Reads and checks a request.
 ///
@@ -55,7 +52,12 @@
     } else {
         Prompt::default()
     };
-    let body = read_body(gateway, &table, &headers, deadline, body).await?;
+    let limits = BodyLimits {
+        announced: headers.parsed(&CONTENT_LENGTH).map(ByteCount),
+        max_body: table.limits().body_bytes,
+        deadline,
+    };
+    let body = body_reader::read(&gateway.body_memory, limits, body).await?;
     let service = draw_service(&route);
     let key = key_header(&head.headers);
     let taken_up = route
@@ -146,30 +148,6 @@
     client_timeout.map_or(route.timeout_ms, |timeout| timeout.min(route.timeout_ms))
 }
 
-async fn read_body(
-    gateway: &Gateway,
-    table: &RoutingTable,
-    headers: &HeaderReader<'_>,
-    deadline: Instant,
-    body: Incoming,
-) -> Result<Bytes, RefusalReason> {
-    let max_body = table.limits().body_bytes;
-    body_limits::check(BodyToRead {
-        // A chunked body has no `Content-Length`.
-        announced: ByteCount(headers.parsed(&CONTENT_LENGTH).unwrap_or(0)),
-        max_body,
-        buffered: ByteCount(gateway.buffered_bytes.get()),
-        max_buffered: gateway.settings.max_buffered_bytes,
-    })?;
-    let reading = Limited::new(body, max_body.0 as usize).collect();
-    match timeout_at(deadline, reading).await {
-        Err(_) => Err(RefusalReason::BodyTimeout),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLarge),
-        Ok(Err(_)) => Err(RefusalReason::BodyBroken),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-    }
-}
-
 /// Draws one of the route's services at random, by the targets' weights.
 fn draw_service(route: &Route) -> ServiceName {
     let weights = || route.targets.iter().map(|target| target.weight);
--- a/crates/gateway/src/requests/attempt.rs
+++ b/crates/gateway/src/requests/attempt.rs
@@ -10,6 +10,7 @@
 use crate::endpoints::connection::Connection;
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::reachability::Reachability;
+use crate::endpoints::request_body::RequestBody;
 use crate::endpoints::selection::Selected;
 use crate::header_names::HeaderNames;
 use crate::metrics::GatewayMetrics;
@@ -20,9 +21,7 @@
 use crate::requests::response_head;
 use crate::unreadable_headers::{Sender, UnreadableHeaders};
 use bridgevane_types::TimeMs;
-use bytes::Bytes;
 use http::{HeaderValue, Request, Response, response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use std::pin::pin;
 use std::sync::Arc;
@@ -174,7 +173,7 @@
     }
 
     /// Builds the request for this endpoint.
-    fn request(&self) -> Result<Request<Full<Bytes>>, AttemptError> {
+    fn request(&self) -> Result<Request<RequestBody>, AttemptError> {
         let record = self.selected.endpoint.record.load();
         let id = HeaderValue::from_str(record.id.as_str());
         // Without its id in the request the endpoint can't check that the request is meant for it.
@@ -189,7 +188,7 @@
     /// connection turns out to be closed before a byte was sent on it, another one is used.
     async fn send<F: Fn() -> bool>(
         &self,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<RequestBody>,
         hedge: Hedge<F>,
     ) -> Result<(Connection, Response<Incoming>), AttemptError> {
         for tries in 0..=MAX_IDLE_TRIES {
--- a/crates/gateway/src/requests/handler.rs
+++ b/crates/gateway/src/requests/handler.rs
@@ -1,7 +1,7 @@
 //! Handles one request, from its head to the answer that the client reads or the daemon's own
 //! refusal.
 //!
-//! Owns the guards that count a request and its body until the answer has ended.
+//! Owns the guard that counts a request until the answer has ended.
 
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
 use crate::decisions::forwarding::RequestOrigin;
@@ -124,7 +124,6 @@
 > {
     let in_progress = gateway.requests_in_progress.hold(1);
     let inbound = admit(gateway, arrived, origin, request).await?;
-    let buffered = gateway.buffered_bytes.hold(inbound.body.len() as u64);
     // Another daemon has counted a request that it forwards.
     let mut client_try = None;
     if origin == RequestOrigin::Client {
@@ -174,8 +173,8 @@
     let relay = Relay::new(exchange, answer, read);
     let method = &relay.exchange().inbound.method;
     let head = client_head(&gateway.header_names, head, method, relay.sent_body());
-    // Keeps the request and its body counted until the stream ends.
-    let state = (relay, client_try, in_progress, buffered);
+    // Keeps the request counted until the stream ends.
+    let state = (relay, client_try, in_progress);
     let frames = futures_util::stream::unfold(state, move |mut state| async move {
         let (relay, client_try, ..) = &mut state;
         let frame = relay.next().await;
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -6,15 +6,15 @@
 use crate::decisions::admission::priority::Priority;
 use crate::decisions::eligibility::stream_version::VersionHash;
 use crate::decisions::forwarding::RequestOrigin;
+use crate::endpoints::request_body::RequestBody;
 use crate::header_names::HeaderNames;
 use crate::prompt::Prompt;
+use crate::requests::body_reader::ReadBody;
 use crate::route::{Customer, Route};
 use bridgevane_types::{CrashSuspect, PartFingerprint, RequestFingerprint, ServiceName, TimeMs};
-use bytes::Bytes;
 use http::header::AUTHORIZATION;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
-use http_body_util::Full;
 use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -56,7 +56,7 @@
     pub(crate) key: Option<HeaderValue>,
     /// What the client takes up; `None` for a new request.
     pub(crate) taken_up: Option<TakenUpStream>,
-    pub(crate) body: Bytes,
+    pub(crate) body: ReadBody,
     pub(crate) route: Arc<Route>,
     /// The service that was drawn from the route's targets.
     pub(crate) service: ServiceName,
@@ -84,7 +84,13 @@
         *(self.fingerprint).get_or_init(|| {
             let customer = self.customer.as_ref().map(|customer| &customer.id);
             let path = self.path.as_str();
-            RequestFingerprint::new(customer, self.method.as_str(), path, &self.body)
+            let body = self.body.content.segments().iter();
+            RequestFingerprint::of_segments(
+                customer,
+                self.method.as_str(),
+                path,
+                body.map(|segment| &segment[..]),
+            )
         })
     }
 
@@ -126,7 +132,7 @@
         &self,
         names: &HeaderNames,
         last_event_id: Option<&HeaderValue>,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<RequestBody> {
         let mut request = self.onward(names, last_event_id);
         if let Some(key) = &self.key {
             request.headers_mut().insert(AUTHORIZATION, key.clone());
@@ -140,8 +146,8 @@
         &self,
         names: &HeaderNames,
         last_event_id: Option<&HeaderValue>,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    ) -> Request<RequestBody> {
+        let mut request = Request::new(self.body.content.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = Uri::from(self.path.clone());
         let headers = request.headers_mut();
@@ -162,7 +168,7 @@
         endpoint: &HeaderValue,
         cache_source: Option<SocketAddr>,
         last_event_id: Option<&HeaderValue>,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<RequestBody> {
         let mut request = self.onward(names, last_event_id);
         let headers = request.headers_mut();
         headers.insert(names.expected_endpoint.clone(), endpoint.clone());
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Tests of the rules before a request is sent: load shedding, body limits, freshness, the split of
 //! a route's traffic; and of records that expire after an outage of the source.
 
-use bridgevane_gateway::decisions::admission::body_limits::{self, BodyToRead};
+use bridgevane_gateway::decisions::admission::body_limits::{self, BodyProgress, BodySize};
 use bridgevane_gateway::decisions::admission::freshness::{self, Freshness, FreshnessPolicy};
 use bridgevane_gateway::decisions::admission::load_shedding::{self, QueuedRequest};
 use bridgevane_gateway::decisions::admission::refusal::RefusalReason;
@@ -50,20 +50,50 @@
     assert_eq!(retry_after, DurationMs(200), "the shortest retry time");
 }
 
-/// Guards against bodies that exceed the memory of the VM, singly or together.
+/// Guards against a body that exceeds the configuration's limit. That all together stay within the
+/// memory is shown in `uploads.rs`, over connections.
 #[test]
-fn bodies_are_bounded_one_by_one_and_all_together() {
-    let body = |announced, buffered| BodyToRead {
-        announced: Bytes(announced),
-        max_body: Bytes(100),
-        buffered: Bytes(buffered),
-        max_buffered: Bytes(1_000),
-    };
-    assert_eq!(body_limits::check(body(100, 900)), Ok(()));
+fn a_body_over_the_limit_for_one_is_refused_for_good() {
+    let max_body = Bytes(100);
+    assert_eq!(body_limits::check(Some(Bytes(100)), max_body), Ok(()));
+    assert_eq!(body_limits::check(None, max_body), Ok(()));
     let too_large = Err(RefusalReason::BodyTooLarge);
-    assert_eq!(body_limits::check(body(101, 0)), too_large);
-    let full = Err(RefusalReason::MemoryFull);
-    assert_eq!(body_limits::check(body(100, 901)), full);
+    assert_eq!(body_limits::check(Some(Bytes(101)), max_body), too_large);
+}
+
+/// Guards against clients that hold memory by sending slowly while others wait for it.
+#[test]
+fn a_body_that_arrives_too_slowly_is_given_up_only_while_others_wait() {
+    let progress = |received, elapsed_ms| BodyProgress {
+        size: BodySize::new(Some(Bytes(1_000_000))),
+        received: Bytes(received),
+        elapsed: Duration::from_millis(elapsed_ms),
+        remaining: Duration::from_millis(4_000 - elapsed_ms),
+    };
+    let given_up = Err(RefusalReason::BodyTimeout);
+    // Half of the time is over.
+    assert_eq!(
+        body_limits::check_progress(progress(499_000, 2_000), true),
+        given_up
+    );
+    assert_eq!(
+        body_limits::check_progress(progress(499_000, 2_000), false),
+        Ok(())
+    );
+    assert_eq!(
+        body_limits::check_progress(progress(501_000, 2_000), true),
+        Ok(())
+    );
+    // Nothing has arrived yet.
+    assert_eq!(body_limits::check_progress(progress(0, 499), true), Ok(()));
+    assert_eq!(
+        body_limits::check_progress(progress(0, 500), true),
+        given_up
+    );
+    assert_eq!(
+        body_limits::check_progress(progress(999_999, 4_000), false),
+        given_up
+    );
 }
 
 /// Guards against a removed key that works beyond its bound, and against 401 or 404 by a stale
--- a/crates/gateway/tests/support/client.rs
+++ b/crates/gateway/tests/support/client.rs
@@ -61,6 +61,23 @@
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
 
+    /// Sends this many bytes of a body that is framed as `framing`, a header line, says.
+    pub async fn send_part(&mut self, framing: &str, bytes: usize) {
+        let part = "x".repeat(bytes);
+        if framing.contains("chunked") {
+            self.send(&format!("{bytes:x}\r\n{part}\r\n")).await;
+        } else {
+            self.send(&part).await;
+        }
+    }
+
+    /// Ends a body that was sent in parts.
+    pub async fn end_parts(&mut self, framing: &str) {
+        if framing.contains("chunked") {
+            self.send("0\r\n\r\n").await;
+        }
+    }
+
     /// Reads until `text` has arrived, and returns all unparsed text.
     pub async fn read_until(&mut self, text: &str) -> String {
         let reading = async {
--- a/crates/types/src/request_fingerprint.rs
+++ b/crates/types/src/request_fingerprint.rs
@@ -28,6 +28,16 @@
 impl RequestFingerprint {
     /// Computes the fingerprint of a request whose body was read completely.
     pub fn new(customer: Option<&CustomerId>, method: &str, path: &str, body: &[u8]) -> Self {
+        Self::of_segments(customer, method, path, std::iter::once(body))
+    }
+
+    /// Computes the fingerprint of a request whose body was read completely, in these segments.
+    pub fn of_segments<'a>(
+        customer: Option<&CustomerId>,
+        method: &str,
+        path: &str,
+        body: impl Iterator<Item = &'a [u8]>,
+    ) -> Self {
         let customer = customer.map_or(0, |id| short_hash(id.as_str().as_bytes()));
         let mut content = Xxh3::new();
         content.update(method.as_bytes());
@@ -35,7 +45,7 @@
         content.update(b" ");
         content.update(path.as_bytes());
         content.update(b" ");
-        content.update(body);
+        body.for_each(|segment| content.update(segment));
         Self {
             customer,
             content: content.digest(),
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -93,9 +93,9 @@
 /// The part of `--stop-s` that is reserved for the end of the process: logs are written out every
 /// 200 ms.
 const STOP_MARGIN_MS: u64 = 400;
-/// The divisor that gives the share of the memory available for buffered bodies. A daemon itself
-/// needs 5 to 8 MB (see docs/CAPACITY.md), and connections have buffers in addition to the bodies.
-const BODY_MEMORY_DIVISOR: u64 = 4;
+/// The part of the memory that is available for the bodies of requests, in percent. A daemon itself needs 5
+/// to 8 MB (see docs/CAPACITY.md), and connections have buffers in addition to the bodies.
+const BODY_MEMORY_PERCENT: u64 = 60;
 
 impl GatewayConfig {
     /// Reads and checks all settings.
@@ -139,7 +139,7 @@
                 retry_ratio: retries.ratio,
                 retry_slack: retries.slack,
                 retry_window_ms: retries.window_ms,
-                max_buffered_bytes: Bytes(memory_bytes / BODY_MEMORY_DIVISOR),
+                max_buffered_bytes: Bytes(memory_bytes * BODY_MEMORY_PERCENT / 100),
                 duties: duty_address.and(duties),
             },
             duty_address,
