fix(gateway): a client that reads nothing for some seconds keeps its answer

Cause: TCP_USER_TIMEOUT of 1.5 s, by which connections to a lost host are found, also ends a connection whose peer keeps its window closed; it was set on clients' connections as on all others.

Connections to endpoints, daemons and the store keep 1.5 s.

--- a/crates/gateway/src/requests/client_listener.rs
+++ b/crates/gateway/src/requests/client_listener.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::Gateway;
 use crate::requests::handler::{self, Caller};
-use crate::sockets::{accept, set_options};
+use crate::sockets::{accept, set_options, set_options_with_timeout};
 use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -58,12 +58,28 @@
     let open = gateway.open_connections.hold(1);
     async move {
         let _open = open;
-        if set_options(&stream).is_ok() {
+        if set_caller_options(&gateway, &stream, caller).is_ok() {
             serve_requests(&gateway, stream, caller).await;
         }
     }
 }
 
+/// Sets the options of a caller's connection. A client may read nothing for a while; a daemon that
+/// doesn't is frozen or gone.
+fn set_caller_options(
+    gateway: &Gateway,
+    stream: &TcpStream,
+    caller: Caller,
+) -> Result<(), std::io::Error> {
+    match caller {
+        Caller::Client => {
+            let stall = gateway.settings.client_stall_ms.as_std();
+            set_options_with_timeout(stream, stall)
+        }
+        Caller::Daemon => set_options(stream),
+    }
+}
+
 async fn serve_requests(gateway: &Arc<Gateway>, stream: TcpStream, caller: Caller) {
     let table = gateway.control.routing_table();
     let limits = table.map(|table| table.limits());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,6 +46,9 @@
     pub retry_slack: u32,
     /// The sliding window of the retry budget.
     pub retry_window_ms: DurationMs,
+    /// How long a client may read nothing, or leave sent bytes unacknowledged, before its connection is
+    /// closed. The two can't be told apart by the system.
+    pub client_stall_ms: DurationMs,
     /// The maximum size of all request bodies in memory.
     pub max_buffered_bytes: Bytes,
     /// The duties of the fleet; `None` if it has none.
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -30,6 +30,18 @@
 /// # Errors
 /// The error of the system if it rejects an option.
 pub fn set_options(stream: &TcpStream) -> Result<(), std::io::Error> {
+    set_options_with_timeout(stream, UNACKNOWLEDGED_TIMEOUT)
+}
+
+/// Sets the options of a connection on which sent bytes may stay unacknowledged, and the peer's
+/// receive window closed, for `unacknowledged`.
+///
+/// # Errors
+/// The error of the system if it rejects an option.
+pub(crate) fn set_options_with_timeout(
+    stream: &TcpStream,
+    unacknowledged: Duration,
+) -> Result<(), std::io::Error> {
     stream.set_nodelay(true)?;
-    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    SockRef::from(stream).set_tcp_user_timeout(Some(unacknowledged))
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -80,6 +80,7 @@
         retry_ratio: Share(0.2),
         retry_slack: 48,
         retry_window_ms: DurationMs(10_000),
+        client_stall_ms: DurationMs(6_000),
         max_buffered_bytes: Bytes(1 << 20),
         duties: None,
     }
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -87,6 +87,9 @@
     /// memory available to the process in megabytes (default: 128)
     #[argh(option)]
     pub memory_mb: Option<String>,
+    /// milliseconds for which a client may read nothing, or leave sent bytes unacknowledged (default: 6000)
+    #[argh(option)]
+    pub client_stall_ms: Option<String>,
     /// address of the platform's interface for duties; without it, the fleet has no duties
     #[argh(option)]
     pub duty_address: Option<String>,
@@ -132,6 +135,7 @@
     retry_slack,
     retry_window_s,
     memory_mb,
+    client_stall_ms,
     duty_address,
     duties,
     lease_ms,
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -73,6 +73,9 @@
 const DEFAULT_USAGE_LATE_S: f64 = 10.0;
 /// The minimum of `--usage-window-s`: daemons report their counts once per second.
 const MIN_USAGE_WINDOW: DurationMs = DurationMs(1_000);
+/// The default of `--client-stall-ms`: clients pause for up to 5 s while they read; the host of one that
+/// is gone holds its request for as long.
+const DEFAULT_CLIENT_STALL_MS: u64 = 6_000;
 /// The default of `--memory-mb`, for the VM size that the product is designed for. See
 /// docs/CAPACITY.md.
 const DEFAULT_MEMORY_MB: u64 = 128;
@@ -118,6 +121,7 @@
         let duty_address = reader.optional("duty-address", ADDRESS);
         let duties = duty_settings(&mut reader);
         let memory_mb = reader.optional("memory-mb", "a number of megabytes");
+        let client_stall_ms = reader.optional("client-stall-ms", "a number of milliseconds");
         let log = LogConfig::read(&mut reader);
         let read = reader.finish()?;
         let memory_bytes = memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * BYTES_PER_MB;
@@ -139,6 +143,7 @@
                 retry_ratio: retries.ratio,
                 retry_slack: retries.slack,
                 retry_window_ms: retries.window_ms,
+                client_stall_ms: DurationMs(client_stall_ms.unwrap_or(DEFAULT_CLIENT_STALL_MS)),
                 max_buffered_bytes: Bytes(memory_bytes * BODY_MEMORY_PERCENT / 100),
                 duties: duty_address.and(duties),
             },
