--- a/crates/gateway/tests/duties_store_from_copy.rs
+++ b/crates/gateway/tests/duties_store_from_copy.rs
@@ -230,6 +230,34 @@
     });
 }
 
+/// The store returns between the write that stores a window and the call that submits it, which
+/// waits for a platform that isn't reached: the holder submits the window, a successor must not.
+#[test]
+fn a_window_stored_before_a_return_from_a_copy_and_submitted_after_it_is_submitted_once() {
+    run_on_virtual_clock(async {
+        for round in 0..ROUNDS {
+            let mut fleet = Fleet::start(round).await;
+            let copy = fleet.aged_copy().await;
+            let holder = fleet.holder();
+            let cut = LinkFaults {
+                platform_cut: true,
+                ..LinkFaults::default()
+            };
+            fleet.platform.set_faults(holder, cut);
+            // A window ends and is stored.
+            sleep(Duration::from_millis(3_000) + ROUND_STEP * round).await;
+            fleet.platform.come_back_from(&copy);
+            if round % 2 == 0 {
+                fleet.kill(holder);
+            }
+            sleep(Duration::from_millis(300)).await;
+            fleet.platform.set_faults(holder, LinkFaults::default());
+            sleep(WINDOW * 5).await;
+            fleet.check();
+        }
+    });
+}
+
 /// The second copy is of a time before the first return, so that the state of the era between them
 /// is lost as well.
 #[test]
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -433,3 +433,30 @@
         asked_at.elapsed()
     );
 }
+
+/// Guards against an ambiguous answer that passes because two daemons read it, and against a length of
+/// another body than the one that the client is sent.
+#[tokio::test]
+async fn answers_through_another_daemon_are_framed_like_others() {
+    let dead: Vec<_> = (0..3).map(|_| UnreachableAddress::refusing()).collect();
+    let dead: Vec<SocketAddr> = dead.iter().map(|each| each.address).collect();
+    let ambiguous = start_endpoints(|_| {
+        let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-length: 2\r\n";
+        let body = "transfer-encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n";
+        vec![Action::Send(format!("{head}{body}"))]
+    })
+    .await;
+    let healthy = source_of(&addresses(&ambiguous), &[]);
+    let fleet = start_fleet(&[source_of(&dead, &[]), healthy]).await;
+    let got = ask(&fleet[0], "POST", "/once/x", "a1").await;
+    assert_eq!((got.status, got.is_whole), (502, true), "{}", got.body);
+    assert_eq!(received(&ambiguous), 1);
+
+    let sound = start_endpoints(|_| vec![answer("200 OK", &"x".repeat(300_000))]).await;
+    let healthy = source_of(&addresses(&sound), &[]);
+    let fleet = start_fleet(&[source_of(&dead, &[]), healthy]).await;
+    let got = ask(&fleet[0], "POST", "/once/x", "a1").await;
+    assert_eq!((got.status, got.is_whole), (200, true));
+    assert_eq!(got.body.len(), 300_000);
+    assert_eq!(got.header("content-length"), Some("300000"));
+}
