refactor(duties): one match decides how a new holder begins; two words

Reading the change as a newcomer: four returns of one struct became one match, 'taken' is 'accepted' for reports, and the flag of waiting bodies says what it is. No behaviour changes; duties_succession, duties_usage and admission pass.

--- a/crates/gateway/src/decisions/admission/body_limits.rs
+++ b/crates/gateway/src/decisions/admission/body_limits.rs
@@ -91,13 +91,13 @@
     pub remaining: Duration,
 }
 
-/// Checks whether a body of which nothing has arrived for a moment is awaited further; `is_short`:
+/// Checks whether a body of which nothing has arrived for a moment is awaited further; `has_waiting`:
 /// others wait for memory.
 ///
 /// # Errors
 /// [`RefusalReason::BodyTimeout`] if it isn't.
-pub fn check_progress(progress: BodyProgress, is_short: bool) -> Result<(), RefusalReason> {
-    if progress.remaining.is_zero() || (is_short && is_too_slow(progress)) {
+pub fn check_progress(progress: BodyProgress, has_waiting: bool) -> Result<(), RefusalReason> {
+    if progress.remaining.is_zero() || (has_waiting && is_too_slow(progress)) {
         return Err(RefusalReason::BodyTimeout);
     }
     Ok(())
--- a/crates/gateway/src/decisions/duties/succession.rs
+++ b/crates/gateway/src/decisions/duties/succession.rs
@@ -13,8 +13,8 @@
 //! 3. Any other daemon submits no window that may have been submitted under an earlier era, not even
 //!    one that the copy lists: those before the current window, and those that daemons know to be
 //!    stored, since the clocks of VMs differ. Nobody can know whether they were submitted, nor with
-//!    which counts. A window that is left out is missed; one that is submitted
-//!    with other counts makes the platform's usage wrong.
+//!    which counts. A window that is left out is missed; one that is submitted with other counts makes
+//!    the platform's usage wrong.
 //! 4. Whose state a copy has doesn't matter for when the new holder may act: a later holder of the
 //!    earlier era may still act by its own clock, for the rest of its lease.
 //! 5. A store without a state that never came back from a copy is that of a new fleet.
@@ -65,43 +65,37 @@
         current_window,
         newest_stored,
     } = inputs;
-    let is_new_fleet = stored.is_none() && era == SourceEra::default();
-    if is_new_fleet {
-        return Succession {
-            predecessor: Predecessor::None,
-            state: DutyState::initial(daemon, era),
-            leaves_out_windows: false,
-        };
-    }
-    let is_current = |state: &DutyState| state.era == era;
-    if let Some(state) = stored.clone().filter(is_current) {
-        let predecessor = if state.holder == daemon {
-            Predecessor::Itself
-        } else {
-            Predecessor::Another
-        };
-        return Succession {
-            predecessor,
-            state: state.with_holder(daemon, era),
-            leaves_out_windows: false,
-        };
-    }
-    // Between this daemon's session and a later return nobody else held the duties.
-    let is_of_last_era = |state: &DutyState| state.era.next() == era;
-    if let Some(state) = own.filter(is_of_last_era) {
-        return Succession {
-            predecessor: Predecessor::Another,
-            state: state.with_holder(daemon, era),
-            leaves_out_windows: false,
-        };
-    }
-    let first_window = current_window.max(newest_stored.next());
-    let known = stored.unwrap_or_else(|| DutyState::initial(daemon.clone(), era));
+    let (predecessor, state) = match (stored, own) {
+        (None, _) if era == SourceEra::default() => {
+            (Predecessor::None, DutyState::initial(daemon.clone(), era))
+        }
+        (Some(state), _) if state.era == era => (predecessor(&state, &daemon), state),
+        // In an era between that session and now, another daemon may have held the duties.
+        (_, Some(state)) if state.era.next() == era => (Predecessor::Another, state),
+        (stored, _) => {
+            let state = stored.unwrap_or_else(|| DutyState::initial(daemon.clone(), era));
+            let first_window = current_window.max(newest_stored.next());
+            return Succession {
+                predecessor: Predecessor::Another,
+                state: state
+                    .with_holder(daemon, era)
+                    .without_windows_before(first_window),
+                leaves_out_windows: true,
+            };
+        }
+    };
     Succession {
-        predecessor: Predecessor::Another,
-        state: known
-            .with_holder(daemon, era)
-            .without_windows_before(first_window),
-        leaves_out_windows: true,
+        predecessor,
+        state: state.with_holder(daemon, era),
+        leaves_out_windows: false,
+    }
+}
+
+/// Returns the previous holder according to a state of the current era.
+fn predecessor(state: &DutyState, daemon: &DaemonIncarnation) -> Predecessor {
+    if state.holder == *daemon {
+        Predecessor::Itself
+    } else {
+        Predecessor::Another
     }
 }
--- a/crates/gateway/src/decisions/duties/unreported_usage.rs
+++ b/crates/gateway/src/decisions/duties/unreported_usage.rs
@@ -4,7 +4,7 @@
 //!
 //! Rule: a report leaves out the windows whose counts were acknowledged, and names the session that
 //! did; without any other change nothing is sent. A holder that takes the duties again begins a new
-//! session, which knows no counts and doesn't take such a report. Then, and after a report that
+//! session, which knows no counts and doesn't accept such a report. Then, and after a report that
 //! isn't acknowledged, the next one has all windows.
 //!
 //! Tests: `duties_usage.rs`, `duties_store_from_copy.rs`.
@@ -48,7 +48,7 @@
     }
 
     /// Records the answer of a holder's session to `report`, which was made of `own`; returns
-    /// whether the session has taken it.
+    /// whether the session has accepted it.
     pub fn on_answer(
         &mut self,
         holder: &DaemonIncarnation,
@@ -56,7 +56,7 @@
         report: &UsageReport,
         fence: FenceToken,
     ) -> bool {
-        if !report.is_taken_by(fence) {
+        if !report.is_accepted_by(fence) {
             self.acknowledged = None;
             return false;
         }
--- a/crates/gateway/src/decisions/duties/usage_collection.rs
+++ b/crates/gateway/src/decisions/duties/usage_collection.rs
@@ -6,7 +6,7 @@
 //! Rules:
 //! 1. Counts are kept by daemon and incarnation; of two reports the larger count of each customer
 //!    is kept. So a report may arrive again, late, or after a newer one.
-//! 2. A report that leaves out what another session of a holder acknowledged isn't taken: this
+//! 2. A report that leaves out what another session of a holder acknowledged isn't accepted: this
 //!    collection doesn't have the rest.
 //! 3. A window is complete when every daemon that reported recently has closed it, and no fewer
 //!    daemons than for the last submitted window. A partitioned daemon is awaited as long as the
@@ -65,7 +65,7 @@
 
 impl UsageReport {
     /// Returns whether the session with this fence has all that the report leaves out.
-    pub fn is_taken_by(&self, fence: FenceToken) -> bool {
+    pub fn is_accepted_by(&self, fence: FenceToken) -> bool {
         self.acknowledged_by.is_none_or(|by| by == fence)
     }
 }
@@ -108,7 +108,7 @@
 
     /// Records a daemon's report, unless it leaves out what this session doesn't have.
     pub fn on_report(&mut self, now: TimeMs, report: UsageReport) {
-        if !report.is_taken_by(self.fence) {
+        if !report.is_accepted_by(self.fence) {
             return;
         }
         let known = self.by_daemon.entry(report.daemon).or_insert(DaemonUsage {
--- a/crates/gateway/src/duties/reporter.rs
+++ b/crates/gateway/src/duties/reporter.rs
@@ -87,7 +87,7 @@
         let Some(own) = self.gateway.usage_tracker.own_report() else {
             return;
         };
-        // A session that doesn't take the report gets all counts at once.
+        // A session that doesn't accept the report gets all counts at once.
         for _ in 0..2 {
             let Some(report) = self.unreported.report(&holder.daemon, &own) else {
                 return;
--- a/crates/gateway/src/requests/body_reader.rs
+++ b/crates/gateway/src/requests/body_reader.rs
@@ -102,7 +102,7 @@
         }
     }
 
-    fn is_short(&self) -> bool {
+    fn has_waiting(&self) -> bool {
         self.waiting.load(Ordering::Relaxed) > 0
     }
 }
@@ -184,7 +184,7 @@
                     elapsed: started.elapsed(),
                     remaining: limits.deadline.saturating_duration_since(Instant::now()),
                 };
-                body_limits::check_progress(progress, memory.is_short())?;
+                body_limits::check_progress(progress, memory.has_waiting())?;
                 continue;
             }
         };
--- a/crates/gateway/tests/support/duty_sim/daemon.rs
+++ b/crates/gateway/tests/support/duty_sim/daemon.rs
@@ -66,7 +66,7 @@
             continue;
         };
         let own = gateway.usage_tracker.own_report().expect("usage windows");
-        // A session that doesn't take the report gets all counts at once.
+        // A session that doesn't accept the report gets all counts at once.
         for _ in 0..2 {
             let Some(report) = unreported.report(&holder.daemon, &own) else {
                 break;
