fix(gateway): a request without a body reserves no memory for one

A request without a body announces no length, like a chunked one, and reserved a step of the memory for large bodies: refused while uploads fill that.

Evidence: requests_without_a_body_wait_for_no_memory failed before (503 for 200). The length is the library's, which is 0 where a request has no body and unknown for chunks alone.

--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -14,8 +14,9 @@
 use crate::requests::request_headers as decode;
 use crate::route::{Customer, Route};
 use bridgevane_types::{Bytes as ByteCount, DurationMs, ServiceName};
-use http::header::{AUTHORIZATION, CONTENT_LENGTH};
+use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderValue, Request};
+use http_body::Body;
 use hyper::body::Incoming;
 use rand::RngExt;
 use std::sync::{Arc, OnceLock};
@@ -53,7 +54,7 @@
         Prompt::default()
     };
     let limits = BodyLimits {
-        announced: headers.parsed(&CONTENT_LENGTH).map(ByteCount),
+        announced: body.size_hint().exact().map(ByteCount),
         max_body: table.limits().body_bytes,
         deadline,
     };
--- a/crates/gateway/src/requests/body_reader.rs
+++ b/crates/gateway/src/requests/body_reader.rs
@@ -135,7 +135,7 @@
 /// The inputs for reading one body.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct BodyLimits {
-    /// The announced length; `None` for a chunked body.
+    /// The announced length, 0 for a request without a body; `None` for a chunked one.
     pub(crate) announced: Option<ByteCount>,
     /// The longest body that the configuration allows.
     pub(crate) max_body: ByteCount,
--- a/crates/gateway/tests/uploads.rs
+++ b/crates/gateway/tests/uploads.rs
@@ -162,3 +162,31 @@
     let got = timeout(Duration::from_secs(2), client.answer()).await;
     assert_eq!(got.expect("in time").expect("an answer").status, 200);
 }
+
+/// Requests without a body announce no length, like chunked ones, and would reserve memory that large
+/// bodies use.
+#[tokio::test]
+async fn requests_without_a_body_wait_for_no_memory() {
+    let (running, _endpoint) = start_gateway(Duration::ZERO).await;
+    let mut clients = Vec::new();
+    for at in 0..8 {
+        let mut client = begin(&running, &format!("a{at}"), &length(LARGE)).await;
+        client.send(&"x".repeat(LARGE - PART)).await;
+        clients.push(client);
+    }
+    sleep(Duration::from_millis(50)).await;
+    for at in 0..20 {
+        let mut client = Client::connect(running.address).await;
+        let asked_at = Instant::now();
+        let text = request(
+            "GET",
+            "/often/x",
+            &format!("g{at}"),
+            "x-deadline: 4000\r\n",
+            "",
+        );
+        client.send(&text).await;
+        assert_eq!(client.answer().await.expect("an answer").status, 200);
+        assert!(asked_at.elapsed() < Duration::from_millis(200));
+    }
+}
