test: a process counts as stopped only when all its threads are

Cause: SIGSTOP is only queued; until the system runs the thread that takes it, the others go on, for milliseconds where the processors are busy. The test asked at once.

No check changes.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,7 +10,10 @@
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// The time within which a signalled process must be stopped.
+const STOP_TIMEOUT: Duration = Duration::from_secs(5);
 
 pub const BINARY: &str = env!("CARGO_BIN_EXE_bridgevane");
 pub const CUSTOMER_KEY: &str = "key-of-grand-bay";
@@ -50,6 +53,29 @@
             .status()
             .expect("kill runs");
         assert!(status.success());
+        if name == "STOP" {
+            self.wait_until_stopped();
+        }
+    }
+
+    /// Waits until the process is stopped. The signal is only queued: until the system runs the thread
+    /// that takes it, the others go on, for some milliseconds where the processors are busy.
+    fn wait_until_stopped(&self) {
+        let deadline = Instant::now() + STOP_TIMEOUT;
+        while !self.is_stopped() {
+            assert!(Instant::now() < deadline, "the process stops");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    /// Returns whether all threads of the process are stopped.
+    fn is_stopped(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.id())).expect("its threads");
+        threads.flatten().all(|thread| {
+            let status = std::fs::read_to_string(thread.path().join("status"));
+            // A thread that has just ended has no status any more.
+            status.map_or(true, |status| status.contains("State:\tT"))
+        })
     }
 
     /// Returns the exit status, or `None` while the process runs.
