refactor(gateway): bodies that wait for memory use the counter of the gateway, a body keeps its unsent length

Found in the second reading of the change: WaitingBody wrote counter::Counter again, and RequestBody added up its segments at each question for its length. No behaviour changes.

--- a/crates/gateway/src/endpoints/request_body.rs
+++ b/crates/gateway/src/endpoints/request_body.rs
@@ -19,6 +19,7 @@
     segments: Arc<[Bytes]>,
     /// The next segment to be sent.
     next: usize,
+    unsent_bytes: u64,
 }
 
 impl RequestBody {
@@ -31,6 +32,7 @@
 impl From<Bytes> for RequestBody {
     fn from(bytes: Bytes) -> Self {
         Self {
+            unsent_bytes: bytes.len() as u64,
             segments: Arc::new([bytes]),
             next: 0,
         }
@@ -45,18 +47,20 @@
         mut self: Pin<&mut Self>,
         _context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let segment = self.segments.get(self.next).cloned();
+        let Some(segment) = self.segments.get(self.next).cloned() else {
+            return Poll::Ready(None);
+        };
         self.next += 1;
-        Poll::Ready(segment.map(|segment| Ok(Frame::data(segment))))
+        self.unsent_bytes -= segment.len() as u64;
+        Poll::Ready(Some(Ok(Frame::data(segment))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.size_hint().exact() == Some(0)
+        self.unsent_bytes == 0
     }
 
     fn size_hint(&self) -> SizeHint {
-        let unsent = self.segments.iter().skip(self.next);
-        SizeHint::with_exact(unsent.map(|segment| segment.len() as u64).sum())
+        SizeHint::with_exact(self.unsent_bytes)
     }
 }
 
@@ -101,6 +105,7 @@
         RequestBody {
             segments: self.full.into(),
             next: 0,
+            unsent_bytes: self.length as u64,
         }
     }
 }
--- a/crates/gateway/src/requests/body_reader.rs
+++ b/crates/gateway/src/requests/body_reader.rs
@@ -3,6 +3,7 @@
 //! Owns the memory for bodies. What is reserved is given back when the request ends. The rules are in
 //! [`crate::decisions::admission::body_limits`].
 
+use crate::counter::Counter;
 use crate::decisions::admission::body_limits::{
     self, BodyProgress, BodySize, GROWTH_WAIT, RESERVE_STEP, START_RETRY_INTERVAL, START_WAIT,
 };
@@ -12,7 +13,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -27,7 +27,7 @@
     small: Arc<Semaphore>,
     large: Arc<Semaphore>,
     /// The number of bodies that wait for memory.
-    waiting: AtomicUsize,
+    waiting: Counter,
 }
 
 impl BodyMemory {
@@ -36,7 +36,7 @@
         Self {
             small: Arc::new(Semaphore::new(small)),
             large: Arc::new(Semaphore::new(max_buffered.0 as usize - small)),
-            waiting: AtomicUsize::new(0),
+            waiting: Counter::default(),
         }
     }
 
@@ -69,7 +69,7 @@
             if Instant::now() >= give_up_at {
                 return Err(RefusalReason::MemoryFull);
             }
-            waiting.get_or_insert_with(|| WaitingBody::begin(&self.waiting));
+            waiting.get_or_insert_with(|| self.waiting.hold(1));
             sleep(START_RETRY_INTERVAL).await;
         }
     }
@@ -87,7 +87,7 @@
             reserved.merge(step);
             return Ok(());
         }
-        let _waiting = WaitingBody::begin(&self.waiting);
+        let _waiting = self.waiting.hold(1);
         let step = pool.acquire_many_owned(RESERVE_STEP.0 as u32);
         let began = Instant::now();
         let step = timeout(GROWTH_WAIT.saturating_sub(*waited), step).await;
@@ -103,24 +103,7 @@
     }
 
     fn has_waiting(&self) -> bool {
-        self.waiting.load(Ordering::Relaxed) > 0
-    }
-}
-
-/// Counts a body that waits for memory.
-#[derive(Debug)]
-struct WaitingBody<'a>(&'a AtomicUsize);
-
-impl<'a> WaitingBody<'a> {
-    fn begin(waiting: &'a AtomicUsize) -> Self {
-        waiting.fetch_add(1, Ordering::Relaxed);
-        Self(waiting)
-    }
-}
-
-impl Drop for WaitingBody<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.waiting.get() > 0
     }
 }
 
