test: one start of a gateway before twin endpoints, one loop of requests beside surplus answers

All assertions are kept; the search's comment said 'of any earlier request or none' of answers that belong to another one.

--- a/crates/gateway/tests/answer_framing.rs
+++ b/crates/gateway/tests/answer_framing.rs
@@ -2,36 +2,12 @@
 
 mod support;
 
-use bridgevane_gateway::Repeatability::{AtMostOnce, Idempotent};
 use std::time::Duration;
 use support::client::{Client, ClientAnswer, request};
-use support::endpoint::{
-    Action, Endpoint, ReceivedRequest, answer, event, last_chunk, stream_head,
-};
-use support::source::{KEY, ScriptedSource, plain_route, stream_route};
-use support::{RunningGateway, start};
+use support::endpoint::{Action, ReceivedRequest, answer, event, last_chunk, stream_head};
+use support::start_before_twin_endpoints;
 use tokio::time::sleep;
 
-/// Starts a gateway before two endpoints of each service, which answer by one script.
-async fn start_gateway(
-    script: impl Fn(usize, &ReceivedRequest) -> Vec<Action> + Send + Sync + 'static,
-) -> (RunningGateway, Endpoint) {
-    let source = ScriptedSource::new();
-    let routes = vec![
-        stream_route("stream", false, 1),
-        stream_route("resume", true, 2),
-        plain_route("once", AtMostOnce, 1),
-        plain_route("often", Idempotent, 2),
-    ];
-    source.publish_configuration(1, routes, &[KEY]);
-    let endpoint = Endpoint::start_by_request(script).await;
-    for id in ["e-0", "e-1"] {
-        source.publish_endpoint(id, "model", endpoint.address);
-        source.publish_endpoint(&format!("p-{id}"), "plain", endpoint.address);
-    }
-    (start(source).await, endpoint)
-}
-
 async fn send(client: &mut Client, method: &str, path: &str, id: &str) -> ClientAnswer {
     let text = request(method, path, id, "x-deadline: 1500\r\n", "");
     client.send(&text).await;
@@ -71,7 +47,7 @@
                 0 => vec![Action::Send(text.clone()), Action::Close],
                 _ => vec![answer("200 OK", "next")],
             };
-            let (running, _endpoint) = start_gateway(script).await;
+            let (running, _endpoint) = start_before_twin_endpoints(script).await;
             let mut client = Client::connect(running.address).await;
             let got = send(&mut client, "POST", path, "a1").await;
             // The request may have run, so that nothing is promised about it.
@@ -96,7 +72,7 @@
         0 => vec![Action::Send(text.clone()), Action::Hang],
         _ => vec![answer("200 OK", "second")],
     };
-    let (running, endpoint) = start_gateway(script).await;
+    let (running, endpoint) = start_before_twin_endpoints(script).await;
     let mut client = Client::connect(running.address).await;
     let got = send(&mut client, "GET", "/often/x", "a1").await;
     assert_eq!((got.status, got.body.as_str()), (200, "second"));
@@ -122,7 +98,7 @@
         }
         vec![Action::Send(first.to_owned()), Action::Close]
     };
-    let (running, endpoint) = start_gateway(script).await;
+    let (running, endpoint) = start_before_twin_endpoints(script).await;
     let mut client = Client::connect(running.address).await;
     let got = send(&mut client, "POST", "/resume/x", "a1").await;
     assert_eq!((got.status, got.is_whole), (200, true), "{}", got.head);
@@ -146,7 +122,7 @@
         let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 400000\r\n\r\n";
         let text = format!("{head}{body}");
         let script = move |_, _: &ReceivedRequest| vec![Action::Send(text.clone()), Action::Close];
-        let (running, _endpoint) = start_gateway(script).await;
+        let (running, _endpoint) = start_before_twin_endpoints(script).await;
         let mut client = Client::connect(running.address).await;
         let got = send(&mut client, "POST", path, "a1").await;
         assert!(!got.is_whole, "{path}: {}", got.head);
@@ -170,7 +146,7 @@
         for rest in [chunked, length, twice] {
             let text = format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{rest}");
             let script = move |_, _: &ReceivedRequest| vec![Action::Send(text.clone())];
-            let (running, _endpoint) = start_gateway(script).await;
+            let (running, _endpoint) = start_before_twin_endpoints(script).await;
             let mut client = Client::connect(running.address).await;
             for id in ["a1", "a2"] {
                 let got = send(&mut client, "POST", "/once/x", id).await;
@@ -194,7 +170,7 @@
     for (method, status, length, told) in cases {
         let text = format!("HTTP/1.1 {status}\r\nx-id: {{id}}\r\n{length}\r\n");
         let script = move |_, _: &ReceivedRequest| vec![Action::Send(text.clone())];
-        let (running, _endpoint) = start_gateway(script).await;
+        let (running, _endpoint) = start_before_twin_endpoints(script).await;
         let mut client = Client::connect(running.address).await;
         for id in ["a1", "a2"] {
             let text = request(method, "/often/x", id, "x-deadline: 1500\r\n", "");
@@ -216,7 +192,7 @@
     let text = "HTTP/1.1 200 OK\r\nconnection: x-sign, x-hop\r\nx-id: {id}\r\nx-sign: s\r\n\
                 x-hop: 1\r\ncontent-length: 4\r\n\r\nfine";
     let script = move |_, _: &ReceivedRequest| vec![Action::Send(text.to_owned())];
-    let (running, endpoint) = start_gateway(script).await;
+    let (running, endpoint) = start_before_twin_endpoints(script).await;
     let mut client = Client::connect(running.address).await;
     let extra = "connection: x-id, x-tokens, x-hop\r\nx-tokens: 8,1\r\nx-hop: 1\r\n";
     let text = request("POST", "/once/x", "a1", extra, "");
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod unreachable;
 pub mod versions;
 
+use bridgevane_gateway::Repeatability::{AtMostOnce, Idempotent};
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
 use bridgevane_gateway::decisions::eligibility::region_limits::RegionMap;
 use bridgevane_gateway::{
@@ -18,8 +19,9 @@
     serve_clients, serve_peers, store_quarantine, watch_suspension,
 };
 use bridgevane_types::{Bytes, DurationMs, Share};
+use endpoint::{Action, Endpoint, ReceivedRequest};
 use http::HeaderName;
-use source::ScriptedSource;
+use source::{KEY, ScriptedSource, plain_route, stream_route};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpListener;
@@ -142,6 +144,27 @@
     start_with_clock(Clock::scripted(ClockScript::leaked()), source, settings).await
 }
 
+/// Starts a gateway with a route of each kind, before one process behind two names of each service, so
+/// that a request may be repeated and a stream resumed there.
+pub async fn start_before_twin_endpoints(
+    script: impl Fn(usize, &ReceivedRequest) -> Vec<Action> + Send + Sync + 'static,
+) -> (RunningGateway, Endpoint) {
+    let source = ScriptedSource::new();
+    let routes = vec![
+        stream_route("stream", false, 1),
+        stream_route("resume", true, 2),
+        plain_route("once", AtMostOnce, 1),
+        plain_route("often", Idempotent, 2),
+    ];
+    source.publish_configuration(1, routes, &[KEY]);
+    let endpoint = Endpoint::start_by_request(script).await;
+    for id in ["e-0", "e-1"] {
+        source.publish_endpoint(id, "model", endpoint.address);
+        source.publish_endpoint(&format!("p-{id}"), "plain", endpoint.address);
+    }
+    (start(source).await, endpoint)
+}
+
 /// Starts a gateway with the given clock and settings.
 pub async fn start_with_clock(
     clock: Clock,
--- a/crates/gateway/tests/surplus_answers.rs
+++ b/crates/gateway/tests/surplus_answers.rs
@@ -44,6 +44,20 @@
     runs
 }
 
+/// Sends this many requests, one after the other on one connection; returns the statuses of their
+/// answers.
+async fn statuses(running: &RunningGateway, requests: usize) -> Vec<u16> {
+    let mut client = Client::connect(running.address).await;
+    let mut statuses = Vec::new();
+    for at in 0..requests {
+        let id = format!("a{at}");
+        let text = request("POST", "/once/x", &id, "x-deadline: 1500\r\n", "");
+        client.send(&text).await;
+        statuses.push(client.answer().await.expect("an answer").status);
+    }
+    statuses
+}
+
 /// What a surplus answer may say: each of these made the request that runs count as not executed, or
 /// its endpoint as full, leaving, limited or elsewhere.
 const SURPLUS: [&str; 7] = [
@@ -73,19 +87,7 @@
             _ => vec![answer("200 OK", "fine")],
         };
         let (running, endpoints) = start_gateway(script).await;
-        let mut client = Client::connect(running.address).await;
-        let mut statuses = Vec::new();
-        for at in 0..12 {
-            let text = request(
-                "POST",
-                "/once/x",
-                &format!("a{at}"),
-                "x-deadline: 1500\r\n",
-                "",
-            );
-            client.send(&text).await;
-            statuses.push(client.answer().await.expect("an answer").status);
-        }
+        let statuses = statuses(&running, 12).await;
         let runs = runs(&endpoints);
         assert!(runs.values().all(|runs| *runs == 1), "{says}: {runs:?}");
         // The endpoints answer in time with room left: only the disturbed requests fail.
@@ -108,25 +110,13 @@
         source.publish_configuration(1, vec![plain_route("once", AtMostOnce, 1)], &[KEY]);
         source.publish_endpoint("e-0", "plain", endpoint.address);
         let running = start(source).await;
-        let mut client = Client::connect(running.address).await;
-        let mut statuses = Vec::new();
-        for at in 0..4 {
-            let text = request(
-                "POST",
-                "/once/x",
-                &format!("a{at}"),
-                "x-deadline: 1500\r\n",
-                "",
-            );
-            client.send(&text).await;
-            statuses.push(client.answer().await.expect("an answer").status);
-        }
+        let statuses = statuses(&running, 4).await;
         assert_eq!(statuses, [200, 502, 200, 200], "{says}");
     }
 }
 
-/// Searches orders of surplus answers: with any status and header, of any earlier request or none,
-/// before or behind the answer that is due.
+/// Searches orders of surplus answers: with any status and header, of another request, before or
+/// behind the answer that is due.
 #[tokio::test]
 async fn no_order_of_surplus_answers_makes_a_request_run_twice() {
     let seeds = std::env::var("SURPLUS_SEEDS").ok();
@@ -148,23 +138,11 @@
             }
         };
         let (running, endpoints) = start_gateway(script).await;
-        let mut client = Client::connect(running.address).await;
-        for at in 0..REQUESTS {
-            let text = request(
-                "POST",
-                "/once/x",
-                &format!("a{at}"),
-                "x-deadline: 1500\r\n",
-                "",
-            );
-            client.send(&text).await;
-            let got = client.answer().await.expect("an answer");
-            assert!(
-                [200, 502].contains(&got.status),
-                "seed {seed}: {}",
-                got.head
-            );
-        }
+        let statuses = statuses(&running, REQUESTS).await;
+        assert!(
+            statuses.iter().all(|status| [200, 502].contains(status)),
+            "seed {seed}: {statuses:?}"
+        );
         let runs = runs(&endpoints);
         assert!(
             runs.values().all(|runs| *runs == 1),
--- a/crates/gateway/tests/unframed_answers.rs
+++ b/crates/gateway/tests/unframed_answers.rs
@@ -3,12 +3,10 @@
 
 mod support;
 
-use bridgevane_gateway::Repeatability::{AtMostOnce, Idempotent};
 use std::time::Duration;
 use support::client::{Client, ClientAnswer, request};
 use support::endpoint::{Action, Endpoint, event, last_chunk, stream_head};
-use support::source::{KEY, ScriptedSource, plain_route, stream_route};
-use support::{RunningGateway, start};
+use support::{RunningGateway, start_before_twin_endpoints};
 
 /// The time between two writes, after which the daemon has read the first.
 const BETWEEN_WRITES: Duration = Duration::from_millis(30);
@@ -26,27 +24,13 @@
 }
 
 async fn start_gateway(actions: Vec<Action>) -> (RunningGateway, Endpoint) {
-    let source = ScriptedSource::new();
-    let routes = vec![
-        stream_route("stream", false, 1),
-        stream_route("resume", true, 2),
-        plain_route("once", AtMostOnce, 1),
-        plain_route("often", Idempotent, 2),
-    ];
-    source.publish_configuration(1, routes, &[KEY]);
-    let endpoint = Endpoint::start_by_request(move |_, request| {
+    start_before_twin_endpoints(move |_, request| {
         if request.header("last-event-id").is_some() {
             return vec![stream_head(), event(2), last_chunk()];
         }
         actions.clone()
     })
-    .await;
-    // The same process behind two names: a stream may be resumed.
-    for id in ["e-0", "e-1"] {
-        source.publish_endpoint(id, "model", endpoint.address);
-        source.publish_endpoint(&format!("p-{id}"), "plain", endpoint.address);
-    }
-    (start(source).await, endpoint)
+    .await
 }
 
 async fn send(running: &RunningGateway, path: &str) -> ClientAnswer {
