--- a/crates/gateway/src/decisions/duties/succession.rs
+++ b/crates/gateway/src/decisions/duties/succession.rs
@@ -26,6 +26,7 @@
 use super::usage_collection::DaemonIncarnation;
 use super::usage_window::UsageWindow;
 use crate::control::source::SourceEra;
+use derive_more::Display;
 
 /// What a daemon knows when it is about to become the holder.
 #[derive(Clone, Debug)]
@@ -44,6 +45,23 @@
     pub newest_stored: UsageWindow,
 }
 
+/// From where the state of a new holder comes. The text is for logs.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum StateOrigin {
+    /// There is no state: the fleet is new.
+    #[display("none")]
+    NewFleet,
+    /// The store, in its current era.
+    #[display("store")]
+    Store,
+    /// This daemon's own session, which lasted until the store came back from a copy.
+    #[display("own session")]
+    OwnSession,
+    /// A copy of the store: windows that may have been submitted since are left out.
+    #[display("copy")]
+    Copy,
+}
+
 /// How a new holder begins.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Succession {
@@ -51,8 +69,8 @@
     pub predecessor: Predecessor,
     /// The state that the new holder continues from, under its own name.
     pub state: DutyState,
-    /// Whether windows are left out that may have been submitted under an earlier era.
-    pub leaves_out_windows: bool,
+    /// Where the state comes from.
+    pub origin: StateOrigin,
 }
 
 /// Returns how a new holder begins.
@@ -65,29 +83,29 @@
         current_window,
         newest_stored,
     } = inputs;
-    let (predecessor, state) = match (stored, own) {
+    let (origin, predecessor, state) = match (stored, own) {
         (None, _) if era == SourceEra::default() => {
-            (Predecessor::None, DutyState::initial(daemon.clone(), era))
+            let state = DutyState::initial(daemon.clone(), era);
+            (StateOrigin::NewFleet, Predecessor::None, state)
+        }
+        (Some(state), _) if state.era == era => {
+            (StateOrigin::Store, predecessor(&state, &daemon), state)
         }
-        (Some(state), _) if state.era == era => (predecessor(&state, &daemon), state),
         // In an era between that session and now, another daemon may have held the duties.
-        (_, Some(state)) if state.era.next() == era => (Predecessor::Another, state),
+        (_, Some(state)) if state.era.next() == era => {
+            (StateOrigin::OwnSession, Predecessor::Another, state)
+        }
         (stored, _) => {
             let state = stored.unwrap_or_else(|| DutyState::initial(daemon.clone(), era));
             let first_window = current_window.max(newest_stored.next());
-            return Succession {
-                predecessor: Predecessor::Another,
-                state: state
-                    .with_holder(daemon, era)
-                    .without_windows_before(first_window),
-                leaves_out_windows: true,
-            };
+            let state = state.without_windows_before(first_window);
+            (StateOrigin::Copy, Predecessor::Another, state)
         }
     };
     Succession {
         predecessor,
         state: state.with_holder(daemon, era),
-        leaves_out_windows: false,
+        origin,
     }
 }
 
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -7,7 +7,7 @@
 use crate::control::holder_record::HolderRecord;
 use crate::control::source::{Revision, SourceEra, SourceError};
 use crate::decisions::duties::duty_state::DutyState;
-use crate::decisions::duties::succession::{Succession, SuccessionInputs, succeed};
+use crate::decisions::duties::succession::{StateOrigin, Succession, SuccessionInputs, succeed};
 use crate::decisions::duties::tenure::{CandidateRank, Tenure, TenureStart, candidacy_starts_at};
 use crate::duties::api::{
     DutyKey, DutyPlatform, DutyStore, LeaseId, Put, StoredValue, Transaction, TransactionOutcome,
@@ -137,7 +137,7 @@
         let Succession {
             predecessor,
             state,
-            leaves_out_windows,
+            origin,
         } = succeed(SuccessionInputs {
             daemon: self.gateway.usage_tracker.daemon().clone(),
             era: lease.era,
@@ -164,12 +164,13 @@
             Event::DutiesTaken,
             fence = revision,
             predecessor = predecessor,
+            continues_from = origin,
             acts_in_ms = acts_in,
             state_at = before.map_or(Revision(0), |stored| stored.revision),
             // 0 means that the state has no window.
             newest_window = state.newest_window().unwrap_or_default()
         );
-        if leaves_out_windows {
+        if origin == StateOrigin::Copy {
             event!(
                 Event::UsageLeftOut,
                 before_window = state.first_window,
--- a/crates/gateway/tests/duties_succession.rs
+++ b/crates/gateway/tests/duties_succession.rs
@@ -2,7 +2,9 @@
 
 use bridgevane_gateway::SourceEra;
 use bridgevane_gateway::decisions::duties::duty_state::{DutyState, WindowUsage};
-use bridgevane_gateway::decisions::duties::succession::{Succession, SuccessionInputs, succeed};
+use bridgevane_gateway::decisions::duties::succession::{
+    StateOrigin, Succession, SuccessionInputs, succeed,
+};
 use bridgevane_gateway::decisions::duties::tenure::Predecessor;
 use bridgevane_gateway::decisions::duties::usage_collection::DaemonIncarnation;
 use bridgevane_gateway::decisions::duties::usage_counts::UsageCounts;
@@ -47,7 +49,7 @@
     let next = succession(2, Some(state("vm-b", 2, 17)), None);
     assert_eq!(next.predecessor, Predecessor::Another);
     assert_eq!(next.state.next_window(), UsageWindow(18));
-    assert!(!next.leaves_out_windows);
+    assert_eq!(next.origin, StateOrigin::Store);
     let again = succession(2, Some(state("vm-a", 2, 17)), None);
     assert_eq!(again.predecessor, Predecessor::Itself);
 }
@@ -62,7 +64,7 @@
     // Not even the windows that it lists are submitted again.
     assert_eq!(next.state.submitted_windows, []);
     assert_eq!(next.state.era, SourceEra(3));
-    assert!(next.leaves_out_windows);
+    assert_eq!(next.origin, StateOrigin::Copy);
 }
 
 /// A copy from before the first holder looks like the store of a new fleet.
@@ -81,7 +83,7 @@
     let next = succession(3, Some(state("vm-b", 2, 15)), Some(state("vm-a", 2, 17)));
     assert_eq!(next.state.next_window(), UsageWindow(18));
     assert_eq!(next.predecessor, Predecessor::Another);
-    assert!(!next.leaves_out_windows);
+    assert_eq!(next.origin, StateOrigin::OwnSession);
 }
 
 /// In an era between two returns another daemon may have submitted windows, of which the store has
@@ -90,7 +92,7 @@
 fn a_state_of_its_own_from_an_earlier_era_than_the_last_one_counts_for_nothing() {
     let next = succession(4, Some(state("vm-a", 2, 15)), Some(state("vm-a", 2, 17)));
     assert_eq!(next.state.next_window(), CURRENT);
-    assert!(next.leaves_out_windows);
+    assert_eq!(next.origin, StateOrigin::Copy);
 }
 
 /// The clock of the new holder may be behind that of the one before, whose newest window other
