fix(duties): the last holder continues after a return from a copy, whichever daemon it follows

Cause: a candidate had to follow the store and to see the vacant key in its replica. While the store is away, the holder follows another daemon, and does so for up to a second after the return; a daemon that was back at the store earlier took the duties and had to leave windows out. Change: the last holder, whose own calls tell it of the return, tries at once for 2 s, whatever its replica shows; all others wait 2 s longer after a return. Evidence: the new test in virtual time holds the replica of the holder back for 1.5 s.

--- a/crates/gateway/src/control/duty_holder.rs
+++ b/crates/gateway/src/control/duty_holder.rs
@@ -2,6 +2,7 @@
 
 use crate::control::holder_record::HolderRecord;
 use crate::control::source::Revision;
+use crate::decisions::duties::tenure::Vacancy;
 use bridgevane_types::TimeMs;
 
 /// What this daemon knows of the holder.
@@ -11,10 +12,7 @@
     #[default]
     Unknown,
     /// No daemon holds the duties.
-    Vacant {
-        /// When this daemon first saw the duties without a holder.
-        since: TimeMs,
-    },
+    Vacant(Vacancy),
     /// The duties have this holder.
     Held(HolderRecord),
 }
@@ -47,13 +45,18 @@
         if revision < self.revision {
             return self.clone();
         }
-        let since = match self.view {
-            HolderView::Vacant { since } => since,
-            _ => now,
+        let is_known = self.view != HolderView::Unknown;
+        let is_after_restore = is_known && revision.era() > self.revision.era();
+        let vacancy = match self.view {
+            HolderView::Vacant(vacancy) if !is_after_restore => vacancy,
+            _ => Vacancy {
+                since: now,
+                is_after_restore,
+            },
         };
         Self {
             revision,
-            view: HolderView::Vacant { since },
+            view: HolderView::Vacant(vacancy),
         }
     }
 }
--- a/crates/gateway/src/decisions/duties/tenure.rs
+++ b/crates/gateway/src/decisions/duties/tenure.rs
@@ -22,6 +22,9 @@
 //! 5. Daemons that follow the store become candidates for a vacant key one after the other: the
 //!    last holder at once, then the seeds in the order of their settings, then others. That saves
 //!    rejected writes; safety doesn't depend on it.
+//! 6. After a return of the store from a copy only the last holder knows what was submitted
+//!    ([`super::succession`]). It learns of the return from its own calls and is a candidate at once,
+//!    whichever daemon it follows; all others wait `RESTORE_HEAD_START` longer.
 //!
 //! After a kill a successor acts after one lease (until the key expires), some hundred
 //! milliseconds, and one more lease: 6.7 s with a lease of 3 s, within the 10 s in which a window's
@@ -40,6 +43,11 @@
 /// The number of ranks that are reserved for seeds. The platform names three at most.
 const SEED_RANKS: u64 = 3;
 
+/// How much longer other daemons than the last holder wait after a return of the store from a copy.
+/// The last holder needs up to 1.1 s to learn of it (a renewal that timed out, and a pause), and makes
+/// three calls, of 0.24 s each at the slowest known store.
+pub const RESTORE_HEAD_START: DurationMs = DurationMs(2_000);
+
 /// The previous holder of the duties. The text is for logs.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Predecessor {
@@ -69,17 +77,31 @@
     },
 }
 
-/// Returns when a daemon becomes a candidate for a key that has been vacant since a given time.
-pub fn candidacy_starts_at(vacant_since: TimeMs, rank: CandidateRank) -> TimeMs {
+/// The holder's key is vacant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Vacancy {
+    /// When this daemon first saw the key vacant in the store's current era.
+    pub since: TimeMs,
+    /// Whether it learned then that the store had come back from a copy.
+    pub is_after_restore: bool,
+}
+
+/// Returns when a daemon that follows the store becomes a candidate for a vacant key.
+pub fn candidacy_starts_at(vacancy: Vacancy, rank: CandidateRank) -> TimeMs {
     let step = CANDIDACY_STEP.0;
     let delay_ms = match rank {
-        CandidateRank::LastHolder => 0,
+        CandidateRank::LastHolder => return vacancy.since,
         CandidateRank::Seed(position) => (position as u64 + 1).min(SEED_RANKS) * step,
         CandidateRank::Other { spread } => {
             (SEED_RANKS + 1) * step + (spread.clamp(0.0, 1.0) * SEED_RANKS as f64) as u64 * step
         }
     };
-    vacant_since + DurationMs(delay_ms)
+    let head_start = if vacancy.is_after_restore {
+        RESTORE_HEAD_START
+    } else {
+        DurationMs(0)
+    };
+    vacancy.since + head_start + DurationMs(delay_ms)
 }
 
 /// The time in which one daemon holds the duties, as far as it knows.
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -8,7 +8,9 @@
 use crate::control::source::{Revision, SourceEra, SourceError};
 use crate::decisions::duties::duty_state::DutyState;
 use crate::decisions::duties::succession::{StateOrigin, Succession, SuccessionInputs, succeed};
-use crate::decisions::duties::tenure::{CandidateRank, Tenure, TenureStart, candidacy_starts_at};
+use crate::decisions::duties::tenure::{
+    CandidateRank, RESTORE_HEAD_START, Tenure, TenureStart, candidacy_starts_at,
+};
 use crate::duties::api::{
     DutyKey, DutyPlatform, DutyStore, LeaseId, Put, StoredValue, Transaction, TransactionOutcome,
 };
@@ -46,7 +48,7 @@
         spread,
         was_holder: false,
         cooldown_until: None,
-        own_state: None,
+        last_session: None,
     };
     loop {
         candidate.wait_for_candidacy().await;
@@ -61,6 +63,13 @@
     }
 }
 
+/// A session that lasted until the store came back from a copy.
+struct LastSession {
+    state: DutyState,
+    /// Until when this daemon is a candidate before all others.
+    is_first_until: TimeMs,
+}
+
 struct DutyCandidate<S, P> {
     gateway: Arc<Gateway>,
     store: S,
@@ -72,8 +81,9 @@
     was_holder: bool,
     /// Until when this daemon does not become a candidate.
     cooldown_until: Option<TimeMs>,
-    /// The state of its last session, if that lasted until the store came back from a copy.
-    own_state: Option<DutyState>,
+    /// Its last session, if that lasted until the store came back from a copy and the store has no
+    /// newer state.
+    last_session: Option<LastSession>,
 }
 
 impl<S: DutyStore, P: DutyPlatform> DutyCandidate<S, P> {
@@ -96,22 +106,29 @@
     /// Returns when this daemon becomes a candidate; none if it can't in the current state.
     fn candidacy_at(&mut self, now: TimeMs) -> Option<TimeMs> {
         let gateway = &self.gateway;
+        let is_in_cooldown = self.cooldown_until.is_some_and(|until| now < until);
+        if gateway.shutdown.is_stopping() || is_in_cooldown {
+            return None;
+        }
+        let session = self.last_session.as_ref();
+        // Its replica may still be that of the era before.
+        if session.is_some_and(|session| now < session.is_first_until) {
+            return Some(now);
+        }
         let holder = gateway.control.duty_holder();
-        let vacant_since = match holder.view() {
+        let vacancy = match holder.view() {
             HolderView::Unknown => return None,
             HolderView::Held(holder) => {
                 self.was_holder = holder.daemon == *gateway.usage_tracker.daemon();
                 return None;
             }
-            HolderView::Vacant { since } => *since,
+            HolderView::Vacant(vacancy) => *vacancy,
         };
-        let is_in_cooldown = self.cooldown_until.is_some_and(|until| now < until);
         let is_fresh = gateway.control.freshness().may_serve();
-        let follows_source = gateway.fleet.follows_source();
-        if gateway.shutdown.is_stopping() || is_in_cooldown || !is_fresh || !follows_source {
+        if !is_fresh || !gateway.fleet.follows_source() {
             return None;
         }
-        Some(candidacy_starts_at(vacant_since, self.candidate_rank()))
+        Some(candidacy_starts_at(vacancy, self.candidate_rank()))
     }
 
     fn candidate_rank(&self) -> CandidateRank {
@@ -142,16 +159,19 @@
             daemon: self.gateway.usage_tracker.daemon().clone(),
             era: lease.era,
             stored,
-            own: self.own_state.clone(),
+            own: self.last_session.as_ref().map(|last| last.state.clone()),
             current_window: self.gateway.usage_tracker.current_window(),
             newest_stored: self.gateway.usage_tracker.newest_stored(),
         });
+        if origin != StateOrigin::OwnSession {
+            self.last_session = None;
+        }
         let transaction = self.holder_transaction(lease, before.as_ref(), &state);
         let Some(revision) = self.write_holder(lease, &transaction).await? else {
             return Ok(None);
         };
         self.was_holder = true;
-        self.own_state = None;
+        self.last_session = None;
         let tenure = Tenure::begin(TenureStart {
             fence: FenceToken(revision.0),
             lease_requested_at,
@@ -268,7 +288,13 @@
         match end {
             SessionEnd::Lost => {}
             // The lease is gone, and its number may be another daemon's.
-            SessionEnd::StoreRestored => self.own_state = session.state_if_still_held().await,
+            SessionEnd::StoreRestored => {
+                let state = session.state_if_still_held().await;
+                self.last_session = state.map(|state| LastSession {
+                    state,
+                    is_first_until: gateway.clock.now() + RESTORE_HEAD_START,
+                });
+            }
             SessionEnd::Stopping => session.release().await,
             SessionEnd::PlatformUnreachable => {
                 session.release().await;
--- a/crates/gateway/tests/duties_store_from_copy.rs
+++ b/crates/gateway/tests/duties_store_from_copy.rs
@@ -140,6 +140,30 @@
     });
 }
 
+/// A daemon's replica may learn of the return later than those of others, since it follows another
+/// daemon. Another daemon took the duties then, and left out windows that were due.
+#[test]
+fn the_last_holder_continues_after_a_return_from_a_copy_though_its_replica_is_behind() {
+    run_on_virtual_clock(async {
+        for round in 0..ROUNDS {
+            let fleet = Fleet::start(round).await;
+            let copy = fleet.aged_copy().await;
+            let holder = fleet.holder();
+            let behind = LinkFaults {
+                source_cut: true,
+                ..LinkFaults::default()
+            };
+            fleet.platform.set_faults(holder, behind);
+            fleet.drill(&copy).await;
+            sleep(Duration::from_millis(1_500)).await;
+            fleet.platform.set_faults(holder, LinkFaults::default());
+            sleep(WINDOW * 4).await;
+            fleet.check();
+            fleet.check_no_requests_missing();
+        }
+    });
+}
+
 /// The next holder is another daemon or another process, which knows nothing of what was submitted
 /// before the store came back; the counts of the killed one are gone.
 #[test]
--- a/crates/gateway/tests/duties_tenure.rs
+++ b/crates/gateway/tests/duties_tenure.rs
@@ -1,7 +1,8 @@
 //! Tests of the tenure: which daemon may hold the duties, and until when the holder may act.
 
 use bridgevane_gateway::decisions::duties::tenure::{
-    CandidateRank, Predecessor, Tenure, TenureStart, candidacy_starts_at,
+    CandidateRank, Predecessor, RESTORE_HEAD_START, Tenure, TenureStart, Vacancy,
+    candidacy_starts_at,
 };
 use bridgevane_types::{DurationMs, FenceToken, TimeMs};
 
@@ -72,9 +73,27 @@
         CandidateRank::Other { spread: 0.0 },
         CandidateRank::Other { spread: 1.0 },
     ];
-    let at = places.map(|place| candidacy_starts_at(TimeMs(5_000), place));
+    let vacancy = Vacancy {
+        since: TimeMs(5_000),
+        is_after_restore: false,
+    };
+    let at = places.map(|place| candidacy_starts_at(vacancy, place));
     assert_eq!(at[0], TimeMs(5_000));
     assert!(at.is_sorted_by(|earlier, later| earlier < later), "{at:?}");
     // The last candidate starts while a window's usage can still be submitted in time.
     assert!(at[5].since(at[0]) <= DurationMs(2_000), "{at:?}");
 }
+
+/// A daemon that takes the duties before the last holder learns of a return from a copy leaves out
+/// windows that only the last holder knows to be open.
+#[test]
+fn other_candidates_wait_for_the_last_holder_after_a_return_from_a_copy() {
+    let vacancy = Vacancy {
+        since: TimeMs(5_000),
+        is_after_restore: true,
+    };
+    let last_holder = candidacy_starts_at(vacancy, CandidateRank::LastHolder);
+    assert_eq!(last_holder, TimeMs(5_000));
+    let seed = candidacy_starts_at(vacancy, CandidateRank::Seed(0));
+    assert!(seed.since(last_holder) > RESTORE_HEAD_START);
+}
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -47,6 +47,8 @@
     pub answers_lost: Option<Duration>,
     /// Calls of the platform get no response and have no effect.
     pub platform_cut: bool,
+    /// Calls that follow the control records get no response: the daemon's replica doesn't change.
+    pub source_cut: bool,
 }
 
 impl LinkFaults {
@@ -56,6 +58,7 @@
             store_cut: true,
             platform_cut: true,
             answers_lost: None,
+            source_cut: false,
         }
     }
 }
@@ -382,6 +385,19 @@
     }
 }
 
+impl PlatformClient {
+    /// Calls the store as the task does that follows its records.
+    async fn call_source<T: Send + 'static>(
+        &self,
+        work: impl FnOnce(&mut State) -> T + Send + 'static,
+    ) -> Result<T, SourceError> {
+        if self.faults().source_cut {
+            return std::future::pending().await;
+        }
+        self.call(work).await
+    }
+}
+
 impl DutyStore for PlatformClient {
     async fn grant_lease(&self, lease_ms: DurationMs) -> Result<LeaseId, SourceError> {
         self.call(move |state| {
@@ -523,7 +539,7 @@
 
 impl ControlSource for PlatformClient {
     async fn full_state(&self, _progress: &ReadProgress) -> Result<FullState, SourceError> {
-        self.call(|state| FullState {
+        self.call_source(|state| FullState {
             revision: state.revision(state.counter),
             records: state
                 .holder_changes
@@ -545,7 +561,7 @@
         let until = Instant::now() + wait.as_std();
         loop {
             let found = self
-                .call(move |state| {
+                .call_source(move |state| {
                     let known = state.known_from..=state.counter;
                     if after.era() != SourceEra(state.era) || !known.contains(&after.counter()) {
                         return Err(SourceError::HistoryLost);
