fix(duties): a successor after a return from a copy submits the window that was open in it

What callers saw: where the holder was lost in a return from a copy, the window that was open in it was missing as well as the one before. Cause: the first window was the current one when the new holder took the duties, some seconds after the return. A holder of the era before can't store a window once the store is back, so only those that had ended then are in doubt. Change: the window in which the daemon learned of the era counts, not the one in which it takes the duties.

--- a/crates/gateway/src/control/duty_holder.rs
+++ b/crates/gateway/src/control/duty_holder.rs
@@ -1,7 +1,7 @@
 //! The daemon that holds the duties, according to this daemon's replica.
 
 use crate::control::holder_record::HolderRecord;
-use crate::control::source::Revision;
+use crate::control::source::{Revision, SourceEra};
 use crate::decisions::duties::tenure::Vacancy;
 use bridgevane_types::TimeMs;
 
@@ -29,6 +29,19 @@
         &self.view
     }
 
+    /// Returns when this daemon saw that the source had come back from a copy in this era; `None` if it
+    /// hasn't, or if another daemon has held the duties since.
+    pub(crate) fn restored_at(&self, era: SourceEra) -> Option<TimeMs> {
+        match self.view {
+            HolderView::Vacant(vacancy)
+                if vacancy.is_after_restore && self.revision.era() == era =>
+            {
+                Some(vacancy.since)
+            }
+            _ => None,
+        }
+    }
+
     /// Returns the entry after a daemon has become the holder.
     pub(crate) fn with_holder(&self, revision: Revision, holder: HolderRecord) -> Self {
         if revision < self.revision {
--- a/crates/gateway/src/decisions/duties/succession.rs
+++ b/crates/gateway/src/decisions/duties/succession.rs
@@ -1,8 +1,8 @@
 //! Succession: from which state a new holder of the duties continues.
 //!
 //! Inputs: the duty state in the store, the store's era, the state of this daemon's own last session
-//! if that session lasted until the store came back from a copy, the current usage window, and the
-//! newest window that daemons know to be stored.
+//! if that session lasted until the store came back from a copy, the usage window in which this
+//! daemon learned of the store's era, and the newest window that daemons know to be stored.
 //!
 //! Rules:
 //! 1. A state that was written in the store's current era has all that holders submitted: each one
@@ -11,8 +11,9 @@
 //!    which windows were submitted meanwhile. If this daemon was the holder until then, it continues
 //!    from its own state: no other daemon acted after it.
 //! 3. Any other daemon submits no window that may have been submitted under an earlier era, not even
-//!    one that the copy lists: those before the current window, and those that daemons know to be
-//!    stored, since the clocks of VMs differ. Nobody can know whether they were submitted, nor with
+//!    one that the copy lists: those that had ended when it learned of the era, since no holder of an
+//!    earlier one can store a window after that, and those that daemons know to be stored, since the
+//!    clocks of VMs differ. Nobody can know whether they were submitted, nor with
 //!    which counts. A window that is left out is missed; one that is submitted with other counts makes
 //!    the platform's usage wrong.
 //! 4. Whose state a copy has doesn't matter for when the new holder may act: a later holder of the
@@ -39,8 +40,8 @@
     pub stored: Option<DutyState>,
     /// The state of its last session, if that lasted until the store came back from a copy.
     pub own: Option<DutyState>,
-    /// The current usage window.
-    pub current_window: UsageWindow,
+    /// The usage window in which the daemon learned of this era.
+    pub window_at_return: UsageWindow,
     /// The newest window that a holder has stored, as far as the daemon knows.
     pub newest_stored: UsageWindow,
 }
@@ -80,7 +81,7 @@
         era,
         stored,
         own,
-        current_window,
+        window_at_return,
         newest_stored,
     } = inputs;
     let (origin, predecessor, state) = match (stored, own) {
@@ -97,7 +98,7 @@
         }
         (stored, _) => {
             let state = stored.unwrap_or_else(|| DutyState::initial(daemon.clone(), era));
-            let first_window = current_window.max(newest_stored.next());
+            let first_window = window_at_return.max(newest_stored.next());
             let state = state.without_windows_before(first_window);
             (StateOrigin::Copy, Predecessor::Another, state)
         }
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -11,6 +11,7 @@
 use crate::decisions::duties::tenure::{
     CandidateRank, RESTORE_HEAD_START, Tenure, TenureStart, candidacy_starts_at,
 };
+use crate::decisions::duties::usage_window::UsageWindow;
 use crate::duties::api::{
     DutyKey, DutyPlatform, DutyStore, LeaseId, Put, StoredValue, Transaction, TransactionOutcome,
 };
@@ -160,7 +161,7 @@
             era: lease.era,
             stored,
             own: self.last_session.as_ref().map(|last| last.state.clone()),
-            current_window: self.gateway.usage_tracker.current_window(),
+            window_at_return: self.window_at_return(lease.era),
             newest_stored: self.gateway.usage_tracker.newest_stored(),
         });
         if origin != StateOrigin::OwnSession {
@@ -207,6 +208,15 @@
         }))
     }
 
+    /// Returns the usage window in which this daemon learned of the store's era; the current one if it
+    /// has just done so.
+    fn window_at_return(&self, era: SourceEra) -> UsageWindow {
+        let gateway = &self.gateway;
+        let restored_at = gateway.control.duty_holder().restored_at(era);
+        let at = restored_at.unwrap_or_else(|| gateway.clock.now());
+        gateway.usage_tracker.window_at(at)
+    }
+
     fn holder_transaction(
         &self,
         lease: LeaseId,
--- a/crates/gateway/src/duties/usage_tracker.rs
+++ b/crates/gateway/src/duties/usage_tracker.rs
@@ -59,11 +59,12 @@
         self.calendar
     }
 
-    /// Returns the current usage window; the first of all if the fleet doesn't submit usage.
-    pub(super) fn current_window(&self) -> UsageWindow {
-        let now = self.clock.wall_time_at(self.clock.now());
+    /// Returns the usage window that contains a moment; the first of all if the fleet doesn't submit
+    /// usage.
+    pub(super) fn window_at(&self, at: TimeMs) -> UsageWindow {
+        let at = self.clock.wall_time_at(at);
         let calendar = self.calendar;
-        calendar.map_or_else(UsageWindow::default, |calendar| calendar.window_at(now))
+        calendar.map_or_else(UsageWindow::default, |calendar| calendar.window_at(at))
     }
 
     /// Counts a customer's request that began to run.
--- a/crates/gateway/tests/duties_succession.rs
+++ b/crates/gateway/tests/duties_succession.rs
@@ -11,8 +11,8 @@
 use bridgevane_gateway::decisions::duties::usage_window::UsageWindow;
 use bridgevane_types::{CustomerId, Incarnation};
 
-/// The current window.
-const CURRENT: UsageWindow = UsageWindow(20);
+/// The window in which the daemon learned of the store's era.
+const AT_RETURN: UsageWindow = UsageWindow(20);
 
 fn daemon(vm: &str) -> DaemonIncarnation {
     DaemonIncarnation {
@@ -38,7 +38,7 @@
         era: SourceEra(era),
         stored,
         own,
-        current_window: CURRENT,
+        window_at_return: AT_RETURN,
         newest_stored: UsageWindow(18),
     })
 }
@@ -60,7 +60,7 @@
 fn a_state_from_a_copy_says_neither_what_was_submitted_nor_who_held_the_duties_last() {
     let next = succession(3, Some(state("vm-a", 2, 17)), None);
     assert_eq!(next.predecessor, Predecessor::Another);
-    assert_eq!(next.state.next_window(), CURRENT);
+    assert_eq!(next.state.next_window(), AT_RETURN);
     // Not even the windows that it lists are submitted again.
     assert_eq!(next.state.submitted_windows, []);
     assert_eq!(next.state.era, SourceEra(3));
@@ -73,7 +73,7 @@
     assert_eq!(succession(0, None, None).predecessor, Predecessor::None);
     let next = succession(1, None, None);
     assert_eq!(next.predecessor, Predecessor::Another);
-    assert_eq!(next.state.next_window(), CURRENT);
+    assert_eq!(next.state.next_window(), AT_RETURN);
 }
 
 /// The daemon that held the duties until the store came back knows what was submitted: windows that
@@ -91,7 +91,7 @@
 #[test]
 fn a_state_of_its_own_from_an_earlier_era_than_the_last_one_counts_for_nothing() {
     let next = succession(4, Some(state("vm-a", 2, 15)), Some(state("vm-a", 2, 17)));
-    assert_eq!(next.state.next_window(), CURRENT);
+    assert_eq!(next.state.next_window(), AT_RETURN);
     assert_eq!(next.origin, StateOrigin::Copy);
 }
 
@@ -104,7 +104,7 @@
         era: SourceEra(3),
         stored: Some(state("vm-b", 2, 17)),
         own: None,
-        current_window: CURRENT,
+        window_at_return: AT_RETURN,
         newest_stored: UsageWindow(21),
     });
     assert_eq!(next.state.next_window(), UsageWindow(22));
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -245,6 +245,11 @@
         START + DurationMs(self.started.elapsed().as_millis() as u64)
     }
 
+    /// Returns the number of the current usage window.
+    pub fn window_now(&self) -> u64 {
+        self.time_of_day().0 / super::WINDOW.as_millis() as u64
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap()
     }
