fix(duties): 1701 and 1707 name the fence as 1702 and 1703 do

After a return of the store from a copy, 1701 and 1707 printed a fence as era and counter (1.23), 1702, 1703 and 1706 the number that the platform gets, so that the lines of one session couldn't be matched. All print the number now.

--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -183,7 +183,7 @@
         let acts_in = tenure.may_act_from().since(self.gateway.clock.now());
         event!(
             Event::DutiesTaken,
-            fence = revision,
+            fence = tenure.fence(),
             predecessor = predecessor,
             continues_from = origin,
             acts_in_ms = acts_in,
@@ -195,7 +195,7 @@
             event!(
                 Event::UsageLeftOut,
                 before_window = state.first_window,
-                fence = revision
+                fence = tenure.fence()
             );
         }
         Ok(Some(SessionStart {
