fix(gateway): bytes of an endpoint that are no answer are bounded

What callers saw: an endpoint that sends interim answers (1xx), digits of a chunk's size or blanks behind it without end was read at full speed until the deadline. Its caller got 504, an idempotent request as well, although other endpoints were free; a stream that may be resumed went on when its time was over.

Cause: the HTTP library bounds heads, chunk extensions and trailers. It skips interim answers, leading zeros of a chunk's size and blanks behind the size for as long as they arrive, and nothing else counted what was read.

Mend: crates/answer-limits counts what is read from a connection since its caller last took a part of the answer (a head, a piece of the body, trailers). Beyond 128 KiB reading fails with a typed error and the connection is closed. The attempt fails as `without_end`: the request may have run, so that one that may run again goes to another endpoint within the retry budget, and another one gets its final answer at once. An endpoint that sends is not checked for a crash.

Why it works: the library reads at most its buffer (32 KiB) and 16 KiB of extensions or trailers ahead of what was taken, and the count may miss that one part was taken; that is below the bound for answers of any length. sound_answers_of_any_form_arrive_whole checks it with large heads behind interim answers, tiny chunks, pauses, large bodies and clients that read late.

Interim answers that trickle (one each 50 ms) don't defeat the hedge. This test and that of sound answers guard the mend; they were not run on the code before it.

--- a/crates/gateway/src/decisions/duties/usage_start.rs
+++ b/crates/gateway/src/decisions/duties/usage_start.rs
@@ -80,6 +80,7 @@
         run.error,
         AttemptError::Broken
             | AttemptError::Misframed
+            | AttemptError::WithoutEnd
             | AttemptError::TimedOut
             | AttemptError::Silent
     );
--- a/crates/gateway/src/decisions/resend/mod.rs
+++ b/crates/gateway/src/decisions/resend/mod.rs
@@ -70,6 +70,9 @@
     /// The answer's end can't be known from its head: the request may have run.
     #[display("misframed")]
     Misframed,
+    /// Bytes that are no answer arrived without end: the request may have run.
+    #[display("without_end")]
+    WithoutEnd,
     /// No answer before the deadline: the request may have run.
     #[display("timed_out")]
     TimedOut,
@@ -84,7 +87,12 @@
     pub fn may_have_run(self) -> bool {
         matches!(
             self,
-            Self::Broken | Self::Crossed | Self::Misframed | Self::TimedOut | Self::Silent
+            Self::Broken
+                | Self::Crossed
+                | Self::Misframed
+                | Self::WithoutEnd
+                | Self::TimedOut
+                | Self::Silent
         )
     }
 }
--- a/crates/gateway/src/endpoints/connection.rs
+++ b/crates/gateway/src/endpoints/connection.rs
@@ -1,10 +1,16 @@
 //! An HTTP/1.1 connection to an endpoint or to the platform's store: one request at a time.
 //!
-//! No request is sent twice here: the retry of the HTTP library isn't used.
+//! No request is sent twice here: the retry of the HTTP library isn't used. What is read without an
+//! answer in it is bounded by [`bridgevane_answer_limits`].
 
-use crate::decisions::resend::OpenError;
+use crate::decisions::resend::{AttemptError, OpenError};
 use crate::endpoints::request_body::RequestBody;
 use crate::sockets::set_options;
+use bridgevane_answer_limits::{
+    AnswerBody, AnswerProgress, CountedStream, READ_BUFFER_BYTES, is_without_end,
+};
+use derive_more::{Display, Error};
+use http::{Request, Response};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -14,10 +20,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-/// The maximum number of bytes of an answer that are buffered. VMs have some 100 MB, and many
-/// streams are open at once; heads of answers are far smaller.
-const MAX_BUFFER_BYTES: usize = 32 * 1024;
-
 /// What happens to bytes that were sent on a connection and not acknowledged when it is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Closing {
@@ -27,11 +29,25 @@
     Reset,
 }
 
+/// Why a request that was given to a connection got no head of an answer.
+#[derive(Debug, Display, Error)]
+pub enum SendError {
+    /// The connection was closed before. The request, of which no byte was sent, is given back.
+    #[display("the connection was closed")]
+    Unsent(#[error(not(source))] Box<Request<RequestBody>>),
+    /// The connection broke: the request may have run.
+    #[display("the connection broke")]
+    Broken,
+    /// The other side sent bytes that are no answer, without end: the request may have run.
+    #[display("bytes without end, and no answer")]
+    WithoutEnd,
+}
+
 /// A connection. Dropping it closes it at once, so that the endpoint cancels its request.
 #[derive(Debug)]
 pub struct Connection {
-    /// Sends requests.
-    pub sender: SendRequest<RequestBody>,
+    sender: SendRequest<RequestBody>,
+    progress: AnswerProgress,
     task: AbortHandle,
 }
 
@@ -77,8 +93,10 @@
     /// # Errors
     /// [`OpenError`] if the connection was closed meanwhile.
     pub(crate) async fn over(stream: TcpStream) -> Result<Self, OpenError> {
+        let progress = AnswerProgress::default();
+        let stream = CountedStream::new(stream, progress.clone());
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_BUFFER_BYTES);
+        builder.max_buf_size(READ_BUFFER_BYTES);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| OpenError::Refused)?;
         let task = tokio::spawn(async move {
@@ -87,12 +105,45 @@
         });
         Ok(Self {
             sender,
+            progress,
             task: task.abort_handle(),
         })
     }
 
+    /// Waits until the connection can carry a request; returns false if it is closed.
+    pub async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request and returns its answer with the unread body.
+    ///
+    /// # Errors
+    /// [`SendError`] if there is no head of an answer.
+    pub async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<AnswerBody>, SendError> {
+        self.progress.reset();
+        let answer = self.sender.try_send_request(request).await;
+        let answer = answer.map_err(|mut error| match error.take_message() {
+            Some(unsent) => SendError::Unsent(Box::new(unsent)),
+            None if is_without_end(error.error()) => SendError::WithoutEnd,
+            None => SendError::Broken,
+        })?;
+        self.progress.reset();
+        Ok(answer.map(|body| AnswerBody::new(body, self.progress.clone())))
+    }
+
     /// Returns whether the connection can carry a request.
     pub(crate) fn is_open(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
     }
 }
+
+/// Classifies the error of a body that wasn't read to its end.
+pub(crate) fn body_error(error: &hyper::Error) -> AttemptError {
+    if is_without_end(error) {
+        return AttemptError::WithoutEnd;
+    }
+    AttemptError::Broken
+}
--- a/crates/gateway/src/forwarding/attempt.rs
+++ b/crates/gateway/src/forwarding/attempt.rs
@@ -7,7 +7,7 @@
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
 use crate::decisions::eligibility::stream_version::VersionHash;
 use crate::decisions::resend::AttemptError;
-use crate::endpoints::connection::Connection;
+use crate::endpoints::connection::{Connection, SendError};
 use crate::endpoints::request_body::RequestBody;
 use crate::forwarding::daemons::{ChosenDaemon, DaemonConnections};
 use crate::forwarding::{connection, headers};
@@ -15,8 +15,8 @@
 use crate::requests::answer_framing;
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head::retry_after;
+use bridgevane_answer_limits::AnswerBody;
 use http::{HeaderValue, Request, Response, response};
-use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::time::timeout_at;
@@ -43,7 +43,7 @@
     /// Status and headers of the endpoint's answer.
     pub(crate) head: response::Parts,
     /// The body.
-    pub(crate) body: Incoming,
+    pub(crate) body: AnswerBody,
     connection: Connection,
     connections: Arc<DaemonConnections>,
     _in_progress: CountGuard,
@@ -122,18 +122,22 @@
     async fn send(
         &self,
         mut connection: Connection,
-    ) -> Result<(Connection, Response<Incoming>), ForwardingError> {
+    ) -> Result<(Connection, Response<AnswerBody>), ForwardingError> {
         let mut request = self.request();
         for _ in 0..=MAX_REOPENED {
-            let sending = connection.sender.try_send_request(request);
+            let sending = connection.send(request);
             let sent = timeout_at(self.inbound.deadline, sending).await;
-            match sent.map_err(|_| ForwardingError::Failed(AttemptError::TimedOut))? {
+            let error = match sent.map_err(|_| ForwardingError::Failed(AttemptError::TimedOut))? {
                 Ok(response) => return Ok((connection, response)),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(ForwardingError::Failed(AttemptError::Broken)),
-                },
-            }
+                Err(error) => error,
+            };
+            request = match error {
+                SendError::Unsent(unsent) => *unsent,
+                SendError::Broken => return Err(ForwardingError::Failed(AttemptError::Broken)),
+                SendError::WithoutEnd => {
+                    return Err(ForwardingError::Failed(AttemptError::WithoutEnd));
+                }
+            };
             let service = &self.inbound.service;
             let opened = connection::open(self.gateway, self.daemon.address, service).await;
             connection = opened.ok_or(ForwardingError::Declined)?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,7 +57,7 @@
     Credentials, DutyCallError, DutyKey, DutyPlatform, DutyStore, LeaseId, LeaseRenewal, Put,
     StoredValue, Transaction, TransactionOutcome,
 };
-pub use endpoints::connection::{Closing, Connection};
+pub use endpoints::connection::{Closing, Connection, SendError};
 pub use endpoints::endpoint::EndpointRecord;
 pub use route::{
     ClientLimits, Customer, EngineSpec, Repeatability, Route, RouteTarget, Service, StreamPolicy,
--- a/crates/gateway/src/requests/answer.rs
+++ b/crates/gateway/src/requests/answer.rs
@@ -4,8 +4,8 @@
 use crate::endpoints::endpoint::Endpoint;
 use crate::forwarding::attempt::ForwardedAnswer;
 use crate::requests::attempt::EndpointAnswer;
+use bridgevane_answer_limits::AnswerBody;
 use http::response;
-use hyper::body::Incoming;
 use std::sync::Arc;
 
 /// An answer whose body hasn't been read yet.
@@ -27,7 +27,7 @@
     }
 
     /// Returns the body.
-    pub(crate) fn body_mut(&mut self) -> &mut Incoming {
+    pub(crate) fn body_mut(&mut self) -> &mut AnswerBody {
         match self {
             Self::Endpoint(answer) => &mut answer.body,
             Self::Daemon(answer) => &mut answer.body,
--- a/crates/gateway/src/requests/answer_body.rs
+++ b/crates/gateway/src/requests/answer_body.rs
@@ -15,6 +15,9 @@
     /// The endpoint's stream broke off.
     #[display("the endpoint broke off")]
     EndpointBrokeOff,
+    /// The endpoint sent bytes that are no part of a stream, without end.
+    #[display("bytes without end")]
+    WithoutEnd,
     /// The client's or the route's timeout has passed.
     #[display("out of time")]
     OutOfTime,
--- a/crates/gateway/src/requests/attempt.rs
+++ b/crates/gateway/src/requests/attempt.rs
@@ -7,7 +7,7 @@
 use crate::decisions::endpoint::idle_connections::{MAX_IDLE_TRIES, may_reuse};
 use crate::decisions::endpoint::load_report::LoadSnapshot;
 use crate::decisions::resend::{AttemptError, OpenError};
-use crate::endpoints::connection::Connection;
+use crate::endpoints::connection::{Connection, SendError};
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::reachability::Reachability;
 use crate::endpoints::request_body::RequestBody;
@@ -20,9 +20,9 @@
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head;
 use crate::unreadable_headers::{Sender, UnreadableHeaders};
+use bridgevane_answer_limits::AnswerBody;
 use bridgevane_types::TimeMs;
 use http::{HeaderValue, Request, Response, response};
-use hyper::body::Incoming;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,7 +42,7 @@
     /// Status and headers.
     pub(crate) head: response::Parts,
     /// The body.
-    pub(crate) body: Incoming,
+    pub(crate) body: AnswerBody,
     /// Counts the request at the endpoint.
     pub(crate) in_flight: InFlight,
     connection: Connection,
@@ -190,16 +190,15 @@
         &self,
         mut request: Request<RequestBody>,
         hedge: Hedge<F>,
-    ) -> Result<(Connection, Response<Incoming>), AttemptError> {
+    ) -> Result<(Connection, Response<AnswerBody>), AttemptError> {
         for tries in 0..=MAX_IDLE_TRIES {
             let mut connection = self.connection(tries).await?;
-            let sending = connection.sender.try_send_request(request);
+            let sending = connection.send(request);
             match hedge.wait(sending, self.inbound.deadline).await? {
                 Ok(response) => return Ok((connection, response)),
-                Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(AttemptError::Broken),
-                },
+                Err(SendError::Unsent(unsent)) => request = *unsent,
+                Err(SendError::Broken) => return Err(AttemptError::Broken),
+                Err(SendError::WithoutEnd) => return Err(AttemptError::WithoutEnd),
             }
         }
         Err(AttemptError::NotSent(OpenError::Refused))
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -21,6 +21,7 @@
 use crate::decisions::eligibility::region_limits::RegionLimits;
 use crate::decisions::endpoint::quiet_engines::PauseTargets;
 use crate::decisions::resend::{self, AttemptError, Failure, hedging};
+use crate::endpoints::connection;
 use crate::endpoints::directory::ServiceEndpoints;
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::selection::{
@@ -33,12 +34,12 @@
 use crate::requests::crash_check;
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head;
+use bridgevane_answer_limits::AnswerBody;
 use bridgevane_events::{Event, event};
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -167,7 +168,7 @@
                 Ok(Ok((read, false))) => {
                     return Ok(PlainAnswer::Large { answer, read });
                 }
-                Ok(Err(_)) => AttemptError::Broken,
+                Ok(Err(error)) => connection::body_error(&error),
                 Err(_) => AttemptError::TimedOut,
             };
             if error == AttemptError::Broken
@@ -419,7 +420,7 @@
 
 /// Reads a body until its end, or until more than `max_bytes` were read; returns what was read and
 /// whether that is all.
-async fn read_body(body: &mut Incoming, max_bytes: usize) -> hyper::Result<(Bytes, bool)> {
+async fn read_body(body: &mut AnswerBody, max_bytes: usize) -> hyper::Result<(Bytes, bool)> {
     let mut read = BytesMut::new();
     while read.len() <= max_bytes {
         let Some(frame) = body.frame().await else {
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -11,6 +11,7 @@
 use crate::requests::exchange::{AnswerTiming, Exchange, resend_text};
 use crate::requests::response_head;
 use crate::requests::server_events::{EventBoundary, EventSplitter};
+use bridgevane_answer_limits::is_without_end;
 use bridgevane_events::{Event, event};
 use bytes::Bytes;
 use http::HeaderValue;
@@ -115,6 +116,7 @@
                 }
                 Ok(None) if self.ends_inside_event() => StreamError::EndpointBrokeOff,
                 Ok(None) => return self.finish(),
+                Ok(Some(Err(error))) if is_without_end(&error) => StreamError::WithoutEnd,
                 Ok(Some(Err(_))) => StreamError::EndpointBrokeOff,
                 Err(_) => StreamError::OutOfTime,
             };
@@ -201,12 +203,15 @@
 
     /// Resumes the stream at another endpoint, if that is allowed.
     async fn resume(&mut self, cause: StreamError) -> Result<(), StreamError> {
-        if cause == StreamError::EndpointBrokeOff
+        if cause != StreamError::OutOfTime
             && let Some(Answer::Endpoint(answer)) = &self.answer
         {
             let now = self.exchange.gateway.clock.now();
             answer.endpoint().health.on_failed(now);
-            self.exchange.on_connection_broken(answer.endpoint()).await;
+            // An endpoint that sends without end runs.
+            if cause == StreamError::EndpointBrokeOff {
+                self.exchange.on_connection_broken(answer.endpoint()).await;
+            }
         }
         let resend = match &self.splitter {
             Some(_) => self.exchange.may_resend(Failure::StreamBroken),
--- a/crates/gateway/tests/support/endpoint.rs
+++ b/crates/gateway/tests/support/endpoint.rs
@@ -12,6 +12,8 @@
 pub enum Action {
     /// Sends bytes; `{id}` is replaced by the request's identifier.
     Send(String),
+    /// Sends bytes over and over until the connection is closed.
+    Flood(&'static str),
     /// Waits.
     Wait(Duration),
     /// Closes the connection.
@@ -47,6 +49,8 @@
     pub received: Arc<Mutex<Vec<ReceivedRequest>>>,
     /// The number of connections that the other side closed during a request.
     pub abandoned: Arc<Mutex<usize>>,
+    /// The bytes that each flood could write, in the order in which their connections were closed.
+    pub floods: Arc<Mutex<Vec<usize>>>,
     /// Cancelled when the endpoint crashes.
     pub crashed: CancellationToken,
     /// Cancelled when the network loses the endpoint: open connections live on, and nothing passes.
@@ -76,6 +80,7 @@
             address: listener.local_addr().unwrap(),
             received: Arc::default(),
             abandoned: Arc::default(),
+            floods: Arc::default(),
             crashed: CancellationToken::new(),
             lost: CancellationToken::new(),
         };
@@ -167,6 +172,11 @@
                         return;
                     }
                 }
+                Action::Flood(text) => {
+                    let written = flood(&mut stream, text).await;
+                    endpoint.floods.lock().unwrap().push(written);
+                    return;
+                }
                 Action::Wait(time) => {
                     let mut byte = [0; 1];
                     tokio::select! {
@@ -198,6 +208,25 @@
     }
 }
 
+/// The bytes that a flood writes at a time, about.
+const FLOOD_STEP_BYTES: usize = 4096;
+/// The send buffer of a flood: what is written and not sent isn't read by the other side.
+const FLOOD_SEND_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Writes a text over and over until the connection is closed, and returns how many bytes it wrote.
+async fn flood(stream: &mut TcpStream, text: &str) -> usize {
+    let socket = socket2::SockRef::from(&*stream);
+    socket
+        .set_send_buffer_size(FLOOD_SEND_BUFFER_BYTES)
+        .unwrap();
+    let step = text.repeat(FLOOD_STEP_BYTES.div_ceil(text.len()));
+    let mut written = 0;
+    while stream.write_all(step.as_bytes()).await.is_ok() {
+        written += step.len();
+    }
+    written
+}
+
 /// Sends a complete answer with a status and a body.
 pub fn answer(status: &str, body: &str) -> Action {
     Action::Send(format!(
