fix(gateway): a request with region limits is forwarded only to daemons in allowed regions

What callers saw: nothing in their answers. A daemon that reaches no endpoint of a service forwards its requests through another daemon. One whose route or customer allows only some regions went through daemons of any region, which read its key and its body, although its endpoint was in an allowed one.

Cause: the choice of the other daemon knew no region limits; they were a rule about endpoints.

Why it works: the rule in decisions/forwarding.rs takes the request's limits. A daemon in a region that isn't allowed is no candidate. One whose data centre isn't known may be asked, since the handshake contains nothing of the request; the request is sent only if the answer names an allowed data centre, also when a closed connection is opened again. A daemon that is named in another data centre than before loses its kept connections, so that the next request shakes hands first.

--- a/crates/gateway/src/decisions/eligibility/region_limits.rs
+++ b/crates/gateway/src/decisions/eligibility/region_limits.rs
@@ -9,6 +9,7 @@
 //! 2. Cached parts of its prompt are fetched only from engines of these regions, and engines
 //!    elsewhere have no influence on where its prompt is placed.
 //! 3. A data centre whose region isn't known is in none: requests with a limit never go there.
+//! 4. A request is forwarded only through daemons in these regions ([`crate::decisions::forwarding`]).
 //!
 //! Reason: where data may be processed is set by law or contract, and load is no reason to break
 //! it. If no endpoint is left, the request is refused like one of a service without endpoints.
@@ -16,7 +17,7 @@
 //! The information on requests that daemons exchange has no content: hashes of the parts of prompts
 //! stay with the daemon, and load is sent as counts by endpoint.
 //!
-//! Tests: `region_limits.rs`.
+//! Tests: `region_limits.rs`, `forwarding_regions.rs`.
 
 use bridgevane_types::{DataCentreId, RegionId};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/gateway/src/decisions/forwarding.rs
+++ b/crates/gateway/src/decisions/forwarding.rs
@@ -1,14 +1,16 @@
 //! Forwarding: whether a request is sent through another daemon, and through which one.
 //!
 //! Inputs: the reach of the request's service ([`super::endpoint::reachability`]), where the request
-//! came from, the attempts that it has had, and for each known daemon what it did with earlier
-//! requests.
+//! came from, the attempts that it has had, its region limits, and for each known daemon its data centre
+//! and what it did with earlier requests.
 //!
 //! Rules:
 //! - A request is forwarded if its service is out of reach, or if that is suspected and an attempt
 //!   of the request has failed already.
 //! - A request that came from another daemon is declined instead: two daemons that both reach
 //!   nothing would send it back and forth.
+//! - A request is sent only to a daemon in a region that its limits allow. One whose data centre isn't
+//!   known may be asked: a handshake contains nothing of the request, and its answer names the data centre.
 //! - A daemon that has served the service lately goes first, then one that others name as serving. Of
 //!   the others, one of a data centre that the request hasn't asked goes before one of a data centre
 //!   that it has asked; then one of a data centre that hasn't declined lately, then one of this data
@@ -20,12 +22,14 @@
 //!
 //! Reason: a daemon that is cut off and one whose endpoints are all down look alike from inside.
 //! Other daemons know, and one that reaches no endpoint either declines at once. The daemons of a data
-//! centre may all be cut off together, so that a decline says something about the others there.
+//! centre may all be cut off together, so that a decline says something about the others there. A daemon
+//! reads the whole body of a request, so that region limits apply to it as to an endpoint.
 //!
-//! Tests: `reachability.rs`, `forwarding.rs`.
+//! Tests: `reachability.rs`, `forwarding.rs`, `forwarding_regions.rs`.
 
+use super::eligibility::region_limits::RegionLimits;
 use super::endpoint::reachability::Reach;
-use bridgevane_types::DurationMs;
+use bridgevane_types::{DataCentreId, DurationMs};
 use std::time::Duration;
 
 /// The maximum number of daemons that are asked for one request.
@@ -110,6 +114,16 @@
     DurationMs((FIRST_DECLINE_MS << doublings).min(MAX_DECLINE_MS))
 }
 
+/// Returns whether a daemon may be asked to take a request; `None` is a data centre that isn't known.
+pub fn may_ask(limits: &RegionLimits<'_>, data_centre: Option<&DataCentreId>) -> bool {
+    data_centre.is_none_or(|data_centre| limits.allow(data_centre))
+}
+
+/// Returns whether a request may be sent to a daemon; `None` is a data centre that isn't known.
+pub fn may_send(limits: &RegionLimits<'_>, data_centre: Option<&DataCentreId>) -> bool {
+    !limits.is_limited() || data_centre.is_some_and(|data_centre| limits.allow(data_centre))
+}
+
 /// What is known of a daemon's service, the best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Experience {
@@ -124,6 +138,8 @@
 /// A daemon that a request may be forwarded to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ForwardingCandidate {
+    /// Whether the request's region limits allow that it is asked.
+    pub is_allowed: bool,
     /// Whether it declined lately, or could not be reached.
     pub is_backed_off: bool,
     /// What is known of it.
@@ -140,9 +156,11 @@
     pub tie_break: u64,
 }
 
-/// Returns the daemon that a request is forwarded to; `None` if all are backed off.
+/// Returns the daemon that a request is forwarded to; `None` if none is allowed, or all are backed off.
 pub fn choose<T>(candidates: impl Iterator<Item = (T, ForwardingCandidate)>) -> Option<T> {
-    let eligible = candidates.filter(|(_, candidate)| !candidate.is_backed_off);
+    let is_eligible =
+        |candidate: &ForwardingCandidate| candidate.is_allowed && !candidate.is_backed_off;
+    let eligible = candidates.filter(|(_, candidate)| is_eligible(candidate));
     let best = eligible.min_by_key(|(_, candidate)| {
         (
             candidate.experience,
--- a/crates/gateway/src/forwarding/attempt.rs
+++ b/crates/gateway/src/forwarding/attempt.rs
@@ -6,6 +6,7 @@
 use crate::counter::CountGuard;
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
 use crate::decisions::eligibility::stream_version::VersionHash;
+use crate::decisions::forwarding::may_send;
 use crate::decisions::resend::AttemptError;
 use crate::endpoints::connection::Connection;
 use crate::endpoints::request_body::RequestBody;
@@ -134,13 +135,20 @@
                     None => return Err(ForwardingError::Failed(AttemptError::Broken)),
                 },
             }
-            let service = &self.inbound.service;
-            let opened = connection::open(self.gateway, self.daemon.address, service).await;
-            connection = opened.ok_or(ForwardingError::Declined)?;
+            connection = self.reopen().await.ok_or(ForwardingError::Declined)?;
         }
         Err(ForwardingError::Declined)
     }
 
+    /// Opens a connection in place of one that is closed. Another daemon may have the address by now, in a
+    /// region that the request must not be sent to.
+    async fn reopen(&self) -> Option<Connection> {
+        let inbound = self.inbound;
+        let opened = connection::open(self.gateway, self.daemon.address, &inbound.service).await?;
+        let limits = inbound.region_limits(&self.gateway.settings.regions);
+        may_send(&limits, Some(&opened.data_centre)).then_some(opened.connection)
+    }
+
     /// Builds the request for the other daemon: the client's, with the time that is left.
     fn request(&self) -> Request<RequestBody> {
         let names = &self.gateway.header_names;
--- a/crates/gateway/src/forwarding/connection.rs
+++ b/crates/gateway/src/forwarding/connection.rs
@@ -23,13 +23,21 @@
 /// The maximum number of further daemons that are named in an answer, and of those that serve.
 const NAMED_DAEMONS: usize = 8;
 
+/// A connection that another daemon accepted for requests of a service.
+#[derive(Debug)]
+pub(crate) struct OpenedConnection {
+    pub(crate) connection: Connection,
+    /// The daemon's data centre, as it names it itself.
+    pub(crate) data_centre: DataCentreId,
+}
+
 /// Opens a connection for requests of a service to another daemon; `None` if it can't be reached, or
 /// declines.
 pub(crate) async fn open(
     gateway: &Gateway,
     daemon: SocketAddr,
     service: &ServiceName,
-) -> Option<Connection> {
+) -> Option<OpenedConnection> {
     // The caller logs each failure as declined, and asks another daemon.
     let mut frames = open_connection(daemon).await.ok()?;
     let answer = timeout(
@@ -53,7 +61,11 @@
         return None;
     }
     // The other side sends nothing before the first request, so no byte was read ahead.
-    Connection::over(frames.into_inner()).await.ok()
+    let connection = Connection::over(frames.into_inner()).await.ok()?;
+    Some(OpenedConnection {
+        connection,
+        data_centre,
+    })
 }
 
 /// Decodes the places of daemons; those without a valid address are left out.
--- a/crates/gateway/src/forwarding/daemons.rs
+++ b/crates/gateway/src/forwarding/daemons.rs
@@ -6,7 +6,10 @@
 
 use crate::clock::AtomicTime;
 use crate::counter::{CountGuard, Counter};
-use crate::decisions::forwarding::{Experience, ForwardingCandidate, choose, decline_time};
+use crate::decisions::eligibility::region_limits::RegionLimits;
+use crate::decisions::forwarding::{
+    Experience, ForwardingCandidate, choose, decline_time, may_ask,
+};
 use crate::endpoints::connection::Connection;
 use crate::endpoints::idle_connections::IdleConnections;
 use bridgevane_types::{DataCentreId, DurationMs, ServiceName, TimeMs};
@@ -78,6 +81,15 @@
         let mut records = self.by_service.values();
         records.any(|record| record.experience(now) != Experience::Unknown)
     }
+
+    /// Records its data centre. If that was another one, the address belongs to another daemon now, and the
+    /// connections may lead to the earlier one.
+    fn set_data_centre(&mut self, data_centre: &DataCentreId) {
+        let earlier = self.data_centre.replace(data_centre.clone());
+        if earlier.is_some_and(|earlier| earlier != *data_centre) {
+            self.connections = Arc::default();
+        }
+    }
 }
 
 /// What the known daemons show of their data centres, for one request.
@@ -167,6 +179,8 @@
 pub struct ChosenDaemon {
     /// Its peer address.
     pub address: SocketAddr,
+    /// Its data centre, if that is known.
+    pub data_centre: Option<DataCentreId>,
     pub(crate) connections: Arc<DaemonConnections>,
 }
 
@@ -230,7 +244,7 @@
         });
         daemon.heard_of_at = now;
         if let Some(data_centre) = data_centre {
-            daemon.data_centre = Some(data_centre.clone());
+            daemon.set_data_centre(data_centre);
         }
         if known.len() > MAX_DAEMONS
             && let Some(oldest) = oldest(known, now)
@@ -249,12 +263,14 @@
         placed.sample(random, count)
     }
 
-    /// Chooses the daemon that a request is forwarded to, without those already asked for it.
+    /// Chooses the daemon that a request with these limits is forwarded to, without those already asked
+    /// for it.
     pub fn choose(
         &self,
         now: TimeMs,
         service: &ServiceName,
         asked: &[SocketAddr],
+        limits: &RegionLimits<'_>,
     ) -> Option<ChosenDaemon> {
         let mut known = self.known();
         let Known { daemons, random } = &mut *known;
@@ -265,9 +281,10 @@
             .map(|(address, daemon)| {
                 let chosen = ChosenDaemon {
                     address: *address,
+                    data_centre: daemon.data_centre.clone(),
                     connections: daemon.connections.clone(),
                 };
-                let candidate = self.candidate(now, service, daemon, &places);
+                let candidate = self.candidate(now, service, daemon, &places, limits);
                 (
                     chosen,
                     ForwardingCandidate {
@@ -285,10 +302,12 @@
         service: &ServiceName,
         daemon: &KnownDaemon,
         places: &Places<'_>,
+        limits: &RegionLimits<'_>,
     ) -> ForwardingCandidate {
         let record = daemon.record(service);
         let place = daemon.data_centre.as_ref();
         ForwardingCandidate {
+            is_allowed: may_ask(limits, place),
             is_backed_off: record.is_backed_off(now),
             experience: record.experience(now),
             is_place_asked: place.is_some_and(|place| places.asked.contains(&place)),
--- a/crates/gateway/src/forwarding/reach_probe.rs
+++ b/crates/gateway/src/forwarding/reach_probe.rs
@@ -4,6 +4,7 @@
 //!
 //! One task for each such service; it ends when the service is in reach.
 
+use crate::decisions::eligibility::region_limits::RegionLimits;
 use crate::decisions::endpoint::reachability::{
     CHECK_TIMEOUT, Contact, PROBE_INTERVAL, ProbeVerdict, probe_targets,
 };
@@ -89,17 +90,18 @@
 }
 
 /// Asks another daemon whether it serves the service, unless one is known that does. A later request
-/// finds the connection open.
+/// finds the connection open. No request is sent, so that no region limits apply.
 async fn search(gateway: Arc<Gateway>, service: ServiceName) {
     let daemons = &gateway.daemons;
     let now = gateway.clock.now();
     if daemons.knows_serving(now, &service) {
         return;
     }
-    let Some(daemon) = daemons.choose(now, &service, &[]) else {
+    let Some(daemon) = daemons.choose(now, &service, &[], &RegionLimits::EVERYWHERE) else {
         return;
     };
-    let connection = connection::open(&gateway, daemon.address, &service).await;
+    let opened = connection::open(&gateway, daemon.address, &service).await;
+    let connection = opened.map(|opened| opened.connection);
     daemons.on_handshake(gateway.clock.now(), daemon, &service, connection);
 }
 
--- a/crates/gateway/src/requests/exchange/forwarding.rs
+++ b/crates/gateway/src/requests/exchange/forwarding.rs
@@ -8,11 +8,11 @@
 use crate::decisions::resend::{AttemptError, Failure};
 use crate::endpoints::connection::Connection;
 use crate::forwarding::attempt::{ForwardedAnswer, ForwardingAttempt, ForwardingError};
-use crate::forwarding::connection;
+use crate::forwarding::connection::{self, OpenedConnection};
 use crate::forwarding::daemons::ChosenDaemon;
 use crate::gateway::Gateway;
 use bridgevane_events::{Event, event};
-use bridgevane_types::ServiceName;
+use bridgevane_types::{DataCentreId, ServiceName};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use http::HeaderValue;
@@ -98,9 +98,13 @@
                 remaining.min(ASK_INTERVAL)
             };
             match timeout(wait, handshakes.next()).await {
-                Ok(Some((daemon, Some(connection)))) => {
+                Ok(Some((daemon, Some(opened)))) if self.may_send(Some(&opened.data_centre)) => {
                     self.finish_handshakes(handshakes);
-                    return Some((daemon, connection));
+                    return Some((daemon, opened.connection));
+                }
+                Ok(Some((daemon, Some(opened)))) => {
+                    self.log_forwarded(&daemon, "region_not_allowed");
+                    self.keep_for_others(daemon, opened.connection);
                 }
                 Ok(Some((daemon, None))) => {
                     self.log_forwarded(&daemon, "declined");
@@ -126,8 +130,23 @@
         Some(daemon)
     }
 
-    /// Returns an idle connection to a daemon, if one may be reused.
+    /// Returns whether the request's region limits allow that it is sent to a daemon in a data centre.
+    fn may_send(&self, data_centre: Option<&DataCentreId>) -> bool {
+        forwarding::may_send(&self.region_limits(), data_centre)
+    }
+
+    /// Keeps the connection to a daemon that the request must not be sent to, for other requests.
+    fn keep_for_others(&self, daemon: ChosenDaemon, connection: Connection) {
+        let now = self.gateway.clock.now();
+        let daemons = &self.gateway.daemons;
+        daemons.on_handshake(now, daemon, &self.inbound.service, Some(connection));
+    }
+
+    /// Returns an idle connection to a daemon, if one may be reused for the request.
     fn idle_connection(&self, daemon: &ChosenDaemon) -> Option<Connection> {
+        if !self.may_send(daemon.data_centre.as_ref()) {
+            return None;
+        }
         let now = self.gateway.clock.now();
         let connections = &daemon.connections;
         // A daemon may be frozen: the handshake on a new connection shows it before a byte is sent.
@@ -147,9 +166,10 @@
         let gateway = self.gateway.clone();
         let service = self.inbound.service.clone();
         tokio::spawn(async move {
-            while let Some((daemon, connection)) = handshakes.next().await {
+            while let Some((daemon, opened)) = handshakes.next().await {
                 let now = gateway.clock.now();
                 let daemons = &gateway.daemons;
+                let connection = opened.map(|opened| opened.connection);
                 daemons.on_handshake(now, daemon, &service, connection);
             }
         });
@@ -159,7 +179,10 @@
         let gateway = &self.gateway;
         let now = gateway.clock.now();
         let service = &self.inbound.service;
-        gateway.daemons.choose(now, service, &self.daemons_asked)
+        let limits = self.region_limits();
+        gateway
+            .daemons
+            .choose(now, service, &self.daemons_asked, &limits)
     }
 
     fn on_forwarded(&mut self, daemon: &ChosenDaemon) {
@@ -203,15 +226,15 @@
 }
 
 /// A daemon that was asked, and the connection that it accepted.
-type Handshake = (ChosenDaemon, Option<Connection>);
+type Handshake = (ChosenDaemon, Option<OpenedConnection>);
 
 async fn shake_hands(
     gateway: Arc<Gateway>,
     daemon: ChosenDaemon,
     service: ServiceName,
 ) -> Handshake {
-    let connection = connection::open(&gateway, daemon.address, &service).await;
-    (daemon, connection)
+    let opened = connection::open(&gateway, daemon.address, &service).await;
+    (daemon, opened)
 }
 
 /// Returns the result of an attempt for logs and metrics.
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -296,12 +296,7 @@
 
     /// Returns the regions in which the request may be served.
     fn region_limits(&self) -> RegionLimits<'_> {
-        let customer = self.inbound.customer.as_ref();
-        RegionLimits {
-            regions: &self.gateway.settings.regions,
-            route: self.inbound.route.allowed_regions.as_ref(),
-            customer: customer.and_then(|customer| customer.allowed_regions.as_ref()),
-        }
+        self.inbound.region_limits(&self.gateway.settings.regions)
     }
 
     /// Sheds the request if it would wait too long in the endpoint's queue.
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Clock;
 use crate::decisions::admission::priority::Priority;
+use crate::decisions::eligibility::region_limits::{RegionLimits, RegionMap};
 use crate::decisions::eligibility::stream_version::VersionHash;
 use crate::decisions::forwarding::RequestOrigin;
 use crate::endpoints::request_body::RequestBody;
@@ -116,6 +117,16 @@
         parts.join(",")
     }
 
+    /// Returns the regions in which the request may be served, and may be sent to other daemons.
+    pub(crate) fn region_limits<'a>(&'a self, regions: &'a RegionMap) -> RegionLimits<'a> {
+        let customer = self.customer.as_ref();
+        RegionLimits {
+            regions,
+            route: self.route.allowed_regions.as_ref(),
+            customer: customer.and_then(|customer| customer.allowed_regions.as_ref()),
+        }
+    }
+
     /// Returns the request's identifier for logs.
     pub(crate) fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("?")
--- a/crates/gateway/tests/forwarding_fleet.rs
+++ b/crates/gateway/tests/forwarding_fleet.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use bridgevane_gateway::Daemons;
+use bridgevane_gateway::decisions::eligibility::region_limits::RegionLimits;
 use bridgevane_gateway::decisions::forwarding::MAX_ASKED;
 use bridgevane_types::{DataCentreId, ServiceName, TimeMs};
 use std::collections::HashSet;
@@ -129,7 +130,9 @@
 ) -> Option<Option<usize>> {
     let service = &ServiceName::from(SERVICE);
     let own = &fleet[from];
-    let chosen = own.daemons.choose(at, service, asked)?;
+    let chosen = own
+        .daemons
+        .choose(at, service, asked, &RegionLimits::EVERYWHERE)?;
     asked.push(chosen.address);
     let index = index_of(chosen.address);
     let other = &fleet[index];
--- a/crates/gateway/tests/reachability.rs
+++ b/crates/gateway/tests/reachability.rs
@@ -2,11 +2,13 @@
 //! the daemon that it forwards requests to.
 
 use bridgevane_decisions::EndpointIx;
+use bridgevane_gateway::decisions::eligibility::region_limits::{RegionLimits, RegionSet};
 use bridgevane_gateway::decisions::endpoint::reachability::{
     Contact, Loss, ProbeVerdict, Reach, ServiceReach, probe_targets, silence_limit,
 };
 use bridgevane_gateway::decisions::forwarding::{
-    Experience, ForwardingCandidate, RequestOrigin, Way, choose, decline_time, next_way,
+    Experience, ForwardingCandidate, RequestOrigin, Way, choose, decline_time, may_ask, may_send,
+    next_way,
 };
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 
@@ -166,6 +168,7 @@
 }
 
 const CANDIDATE: ForwardingCandidate = ForwardingCandidate {
+    is_allowed: true,
     is_backed_off: false,
     experience: Experience::Unknown,
     is_place_asked: false,
@@ -263,6 +266,47 @@
     assert_eq!(pick(&[("asked", asked)]), Some("asked"));
 }
 
+/// Guards against a daemon in a region that isn't allowed which is asked because it served other requests.
+#[test]
+fn a_daemon_of_a_region_that_is_not_allowed_is_never_chosen() {
+    let elsewhere = ForwardingCandidate {
+        is_allowed: false,
+        experience: Experience::Served,
+        is_local: true,
+        ..CANDIDATE
+    };
+    let candidates = [("elsewhere", elsewhere), ("allowed", CANDIDATE)];
+    assert_eq!(choose(candidates.into_iter()), Some("allowed"));
+    assert_eq!(choose([("elsewhere", elsewhere)].into_iter()), None);
+}
+
+/// Guards against a limited request that is sent before the other daemon's data centre is known, and
+/// against one that never finds a daemon because all data centres are unknown at first.
+#[test]
+fn a_daemon_of_an_unknown_data_centre_is_asked_but_not_sent_a_limited_request() {
+    let data_centres = ["dc-0", "dc-1", "dc-2"].map(DataCentreId::from);
+    let [north, south, without_region] = &data_centres;
+    let regions = [(north, "north"), (south, "south")];
+    let regions = regions.map(|(data_centre, region)| (data_centre.clone(), region.into()));
+    let allowed = RegionSet::from(["north".into()]);
+    let limited = RegionLimits {
+        regions: &regions.into_iter().collect(),
+        route: Some(&allowed),
+        customer: None,
+    };
+    let verdicts = |limits: &RegionLimits<'_>, data_centre: Option<&DataCentreId>| {
+        (may_ask(limits, data_centre), may_send(limits, data_centre))
+    };
+    assert_eq!(verdicts(&limited, Some(north)), (true, true));
+    assert_eq!(verdicts(&limited, Some(south)), (false, false));
+    assert_eq!(verdicts(&limited, Some(without_region)), (false, false));
+    assert_eq!(verdicts(&limited, None), (true, false));
+    for data_centre in [Some(south), Some(without_region), None] {
+        let verdict = verdicts(&RegionLimits::EVERYWHERE, data_centre);
+        assert_eq!(verdict, (true, true));
+    }
+}
+
 /// Guards against a daemon that is asked over and over, and against one that is never asked again.
 #[test]
 fn the_time_after_a_decline_doubles_up_to_a_limit() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -106,7 +106,16 @@
     seeds: &[SocketAddr],
 ) -> RunningGateway {
     let own = listener.local_addr().expect("it listens");
-    let running = start_with(source.clone(), peer_settings(vm, own, seeds)).await;
+    start_peer(peer_settings(vm, own, seeds), source, listener).await
+}
+
+/// Starts a daemon with these settings, which other daemons can poll at `listener`.
+pub async fn start_peer(
+    settings: GatewaySettings,
+    source: &ScriptedSource,
+    listener: TcpListener,
+) -> RunningGateway {
+    let running = start_with(source.clone(), settings).await;
     tokio::spawn(serve_peers(running.gateway.clone(), listener));
     running
 }
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -116,11 +116,18 @@
 
     /// Publishes a configuration version with these routes and keys.
     pub fn publish_configuration(&self, version: u64, routes: Vec<Route>, keys: &[&str]) {
-        let customer = Arc::new(Customer {
-            id: "customer-1".into(),
-            tier: Some(Tier(1)),
-            allowed_regions: None,
-        });
+        self.publish_configuration_of(version, routes, keys, customer());
+    }
+
+    /// Publishes a configuration version with these routes, and keys of this customer.
+    pub fn publish_configuration_of(
+        &self,
+        version: u64,
+        routes: Vec<Route>,
+        keys: &[&str],
+        customer: Customer,
+    ) {
+        let customer = Arc::new(customer);
         let customers = keys.iter().map(|key| (key.to_string(), customer.clone()));
         let service = |name: &str| Service {
             name: name.into(),
@@ -297,6 +304,15 @@
     }
 }
 
+/// Returns the customer of the configurations, without region limits.
+pub fn customer() -> Customer {
+    Customer {
+        id: "customer-1".into(),
+        tier: Some(Tier(1)),
+        allowed_regions: None,
+    }
+}
+
 fn record(id: &str, service: &str, address: SocketAddr, is_draining: bool) -> EndpointRecord {
     EndpointRecord {
         started_at: None,
