fix(duties): a successor after a return from a copy reckons with clocks that differ

In virtual time the platform got two reports of a window with different counts (226 and 174 requests): the holder was killed right after it had submitted the window, so that nobody else knew of it, and a daemon that had just started, or that the holder didn't await, took the duties with a clock that was 6 s (or 3.5 s) behind and took the window for open. Cause: the windows in doubt were those that had ended by the successor's own clock. A holder may be ahead of it by as much as clocks differ. The window at the return made that worse by the seconds until the duties are taken: 'a successor ... submits the window that was open in it' was wrong. Change: windows that any daemon may have closed when the successor learned of the return are in doubt, with clocks that differ by 6 s. Where the holder is lost in a return, the window that was open is missing again; those after it are not.

--- a/crates/gateway/src/decisions/duties/succession.rs
+++ b/crates/gateway/src/decisions/duties/succession.rs
@@ -1,8 +1,9 @@
 //! Succession: from which state a new holder of the duties continues.
 //!
 //! Inputs: the duty state in the store, the store's era, the state of this daemon's own last session
-//! if that session lasted until the store came back from a copy, the usage window in which this
-//! daemon learned of the store's era, and the newest window that daemons know to be stored.
+//! if that session lasted until the store came back from a copy, the first window that was open
+//! everywhere when this daemon learned of the store's era, and the newest window that daemons know to
+//! be stored.
 //!
 //! Rules:
 //! 1. A state that was written in the store's current era has all that holders submitted: each one
@@ -11,11 +12,12 @@
 //!    which windows were submitted meanwhile. If this daemon was the holder until then, it continues
 //!    from its own state: no other daemon acted after it.
 //! 3. Any other daemon submits no window that may have been submitted under an earlier era, not even
-//!    one that the copy lists: those that had ended when it learned of the era, since no holder of an
-//!    earlier one can store a window after that, and those that daemons know to be stored, since the
-//!    clocks of VMs differ. Nobody can know whether they were submitted, nor with
-//!    which counts. A window that is left out is missed; one that is submitted with other counts makes
-//!    the platform's usage wrong.
+//!    one that the copy lists or leaves out. A holder of an earlier era stores only windows that it has
+//!    closed, and none after the return. So these are in doubt: those that any daemon may have closed
+//!    when this one learned of the era, by as much as the clocks of VMs differ, and those that daemons
+//!    know to be stored. Nobody can know whether they were submitted, nor with which counts. A window
+//!    that is left out is missed; one that is submitted with other counts makes the platform's usage
+//!    wrong.
 //! 4. Whose state a copy has doesn't matter for when the new holder may act: a later holder of the
 //!    earlier era may still act by its own clock, for the rest of its lease.
 //! 5. A store without a state that never came back from a copy is that of a new fleet.
@@ -40,8 +42,8 @@
     pub stored: Option<DutyState>,
     /// The state of its last session, if that lasted until the store came back from a copy.
     pub own: Option<DutyState>,
-    /// The usage window in which the daemon learned of this era.
-    pub window_at_return: UsageWindow,
+    /// The first window that was open everywhere when the daemon learned of this era.
+    pub first_open_at_return: UsageWindow,
     /// The newest window that a holder has stored, as far as the daemon knows.
     pub newest_stored: UsageWindow,
 }
@@ -81,7 +83,7 @@
         era,
         stored,
         own,
-        window_at_return,
+        first_open_at_return,
         newest_stored,
     } = inputs;
     let (origin, predecessor, state) = match (stored, own) {
@@ -98,7 +100,7 @@
         }
         (stored, _) => {
             let state = stored.unwrap_or_else(|| DutyState::initial(daemon.clone(), era));
-            let first_window = window_at_return
+            let first_window = first_open_at_return
                 .max(newest_stored.next())
                 .max(state.next_window());
             let state = state.without_windows_before(first_window);
--- a/crates/gateway/src/decisions/duties/usage_window.rs
+++ b/crates/gateway/src/decisions/duties/usage_window.rs
@@ -21,6 +21,10 @@
 /// seen (0.75 s each).
 const LATE_MARGIN: DurationMs = DurationMs(2_000);
 
+/// The most by which the times of day of two VMs differ: the largest difference that the users'
+/// platform allows.
+pub const MAX_CLOCK_DIFFERENCE: DurationMs = DurationMs(6_000);
+
 /// The number of a window: it starts this many widths after the beginning of 1970.
 #[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct UsageWindow(pub u64);
@@ -72,6 +76,12 @@
         self.window_at(WallTimeMs(at.0.saturating_sub(CLOSE_DELAY.0)))
     }
 
+    /// Returns the first window that no daemon of the fleet has closed at a given time, since their
+    /// times of day differ.
+    pub fn first_open_everywhere_at(&self, at: WallTimeMs) -> UsageWindow {
+        self.first_open_at(at + MAX_CLOCK_DIFFERENCE)
+    }
+
     /// Returns when a window ends.
     pub fn end_of(&self, window: UsageWindow) -> WallTimeMs {
         WallTimeMs(window.next().0 * self.width_ms.0)
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -161,7 +161,7 @@
             era: lease.era,
             stored,
             own: self.last_session.as_ref().map(|last| last.state.clone()),
-            window_at_return: self.window_at_return(lease.era),
+            first_open_at_return: self.first_open_at_return(lease.era),
             newest_stored: self.gateway.usage_tracker.newest_stored(),
         });
         if origin != StateOrigin::OwnSession {
@@ -208,13 +208,13 @@
         }))
     }
 
-    /// Returns the usage window in which this daemon learned of the store's era; the current one if it
-    /// has just done so.
-    fn window_at_return(&self, era: SourceEra) -> UsageWindow {
+    /// Returns the first window that was open everywhere when this daemon learned of the store's era,
+    /// which may be now.
+    fn first_open_at_return(&self, era: SourceEra) -> UsageWindow {
         let gateway = &self.gateway;
         let restored_at = gateway.control.duty_holder().restored_at(era);
         let at = restored_at.unwrap_or_else(|| gateway.clock.now());
-        gateway.usage_tracker.window_at(at)
+        gateway.usage_tracker.first_open_everywhere_at(at)
     }
 
     fn holder_transaction(
--- a/crates/gateway/src/duties/usage_tracker.rs
+++ b/crates/gateway/src/duties/usage_tracker.rs
@@ -59,12 +59,14 @@
         self.calendar
     }
 
-    /// Returns the usage window that contains a moment; the first of all if the fleet doesn't submit
-    /// usage.
-    pub(super) fn window_at(&self, at: TimeMs) -> UsageWindow {
+    /// Returns the first window that no daemon of the fleet has closed at a moment; the first of all if
+    /// the fleet doesn't submit usage.
+    pub(super) fn first_open_everywhere_at(&self, at: TimeMs) -> UsageWindow {
         let at = self.clock.wall_time_at(at);
         let calendar = self.calendar;
-        calendar.map_or_else(UsageWindow::default, |calendar| calendar.window_at(at))
+        calendar.map_or_else(UsageWindow::default, |calendar| {
+            calendar.first_open_everywhere_at(at)
+        })
     }
 
     /// Counts a customer's request that began to run.
