fix(duties): a holder that takes the duties again waits for what it had to wait for before

What callers could see: a fence that falls at the platform, and two holders that act beside each other. Cause: a daemon that takes the duties from another one waits for a lease. If its own lease ended early in that time and it took the duties again, the state named itself as the last holder and it acted at once, beside the first one, which acts by its own clock.

--- a/crates/gateway/src/decisions/duties/tenure.rs
+++ b/crates/gateway/src/decisions/duties/tenure.rs
@@ -18,7 +18,8 @@
 //! 4. It needn't wait if there was no holder before, or if it was itself the last holder in this
 //!    incarnation of its process: the write that makes it the holder is conditional on the duty
 //!    state, which every holder writes, so no other holder can have come between. A state from a copy
-//!    doesn't show that ([`super::succession`]).
+//!    doesn't show that ([`super::succession`]). What is left of the wait of its tenure before, it
+//!    still waits: the holder before that one may act for as long.
 //! 5. Daemons that follow the store become candidates for a vacant key one after the other: the
 //!    last holder at once, then the seeds in the order of their settings, then others. That saves
 //!    rejected writes; safety doesn't depend on it.
@@ -125,6 +126,8 @@
     pub lease_ms: DurationMs,
     /// The previous holder.
     pub predecessor: Predecessor,
+    /// From when this daemon might act in its tenure before; the start of the clock if it had none.
+    pub might_act_from: TimeMs,
 }
 
 impl Tenure {
@@ -136,9 +139,10 @@
             known_at,
             lease_ms,
             predecessor,
+            might_act_from,
         } = start;
         let may_act_from = match predecessor {
-            Predecessor::None | Predecessor::Itself => known_at,
+            Predecessor::None | Predecessor::Itself => known_at.max(might_act_from),
             Predecessor::Another => known_at + lease_ms,
         };
         Self {
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -48,6 +48,7 @@
         settings,
         spread,
         was_holder: false,
+        might_act_from: TimeMs(0),
         cooldown_until: None,
         last_session: None,
     };
@@ -80,6 +81,8 @@
     spread: f64,
     /// Whether this daemon was the last known holder.
     was_holder: bool,
+    /// From when this daemon might act in its last tenure.
+    might_act_from: TimeMs,
     /// Until when this daemon does not become a candidate.
     cooldown_until: Option<TimeMs>,
     /// Its last session, if that lasted until the store came back from a copy and the store has no
@@ -179,7 +182,9 @@
             known_at: self.gateway.clock.now(),
             lease_ms,
             predecessor,
+            might_act_from: self.might_act_from,
         });
+        self.might_act_from = tenure.may_act_from();
         let acts_in = tenure.may_act_from().since(self.gateway.clock.now());
         event!(
             Event::DutiesTaken,
--- a/crates/gateway/tests/duties_around_returns.rs
+++ b/crates/gateway/tests/duties_around_returns.rs
@@ -14,8 +14,8 @@
 };
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 use duty_sim::{
-    Daemon, LinkFaults, SimulatedPlatform, StoreCopy, WINDOW, check_rules, run_on_virtual_clock,
-    start_daemon,
+    Daemon, LinkFaults, SimulatedPlatform, StoreCopy, WINDOW, check_one_holder_at_a_time,
+    check_rules, run_on_virtual_clock, start_daemon,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -44,6 +44,13 @@
     VMS.into_iter().find(|vm| *vm == holder).expect("a daemon")
 }
 
+fn store_cut() -> LinkFaults {
+    LinkFaults {
+        store_cut: true,
+        ..LinkFaults::default()
+    }
+}
+
 /// Returns the newest window that the platform got.
 fn newest_submitted(platform: &SimulatedPlatform) -> u64 {
     let calls = platform.accepted_calls().into_iter();
@@ -87,6 +94,33 @@
         .collect()
 }
 
+/// A daemon that had taken the duties from another one, and had to wait for a lease, lost its own
+/// lease early: when it took them again, the state named itself, and it acted at once, beside the
+/// holder that still acted by its own clock.
+#[test]
+fn a_successor_whose_lease_ends_early_still_waits_for_the_holder_before_it() {
+    run_on_virtual_clock(async {
+        for round in 0..40 {
+            let platform = SimulatedPlatform::new();
+            let _first = start_daemon(&platform, "vm-a", round);
+            sleep(Duration::from_millis(9_000)).await;
+            // The next candidate.
+            let interval = Duration::from_millis(70);
+            let _seed = Daemon::start_as_seed(&platform, "vm-b", interval);
+            sleep(Duration::from_millis(4_000 + 50 * round)).await;
+            assert_eq!(platform.holder().as_deref(), Some("vm-a"));
+            platform.set_faults("vm-a", store_cut());
+            platform.expire_all_leases();
+            while platform.holder().as_deref() != Some("vm-b") {
+                sleep(LOOK_INTERVAL).await;
+            }
+            platform.expire_all_leases();
+            sleep(Duration::from_secs(20)).await;
+            check_one_holder_at_a_time(&platform.accepted_calls());
+        }
+    });
+}
+
 /// The holder is killed right after it has submitted a window, so that no other daemon knows of it;
 /// a daemon that starts in the return, and whose clock is behind, takes the window for open.
 #[test]
--- a/crates/gateway/tests/duties_tenure.rs
+++ b/crates/gateway/tests/duties_tenure.rs
@@ -16,6 +16,7 @@
         known_at: TimeMs(10_050),
         lease_ms: LEASE,
         predecessor,
+        might_act_from: TimeMs(0),
     })
 }
 
