fix(gateway): an event of a stream may not be without end

What callers saw: a stream that may be resumed went on elsewhere only when its time was over, after an endpoint had sent comments, lines or text without the blank line that ends an event.

Cause: such a stream is split, and the event that has begun is kept until it is whole, however long it gets: memory without bound. Each part of it was searched for its end from the start of the event.

The search goes on where it ended.

Why it works: an event holds the text of a few tokens, and at most 256 KiB and one part are kept. events_in_parts_of_any_size_arrive_whole guards the new search; in its final form it wasn't run on the code before.

--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -109,10 +109,13 @@
                         continue;
                     };
                     let forwarded = self.accept_chunk(data);
-                    if forwarded.is_empty() {
+                    if !forwarded.is_empty() {
+                        return Some(Ok(forwarded));
+                    }
+                    if !self.is_event_too_long() {
                         continue;
                     }
-                    return Some(Ok(forwarded));
+                    StreamError::WithoutEnd
                 }
                 Ok(None) if self.ends_inside_event() => StreamError::EndpointBrokeOff,
                 Ok(None) => return self.finish(),
@@ -173,6 +176,11 @@
         }
     }
 
+    fn is_event_too_long(&self) -> bool {
+        let splitter = self.splitter.as_ref();
+        splitter.is_some_and(EventSplitter::is_event_too_long)
+    }
+
     /// Returns whether the body ended inside an event, and only by the end of the connection.
     fn ends_inside_event(&self) -> bool {
         let Some(answer) = &self.answer else {
--- a/crates/gateway/src/requests/server_events.rs
+++ b/crates/gateway/src/requests/server_events.rs
@@ -4,11 +4,17 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// The longest event of a stream that is split, in bytes: an event holds the text of a few tokens, and
+/// is buffered until it is whole.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Splits a stream of bytes into whole events.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     /// The bytes of an event that isn't complete yet.
     partial: BytesMut,
+    /// Where the search for the end of that event goes on.
+    searched: usize,
     last_event_id: Option<u64>,
 }
 
@@ -19,8 +25,9 @@
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let mut whole = BytesMut::new();
-        while let Some(end) = event_end(&self.partial) {
+        while let Some(end) = self.event_end() {
             let event = self.partial.split_to(end);
+            self.searched = 0;
             let id = event_id(&event);
             if id.is_some() && id <= self.last_event_id {
                 continue;
@@ -31,6 +38,32 @@
         whole.freeze()
     }
 
+    /// Returns the end of the first event, after its blank line. Each byte is searched about once,
+    /// however small the parts are in which the event arrives.
+    fn event_end(&mut self) -> Option<usize> {
+        while let Some(line) = find_newline(&self.partial[self.searched..]) {
+            let newline = self.searched + line;
+            let next = newline + 1;
+            match &self.partial[next..] {
+                [b'\n', ..] => return Some(next + 1),
+                [b'\r', b'\n', ..] => return Some(next + 2),
+                // The rest of a blank line may follow.
+                [] | [b'\r'] => {
+                    self.searched = newline;
+                    return None;
+                }
+                _ => self.searched = next,
+            }
+        }
+        self.searched = self.partial.len();
+        None
+    }
+
+    /// Returns whether the incomplete event is longer than an event may be.
+    pub(crate) fn is_event_too_long(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Returns the identifier of the last whole event.
     pub(crate) fn last_event_id(&self) -> Option<u64> {
         self.last_event_id
@@ -44,6 +77,7 @@
     /// Drops the incomplete event of a stream that broke off.
     pub(crate) fn drop_partial_event(&mut self) {
         self.partial.clear();
+        self.searched = 0;
     }
 }
 
@@ -80,18 +114,8 @@
     }
 }
 
-/// Returns the end of the first event, after its blank line.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    while let Some(line) = bytes[start..].iter().position(|byte| *byte == b'\n') {
-        let next = start + line + 1;
-        match bytes.get(next..) {
-            Some([b'\n', ..]) => return Some(next + 1),
-            Some([b'\r', b'\n', ..]) => return Some(next + 2),
-            _ => start = next,
-        }
-    }
-    None
+fn find_newline(bytes: &[u8]) -> Option<usize> {
+    bytes.iter().position(|byte| *byte == b'\n')
 }
 
 /// Returns the number in an event's `id` line. An event with a non-numeric identifier or none is
--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -347,3 +347,43 @@
         }
     }
 }
+
+/// A stream that is split into events is buffered until each is whole: an event without end filled the
+/// memory, and each part of it was searched from its start.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_goes_on_elsewhere_after_an_event_without_end() {
+    let floods = [
+        flood("", "a\r\n: no event\r\n"),
+        flood("", "8\r\ndata: x\n\r\n"),
+        flood("", "4\r\nabcd\r\n"),
+    ];
+    check_each(after_an_event(floods.iter()), |first| async {
+        let others = vec![stream_head(), event(2), last_chunk()];
+        let deployment = Deployment::start(first, others).await;
+        let got = deployment.ask("POST", "/resume/x").await;
+        assert_eq!((got.status, got.is_whole), (200, true));
+        let has_both = got.body.contains("piece 1") && got.body.contains("piece 2");
+        assert!(has_both, "{}", got.body);
+        assert_eq!(deployment.runs(), 2);
+        deployment.check_flood_ended().await;
+    })
+    .await;
+}
+
+/// Events that arrive in parts of any size must be found at the same ends as in one part.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn events_in_parts_of_any_size_arrive_whole() {
+    let long = "l".repeat(20_000);
+    let text = format!("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: {long}\n\n: c\n\n");
+    for size in [1, 2, 3, 7, 1_000, text.len()] {
+        let parts: Vec<&[u8]> = text.as_bytes().chunks(size).collect();
+        let chunks: String = (parts.iter())
+            .map(|part| format!("{:x}\r\n{}\r\n", part.len(), String::from_utf8_lossy(part)))
+            .collect();
+        let actions = vec![stream_head(), Action::Send(chunks), last_chunk()];
+        let deployment = Deployment::start(actions.clone(), actions).await;
+        let got = deployment.ask("POST", "/resume/x").await;
+        assert_eq!((got.status, got.is_whole), (200, true), "{size}");
+        assert!(got.body == text, "{size}: {} bytes", got.body.len());
+    }
+}
