fix(gateway): events that an endpoint repeats without end are bounded

What callers saw: a stream that may be resumed went on elsewhere only when its time was over, after an endpoint had sent an event that was forwarded before over and over.

Cause: such events are dropped, since an endpoint that resumes a stream may begin at its start. The rest of the stream was awaited for as long as they came, at full speed.

Evidence, a_stream_goes_on_elsewhere_after_an_event_that_is_repeated_without_end before the mend:

"7\r\nid: 1\n\n\r\n"...: 200 after 9.001266436s (route timeout 9 s)

Mend: a stream that repeats more than was ever returned, and 256 KiB, has broken off.

--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -112,7 +112,7 @@
                     if !forwarded.is_empty() {
                         return Some(Ok(forwarded));
                     }
-                    if !self.is_event_too_long() {
+                    if !self.is_stream_without_end() {
                         continue;
                     }
                     StreamError::WithoutEnd
@@ -176,9 +176,9 @@
         }
     }
 
-    fn is_event_too_long(&self) -> bool {
+    fn is_stream_without_end(&self) -> bool {
         let splitter = self.splitter.as_ref();
-        splitter.is_some_and(EventSplitter::is_event_too_long)
+        splitter.is_some_and(EventSplitter::is_without_end)
     }
 
     /// Returns whether the body ended inside an event, and only by the end of the connection.
--- a/crates/gateway/src/requests/server_events.rs
+++ b/crates/gateway/src/requests/server_events.rs
@@ -16,6 +16,10 @@
     /// Where the search for the end of that event goes on.
     searched: usize,
     last_event_id: Option<u64>,
+    /// The bytes of the events that were returned.
+    returned_bytes: usize,
+    /// The bytes of the events that were dropped since one was returned.
+    repeated_bytes: usize,
 }
 
 impl EventSplitter {
@@ -30,8 +34,11 @@
             self.searched = 0;
             let id = event_id(&event);
             if id.is_some() && id <= self.last_event_id {
+                self.repeated_bytes += event.len();
                 continue;
             }
+            self.returned_bytes += event.len();
+            self.repeated_bytes = 0;
             self.last_event_id = id.or(self.last_event_id);
             whole.unsplit(event);
         }
@@ -59,9 +66,11 @@
         None
     }
 
-    /// Returns whether the incomplete event is longer than an event may be.
-    pub(crate) fn is_event_too_long(&self) -> bool {
+    /// Returns whether the incomplete event is longer than an event may be, or more was repeated than
+    /// was ever returned: an endpoint that resumes a stream may begin at its start.
+    pub(crate) fn is_without_end(&self) -> bool {
         self.partial.len() > MAX_EVENT_BYTES
+            || self.repeated_bytes > self.returned_bytes + MAX_EVENT_BYTES
     }
 
     /// Returns the identifier of the last whole event.
@@ -74,10 +83,11 @@
         !self.partial.is_empty()
     }
 
-    /// Drops the incomplete event of a stream that broke off.
+    /// Forgets the incomplete event of a stream that broke off, and what it repeated.
     pub(crate) fn drop_partial_event(&mut self) {
         self.partial.clear();
         self.searched = 0;
+        self.repeated_bytes = 0;
     }
 }
 
--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 use support::client::{Client, ClientAnswer, request};
 use support::endpoint::{
-    Action, Endpoint, ReceivedRequest, answer, event, last_chunk, stream_head,
+    Action, Endpoint, ReceivedRequest, answer, chunk, event, last_chunk, stream_head,
 };
 use support::source::{KEY, ScriptedSource, plain_route, stream_route};
 use support::{RunningGateway, start};
@@ -370,6 +370,41 @@
     .await;
 }
 
+/// Events that were forwarded before are dropped: an endpoint that repeats one without end was read at
+/// full speed until the deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_goes_on_elsewhere_after_an_event_that_is_repeated_without_end() {
+    let floods = [flood("", "7\r\nid: 1\n\n\r\n")];
+    check_each(after_an_event(floods.iter()), |first| async {
+        let others = vec![stream_head(), event(2), last_chunk()];
+        let deployment = Deployment::start(first, others).await;
+        let got = deployment.ask("POST", "/resume/x").await;
+        assert_eq!((got.status, got.is_whole), (200, true));
+        assert!(got.body.contains("piece 2"), "{}", got.body);
+        assert_eq!(deployment.runs(), 2);
+        deployment.check_flood_ended().await;
+    })
+    .await;
+}
+
+/// An endpoint that resumes a stream from its start repeats all of it: that is no flood.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_is_repeated_from_its_start_is_resumed() {
+    let long = |id| chunk(&format!("id: {id}\ndata: {}\n\n", "l".repeat(20_000)));
+    let first: Vec<Action> = [stream_head()]
+        .into_iter()
+        .chain((1..=40).map(long))
+        .collect();
+    let mut others = first.clone();
+    others.extend([long(41), last_chunk()]);
+    let broken = first.into_iter().chain([Action::Close]).collect();
+    let deployment = Deployment::start(broken, others).await;
+    let got = deployment.ask("POST", "/resume/x").await;
+    assert_eq!((got.status, got.is_whole), (200, true));
+    assert_eq!(got.body.matches("id: ").count(), 41);
+    assert_eq!(deployment.runs(), 2);
+}
+
 /// Events that arrive in parts of any size must be found at the same ends as in one part.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn events_in_parts_of_any_size_arrive_whole() {
