test(gateway): requests after a surplus flood are sent when its connection is closed

The test of floods behind whole answers sent its next request at once. It failed in one of its runs beside the other tests (second kind: 502 in place of 200): the request got the idle connection before the first surplus byte arrived, and was lost with it.

The test is about the answer before the flood and the connection, so that it now waits for the connection's end, after each request, before it sends the next one; all its checks stay.

--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -243,8 +243,9 @@
             let head = client.head().await.expect("a head");
             assert!(head.contains(" 200 ") || head.contains(" 204 "), "{head}");
             assert_eq!(deployment.runs(), runs);
+            // A request on the connection before its first surplus byte arrived would be lost with it.
+            deployment.check_flood_ended().await;
         }
-        deployment.check_flood_ended().await;
     })
     .await;
 }
