fix(platform): answers of the store and the duty calls have a longest length

What would be seen: an answer of the platform's store, or of a call for a duty, whose body doesn't end was collected until the memory was full or the caller gave up. Neither was logged.

Cause: the body of an answer was read without a bound.

A call whose answer is longer fails as `answer too long`, its connection is closed, and event 1214 names the cause; 1214 is also logged for bytes that are no answer.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -69,6 +69,7 @@
     1211 CircleLeft Info "the upstream follows this daemon in a cycle; this daemon chooses another upstream";
     1212 ForwardingAsked Info "another daemon asked to forward requests to this one";
     1213 SourceCameFromCopy Warn "the control source came back from an older copy";
+    1214 PlatformAnswerWithoutEnd Warn "an answer of the platform has no end or is too long; its connection was closed";
     1301 RequestRefused Debug "a request was refused";
     1302 RequestFailed Warn "a request failed";
     1303 PieceDropped Warn "a piece of an answer was dropped: it was repeated, or belongs to another request or attempt";
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -159,6 +159,9 @@
     /// The answer can't be decoded.
     #[display("unreadable answer")]
     Unreadable,
+    /// The answer is longer than one may be.
+    #[display("answer too long")]
+    TooLong,
 }
 
 /// The progress of reading the full state. The caller aborts the read when the next part doesn't
