fix(adapters): bytes that are no answer are bounded at the clients of serve

What would be seen: an engine, a worker of a plain service or the platform that sends interim answers, zeros of a chunk's size or blanks behind it without end was read at full speed until the time limit of the call (2 s for load reports and the platform); the calls of a plain service and of a generation have no limit of their own and are dropped by the request's deadline.

Cause: that of the gateway's connections: the HTTP library skips these bytes for as long as they arrive.

Mend: the pool of the shared client opens connections whose reads are counted by crates/answer-limits, and reads with a buffer of 32 KiB, as that bound assumes. The library hands the count of a connection on in the extensions of each answer.

Bodies are bounded since before: 4 MiB for answers that are read whole, 64 KiB for a line of a generation.

--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -1,9 +1,11 @@
-//! The HTTP client that the adapters share.
+//! The HTTP client that the adapters share. What it reads without an answer in it is bounded by
+//! [`bridgevane_answer_limits`].
 
+use crate::counted_connector::CountedConnector;
+use bridgevane_answer_limits::{AnswerBody, AnswerProgress, READ_BUFFER_BYTES};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::TokioExecutor;
 use serde::{Serialize, de::DeserializeOwned};
@@ -46,7 +48,7 @@
 /// A pooled HTTP client to one address.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<CountedConnector, Full<Bytes>>,
     address: SocketAddr,
 }
 
@@ -58,7 +60,8 @@
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(MAX_IDLE_PER_HOST)
-            .build(connector);
+            .http1_max_buf_size(READ_BUFFER_BYTES)
+            .build(CountedConnector::new(connector));
         Self { client, address }
     }
 
@@ -81,13 +84,17 @@
     pub async fn send(
         &self,
         request: http::Request<Full<Bytes>>,
-    ) -> Result<http::Response<Incoming>, HttpError> {
-        self.client.request(request).await.map_err(|error| {
+    ) -> Result<http::Response<AnswerBody>, HttpError> {
+        let answer = self.client.request(request).await;
+        let mut answer = answer.map_err(|error| {
             if error.is_connect() {
                 return HttpError::NotConnected;
             }
             HttpError::Broken
-        })
+        })?;
+        let progress: AnswerProgress = answer.extensions_mut().remove().unwrap_or_default();
+        progress.reset();
+        Ok(answer.map(|body| AnswerBody::new(body, progress)))
     }
 
     /// Sends `body` as JSON and returns the answer's head and unread body; statuses of 400 and
@@ -99,7 +106,7 @@
         &self,
         path: &str,
         body: &T,
-    ) -> Result<http::Response<Incoming>, HttpError> {
+    ) -> Result<http::Response<AnswerBody>, HttpError> {
         let json = serde_json::to_vec(body).map_err(|_| HttpError::Malformed)?;
         let request = self
             .request(http::Method::POST, path)
@@ -144,7 +151,7 @@
 }
 
 /// Reads a body of at most [`MAX_ANSWER_BYTES`] completely.
-pub(crate) async fn read_whole(body: Incoming) -> Result<Bytes, HttpError> {
+pub(crate) async fn read_whole(body: AnswerBody) -> Result<Bytes, HttpError> {
     let collected = Limited::new(body, MAX_ANSWER_BYTES)
         .collect()
         .await
--- a/crates/adapters/src/http_engine.rs
+++ b/crates/adapters/src/http_engine.rs
@@ -5,11 +5,11 @@
     Piece, PieceEvent,
 };
 use crate::http_client::{HttpClient, HttpError};
+use bridgevane_answer_limits::AnswerBody;
 use bridgevane_types::{AttemptNumber, RequestId};
 use bytes::{Buf, BytesMut};
 use futures_util::Stream;
 use http_body_util::BodyStream;
-use hyper::body::Incoming;
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -66,7 +66,7 @@
 /// The stream of the pieces of one answer.
 #[derive(Debug)]
 pub struct HttpPieces {
-    body: BodyStream<Incoming>,
+    body: BodyStream<AnswerBody>,
     buffer: BytesMut,
     is_ended: bool,
 }
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each external system has one small trait. The HTTP adapters that implement these traits only
 //! translate calls, answers and errors.
 
+mod counted_connector;
 mod engine;
 mod http_client;
 mod http_engine;
--- a/crates/answer-limits/src/stream.rs
+++ b/crates/answer-limits/src/stream.rs
@@ -1,10 +1,12 @@
 //! A stream of bytes that fails when too much is read without progress of the answer.
 
 use crate::progress::AnswerProgress;
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 
 /// A connection whose reads are counted; writes pass unchanged.
 #[derive(Debug)]
@@ -62,3 +64,10 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
+
+/// A pooling client adds the progress of a connection to the extensions of each answer on it.
+impl Connection for CountedStream<TcpStream> {
+    fn connected(&self) -> Connected {
+        self.stream.connected().extra(self.progress.clone())
+    }
+}
