fix(gateway): an answer of another daemon has a bounded number of parts

What would be seen: a daemon whose upstream sends parts of an answer without end, each of which says that more follow and holds no record, keeps them all.

Cause: the bound on the bytes kept (16 MiB) counted the length of a part in the message, which is 2 bytes for an empty one, and not what it takes in memory.

Mend: each part also counts with its size in memory. The poll fails as `unreadable answer`, as before for too many records.

Frames themselves have a longest length (2 MiB, frames.rs), and unpacked records, too.

--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -271,16 +271,16 @@
 }
 
 /// Receives the remaining messages of an answer. The limit on unpacked records also bounds the
-/// bytes kept before unpacking.
+/// bytes kept before unpacking, those of messages without a record included.
 async fn receive_parts(
     frames: &mut FramedStream,
     first: RecordsAnswer,
 ) -> Result<Vec<RecordsAnswer>, PeerError> {
-    let mut kept_bytes = first.encoded_len();
+    let mut kept_bytes = kept_bytes_of(&first);
     let mut parts = vec![first];
     while parts.last().is_some_and(|part| part.has_more) {
         let part = receive_answer(frames, ANSWER_TIMEOUT).await?;
-        kept_bytes += part.encoded_len();
+        kept_bytes += kept_bytes_of(&part);
         if kept_bytes > MAX_UNPACKED_BYTES {
             return Err(PeerError::BadRecords(MessageError::TooLarge));
         }
@@ -289,6 +289,10 @@
     Ok(parts)
 }
 
+fn kept_bytes_of(part: &RecordsAnswer) -> usize {
+    size_of::<RecordsAnswer>() + part.encoded_len()
+}
+
 /// Waits for the next message of an answer.
 async fn receive_answer(
     frames: &mut FramedStream,
