fix(gateway): the end of a process waits for the reader of its log for a bounded time

What operators saw: a gateway whose standard output is full and isn't read went on serving, but stayed after SIGTERM until it was killed. Clients saw nothing, since all connections are closed by then.

Cause: the end joined the thread that writes the log, and that thread waits in a write.

Why it works: the end waits 300 ms for the thread. Lines that aren't written by then are dropped, and their number goes to standard error, for which it waits 50 ms, because that may be blocked, too. Both fit into the 400 ms of the stop time that are reserved for the end. The thread doesn't keep the process from ending.

--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -93,8 +93,8 @@
 /// The time for which the balancer still sends connections to a daemon that isn't ready any more:
 /// it checks once per second and acts on the second failure; the rest is for slow answers.
 const BALANCER_DELAY: DurationMs = DurationMs(2_600);
-/// The part of `--stop-s` that is reserved for the end of the process: logs are written out every
-/// 200 ms.
+/// The part of `--stop-s` that is reserved for the end of the process, which waits up to 350 ms until
+/// the last lines of the log are written.
 const STOP_MARGIN_MS: u64 = 400;
 /// The part of the memory that is available for the bodies of requests, in percent. A daemon itself needs 5
 /// to 8 MB (see docs/CAPACITY.md), and connections have buffers in addition to the bodies.
--- a/src/modules/process/log_writer.rs
+++ b/src/modules/process/log_writer.rs
@@ -1,8 +1,13 @@
-//! Writes logs without blocking requests: lines are collected in a bounded buffer, and a thread
-//! writes them out a few times per second.
+//! Writes logs without blocking requests or the end of the process: lines are collected in a bounded
+//! buffer, and a thread writes them out a few times per second.
+//!
+//! The reader of the log may read slowly, or not at all. Then the thread waits in a write, further lines
+//! are dropped and counted, and the end of the process waits for the thread for a bounded time.
 
 use std::io::Write;
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::thread;
 use std::time::Duration;
 
 /// The maximum size of the buffer; further lines are dropped and counted. It holds over a thousand
@@ -12,10 +17,20 @@
 /// per second have no noticeable cost. See docs/OPERATIONS.md for what is lost when a daemon is
 /// killed.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+/// How long the end of a process waits until the last lines are written. Together with
+/// [`REPORT_TIMEOUT`] it is less than the part of the stop time that is reserved for it.
+const FINISH_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long the end of a process waits for the reader of standard error, who may be the same.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Default)]
 struct LineBuffer {
     bytes: Vec<u8>,
+    /// The number of lines in the buffer.
+    lines: u64,
+    /// The number of lines that were taken out and aren't written yet, with the dropped ones of which the
+    /// log doesn't tell yet.
+    in_write: u64,
     dropped: u64,
     is_finished: bool,
 }
@@ -26,6 +41,12 @@
     changed: Condvar,
 }
 
+impl Shared {
+    fn buffer(&self) -> MutexGuard<'_, LineBuffer> {
+        self.buffer.lock().expect("no panic under this lock")
+    }
+}
+
 /// Accepts log lines.
 #[derive(Clone, Debug)]
 pub(crate) struct Sink(Arc<Shared>);
@@ -33,7 +54,7 @@
 impl Sink {
     /// Adds a line to the buffer, or drops and counts it if the buffer is full.
     pub fn push(&self, line: &str) {
-        let mut buffer = self.0.buffer.lock().expect("no panic under this lock");
+        let mut buffer = self.0.buffer();
         if buffer.bytes.len() + line.len() >= MAX_BUFFERED_BYTES {
             buffer.dropped += 1;
             return;
@@ -41,6 +62,7 @@
         let was_empty = buffer.bytes.is_empty();
         buffer.bytes.extend_from_slice(line.as_bytes());
         buffer.bytes.push(b'\n');
+        buffer.lines += 1;
         drop(buffer);
         if was_empty {
             self.0.changed.notify_one();
@@ -52,7 +74,7 @@
 #[derive(Debug)]
 pub(crate) struct LogWriter {
     shared: Arc<Shared>,
-    thread: std::thread::JoinHandle<()>,
+    thread: BackgroundThread,
 }
 
 /// Starts a thread that writes to standard output.
@@ -61,7 +83,7 @@
     let thread_shared = shared.clone();
     LogWriter {
         shared,
-        thread: std::thread::spawn(move || write_until_finished(&thread_shared)),
+        thread: BackgroundThread::spawn(move || write_until_finished(&thread_shared)),
     }
 }
 
@@ -71,20 +93,57 @@
         Sink(self.shared.clone())
     }
 
-    /// Writes the buffered lines and ends the thread.
+    /// Writes the buffered lines and ends the thread. If that takes longer than [`FINISH_TIMEOUT`], the
+    /// lines that are left are dropped, and their number is written to standard error.
     pub fn finish(self) {
-        let mut buffer = self.shared.buffer.lock().expect("no panic under this lock");
-        buffer.is_finished = true;
-        drop(buffer);
+        self.shared.buffer().is_finished = true;
         self.shared.changed.notify_one();
-        // A panic of the writer can't be reported any more.
-        let _ = self.thread.join();
+        if self.thread.ends_within(FINISH_TIMEOUT) {
+            return;
+        }
+        let buffer = self.shared.buffer();
+        let dropped = buffer.in_write + buffer.lines + buffer.dropped;
+        drop(buffer);
+        let report = BackgroundThread::spawn(move || {
+            // If standard error is closed, the error can't be reported anywhere.
+            let _ = std::io::stderr().write_all(dropped_line(dropped).as_bytes());
+        });
+        report.ends_within(REPORT_TIMEOUT);
     }
 }
 
+/// A thread that may wait in a write for ever. It doesn't keep the process from ending.
+#[derive(Debug)]
+struct BackgroundThread {
+    /// Nothing is sent: the other side is dropped when the thread ends.
+    end: Receiver<()>,
+}
+
+impl BackgroundThread {
+    fn spawn(work: impl FnOnce() + Send + 'static) -> Self {
+        let (until_end, end) = mpsc::channel::<()>();
+        thread::spawn(move || {
+            work();
+            drop(until_end);
+        });
+        Self { end }
+    }
+
+    /// Waits for the end of the thread; returns whether it came within `limit`. A panic ends it, too.
+    fn ends_within(&self, limit: Duration) -> bool {
+        self.end.recv_timeout(limit) == Err(RecvTimeoutError::Disconnected)
+    }
+}
+
+/// Returns the line that tells how many lines were dropped.
+fn dropped_line(dropped: u64) -> String {
+    format!("{{\"level\":\"WARN\",\"text\":\"log lines dropped\",\"dropped\":{dropped}}}\n")
+}
+
 fn write_until_finished(shared: &Shared) {
     loop {
-        let buffer = shared.buffer.lock().expect("no panic under this lock");
+        let mut buffer = shared.buffer();
+        buffer.in_write = 0;
         let is_idle = |buffer: &mut LineBuffer| buffer.bytes.is_empty() && !buffer.is_finished;
         let buffer = shared.changed.wait_while(buffer, is_idle);
         let buffer = buffer.expect("no panic under this lock");
@@ -95,13 +154,11 @@
         let (mut buffer, _) = collected.expect("no panic under this lock");
         let mut bytes = std::mem::take(&mut buffer.bytes);
         let dropped = std::mem::take(&mut buffer.dropped);
+        buffer.in_write = std::mem::take(&mut buffer.lines) + dropped;
         let is_finished = buffer.is_finished;
         drop(buffer);
         if dropped > 0 {
-            let line = format!(
-                "{{\"level\":\"WARN\",\"text\":\"log lines dropped\",\"dropped\":{dropped}}}\n"
-            );
-            bytes.extend_from_slice(line.as_bytes());
+            bytes.extend_from_slice(dropped_line(dropped).as_bytes());
         }
         // If standard output is closed, the error can't be reported anywhere.
         let _ = std::io::stdout().write_all(&bytes);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -5,6 +5,8 @@
     request,
 };
 use rustix::process::{Pid, Signal, kill_process};
+use serde_json::Value;
+use std::io::{PipeReader, PipeWriter, Write};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -68,8 +70,18 @@
 }
 
 async fn spawn_gateway(store: &EmulatedStore, name: &str) -> Gateway {
+    spawn_gateway_with(store, name, |command| command.stdout(Stdio::piped())).await
+}
+
+/// Starts the process of a gateway; `prepare` sets its output and further flags.
+async fn spawn_gateway_with(
+    store: &EmulatedStore,
+    name: &str,
+    prepare: impl FnOnce(&mut Command) -> &mut Command,
+) -> Gateway {
     let (clients, ready) = (free_address().await, free_address().await);
-    let process = Command::new(env!("CARGO_BIN_EXE_bridgevane"))
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bridgevane"));
+    command
         .arg("gateway")
         .args([
             "--vm-id",
@@ -82,10 +94,8 @@
         .args(["--client-address", &clients.to_string()])
         .args(["--ready-address", &ready.to_string()])
         .args(["--store-address", &store.address.to_string()])
-        .stdout(Stdio::piped())
-        .kill_on_drop(true)
-        .spawn()
-        .expect("the process starts");
+        .kill_on_drop(true);
+    let process = prepare(&mut command).spawn().expect("the process starts");
     Gateway {
         process,
         clients,
@@ -334,3 +344,94 @@
     worker.set_behaviour(Behaviour::Whole(Duration::ZERO));
     assert_eq!(count_served(&fleet, 20).await, 0);
 }
+
+/// The stop time of the gateways whose log nobody reads.
+const STOP_TIME: Duration = Duration::from_secs(4);
+
+/// A pipe that is kept full, and that nobody reads.
+struct FullPipe {
+    writer: PipeWriter,
+    _reader: PipeReader,
+}
+
+impl FullPipe {
+    fn new() -> Self {
+        let (reader, writer) = std::io::pipe().expect("a pipe");
+        let mut filler = writer.try_clone().expect("a further writer");
+        // It fills the pipe again whenever there is room, and ends once the reader is dropped.
+        std::thread::spawn(move || while filler.write_all(&[b' '; 512]).is_ok() {});
+        Self {
+            writer,
+            _reader: reader,
+        }
+    }
+
+    fn as_output(&self) -> Stdio {
+        let writer = self.writer.try_clone();
+        writer.expect("a further writer").into()
+    }
+}
+
+/// Starts a fleet of one gateway, which has these outputs.
+async fn start_gateway_with_outputs(
+    output: impl Fn() -> Stdio,
+    error_output: impl Fn() -> Stdio,
+) -> GatewayFleet {
+    let mut fleet = start_fleet(0).await;
+    for _ in 0..MAX_STARTS {
+        let stop_s = STOP_TIME.as_secs().to_string();
+        let gateway = spawn_gateway_with(&fleet.store, "vm-0", |command| {
+            let command = command.args(["--stop-s", &stop_s]);
+            command.stdout(output()).stderr(error_output())
+        })
+        .await;
+        let started = async || is_ready(&gateway).await || has_ended(&gateway);
+        wait_for("ready", started).await;
+        if !has_ended(&gateway) {
+            fleet.gateways.push(gateway);
+            return fleet;
+        }
+    }
+    panic!("no gateway became ready");
+}
+
+/// Stops a gateway with SIGTERM, and checks that its process ends by itself a second after its stop time
+/// at the latest.
+async fn assert_stops_in_time(gateway: &mut Gateway) {
+    signal(gateway, Signal::TERM);
+    let limit = STOP_TIME + Duration::from_secs(1);
+    let ended = tokio::time::timeout(limit, gateway.process.wait()).await;
+    let status = ended.expect("it ends in time").expect("its status");
+    assert!(status.success(), "{status}");
+}
+
+/// Guards against a process that never ends, and is killed in the end, because nobody reads its log: the
+/// pipe is full, and the last lines are written before the end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_gateway_whose_log_nobody_reads_serves_and_ends_in_time() {
+    let pipe = FullPipe::new();
+    let mut fleet = start_gateway_with_outputs(|| pipe.as_output(), || pipe.as_output()).await;
+    assert_eq!(count_served(&fleet, 5).await, 5);
+    assert_stops_in_time(&mut fleet.gateways[0]).await;
+}
+
+/// Guards against log lines that are lost at the end of a process without a trace.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lines_that_nobody_reads_are_counted_on_standard_error_at_the_end() {
+    let pipe = FullPipe::new();
+    let mut fleet = start_gateway_with_outputs(|| pipe.as_output(), Stdio::piped).await;
+    let gateway = &mut fleet.gateways[0];
+    assert_stops_in_time(gateway).await;
+    let mut errors = String::new();
+    let output = gateway.process.stderr.as_mut().expect("it is piped");
+    output
+        .read_to_string(&mut errors)
+        .await
+        .expect("its errors");
+    let line: Value = serde_json::from_str(&errors).expect("one line");
+    // At least those of the begin and of the end of the stop.
+    assert!(
+        line["dropped"].as_u64().is_some_and(|lines| lines >= 2),
+        "{errors}"
+    );
+}
