test(gateway): how many endpoints a request reaches that they refuse

The suspicion: `maxAttempts` of a route isn't applied to endpoints that refuse a request.

Evidence (real sockets, seven endpoints): a request that all endpoints refuse, by `not executed` or 421, reaches four of them once each and gets 503, on routes with one attempt and with two, whether it may run once or more often. One with room among the next three serves it. Refusals in between add no run: routes with one, two and three attempts run a request once, twice and three times, so that the rule which counts runs holds.

--- a/crates/gateway/src/decisions/resend/mod.rs
+++ b/crates/gateway/src/decisions/resend/mod.rs
@@ -20,7 +20,8 @@
 //! Reason: a call that may run once must never run twice, and retries must not make an overload
 //! worse. "Not run" is claimed only if it is proved: no byte was sent, or the endpoint says so.
 //!
-//! Tests: `resend.rs`; `exchange.rs::plain_requests_are_repeated_only_where_the_route_allows_it`.
+//! Tests: `resend.rs`, `refusing_endpoints.rs`;
+//! `exchange.rs::plain_requests_are_repeated_only_where_the_route_allows_it`.
 
 pub mod hedging;
 pub mod retry_budget;
