fix(serve): the daemon doesn't wait for the reader of its log

What callers saw: a daemon of `serve` whose standard error is full and isn't read doesn't answer.

Cause: each line was written to standard error by the task that logs it. Only the gateway had a writer with a bounded buffer.

Why it works: `serve` logs through the writer of the gateway, which takes the stream as an argument: lines go into a bounded buffer, a thread writes them, what doesn't fit is dropped and counted, and the end waits for the thread for a bounded time.

The pipe that nobody reads is now shared by the tests of both programs.

--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -8,7 +8,7 @@
 use crate::configs::gateway::GatewayConfig;
 use crate::configs::settings_reader::setting_source;
 use crate::modules::process::http_serve;
-use crate::modules::process::log_writer;
+use crate::modules::process::log_writer::{self, LogStream};
 use crate::modules::process::logging::{self, LineOrigin};
 use crate::modules::process::metrics_page::MetricsPage;
 use crate::modules::process::signals;
@@ -158,12 +158,12 @@
         print_line!("{config:#?}");
         return exit::OK;
     }
-    let writer = log_writer::start();
+    let writer = log_writer::start(LogStream::Output);
     let origin = LineOrigin {
         vm: config.gateway.vm.clone(),
         data_centre: config.gateway.data_centre.clone(),
     };
-    if let Err(error) = logging::set_up(config.log, origin, writer.sink()) {
+    if let Err(error) = logging::set_up(config.log, Some(origin), writer.sink()) {
         eprintln!("{error}");
         return exit::USAGE;
     }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -4,6 +4,7 @@
 use crate::configs::serve::ServeConfig;
 use crate::configs::settings_reader::setting_source;
 use crate::modules::process::http_serve::{self, Servers};
+use crate::modules::process::log_writer::{self, LogStream};
 use crate::modules::process::logging;
 use crate::modules::process::signals;
 use crate::modules::serve::configuration::watch;
@@ -91,19 +92,22 @@
         print_line!("{config:#?}");
         return exit::OK;
     }
-    if let Err(error) = logging::set_up_on_stderr(config.log) {
+    let writer = log_writer::start(LogStream::Error);
+    if let Err(error) = logging::set_up(config.log, None, writer.sink()) {
         eprintln!("{error}");
         return exit::USAGE;
     }
     let milliseconds = SystemTime::now().duration_since(UNIX_EPOCH);
     let incarnation = Incarnation(milliseconds.map_or(0, |elapsed| elapsed.as_millis() as u64));
-    match block_on(serve(config, incarnation)) {
+    let code = match block_on(serve(config, incarnation)) {
         Ok(Ok(())) => exit::OK,
         Ok(Err(error)) | Err(error) => {
             event!(Event::CannotListen, cause = error);
             exit::USAGE
         }
-    }
+    };
+    writer.finish();
+    code
 }
 
 /// Serves until the stop signal, then until every stream has ended or the drain time is over.
--- a/src/modules/process/log_writer.rs
+++ b/src/modules/process/log_writer.rs
@@ -77,13 +77,33 @@
     thread: BackgroundThread,
 }
 
-/// Starts a thread that writes to standard output.
-pub fn start() -> LogWriter {
+/// Where a log is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LogStream {
+    /// Standard output.
+    Output,
+    /// Standard error.
+    Error,
+}
+
+impl LogStream {
+    /// Writes the bytes, however long the reader takes.
+    fn write(self, bytes: &[u8]) {
+        // If the stream is closed, the error can't be reported anywhere.
+        let _ = match self {
+            Self::Output => std::io::stdout().write_all(bytes),
+            Self::Error => std::io::stderr().write_all(bytes),
+        };
+    }
+}
+
+/// Starts a thread that writes to a stream.
+pub(crate) fn start(stream: LogStream) -> LogWriter {
     let shared = Arc::new(Shared::default());
     let thread_shared = shared.clone();
     LogWriter {
         shared,
-        thread: BackgroundThread::spawn(move || write_until_finished(&thread_shared)),
+        thread: BackgroundThread::spawn(move || write_until_finished(&thread_shared, stream)),
     }
 }
 
@@ -104,10 +124,8 @@
         let buffer = self.shared.buffer();
         let dropped = buffer.in_write + buffer.lines + buffer.dropped;
         drop(buffer);
-        let report = BackgroundThread::spawn(move || {
-            // If standard error is closed, the error can't be reported anywhere.
-            let _ = std::io::stderr().write_all(dropped_line(dropped).as_bytes());
-        });
+        let line = dropped_line(dropped);
+        let report = BackgroundThread::spawn(move || LogStream::Error.write(line.as_bytes()));
         report.ends_within(REPORT_TIMEOUT);
     }
 }
@@ -140,7 +158,7 @@
     format!("{{\"level\":\"WARN\",\"text\":\"log lines dropped\",\"dropped\":{dropped}}}\n")
 }
 
-fn write_until_finished(shared: &Shared) {
+fn write_until_finished(shared: &Shared, stream: LogStream) {
     loop {
         let mut buffer = shared.buffer();
         buffer.in_write = 0;
@@ -160,8 +178,7 @@
         if dropped > 0 {
             bytes.extend_from_slice(dropped_line(dropped).as_bytes());
         }
-        // If standard output is closed, the error can't be reported anywhere.
-        let _ = std::io::stdout().write_all(&bytes);
+        stream.write(&bytes);
         if is_finished {
             return;
         }
--- a/src/modules/process/logging.rs
+++ b/src/modules/process/logging.rs
@@ -77,25 +77,26 @@
     line
 }
 
-/// Writes logs to standard error.
+/// Writes logs to standard error, and waits for its reader: for commands that a person runs.
 ///
 /// # Errors
 /// [`LoggingError`] if logging is already set up.
+#[cfg(feature = "standins")]
 pub(crate) fn set_up_on_stderr(config: LogConfig) -> Result<(), LoggingError> {
     dispatch(config, None, std::io::stderr().into())
 }
 
-/// Sends logs to a sink that never blocks its callers. JSON lines include their origin.
+/// Sends logs to a sink that never blocks its callers. JSON lines include their origin if it is given.
 ///
 /// # Errors
 /// [`LoggingError`] if logging is already set up.
 pub(crate) fn set_up(
     config: LogConfig,
-    origin: LineOrigin,
+    origin: Option<LineOrigin>,
     sink: Sink,
 ) -> Result<(), LoggingError> {
     let output = fern::Output::call(move |record| sink.push(&record.args().to_string()));
-    dispatch(config, Some(origin), output)
+    dispatch(config, origin, output)
 }
 
 fn dispatch(
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,12 +1,15 @@
 //! The gateway as separate processes with the emulated platform.
 
+#[path = "support/full_pipe.rs"]
+mod full_pipe;
+
 use bridgevane_platform_emulator::{
     Announcement, Behaviour, CONFIG_KEY, EmulatedStore, Fault, MODEL, PLAIN, Worker, document,
     request,
 };
+use full_pipe::FullPipe;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
-use std::io::{PipeReader, PipeWriter, Write};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -348,30 +351,6 @@
 /// The stop time of the gateways whose log nobody reads.
 const STOP_TIME: Duration = Duration::from_secs(4);
 
-/// A pipe that is kept full, and that nobody reads.
-struct FullPipe {
-    writer: PipeWriter,
-    _reader: PipeReader,
-}
-
-impl FullPipe {
-    fn new() -> Self {
-        let (reader, writer) = std::io::pipe().expect("a pipe");
-        let mut filler = writer.try_clone().expect("a further writer");
-        // It fills the pipe again whenever there is room, and ends once the reader is dropped.
-        std::thread::spawn(move || while filler.write_all(&[b' '; 512]).is_ok() {});
-        Self {
-            writer,
-            _reader: reader,
-        }
-    }
-
-    fn as_output(&self) -> Stdio {
-        let writer = self.writer.try_clone();
-        writer.expect("a further writer").into()
-    }
-}
-
 /// Starts a fleet of one gateway, which has these outputs.
 async fn start_gateway_with_outputs(
     output: impl Fn() -> Stdio,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, missing_docs)]
 
 pub mod fake_home;
+pub mod full_pipe;
 
 use bridgevane_adapters::HttpClient;
 use bytes::Bytes;
