feat(soak): a run in which the store comes back from copies, with the duties judged

Checked by what the interface for duties and the workers saw: one set of counts for each window, fences that never fall and aren't shared, no holder that comes back within a lease, counts that match the requests that workers began, and no missing window unless a daemon was lost in a return.

--- a/crates/soak/src/cut_run.rs
+++ b/crates/soak/src/cut_run.rs
@@ -105,6 +105,7 @@
                 seeds: peers.clone(),
                 key_removal_ms: KEY_REMOVAL_BOUND.as_millis(),
                 serves_stale: options.serves_stale,
+                duties: None,
             };
             environment._stores.push(store);
             let daemon = DaemonProcess::start(&options.program, &options.folder, settings)?;
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -162,6 +162,7 @@
                 seeds,
                 key_removal_ms: KEY_REMOVAL_BOUND.as_millis(),
                 serves_stale: options.serves_stale,
+                duties: None,
             };
             let daemon = DaemonProcess::start(&options.program, &options.folder, settings)?;
             self.daemons.push(daemon);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,10 +3,15 @@
 //! runs recorded by callers and workers are checked against the gateway's guarantees ([`checks`]).
 //!
 //! A run of another kind cuts single daemons off from all workers, and checks that their callers are
-//! served like others ([`cut_plan`], [`cut_path`], [`cut_checks`]).
+//! served like others ([`cut_plan`], [`cut_path`], [`cut_checks`]). One of a third kind lets the store
+//! come back from copies, and checks the duties of the fleet ([`copy_plan`], [`copy_checks`]).
 
 mod callers;
 pub mod checks;
+pub mod copy_checks;
+mod copy_environment;
+pub mod copy_plan;
+mod copy_run;
 pub mod cut_checks;
 pub mod cut_path;
 pub mod cut_plan;
@@ -20,6 +25,7 @@
 pub mod proxy;
 mod run;
 
+pub use copy_run::{CopyOutcome, run_store_copies};
 pub use cut_run::{CutOutcome, run_cut_off};
 pub use options::SoakOptions;
 pub use plot::PlotError;
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -1,5 +1,6 @@
 //! Daemons as child processes, signalled by their process ids.
 
+use crate::copy_checks::{LATE, LEASE, WINDOW};
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
 use std::net::SocketAddr;
@@ -22,6 +23,8 @@
     pub(crate) key_removal_ms: u128,
     /// Whether it continues to serve during an outage of the store.
     pub(crate) serves_stale: bool,
+    /// The address of the platform's interface for duties, if the fleet has any.
+    pub(crate) duties: Option<SocketAddr>,
 }
 
 /// A running daemon; its process is killed when this is dropped.
@@ -86,7 +89,8 @@
 ) -> Result<Child, std::io::Error> {
     let log = File::create(logs.join(format!("{}-{start_number}.log", settings.name)))?;
     let seeds: Vec<String> = settings.seeds.iter().map(ToString::to_string).collect();
-    Command::new(program)
+    let mut command = Command::new(program);
+    command
         .arg("gateway")
         .args(["--vm-id", &settings.name])
         .args(["--data-centre", &settings.data_centre])
@@ -100,7 +104,11 @@
             "--strict-key-removal",
             &(!settings.serves_stale).to_string(),
         ])
-        .args(["--stop-s", "6"])
+        .args(["--stop-s", "6"]);
+    if let Some(address) = settings.duties {
+        add_duties(&mut command, address);
+    }
+    command
         .stdin(Stdio::null())
         .stdout(log)
         .stderr(Stdio::inherit())
@@ -110,3 +118,13 @@
         .kill_on_drop(true)
         .spawn()
 }
+
+/// Assigns the duties of usage and of orders for workers.
+fn add_duties(command: &mut Command, address: SocketAddr) {
+    command
+        .args(["--duty-address", &address.to_string()])
+        .args(["--duties", "usage_report,autoscale"])
+        .args(["--lease-ms", &LEASE.as_millis().to_string()])
+        .args(["--usage-window-s", &WINDOW.as_secs().to_string()])
+        .args(["--usage-late-s", &LATE.as_secs().to_string()]);
+}
--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -11,6 +11,8 @@
 /// The maximum number of processes of a run: a soak must stay within a few dozen processes and half
 /// of a machine's memory.
 const MAX_PROCESSES: usize = 24;
+/// The same for runs with returns from copies, which play a whole fleet.
+const MAX_FLEET_PROCESSES: usize = 64;
 
 /// Run gateways as processes with the emulated platform, inject faults from outside, and check the
 /// promises against what callers and endpoints saw. The exit code is 1 if a promise was broken.
@@ -26,15 +28,18 @@
     /// seconds of calls per seed (default: 20)
     #[argh(option, default = "20")]
     pub seconds: u64,
-    /// number of gateways, at most 24 (default: 4)
-    #[argh(option, default = "4")]
-    pub processes: usize,
+    /// number of gateways, at most 24, or 64 with --store-copies (default: 4, or 6 with --store-copies)
+    #[argh(option)]
+    pub processes: Option<usize>,
     /// number of callers (default: 12)
     #[argh(option, default = "12")]
     pub callers: usize,
     /// cut daemons off from workers in place of the other faults
     #[argh(switch)]
     pub cut_off: bool,
+    /// let the store come back from copies in place of the other faults, and check the duties
+    #[argh(switch)]
+    pub store_copies: bool,
     /// daemons keep serving while the store is unavailable (--strict-key-removal false)
     #[argh(switch)]
     pub serve_stale: bool,
@@ -48,8 +53,17 @@
 
 /// Runs the command and returns the exit code.
 pub fn run(arguments: &SoakArguments) -> u8 {
-    if arguments.processes == 0 || arguments.processes > MAX_PROCESSES {
-        eprintln!("--processes: give 1 to {MAX_PROCESSES}");
+    let most = if arguments.store_copies {
+        MAX_FLEET_PROCESSES
+    } else {
+        MAX_PROCESSES
+    };
+    if !(1..=most).contains(&processes(arguments)) {
+        eprintln!("--processes: give 1 to {most}");
+        return exit::USAGE;
+    }
+    if arguments.cut_off && arguments.store_copies {
+        eprintln!("give --cut-off or --store-copies");
         return exit::USAGE;
     }
     let failed = block_on(soak_until_stopped(arguments)).map_err(SoakError::from);
@@ -63,6 +77,11 @@
     }
 }
 
+fn processes(arguments: &SoakArguments) -> usize {
+    let default = if arguments.store_copies { 6 } else { 4 };
+    arguments.processes.unwrap_or(default)
+}
+
 /// Runs all seeds and returns the number with a broken promise, or `None` if a signal stopped the
 /// run. Processes end with the run.
 async fn soak_until_stopped(arguments: &SoakArguments) -> Result<Option<u64>, SoakError> {
@@ -85,7 +104,7 @@
             folder: arguments.folder.join(seed.to_string()),
             seed,
             size: RunSize {
-                daemons: arguments.processes,
+                daemons: processes(arguments),
                 workers: 6,
                 duration: Duration::from_secs(arguments.seconds),
             },
@@ -96,6 +115,10 @@
             failed += u64::from(!is_kept_under_cuts(&options).await?);
             continue;
         }
+        if arguments.store_copies {
+            failed += u64::from(!is_kept_after_copies(&options).await?);
+            continue;
+        }
         let outcome = bridgevane_soak::run(&options).await?;
         print_line!("{}", outcome.summary());
         if !outcome.violations.is_empty() {
@@ -136,6 +159,26 @@
     Ok(is_kept)
 }
 
+/// Runs one seed in which the store comes back from copies; returns whether all promises were kept.
+async fn is_kept_after_copies(options: &SoakOptions) -> Result<bool, SoakError> {
+    let outcome = bridgevane_soak::run_store_copies(options).await?;
+    print_line!("{}", outcome.summary());
+    let is_kept = outcome.violations.is_empty();
+    if !is_kept {
+        for back in &outcome.plan.returns {
+            print_line!("  {back}");
+        }
+        for event in &outcome.plan.troubles {
+            print_line!("  {event}");
+        }
+        for violation in &outcome.violations {
+            print_line!("  BROKEN {violation}");
+        }
+        print_line!("logs: {}", options.folder.display());
+    }
+    Ok(is_kept)
+}
+
 /// Prints the planned faults and the broken promises.
 fn print_failure(outcome: &SoakOutcome) {
     for event in &outcome.plan.events {
