--- a/crates/soak/src/copy_plan.rs
+++ b/crates/soak/src/copy_plan.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display(
     "{:>6} ms  the store comes back from a copy of {} ms, away for {} ms ({})",
-    away_from.as_millis(), copy_at.as_millis(), (*back_at - *away_from).as_millis(),
+    away_from.as_millis(), (*away_from - *copy_at).as_millis(), (*back_at - *away_from).as_millis(),
     if *is_silent { "silent" } else { "closed" }
 )]
 pub struct StoreReturn {
