--- a/crates/soak/src/copy_run.rs
+++ b/crates/soak/src/copy_run.rs
@@ -44,31 +44,39 @@
 }
 
 impl CopyOutcome {
+    /// Returns the violations that aren't missing windows.
+    pub fn broken_rules(&self) -> Vec<&CopyViolation> {
+        let violations = self.violations.iter();
+        violations
+            .filter(|violation| !violation.is_missed_window())
+            .collect()
+    }
+
     /// Returns the number of windows that weren't submitted in time for a reason.
-    pub fn missed(&self, cause: MissCause) -> usize {
+    fn missed(&self, cause: MissCause) -> usize {
         let missed = self.history.missed_windows();
         missed.iter().filter(|(_, found)| *found == cause).count()
     }
 
-    /// Returns one line with the numbers of calls, windows and violations.
+    /// Returns one line with the numbers of calls, broken rules and missed windows.
     pub fn summary(&self) -> String {
         let history = &self.history;
         format!(
-            "seed {}: {} requests began, {} duty calls, {} returns, {} troubles, {} windows; missed: {} \
-             undisturbed, {} in plain returns, {} with a lost daemon, {} with one lost in a return, \
-             {} without time; {} broken",
+            "seed {}: {} requests began, {} duty calls, {} returns, {} troubles; {} rules broken; {} windows, \
+             missed windows: {} undisturbed, {} in plain returns, {} with a lost daemon; {} allowed with one \
+             lost in a return, {} without time",
             self.plan.seed,
             history.begun.len(),
             history.calls.len(),
             self.plan.returns.len(),
             self.plan.troubles.len(),
+            self.broken_rules().len(),
             history.judged_windows().count(),
             self.missed(MissCause::Nothing),
             self.missed(MissCause::PlainReturn),
             self.missed(MissCause::Loss),
             self.missed(MissCause::LossInReturn),
             self.missed(MissCause::NoTime),
-            self.violations.len()
         )
     }
 }
