test(gateway): simulated daemons of the duties follow each other

Every simulated daemon read the store itself, so that each of them was a candidate for the duties. In a fleet only a few follow the store; the others follow a parent, lose and find the store at different times, and report to the holder that their own replica names.

The simulation writes the replica and the path: ControlState::{apply, replace, store_proof, adopt_proof, proved_at, progress, replica}, Fleet::{path, set_path} and Gateway::fleet are public for that; their code is unchanged.

A call that changes nothing no longer wakes those that wait for changes of the simulated store: two watches woke each other every 8 ms.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -114,7 +114,7 @@
     }
 
     /// Returns the time at which the newest proof was requested.
-    pub(crate) fn proved_at(&self) -> Option<TimeMs> {
+    pub fn proved_at(&self) -> Option<TimeMs> {
         self.proved_at.get()
     }
 
@@ -130,7 +130,7 @@
     /// Adopts the proof of another daemon, made at `proved_at`, that its state at revision `at` was
     /// the newest, if this daemon's replica is at least as new. A proof from before the source came
     /// back from a copy says nothing about the state since.
-    pub(crate) fn adopt_proof(&self, at: Revision, proved_at: TimeMs) {
+    pub fn adopt_proof(&self, at: Revision, proved_at: TimeMs) {
         // Revisions never go back, so this still holds when the proof is stored.
         let own = self.replica().revision();
         let has_state = own.era() == at.era() && own >= at;
@@ -161,7 +161,7 @@
     }
 
     /// Returns the records in the source's own encoding.
-    pub(crate) fn replica(&self) -> MutexGuard<'_, Replica> {
+    pub fn replica(&self) -> MutexGuard<'_, Replica> {
         self.replica.lock().expect("no panic under this lock")
     }
 
@@ -174,7 +174,7 @@
     }
 
     /// Returns a receiver that changes whenever changes were applied or a proof was stored.
-    pub(crate) fn progress(&self) -> watch::Receiver<u64> {
+    pub fn progress(&self) -> watch::Receiver<u64> {
         self.progress.subscribe()
     }
 
@@ -183,14 +183,14 @@
     }
 
     /// Stores a proof that the applied state was the newest at `asked_at`.
-    pub(crate) fn store_proof(&self, asked_at: TimeMs) {
+    pub fn store_proof(&self, asked_at: TimeMs) {
         self.versions.on_proved(self.proved_at(), asked_at);
         self.proved_at.set_if_later(asked_at);
         self.notify_progress();
     }
 
     /// Applies changes.
-    pub(crate) fn apply(&self, source: &impl ControlSource, changes: Changes) {
+    pub fn apply(&self, source: &impl ControlSource, changes: Changes) {
         let proved_before = self.proved_at();
         let new_records = self.replica().apply(changes);
         let removal = self.removal();
@@ -207,7 +207,7 @@
     /// A source that came back from a copy may list what is older than this daemon's state. An older
     /// configuration and an endpoint that was leaving are recognised by their content; evacuations
     /// stay as they are; endpoints that are missing have some time to write their records again.
-    pub(crate) fn replace(&self, source: &impl ControlSource, state: &FullState) -> bool {
+    pub fn replace(&self, source: &impl ControlSource, state: &FullState) -> bool {
         let proved_before = self.proved_at();
         let mut records = decode(source, &state.records);
         let state = &*self.with_active_document(source, state, &records);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -67,7 +67,8 @@
     /// The progress of a planned stop.
     pub shutdown: Shutdown,
     pub(crate) header_names: HeaderNames,
-    pub(crate) fleet: Fleet,
+    /// What is known about the other daemons.
+    pub fleet: Fleet,
     /// The packed full state that starting daemons receive.
     pub(crate) packed_state: PackedState,
     /// The usage counts: this daemon's own and, on the holder of the duties, reported ones.
--- a/crates/gateway/src/replication/fleet.rs
+++ b/crates/gateway/src/replication/fleet.rs
@@ -107,12 +107,12 @@
     }
 
     /// Returns this daemon's path to the source.
-    pub(crate) fn path(&self) -> SourcePath {
+    pub fn path(&self) -> SourcePath {
         self.path.lock().expect("no panic under this lock").clone()
     }
 
     /// Sets this daemon's path to the source.
-    pub(crate) fn set_path(&self, path: SourcePath) {
+    pub fn set_path(&self, path: SourcePath) {
         *self.path.lock().expect("no panic under this lock") = path;
     }
 
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -11,7 +11,7 @@
 };
 use bridgevane_types::{Bytes as Size, ConfigVersion, DurationMs, ServiceName, WallTimeMs};
 use bytes::Bytes;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -22,7 +22,7 @@
 /// The time of day at the platform's start, in the middle of a usage window.
 const START: WallTimeMs = WallTimeMs(1_800_000_002_500);
 /// The holder's key in the simulated store.
-const HOLDER: &str = "holder";
+pub(super) const HOLDER: &str = "holder";
 /// The configuration's key.
 const CONFIG: &str = "config";
 /// The engine's key.
@@ -246,6 +246,19 @@
         self.state.lock().unwrap()
     }
 
+    /// Executes a call; wakes those that wait for changes if there were any.
+    fn execute<T>(&self, work: impl FnOnce(&mut State) -> T) -> T {
+        let mut state = self.lock();
+        let before = state.counter;
+        let done = work(&mut state);
+        let has_changed = state.counter != before;
+        drop(state);
+        if has_changed {
+            self.on_changed();
+        }
+        done
+    }
+
     fn on_changed(&self) {
         self.changed.send_modify(|count| *count += 1);
     }
@@ -302,19 +315,17 @@
         self.lock().gateways.insert(vm.to_owned(), gateway);
     }
 
-    /// Returns the holder according to the store, with its gateway, for a daemon that isn't
-    /// suspended.
-    pub fn holder_for(&self, vm: &str) -> Option<(HolderRecord, Arc<Gateway>)> {
-        let state = self.lock();
-        let stored = state.items.get(HOLDER)?;
-        let holder = HolderRecord::decode(&stored.value).unwrap();
-        let holder_vm = holder.daemon.vm.to_string();
-        let is_suspended = |vm: &str| state.link_faults.get(vm) == Some(&LinkFaults::suspended());
-        if holder_vm == vm || is_suspended(vm) || is_suspended(&holder_vm) {
+    /// Returns whether a daemon's VM is suspended.
+    pub fn is_suspended(&self, vm: &str) -> bool {
+        self.lock().link_faults.get(vm) == Some(&LinkFaults::suspended())
+    }
+
+    /// Returns the running daemon on a VM, if another daemon reaches it.
+    pub fn gateway_for(&self, vm: &str, to: &str) -> Option<Arc<Gateway>> {
+        if vm == to || self.is_suspended(vm) || self.is_suspended(to) {
             return None;
         }
-        let gateway = state.gateways.get(&holder_vm)?.upgrade()?;
-        Some((holder, gateway))
+        self.lock().gateways.get(to)?.upgrade()
     }
 
     /// Sets whether the store answers no daemon.
@@ -333,6 +344,18 @@
         self.lock().accepted_calls.clone()
     }
 
+    /// Returns when each window was first submitted, by the true time of day in milliseconds.
+    pub fn first_submissions(&self) -> BTreeMap<u64, u64> {
+        let mut submitted = BTreeMap::new();
+        for call in &self.lock().accepted_calls {
+            if let Some(usage) = &call.usage {
+                let at = START + DurationMs((call.at - self.started).as_millis() as u64);
+                submitted.entry(usage.window.0).or_insert(at.0);
+            }
+        }
+        submitted
+    }
+
     /// Returns the VM that holds the duties, according to the store.
     pub fn holder(&self) -> Option<String> {
         let state = self.lock();
@@ -370,13 +393,11 @@
             // The call is executed even if the caller gives up or is killed.
             tokio::spawn(async move {
                 sleep(delay).await;
-                work(&mut platform.lock());
-                platform.on_changed();
+                platform.execute(work);
             });
             return std::future::pending().await;
         }
-        let done = work(&mut self.platform.lock());
-        self.platform.on_changed();
+        let done = self.platform.execute(work);
         sleep(CALL_DURATION / 2).await;
         Ok(done)
     }
