--- a/crates/gateway/tests/support/duty_sim/daemon.rs
+++ b/crates/gateway/tests/support/duty_sim/daemon.rs
@@ -142,6 +142,10 @@
                 unreported.on_no_answer();
                 break;
             };
+            if platform.are_report_answers_lost(&vm) {
+                unreported.on_no_answer();
+                break;
+            }
             gateway.usage_tracker.on_window_stored(answer.newest_stored);
             if unreported.on_answer(&holder.daemon, &own, &report, answer.fence) {
                 break;
--- a/crates/gateway/tests/support/duty_sim/fleet.rs
+++ b/crates/gateway/tests/support/duty_sim/fleet.rs
@@ -20,6 +20,8 @@
     pub platform: SimulatedPlatform,
     network: PeerNetwork,
     size: usize,
+    /// Whether daemons follow each other.
+    is_tree: bool,
     daemons: BTreeMap<String, Daemon>,
 }
 
@@ -43,14 +45,21 @@
 impl TreeFleet {
     /// Starts all daemons.
     pub fn start(size: usize) -> Self {
-        let mut fleet = Self {
+        let mut fleet = Self::without_daemons(size, true);
+        (0..size).for_each(|at| fleet.start_daemon(&vm(at), 0));
+        fleet
+    }
+
+    /// Creates a fleet before its daemons are started. If `is_tree` isn't set, all of them follow the
+    /// store.
+    pub fn without_daemons(size: usize, is_tree: bool) -> Self {
+        Self {
             platform: SimulatedPlatform::new(),
             network: PeerNetwork::default(),
             size,
+            is_tree,
             daemons: BTreeMap::new(),
-        };
-        (0..size).for_each(|at| fleet.start_daemon(&vm(at), 0));
-        fleet
+        }
     }
 
     /// Starts a daemon, in place of the one on this VM; its time of day is ahead by `wall_ahead_ms`.
@@ -60,17 +69,17 @@
         let at = at.expect("a VM of the fleet");
         // Daemons see different work, so that two of them never have equal counts by chance.
         let own_ms = 5 * (at as u64 % 13);
+        let request_ms = REQUEST_INTERVAL_MS * self.size as u64 + own_ms;
+        let place = || TreePlace {
+            network: self.network.clone(),
+            address: address(at),
+            seeds: (0..SEEDS).map(address).collect(),
+            data_centre: DATA_CENTRES[at % DATA_CENTRES.len().min(self.size / 2)],
+        };
         let start = DaemonStart {
-            request_interval: Duration::from_millis(
-                REQUEST_INTERVAL_MS * self.size as u64 + own_ms,
-            ),
+            request_interval: Duration::from_millis(request_ms),
             wall_ahead_ms,
-            tree: Some(TreePlace {
-                network: self.network.clone(),
-                address: address(at),
-                seeds: (0..SEEDS).map(address).collect(),
-                data_centre: DATA_CENTRES[at % DATA_CENTRES.len().min(self.size / 2)],
-            }),
+            tree: self.is_tree.then(place),
         };
         let daemon = Daemon::start_as(&self.platform, name, start);
         self.daemons.insert(name.to_owned(), daemon);
--- a/crates/gateway/tests/support/duty_sim/mod.rs
+++ b/crates/gateway/tests/support/duty_sim/mod.rs
@@ -20,7 +20,9 @@
 #[allow(unused_imports)]
 pub use peers::PeerNetwork;
 #[allow(unused_imports)]
-pub use rules::{check_one_holder_at_a_time, check_rules, run_on_virtual_clock, start_daemon};
+pub use rules::{
+    check_one_holder_at_a_time, check_rules, differing_windows, run_on_virtual_clock, start_daemon,
+};
 #[allow(unused_imports)]
 pub use store::{AcceptedCall, LinkFaults, SimulatedPlatform, StoreCopy};
 
--- a/crates/gateway/tests/support/duty_sim/rules.rs
+++ b/crates/gateway/tests/support/duty_sim/rules.rs
@@ -2,7 +2,7 @@
 
 use super::{AcceptedCall, Daemon, LEASE, SimulatedPlatform};
 use bridgevane_gateway::decisions::duties::duty_state::WindowUsage;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 /// Asserts the platform's rules for all accepted calls.
@@ -15,6 +15,24 @@
     check_one_holder_at_a_time(calls);
 }
 
+/// Returns the windows that were submitted with different counts, each with the first call and the
+/// first one that differs.
+pub fn differing_windows(calls: &[AcceptedCall]) -> Vec<(AcceptedCall, AcceptedCall)> {
+    let mut first_calls: BTreeMap<u64, &AcceptedCall> = BTreeMap::new();
+    let mut differing = BTreeMap::new();
+    for call in calls {
+        let Some(usage) = &call.usage else {
+            continue;
+        };
+        let first = *first_calls.entry(usage.window.0).or_insert(call);
+        if first.usage != call.usage {
+            let pair = (first.clone(), call.clone());
+            differing.entry(usage.window.0).or_insert(pair);
+        }
+    }
+    differing.into_values().collect()
+}
+
 /// Asserts that fencing tokens never fall, and that no holder acts beside another.
 pub fn check_one_holder_at_a_time(calls: &[AcceptedCall]) {
     let is_usage = |call: &&AcceptedCall| call.usage.is_some();
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -47,6 +47,12 @@
     pub answers_lost: Option<Duration>,
     /// Calls of the platform get no response and have no effect.
     pub platform_cut: bool,
+    /// Calls of the platform take effect after this delay, unless the caller gives up before.
+    pub platform_late: Option<Duration>,
+    /// Calls of the platform take effect, but get no response.
+    pub platform_answers_lost: bool,
+    /// The daemon's reports of usage arrive, but get no response.
+    pub report_answers_lost: bool,
 }
 
 impl LinkFaults {
@@ -55,7 +61,7 @@
         Self {
             store_cut: true,
             platform_cut: true,
-            answers_lost: None,
+            ..Self::default()
         }
     }
 }
@@ -69,9 +75,10 @@
     lease: Option<u64>,
 }
 
-/// A change of the holder's key; no value: the key was removed.
+/// A change of the holder's key or of an engine; no value: the key was removed.
 #[derive(Clone)]
-struct HolderChange {
+struct RecordChange {
+    key: String,
     counter: u64,
     value: Option<Bytes>,
 }
@@ -82,6 +89,7 @@
     counter: u64,
     items: HashMap<&'static str, Item>,
     next_lease: u64,
+    engines: Vec<u64>,
 }
 
 #[derive(Default)]
@@ -95,10 +103,14 @@
     items: HashMap<&'static str, Item>,
     leases: HashMap<u64, Instant>,
     next_lease: u64,
-    holder_changes: Vec<HolderChange>,
+    /// The counters of the changes that added engines, besides the first one.
+    engines: Vec<u64>,
+    record_changes: Vec<RecordChange>,
     is_silent: bool,
     link_faults: HashMap<String, LinkFaults>,
     accepted_calls: Vec<AcceptedCall>,
+    /// How long a daemon's VM freezes when it next calls the platform.
+    freezes_at_call: HashMap<String, Duration>,
     /// The running daemons, by VM.
     gateways: HashMap<String, Weak<Gateway>>,
 }
@@ -139,9 +151,9 @@
         }
     }
 
-    fn source_record(&self, change: &HolderChange) -> SourceRecord {
+    fn source_record(&self, change: &RecordChange) -> SourceRecord {
         SourceRecord {
-            key: HOLDER.to_owned(),
+            key: change.key.clone(),
             revision: self.revision(change.counter),
             value: change.value.clone(),
         }
@@ -150,7 +162,8 @@
     fn write(&mut self, key: &'static str, value: Bytes, lease: Option<u64>) {
         let counter = self.counter;
         if key == HOLDER {
-            self.holder_changes.push(HolderChange {
+            self.record_changes.push(RecordChange {
+                key: HOLDER.to_owned(),
                 counter,
                 value: Some(value.clone()),
             });
@@ -169,7 +182,8 @@
         if self.items.get(HOLDER).is_some_and(is_attached) {
             self.items.remove(HOLDER);
             self.counter += 1;
-            self.holder_changes.push(HolderChange {
+            self.record_changes.push(RecordChange {
+                key: HOLDER.to_owned(),
                 counter: self.counter,
                 value: None,
             });
@@ -219,7 +233,8 @@
         self.items.retain(|_, item| item.lease.is_none());
         self.leases.clear();
         self.next_lease = copy.next_lease;
-        self.holder_changes.clear();
+        self.engines = copy.engines.clone();
+        self.record_changes.clear();
     }
 }
 
@@ -293,6 +308,26 @@
         self.on_changed();
     }
 
+    /// Adds an engine, so that the holder stores another need of engines.
+    pub fn add_engine(&self) {
+        self.execute(|state| {
+            state.counter += 1;
+            let counter = state.counter;
+            state.engines.push(counter);
+            state.record_changes.push(RecordChange {
+                key: engine_key(counter),
+                counter,
+                value: Some(Bytes::from_static(b"-")),
+            });
+        });
+    }
+
+    /// Freezes a daemon's VM when it next calls the platform, right before the call is sent: it is
+    /// sent when the VM resumes.
+    pub fn freeze_at_next_call(&self, vm: &str, time: Duration) {
+        self.lock().freezes_at_call.insert(vm.to_owned(), time);
+    }
+
     /// Makes a copy from which the store can come back.
     pub fn copy(&self) -> StoreCopy {
         let state = self.lock();
@@ -300,6 +335,7 @@
             counter: state.counter,
             items: state.items.clone(),
             next_lease: state.next_lease,
+            engines: state.engines.clone(),
         }
     }
 
@@ -320,6 +356,13 @@
         self.lock().link_faults.get(vm) == Some(&LinkFaults::suspended())
     }
 
+    /// Returns whether a daemon's reports of usage get no response.
+    pub fn are_report_answers_lost(&self, vm: &str) -> bool {
+        let state = self.lock();
+        let faults = state.link_faults.get(vm);
+        faults.is_some_and(|faults| faults.report_answers_lost)
+    }
+
     /// Returns the running daemon on a VM, if another daemon reaches it.
     pub fn gateway_for(&self, vm: &str, to: &str) -> Option<Arc<Gateway>> {
         if vm == to || self.is_suspended(vm) || self.is_suspended(to) {
@@ -339,11 +382,23 @@
         self.on_changed();
     }
 
+    fn accept(&self, call: AcceptedCall) {
+        let at = Instant::now();
+        self.lock().accepted_calls.push(AcceptedCall { at, ..call });
+    }
+
     /// Returns every call that the platform accepted, in order.
     pub fn accepted_calls(&self) -> Vec<AcceptedCall> {
         self.lock().accepted_calls.clone()
     }
 
+    /// Returns the submissions that the platform accepted, in order.
+    pub fn accepted_usage(&self) -> Vec<AcceptedCall> {
+        let state = self.lock();
+        let calls = state.accepted_calls.iter();
+        calls.filter(|call| call.usage.is_some()).cloned().collect()
+    }
+
     /// Returns when each window was first submitted, by the true time of day in milliseconds.
     pub fn first_submissions(&self) -> BTreeMap<u64, u64> {
         let mut submitted = BTreeMap::new();
@@ -452,18 +507,39 @@
 impl PlatformClient {
     /// Calls the platform.
     async fn accept(&self, credentials: &Credentials, usage: Option<WindowUsage>) {
-        sleep(CALL_DURATION / 2).await;
-        if self.faults().platform_cut {
-            return std::future::pending().await;
-        }
-        self.platform.lock().accepted_calls.push(AcceptedCall {
+        let call = AcceptedCall {
             at: Instant::now(),
             vm: self.vm.clone(),
             fence: credentials.fence.0,
             usage,
-        });
+        };
+        let freeze = self.platform.lock().freezes_at_call.remove(&self.vm);
+        if let Some(freeze) = freeze {
+            // The daemon's own timers end the call only after the VM has resumed and sent it.
+            tokio::spawn(self.clone().send_after_freeze(call, freeze));
+            return std::future::pending().await;
+        }
+        sleep(CALL_DURATION / 2).await;
+        let faults = self.faults();
+        if faults.platform_cut {
+            return std::future::pending().await;
+        }
+        if let Some(delay) = faults.platform_late {
+            sleep(delay).await;
+        }
+        self.platform.accept(call);
+        if faults.platform_answers_lost {
+            return std::future::pending().await;
+        }
         sleep(CALL_DURATION / 2).await;
     }
+
+    async fn send_after_freeze(self, call: AcceptedCall, freeze: Duration) {
+        self.platform.set_faults(&self.vm, LinkFaults::suspended());
+        sleep(freeze).await;
+        self.platform.set_faults(&self.vm, LinkFaults::default());
+        self.platform.accept(call);
+    }
 }
 
 impl DutyPlatform for PlatformClient {
@@ -516,12 +592,12 @@
     })
 }
 
-/// Returns the service's only engine.
-fn engine() -> EndpointRecord {
+/// Returns an engine of the service.
+fn engine(id: &str) -> EndpointRecord {
     EndpointRecord {
         started_at: None,
         sequence: None,
-        id: "e-1".into(),
+        id: id.into(),
         service: "model".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "dc-1".into(),
@@ -533,7 +609,11 @@
     }
 }
 
-/// Returns a record that exists from the beginning.
+fn engine_key(counter: u64) -> String {
+    format!("{ENGINE}-{counter}")
+}
+
+/// Returns a record with an empty value.
 fn first_record(key: &str, revision: Revision) -> SourceRecord {
     SourceRecord {
         key: key.to_owned(),
@@ -547,8 +627,9 @@
         self.call(|state| FullState {
             revision: state.revision(state.counter),
             records: state
-                .holder_changes
-                .last()
+                .record_changes
+                .iter()
+                .rfind(|change| change.key == HOLDER)
                 .filter(|change| change.value.is_some())
                 .map(|change| state.source_record(change))
                 .into_iter()
@@ -556,6 +637,11 @@
                     first_record(CONFIG, state.revision(1)),
                     first_record(ENGINE, state.revision(1)),
                 ])
+                .chain(
+                    state.engines.iter().map(|counter| {
+                        first_record(&engine_key(*counter), state.revision(*counter))
+                    }),
+                )
                 .collect(),
         })
         .await
@@ -571,7 +657,7 @@
                     if after.era() != SourceEra(state.era) || !known.contains(&after.counter()) {
                         return Err(SourceError::HistoryLost);
                     }
-                    let changes = state.holder_changes.iter();
+                    let changes = state.record_changes.iter();
                     let newer = changes.filter(|change| change.counter > after.counter());
                     Ok(Changes {
                         revision: state.revision(state.counter),
@@ -592,7 +678,7 @@
     fn decode(&self, record: &SourceRecord) -> Option<Change> {
         match record.key.as_str() {
             CONFIG => return Some(Change::Routing(Arc::new(table()))),
-            ENGINE => return Some(Change::Endpoint(engine())),
+            key if key.starts_with(ENGINE) => return Some(Change::Endpoint(engine(key))),
             _ => {}
         }
         Some(match &record.value {
