--- a/crates/gateway/tests/duties_events.rs
+++ b/crates/gateway/tests/duties_events.rs
@@ -296,6 +296,17 @@
         .collect()
 }
 
+/// Prints the seed if it ends with a panic.
+struct NamedSeed(u64);
+
+impl Drop for NamedSeed {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("seed {} broke a rule", self.0);
+        }
+    }
+}
+
 /// Runs all seeds of a search, and asserts that no window was submitted differently.
 fn search(faults: &Faults) {
     let seeds = std::env::var("DUTY_SEEDS").ok();
@@ -303,6 +314,7 @@
     let mut differing = Vec::new();
     let mut failed = 0;
     for seed in 0..seeds {
+        let _named = NamedSeed(seed);
         run_on_virtual_clock(async {
             let found = run_seed(seed, faults).await;
             failed += u64::from(!found.is_empty());
