fix(gateway): later full states of a copy count as the copy's, too

What callers saw (virtual stage, 12 requests each): after a return of the store from a copy, an evacuation that the copy lacks ended, or one that had ended began again, as soon as the daemon read another full state of the same era: [12, 0] for [0, 12] and the reverse. Cause: only the first full state after the return counted as one from a copy. A second one is read when the store has forgotten its history, or the daemon gets another upstream. Change: the revision of the first full state of the era is kept. Records up to it are the copy's in every full state; an evacuation ends by being unlisted only if it was known since. Endpoints that the copy lacks have their time in later full states as well, by the rule of outages.

--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -62,6 +62,20 @@
     }
 }
 
+/// A revision that is read and written without a lock; 0 at first.
+#[derive(Debug, Default)]
+pub(crate) struct AtomicRevision(AtomicU64);
+
+impl AtomicRevision {
+    pub(crate) fn get(&self) -> Revision {
+        Revision(self.0.load(Ordering::Acquire))
+    }
+
+    pub(crate) fn set(&self, revision: Revision) {
+        self.0.store(revision.0, Ordering::Release);
+    }
+}
+
 /// A decoded record.
 #[derive(Clone, Debug)]
 pub enum Change {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -21,7 +21,8 @@
 use crate::control::replica::Replica;
 use crate::control::routing_table::RoutingTable;
 use crate::control::source::{
-    Change, ChangeAt, Changes, ControlSource, FullState, Revision, SourceEra, SourceRecord,
+    AtomicRevision, Change, ChangeAt, Changes, ControlSource, FullState, Revision, SourceEra,
+    SourceRecord,
 };
 use crate::control::version_history::VersionHistory;
 use crate::decisions::admission::freshness::{Freshness, FreshnessPolicy};
@@ -54,6 +55,8 @@
     replica: Mutex<Replica>,
     registry: Mutex<EndpointRegistry>,
     evacuations: Mutex<Evacuations>,
+    /// The revision of the first full state after the newest return of the source from a copy.
+    restored_at: AtomicRevision,
     outage: Mutex<SourceOutage>,
     /// Counts applied changes and proofs.
     progress: watch::Sender<u64>,
@@ -74,6 +77,7 @@
             replica: Mutex::default(),
             registry: Mutex::default(),
             evacuations: Mutex::default(),
+            restored_at: AtomicRevision::default(),
             outage: Mutex::default(),
             progress: watch::Sender::new(0),
         }
@@ -206,7 +210,8 @@
     ///
     /// A source that came back from a copy may list what is older than this daemon's state. An older
     /// configuration and an endpoint that was leaving are recognised by their content; evacuations
-    /// stay as they are; endpoints that are missing have some time to write their records again.
+    /// stay as they are until an operator writes; endpoints that are missing have some time to write
+    /// their records again.
     pub fn replace(&self, source: &impl ControlSource, state: &FullState) -> bool {
         let proved_before = self.proved_at();
         let mut records = decode(source, &state.records);
@@ -218,22 +223,24 @@
             (is_from_copy, replica.replace(state))
         };
         if is_applied {
-            let mut removal = self.removal();
-            // What this daemon knows outweighs the copy.
             if is_from_copy {
                 event!(Event::SourceCameFromCopy, revision = state.revision);
-                removal = Removal::ExpiresAt(self.clock.now() + self.expired_record_grace_ms);
-                records.retain(|record| !self.is_ended_evacuation(&record.change));
+                self.restored_at.set(state.revision);
+                self.outage().on_restored(self.clock.now());
             }
+            let removal = self.removal();
+            // What this daemon knows outweighs the copy, in later full states of the same era, too.
+            let restored_at = self.restored_at.get();
+            records.retain(|record| {
+                record.revision > restored_at || !self.is_ended_evacuation(&record.change)
+            });
             let mut registry = self.registry();
             registry.remove_unlisted(&listed_endpoints(&records), state.revision, removal);
             if !names_duty_holder(&records) {
                 self.on_duty_holder_removed(state.revision);
             }
             self.apply_quarantine(Arc::default(), &records);
-            if !is_from_copy {
-                self.end_unlisted_evacuations(&registry, &records, state.revision);
-            }
+            self.end_unlisted_evacuations(&registry, &records, state.revision);
             self.apply_changes(&mut registry, records, removal, proved_before);
         }
         self.notify_progress();
@@ -333,8 +340,13 @@
     /// Returns how endpoints whose records are removed now are treated.
     fn removal(&self) -> Removal {
         let proof_age = self.proof_age();
-        let mut outage = self.outage.lock().expect("no panic under this lock");
-        outage.removal(self.clock.now(), proof_age, self.expired_record_grace_ms)
+        let now = self.clock.now();
+        self.outage()
+            .removal(now, proof_age, self.expired_record_grace_ms)
+    }
+
+    fn outage(&self) -> MutexGuard<'_, SourceOutage> {
+        self.outage.lock().expect("no panic under this lock")
     }
 
     fn apply_changes(
@@ -441,7 +453,10 @@
         revision: Revision,
     ) {
         let listed = evacuated_data_centres(records);
-        let over = self.evacuations().ended_in_full_state(&listed, revision);
+        let since = self.restored_at.get();
+        let over = self
+            .evacuations()
+            .ended_in_full_state(&listed, since, revision);
         for data_centre in over {
             self.end_evacuation(registry, &data_centre, revision);
         }
--- a/crates/gateway/src/decisions/eligibility/evacuation.rs
+++ b/crates/gateway/src/decisions/eligibility/evacuation.rs
@@ -12,7 +12,8 @@
 //! 3. If every data centre is evacuated, no endpoint is left and requests are refused, as the
 //!    operators asked. A daemon that is cut off acts on the records it knows until its
 //!    configuration is too old to serve by.
-//! 4. An older record never replaces a newer one, in whatever order they arrive.
+//! 4. An older record never replaces a newer one, in whatever order they arrive. A copy from which the
+//!    store came back is older than what the daemon knows: it neither begins nor ends an evacuation.
 //!
 //! Reason: operators cut power or network of a data centre that they have evacuated; requests sent
 //! there afterwards are lost.
@@ -62,15 +63,18 @@
     }
 
     /// Returns the evacuations that have ended according to a full state at `revision` that lists
-    /// `listed`.
+    /// `listed`. Those of `restored_at` or before may be missing in the copy from which the store came
+    /// back.
     pub fn ended_in_full_state(
         &self,
         listed: &HashSet<DataCentreId>,
+        restored_at: Revision,
         revision: Revision,
     ) -> Vec<DataCentreId> {
         let entries = self.by_data_centre.iter();
         let ended = entries.filter(|(data_centre, entry)| {
-            entry.is_evacuated && entry.revision <= revision && !listed.contains(*data_centre)
+            let is_known_since = entry.revision > restored_at && entry.revision <= revision;
+            entry.is_evacuated && is_known_since && !listed.contains(*data_centre)
         });
         ended.map(|(data_centre, _)| data_centre.clone()).collect()
     }
--- a/crates/gateway/src/decisions/replication/record_expiry.rs
+++ b/crates/gateway/src/decisions/replication/record_expiry.rs
@@ -7,8 +7,8 @@
 //! Inputs: the age of the newest proof (ms) when a record is gone, and how long an endpoint may be
 //! used without one (ms, `--drain-ms` less 300).
 //!
-//! Rule: if the source gave no proof for `OUTAGE_AFTER`, or such an outage ended less than
-//! `RECORD_RESTORE_TIME` ago, an endpoint whose record is gone is used a little longer, but not
+//! Rule: if the source gave no proof for `OUTAGE_AFTER`, or such an outage ended or the source came
+//! back from a copy less than `RECORD_RESTORE_TIME` ago, an endpoint whose record is gone is used a little longer, but not
 //! beyond `RECORD_RESTORE_TIME`; otherwise it is removed at once. One that had announced that it
 //! drains is always removed at once.
 //!
@@ -46,6 +46,11 @@
 }
 
 impl SourceOutage {
+    /// Records that the source has come back from a copy, which may lack records of running endpoints.
+    pub fn on_restored(&mut self, now: TimeMs) {
+        self.restore_until = now + RECORD_RESTORE_TIME;
+    }
+
     /// Returns how endpoints whose records are gone now are removed. `proof_age` is the age of the
     /// newest proof before the response without these records, `grace` how long they may be used.
     pub fn removal(
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -160,6 +160,40 @@
     assert_eq!(stage.request_counts().await, [REQUESTS, 0]);
 }
 
+/// Guards against the same at the next full state of the store's new era, which is read when the
+/// store has forgotten its history or a daemon gets another upstream: only the first one after the
+/// return counted as one from a copy.
+#[tokio::test]
+async fn a_later_full_state_of_the_copy_neither_ends_an_evacuation_nor_begins_one_again() {
+    let stage = start_stage(Duration::ZERO).await;
+    let source = &stage.running.source;
+    source.evacuate("dc-1");
+    wait_for_update().await;
+    let with = source.newest();
+    source.end_evacuation("dc-1");
+    wait_for_update().await;
+    source.restore_copy(with);
+    wait_for_update().await;
+    source.fail_once_with_history_lost();
+    wait_for_update().await;
+    assert_eq!(stage.request_counts().await, [REQUESTS, 0], "it has ended");
+}
+
+/// Guards against an evacuation that ends at such a later full state.
+#[tokio::test]
+async fn an_evacuation_that_a_copy_lacks_outlasts_a_later_full_state() {
+    let stage = start_stage(Duration::ZERO).await;
+    let source = &stage.running.source;
+    let without = source.newest();
+    source.evacuate("dc-1");
+    wait_for_update().await;
+    source.restore_copy(without);
+    wait_for_update().await;
+    source.fail_once_with_history_lost();
+    wait_for_update().await;
+    assert_eq!(stage.request_counts().await, [0, REQUESTS], "it goes on");
+}
+
 /// Guards against an unreadable record that begins or ends an evacuation.
 #[tokio::test]
 async fn an_unreadable_record_changes_nothing() {
@@ -191,12 +225,12 @@
     let no_records = HashSet::new();
     assert!(
         evacuations
-            .ended_in_full_state(&no_records, Revision(4))
+            .ended_in_full_state(&no_records, Revision(0), Revision(4))
             .is_empty()
     );
     assert_eq!(
         evacuations
-            .ended_in_full_state(&no_records, Revision(5))
+            .ended_in_full_state(&no_records, Revision(0), Revision(5))
             .len(),
         1
     );
--- a/crates/gateway/tests/store_from_copy.rs
+++ b/crates/gateway/tests/store_from_copy.rs
@@ -184,3 +184,39 @@
     assert_eq!(status(&old, "/second/x").await, 200);
     assert_eq!(status(&started, "/second/x").await, 200);
 }
+
+/// Guards against an endpoint that the copy lacks and that is dropped before it could write its record
+/// again: only the first full state after the return left it that time.
+#[tokio::test]
+async fn an_endpoint_that_a_copy_lacks_outlasts_a_later_full_state() {
+    for is_history_lost in [false, true] {
+        let source = ScriptedSource::new();
+        source.publish_configuration(1, routes(&["first"]), &[KEY]);
+        let mut endpoints = Vec::new();
+        for _ in 0..2 {
+            endpoints.push(Endpoint::start(|_| fine()).await);
+        }
+        source.publish_endpoint("e-0", "plain", endpoints[0].address);
+        let drill = Drill {
+            copy: source.newest(),
+            source,
+            endpoints,
+        };
+        let daemon = start(drill.source.clone()).await;
+        let address = drill.endpoints[1].address;
+        drill.source.publish_endpoint("e-1", "plain", address);
+        sleep(Duration::from_millis(500)).await;
+        drill.source.restore_copy(drill.copy);
+        sleep(Duration::from_millis(200)).await;
+        let reads_before = drill.source.full_reads();
+        if is_history_lost {
+            drill.source.fail_once_with_history_lost();
+        }
+        // Less than the grace period of 600 ms after the return.
+        sleep(Duration::from_millis(250)).await;
+        let reads = drill.source.full_reads() - reads_before;
+        assert_eq!(reads, usize::from(is_history_lost));
+        let at_first = drill.requests_at_first_endpoint(&daemon).await;
+        assert!(at_first < 12, "all at the first one; {is_history_lost}");
+    }
+}
