feat(soak): only a holder that is lost in a return excuses a missing window

The loss of any daemon while the store came back excused all windows that were open then. The holder is now read from the store, or is the daemon that made the newest duty call while the store names none, and a window that is missing beside the loss of another daemon is found.

--- a/crates/soak/src/copy_checks.rs
+++ b/crates/soak/src/copy_checks.rs
@@ -39,6 +39,15 @@
     }
 }
 
+/// A time in which a daemon was killed, stopped, paused or cut off from the store, until it was back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Loss {
+    /// The time.
+    pub span: Span,
+    /// Whether it was the holder of the duties when the time began.
+    pub is_holder: bool,
+}
+
 /// A request that a worker began, at its first worker if there were several.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BegunRequest {
@@ -57,9 +66,8 @@
     pub begun: Vec<BegunRequest>,
     /// The times in which the store was away before it came back from a copy.
     pub returns: Vec<Span>,
-    /// The times in which daemons were killed, stopped, paused or cut off from the store, until they
-    /// were back.
-    pub losses: Vec<Span>,
+    /// The daemons that were lost.
+    pub losses: Vec<Loss>,
     /// The times in which writes were late.
     pub late_writes: Vec<Span>,
     /// The start and end of the calls.
@@ -135,7 +143,7 @@
         /// The number that workers began.
         begun: usize,
     },
-    /// A window wasn't submitted in time, though no daemon was lost in a return meanwhile.
+    /// A window wasn't submitted in time, though the holder wasn't lost in a return meanwhile.
     #[display("window {window} ({span}) wasn't submitted in time: {cause}")]
     WindowMissed {
         /// The window.
@@ -166,9 +174,12 @@
     /// A daemon was lost, and the store didn't come back from a copy.
     #[display("a lost daemon, no return")]
     Loss,
-    /// A daemon was lost while the store came back: the window may be missing.
-    #[display("a daemon lost in a return")]
-    LossInReturn,
+    /// A daemon that wasn't the holder was lost while the store came back.
+    #[display("another daemon than the holder lost in a return")]
+    OtherLossInReturn,
+    /// The holder was lost while the store came back: the window may be missing.
+    #[display("the holder lost in a return")]
+    HolderLossInReturn,
     /// The store was away, or a new holder had to wait, for almost all of the time: the window may be
     /// missing.
     #[display("no time left")]
@@ -178,7 +189,7 @@
 impl MissCause {
     /// Returns whether the window may be missing.
     pub fn is_allowed(self) -> bool {
-        matches!(self, Self::LossInReturn | Self::NoTime)
+        matches!(self, Self::HolderLossInReturn | Self::NoTime)
     }
 }
 
@@ -240,10 +251,14 @@
             from: span.from,
             to: span.to + LATE,
         };
-        let overlaps = |spans: &[Span]| spans.iter().any(|other| other.overlaps(open));
-        match (overlaps(&self.returns), overlaps(&self.losses)) {
-            (true, true) => MissCause::LossInReturn,
-            _ if self.time_left(open.to) < SUBMIT_TIME => MissCause::NoTime,
+        let has_return = self.returns.iter().any(|span| span.overlaps(open));
+        let has_time = self.time_left(open.to) >= SUBMIT_TIME;
+        let mut losses = self.losses.iter().filter(|loss| loss.span.overlaps(open));
+        let has_holder_loss = losses.clone().any(|loss| loss.is_holder);
+        match (has_return, losses.next().is_some()) {
+            (true, _) if has_holder_loss => MissCause::HolderLossInReturn,
+            _ if !has_time => MissCause::NoTime,
+            (true, true) => MissCause::OtherLossInReturn,
             (true, false) => MissCause::PlainReturn,
             (false, true) => MissCause::Loss,
             (false, false) => MissCause::Nothing,
@@ -276,7 +291,7 @@
             from: span.from,
             to: span.to + LATE,
         };
-        self.losses.iter().any(|loss| loss.overlaps(open))
+        self.losses.iter().any(|loss| loss.span.overlaps(open))
     }
 }
 
--- a/crates/soak/src/copy_environment.rs
+++ b/crates/soak/src/copy_environment.rs
@@ -7,8 +7,8 @@
 use crate::options::SoakOptions;
 use crate::processes::{DaemonProcess, DaemonSettings};
 use bridgevane_platform_emulator::{
-    CONFIG_KEY, EmulatedDutyApi, EmulatedStore, MODEL, PLAIN, StoreCopy, Worker, allow_orders,
-    document_with_customers,
+    CONFIG_KEY, EmulatedDutyApi, EmulatedStore, HOLDER_KEY, MODEL, PLAIN, StoreCopy, Worker,
+    allow_orders, document_with_customers,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -110,20 +110,36 @@
         }
     }
 
-    /// Returns the daemon that a trouble strikes; the first one before any duty call.
+    /// Returns the daemon that a trouble strikes; the first one if there has never been a holder.
     pub(crate) fn target(&self, target: Target) -> usize {
-        let holder = || {
-            let calls = self.duties.calls();
-            let name = &calls.last()?.holder;
-            let mut daemons = self.daemons.iter();
-            daemons.position(|daemon| daemon.settings.name == *name)
-        };
         match target {
-            Target::Holder => holder().unwrap_or_default(),
+            Target::Holder => self.holder().unwrap_or_default(),
             Target::Daemon(at) => at,
         }
     }
 
+    /// Returns the holder of the duties: the daemon that the store names, or the one that made the newest
+    /// duty call while the store names none.
+    pub(crate) fn holder(&self) -> Option<usize> {
+        let stored = self.store.value(HOLDER_KEY);
+        let named = stored.and_then(|value| self.daemon_named_in(&value));
+        named.or_else(|| {
+            let calls = self.duties.calls();
+            self.daemon_named_in(calls.last()?.holder.as_bytes())
+        })
+    }
+
+    /// Returns the daemon whose name a value contains; of several, that with the longest name.
+    fn daemon_named_in(&self, value: &[u8]) -> Option<usize> {
+        let name = |daemon: usize| self.daemons[daemon].settings.name.as_bytes();
+        let is_named = |daemon: &usize| {
+            let name = name(*daemon);
+            value.windows(name.len()).any(|part| part == name)
+        };
+        let named = (0..self.daemons.len()).filter(is_named);
+        named.max_by_key(|daemon| name(*daemon).len())
+    }
+
     pub(crate) fn set_store_path(&self, daemon: usize, state: PathState) {
         self.store_paths[daemon].set(state);
     }
--- a/crates/soak/src/copy_plan.rs
+++ b/crates/soak/src/copy_plan.rs
@@ -45,7 +45,7 @@
 /// The daemon that a trouble strikes.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Target {
-    /// The daemon that made the newest duty call.
+    /// The holder of the duties.
     #[display("the holder")]
     Holder,
     /// A daemon, whatever it does.
--- a/crates/soak/src/copy_run.rs
+++ b/crates/soak/src/copy_run.rs
@@ -3,7 +3,7 @@
 
 use crate::callers::{self, CallPace, Calls};
 use crate::copy_checks::{
-    BegunRequest, CopyHistory, CopyViolation, MissCause, Span, find_copy_violations,
+    BegunRequest, CopyHistory, CopyViolation, Loss, MissCause, Span, find_copy_violations,
 };
 use crate::copy_environment::{CopyEnvironment, rewrite};
 use crate::copy_plan::{CopyPlan, StoreReturn, Trouble, TroubleEvent};
@@ -63,8 +63,8 @@
         let history = &self.history;
         format!(
             "seed {}: {} requests began, {} duty calls, {} returns, {} troubles; {} rules broken; {} windows, \
-             missed windows: {} undisturbed, {} in plain returns, {} with a lost daemon; {} allowed with one \
-             lost in a return, {} without time",
+             missed windows: {} undisturbed, {} in plain returns, {} with a lost daemon, {} with another \
+             than the holder lost in a return; {} allowed with the holder lost in a return, {} without time",
             self.plan.seed,
             history.begun.len(),
             history.calls.len(),
@@ -75,7 +75,8 @@
             self.missed(MissCause::Nothing),
             self.missed(MissCause::PlainReturn),
             self.missed(MissCause::Loss),
-            self.missed(MissCause::LossInReturn),
+            self.missed(MissCause::OtherLossInReturn),
+            self.missed(MissCause::HolderLossInReturn),
             self.missed(MissCause::NoTime),
         )
     }
@@ -85,7 +86,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Effect {
     Return(Span),
-    Loss(Span),
+    Loss(Loss),
     LateWrites(Span),
     None,
 }
@@ -183,9 +184,13 @@
     async fn make_trouble(self, event: TroubleEvent) -> Result<Effect, std::io::Error> {
         sleep_until(self.started + event.at).await;
         let from = self.wall();
-        let target = match event.trouble.target() {
-            Some(target) => self.environment.lock().await.target(target),
-            None => 0,
+        let (target, is_holder) = match event.trouble.target() {
+            Some(target) => {
+                let environment = self.environment.lock().await;
+                let target = environment.target(target);
+                (target, environment.holder() == Some(target))
+            }
+            None => (0, false),
         };
         match event.trouble {
             Trouble::Kill(_) => self.kill(target, event.lasts).await?,
@@ -215,7 +220,7 @@
         };
         Ok(match event.trouble {
             Trouble::LateWrites => Effect::LateWrites(span),
-            trouble if trouble.target().is_some() => Effect::Loss(span),
+            trouble if trouble.target().is_some() => Effect::Loss(Loss { span, is_holder }),
             _ => Effect::None,
         })
     }
@@ -282,7 +287,7 @@
         for effect in effects {
             match effect {
                 Effect::Return(span) => history.returns.push(*span),
-                Effect::Loss(span) => history.losses.push(*span),
+                Effect::Loss(loss) => history.losses.push(*loss),
                 Effect::LateWrites(span) => history.late_writes.push(*span),
                 Effect::None => {}
             }
--- a/crates/soak/tests/store_copies.rs
+++ b/crates/soak/tests/store_copies.rs
@@ -3,8 +3,8 @@
 
 use bridgevane_platform_emulator::{DutyCall, DutyRequest, ScalingOrder, SubmittedUsage};
 use bridgevane_soak::copy_checks::{
-    BegunRequest, CopyHistory, CopyViolation, LATE, MissCause, Span, WINDOW, find_copy_violations,
-    window_span,
+    BegunRequest, CopyHistory, CopyViolation, LATE, Loss, MissCause, Span, WINDOW,
+    find_copy_violations, window_span,
 };
 use bridgevane_soak::copy_plan::{CopyPlan, Target, Trouble};
 use std::collections::BTreeMap;
@@ -63,6 +63,13 @@
     }
 }
 
+fn loss(from: Duration, is_holder: bool) -> Loss {
+    Loss {
+        span: span(from, 1_000),
+        is_holder,
+    }
+}
+
 /// Returns the record of a run in which one holder reports all that workers began.
 fn history() -> CopyHistory {
     let windows = FIRST..FIRST + WINDOWS;
@@ -169,7 +176,7 @@
 fn more_requests_than_workers_began_are_found() {
     let mut wrong = history();
     wrong.calls[2] = report(usual(FIRST + 2), "vm-0", 7, FIRST + 2, REQUESTS + 6);
-    wrong.losses = vec![span(window_span(FIRST + 2).from, 1_000)];
+    wrong.losses = vec![loss(window_span(FIRST + 2).from, false)];
     let found = find_copy_violations(&wrong);
     assert!(
         matches!(&found[..], [CopyViolation::CountedTooMany { customer, begun, .. }]
@@ -189,7 +196,7 @@
         matches!(&found[..], [CopyViolation::CountedTooFew { window, .. }] if *window == FIRST + 2),
         "{found:?}"
     );
-    wrong.losses = vec![span(window_span(FIRST + 2).from, 1_000)];
+    wrong.losses = vec![loss(window_span(FIRST + 2).from, false)];
     assert_eq!(find_copy_violations(&wrong), []);
 }
 
@@ -205,28 +212,30 @@
     }
 }
 
-/// Guards against a window that is never submitted: only a daemon that is lost in a return excuses the
+/// Guards against a window that is never submitted: only a holder that is lost in a return excuses the
 /// windows that were open then.
 #[test]
-fn a_window_that_is_missing_is_found_unless_a_daemon_was_lost_in_a_return() {
+fn a_window_that_is_missing_is_found_unless_the_holder_was_lost_in_a_return() {
     let from = window_span(FIRST + 3).from;
-    let (back, loss) = (span(from, 1_000), span(from, 500));
+    let back = span(from, 1_000);
     let mut without = history();
     without.calls.remove(3);
     assert_eq!(missed(&without), Some(MissCause::Nothing));
     without.returns = vec![back];
     assert_eq!(missed(&without), Some(MissCause::PlainReturn));
-    without.losses = vec![loss];
+    without.losses = vec![loss(from, false)];
+    assert_eq!(missed(&without), Some(MissCause::OtherLossInReturn));
+    without.losses.push(loss(from, true));
     assert_eq!(missed(&without), None);
     assert_eq!(
         without.missed_windows(),
-        [(FIRST + 3, MissCause::LossInReturn)]
+        [(FIRST + 3, MissCause::HolderLossInReturn)]
     );
     without.returns.clear();
     assert_eq!(missed(&without), Some(MissCause::Loss));
     // A loss and a return before the window began don't excuse it.
     without.returns = vec![span(from - WINDOW, 1_000)];
-    without.losses = vec![span(from - WINDOW, 1_000)];
+    without.losses = vec![loss(from - WINDOW, true)];
     assert_eq!(missed(&without), Some(MissCause::Nothing));
 }
 
