fix(soak): the keys of operator and workers are named in the emulator alone

`tests/platform_names.rs` failed ("servers/ in crates/soak/src/copy_environment.rs"): a copy of the store now tells itself which records operator and workers write again.

--- a/crates/soak/src/copy_environment.rs
+++ b/crates/soak/src/copy_environment.rs
@@ -153,10 +153,8 @@
 /// Lets operator and workers write again, shortly after a return, what a copy has of them.
 pub(crate) async fn rewrite(store: &EmulatedStore, copy: &StoreCopy) {
     sleep(REWRITE_DELAY).await;
-    for prefix in ["op/", "servers/"] {
-        for (key, value) in copy.values(prefix) {
-            store.put(&key, &value);
-        }
+    for (key, value) in copy.records() {
+        store.put(&key, &value);
     }
 }
 
