--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -77,7 +77,17 @@
     }
 }
 
+/// What the platform had at one moment, from which it can come back.
+#[derive(Clone)]
+struct PlatformCopy {
+    keys: HashMap<String, Stored>,
+    next_lease: u64,
+    revision: KvRevision,
+}
+
 struct Platform {
+    /// The latest copy.
+    copy: Option<PlatformCopy>,
     keys: HashMap<String, Stored>,
     leases: HashMap<LeaseId, Lease>,
     next_lease: u64,
@@ -146,6 +156,7 @@
     /// Creates an empty platform.
     pub fn new(settings: PlatformSettings) -> Self {
         let platform = Platform {
+            copy: None,
             keys: HashMap::new(),
             leases: HashMap::new(),
             next_lease: 0,
@@ -176,6 +187,8 @@
             .route("/standin/fault", post(set_fault))
             .route("/standin/vms", post(set_vms))
             .route("/standin/use", post(read_use))
+            .route("/standin/copy", post(make_copy))
+            .route("/standin/restore", post(restore))
             .with_state(self.clone())
     }
 
@@ -210,6 +223,32 @@
         self.lock().vms = vms;
     }
 
+    /// Makes a copy from which the platform can come back.
+    pub fn make_copy(&self) {
+        let mut platform = self.lock();
+        platform.copy = Some(PlatformCopy {
+            keys: platform.keys.clone(),
+            next_lease: platform.next_lease,
+            revision: platform.revision,
+        });
+    }
+
+    /// Takes the place of the platform's state with its copy: what was written since is gone, all
+    /// leases too, and revisions and lease numbers are given out again.
+    pub fn restore(&self) {
+        let mut platform = self.lock();
+        let Some(copy) = platform.copy.clone() else {
+            return;
+        };
+        platform.keys = copy.keys;
+        platform.keys.retain(|_, stored| stored.lease.is_none());
+        platform.leases.clear();
+        platform.next_lease = copy.next_lease;
+        platform.revision = copy.revision;
+        drop(platform);
+        self.changed.notify_waiters();
+    }
+
     /// Returns the number of calls in the busiest second so far.
     pub fn peak_use(&self) -> PlatformUse {
         let platform = self.lock();
@@ -391,6 +430,14 @@
     standin.set_fault(fault);
 }
 
+async fn make_copy(State(standin): State<PlatformStandin>) {
+    standin.make_copy();
+}
+
+async fn restore(State(standin): State<PlatformStandin>) {
+    standin.restore();
+}
+
 async fn set_vms(State(standin): State<PlatformStandin>, Json(vms): Json<Vec<VmEntry>>) {
     standin.set_vms(vms);
 }
