--- a/crates/gateway/src/decisions/duties/duty_state.rs
+++ b/crates/gateway/src/decisions/duties/duty_state.rs
@@ -5,7 +5,7 @@
 //! holder, submits the same counts again (the platform ignores an exact repeat), and continues with
 //! the next window. So two holders never submit different counts for one window, whether the first
 //! one's calls succeeded or not. A state that the store has from a copy isn't the newest one; the
-//! era in it shows that ([`super::succession`]).
+//! era in it shows that ([`super::succession`]). The whole argument: docs/design/30.
 //!
 //! Tests: `duties_usage.rs`, `duties_search.rs`.
 
--- a/crates/gateway/src/decisions/duties/mod.rs
+++ b/crates/gateway/src/decisions/duties/mod.rs
@@ -14,7 +14,7 @@
 //! | which order is placed next? | [`engine_orders`] |
 //!
 //! Daemons agree on nothing among themselves: the platform's store decides which one holds the
-//! duties, by a key under a lease (docs/design/16).
+//! duties, by a key under a lease (docs/design/16). Why no two reports of a window differ: docs/design/30.
 
 pub mod duty_state;
 pub mod engine_need;
--- a/crates/gateway/src/decisions/duties/succession.rs
+++ b/crates/gateway/src/decisions/duties/succession.rs
@@ -22,6 +22,8 @@
 //!    earlier era may still act by its own clock, for the rest of its lease.
 //! 5. A store without a state that never came back from a copy is that of a new fleet.
 //!
+//! The whole argument: docs/design/30.
+//!
 //! Tests: `duties_succession.rs` (rules), `duties_store_from_copy.rs` (daemons and returns).
 
 use super::duty_state::DutyState;
--- a/crates/gateway/src/decisions/duties/unreported_usage.rs
+++ b/crates/gateway/src/decisions/duties/unreported_usage.rs
@@ -7,6 +7,8 @@
 //! session, which knows no counts and doesn't accept such a report. Then, and after a report that
 //! isn't acknowledged, the next one has all windows.
 //!
+//! The whole argument: docs/design/30.
+//!
 //! Tests: `duties_usage.rs`, `duties_store_from_copy.rs`.
 
 use super::usage_collection::{DaemonIncarnation, UsageReport};
