--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -53,6 +53,8 @@
     proved_at: AtomicTime,
     versions: VersionHistory,
     replica: Mutex<Replica>,
+    /// The replica's revision, for readers that take no lock.
+    complete_to: AtomicRevision,
     registry: Mutex<EndpointRegistry>,
     evacuations: Mutex<Evacuations>,
     /// The revision of the first full state after the newest return of the source from a copy.
@@ -75,6 +77,7 @@
             proved_at: AtomicTime::default(),
             versions: VersionHistory::new(clock, settings),
             replica: Mutex::default(),
+            complete_to: AtomicRevision::default(),
             registry: Mutex::default(),
             evacuations: Mutex::default(),
             restored_at: AtomicRevision::default(),
@@ -149,6 +152,11 @@
         Some(self.clock.now().since(proved_at))
     }
 
+    /// Returns the revision up to which the replica was complete after the newest change; takes no lock.
+    pub(crate) fn complete_to(&self) -> Revision {
+        self.complete_to.get()
+    }
+
     /// Returns the era of the replica.
     pub(crate) fn source_era(&self) -> SourceEra {
         self.replica().revision().era()
@@ -196,7 +204,12 @@
     /// Applies changes.
     pub fn apply(&self, source: &impl ControlSource, changes: Changes) {
         let proved_before = self.proved_at();
-        let new_records = self.replica().apply(changes);
+        let new_records = {
+            let mut replica = self.replica();
+            let new_records = replica.apply(changes);
+            self.complete_to.set(replica.revision());
+            new_records
+        };
         let removal = self.removal();
         let changes = decode(source, &new_records);
         if !changes.is_empty() {
@@ -220,7 +233,9 @@
             let mut replica = self.replica();
             let before = replica.revision();
             let is_from_copy = before > Revision(0) && state.revision.era() > before.era();
-            (is_from_copy, replica.replace(state))
+            let is_applied = replica.replace(state);
+            self.complete_to.set(replica.revision());
+            (is_from_copy, is_applied)
         };
         if is_applied {
             if is_from_copy {
--- a/crates/gateway/src/requests/handler.rs
+++ b/crates/gateway/src/requests/handler.rs
@@ -252,6 +252,7 @@
         // -1 means no proof yet.
         proof_age_ms = proof_age.map_or(-1, |age| age.0 as i64),
         // 0 means no configuration yet.
-        version = table.map_or(0, |table| table.version().0)
+        version = table.map_or(0, |table| table.version().0),
+        revision = gateway.control.complete_to()
     );
 }
