--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -3,9 +3,9 @@
 
 use crate::confirmed_versions::{ConfirmedVersions, ProbeKind};
 use bridgevane_platform_emulator::{
-    CONFIG_KEY, EmulatedStore, PLAIN, document_with_customers, keyed_request,
+    CONFIG_KEY, EmulatedStore, add_plain_routes, document_with_customers, keyed_request,
 };
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -100,20 +100,11 @@
     let mut keys: Vec<&str> = keys.iter().map(String::as_str).collect();
     keys.push(PERMANENT_KEY);
     let mut document = document_with_customers(version, &[("customer", &keys)]);
-    if let Some(routes) = document["routes"].as_array_mut() {
-        routes.extend(numbers.iter().map(|number| route(&route_name(*number))));
-    }
+    let routes: Vec<String> = numbers.iter().map(|number| route_name(*number)).collect();
+    add_plain_routes(&mut document, &routes);
     document
 }
 
-fn route(name: &str) -> Value {
-    json!({
-        "name": name, "host": "h.example", "pathPrefix": format!("/{name}/"), "kind": "idempotent",
-        "timeoutMs": 2000, "sloMs": 1000, "priority": 1, "service": PLAIN, "maxAttempts": 2,
-        "public": false, "affinity": false, "resumable": false,
-    })
-}
-
 fn key(number: u64) -> String {
     format!("rotating-key-{number}")
 }
