fix(gateway): a daemon in doubt about an older copy neither denies nor serves by it

Callers saw: routes and keys that the store had acknowledged were answered with 404 and 401, and removed ones were served, by daemons that started around a return of the store from an older copy; daemons that lived through it denied what was confirmed right before it, until the operator wrote again.

Cause: a proof says that a state is as new as the store's. After a return the store itself lacks what it had confirmed, so a proof of the copy says nothing about it: absence of evidence taken for evidence.

Change: a state has a completeness beside the age of its proof (docs/design/31): complete, witnessed, or unwitnessed. It rises by the word of another daemon of the same era whose configuration isn't newer, by the operator's first write in the era, or after 8 s. Polls and answers between daemons carry it. In era 0 nothing changes.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -9,6 +9,7 @@
 //! | holder of the duties | only [`crate::replication::follow`] | the tasks of the duties, without locks |
 //! | software versions that served lately | [`crate::replication`] | requests, one short lock |
 //! | requests under quarantine | only [`crate::replication::follow`] | requests, without locks (read-copy-update) |
+//! | what is known of the source's era | [`crate::replication`] | requests, without locks (read-copy-update) |
 //! | replica | only [`crate::replication::follow`] | daemons that follow this one, under a lock |
 //! | endpoint registry, evacuations, last outage | only [`crate::replication::follow`] | only the writer, under locks |
 //!
@@ -27,6 +28,7 @@
 use crate::control::version_history::VersionHistory;
 use crate::decisions::admission::freshness::{Freshness, FreshnessPolicy};
 use crate::decisions::eligibility::evacuation::Evacuations;
+use crate::decisions::replication::completeness::{Completeness, EraKnowledge};
 use crate::decisions::replication::record_expiry::{Removal, SourceOutage};
 use crate::endpoints::directory::Directory;
 use crate::settings::GatewaySettings;
@@ -38,7 +40,16 @@
 use std::borrow::Cow;
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
+
+/// A daemon's state as it is reported to others.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StateReport {
+    /// The revision up to which it is complete at the source.
+    pub(crate) at: Revision,
+    pub(crate) completeness: Completeness,
+    pub(crate) config_version: ConfigVersion,
+}
 
 /// The state that comes from the control source.
 #[derive(Debug)]
@@ -51,6 +62,9 @@
     duty_holder: ArcSwap<HolderEntry>,
     quarantined: ArcSwap<HashSet<CrashSuspect>>,
     proved_at: AtomicTime,
+    era_knowledge: ArcSwap<EraKnowledge>,
+    /// Wakes a task when a state may be incomplete.
+    doubt_began: Notify,
     versions: VersionHistory,
     replica: Mutex<Replica>,
     /// The replica's revision, for readers that take no lock.
@@ -75,6 +89,8 @@
             duty_holder: ArcSwap::default(),
             quarantined: ArcSwap::default(),
             proved_at: AtomicTime::default(),
+            era_knowledge: ArcSwap::default(),
+            doubt_began: Notify::new(),
             versions: VersionHistory::new(clock, settings),
             replica: Mutex::default(),
             complete_to: AtomicRevision::default(),
@@ -162,9 +178,45 @@
         self.replica().revision().era()
     }
 
-    /// Returns how recent the configuration is.
+    /// Returns what the configuration may be used for.
     pub(crate) fn freshness(&self) -> Freshness {
-        self.freshness_policy.freshness(self.proof_age())
+        self.freshness_policy
+            .freshness(self.proof_age(), self.completeness())
+    }
+
+    /// Returns how complete the state is.
+    pub(crate) fn completeness(&self) -> Completeness {
+        self.era_knowledge.load().completeness(self.clock.now())
+    }
+
+    /// Waits until the state may be incomplete after a return of the source from a copy.
+    pub(crate) async fn wait_for_doubt(&self) {
+        self.doubt_began.notified().await;
+    }
+
+    /// Returns this daemon's state for other daemons.
+    pub(crate) fn state_report(&self) -> StateReport {
+        StateReport {
+            at: self.complete_to(),
+            completeness: self.completeness(),
+            config_version: self.config_version(),
+        }
+    }
+
+    /// Applies another daemon's report of its state. A daemon of another era knows nothing of this one,
+    /// and one with a newer configuration knows more than this daemon.
+    pub(crate) fn on_state_report(&self, report: StateReport) {
+        let is_as_new = report.config_version <= self.config_version();
+        if report.at.era() == self.complete_to().era() && is_as_new {
+            self.update_era_knowledge(|known| known.after_report(report.completeness));
+        }
+    }
+
+    fn update_era_knowledge(&self, update: impl Fn(EraKnowledge) -> EraKnowledge) {
+        let before = self.era_knowledge.rcu(|known| update(**known));
+        if **self.era_knowledge.load() != *before {
+            self.notify_progress();
+        }
     }
 
     /// Returns the software versions that served lately.
@@ -238,6 +290,14 @@
             (is_from_copy, is_applied)
         };
         if is_applied {
+            let proof_age = proved_before.map(|proved_at| self.clock.now().since(proved_at));
+            self.update_era_knowledge(|known| {
+                let proof_lifetime = self.freshness_policy.proof_lifetime_ms;
+                known.after_full_state(self.clock.now(), state.revision, proof_age, proof_lifetime)
+            });
+            if self.completeness() < Completeness::Complete {
+                self.doubt_began.notify_one();
+            }
             if is_from_copy {
                 event!(Event::SourceCameFromCopy, revision = state.revision);
                 self.restored_at.set(state.revision);
@@ -375,7 +435,13 @@
         registry.begin_batch();
         for ChangeAt { revision, change } in changes {
             match change {
-                Change::Routing(table) => self.activate(table, revision),
+                Change::Routing(table) => {
+                    let (written, active) = (table.version(), self.config_version());
+                    self.update_era_knowledge(|known| {
+                        known.after_operator_write(revision, written, active)
+                    });
+                    self.activate(table, revision);
+                }
                 Change::Endpoint(record) => {
                     registry.upsert(record, revision, self.clock.now());
                 }
--- a/crates/gateway/src/decisions/admission/freshness.rs
+++ b/crates/gateway/src/decisions/admission/freshness.rs
@@ -1,16 +1,21 @@
-//! Freshness: how old the configuration may be that is used to forward requests.
+//! Freshness: whether a configuration may be used to forward requests and to deny them.
 //!
-//! Inputs: the age of the newest proof (ms), and the operator's [`FreshnessPolicy`]: how long a
-//! proof is valid (ms, `--key-removal-ms` less 300), and up to which age a stale configuration may
-//! be used (ms, `--max-stale-s`; only with `--strict-key-removal false`). A proof is an answer of
-//! the control source. Its age counts from the time of the *request* for it, so that the time the
-//! answer took is included; it keeps its age when it is passed on between daemons.
+//! Inputs: the age of the newest proof (ms), the operator's [`FreshnessPolicy`]: how long a proof is
+//! valid (ms, `--key-removal-ms` less 300), and up to which age a stale configuration may be used
+//! (ms, `--max-stale-s`; only with `--strict-key-removal false`), and the [`Completeness`] of the
+//! state. A proof is an answer of the control source. Its age counts from the time of the *request*
+//! for it, so that the time the answer took is included; it keeps its age when it is passed on
+//! between daemons.
 //!
 //! Rules:
-//! - The configuration is current while the age is below the lifetime of a proof, then stale, then
+//! - The configuration is recent while the age is below the lifetime of a proof, then stale, then
 //!   too old. Without a proof it counts as too old.
-//! - A stale configuration lets a request pass, but can't decide that a key or a route is unknown:
-//!   401 and 404 are final for a client, so they need a current one; without it the answer is 503.
+//! - A recent configuration is current if its state is complete, and may then decide everything.
+//! - A stale or witnessed configuration lets a request pass, but can't decide that a key or a route is
+//!   unknown: 401 and 404 are final for a client, so they need a current one; without it the answer
+//!   is 503.
+//! - An unwitnessed configuration decides nothing: it may have keys that were removed. It counts as
+//!   stale where the operator allows a stale one.
 //! - A daemon that has just started has no proof yet, and its first one will arrive shortly: a
 //!   request waits for it for a short time, since its client may retry only once.
 //!
@@ -20,8 +25,9 @@
 //! In the two seconds after all daemons were killed, waiting for the first proof lowered the number
 //! of refused requests from about 440 to 105 of about 1,000.
 //!
-//! Tests: `admission.rs::a_proof_ages_until_serving_ends`, `freshness.rs`.
+//! Tests: `admission.rs::a_proof_ages_until_serving_ends`, `completeness.rs`, `freshness.rs`.
 
+use crate::decisions::replication::completeness::Completeness;
 use bridgevane_types::DurationMs;
 
 /// The longest time that a request waits for a daemon that is starting. First configurations
@@ -42,24 +48,35 @@
     pub max_stale_age_ms: DurationMs,
 }
 
-/// How recent the configuration is.
+/// What the configuration may be used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
-    /// It was proved to be the newest within the lifetime of a proof.
+    /// It was proved to be the newest within the lifetime of a proof, and lacks nothing.
     Current,
+    /// It is recent, and this daemon or another one knew it when the source came back from a copy.
+    Witnessed,
     /// It may have been replaced, and the operator allows its use.
     Stale,
+    /// It is recent, but comes from a copy, and may not be used.
+    Unwitnessed,
     /// It may not be used, or there is none.
     TooOld,
 }
 
 impl FreshnessPolicy {
-    /// Returns the freshness of a configuration whose newest proof has this age; `None` if there is
-    /// no proof.
-    pub fn freshness(self, proof_age: Option<DurationMs>) -> Freshness {
-        match proof_age {
-            Some(age) if age < self.proof_lifetime_ms => Freshness::Current,
-            Some(age) if age < self.max_stale_age_ms => Freshness::Stale,
+    /// Returns the freshness of a configuration whose newest proof has this age (`None` if there is no
+    /// proof), and whose state is this complete.
+    pub fn freshness(self, proof_age: Option<DurationMs>, completeness: Completeness) -> Freshness {
+        let allows_stale = self.max_stale_age_ms > self.proof_lifetime_ms;
+        match (proof_age, completeness) {
+            (Some(age), Completeness::Complete) if age < self.proof_lifetime_ms => {
+                Freshness::Current
+            }
+            (Some(age), Completeness::Witnessed) if age < self.proof_lifetime_ms => {
+                Freshness::Witnessed
+            }
+            (Some(age), _) if age < self.max_stale_age_ms && allows_stale => Freshness::Stale,
+            (Some(age), _) if age < self.proof_lifetime_ms => Freshness::Unwitnessed,
             _ => Freshness::TooOld,
         }
     }
@@ -68,13 +85,24 @@
 impl Freshness {
     /// Returns whether requests may be forwarded by the configuration.
     pub fn may_serve(self) -> bool {
-        self != Self::TooOld
+        matches!(self, Self::Current | Self::Witnessed | Self::Stale)
     }
 
     /// Returns whether the configuration may decide that a key or a route is unknown.
     pub fn may_deny(self) -> bool {
         self == Self::Current
     }
+
+    /// Returns whether engines may be ordered by the configuration.
+    pub fn may_order(self) -> bool {
+        matches!(self, Self::Current | Self::Witnessed)
+    }
+
+    /// Returns whether a daemon may try to hold the duties. What their holder may do after a return
+    /// from a copy has rules of its own.
+    pub fn may_hold_duties(self) -> bool {
+        self != Self::TooOld
+    }
 }
 
 /// Returns how long a request waits for the first proof of a daemon that is starting;
--- a/crates/gateway/src/decisions/replication/mod.rs
+++ b/crates/gateway/src/decisions/replication/mod.rs
@@ -3,6 +3,7 @@
 //! Their state is in `replication::fleet`, `replication::follow` and `control::state`.
 
 mod candidates;
+pub mod completeness;
 pub mod fleet_size;
 pub mod followers;
 pub mod hold;
--- a/crates/gateway/src/duties/engines.rs
+++ b/crates/gateway/src/duties/engines.rs
@@ -84,7 +84,7 @@
     /// Sends the orders that are due for the service.
     async fn order_due_engines(&self, ordered: &mut OrderedService) -> Result<(), SessionEnd> {
         // An outdated configuration isn't acted on.
-        if !self.gateway.control.freshness().may_deny() {
+        if !self.gateway.control.freshness().may_order() {
             return Ok(());
         }
         let running = running_engines(&self.gateway.control.directory(), self.service);
--- a/crates/gateway/src/duties/holder.rs
+++ b/crates/gateway/src/duties/holder.rs
@@ -128,7 +128,7 @@
             }
             HolderView::Vacant(vacancy) => *vacancy,
         };
-        let is_fresh = gateway.control.freshness().may_serve();
+        let is_fresh = gateway.control.freshness().may_hold_duties();
         if !is_fresh || !gateway.fleet.follows_source() {
             return None;
         }
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -16,11 +16,13 @@
 };
 use crate::replication::peer_connection::{FramedStream, open_connection};
 use crate::replication::peer_error::PeerError;
+use crate::replication::state_reports;
 use crate::replication::stream_reports;
 use crate::work_by_endpoint::WorkByEndpoint;
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
-    CrashNews, EndpointNotice, Frame, RecordsAnswer, RecordsWanted, StreamBegins, VersionSpan,
+    CrashNews, EndpointNotice, Frame, RecordsAnswer, RecordsWanted, StateReport, StreamBegins,
+    VersionSpan,
 };
 use bridgevane_types::{ConfigVersion, DataCentreId, TimeMs};
 use futures_util::{SinkExt, StreamExt};
@@ -77,6 +79,8 @@
     brittle_notices: Vec<EndpointNotice>,
     /// The version of the other daemon's configuration.
     pub(crate) config_version: ConfigVersion,
+    /// The other daemon's state, which says more than the two fields above if it is there.
+    pub(crate) state: Option<StateReport>,
 }
 
 /// A daemon's place in the tree, and the work that the daemons below it have under way.
@@ -93,6 +97,8 @@
     pub(crate) tree_work: WorkByEndpoint,
     /// The version of the other daemon's configuration.
     pub(crate) config_version: ConfigVersion,
+    /// The other daemon's state.
+    pub(crate) state: Option<StateReport>,
 }
 
 /// A connection to one daemon, and the crash observations that were sent on it.
@@ -106,9 +112,9 @@
 }
 
 impl OpenPeer {
-    /// Returns the timeout for the first message of an answer.
-    fn answer_timeout(&self, after: Revision) -> Duration {
-        if after == Revision(0) {
+    /// Returns the timeout for the first message of an answer; `after` is 0 for a full state.
+    fn answer_timeout(&self, after: u64) -> Duration {
+        if after == 0 {
             FULL_STATE_TIMEOUT
         } else if self.has_answered {
             ANSWER_TIMEOUT
@@ -135,14 +141,40 @@
         gateway: &Gateway,
         peer: SocketAddr,
         after: Revision,
+    ) -> Result<PeerAnswer, PeerError> {
+        let poll = records_poll(gateway, peer, after);
+        self.send_records_poll(gateway, peer, poll).await
+    }
+
+    /// Reads a daemon's full state once, without following it. A failure closes the connection.
+    ///
+    /// # Errors
+    /// [`PeerError`] when there is no usable answer.
+    pub(crate) async fn fetch(
+        &mut self,
+        gateway: &Gateway,
+        peer: SocketAddr,
+    ) -> Result<PeerAnswer, PeerError> {
+        let poll = RecordsWanted {
+            is_single: true,
+            ..records_poll(gateway, peer, Revision(0))
+        };
+        self.send_records_poll(gateway, peer, poll).await
+    }
+
+    async fn send_records_poll(
+        &mut self,
+        gateway: &Gateway,
+        peer: SocketAddr,
+        poll: RecordsWanted,
     ) -> Result<PeerAnswer, PeerError> {
         let mut open = self.connect(peer).await?;
         let own_work = own_work(gateway.clock.now(), &gateway.control.directory());
         let poll = RecordsWanted {
             crash_news: open.sent_observations.take_unsent(gateway),
-            ..records_poll(gateway, peer, after)
+            ..poll
         };
-        let limit = open.answer_timeout(after);
+        let limit = open.answer_timeout(poll.at);
         let asked_at = gateway.clock.now();
         let first = send_poll(&mut open.frames, poll, limit).await?;
         let parts = receive_parts(&mut open.frames, first).await?;
@@ -178,6 +210,7 @@
             peer_address: own_address(gateway),
             proof_age_ms: proof_age_ms(gateway),
             era: Some(gateway.control.replica().revision().era().0),
+            state: state_reports::own(gateway),
             ..Default::default()
         };
         let asked_at = gateway.clock.now();
@@ -196,6 +229,7 @@
             path: decode_path(answer.path).map_err(PeerError::BadRecords)?,
             tree_work: decode_work(&answer.work),
             config_version: ConfigVersion(answer.config_version),
+            state: answer.state,
         })
     }
 
@@ -238,6 +272,8 @@
         crash_news: Vec::new(),
         versions: stream_reports::versions(gateway),
         version_history_ms: stream_reports::version_history_ms(gateway),
+        state: state_reports::own(gateway),
+        is_single: false,
         takes_parts: true,
         endpoint_notices: endpoint_notices::current(gateway),
         brittle_notices: endpoint_notices::current_brittle(gateway),
@@ -348,5 +384,6 @@
         endpoint_notices: answer.endpoint_notices,
         brittle_notices: answer.brittle_notices,
         config_version: ConfigVersion(answer.config_version),
+        state: answer.state,
     })
 }
--- a/crates/gateway/src/replication/fleet.rs
+++ b/crates/gateway/src/replication/fleet.rs
@@ -36,6 +36,8 @@
     path: Mutex<SourcePath>,
     fresher_daemon: Mutex<Option<FresherDaemon>>,
     newer_configuration: Mutex<Option<SocketAddr>>,
+    /// Wakes the task that follows the source when `newer_configuration` was set.
+    newer_configuration_set: Notify,
     /// Wakes the task that follows the source when `fresher_daemon` was set.
     fresher_daemon_set: Notify,
     size: Mutex<FleetSize>,
@@ -54,6 +56,7 @@
             path: Mutex::default(),
             fresher_daemon: Mutex::default(),
             newer_configuration: Mutex::default(),
+            newer_configuration_set: Notify::new(),
             fresher_daemon_set: Notify::new(),
             size: Mutex::default(),
             known_size: AtomicU32::new(0),
@@ -106,6 +109,11 @@
         seeds.filter(|seed| *seed != own).collect()
     }
 
+    /// Returns the seeds.
+    pub(crate) fn seed_addresses(&self) -> &[SocketAddr] {
+        &self.seed_addresses
+    }
+
     /// Returns this daemon's path to the source.
     pub fn path(&self) -> SourcePath {
         self.path.lock().expect("no panic under this lock").clone()
@@ -155,6 +163,14 @@
     /// Remembers a daemon with a newer configuration that the source doesn't list any more.
     pub(crate) fn on_newer_configuration(&self, daemon: SocketAddr) {
         *self.newer_configuration_lock() = Some(daemon);
+        self.newer_configuration_set.notify_one();
+    }
+
+    /// Waits until a daemon with a newer configuration is remembered.
+    pub(crate) async fn wait_for_newer_configuration(&self) {
+        while self.newer_configuration_lock().is_none() {
+            self.newer_configuration_set.notified().await;
+        }
     }
 
     /// Takes the daemon that was last remembered so.
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -17,7 +17,7 @@
 use crate::replication::client::{PeerAnswer, PeerClient};
 use crate::replication::message::MessageError;
 use crate::replication::peer_error::PeerError;
-use crate::replication::{seed_exchange, stream_reports};
+use crate::replication::{seed_exchange, state_reports, stream_reports};
 use bridgevane_events::{Event, event};
 use bridgevane_types::{ConfigVersion, DurationMs, TimeMs};
 use std::net::SocketAddr;
@@ -58,6 +58,7 @@
 pub async fn run<S: ControlSource>(gateway: Arc<Gateway>, source: S) {
     seed_exchange::start(&gateway);
     stream_reports::start(&gateway);
+    state_reports::start(&gateway);
     let settings = &gateway.settings;
     let upstreams = UpstreamSelector::new(
         gateway.clock.now(),
@@ -150,9 +151,12 @@
         let asked_at = self.gateway.clock.now();
         let gateway = self.gateway.clone();
         // Doesn't wait for an unresponsive source when another daemon is fresher.
+        let next_fetch_at = self.next_fetch_at;
         let result = tokio::select! {
             result = self.call_source() => result,
             () = gateway.fleet.wait_for_fresher_daemon() => Err(SourceError::NoAnswer),
+            // A newer configuration that the source doesn't list is read first.
+            () = wait_for_newer_configuration(&gateway, next_fetch_at) => return,
             // Repeats a poll that was sent before a suspension.
             () = gateway.resumed_from_suspension.notified() => return,
         };
@@ -280,11 +284,12 @@
 
     /// Reads the full state of a daemon with a newer configuration, for its document.
     async fn fetch_configuration(&mut self, daemon: SocketAddr) {
-        let polled = self
-            .probe_client
-            .poll(&self.gateway, daemon, Revision(0))
-            .await;
-        let applied = polled.and_then(|answer| self.apply_records(answer.at, answer.update));
+        let polled = self.probe_client.fetch(&self.gateway, daemon).await;
+        let applied = polled.and_then(|answer| {
+            self.apply_records(answer.at, answer.update)?;
+            state_reports::apply(&self.gateway, Some(daemon), answer.state.as_ref());
+            Ok(())
+        });
         if let Err(error) = applied {
             event!(Event::PeerLost, peer = daemon, cause = error);
         }
@@ -298,6 +303,7 @@
             Ok(probed) => probed,
             Err(error) => return self.on_peer_failed(peer, error),
         };
+        state_reports::apply(&self.gateway, Some(peer), probed.state.as_ref());
         let report = PeerReport {
             data_centre: probed.data_centre,
             proof_age: self.proof_age(probed.at, probed.proved_at),
@@ -352,6 +358,8 @@
             self.fetched_version = answer.config_version;
             self.needs_full_state = true;
         }
+        // The upstream's newer configuration is read with its full state.
+        state_reports::apply(gateway, None, answer.state.as_ref());
         Ok(report)
     }
 
@@ -428,6 +436,8 @@
             Freshness::Current => Event::FreshnessRegained,
             Freshness::Stale => Event::ServingStale,
             Freshness::TooOld => Event::FreshnessLost,
+            Freshness::Witnessed => Event::DenialsPaused,
+            Freshness::Unwitnessed => Event::StateUnwitnessed,
         };
         event!(
             event,
@@ -461,6 +471,13 @@
     }
 }
 
+/// Waits until another daemon has a newer configuration, and it may be fetched.
+async fn wait_for_newer_configuration(gateway: &Gateway, next_fetch_at: TimeMs) {
+    gateway.fleet.wait_for_newer_configuration().await;
+    let wait = next_fetch_at.since(gateway.clock.now());
+    sleep(wait.as_std()).await;
+}
+
 /// Waits for the given time; forever if there is none.
 async fn wait_for_slot(until_slot: Option<DurationMs>) {
     match until_slot {
--- a/crates/gateway/src/replication/mod.rs
+++ b/crates/gateway/src/replication/mod.rs
@@ -8,7 +8,7 @@
 //! [`client`]). Messages also carry the number of daemons and the work that they have under way
 //! ([`fleet`]), which requests crash endpoints ([`crash_observations`]), and the limits that
 //! endpoints announce ([`endpoint_notices`]), and at which software versions streams began
-//! ([`stream_reports`]). There is no consensus and nothing is stored: a replica
+//! ([`stream_reports`]), and how complete a daemon's state is ([`state_reports`]). There is no consensus and nothing is stored: a replica
 //! is a cache of the source, ordered only by the source's revision.
 
 pub(crate) mod client;
@@ -23,5 +23,6 @@
 pub(crate) mod quarantine_writer;
 pub(crate) mod seed_exchange;
 pub(crate) mod server;
+pub(crate) mod state_reports;
 pub(crate) mod stream_reports;
 pub(crate) mod work_reports;
--- a/crates/gateway/src/replication/seed_exchange.rs
+++ b/crates/gateway/src/replication/seed_exchange.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::Gateway;
 use crate::replication::client::{PeerClient, ProbeAnswer};
+use crate::replication::state_reports;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,6 +50,7 @@
     if control.lacks_configuration(answer.at, answer.config_version) {
         fleet.on_newer_configuration(seed);
     }
+    state_reports::apply(gateway, Some(seed), answer.state.as_ref());
     if let Some(proved_at) = answer.proved_at {
         gateway.control.adopt_proof(answer.at, proved_at);
     }
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -7,6 +7,7 @@
 
 use crate::control::source::{Revision, SourceEra};
 use crate::counter::Counter;
+use crate::decisions::replication::completeness::Completeness;
 use crate::decisions::replication::followers::{Follower, FollowerPlacement, Subtree};
 use crate::decisions::replication::hold::max_hold;
 use crate::duties::codec::{decode_report, encode_answer};
@@ -17,6 +18,7 @@
 use crate::replication::endpoint_notices;
 use crate::replication::fleet::FresherDaemon;
 use crate::replication::message::{CLOCK_RESOLUTION_MS, decode_work, encode_path, encode_work};
+use crate::replication::state_reports;
 use crate::replication::stream_reports::{self, SentStreams};
 use crate::requests::client_listener;
 use crate::sockets::{accept, set_options};
@@ -53,6 +55,7 @@
 struct SentNews {
     observations: SentCrashObservations,
     streams: SentStreams,
+    completeness: Option<Completeness>,
 }
 
 /// Serves other daemons until the daemon ends.
@@ -110,12 +113,16 @@
             _ => return Ok(()),
         };
         remember_fresher_daemon(gateway, &poll);
+        state_reports::apply(gateway, poll.peer_address.parse().ok(), poll.state.as_ref());
         crash_observations::apply(gateway, &poll.crash_news);
         stream_reports::apply_versions(gateway, &poll.versions, poll.version_history_ms, None);
         endpoint_notices::apply(gateway, &poll.endpoint_notices);
         endpoint_notices::apply_brittle(gateway, &poll.brittle_notices);
         let placement = if poll.is_for_work {
             None
+        } else if poll.is_single {
+            // A daemon above this one in the tree may ask, too.
+            Some(FollowerPlacement::Here)
         } else {
             Some(place_follower(gateway, &poll))
         };
@@ -136,6 +143,7 @@
                     frames.send(Frame { body }).await?;
                 }
                 sent_proof = proved_at;
+                sent.completeness = Some(gateway.control.completeness());
                 answer.crash_news = sent.observations.take_unsent(gateway);
                 answer.stream_begins = sent.streams.take_unsent(gateway);
                 answer.endpoint_notices = endpoint_notices::current(gateway);
@@ -215,6 +223,7 @@
         config_version: gateway.control.config_version().0,
         versions: stream_reports::versions(gateway),
         version_history_ms: stream_reports::version_history_ms(gateway),
+        state: state_reports::own(gateway),
         ..Default::default()
     }
 }
@@ -293,7 +302,10 @@
         let own = gateway.control.replica().revision();
         let has_changes = own > polled_revision(own, poll);
         let has_new_proof = gateway.control.proved_at() > sent_proof;
-        has_changes || has_new_proof
+        let is_more_complete = sent
+            .completeness
+            .is_some_and(|sent| gateway.control.completeness() > sent);
+        has_changes || has_new_proof || is_more_complete
     });
     let total_work = || gateway.fleet.total_work(&gateway.control.directory());
     let is_busy = !poll.tree_work.is_empty()
@@ -344,6 +356,7 @@
         config_version: gateway.control.config_version().0,
         versions: stream_reports::versions(gateway),
         version_history_ms: stream_reports::version_history_ms(gateway),
+        state: state_reports::own(gateway),
         path: Some(encode_path(&path)),
         proof_age_ms,
         held_ms: held.0,
