fix(gateway): a configuration that replaces the copy's reaches the daemons that follow

Callers saw: after a return of the store from a copy, daemons that follow a seed acted by the copy, or refused requests, until the next change at the store, although the seed had read the newer configuration from another daemon.

Cause: the newer document has the revision of the copy's. The full state that is packed for followers was kept by the revision alone, so followers got the copy's document; and a patch of the operator's next document was applied to whatever value a follower had at that revision, which could be the other one.

Change: the packed state is kept by revision and number of replacements; a patch carries a digest of the value that it was made for (5 bytes a patch), and a follower with another value reads the full state.

Evidence: both tests fail before: a follower of a new seed gets 503 for a confirmed route 3.5 s after the return; a patch resolves on another value of the same revision.

--- a/crates/gateway/src/control/patch.rs
+++ b/crates/gateway/src/control/patch.rs
@@ -2,10 +2,12 @@
 //!
 //! An operator's change affects a small part of a large document, so only the bytes between the
 //! common prefix and the common suffix are sent. The receiver must have the value that the patch
-//! was made for.
+//! was made for, which a digest shows: after the source came back from a copy, daemons may have
+//! different values at one revision.
 
 use bytes::{BufMut, Bytes, BytesMut};
 use derive_more::{Display, Error};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A patch is used when the whole value is longer than the patch by this factor. Below it a patch
 /// saves little: a follower that lacks the old value has to request the full state.
@@ -20,6 +22,8 @@
     pub kept_tail: usize,
     /// The new bytes between them.
     pub inserted: Bytes,
+    /// The digest of the previous value; 0: unknown, the patch comes from a daemon of an earlier version.
+    pub base_digest: u32,
 }
 
 /// The error for a patch that was made for another value.
@@ -42,16 +46,18 @@
             kept_tail,
             // A copy: a slice would keep all of `new` in memory.
             inserted: Bytes::copy_from_slice(&inserted),
+            base_digest: digest(old),
         })
     }
 
     /// Returns the new value.
     ///
     /// # Errors
-    /// [`PatchDoesNotFit`] when `old` is too short to be the value that the patch was made for.
+    /// [`PatchDoesNotFit`] when `old` isn't the value that the patch was made for.
     pub fn apply(&self, old: &Bytes) -> Result<Bytes, PatchDoesNotFit> {
         let kept = self.kept_head.checked_add(self.kept_tail);
-        if kept.is_none_or(|kept| kept > old.len()) {
+        let is_other = self.base_digest != 0 && self.base_digest != digest(old);
+        if is_other || kept.is_none_or(|kept| kept > old.len()) {
             return Err(PatchDoesNotFit);
         }
         let tail = &old[old.len() - self.kept_tail..];
@@ -63,3 +69,8 @@
         Ok(new.freeze())
     }
 }
+
+/// Returns the digest of a value; never 0.
+fn digest(value: &Bytes) -> u32 {
+    (xxh3_64(value) as u32).max(1)
+}
--- a/crates/gateway/src/control/replica.rs
+++ b/crates/gateway/src/control/replica.rs
@@ -96,6 +96,8 @@
     remembered_after: Revision,
     changes: VecDeque<RecordChange>,
     change_bytes: usize,
+    /// Counts the times that values were replaced, possibly without a change of the revision.
+    replacements: u64,
 }
 
 impl Replica {
@@ -104,6 +106,11 @@
         self.at
     }
 
+    /// Returns what changes whenever a value does: the revision, and the number of replacements.
+    pub(crate) fn edition(&self) -> (Revision, u64) {
+        (self.at, self.replacements)
+    }
+
     /// Returns the value of a record.
     pub(crate) fn value(&self, key: &str) -> Option<Bytes> {
         self.records.get(key).map(|value| value.bytes.clone())
@@ -111,9 +118,10 @@
 
     /// Overwrites the value of a record and keeps its revision: the new value is newer by content,
     /// not by the source's order.
-    pub(crate) fn overwrite(&mut self, key: &str, bytes: Bytes) {
+    pub fn overwrite(&mut self, key: &str, bytes: Bytes) {
         if let Some(value) = self.records.get_mut(key) {
             value.bytes = bytes;
+            self.replacements += 1;
             // Patches since then were made for the old value.
             self.remembered_after = self.at;
             self.changes.clear();
@@ -142,6 +150,7 @@
         self.removals
             .on_replaced(self.at, state.revision, newest, unlisted.cloned().collect());
         self.records = records;
+        self.replacements += 1;
         self.at = state.revision;
         self.remembered_after = newest;
         self.changes.clear();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -37,7 +37,7 @@
 use bridgevane_types::{
     ConfigVersion, CrashSuspect, DataCentreId, DurationMs, EndpointId, ServiceName, TimeMs,
 };
-use std::borrow::Cow;
+use bytes::Bytes;
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::{Notify, watch};
@@ -280,12 +280,15 @@
     pub fn replace(&self, source: &impl ControlSource, state: &FullState) -> bool {
         let proved_before = self.proved_at();
         let mut records = decode(source, &state.records);
-        let state = &*self.with_active_document(source, state, &records);
         let (is_from_copy, is_applied) = {
             let mut replica = self.replica();
             let before = replica.revision();
             let is_from_copy = before > Revision(0) && state.revision.era() > before.era();
+            let kept = self.newer_document(source, state, &records, &replica);
             let is_applied = replica.replace(state);
+            if let (true, Some((key, bytes))) = (is_applied, kept) {
+                replica.overwrite(&key, bytes);
+            }
             self.complete_to.set(replica.revision());
             (is_from_copy, is_applied)
         };
@@ -322,31 +325,26 @@
         is_applied
     }
 
-    /// Returns the state with this daemon's document if the listed one is older: daemons that follow
+    /// Returns this daemon's document, with its key, if the listed one is older: daemons that follow
     /// this one must not get the older one. `decoded` are the state's records.
-    fn with_active_document<'a>(
+    fn newer_document(
         &self,
         source: &impl ControlSource,
-        state: &'a FullState,
+        state: &FullState,
         decoded: &[ChangeAt],
-    ) -> Cow<'a, FullState> {
+        replica: &Replica,
+    ) -> Option<(String, Bytes)> {
         let active = self.config_version();
         let is_older = |record: &ChangeAt| match &record.change {
             Change::Routing(table) => table.version() < active,
             _ => false,
         };
         if !decoded.iter().any(is_older) {
-            return Cow::Borrowed(state);
-        }
-        let Some((at, _)) = document(source, &state.records) else {
-            return Cow::Borrowed(state);
-        };
-        let mut state = state.clone();
-        let record = &mut state.records[at];
-        if let Some(known) = self.replica().value(&record.key) {
-            record.value = Some(known);
+            return None;
         }
-        Cow::Owned(state)
+        let (at, _) = document(source, &state.records)?;
+        let key = &state.records[at].key;
+        Some((key.clone(), replica.value(key)?))
     }
 
     /// Adopts the document in another daemon's full state if its version is higher than the active
--- a/crates/gateway/src/replication/message.rs
+++ b/crates/gateway/src/replication/message.rs
@@ -143,6 +143,7 @@
             kept_head: patch.kept_head as u64,
             kept_tail: patch.kept_tail as u64,
             inserted: patch.inserted,
+            base_digest: patch.base_digest,
         }),
     };
     RecordChangeMessage {
@@ -165,6 +166,7 @@
                 kept_head: patch.kept_head as usize,
                 kept_tail: patch.kept_tail as usize,
                 inserted: patch.inserted,
+                base_digest: patch.base_digest,
             },
         },
     };
--- a/crates/gateway/src/replication/packed_state.rs
+++ b/crates/gateway/src/replication/packed_state.rs
@@ -2,7 +2,7 @@
 //!
 //! When a fleet starts, each daemon with followers sends the full state to up to sixteen of them at
 //! once. Packing the records of 10,000 endpoints takes 9 ms of a core, and 70 ms on the smallest VM
-//! (`fleet_state`, benches). The messages are dropped when the revision changes, so that they take
+//! (`fleet_state`, benches). The messages are dropped when the replica changes, so that they take
 //! memory only while states are requested.
 
 use crate::control::replica::{Replica, ReplicaUpdate};
@@ -23,10 +23,10 @@
     }
 }
 
-/// The packed messages and their revision; empty if nothing is packed.
+/// The packed messages and the edition of their replica; empty if nothing is packed.
 #[derive(Debug, Default)]
 pub(crate) struct Packed {
-    at: Revision,
+    edition: (Revision, u64),
     parts: Vec<RecordsAnswer>,
 }
 
@@ -39,18 +39,20 @@
         after: Revision,
         takes_parts: bool,
     ) -> Option<ReplicaUpdate> {
-        if self.at != replica.revision() {
-            *self = Self::default();
+        if self.edition != replica.edition() {
+            *self = Self {
+                edition: replica.edition(),
+                parts: Vec::new(),
+            };
         }
         let is_packed = takes_parts && after == Revision(0) && !self.parts.is_empty();
         (!is_packed).then(|| replica.update_since(after))
     }
 
-    /// Returns the messages of an update at a revision, or of the packed state. A daemon that
+    /// Returns the messages of an update, or of the packed state. A daemon that
     /// doesn't accept parts gets one message.
     pub(crate) fn parts(
         &mut self,
-        at: Revision,
         update: Option<ReplicaUpdate>,
         takes_parts: bool,
     ) -> Vec<RecordsAnswer> {
@@ -65,7 +67,6 @@
         let is_whole = matches!(update, ReplicaUpdate::Full(_));
         let parts = encode_update_parts(update);
         if is_whole {
-            self.at = at;
             self.parts = parts.clone();
         }
         parts
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -341,7 +341,7 @@
     let at = replica.revision();
     let update = packed_state.update_unless_packed(&replica, after, poll.takes_parts);
     drop(replica);
-    let mut parts = packed_state.parts(at, update, poll.takes_parts);
+    let mut parts = packed_state.parts(update, poll.takes_parts);
     drop(packed_state);
     // Age and hold time refer to the same moment: the follower subtracts one from the other.
     let proof_age_ms = proof_age_ms(gateway, proved_at);
--- a/crates/gateway/tests/replica.rs
+++ b/crates/gateway/tests/replica.rs
@@ -510,3 +510,20 @@
     let update = replica.update_since(Revision(20));
     assert!(matches!(update, ReplicaUpdate::Full(changes) if changes.len() == 1));
 }
+
+/// Guards against a patch that is applied to another value of the same revision: daemons may have different
+/// documents there after the source came back from a copy.
+#[test]
+fn a_patch_for_another_value_of_the_same_revision_does_not_fit() {
+    let (copied, kept, written) = (document(3), document(4), document(5));
+    let state = full_state(7, vec![record("a", 6, Some(&copied))]);
+    let (mut upstream, mut downstream) = (Replica::default(), Replica::default());
+    assert!(upstream.replace(&state) && downstream.replace(&state));
+    upstream.overwrite("a", Bytes::from(kept));
+    upstream.apply(changes(8, vec![record("a", 8, Some(&written))]));
+    let ReplicaUpdate::Changes(newer) = upstream.update_since(downstream.revision()) else {
+        panic!("the changes are remembered");
+    };
+    assert!(matches!(newer[0].outcome, ChangedValue::Patched { .. }));
+    assert_eq!(downstream.resolve(newer), Err(PatchDoesNotFit));
+}
--- a/crates/gateway/tests/store_from_copy.rs
+++ b/crates/gateway/tests/store_from_copy.rs
@@ -420,3 +420,38 @@
     );
     assert_eq!(confirmed.last(), Some(&200));
 }
+
+/// Guards against a full state that was packed for followers before this daemon got the newer
+/// configuration: they kept the copy's until the next change at the source.
+#[tokio::test]
+async fn daemons_that_follow_a_new_seed_get_the_configuration_that_it_fetched() {
+    let drill = Drill::prepare().await;
+    let mut listeners = Vec::new();
+    for _ in 0..3 {
+        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    }
+    let addresses: Vec<SocketAddr> = listeners
+        .iter()
+        .map(|listener| listener.local_addr().unwrap())
+        .collect();
+    let mut listeners = listeners.into_iter();
+    // The old daemon knows the new seed, not the other way round.
+    let old_seeds = [addresses[0], addresses[1]];
+    let new_seeds = [addresses[1]];
+    let old = listeners.next().unwrap();
+    let _old = start_daemon("vm-1", &drill.source, old, &old_seeds).await;
+    drill.write_changes_to_lose().await;
+    drill.source.restore_copy(drill.copy);
+    sleep(Duration::from_millis(300)).await;
+    let mut launched = Vec::new();
+    for (name, at) in [("vm-2", 1), ("vm-3", 2)] {
+        let settings = peer_settings(name, addresses[at], &new_seeds);
+        let listener = listeners.next().unwrap();
+        launched.push(launch_peer(settings, &drill.source, listener).await);
+    }
+    // A failed probe of a seed is repeated after 2 s.
+    sleep(Duration::from_millis(3_500)).await;
+    for (at, daemon) in launched.iter().enumerate() {
+        assert_eq!(status(daemon, "/second/x").await, 200, "daemon {at}");
+    }
+}
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -491,6 +491,7 @@
 
 fn patch() -> RecordPatch {
     RecordPatch {
+        base_digest: 0,
         base_revision: 4,
         kept_head: 10,
         kept_tail: 20,
