refactor(gateway): reports to the seeds are a module of their own

replication::client and replication::state_reports used each other: the one encodes the reports, the other sent some. The task that reports to the seeds is moved, unchanged, to replication::seed_reports; no file of the workspace is in a circle now. A comment named two fields where there is one.

--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -79,7 +79,7 @@
     brittle_notices: Vec<EndpointNotice>,
     /// The version of the other daemon's configuration.
     pub(crate) config_version: ConfigVersion,
-    /// The other daemon's state, which says more than the two fields above if it is there.
+    /// The other daemon's state; a daemon of an earlier version reports none.
     pub(crate) state: Option<StateReport>,
 }
 
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -17,7 +17,7 @@
 use crate::replication::client::{PeerAnswer, PeerClient};
 use crate::replication::message::MessageError;
 use crate::replication::peer_error::PeerError;
-use crate::replication::{seed_exchange, state_reports, stream_reports};
+use crate::replication::{seed_exchange, seed_reports, state_reports, stream_reports};
 use bridgevane_events::{Event, event};
 use bridgevane_types::{ConfigVersion, DurationMs, TimeMs};
 use std::net::SocketAddr;
@@ -58,7 +58,7 @@
 pub async fn run<S: ControlSource>(gateway: Arc<Gateway>, source: S) {
     seed_exchange::start(&gateway);
     stream_reports::start(&gateway);
-    state_reports::start(&gateway);
+    seed_reports::start(&gateway);
     let settings = &gateway.settings;
     let upstreams = UpstreamSelector::new(
         gateway.clock.now(),
--- a/crates/gateway/src/replication/mod.rs
+++ b/crates/gateway/src/replication/mod.rs
@@ -22,6 +22,7 @@
 pub(crate) mod peer_error;
 pub(crate) mod quarantine_writer;
 pub(crate) mod seed_exchange;
+pub(crate) mod seed_reports;
 pub(crate) mod server;
 pub(crate) mod state_reports;
 pub(crate) mod stream_reports;
