fix(gateway): a daemon that may lack a change in force denies nothing

What callers saw: 404 and 401, which are final, for routes and keys that were confirmed more than 3 s before, at daemons that were cut off from the store and from each other.

Between the two a daemon took its configuration for the newest one that must be in force and denied by it.

Why it works: a proof of age a shows all changes that were confirmed before a ago. A request that is sent later than C after a change is decided later than C after it, so a proof younger than C shows the change. Older ones now answer 503, which the client may retry; requests for known routes and keys are served as before, and engines are ordered as before.

The time until a change is in force moves from the settings into FreshnessPolicy, which decides by it.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -72,6 +72,7 @@
     1214 PlatformAnswerWithoutEnd Warn "an answer of the platform has no end or is too long; its connection was closed";
     1215 DenialsPaused Warn "the source came back from a copy; unknown routes and keys are not denied until the operators write";
     1216 StateUnwitnessed Warn "the state may be an older copy's; requests are refused until another daemon or the operators confirm it";
+    1217 ProofAging Warn "the configuration may lack a change that must be in force; unknown routes and keys are not denied";
     1301 RequestRefused Debug "a request was refused";
     1302 RequestFailed Warn "a request failed";
     1303 PieceDropped Warn "a piece of an answer was dropped: it was repeated, or belongs to another request or attempt";
--- a/crates/gateway/src/decisions/admission/freshness.rs
+++ b/crates/gateway/src/decisions/admission/freshness.rs
@@ -1,19 +1,20 @@
 //! Freshness: whether a configuration may be used to forward requests and to deny them.
 //!
 //! Inputs: the age of the newest proof (ms), the operator's [`FreshnessPolicy`]: how long a proof is
-//! valid (ms, `--key-removal-ms` less 300), and up to which age a stale configuration may be used
-//! (ms, `--max-stale-s`; only with `--strict-key-removal false`), and the [`Completeness`] of the
-//! state. A proof is an answer of the control source. Its age counts from the time of the *request*
+//! valid (ms, `--key-removal-ms` less 300), within which time a change must be in force (ms,
+//! `--config-apply-ms`), and up to which age a stale configuration may be used (ms, `--max-stale-s`;
+//! only with `--strict-key-removal false`), and the [`Completeness`] of the state. A proof is an answer of the control source. Its age counts from the time of the *request*
 //! for it, so that the time the answer took is included; it keeps its age when it is passed on
 //! between daemons.
 //!
 //! Rules:
 //! - The configuration is recent while the age is below the lifetime of a proof, then stale, then
 //!   too old. Without a proof it counts as too old.
-//! - A recent configuration is current if its state is complete, and may then decide everything.
-//! - A stale or witnessed configuration lets a request pass, but can't decide that a key or a route is
-//!   unknown: 401 and 404 are final for a client, so they need a current one; without it the answer
-//!   is 503.
+//! - A recent configuration is current if its state is complete and its proof is younger than the time
+//!   within which a change must be in force. It may then decide everything.
+//! - A stale, aging or witnessed configuration lets a request pass, but can't decide that a key or a
+//!   route is unknown: 401 and 404 are final for a client, so they need a current one; without it the
+//!   answer is 503.
 //! - An unwitnessed configuration decides nothing: it may have keys that were removed. It counts as
 //!   stale where the operator allows a stale one.
 //! - A daemon that has just started has no proof yet, and its first one will arrive shortly: a
@@ -43,6 +44,8 @@
 pub struct FreshnessPolicy {
     /// How long a proof that the configuration is the newest is valid.
     pub proof_lifetime_ms: DurationMs,
+    /// The maximum time until a change of the configuration is active.
+    pub config_apply_ms: DurationMs,
     /// The age of the newest proof up to which a stale configuration may be used. If it is no
     /// longer than `proof_lifetime_ms`, a stale configuration is never used.
     pub max_stale_age_ms: DurationMs,
@@ -51,8 +54,10 @@
 /// What the configuration may be used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
-    /// It was proved to be the newest within the lifetime of a proof, and lacks nothing.
+    /// It lacks nothing that must be in force.
     Current,
+    /// It is recent, but may lack a change that must be in force.
+    Aging,
     /// It is recent, and this daemon or another one knew it when the source came back from a copy.
     Witnessed,
     /// It may have been replaced, and the operator allows its use.
@@ -69,9 +74,8 @@
     pub fn freshness(self, proof_age: Option<DurationMs>, completeness: Completeness) -> Freshness {
         let allows_stale = self.max_stale_age_ms > self.proof_lifetime_ms;
         match (proof_age, completeness) {
-            (Some(age), Completeness::Complete) if age < self.proof_lifetime_ms => {
-                Freshness::Current
-            }
+            (Some(age), Completeness::Complete) if age < self.denial_limit() => Freshness::Current,
+            (Some(age), Completeness::Complete) if age < self.proof_lifetime_ms => Freshness::Aging,
             (Some(age), Completeness::Witnessed) if age < self.proof_lifetime_ms => {
                 Freshness::Witnessed
             }
@@ -80,12 +84,20 @@
             _ => Freshness::TooOld,
         }
     }
+
+    /// Returns the age of a proof from which on a change that must be in force may be missing.
+    fn denial_limit(self) -> DurationMs {
+        self.config_apply_ms.min(self.proof_lifetime_ms)
+    }
 }
 
 impl Freshness {
     /// Returns whether requests may be forwarded by the configuration.
     pub fn may_serve(self) -> bool {
-        matches!(self, Self::Current | Self::Witnessed | Self::Stale)
+        matches!(
+            self,
+            Self::Current | Self::Aging | Self::Witnessed | Self::Stale
+        )
     }
 
     /// Returns whether the configuration may decide that a key or a route is unknown.
@@ -95,7 +107,7 @@
 
     /// Returns whether engines may be ordered by the configuration.
     pub fn may_order(self) -> bool {
-        matches!(self, Self::Current | Self::Witnessed)
+        matches!(self, Self::Current | Self::Aging | Self::Witnessed)
     }
 
     /// Returns whether a daemon may try to hold the duties. What their holder may do after a return
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -434,6 +434,7 @@
         }
         let event = match freshness {
             Freshness::Current => Event::FreshnessRegained,
+            Freshness::Aging => Event::ProofAging,
             Freshness::Stale => Event::ServingStale,
             Freshness::TooOld => Event::FreshnessLost,
             Freshness::Witnessed => Event::DenialsPaused,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,8 +30,6 @@
     pub seed_addresses: Vec<SocketAddr>,
     /// How long an endpoint stays in use after its record expired in an outage of the control source.
     pub lapse_grace_ms: DurationMs,
-    /// The maximum time until a change of the configuration is active.
-    pub config_apply_ms: DurationMs,
     /// The limits on the age of the configuration.
     pub freshness: FreshnessPolicy,
     /// The duration of one wait for changes at the control source.
@@ -69,6 +67,11 @@
 impl GatewaySettings {
     /// Returns the limits on the age of other daemons' proofs.
     pub(crate) fn proof_limits(&self) -> ProofLimits {
-        ProofLimits::new(self.freshness.proof_lifetime_ms, self.config_apply_ms)
+        let FreshnessPolicy {
+            proof_lifetime_ms,
+            config_apply_ms,
+            ..
+        } = self.freshness;
+        ProofLimits::new(proof_lifetime_ms, config_apply_ms)
     }
 }
--- a/crates/gateway/tests/completeness.rs
+++ b/crates/gateway/tests/completeness.rs
@@ -123,6 +123,7 @@
 fn an_incomplete_state_denies_nothing_and_a_copy_serves_nothing() {
     let strict = FreshnessPolicy {
         proof_lifetime_ms: DurationMs(4_700),
+        config_apply_ms: DurationMs(3_000),
         max_stale_age_ms: DurationMs(4_700),
     };
     let lenient = FreshnessPolicy {
--- a/crates/gateway/tests/forwarding_regions.rs
+++ b/crates/gateway/tests/forwarding_regions.rs
@@ -178,6 +178,7 @@
         regions: regions(),
         freshness: FreshnessPolicy {
             proof_lifetime_ms: LONG,
+            config_apply_ms: LONG,
             max_stale_age_ms: LONG,
         },
         ..peer_settings(&format!("vm-{}", own.port()), own, seeds)
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -217,6 +217,7 @@
     let settings = GatewaySettings {
         freshness: FreshnessPolicy {
             proof_lifetime_ms: DurationMs(10_000),
+            config_apply_ms: DurationMs(10_000),
             max_stale_age_ms: DurationMs(10_000),
         },
         ..support::settings()
@@ -324,6 +325,35 @@
     assert_eq!(status_of(&running, "/new/x", OTHER_KEY).await, 200);
 }
 
+/// Guards against 404 and 401 for a confirmed route and key at a daemon that is cut off: its proof is still
+/// valid, but older than the time within which the change must be in force.
+#[tokio::test]
+async fn a_daemon_that_may_lack_a_change_in_force_denies_nothing() {
+    let mut settings = support::settings();
+    settings.freshness.config_apply_ms = DurationMs(1_000);
+    settings.freshness.proof_lifetime_ms = DurationMs(6_000);
+    settings.freshness.max_stale_age_ms = DurationMs(6_000);
+    let (running, _endpoint) = start_gateway_with(settings).await;
+    assert_eq!(status_of(&running, "/new/x", KEY).await, 404);
+    assert_eq!(status_of(&running, "/often/x", "key-9").await, 401);
+    running.source.set_fault(Some(SourceError::NoAnswer));
+    let routes = vec![
+        plain_route("often", Idempotent, 2),
+        plain_route("new", Idempotent, 2),
+    ];
+    running
+        .source
+        .publish_configuration(4, routes, &[KEY, OTHER_KEY, "key-9"]);
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    assert_eq!(status_of(&running, "/new/x", KEY).await, 503);
+    assert_eq!(status_of(&running, "/often/x", "key-9").await, 503);
+    assert_eq!(status_of(&running, "/often/x", KEY).await, 200);
+    running.source.set_fault(None);
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    assert_eq!(status_of(&running, "/new/x", KEY).await, 200);
+    assert_eq!(status_of(&running, "/none/x", KEY).await, 404);
+}
+
 /// Guards against a daemon that counts as stale, and serves, before it has read any configuration.
 #[tokio::test]
 async fn a_daemon_without_a_configuration_refuses_all_requests() {
--- a/crates/gateway/tests/refusing_endpoints.rs
+++ b/crates/gateway/tests/refusing_endpoints.rs
@@ -92,6 +92,7 @@
         let settings = GatewaySettings {
             freshness: FreshnessPolicy {
                 proof_lifetime_ms: LONG,
+                config_apply_ms: LONG,
                 max_stale_age_ms: LONG,
             },
             ..settings()
--- a/crates/gateway/tests/support/duty_sim/daemon.rs
+++ b/crates/gateway/tests/support/duty_sim/daemon.rs
@@ -52,10 +52,10 @@
         data_centre: place.map_or("dc-1", |place| place.data_centre).into(),
         peer_address: place.map(|place| place.address),
         seed_addresses: place.map_or_else(Vec::new, |place| place.seeds.clone()),
-        config_apply_ms: DurationMs(4_000),
         // A daemon that is cut off from the store continues for this time.
         freshness: FreshnessPolicy {
             proof_lifetime_ms: DurationMs(4_700),
+            config_apply_ms: DurationMs(4_000),
             max_stale_age_ms: DurationMs(4_700),
         },
         duties: Some(DutySettings {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -71,9 +71,9 @@
         peer_address: None,
         seed_addresses: Vec::new(),
         lapse_grace_ms: DurationMs(600),
-        config_apply_ms: DurationMs(2_000),
         freshness: FreshnessPolicy {
             proof_lifetime_ms: DurationMs(700),
+            config_apply_ms: DurationMs(2_000),
             max_stale_age_ms: DurationMs(700),
         },
         watch_wait_ms: DurationMs(100),
--- a/crates/gateway/tests/support/tree_sim/returns.rs
+++ b/crates/gateway/tests/support/tree_sim/returns.rs
@@ -12,6 +12,7 @@
 /// The operator's policy: strict key removal.
 const POLICY: FreshnessPolicy = FreshnessPolicy {
     proof_lifetime_ms: PROOF_LIFETIME,
+    config_apply_ms: DurationMs(3_000),
     max_stale_age_ms: PROOF_LIFETIME,
 };
 
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -116,7 +116,7 @@
         let peer_address = reader.optional("peer-address", ADDRESS);
         let seed_addresses = reader.list("seed-addresses", ADDRESS);
         let bounds = PlatformBounds::read(&mut reader);
-        let freshness = freshness_policy(&mut reader);
+        let freshness = freshness_policy(&mut reader, bounds.config_apply_ms);
         let retries = RetrySettings::read(&mut reader);
         let duty_address = reader.optional("duty-address", ADDRESS);
         let duties = duty_settings(&mut reader);
@@ -135,7 +135,6 @@
                 peer_address,
                 seed_addresses,
                 lapse_grace_ms: subtract_margin(bounds.drain_ms, DRAIN_MARGIN_MS),
-                config_apply_ms: DurationMs(bounds.config_apply_ms),
                 freshness,
                 watch_wait_ms: WATCH_WAIT,
                 stop_ms: subtract_margin(bounds.stop_ms, STOP_MARGIN_MS),
@@ -194,7 +193,10 @@
 
 /// Reads how old the configuration may be: with strict key removal only as old as a proof,
 /// otherwise up to `--max-stale-s`, so that the daemon keeps serving during an outage.
-fn freshness_policy(reader: &mut SettingReader<'_, impl SettingSource>) -> FreshnessPolicy {
+fn freshness_policy(
+    reader: &mut SettingReader<'_, impl SettingSource>,
+    config_apply_ms: DurationMs,
+) -> FreshnessPolicy {
     let key_removal_ms = reader.optional("key-removal-ms", MILLISECONDS);
     let is_strict = reader.optional("strict-key-removal", "true or false");
     let is_strict = is_strict.unwrap_or(DEFAULT_STRICT_KEY_REMOVAL);
@@ -217,6 +219,7 @@
     };
     FreshnessPolicy {
         proof_lifetime_ms,
+        config_apply_ms,
         max_stale_age_ms,
     }
 }
@@ -256,7 +259,7 @@
 /// The platform's time limits for a drain, for a new configuration and for a stop.
 struct PlatformBounds {
     drain_ms: u64,
-    config_apply_ms: u64,
+    config_apply_ms: DurationMs,
     stop_ms: u64,
 }
 
@@ -267,7 +270,7 @@
         let stop_s: Option<f64> = reader.optional("stop-s", "a number of seconds");
         Self {
             drain_ms: drain_ms.unwrap_or(DEFAULT_DRAIN_MS),
-            config_apply_ms: config_apply_ms.unwrap_or(DEFAULT_CONFIG_APPLY_MS),
+            config_apply_ms: DurationMs(config_apply_ms.unwrap_or(DEFAULT_CONFIG_APPLY_MS)),
             stop_ms: (stop_s.unwrap_or(DEFAULT_STOP_S) * MS_PER_S) as u64,
         }
     }
