test(soak): daemons are stopped, frozen and cut off from the store in series that overlap, with and without returns

Probes use open connections until the process closes them.

Two checks change where daemons are interrupted. A removed route may be answered for as long as a removed key (5 s, not 3 s) by a daemon that was interrupted in the last 4 s: the users' bound of 3 s holds for VMs in touch alone; the bound of keys holds for all. A denial of what the newest version doesn't have is no wrong answer: a frozen daemon answers a probe after the removal that the probe didn't know of. Runs without interruptions have the bounds that they had.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -37,7 +37,7 @@
     }
 }
 
-type Body = http_body_util::Full<bytes::Bytes>;
+pub(crate) type Body = http_body_util::Full<bytes::Bytes>;
 
 /// The calls recorded by all callers of a run.
 #[derive(Clone, Debug, Default)]
@@ -140,6 +140,12 @@
 }
 
 async fn connect(daemon: usize, client_address: SocketAddr) -> Option<Connection> {
+    let sender = open_connection(client_address).await?;
+    Some(Connection { daemon, sender })
+}
+
+/// Opens a connection to a daemon; `None` if it doesn't accept one in time.
+pub(crate) async fn open_connection(client_address: SocketAddr) -> Option<SendRequest<Body>> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(client_address)).await;
     let stream = stream.ok()?.ok()?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
@@ -147,7 +153,7 @@
         // A connection error is visible in the calls that it ends.
         let _ = connection.await;
     });
-    Some(Connection { daemon, sender })
+    Some(sender)
 }
 
 /// One call that is sent.
--- a/crates/soak/src/confirmed_versions.rs
+++ b/crates/soak/src/confirmed_versions.rs
@@ -48,11 +48,26 @@
         }
     }
 
+    /// Returns whether probes of this kind ask for something that is confirmed.
+    pub(crate) fn is_confirmed(self) -> bool {
+        matches!(self, Self::ConfirmedRoute | Self::ConfirmedKey)
+    }
+
     fn is_key(self) -> bool {
         matches!(self, Self::ConfirmedKey | Self::RemovedKey)
     }
 }
 
+/// Whether a daemon could hear of the newest version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Touch {
+    /// It runs, and its path to the store hasn't failed lately.
+    InTouch,
+    /// It was started, frozen or cut off from the store lately. It may serve routes that were removed,
+    /// as long as keys that were removed.
+    OutOfTouch,
+}
+
 /// A version, with the numbers of the routes and keys that come and go.
 #[derive(Clone, Debug)]
 struct Version {
@@ -88,15 +103,20 @@
         });
     }
 
+    /// Returns whether the newest version has a route or key.
+    pub fn newest_has(&self, kind: ProbeKind, number: u64) -> bool {
+        let newest = self.versions.last();
+        newest.is_some_and(|version| version.has(kind, number))
+    }
+
     /// Returns the numbers that a probe of this kind may ask for at a time.
-    pub fn askable(&self, kind: ProbeKind, now: Duration) -> Vec<u64> {
-        let is_confirmed = matches!(kind, ProbeKind::ConfirmedRoute | ProbeKind::ConfirmedKey);
+    pub fn askable(&self, kind: ProbeKind, touch: Touch, now: Duration) -> Vec<u64> {
         let numbers = 0..=self.versions.len() as u64;
         let is_askable = |number: &u64| {
-            if is_confirmed {
+            if kind.is_confirmed() {
                 self.is_confirmed(kind, *number, now)
             } else {
-                self.is_removed(kind, *number, now)
+                self.is_removed(kind, touch, *number, now)
             }
         };
         numbers.filter(is_askable).collect()
@@ -119,8 +139,8 @@
     }
 
     /// Returns whether no version that may be in force has the route or key, and one removed it lately.
-    fn is_removed(&self, kind: ProbeKind, number: u64, now: Duration) -> bool {
-        let bound = if kind.is_key() {
+    fn is_removed(&self, kind: ProbeKind, touch: Touch, number: u64, now: Duration) -> bool {
+        let bound = if kind.is_key() || touch == Touch::OutOfTouch {
             KEY_BOUND
         } else {
             APPLY_BOUND
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,8 +5,9 @@
 //! A run of another kind cuts single daemons off from all workers, and checks that their callers are
 //! served like others ([`cut_plan`], [`cut_path`], [`cut_checks`]). One of a third kind lets the store
 //! come back from copies, and checks the duties of the fleet ([`copy_plan`], [`copy_checks`]). One of a
-//! fourth kind replaces daemons around such returns, and checks which routes and keys daemons serve and
-//! deny ([`replacement_plan`], [`confirmed_versions`]).
+//! fourth kind replaces daemons around such returns, stops, freezes and cuts them off, and checks which
+//! routes and keys daemons serve and deny ([`replacement_plan`], [`interruption_plan`],
+//! [`confirmed_versions`]).
 
 mod callers;
 pub mod checks;
@@ -21,6 +22,7 @@
 mod cut_run;
 mod environment;
 pub mod history;
+pub mod interruption_plan;
 mod operator;
 mod options;
 pub mod plan;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -1,10 +1,12 @@
 //! An operator that changes routes and keys again and again, and writes its newest configuration again
 //! after the store came back from a copy.
 
-use crate::confirmed_versions::{ConfirmedVersions, ProbeKind};
+use crate::callers::Body;
+use crate::confirmed_versions::{ConfirmedVersions, ProbeKind, Touch};
 use bridgevane_platform_emulator::{
     CONFIG_KEY, EmulatedStore, add_plain_routes, document_with_customers, keyed_request,
 };
+use http::Request;
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -89,9 +91,15 @@
         state.is_away = false;
     }
 
-    /// Returns the numbers that a probe may ask for now.
-    pub(crate) fn askable(&self, kind: ProbeKind) -> Vec<u64> {
-        self.state().confirmed.askable(kind, self.started.elapsed())
+    /// Returns the numbers that a probe may ask a daemon for now.
+    pub(crate) fn askable(&self, kind: ProbeKind, touch: Touch) -> Vec<u64> {
+        let now = self.started.elapsed();
+        self.state().confirmed.askable(kind, touch, now)
+    }
+
+    /// Returns whether the newest version has what a probe asked for.
+    pub(crate) fn newest_has(&self, kind: ProbeKind, number: u64) -> bool {
+        self.state().confirmed.newest_has(kind, number)
     }
 }
 
@@ -113,8 +121,8 @@
     format!("rotating-{number}")
 }
 
-/// Returns the text of a probe of a route or key, for a new connection.
-pub(crate) fn probe_text(kind: ProbeKind, number: u64, id: &str, deadline_ms: u64) -> String {
+/// Returns a probe of a route or key.
+pub(crate) fn probe(kind: ProbeKind, number: u64, id: &str, deadline_ms: u64) -> Request<Body> {
     let (name, key) = match kind {
         ProbeKind::ConfirmedRoute | ProbeKind::RemovedRoute => {
             (route_name(number), PERMANENT_KEY.to_owned())
@@ -124,9 +132,6 @@
         }
     };
     let request = keyed_request(&format!("/{name}/x"), id, &key, deadline_ms);
-    let mut text = format!("POST {} HTTP/1.1\r\n", request.uri());
-    for (name, value) in request.headers() {
-        text += &format!("{name}: {}\r\n", value.to_str().unwrap_or_default());
-    }
-    text + "connection: close\r\ncontent-length: 2\r\n\r\nhi"
+    let (head, _) = request.into_parts();
+    Request::from_parts(head, Body::from("hi"))
 }
--- a/crates/soak/src/replacement_plan.rs
+++ b/crates/soak/src/replacement_plan.rs
@@ -1,6 +1,7 @@
 //! The plan of a run in which the store comes back from copies while daemons are replaced, drawn from a
 //! seed.
 
+use crate::interruption_plan::{Interruption, draw_interruptions};
 use derive_more::{Display, Error};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -60,6 +61,15 @@
         Self::All,
     ];
 
+    /// Each group with a daemon.
+    pub(crate) const SOME: [Self; 5] = [
+        Self::One,
+        Self::Half,
+        Self::Seeds,
+        Self::AllButTwo,
+        Self::All,
+    ];
+
     /// Returns the positions of the daemons that are replaced in a fleet whose first `seeds` daemons are
     /// the seeds.
     pub fn daemons(self, daemons: usize, seeds: usize) -> Vec<usize> {
@@ -99,6 +109,10 @@
     pub rewrite_after: Option<Duration>,
     /// Whether the seeds' paths to the store are silent around each return.
     pub has_silent_seeds: bool,
+    /// Whether daemons are also stopped, frozen and cut off from the store.
+    pub has_interruptions: bool,
+    /// Whether the store never comes back from a copy, and no daemon is replaced around a return.
+    pub has_no_returns: bool,
 }
 
 /// A return from a copy with its troubles. Times count from the start of the run.
@@ -142,19 +156,30 @@
     pub seed: u64,
     /// The rounds, in order; they don't overlap.
     pub rounds: Vec<ReplacementRound>,
+    /// The interruptions, in the order of their beginnings; they may overlap each other and the rounds.
+    pub interruptions: Vec<Interruption>,
 }
 
 impl ReplacementPlan {
     /// Draws the plan of a seed.
-    pub fn draw(seed: u64, duration: Duration, fixed: FixedRounds) -> Self {
+    pub fn draw(seed: u64, duration: Duration, daemons: usize, fixed: FixedRounds) -> Self {
         let mut random = Pcg64::seed_from_u64(seed);
         let mut rounds = Vec::new();
         let mut at = STARTUP_PERIOD;
-        while at + LAST_PERIOD <= duration {
+        while at + LAST_PERIOD <= duration && !fixed.has_no_returns {
             rounds.push(draw_round(&mut random, at, fixed));
             at += draw_ms(&mut random, ROUND_MS);
         }
-        Self { seed, rounds }
+        let interruptions = if fixed.has_interruptions {
+            draw_interruptions(seed, duration, daemons)
+        } else {
+            Vec::new()
+        };
+        Self {
+            seed,
+            rounds,
+            interruptions,
+        }
     }
 }
 
--- a/crates/soak/src/replacement_run.rs
+++ b/crates/soak/src/replacement_run.rs
@@ -1,22 +1,24 @@
 //! One run in which the store comes back from copies while daemons are replaced and cut off, and the
 //! operator writes again late. Each daemon is asked for routes and keys throughout.
 
-use crate::confirmed_versions::{KEY_BOUND, ProbeKind};
+use crate::callers::{Body, open_connection};
+use crate::confirmed_versions::{KEY_BOUND, ProbeKind, Touch};
 use crate::copy_environment::{CopyEnvironment, SEED_DAEMONS};
 use crate::cut_path::PathState;
-use crate::operator::{Operator, probe_text};
+use crate::interruption_plan::{Interruption, InterruptionKind};
+use crate::operator::{self, Operator};
 use crate::options::SoakOptions;
 use crate::replacement_plan::{FixedRounds, ReplacementPlan, ReplacementRound};
 use crate::run::SoakError;
 use bridgevane_platform_emulator::Absence;
 use derive_more::Display;
+use http_body_util::BodyExt;
+use hyper::client::conn::http1::SendRequest;
 use rustix::process::Signal;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -30,6 +32,12 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// The time after a kill after which the daemon is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
+/// The time that a daemon has to end after a stop signal, more than its `--stop-s`.
+const STOP_LIMIT: Duration = Duration::from_secs(9);
+/// The time between two questions whether a process has ended.
+const END_INTERVAL: Duration = Duration::from_millis(50);
+/// The time after an interruption after which a daemon counts as in touch again.
+const CONTACT_PERIOD: Duration = Duration::from_millis(4_000);
 
 /// A wrong answer to a probe.
 #[derive(Clone, Copy, Debug, Display)]
@@ -106,6 +114,8 @@
     started: Instant,
     until: Instant,
     outcome: Arc<Mutex<ReplacementOutcome>>,
+    /// Until when each daemon is out of touch, from the start of the run.
+    out_of_touch_until: Arc<Mutex<BTreeMap<usize, Duration>>>,
 }
 
 /// Performs one run.
@@ -117,7 +127,8 @@
     fixed: FixedRounds,
 ) -> Result<ReplacementOutcome, SoakError> {
     std::fs::create_dir_all(&options.folder)?;
-    let plan = ReplacementPlan::draw(options.seed, options.size.duration, fixed);
+    let size = options.size;
+    let plan = ReplacementPlan::draw(options.seed, size.duration, size.daemons, fixed);
     let environment = CopyEnvironment::start(options, KEY_BOUND).await?;
     environment
         .wait_until_ready(Instant::now() + START_LIMIT)
@@ -132,6 +143,7 @@
             ..ReplacementOutcome::default()
         })),
         environment: Arc::new(tokio::sync::Mutex::new(environment)),
+        out_of_touch_until: Arc::default(),
     };
     let operator = tokio::spawn(run.operator.clone().run());
     let mut events = JoinSet::new();
@@ -140,6 +152,9 @@
         events.spawn(run.clone().replace(round));
         events.spawn(run.clone().silence_seeds(round));
     }
+    for interruption in plan.interruptions.iter().copied() {
+        events.spawn(run.clone().interrupt(interruption));
+    }
     let probes = run.start_probes().await;
     probes.join_all().await;
     for event in events.join_all().await {
@@ -208,6 +223,90 @@
         Ok(())
     }
 
+    async fn interrupt(self, interruption: Interruption) -> Result<(), std::io::Error> {
+        sleep_until(self.started + interruption.at).await;
+        let count = self.environment.lock().await.daemons.len();
+        let daemons = interruption.daemons(count, SEED_DAEMONS);
+        self.set_out_of_touch(&daemons, interruption.lasts);
+        match interruption.kind {
+            InterruptionKind::Stopped => self.stop_and_start(&daemons).await?,
+            InterruptionKind::Frozen => {
+                self.signal(&daemons, Signal::STOP).await;
+                sleep(interruption.lasts).await;
+                self.signal(&daemons, Signal::CONT).await;
+            }
+            InterruptionKind::Silent => {
+                self.fail_paths(&daemons, PathState::Silent, interruption.lasts)
+                    .await;
+            }
+            InterruptionKind::Refused => {
+                self.fail_paths(&daemons, PathState::Reset, interruption.lasts)
+                    .await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Marks daemons as out of touch during an interruption, and for a while after it.
+    fn set_out_of_touch(&self, daemons: &[usize], lasts: Duration) {
+        let until = self.started.elapsed() + lasts + CONTACT_PERIOD;
+        let mut out_of_touch = self.out_of_touch_until.lock().expect("no panic");
+        for daemon in daemons {
+            let known = out_of_touch.entry(*daemon).or_default();
+            *known = until.max(*known);
+        }
+    }
+
+    async fn signal(&self, daemons: &[usize], signal: Signal) {
+        let environment = self.environment.lock().await;
+        for daemon in daemons {
+            environment.daemons[*daemon].signal(signal);
+        }
+    }
+
+    async fn fail_paths(&self, daemons: &[usize], state: PathState, lasts: Duration) {
+        for state in [state, PathState::Open] {
+            let environment = self.environment.lock().await;
+            for daemon in daemons {
+                environment.set_store_path(*daemon, state);
+            }
+            drop(environment);
+            if state != PathState::Open {
+                sleep(lasts).await;
+            }
+        }
+    }
+
+    /// Stops daemons, and starts each again as soon as it has ended, unless it was replaced meanwhile.
+    async fn stop_and_start(&self, daemons: &[usize]) -> Result<(), std::io::Error> {
+        self.signal(daemons, Signal::TERM).await;
+        let until = Instant::now() + STOP_LIMIT;
+        let mut running = daemons.to_vec();
+        while !running.is_empty() && Instant::now() < until {
+            sleep(END_INTERVAL).await;
+            let mut environment = self.environment.lock().await;
+            let mut ended = Vec::new();
+            for daemon in &running {
+                if environment.daemons[*daemon].has_ended()? {
+                    environment.daemons[*daemon].restart()?;
+                    ended.push(*daemon);
+                }
+            }
+            running.retain(|daemon| !ended.contains(daemon));
+            drop(environment);
+            self.set_out_of_touch(&ended, Duration::ZERO);
+        }
+        Ok(())
+    }
+
+    fn touch(&self, daemon: usize) -> Touch {
+        let out_of_touch = self.out_of_touch_until.lock().expect("no panic");
+        match out_of_touch.get(&daemon) {
+            Some(until) if self.started.elapsed() < *until => Touch::OutOfTouch,
+            _ => Touch::InTouch,
+        }
+    }
+
     /// Starts a task for each daemon that asks it until the end.
     async fn start_probes(&self) -> JoinSet<()> {
         let addresses = self.environment.lock().await.client_addresses();
@@ -218,37 +317,37 @@
 
     async fn probe(self, daemon: usize, address: SocketAddr) {
         let mut asked = JoinSet::new();
+        let connections = Connections::new(address);
         let mut count = daemon;
         while Instant::now() < self.until {
             count += 1;
             let kind = ProbeKind::EACH[count % ProbeKind::EACH.len()];
-            let numbers = self.operator.askable(kind);
+            let numbers = self.operator.askable(kind, self.touch(daemon));
             if !numbers.is_empty() {
                 let number = numbers[count / ProbeKind::EACH.len() % numbers.len()];
-                let run = self.clone();
-                asked.spawn(async move {
-                    run.ask(daemon, address, kind, number, count).await;
-                });
+                let probe = Probe {
+                    id: format!("p{daemon}-{count}"),
+                    daemon,
+                    kind,
+                    number,
+                };
+                asked.spawn(self.clone().ask(probe, connections.clone()));
             }
             sleep(PROBE_INTERVAL).await;
         }
         asked.join_all().await;
     }
 
-    async fn ask(
-        self,
-        daemon: usize,
-        address: SocketAddr,
-        kind: ProbeKind,
-        number: u64,
-        count: usize,
-    ) {
+    async fn ask(self, probe: Probe, connections: Connections) {
         let sent_at = self.started.elapsed();
-        let text = probe_text(kind, number, &format!("p{daemon}-{count}"), DEADLINE_MS);
-        let Some(status) = status(address, &text).await else {
+        let Probe { kind, number, .. } = probe;
+        let asking = connections.ask(operator::probe(kind, number, &probe.id, DEADLINE_MS));
+        let Ok(Some(status)) = timeout(PROBE_TIMEOUT, asking).await else {
             return;
         };
-        let is_wrong = kind.is_wrong(status);
+        // A version that was acknowledged since the probe was sent may have removed what it asked for.
+        let is_removed = kind.is_confirmed() && !self.operator.newest_has(kind, number);
+        let is_wrong = kind.is_wrong(status) && !is_removed;
         let mut outcome = self.outcome.lock().expect("no panic under this lock");
         let counts = outcome.counts.entry(kind).or_default();
         counts.answers += 1;
@@ -257,7 +356,7 @@
         if is_wrong {
             outcome.wrong.push(WrongAnswer {
                 sent_at,
-                daemon,
+                daemon: probe.daemon,
                 kind,
                 number,
                 status,
@@ -266,16 +365,47 @@
     }
 }
 
-/// Sends a request on a new connection; returns the status of the answer, `None` without one.
-async fn status(address: SocketAddr, text: &str) -> Option<u16> {
-    let asking = async {
-        let mut stream = TcpStream::connect(address).await?;
-        stream.write_all(text.as_bytes()).await?;
-        let mut answer = Vec::new();
-        stream.read_to_end(&mut answer).await?;
-        Ok::<Vec<u8>, std::io::Error>(answer)
-    };
-    let answer = timeout(PROBE_TIMEOUT, asking).await.ok()?.ok()?;
-    let head = std::str::from_utf8(answer.get(..12)?).ok()?;
-    head.strip_prefix("HTTP/1.1 ")?.parse().ok()
+/// A question to a daemon.
+#[derive(Debug)]
+struct Probe {
+    id: String,
+    daemon: usize,
+    kind: ProbeKind,
+    number: u64,
+}
+
+/// Connections to a daemon that stay open until its process closes them. Clones share them.
+#[derive(Clone, Debug)]
+struct Connections {
+    address: SocketAddr,
+    idle: Arc<Mutex<Vec<SendRequest<Body>>>>,
+}
+
+impl Connections {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: Arc::default(),
+        }
+    }
+
+    fn take_idle(&self) -> Option<SendRequest<Body>> {
+        let mut idle = self.idle.lock().expect("no panic under this lock");
+        idle.retain(SendRequest::is_ready);
+        idle.pop()
+    }
+
+    /// Sends a request; returns the status of the answer, `None` without a whole one.
+    async fn ask(&self, request: http::Request<Body>) -> Option<u16> {
+        let mut sender = match self.take_idle() {
+            Some(sender) => sender,
+            None => open_connection(self.address).await?,
+        };
+        let answer = sender.send_request(request).await.ok()?;
+        let status = answer.status().as_u16();
+        answer.into_body().collect().await.ok()?;
+        let mut idle = self.idle.lock().expect("no panic under this lock");
+        idle.push(sender);
+        Some(status)
+    }
 }
--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -54,6 +54,13 @@
     /// with --replacements: the seeds' paths to the store are silent around each return
     #[argh(switch)]
     pub silent_seeds: bool,
+    /// with --replacements: daemons are also stopped, frozen and cut off from the store, in series that
+    /// overlap
+    #[argh(switch)]
+    pub interruptions: bool,
+    /// with --replacements: the store never comes back from a copy
+    #[argh(switch)]
+    pub no_returns: bool,
     /// daemons keep serving while the store is unavailable (--strict-key-removal false)
     #[argh(switch)]
     pub serve_stale: bool,
@@ -217,6 +224,8 @@
         replaced: arguments.replaced,
         rewrite_after: arguments.rewrite_ms.map(Duration::from_millis),
         has_silent_seeds: arguments.silent_seeds,
+        has_interruptions: arguments.interruptions,
+        has_no_returns: arguments.no_returns,
     };
     let outcome = bridgevane_soak::run_replacements(options, fixed).await?;
     print_line!("{}", outcome.summary());
@@ -225,6 +234,9 @@
         for round in &outcome.plan.rounds {
             print_line!("  {round}");
         }
+        for interruption in &outcome.plan.interruptions {
+            print_line!("  {interruption}");
+        }
         for wrong in &outcome.wrong {
             print_line!("  WRONG {wrong}");
         }
--- a/tests/replacement_soak.rs
+++ b/tests/replacement_soak.rs
@@ -30,6 +30,7 @@
         replaced: Some(replaced),
         rewrite_after: Some(REWRITE_AFTER),
         has_silent_seeds,
+        ..FixedRounds::default()
     };
     run_replacements(&options, fixed)
         .await
