test(gateway): a flood counts what the daemon read, not what the kernel's buffers took

Traced: an event without end in chunks of four bytes is read up to 256 KiB of data, 590 KB on the wire; the rest lay in the receive buffer of the daemon's socket, which the kernel enlarges while a reader keeps up.

The endpoint now waits after each 64 KiB until the other side's receive queue is empty (/proc/net/tcp), so that what it wrote was read, all but the last step.

--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -21,8 +21,7 @@
 /// Until when a request must have its final answer: before a second endpoint is asked for silence,
 /// and far below the timeout.
 const ANSWER_LIMIT: Duration = Duration::from_secs(20);
-/// The most that an endpoint may write until its connection is closed: the bound of the daemon, and
-/// what the buffers of two sockets take.
+/// The most that a daemon may read of a flood until it closes the connection.
 const MAX_FLOOD_BYTES: usize = 1 << 20;
 
 /// A flood: the bytes before it, and those that are repeated.
--- a/crates/gateway/tests/support/endpoint.rs
+++ b/crates/gateway/tests/support/endpoint.rs
@@ -1,10 +1,12 @@
 //! An endpoint that answers byte by byte according to a test's script.
 
+use super::socket_queues::unread_bytes;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 /// One step of the handling of a request.
@@ -180,7 +182,7 @@
                 Action::Wait(time) => {
                     let mut byte = [0; 1];
                     tokio::select! {
-                        _ = tokio::time::sleep(time) => {}
+                        _ = sleep(time) => {}
                         read = stream.read(&mut byte) => if matches!(read, Ok(0) | Err(_)) {
                             *endpoint.abandoned.lock().unwrap() += 1;
                             return;
@@ -209,20 +211,20 @@
 }
 
 /// The bytes that a flood writes at a time, about.
-const FLOOD_STEP_BYTES: usize = 4096;
-/// The send buffer of a flood: what is written and not sent isn't read by the other side.
-const FLOOD_SEND_BUFFER_BYTES: usize = 16 * 1024;
+const FLOOD_STEP_BYTES: usize = 64 * 1024;
+/// The delay between two checks whether a step of a flood was read.
+const FLOOD_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
-/// Writes a text over and over until the connection is closed, and returns how many bytes it wrote.
+/// Writes a text over and over until the connection is closed, and returns how many bytes it wrote. All
+/// but the last step were read by the other side: the buffers between them grow as the kernel likes.
 async fn flood(stream: &mut TcpStream, text: &str) -> usize {
-    let socket = socket2::SockRef::from(&*stream);
-    socket
-        .set_send_buffer_size(FLOOD_SEND_BUFFER_BYTES)
-        .unwrap();
     let step = text.repeat(FLOOD_STEP_BYTES.div_ceil(text.len()));
     let mut written = 0;
     while stream.write_all(step.as_bytes()).await.is_ok() {
         written += step.len();
+        while unread_bytes(stream).is_some_and(|unread| unread > 0) {
+            sleep(FLOOD_CHECK_INTERVAL).await;
+        }
     }
     written
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod endpoint;
 pub mod records;
 pub mod seeded;
+pub mod socket_queues;
 pub mod source;
 pub mod unreachable;
 pub mod versions;
