test(gateway): fleets of 24, 59 and 985 daemons deny by young proofs alone, and at all times when calm

In virtual time, with the tree of followers. With 45 of 100 daemons frozen for 6 s none denies by a proof of 3 s or more, and 8 s after the freeze all deny again.

--- a/crates/gateway/tests/follow_tree.rs
+++ b/crates/gateway/tests/follow_tree.rs
@@ -308,6 +308,47 @@
     assert_in_force_in_time(328, 0);
 }
 
+/// Guards against unknown routes and keys that are refused with 503 on an ordinary day, since proofs arrive
+/// too late for denials in a large tree.
+#[test]
+fn a_calm_fleet_of_any_size_denies_at_all_times() {
+    for sizes in [&[6; 4][..], &[15, 15, 15, 14], &[197; 5]] {
+        let mut fleet = Fleet::with_bound(sizes, 3, 1, DurationMs(3_000));
+        fleet.run(10_000);
+        for _ in 0..20_000 / SAMPLE_INTERVAL_MS {
+            fleet.run(SAMPLE_INTERVAL_MS);
+            let silent = fleet.all().into_iter().filter(|at| !fleet.denies(*at));
+            assert_eq!(silent.count(), 0, "{sizes:?} at {} ms", fleet.now);
+        }
+    }
+}
+
+/// Guards against denials by daemons that may lack a change in force, where nearly half of the fleet is
+/// frozen; the others deny again as soon as they have found each other.
+#[test]
+fn a_fleet_of_which_half_is_frozen_denies_by_young_proofs_alone() {
+    let bound = DurationMs(3_000);
+    for sizes in [&[6; 4][..], &[15, 15, 15, 14], &[197; 5]] {
+        let mut fleet = Fleet::with_bound(sizes, 3, 1, bound);
+        fleet.run(10_000);
+        let awake = freeze_percentage(&mut fleet, 45);
+        for _ in 0..8_000 / SAMPLE_INTERVAL_MS {
+            fleet.run(SAMPLE_INTERVAL_MS);
+            for at in fleet.all() {
+                let oldest = fleet.oldest_proof(&[at]);
+                let is_young = oldest.is_some_and(|age_ms| age_ms < bound.0);
+                assert!(
+                    !fleet.denies(at) || is_young,
+                    "{sizes:?}, daemon {at}: {oldest:?}"
+                );
+            }
+        }
+        let deny = |daemons: &[usize]| daemons.iter().filter(|at| fleet.denies(**at)).count();
+        assert_eq!(deny(&awake), awake.len(), "{sizes:?}");
+        assert_eq!(deny(&fleet.all()), fleet.all().len(), "{sizes:?}");
+    }
+}
+
 /// Freezes 45 in 100 daemons of three data centres of this size; asserts that the proofs of the
 /// others stay younger than the time in which a change must be in force.
 fn assert_in_force_in_time(in_data_centre: usize, seed: u64) {
