--- a/crates/soak/src/copy_environment.rs
+++ b/crates/soak/src/copy_environment.rs
@@ -4,7 +4,7 @@
 use crate::cut_path::{CutPath, PathState};
 use crate::environment::{KEYS, Ports, normal_behaviour};
 use crate::options::SoakOptions;
-use crate::processes::{DaemonProcess, DaemonSettings};
+use crate::processes::{DaemonBounds, DaemonProcess, DaemonSettings};
 use bridgevane_platform_emulator::{
     CONFIG_KEY, EmulatedDutyApi, EmulatedStore, HOLDER_KEY, MODEL, PLAIN, StoreCopy, Worker,
     allow_orders, document_with_customers,
@@ -38,10 +38,10 @@
 }
 
 impl CopyEnvironment {
-    /// Starts everything; daemons enforce the removal of a key within `key_removal`.
+    /// Starts everything; daemons have changes in force within `bounds`.
     pub(crate) async fn start(
         options: &SoakOptions,
-        key_removal: Duration,
+        bounds: DaemonBounds,
     ) -> Result<Self, std::io::Error> {
         let mut environment = Self {
             store: EmulatedStore::start().await,
@@ -58,7 +58,7 @@
             environment.store.put(&worker.key(), &record);
             environment.workers.push(worker);
         }
-        environment.start_daemons(options, key_removal).await?;
+        environment.start_daemons(options, bounds).await?;
         Ok(environment)
     }
 
@@ -80,7 +80,7 @@
     async fn start_daemons(
         &mut self,
         options: &SoakOptions,
-        key_removal: Duration,
+        bounds: DaemonBounds,
     ) -> Result<(), std::io::Error> {
         let ports = Ports::new();
         let mut peers = Vec::new();
@@ -97,7 +97,7 @@
                 peers: *address,
                 store: path.address,
                 seeds: peers.iter().take(SEED_DAEMONS).copied().collect(),
-                key_removal_ms: key_removal.as_millis(),
+                bounds,
                 serves_stale: options.serves_stale,
                 duties: Some(self.duties.address),
             };
--- a/crates/soak/src/copy_run.rs
+++ b/crates/soak/src/copy_run.rs
@@ -2,7 +2,6 @@
 //! paused and cut off from it.
 
 use crate::callers::{self, CallPace, Calls};
-use crate::checks::KEY_REMOVAL_BOUND;
 use crate::copy_checks::{
     BegunRequest, CopyHistory, CopyViolation, Loss, MissCause, Span, find_copy_violations,
 };
@@ -10,6 +9,7 @@
 use crate::copy_plan::{CopyPlan, StoreReturn, Trouble, TroubleEvent};
 use crate::cut_path::PathState;
 use crate::options::SoakOptions;
+use crate::processes::DaemonBounds;
 use crate::run::SoakError;
 use bridgevane_platform_emulator::{Absence, Fault, Worker};
 use rustix::process::Signal;
@@ -108,7 +108,7 @@
 pub async fn run_store_copies(options: &SoakOptions) -> Result<CopyOutcome, SoakError> {
     std::fs::create_dir_all(&options.folder)?;
     let plan = CopyPlan::draw(options.seed, options.size.daemons, options.size.duration);
-    let environment = CopyEnvironment::start(options, KEY_REMOVAL_BOUND).await?;
+    let environment = CopyEnvironment::start(options, DaemonBounds::default()).await?;
     environment
         .wait_until_ready(Instant::now() + START_LIMIT)
         .await;
--- a/crates/soak/src/cut_run.rs
+++ b/crates/soak/src/cut_run.rs
@@ -5,13 +5,12 @@
 //! lead through its own paths, which can be cut for this daemon alone.
 
 use crate::callers::{self, CallPace, Calls};
-use crate::checks::KEY_REMOVAL_BOUND;
 use crate::cut_checks::{CutHistory, CutViolation, Disturbance, find_cut_violations};
 use crate::cut_path::{CutPath, PathState};
 use crate::cut_plan::{Cut, CutPlan, DATA_CENTRES, Strike, StrikeEvent};
 use crate::environment::{KEYS, Ports, normal_behaviour};
 use crate::options::SoakOptions;
-use crate::processes::{DaemonProcess, DaemonSettings};
+use crate::processes::{DaemonBounds, DaemonProcess, DaemonSettings};
 use crate::run::SoakError;
 use bridgevane_platform_emulator::{
     CONFIG_KEY, EmulatedStore, MODEL, PLAIN, Worker, document_with_keys,
@@ -103,7 +102,7 @@
                 store: store.address,
                 // Every daemon polls its own store.
                 seeds: peers.clone(),
-                key_removal_ms: KEY_REMOVAL_BOUND.as_millis(),
+                bounds: DaemonBounds::default(),
                 serves_stale: options.serves_stale,
                 duties: None,
             };
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -1,10 +1,9 @@
 //! The store, workers, proxies and daemons of a run.
 
-use crate::checks::KEY_REMOVAL_BOUND;
 use crate::history::{RequestArrival, Run};
 use crate::options::SoakOptions;
 use crate::plan::{Link, LinkMode};
-use crate::processes::{DaemonProcess, DaemonSettings};
+use crate::processes::{DaemonBounds, DaemonProcess, DaemonSettings};
 use crate::proxy::Proxy;
 use bridgevane_platform_emulator::{
     Behaviour, CONFIG_KEY, EmulatedStore, MODEL, PLAIN, Worker, document_with_keys,
@@ -160,7 +159,7 @@
                 peers: peers[at],
                 store: proxies.store.address,
                 seeds,
-                key_removal_ms: KEY_REMOVAL_BOUND.as_millis(),
+                bounds: DaemonBounds::default(),
                 serves_stale: options.serves_stale,
                 duties: None,
             };
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -1,13 +1,33 @@
 //! Daemons as child processes, signalled by their process ids.
 
+use crate::checks::KEY_REMOVAL_BOUND;
 use crate::copy_checks::{LATE, LEASE, WINDOW};
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::time::Duration;
 use tokio::process::{Child, Command};
 
+/// The times within which daemons have changes in force.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DaemonBounds {
+    /// For removed keys.
+    pub(crate) key_removal: Duration,
+    /// For other changes; `None`: the default of the program.
+    pub(crate) config_apply: Option<Duration>,
+}
+
+impl Default for DaemonBounds {
+    fn default() -> Self {
+        Self {
+            key_removal: KEY_REMOVAL_BOUND,
+            config_apply: None,
+        }
+    }
+}
+
 /// The settings with which a daemon is started.
 #[derive(Clone, Debug)]
 pub(crate) struct DaemonSettings {
@@ -20,7 +40,7 @@
     pub(crate) store: SocketAddr,
     /// The peer addresses through which it joins the other daemons.
     pub(crate) seeds: Vec<SocketAddr>,
-    pub(crate) key_removal_ms: u128,
+    pub(crate) bounds: DaemonBounds,
     /// Whether it continues to serve during an outage of the store.
     pub(crate) serves_stale: bool,
     /// The address of the platform's interface for duties, if the fleet has any.
@@ -89,6 +109,7 @@
 ) -> Result<Child, std::io::Error> {
     let log = File::create(logs.join(format!("{}-{start_number}.log", settings.name)))?;
     let seeds: Vec<String> = settings.seeds.iter().map(ToString::to_string).collect();
+    let key_removal_ms = settings.bounds.key_removal.as_millis().to_string();
     let mut command = Command::new(program);
     command
         .arg("gateway")
@@ -99,12 +120,15 @@
         .args(["--peer-address", &settings.peers.to_string()])
         .args(["--seed-addresses", &seeds.join(",")])
         .args(["--store-address", &settings.store.to_string()])
-        .args(["--key-removal-ms", &settings.key_removal_ms.to_string()])
+        .args(["--key-removal-ms", &key_removal_ms])
         .args([
             "--strict-key-removal",
             &(!settings.serves_stale).to_string(),
         ])
         .args(["--stop-s", "6"]);
+    if let Some(bound) = settings.bounds.config_apply {
+        command.args(["--config-apply-ms", &bound.as_millis().to_string()]);
+    }
     if let Some(address) = settings.duties {
         add_duties(&mut command, address);
     }
--- a/crates/soak/src/replacement_run.rs
+++ b/crates/soak/src/replacement_run.rs
@@ -2,12 +2,13 @@
 //! operator writes again late. Each daemon is asked for routes and keys throughout.
 
 use crate::callers::{Body, open_connection};
-use crate::confirmed_versions::{KEY_BOUND, ProbeKind, Touch};
+use crate::confirmed_versions::{APPLY_BOUND, KEY_BOUND, ProbeKind, Touch};
 use crate::copy_environment::{CopyEnvironment, SEED_DAEMONS};
 use crate::cut_path::PathState;
 use crate::interruption_plan::{Interruption, InterruptionKind};
 use crate::operator::{self, Operator};
 use crate::options::SoakOptions;
+use crate::processes::DaemonBounds;
 use crate::replacement_plan::{FixedRounds, ReplacementPlan, ReplacementRound};
 use crate::run::SoakError;
 use bridgevane_platform_emulator::Absence;
@@ -22,6 +23,11 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+/// The bounds that answers are checked against.
+const BOUNDS: DaemonBounds = DaemonBounds {
+    key_removal: KEY_BOUND,
+    config_apply: Some(APPLY_BOUND),
+};
 /// The time that daemons have to become ready.
 const START_LIMIT: Duration = Duration::from_secs(30);
 /// The time between two probes of a daemon.
@@ -129,7 +135,7 @@
     std::fs::create_dir_all(&options.folder)?;
     let size = options.size;
     let plan = ReplacementPlan::draw(options.seed, size.duration, size.daemons, fixed);
-    let environment = CopyEnvironment::start(options, KEY_BOUND).await?;
+    let environment = CopyEnvironment::start(options, BOUNDS).await?;
     environment
         .wait_until_ready(Instant::now() + START_LIMIT)
         .await;
--- a/tests/replacement_soak.rs
+++ b/tests/replacement_soak.rs
@@ -13,7 +13,16 @@
 const REWRITE_AFTER: Duration = Duration::from_millis(4_000);
 
 async fn play(seed: u64, replaced: Replaced, has_silent_seeds: bool) -> ReplacementOutcome {
-    let name = format!("replacements-{replaced}-{seed}");
+    let fixed = FixedRounds {
+        replaced: Some(replaced),
+        rewrite_after: Some(REWRITE_AFTER),
+        has_silent_seeds,
+        ..FixedRounds::default()
+    };
+    play_rounds(&format!("replacements-{replaced}-{seed}"), seed, fixed).await
+}
+
+async fn play_rounds(name: &str, seed: u64, fixed: FixedRounds) -> ReplacementOutcome {
     let options = SoakOptions {
         program: PathBuf::from(env!("CARGO_BIN_EXE_bridgevane")),
         folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(name),
@@ -26,12 +35,6 @@
         callers: 0,
         serves_stale: false,
     };
-    let fixed = FixedRounds {
-        replaced: Some(replaced),
-        rewrite_after: Some(REWRITE_AFTER),
-        has_silent_seeds,
-        ..FixedRounds::default()
-    };
     run_replacements(&options, fixed)
         .await
         .expect("the soak runs")
@@ -54,6 +57,23 @@
     }
 }
 
+/// Guards against 404 and 401 for confirmed routes and keys at daemons that were frozen or cut off from the
+/// store: their proofs are still valid, but older than the time within which a change must be in force.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_daemon_denies_what_is_confirmed_while_daemons_are_frozen_and_cut_off() {
+    let fixed = FixedRounds {
+        has_interruptions: true,
+        has_no_returns: true,
+        ..FixedRounds::default()
+    };
+    let outcome = play_rounds("interruptions-1", 1, fixed).await;
+    let summary = outcome.summary();
+    assert!(outcome.wrong.is_empty(), "{summary}: {:?}", outcome.wrong);
+    assert!(outcome.plan.interruptions.len() >= 3, "{summary}");
+    let answers: usize = outcome.counts.values().map(|counts| counts.answers).sum();
+    assert!(answers > 400, "{summary}");
+}
+
 /// Guards against daemons that lived through a return, and serve what was removed right before it while
 /// the seeds didn't reach the store.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
