fix(gateway): what an older configuration decides for good is decided by its own proof

What callers would see: 401 without a key on a route that has become public, and 413 for a body that a raised limit allows, both final, at a daemon whose proof is older than a change must be in force, or whose state may lack what was confirmed before a return.

Cause: the same as of 404 and 401 with a key. Only those two asked whether the state may deny; a missing key and a long body didn't. The answer was asked for after the fact, too: a proof that arrives while a body is read says nothing of the table that was read before.

Evidence: a_daemon_that_may_lack_a_change_in_force_refuses_neither_key_nor_body_for_good failed before (401 where 503 is asked).

Why it works: one place turns each refusal that a newer configuration may lift into not_ready, by the freshness that was read with the table. Where the state may deny, the answers are as before.

--- a/crates/gateway/src/decisions/admission/refusal.rs
+++ b/crates/gateway/src/decisions/admission/refusal.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Returns whether a newer configuration may allow what is refused for this reason.
+    pub fn depends_on_configuration(self) -> bool {
+        matches!(self, Self::NoRoute | Self::UnknownKey | Self::BodyTooLarge)
+    }
+
     /// Returns when the client may retry, for temporary reasons.
     fn default_retry_after(self) -> Option<DurationMs> {
         match self {
--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -38,11 +38,12 @@
     let headers = gateway.client_headers(&head.headers);
     let client_timeout = decode::client_timeout(names, &headers);
     wait_for_first_proof(gateway, client_timeout).await;
-    let table = usable_table(gateway)?;
+    let UsableTable { table, denials } = usable_table(gateway)?;
     let host = decode::host(&head.uri, &head.headers).ok_or(RefusalReason::NoRoute)?;
     let route = table.route(&host, head.uri.path()).cloned();
-    let route = route.ok_or_else(|| denial_or_not_ready(gateway, RefusalReason::NoRoute))?;
-    let customer = customer(gateway, &table, &route, &head.headers)?;
+    let route = route.ok_or_else(|| denials.reason(RefusalReason::NoRoute))?;
+    let customer = customer(gateway, &table, &route, &head.headers)
+        .map_err(|reason| denials.reason(reason))?;
     let id = decode::identifier(names, &head.headers)?;
     let path = head.uri.path_and_query().cloned();
     let path = path.ok_or(RefusalReason::Malformed)?;
@@ -58,7 +59,9 @@
         max_body: table.limits().body_bytes,
         deadline,
     };
-    let body = body_reader::read(&gateway.body_memory, limits, body).await?;
+    let body = body_reader::read(&gateway.body_memory, limits, body)
+        .await
+        .map_err(|reason| denials.reason(reason))?;
     let service = draw_service(&route);
     let key = key_header(&head.headers);
     let taken_up = route
@@ -100,24 +103,44 @@
     let _ = timeout(limit, progress.wait_for(|_| has_proof())).await;
 }
 
+/// A routing table that is recent enough to act on.
+struct UsableTable {
+    table: Arc<RoutingTable>,
+    denials: Denials,
+}
+
+/// Whether a routing table may deny requests. A newer proof, such as one that arrives while a body is
+/// read, says nothing of an older table.
+#[derive(Clone, Copy)]
+struct Denials {
+    are_allowed: bool,
+}
+
+impl Denials {
+    /// Returns the reason to refuse a request: `NotReady` in place of one that is final for the client
+    /// and may be wrong by a newer configuration.
+    fn reason(self, reason: RefusalReason) -> RefusalReason {
+        if self.are_allowed || !reason.depends_on_configuration() {
+            return reason;
+        }
+        RefusalReason::NotReady
+    }
+}
+
 /// Returns the routing table if it is recent enough to act on.
-fn usable_table(gateway: &Gateway) -> Result<Arc<RoutingTable>, RefusalReason> {
+fn usable_table(gateway: &Gateway) -> Result<UsableTable, RefusalReason> {
+    let freshness = gateway.control.freshness();
     let table = gateway.control.routing_table();
     let table = table.ok_or(RefusalReason::NotReady)?;
-    if !gateway.control.freshness().may_serve() {
+    if !freshness.may_serve() {
         return Err(RefusalReason::NotReady);
     }
-    Ok(table)
-}
-
-/// Returns the refusal of an unknown key or route: `NotReady` if the configuration is too stale to
-/// show that it doesn't exist.
-fn denial_or_not_ready(gateway: &Gateway, reason: RefusalReason) -> RefusalReason {
-    if gateway.control.freshness().may_deny() {
-        reason
-    } else {
-        RefusalReason::NotReady
-    }
+    Ok(UsableTable {
+        table,
+        denials: Denials {
+            are_allowed: freshness.may_deny(),
+        },
+    })
 }
 
 /// Returns the customer of the request's key; `None` if no key is needed.
@@ -132,9 +155,7 @@
     }
     let key = decode::key(&gateway.header_names, headers).ok_or(RefusalReason::UnknownKey)?;
     let customer = table.customer(key).cloned();
-    let customer =
-        customer.ok_or_else(|| denial_or_not_ready(gateway, RefusalReason::UnknownKey))?;
-    Ok(Some(customer))
+    customer.map(Some).ok_or(RefusalReason::UnknownKey)
 }
 
 /// Returns the header with the key, for another daemon that may have to check it.
--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -259,9 +259,13 @@
 }
 
 async fn status_of(running: &RunningGateway, path: &str, key: &str) -> u16 {
-    let mut client = Client::connect(running.address).await;
     let head = request("GET", path, "a1", "", "").replace(KEY, key);
-    client.send(&head).await;
+    status_of_text(running, &head).await
+}
+
+async fn status_of_text(running: &RunningGateway, text: &str) -> u16 {
+    let mut client = Client::connect(running.address).await;
+    client.send(text).await;
     client.answer().await.expect("an answer").status
 }
 
@@ -354,6 +358,27 @@
     assert_eq!(status_of(&running, "/none/x", KEY).await, 404);
 }
 
+/// Guards against 401 without a key and 413 at a daemon that is cut off: the route may have become public,
+/// and the limit on bodies may have been raised.
+#[tokio::test]
+async fn a_daemon_that_may_lack_a_change_in_force_refuses_neither_key_nor_body_for_good() {
+    let mut settings = support::settings();
+    settings.freshness.config_apply_ms = DurationMs(1_000);
+    settings.freshness.proof_lifetime_ms = DurationMs(6_000);
+    settings.freshness.max_stale_age_ms = DurationMs(6_000);
+    let (running, endpoint) = start_gateway_with(settings).await;
+    let without_key = request("GET", "/often/x", "a1", "", "").replace("authorization", "x-other");
+    let long = "content-length: 1000000\r\n";
+    let with_long_body = request("POST", "/often/x", "a2", long, "");
+    assert_eq!(status_of_text(&running, &without_key).await, 401);
+    assert_eq!(status_of_text(&running, &with_long_body).await, 413);
+    running.source.set_fault(Some(SourceError::NoAnswer));
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    assert_eq!(status_of_text(&running, &without_key).await, 503);
+    assert_eq!(status_of_text(&running, &with_long_body).await, 503);
+    assert_eq!(endpoint.request_count(), 0);
+}
+
 /// Guards against a daemon that counts as stale, and serves, before it has read any configuration.
 #[tokio::test]
 async fn a_daemon_without_a_configuration_refuses_all_requests() {
