--- a/crates/gateway/src/decisions/admission/freshness.rs
+++ b/crates/gateway/src/decisions/admission/freshness.rs
@@ -3,9 +3,9 @@
 //! Inputs: the age of the newest proof (ms), the operator's [`FreshnessPolicy`]: how long a proof is
 //! valid (ms, `--key-removal-ms` less 300), within which time a change must be in force (ms,
 //! `--config-apply-ms`), and up to which age a stale configuration may be used (ms, `--max-stale-s`;
-//! only with `--strict-key-removal false`), and the [`Completeness`] of the state. A proof is an answer of the control source. Its age counts from the time of the *request*
-//! for it, so that the time the answer took is included; it keeps its age when it is passed on
-//! between daemons.
+//! only with `--strict-key-removal false`), and the [`Completeness`] of the state. A proof is an answer
+//! of the control source. Its age counts from the time of the *request* for it, so that the time the
+//! answer took is included; it keeps its age when it is passed on between daemons.
 //!
 //! Rules:
 //! - The configuration is recent while the age is below the lifetime of a proof, then stale, then
@@ -13,8 +13,8 @@
 //! - A recent configuration is current if its state is complete and its proof is younger than the time
 //!   within which a change must be in force. It may then decide everything.
 //! - A stale, aging or witnessed configuration lets a request pass, but can't decide that a key or a
-//!   route is unknown: 401 and 404 are final for a client, so they need a current one; without it the
-//!   answer is 503.
+//!   route is unknown or a body too long: 401, 404 and 413 are final for a client, so they need a
+//!   current one; without it the answer is 503.
 //! - An unwitnessed configuration decides nothing: it may have keys that were removed. It counts as
 //!   stale where the operator allows a stale one.
 //! - A daemon that has just started has no proof yet, and its first one will arrive shortly: a
