refactor(soak): parts of a fleet are a module of their own

The plans of replacements and of interruptions used each other in a circle; the group of daemons that both strike is a third module. Tests of old proofs share their settings.

--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -329,15 +329,20 @@
     assert_eq!(status_of(&running, "/new/x", OTHER_KEY).await, 200);
 }
 
-/// Guards against 404 and 401 for a confirmed route and key at a daemon that is cut off: its proof is still
-/// valid, but older than the time within which the change must be in force.
-#[tokio::test]
-async fn a_daemon_that_may_lack_a_change_in_force_denies_nothing() {
+/// Returns settings in which a proof is valid for longer than a change may take.
+fn settings_with_long_proofs() -> GatewaySettings {
     let mut settings = support::settings();
     settings.freshness.config_apply_ms = DurationMs(1_000);
     settings.freshness.proof_lifetime_ms = DurationMs(6_000);
     settings.freshness.max_stale_age_ms = DurationMs(6_000);
-    let (running, _endpoint) = start_gateway_with(settings).await;
+    settings
+}
+
+/// Guards against 404 and 401 for a confirmed route and key at a daemon that is cut off: its proof is still
+/// valid, but older than the time within which the change must be in force.
+#[tokio::test]
+async fn a_daemon_that_may_lack_a_change_in_force_denies_nothing() {
+    let (running, _endpoint) = start_gateway_with(settings_with_long_proofs()).await;
     assert_eq!(status_of(&running, "/new/x", KEY).await, 404);
     assert_eq!(status_of(&running, "/often/x", "key-9").await, 401);
     running.source.set_fault(Some(SourceError::NoAnswer));
@@ -362,11 +367,7 @@
 /// and the limit on bodies may have been raised.
 #[tokio::test]
 async fn a_daemon_that_may_lack_a_change_in_force_refuses_neither_key_nor_body_for_good() {
-    let mut settings = support::settings();
-    settings.freshness.config_apply_ms = DurationMs(1_000);
-    settings.freshness.proof_lifetime_ms = DurationMs(6_000);
-    settings.freshness.max_stale_age_ms = DurationMs(6_000);
-    let (running, endpoint) = start_gateway_with(settings).await;
+    let (running, endpoint) = start_gateway_with(settings_with_long_proofs()).await;
     let without_key = request("GET", "/often/x", "a1", "", "").replace("authorization", "x-other");
     let long = "content-length: 1000000\r\n";
     let with_long_body = request("POST", "/often/x", "a2", long, "");
--- a/crates/soak/src/interruption_plan.rs
+++ b/crates/soak/src/interruption_plan.rs
@@ -1,7 +1,7 @@
 //! The interruptions of a run in which daemons are replaced: signals and failing paths to the store, in
 //! series that overlap each other and the returns of the store, drawn from a seed.
 
-use crate::replacement_plan::Replaced;
+use crate::daemon_group::DaemonGroup;
 use derive_more::Display;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -51,7 +51,7 @@
     /// What happens.
     pub kind: InterruptionKind,
     /// To which part of the fleet.
-    pub group: Replaced,
+    pub group: DaemonGroup,
     /// The daemon from which on positions count.
     pub first: usize,
 }
@@ -60,7 +60,7 @@
     /// Returns the positions of the daemons in a fleet whose first `seeds` daemons are the seeds.
     pub fn daemons(&self, daemons: usize, seeds: usize) -> Vec<usize> {
         let first = match self.group {
-            Replaced::Seeds => 0,
+            DaemonGroup::Seeds => 0,
             _ => self.first,
         };
         let positions = self.group.daemons(daemons, seeds).into_iter();
@@ -78,7 +78,7 @@
             at,
             lasts: draw_ms(&mut random, LASTS_MS),
             kind: InterruptionKind::EACH[random.random_range(0..InterruptionKind::EACH.len())],
-            group: Replaced::SOME[random.random_range(0..Replaced::SOME.len())],
+            group: DaemonGroup::SOME[random.random_range(0..DaemonGroup::SOME.len())],
             first: random.random_range(0..daemons),
         });
         at += draw_ms(&mut random, GAP_MS);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod cut_path;
 pub mod cut_plan;
 mod cut_run;
+pub mod daemon_group;
 mod environment;
 pub mod history;
 pub mod interruption_plan;
--- a/crates/soak/src/replacement_plan.rs
+++ b/crates/soak/src/replacement_plan.rs
@@ -1,12 +1,12 @@
 //! The plan of a run in which the store comes back from copies while daemons are replaced, drawn from a
 //! seed.
 
+use crate::daemon_group::DaemonGroup;
 use crate::interruption_plan::{Interruption, draw_interruptions};
-use derive_more::{Display, Error};
+use derive_more::Display;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use std::ops::RangeInclusive;
-use std::str::FromStr;
 use std::time::Duration;
 
 /// No round begins before this time, so that versions are confirmed first.
@@ -28,83 +28,11 @@
 /// How long paths to the store are silent before the store goes away, and after its return.
 const SILENT_AROUND: Duration = Duration::from_millis(3_000);
 
-/// The daemons that are killed and started again in a round.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Replaced {
-    /// None.
-    #[display("none")]
-    None,
-    /// One daemon that isn't a seed.
-    #[display("one")]
-    One,
-    /// Every second daemon.
-    #[display("half")]
-    Half,
-    /// The seeds.
-    #[display("seeds")]
-    Seeds,
-    /// All but the last two.
-    #[display("all-but-two")]
-    AllButTwo,
-    /// All daemons.
-    #[display("all")]
-    All,
-}
-
-impl Replaced {
-    const EACH: [Self; 6] = [
-        Self::None,
-        Self::One,
-        Self::Half,
-        Self::Seeds,
-        Self::AllButTwo,
-        Self::All,
-    ];
-
-    /// Each group with a daemon.
-    pub(crate) const SOME: [Self; 5] = [
-        Self::One,
-        Self::Half,
-        Self::Seeds,
-        Self::AllButTwo,
-        Self::All,
-    ];
-
-    /// Returns the positions of the daemons that are replaced in a fleet whose first `seeds` daemons are
-    /// the seeds.
-    pub fn daemons(self, daemons: usize, seeds: usize) -> Vec<usize> {
-        match self {
-            Self::None => Vec::new(),
-            Self::One => vec![daemons - 1],
-            Self::Half => (0..daemons).step_by(2).collect(),
-            Self::Seeds => (0..seeds.min(daemons)).collect(),
-            Self::AllButTwo => (0..daemons.saturating_sub(2)).collect(),
-            Self::All => (0..daemons).collect(),
-        }
-    }
-}
-
-/// The text names no group of daemons.
-#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
-#[display("give none, one, half, seeds, all-but-two or all")]
-pub struct UnknownReplaced;
-
-impl FromStr for Replaced {
-    type Err = UnknownReplaced;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let named = Self::EACH
-            .into_iter()
-            .find(|replaced| replaced.to_string() == text);
-        named.ok_or(UnknownReplaced)
-    }
-}
-
 /// What every round of a run has in common; the rest is drawn.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FixedRounds {
     /// The daemons that are replaced.
-    pub replaced: Option<Replaced>,
+    pub replaced: Option<DaemonGroup>,
     /// How long after a return the operator writes again.
     pub rewrite_after: Option<Duration>,
     /// Whether the seeds' paths to the store are silent around each return.
@@ -134,7 +62,7 @@
     /// When the operator writes again.
     pub rewrite_at: Duration,
     /// Which daemons are replaced.
-    pub replaced: Replaced,
+    pub replaced: DaemonGroup,
     /// When they are replaced.
     pub replaced_at: Duration,
     /// Whether the seeds' paths to the store are silent around the return.
@@ -191,7 +119,7 @@
     let copy_at = away_from - draw_ms(random, COPY_AGE_MS);
     let back_at = away_from + draw_ms(random, AWAY_MS);
     let rewrite_after = draw_ms(random, REWRITE_MS);
-    let replaced = Replaced::EACH[random.random_range(0..Replaced::EACH.len())];
+    let replaced = DaemonGroup::EACH[random.random_range(0..DaemonGroup::EACH.len())];
     let replaced_at = away_from - EARLIEST_REPLACEMENT + draw_ms(random, REPLACED_MS);
     let has_silent_seeds = random.random_ratio(2, 10);
     ReplacementRound {
--- a/crates/soak/tests/interruption_plan.rs
+++ b/crates/soak/tests/interruption_plan.rs
@@ -1,7 +1,7 @@
 //! Interruptions depend on their seed alone, and strike daemons of the fleet.
 
+use bridgevane_soak::daemon_group::DaemonGroup;
 use bridgevane_soak::interruption_plan::{Interruption, InterruptionKind, draw_interruptions};
-use bridgevane_soak::replacement_plan::Replaced;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -40,12 +40,12 @@
         at: Duration::ZERO,
         lasts: Duration::ZERO,
         kind: InterruptionKind::Frozen,
-        group: Replaced::Half,
+        group: DaemonGroup::Half,
         first: 5,
     };
     assert_eq!(half.daemons(6, 3), [5, 1, 3]);
     let seeds = Interruption {
-        group: Replaced::Seeds,
+        group: DaemonGroup::Seeds,
         ..half
     };
     assert_eq!(seeds.daemons(6, 3), [0, 1, 2]);
--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -2,8 +2,9 @@
 
 use crate::commands::{block_on, exit, print_line};
 use argh::FromArgs;
+use bridgevane_soak::daemon_group::DaemonGroup;
 use bridgevane_soak::plan::RunSize;
-use bridgevane_soak::replacement_plan::{FixedRounds, Replaced};
+use bridgevane_soak::replacement_plan::FixedRounds;
 use bridgevane_soak::{SoakError, SoakOptions, SoakOutcome};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -47,7 +48,7 @@
     /// with --replacements: none, one, half, seeds, all-but-two or all daemons in each round (default:
     /// drawn)
     #[argh(option)]
-    pub replaced: Option<Replaced>,
+    pub replaced: Option<DaemonGroup>,
     /// with --replacements: milliseconds from a return until the operator writes again (default: drawn)
     #[argh(option)]
     pub rewrite_ms: Option<u64>,
--- a/tests/replacement_soak.rs
+++ b/tests/replacement_soak.rs
@@ -1,8 +1,9 @@
 //! A short soak of real processes with fixed seeds in which daemons are replaced while the store comes
 //! back from copies and the operator writes again late.
 
+use bridgevane_soak::daemon_group::DaemonGroup;
 use bridgevane_soak::plan::RunSize;
-use bridgevane_soak::replacement_plan::{FixedRounds, Replaced};
+use bridgevane_soak::replacement_plan::FixedRounds;
 use bridgevane_soak::{ReplacementOutcome, SoakOptions, run_replacements};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -12,7 +13,7 @@
 /// Late enough for each new daemon to act before the operator writes.
 const REWRITE_AFTER: Duration = Duration::from_millis(4_000);
 
-async fn play(seed: u64, replaced: Replaced, has_silent_seeds: bool) -> ReplacementOutcome {
+async fn play(seed: u64, replaced: DaemonGroup, has_silent_seeds: bool) -> ReplacementOutcome {
     let fixed = FixedRounds {
         replaced: Some(replaced),
         rewrite_after: Some(REWRITE_AFTER),
@@ -45,8 +46,8 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_daemon_acts_by_an_older_copy_of_the_configuration() {
     let (half, all) = tokio::join!(
-        play(1, Replaced::Half, false),
-        play(2, Replaced::All, false)
+        play(1, DaemonGroup::Half, false),
+        play(2, DaemonGroup::All, false)
     );
     for outcome in [half, all] {
         let summary = outcome.summary();
@@ -79,8 +80,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 #[ignore = "listed in KNOWN-RED.txt"]
 async fn no_daemon_serves_what_was_removed_while_the_seeds_were_cut_off_before_a_return() {
-    let (first, second) =
-        tokio::join!(play(1, Replaced::None, true), play(3, Replaced::None, true));
+    let (first, second) = tokio::join!(
+        play(1, DaemonGroup::None, true),
+        play(3, DaemonGroup::None, true)
+    );
     for outcome in [first, second] {
         let summary = outcome.summary();
         assert!(outcome.wrong.is_empty(), "{summary}: {:?}", outcome.wrong);
