--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod callers;
 pub mod checks;
 pub mod confirmed_versions;
+mod connections;
 pub mod copy_checks;
 mod copy_environment;
 pub mod copy_plan;
--- a/crates/soak/src/replacement_run.rs
+++ b/crates/soak/src/replacement_run.rs
@@ -1,8 +1,8 @@
 //! One run in which the store comes back from copies while daemons are replaced and cut off, and the
 //! operator writes again late. Each daemon is asked for routes and keys throughout.
 
-use crate::callers::{Body, open_connection};
 use crate::confirmed_versions::{APPLY_BOUND, KEY_BOUND, ProbeKind, Touch};
+use crate::connections::Connections;
 use crate::copy_environment::{CopyEnvironment, SEED_DAEMONS};
 use crate::cut_path::PathState;
 use crate::interruption_plan::{Interruption, InterruptionKind};
@@ -13,8 +13,6 @@
 use crate::run::SoakError;
 use bridgevane_platform_emulator::Absence;
 use derive_more::Display;
-use http_body_util::BodyExt;
-use hyper::client::conn::http1::SendRequest;
 use rustix::process::Signal;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -270,16 +268,18 @@
         }
     }
 
+    /// Sets daemons' paths to the store to a state for some time. Where interruptions overlap, the first
+    /// one to end opens the paths.
     async fn fail_paths(&self, daemons: &[usize], state: PathState, lasts: Duration) {
-        for state in [state, PathState::Open] {
-            let environment = self.environment.lock().await;
-            for daemon in daemons {
-                environment.set_store_path(*daemon, state);
-            }
-            drop(environment);
-            if state != PathState::Open {
-                sleep(lasts).await;
-            }
+        self.set_paths(daemons, state).await;
+        sleep(lasts).await;
+        self.set_paths(daemons, PathState::Open).await;
+    }
+
+    async fn set_paths(&self, daemons: &[usize], state: PathState) {
+        let environment = self.environment.lock().await;
+        for daemon in daemons {
+            environment.set_store_path(*daemon, state);
         }
     }
 
@@ -379,39 +379,3 @@
     kind: ProbeKind,
     number: u64,
 }
-
-/// Connections to a daemon that stay open until its process closes them. Clones share them.
-#[derive(Clone, Debug)]
-struct Connections {
-    address: SocketAddr,
-    idle: Arc<Mutex<Vec<SendRequest<Body>>>>,
-}
-
-impl Connections {
-    fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            idle: Arc::default(),
-        }
-    }
-
-    fn take_idle(&self) -> Option<SendRequest<Body>> {
-        let mut idle = self.idle.lock().expect("no panic under this lock");
-        idle.retain(SendRequest::is_ready);
-        idle.pop()
-    }
-
-    /// Sends a request; returns the status of the answer, `None` without a whole one.
-    async fn ask(&self, request: http::Request<Body>) -> Option<u16> {
-        let mut sender = match self.take_idle() {
-            Some(sender) => sender,
-            None => open_connection(self.address).await?,
-        };
-        let answer = sender.send_request(request).await.ok()?;
-        let status = answer.status().as_u16();
-        answer.into_body().collect().await.ok()?;
-        let mut idle = self.idle.lock().expect("no panic under this lock");
-        idle.push(sender);
-        Some(status)
-    }
-}
