test(gateway): records lost in an outage are asked for once the daemon has a proof again

Traced: it asked 500 ms after an outage whether an endpoint is still used that is kept for 600 ms, so that a halt of the process of 0.1 to 0.2 s is enough; made again by stopping the process for 0.5 s, 2.9 and 3.1 s after its start (2 of 6 runs). It waits until the daemon has a proof and keeps the endpoint for 2.4 s now, and asks for the record that is back after that time; what is asserted is the same. a_draining_or_removed_endpoint_gets_no_requests failed beside it once: changes had 300 ms, they have the time within which a change must be in force (2 s) now.

--- a/crates/gateway/tests/freshness.rs
+++ b/crates/gateway/tests/freshness.rs
@@ -12,7 +12,7 @@
 use support::client::{Client, request};
 use support::endpoint::{Endpoint, answer};
 use support::source::{KEY, OTHER_KEY, ScriptedSource, plain_route};
-use support::{RunningGateway, start, start_with};
+use support::{RunningGateway, start_with};
 use tokio::net::TcpListener;
 
 /// Starts a daemon with one endpoint.
@@ -39,11 +39,24 @@
     client.answer().await.expect("an answer").status
 }
 
-/// Waits for changes to arrive: 200 ms pass between two calls to the source.
-async fn wait_for_changes() {
+/// Lets some time pass, in which changes would arrive: 200 ms pass between two calls to the source.
+async fn wait_for_calls() {
     tokio::time::sleep(Duration::from_millis(300)).await;
 }
 
+/// Waits until the daemon has all changes, within the time for a change.
+async fn wait_for_changes(running: &RunningGateway) {
+    let limit = support::settings().freshness.config_apply_ms.as_std();
+    let newest = running.source.newest() as u64;
+    let applied = async {
+        while running.gateway.control.replica().revision().counter() < newest {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(limit, applied).await;
+    waited.expect("the changes arrive in time");
+}
+
 /// Guards against a removed key that stays valid.
 #[tokio::test]
 async fn a_removed_key_is_refused_at_once() {
@@ -53,7 +66,7 @@
     running
         .source
         .publish_configuration(4, routes, &[OTHER_KEY]);
-    wait_for_changes().await;
+    wait_for_changes(&running).await;
     assert_eq!(status(&running).await, 401);
     assert_eq!(endpoint.request_count(), 1);
 }
@@ -64,7 +77,7 @@
 async fn without_a_proof_requests_get_a_retryable_503() {
     let (running, endpoint) = start_gateway().await;
     running.source.set_fault(Some(SourceError::NoAnswer));
-    wait_for_changes().await;
+    wait_for_calls().await;
     assert_eq!(status(&running).await, 200, "the last proof is still valid");
     tokio::time::sleep(Duration::from_millis(900)).await;
     let mut client = Client::connect(running.address).await;
@@ -86,7 +99,7 @@
 async fn an_older_configuration_version_is_not_activated() {
     let (running, _) = start_gateway().await;
     running.source.publish_configuration(2, Vec::new(), &[]);
-    wait_for_changes().await;
+    wait_for_changes(&running).await;
     assert_eq!(status(&running).await, 200);
 }
 
@@ -99,7 +112,7 @@
     running
         .source
         .publish_draining("e-0", "plain", endpoint.address);
-    wait_for_changes().await;
+    wait_for_calls().await;
     running.source.set_fault(None);
     tokio::time::sleep(Duration::from_millis(500)).await;
     assert!(running.source.full_reads() > before);
@@ -108,26 +121,47 @@
 }
 
 /// Returns a daemon after an outage of the source in which the record `removed` was lost.
-async fn gateway_after_outage(removed: &str) -> (RunningGateway, Endpoint) {
+async fn gateway_after_outage(
+    settings: GatewaySettings,
+    removed: &str,
+) -> (RunningGateway, Endpoint) {
     let source = ScriptedSource::new();
     let routes = vec![plain_route("often", Idempotent, 2)];
     source.publish_configuration(3, routes, &[KEY]);
     let endpoint = Endpoint::start(|_| vec![answer("200 OK", "fine")]).await;
     source.publish_endpoint("e-0", "plain", endpoint.address);
-    let running = start(source).await;
+    let running = start_with(source, settings).await;
     running.source.set_fault(Some(SourceError::NoAnswer));
     tokio::time::sleep(Duration::from_millis(2_700)).await;
     running.source.remove_endpoint(removed);
     running.source.set_fault(None);
-    tokio::time::sleep(Duration::from_millis(500)).await;
     (running, endpoint)
 }
 
+/// Waits until the daemon has a proof again, within the time for a change.
+async fn wait_until_ready(running: &RunningGateway) {
+    let limit = support::settings().freshness.config_apply_ms.as_std();
+    let ready = async {
+        while !running.gateway.is_ready() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let waited = tokio::time::timeout(limit, ready).await;
+    waited.expect("the daemon has a proof again");
+}
+
 /// Guards against endpoints that get no requests after an outage, because their leases expired
 /// while they couldn't renew them.
 #[tokio::test]
 async fn a_record_lost_in_an_outage_may_come_back() {
-    let (running, endpoint) = gateway_after_outage("e-0").await;
+    // Long enough that the endpoint is still in use when it is asked for.
+    let grace = DurationMs(2_400);
+    let settings = GatewaySettings {
+        lapse_grace_ms: grace,
+        ..support::settings()
+    };
+    let (running, endpoint) = gateway_after_outage(settings, "e-0").await;
+    wait_until_ready(&running).await;
     assert_eq!(
         status(&running).await,
         200,
@@ -136,7 +170,7 @@
     running
         .source
         .publish_endpoint("e-0", "plain", endpoint.address);
-    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    tokio::time::sleep(grace.as_std() + Duration::from_millis(400)).await;
     assert_eq!(status(&running).await, 200, "the record is back");
 }
 
@@ -144,8 +178,8 @@
 /// back.
 #[tokio::test]
 async fn an_endpoint_is_dropped_when_its_record_does_not_come_back() {
-    let (running, _endpoint) = gateway_after_outage("e-0").await;
-    tokio::time::sleep(Duration::from_millis(400)).await;
+    let (running, _endpoint) = gateway_after_outage(support::settings(), "e-0").await;
+    tokio::time::sleep(Duration::from_millis(900)).await;
     assert_eq!(status(&running).await, 503);
 }
 
@@ -235,15 +269,15 @@
     running
         .source
         .publish_draining("e-0", "plain", endpoint.address);
-    wait_for_changes().await;
+    wait_for_changes(&running).await;
     assert_eq!(status(&running).await, 503);
     running
         .source
         .publish_endpoint("e-1", "plain", endpoint.address);
-    wait_for_changes().await;
+    wait_for_changes(&running).await;
     assert_eq!(status(&running).await, 200);
     running.source.remove_endpoint("e-1");
-    wait_for_changes().await;
+    wait_for_changes(&running).await;
     assert_eq!(status(&running).await, 503);
 }
 
@@ -409,7 +443,7 @@
     running
         .source
         .publish_draining("e-0", "plain", endpoint.address);
-    wait_for_changes().await;
+    wait_for_changes(&running).await;
     let_proof_expire(&running).await;
     assert_eq!(status_of(&running, "/often/x", KEY).await, 503);
     assert_eq!(endpoint.request_count(), 0);
