fix(gateway): the versions that may have begun streams are registered at the platform

What callers saw: a stream that was taken up was answered 200 and joined from two software versions, with nothing in the answer to show it (ORDER), after all daemons were killed while its version was leaving, or at a daemon that was out of step for less than the notice time while the old version was replaced at once. And after a restart of all daemons no stream could be taken up for 3 s in a fleet that never had a second version.

Cause: the version of a stream that nobody had reported was concluded from what daemons remember. After a restart nobody remembers which versions served before, and the wait of a new version, on which the conclusion rests, was left out where no older version was left in sight. The class: absence of evidence taken for evidence.

Change (docs/design/29): a resumable stream begins only at a version that the platform's store names as active for its service; a version stays registered for a minute after it is retired; and the only registered version is concluded by a state that was proved after the stream was taken up, which the daemon reads once for all requests that wait. The spans of versions in messages between daemons, the notice time and the claims how far back a daemon knows are gone. A version counts once one of its endpoints accepted a connection.

Evidence: on the code before, three of the new tests of stream_versions.rs fail: all killed (a stream of v1 goes on at v2), out of step (200 from the old engines for a stream of v2), and the only version after all were killed (503); they pass now. The out-of-step one needs a proof of 0.35 s only.

Why it works: what a client takes up has begun, so its version was registered before; the store's answers are linearizable, and a state that was the newest later than the question has that registration.

Tests that changed: the rule's tests stated the earlier rule (spans, notice time, history) and are replaced by those of the new one, among them every order of a registration, a begin and a read; "a new version begins only after the notice time" is now "only once it is registered", checked for as long as registration is refused. The forwarding tests use two sources for one fleet, and register the version in both. Golden bytes: the removed fields.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -13,4 +13,4 @@
 pub(crate) mod routing_table;
 pub(crate) mod source;
 pub(crate) mod state;
-pub(crate) mod version_history;
+pub(crate) mod version_registry;
--- a/crates/gateway/src/control/routing_table.rs
+++ b/crates/gateway/src/control/routing_table.rs
@@ -6,8 +6,8 @@
 use crate::decisions::admission::priority::PriorityRanking;
 use crate::decisions::endpoint::quiet_engines::PauseTargets;
 use crate::route::{ClientLimits, Customer, Route, Service};
-use bridgevane_types::{ConfigVersion, ServiceName};
-use std::collections::HashMap;
+use bridgevane_types::{ConfigVersion, DurationMs, ServiceName};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// One configuration version, indexed for looking up requests.
@@ -21,6 +21,14 @@
     limits: ClientLimits,
     priorities: PriorityRanking,
     pause_targets: HashMap<ServiceName, PauseTargets>,
+    resumable: ResumableServices,
+}
+
+/// The services of routes whose streams may be resumed.
+#[derive(Clone, Debug, Default)]
+struct ResumableServices {
+    services: BTreeSet<ServiceName>,
+    longest_timeout: DurationMs,
 }
 
 /// The parts of a routing table.
@@ -45,6 +53,7 @@
         let customers = customers.map(|customer| &**customer);
         let priorities = PriorityRanking::new(parts.routes.iter(), customers);
         let pause_targets = pause_targets(&parts.routes);
+        let resumable = resumable_services(&parts.routes);
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in parts.routes {
             let routes = by_host.entry(route.host.clone()).or_default();
@@ -64,9 +73,20 @@
             limits: parts.limits,
             priorities,
             pause_targets,
+            resumable,
         }
     }
 
+    /// Returns the services of routes whose streams may be resumed.
+    pub(crate) fn resumable_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.resumable.services.iter()
+    }
+
+    /// Returns the longest timeout of a route whose streams may be resumed; 0 if there is none.
+    pub(crate) fn longest_resumable_timeout(&self) -> DurationMs {
+        self.resumable.longest_timeout
+    }
+
     /// Returns the pause targets of the routes that lead to a service.
     pub fn pause_targets(&self, service: &ServiceName) -> PauseTargets {
         let targets = self.pause_targets.get(service);
@@ -117,6 +137,16 @@
     }
 }
 
+fn resumable_services(routes: &[Route]) -> ResumableServices {
+    let mut resumable = ResumableServices::default();
+    for route in routes.iter().filter(|route| route.is_resumable()) {
+        let services = route.targets.iter().map(|target| target.service.clone());
+        resumable.services.extend(services);
+        resumable.longest_timeout = resumable.longest_timeout.max(route.timeout_ms);
+    }
+    resumable
+}
+
 /// Returns the pause targets of the routes that lead to each service.
 fn pause_targets(routes: &[Route]) -> HashMap<ServiceName, PauseTargets> {
     let mut by_service: HashMap<ServiceName, PauseTargets> = HashMap::new();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -4,14 +4,14 @@
 //!
 //! | part | written by | read by |
 //! |---|---|---|
-//! | routing table, directory | only [`crate::replication::follow`] | requests, without locks (read-copy-update) |
-//! | time of the newest proof | [`crate::replication::follow`], and [`crate::replication::seed_exchange`] with other seeds' proofs | requests, without locks |
+//! | routing table, directory | [`crate::replication::follow`], [`crate::replication::proof_on_demand`] | requests, without locks (read-copy-update) |
+//! | time of the newest proof | the same, and [`crate::replication::seed_exchange`] with other seeds' proofs | requests, without locks |
 //! | holder of the duties | only [`crate::replication::follow`] | the tasks of the duties, without locks |
-//! | software versions that served lately | [`crate::replication`] | requests, one short lock |
+//! | registered software versions | [`crate::replication::follow`] | requests, without locks (read-copy-update) |
 //! | requests under quarantine | only [`crate::replication::follow`] | requests, without locks (read-copy-update) |
 //! | what is known of the source's era | [`crate::replication`] | requests, without locks (read-copy-update) |
-//! | replica | only [`crate::replication::follow`] | daemons that follow this one, under a lock |
-//! | endpoint registry, evacuations, last outage | only [`crate::replication::follow`] | only the writer, under locks |
+//! | replica | [`crate::replication::follow`], [`crate::replication::proof_on_demand`] | daemons that follow this one, under a lock |
+//! | endpoint registry, evacuations, last outage | the same | only the writers, one at a time |
 //!
 //! Versions only increase: an older routing table, record or proof never replaces a newer one. The
 //! state is lost with the process; a new process reads it from the source or from another daemon.
@@ -25,9 +25,13 @@
     AtomicRevision, Change, ChangeAt, Changes, ControlSource, FullState, Revision, SourceEra,
     SourceRecord,
 };
-use crate::control::version_history::VersionHistory;
+use crate::control::version_registry::VersionRegistry;
 use crate::decisions::admission::freshness::{Freshness, FreshnessPolicy};
 use crate::decisions::eligibility::evacuation::Evacuations;
+use crate::decisions::eligibility::stream_version::{
+    ServiceHash, UnreportedVersion, VersionEvidence,
+};
+use crate::decisions::eligibility::version_registration::version_memory;
 use crate::decisions::replication::completeness::{Completeness, EraKnowledge};
 use crate::decisions::replication::record_expiry::{Removal, SourceOutage};
 use crate::endpoints::directory::Directory;
@@ -65,7 +69,11 @@
     era_knowledge: ArcSwap<EraKnowledge>,
     /// Wakes a task when a state may be incomplete.
     doubt_began: Notify,
-    versions: VersionHistory,
+    versions: VersionRegistry,
+    /// The newest time after which a proof is wanted.
+    wanted_proof: watch::Sender<Option<TimeMs>>,
+    /// Held while a state or changes are applied.
+    writing: Mutex<()>,
     replica: Mutex<Replica>,
     /// The replica's revision, for readers that take no lock.
     complete_to: AtomicRevision,
@@ -91,7 +99,9 @@
             proved_at: AtomicTime::default(),
             era_knowledge: ArcSwap::default(),
             doubt_began: Notify::new(),
-            versions: VersionHistory::new(clock, settings),
+            versions: VersionRegistry::new(clock),
+            wanted_proof: watch::Sender::default(),
+            writing: Mutex::default(),
             replica: Mutex::default(),
             complete_to: AtomicRevision::default(),
             registry: Mutex::default(),
@@ -219,11 +229,65 @@
         }
     }
 
-    /// Returns the software versions that served lately.
-    pub(crate) fn versions(&self) -> &VersionHistory {
+    /// Returns the registered software versions.
+    pub(crate) fn versions(&self) -> &VersionRegistry {
         &self.versions
     }
 
+    /// Returns for how long a retired version stays registered.
+    pub(crate) fn version_memory(&self) -> DurationMs {
+        let table = self.routing_table.load();
+        let longest = table
+            .as_ref()
+            .map(|table| table.longest_resumable_timeout());
+        version_memory(longest.unwrap_or_default())
+    }
+
+    /// Returns whether registrations of versions may be missing after a return of the source from a
+    /// copy.
+    pub(crate) fn may_lack_versions(&self) -> bool {
+        self.versions.may_lack_versions(self.version_memory())
+    }
+
+    /// Returns what is known of the version of a stream that was taken up at this time and that nobody
+    /// reported. If it depends on a newer proof, one is requested.
+    pub(crate) fn unreported_version(
+        &self,
+        service: &ServiceName,
+        taken_up_at: TimeMs,
+    ) -> UnreportedVersion {
+        // Read before the versions: a proof is stored after the state that it proves.
+        let proved_at = self.proved_at();
+        let Some(versions) = self.versions.versions(service) else {
+            return UnreportedVersion::Unknown;
+        };
+        let unreported = versions.unreported(VersionEvidence {
+            taken_up_at,
+            proved_at,
+            may_lack_versions: self.may_lack_versions(),
+        });
+        if unreported == UnreportedVersion::NeedsProof {
+            self.wanted_proof.send_if_modified(|wanted| {
+                let is_later = *wanted < Some(taken_up_at);
+                *wanted = (*wanted).max(Some(taken_up_at));
+                is_later
+            });
+        }
+        unreported
+    }
+
+    /// Returns whether streams of the service that begin are reported to all daemons.
+    pub(crate) fn needs_stream_reports(&self, service: &ServiceName) -> bool {
+        let versions = self.versions.versions(service).unwrap_or_default();
+        let lifetime = self.freshness_policy.proof_lifetime_ms;
+        versions.needs_reports(self.proof_age(), lifetime, self.may_lack_versions())
+    }
+
+    /// Returns a receiver of the newest time after which a proof is wanted.
+    pub(crate) fn wanted_proof(&self) -> watch::Receiver<Option<TimeMs>> {
+        self.wanted_proof.subscribe()
+    }
+
     /// Returns the records in the source's own encoding.
     pub fn replica(&self) -> MutexGuard<'_, Replica> {
         self.replica.lock().expect("no panic under this lock")
@@ -248,14 +312,17 @@
 
     /// Stores a proof that the applied state was the newest at `asked_at`.
     pub fn store_proof(&self, asked_at: TimeMs) {
-        self.versions.on_proved(self.proved_at(), asked_at);
         self.proved_at.set_if_later(asked_at);
         self.notify_progress();
     }
 
+    fn lock_writing(&self) -> MutexGuard<'_, ()> {
+        self.writing.lock().expect("no panic under this lock")
+    }
+
     /// Applies changes.
     pub fn apply(&self, source: &impl ControlSource, changes: Changes) {
-        let proved_before = self.proved_at();
+        let _writing = self.lock_writing();
         let new_records = {
             let mut replica = self.replica();
             let new_records = replica.apply(changes);
@@ -265,7 +332,7 @@
         let removal = self.removal();
         let changes = decode(source, &new_records);
         if !changes.is_empty() {
-            self.apply_changes(&mut self.registry(), changes, removal, proved_before);
+            self.apply_changes(&mut self.registry(), changes, removal);
         }
         self.notify_progress();
     }
@@ -278,20 +345,26 @@
     /// stay as they are until an operator writes; endpoints that are missing have some time to write
     /// their records again.
     pub fn replace(&self, source: &impl ControlSource, state: &FullState) -> bool {
+        let _writing = self.lock_writing();
         let proved_before = self.proved_at();
         let mut records = decode(source, &state.records);
-        let (is_from_copy, is_applied) = {
+        let (before, is_applied) = {
             let mut replica = self.replica();
             let before = replica.revision();
-            let is_from_copy = before > Revision(0) && state.revision.era() > before.era();
             let kept = self.newer_document(source, state, &records, &replica);
             let is_applied = replica.replace(state);
             if let (true, Some((key, bytes))) = (is_applied, kept) {
                 replica.overwrite(&key, bytes);
             }
             self.complete_to.set(replica.revision());
-            (is_from_copy, is_applied)
+            (before, is_applied)
         };
+        // A new daemon's revision is of the first era.
+        let is_from_copy = state.revision.era() > before.era();
+        if is_applied && is_from_copy {
+            self.versions.on_restored();
+        }
+        let is_from_copy = is_from_copy && before > Revision(0);
         if is_applied {
             let proof_age = proved_before.map(|proved_at| self.clock.now().since(proved_at));
             self.update_era_knowledge(|known| {
@@ -319,7 +392,9 @@
             }
             self.apply_quarantine(Arc::default(), &records);
             self.end_unlisted_evacuations(&registry, &records, state.revision);
-            self.apply_changes(&mut registry, records, removal, proved_before);
+            self.versions
+                .remove_unlisted(&listed_versions(&records), state.revision);
+            self.apply_changes(&mut registry, records, removal);
         }
         self.notify_progress();
         is_applied
@@ -393,19 +468,18 @@
     pub(crate) fn drop_expired_endpoints(&self) {
         let mut registry = self.registry();
         if registry.drop_expired(self.clock.now()) {
-            self.rebuild_directory(&mut registry, self.proved_at());
+            self.rebuild_directory(&mut registry);
         }
     }
 
-    /// Rebuilds the directory if the registry or the evacuations require it; `proved_before` is the
-    /// newest proof of the state before.
-    fn rebuild_directory(&self, registry: &mut EndpointRegistry, proved_before: Option<TimeMs>) {
+    /// Rebuilds the directory if the registry or the evacuations require it.
+    fn rebuild_directory(&self, registry: &mut EndpointRegistry) {
         let needs_directory = registry.take_needs_directory();
         let has_evacuations = self.evacuations().take_changed();
         if !needs_directory && !has_evacuations {
             return;
         }
-        self.versions.observe(proved_before, &registry.versions());
+        self.versions.observe(&registry.versions());
         let directory = registry.directory(&self.evacuations());
         self.directory.store(Arc::new(directory));
     }
@@ -427,7 +501,6 @@
         registry: &mut EndpointRegistry,
         changes: Vec<ChangeAt>,
         removal: Removal,
-        proved_before: Option<TimeMs>,
     ) {
         self.apply_quarantine(self.quarantined.load_full(), &changes);
         registry.begin_batch();
@@ -475,13 +548,25 @@
                 // Applied above, all at once.
                 Change::Quarantined(_) | Change::QuarantineEnded(_) => {}
                 Change::DutyHolderRemoved => self.on_duty_holder_removed(revision),
+                Change::VersionsRegistered(service, versions) => {
+                    self.versions.set(service, revision, Some(versions));
+                }
+                Change::VersionsRemoved(service) => self.versions.remove(service, revision),
+                Change::InvalidVersions(service) => {
+                    event!(
+                        Event::VersionRecordRejected,
+                        service = service,
+                        revision = revision
+                    );
+                    self.versions.set(service, revision, None);
+                }
                 Change::Unreadable(what) => {
                     event!(Event::ConfigRejected, what = what, revision = revision);
                 }
             }
         }
         registry.end_batch();
-        self.rebuild_directory(registry, proved_before);
+        self.rebuild_directory(registry);
     }
 
     fn begin_evacuation(
@@ -622,6 +707,14 @@
     data_centres.collect()
 }
 
+fn listed_versions(records: &[ChangeAt]) -> Vec<ServiceHash> {
+    let services = records.iter().filter_map(|record| match &record.change {
+        Change::VersionsRegistered(service, _) | Change::InvalidVersions(service) => Some(*service),
+        _ => None,
+    });
+    services.collect()
+}
+
 fn names_duty_holder(records: &[ChangeAt]) -> bool {
     let is_holder = |record: &ChangeAt| matches!(record.change, Change::DutyHolder(_));
     records.iter().any(is_holder)
--- a/crates/gateway/src/decisions/eligibility/mod.rs
+++ b/crates/gateway/src/decisions/eligibility/mod.rs
@@ -9,3 +9,4 @@
 pub mod rate_limit;
 pub mod region_limits;
 pub mod stream_version;
+pub mod version_registration;
--- a/crates/gateway/src/decisions/eligibility/stream_version.rs
+++ b/crates/gateway/src/decisions/eligibility/stream_version.rs
@@ -1,37 +1,36 @@
 //! Stream version: at which software version may a stream begin, and at which may it go on?
 //!
-//! Inputs: for each software version of a service when it was first seen and when its last endpoint
-//! was gone ([`VersionSpan`], ms of this daemon's clock), how far back that is known, the age of the
-//! newest proof (ms), and the notice time ([`notice_time`], ms).
+//! Inputs: the versions that are registered for the service ([`RegisteredVersions`]), when the stream
+//! was taken up and when the newest proof was requested (ms of this daemon's clock), the age of that
+//! proof (ms), and whether a registration may be missing after a return of the source from a copy.
 //!
 //! Rules:
-//! - A resumable stream begins at versions that were first seen at least the notice time ago. If
-//!   there is none, it begins at any.
-//! - The version of a stream that nobody reported is known only if a single version can have begun
-//!   it: within [`VERSION_MEMORY`] no other one served, or none of the others can have been seen by
-//!   any daemon for the notice time.
-//! - That holds only while the newest proof is younger than the notice time, and the versions of at
-//!   least that time are known.
-//! - Streams are reported while that can't be relied on by every daemon: while several versions are
-//!   known, and before the proof or the history becomes too short.
+//! - A resumable stream begins only at a version that is registered as active.
+//! - The version of a stream that nobody reported is known only if a single version is registered,
+//!   active or retired, in a state that was proved after the stream was taken up.
+//! - Streams are reported while other daemons can't rely on that: while not exactly one version is
+//!   registered, while registrations may be missing, and before this daemon's proof is as old as it
+//!   gets when the source is away.
 //!
-//! Reason: what two versions write doesn't fit together, and endpoints don't check it. A daemon whose
-//! state is proved to be younger than the notice time knows every version that has begun streams, so
-//! that a fleet of one version has to report nothing.
+//! Reason: what two versions write doesn't fit together, and endpoints don't check it. A client takes
+//! up what has begun, so its version was registered before; a state that was the newest later than
+//! that has the registration, also on a daemon that has just started or was cut off. How long a version
+//! stays registered is the rule [`super::version_registration`].
 //!
 //! Tests: `stream_version_rule.rs`, `stream_versions.rs`.
 
-use bridgevane_types::{DurationMs, SoftwareVersion, TimeMs, short_hash};
-use derive_more::Display;
+use bridgevane_types::{DurationMs, ServiceName, SoftwareVersion, TimeMs, short_hash};
+use derive_more::{Display, Error};
+use std::str::FromStr;
 
-/// For how long a version counts after its last endpoint was gone. It is longer than any stream with
-/// all attempts of its client.
-pub const VERSION_MEMORY: DurationMs = DurationMs(60_000);
-/// The longest notice time. The state of a daemon that follows the source is at most half as old.
-const MAX_NOTICE_TIME: DurationMs = DurationMs(3_000);
+/// The age of a proof from which on streams are reported, unless proofs expire sooner. A daemon that
+/// reaches the source has a younger one.
+const MAX_SILENT_PROOF_AGE: DurationMs = DurationMs(2_000);
+/// The share of a proof's lifetime from which on streams are reported at the latest.
+const MAX_SILENT_SHARE: f64 = 2.0 / 3.0;
 
-/// The identifier of a software version in messages between daemons: the upper half of a 64-bit hash.
-/// Endpoints that report no version have one of their own in common.
+/// The identifier of a software version in messages between daemons and in the source: the upper half
+/// of a 64-bit hash. Endpoints that report no version have one of their own in common.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[display("{_0:08x}")]
 pub struct VersionHash(pub u32);
@@ -44,147 +43,110 @@
     }
 }
 
-/// Returns for how long a version must have been known before resumable streams begin there.
-pub fn notice_time(proof_lifetime: DurationMs) -> DurationMs {
-    proof_lifetime.min(MAX_NOTICE_TIME)
-}
+/// The identifier of a service in the source's record of versions: the upper half of a 64-bit hash of
+/// its name.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0:08x}")]
+pub struct ServiceHash(pub u32);
 
-/// When a software version served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct VersionSpan {
-    /// The version.
-    pub version: VersionHash,
-    /// When a daemon first saw it.
-    pub seen_at: TimeMs,
-    /// No daemon can have seen it before.
-    pub not_before: TimeMs,
-    /// When its last endpoint was gone; `None` while one is known.
-    pub gone_at: Option<TimeMs>,
+impl ServiceHash {
+    /// Returns the hash of a service's name.
+    pub fn new(service: &ServiceName) -> Self {
+        Self(short_hash(service.as_str().as_bytes()))
+    }
 }
 
-/// What a daemon relies on when it concludes at which version a stream began.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct VersionEvidence {
-    /// The current time.
-    pub now: TimeMs,
-    /// The notice time.
-    pub notice_time: DurationMs,
-    /// The age of the newest proof; `None` without one.
-    pub proof_age: Option<DurationMs>,
-    /// Since when the versions of all services are known.
-    pub known_since: TimeMs,
-}
+/// The error for a text that isn't a service's hash.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("a service's hash has eight hexadecimal digits")]
+pub struct InvalidServiceHash;
 
-impl VersionEvidence {
-    /// Returns whether every version that has begun streams is known.
-    fn is_complete(&self) -> bool {
-        let has_recent_proof = self.proof_age.is_some_and(|age| age < self.notice_time);
-        has_recent_proof && self.now >= self.known_since + self.notice_time
-    }
+impl FromStr for ServiceHash {
+    type Err = InvalidServiceHash;
 
-    /// Returns whether it becomes incomplete before long.
-    fn is_ending(&self) -> bool {
-        let limit = DurationMs(self.notice_time.0 * 2 / 3);
-        !self.is_complete() || self.proof_age.is_none_or(|age| age >= limit)
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let hash = u32::from_str_radix(text, 16).map_err(|_| InvalidServiceHash)?;
+        // Other spellings of a number name no service.
+        let is_canonical = Self(hash).to_string() == text;
+        is_canonical.then_some(Self(hash)).ok_or(InvalidServiceHash)
     }
 }
 
-/// The software versions of one service.
-#[derive(Clone, Debug, Default)]
-pub struct ServiceVersions {
-    spans: Vec<VersionSpan>,
+/// The software versions of one service at which streams may have begun.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RegisteredVersions {
+    /// Those at which streams may begin.
+    pub active: Vec<VersionHash>,
+    /// Those at which no more streams begin, and earlier ones may still run.
+    pub retired: Vec<VersionHash>,
 }
 
-impl ServiceVersions {
-    /// Records the versions of the endpoints that are known now; `not_before` is the moment of the
-    /// newest proof of a state without the new ones.
-    pub fn observe(&mut self, now: TimeMs, not_before: TimeMs, present: &[VersionHash]) {
-        for span in &mut self.spans {
-            let is_present = present.contains(&span.version);
-            span.gone_at = (!is_present).then(|| span.gone_at.unwrap_or(now));
-        }
-        self.expire(now);
-        for version in present {
-            if !self.spans.iter().any(|span| span.version == *version) {
-                self.spans.push(VersionSpan {
-                    version: *version,
-                    seen_at: now,
-                    not_before,
-                    gone_at: None,
-                });
-            }
-        }
-    }
-
-    /// Merges what another daemon knows of a version.
-    pub fn merge(&mut self, now: TimeMs, other: VersionSpan) {
-        let known = self
-            .spans
-            .iter_mut()
-            .find(|span| span.version == other.version);
-        match known {
-            Some(span) => {
-                span.seen_at = span.seen_at.min(other.seen_at);
-                span.not_before = span.not_before.max(other.not_before);
-            }
-            // Without an endpoint here it counts as gone, also if others still know one.
-            None => self.spans.push(VersionSpan {
-                gone_at: Some(other.gone_at.unwrap_or(now)),
-                ..other
-            }),
-        }
-        self.expire(now);
-    }
-
-    fn expire(&mut self, now: TimeMs) {
-        let is_recent = |at: TimeMs| now.since(at) < VERSION_MEMORY;
-        self.spans.retain(|span| span.gone_at.is_none_or(is_recent));
-    }
+/// What a daemon relies on when it concludes at which version a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VersionEvidence {
+    /// When the stream was taken up.
+    pub taken_up_at: TimeMs,
+    /// When the newest proof was requested; `None` without one.
+    pub proved_at: Option<TimeMs>,
+    /// Whether a registration may be missing: the source came back from a copy.
+    pub may_lack_versions: bool,
+}
 
-    fn recent(&self, now: TimeMs) -> impl Iterator<Item = &VersionSpan> {
-        let is_recent = move |at: TimeMs| now.since(at) < VERSION_MEMORY;
-        self.spans
-            .iter()
-            .filter(move |span| span.gone_at.is_none_or(is_recent))
-    }
+/// What is known of the version of a stream that nobody reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnreportedVersion {
+    /// It began at this version.
+    Known(VersionHash),
+    /// It is known as soon as a proof is newer than the question.
+    NeedsProof,
+    /// It can't be concluded from the registered versions.
+    Unknown,
+}
 
-    /// Returns whether several versions served lately.
-    pub fn is_mixed(&self, now: TimeMs) -> bool {
-        self.recent(now).nth(1).is_some()
+impl RegisteredVersions {
+    /// Returns all of them.
+    pub fn all(&self) -> impl Iterator<Item = VersionHash> {
+        self.active.iter().chain(&self.retired).copied()
     }
 
-    /// Returns the versions that served lately.
-    pub fn spans(&self, now: TimeMs) -> impl Iterator<Item = VersionSpan> {
-        self.recent(now).copied()
+    /// Returns the only one.
+    fn only(&self) -> Option<VersionHash> {
+        let mut all = self.all();
+        let only = all.next()?;
+        all.next().is_none().then_some(only)
     }
 
-    /// Returns the versions at which a resumable stream may begin; `None` if it may at any.
-    pub fn may_begin(&self, now: TimeMs, notice_time: DurationMs) -> Option<Vec<VersionHash>> {
-        if !self.is_mixed(now) {
-            return None;
+    /// Returns the version at which a stream began that nobody reported.
+    pub fn unreported(&self, evidence: VersionEvidence) -> UnreportedVersion {
+        let Some(only) = self.only().filter(|_| !evidence.may_lack_versions) else {
+            return UnreportedVersion::Unknown;
+        };
+        // A proof that was requested in the millisecond of the question may be older than it.
+        let is_newer = evidence
+            .proved_at
+            .is_some_and(|at| at > evidence.taken_up_at);
+        if is_newer {
+            UnreportedVersion::Known(only)
+        } else {
+            UnreportedVersion::NeedsProof
         }
-        let established: Vec<VersionHash> = (self.spans.iter())
-            .filter(|span| span.gone_at.is_none() && now >= span.seen_at + notice_time)
-            .map(|span| span.version)
-            .collect();
-        (!established.is_empty()).then_some(established)
     }
 
-    /// Returns the version at which a stream began that nobody reported; `None` if several versions
-    /// can have begun it, or the evidence doesn't suffice.
-    pub fn only_version(&self, evidence: VersionEvidence) -> Option<VersionHash> {
-        if !evidence.is_complete() {
-            return None;
-        }
-        let now = evidence.now;
-        let can_have_begun = |span: &&VersionSpan| now >= span.not_before + evidence.notice_time;
-        let mut candidates = self.recent(now).filter(can_have_begun);
-        let only = candidates.next()?;
-        candidates.next().is_none().then_some(only.version)
+    /// Returns whether streams that begin now are reported to the other daemons; `proof_age` is that of
+    /// the newest proof, and `proof_lifetime` how long one is valid.
+    pub fn needs_reports(
+        &self,
+        proof_age: Option<DurationMs>,
+        proof_lifetime: DurationMs,
+        may_lack_versions: bool,
+    ) -> bool {
+        let limit = silent_proof_age(proof_lifetime);
+        may_lack_versions || self.only().is_none() || proof_age.is_none_or(|age| age >= limit)
     }
+}
 
-    /// Returns whether the streams that begin are reported to all daemons.
-    pub fn needs_reports(&self, evidence: VersionEvidence) -> bool {
-        self.is_mixed(evidence.now) || evidence.is_ending()
-    }
+/// Returns the age of a proof from which on streams are reported.
+fn silent_proof_age(proof_lifetime: DurationMs) -> DurationMs {
+    let share = proof_lifetime.0 as f64 * MAX_SILENT_SHARE;
+    MAX_SILENT_PROOF_AGE.min(DurationMs(share as u64))
 }
--- a/crates/gateway/src/decisions/replication/upstream.rs
+++ b/crates/gateway/src/decisions/replication/upstream.rs
@@ -98,6 +98,9 @@
     /// Its parent answers, but has an old proof, and no other daemon has a newer one.
     #[display("stale parent")]
     StaleParent,
+    /// A request needs a proof that is newer than the request.
+    #[display("proof on demand")]
+    ProofOnDemand,
 }
 
 /// The daemons still to be probed in a search for a parent.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,8 +40,10 @@
 pub use lifecycle::suspension::run as watch_suspension;
 pub use lifecycle::try_log::run as log_try_counts;
 pub use replication::follow::run as follow_control_source;
+pub use replication::proof_on_demand::run as prove_on_demand;
 pub use replication::quarantine_writer::run as store_quarantine;
 pub use replication::server::run as serve_peers;
+pub use replication::version_registrar::run as register_versions;
 pub use requests::client_listener::run as serve_clients;
 pub use settings::{DutySettings, GatewaySettings};
 
@@ -53,6 +55,7 @@
     Change, Changes, ControlSource, FullState, ReadProgress, RecordFault, Revision, SourceEra,
     SourceError, SourceRecord,
 };
+pub use control::version_registry::{VersionRecordWrite, VersionStore, VersionWrite};
 pub use duties::api::{
     Credentials, DutyCallError, DutyKey, DutyPlatform, DutyStore, LeaseId, LeaseRenewal, Put,
     StoredValue, Transaction, TransactionOutcome,
--- a/crates/gateway/src/replication/client.rs
+++ b/crates/gateway/src/replication/client.rs
@@ -22,7 +22,6 @@
 use bridgevane_protocol::frame::Body;
 use bridgevane_protocol::{
     CrashNews, EndpointNotice, Frame, RecordsAnswer, RecordsWanted, StateReport, StreamBegins,
-    VersionSpan,
 };
 use bridgevane_types::{ConfigVersion, DataCentreId, TimeMs};
 use futures_util::{SinkExt, StreamExt};
@@ -73,8 +72,6 @@
     /// Crash observations that the other daemon hadn't sent on this connection.
     crash_news: Vec<CrashNews>,
     stream_begins: Vec<StreamBegins>,
-    versions: Vec<VersionSpan>,
-    version_history_ms: u32,
     endpoint_notices: Vec<EndpointNotice>,
     brittle_notices: Vec<EndpointNotice>,
     /// The version of the other daemon's configuration.
@@ -183,8 +180,6 @@
         let answer = decode_answer(asked_at, parts, &own_work)?;
         crash_observations::apply(gateway, &answer.crash_news);
         stream_reports::apply(gateway, &answer.stream_begins);
-        let (versions, history_ms) = (&answer.versions, answer.version_history_ms);
-        stream_reports::apply_versions(gateway, versions, history_ms, Some(asked_at));
         endpoint_notices::apply(gateway, &answer.endpoint_notices);
         endpoint_notices::apply_brittle(gateway, &answer.brittle_notices);
         Ok(answer)
@@ -205,8 +200,6 @@
             endpoint_notices: endpoint_notices::current(gateway),
             brittle_notices: endpoint_notices::current_brittle(gateway),
             crash_news: open.sent_observations.take_unsent(gateway),
-            versions: stream_reports::versions(gateway),
-            version_history_ms: stream_reports::version_history_ms(gateway),
             peer_address: own_address(gateway),
             proof_age_ms: proof_age_ms(gateway),
             era: Some(gateway.control.replica().revision().era().0),
@@ -217,8 +210,6 @@
         let answer = send_poll(&mut open.frames, poll, PROBE_TIMEOUT).await?;
         crash_observations::apply(gateway, &answer.crash_news);
         stream_reports::apply(gateway, &answer.stream_begins);
-        let (versions, history_ms) = (&answer.versions, answer.version_history_ms);
-        stream_reports::apply_versions(gateway, versions, history_ms, Some(asked_at));
         endpoint_notices::apply(gateway, &answer.endpoint_notices);
         endpoint_notices::apply_brittle(gateway, &answer.brittle_notices);
         self.open = Some(open);
@@ -270,8 +261,6 @@
         is_for_work: false,
         proof_age_ms: proof_age_ms(gateway),
         crash_news: Vec::new(),
-        versions: stream_reports::versions(gateway),
-        version_history_ms: stream_reports::version_history_ms(gateway),
         state: state_reports::own(gateway),
         is_single: false,
         takes_parts: true,
@@ -379,8 +368,6 @@
         total_work,
         crash_news: answer.crash_news,
         stream_begins: answer.stream_begins,
-        versions: answer.versions,
-        version_history_ms: answer.version_history_ms,
         endpoint_notices: answer.endpoint_notices,
         brittle_notices: answer.brittle_notices,
         config_version: ConfigVersion(answer.config_version),
--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -115,7 +115,6 @@
         remember_fresher_daemon(gateway, &poll);
         state_reports::apply(gateway, poll.peer_address.parse().ok(), poll.state.as_ref());
         crash_observations::apply(gateway, &poll.crash_news);
-        stream_reports::apply_versions(gateway, &poll.versions, poll.version_history_ms, None);
         endpoint_notices::apply(gateway, &poll.endpoint_notices);
         endpoint_notices::apply_brittle(gateway, &poll.brittle_notices);
         let placement = if poll.is_for_work {
@@ -221,8 +220,6 @@
         endpoint_notices: endpoint_notices::current(gateway),
         brittle_notices: endpoint_notices::current_brittle(gateway),
         config_version: gateway.control.config_version().0,
-        versions: stream_reports::versions(gateway),
-        version_history_ms: stream_reports::version_history_ms(gateway),
         state: state_reports::own(gateway),
         ..Default::default()
     }
@@ -354,8 +351,6 @@
         at: at.counter(),
         era: Some(at.era().0),
         config_version: gateway.control.config_version().0,
-        versions: stream_reports::versions(gateway),
-        version_history_ms: stream_reports::version_history_ms(gateway),
         state: state_reports::own(gateway),
         path: Some(encode_path(&path)),
         proof_age_ms,
--- a/crates/gateway/src/replication/stream_reports.rs
+++ b/crates/gateway/src/replication/stream_reports.rs
@@ -1,19 +1,17 @@
-//! Reports of streams that began, and of the software versions of services, exchanged between
-//! daemons.
+//! Reports of the software versions at which streams began, exchanged between daemons.
 //!
 //! Streams are reported upwards and between seeds on connections of their own, since a poll may be
 //! held for long, and downwards with the answers to polls. Each side of a connection sends what it
 //! hasn't sent on it yet, so that a new connection gets all.
 
-use crate::control::version_history::ServiceHash;
-use crate::decisions::eligibility::stream_version::{VersionHash, VersionSpan};
+use crate::decisions::eligibility::stream_version::VersionHash;
 use crate::gateway::Gateway;
 use crate::replication::peer_connection::{FramedStream, open_connection};
 use crate::replication::peer_error::PeerError;
 use crate::requests::begun_streams::{BegunStream, StreamCursor, StreamHash};
 use bridgevane_protocol::frame::Body;
-use bridgevane_protocol::{Frame, StreamBegins, StreamsBegun, VersionSpan as VersionSpanMessage};
-use bridgevane_types::{DurationMs, TimeMs};
+use bridgevane_protocol::{Frame, StreamBegins, StreamsBegun};
+use bridgevane_types::TimeMs;
 use futures_util::{SinkExt, StreamExt};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -193,50 +191,3 @@
         at,
     })
 }
-
-/// Returns what this daemon knows of the versions of services.
-pub(super) fn versions(gateway: &Gateway) -> Vec<VersionSpanMessage> {
-    let now = gateway.clock.now();
-    let spans = gateway.control.versions().mixed_spans();
-    let age = |at: TimeMs| u32::try_from(now.since(at).0).unwrap_or(u32::MAX);
-    let messages = spans.into_iter().map(|(service, span)| VersionSpanMessage {
-        service: service.0,
-        version: span.version.0,
-        seen_ms: age(span.seen_at),
-        gone_ms: span.gone_at.map(age),
-        not_before_ms: age(span.not_before),
-    });
-    messages.collect()
-}
-
-/// Returns how far back this daemon knows the versions of all services, in milliseconds.
-pub(super) fn version_history_ms(gateway: &Gateway) -> u32 {
-    let known_for = gateway.control.versions().known_for();
-    u32::try_from(known_for.0).unwrap_or(u32::MAX)
-}
-
-/// Applies what another daemon knows of the versions of services. `sent_after` is a moment before it
-/// was sent, if one is known.
-pub(super) fn apply_versions(
-    gateway: &Gateway,
-    messages: &[VersionSpanMessage],
-    history_ms: u32,
-    sent_after: Option<TimeMs>,
-) {
-    let now = gateway.clock.now();
-    let at = |age_ms: u32| TimeMs(now.0.saturating_sub(u64::from(age_ms)));
-    let spans = messages.iter().map(|message| {
-        let not_before = sent_after.map(|sent| sent.0.saturating_sub(message.not_before_ms.into()));
-        let span = VersionSpan {
-            version: VersionHash(message.version),
-            seen_at: at(message.seen_ms),
-            not_before: TimeMs(not_before.unwrap_or_default()),
-            gone_at: message.gone_ms.map(at),
-        };
-        (ServiceHash(message.service), span)
-    });
-    gateway
-        .control
-        .versions()
-        .merge(spans, DurationMs(u64::from(history_ms)));
-}
--- a/crates/gateway/src/requests/begun_streams.rs
+++ b/crates/gateway/src/requests/begun_streams.rs
@@ -6,8 +6,8 @@
 //! [`crate::decisions::eligibility::stream_version`].
 
 use crate::clock::Clock;
-use crate::decisions::eligibility::stream_version::{VERSION_MEMORY, VersionHash};
-use bridgevane_types::{TimeMs, short_hash};
+use crate::decisions::eligibility::stream_version::VersionHash;
+use bridgevane_types::{DurationMs, TimeMs, short_hash};
 use http::HeaderValue;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard};
@@ -19,6 +19,9 @@
 /// Takes some 4 MB.
 const MAX_STREAMS: usize = 65_536;
 
+/// How long a stream is remembered: longer than most last with all attempts of their clients.
+const STREAM_MEMORY: DurationMs = DurationMs(60_000);
+
 /// The identifier of a stream in messages between daemons: the upper half of a 64-bit hash of the
 /// identifier of the attempt that began it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -73,7 +76,7 @@
     /// Removes the oldest entries, which are too old or too many.
     fn evict(&mut self, now: TimeMs) {
         while let Some((cursor, oldest)) = self.log.front().copied() {
-            let is_expired = now.since(oldest.at) >= VERSION_MEMORY;
+            let is_expired = now.since(oldest.at) >= STREAM_MEMORY;
             if !is_expired && self.log.len() <= MAX_STREAMS {
                 return;
             }
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -125,6 +125,7 @@
     /// Sends a request whose answer is a stream, which may be one that the client takes up.
     pub(crate) async fn stream_answer(&mut self) -> Result<Answer, Refusal> {
         self.restrict_taken_up().await?;
+        self.wait_for_active_version().await;
         self.dispatch(None).await
     }
 
--- a/crates/gateway/src/requests/exchange/stream_version.rs
+++ b/crates/gateway/src/requests/exchange/stream_version.rs
@@ -4,7 +4,7 @@
 use super::Exchange;
 use crate::decisions::admission::freshness::startup_wait;
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
-use crate::decisions::eligibility::stream_version::VersionHash;
+use crate::decisions::eligibility::stream_version::{UnreportedVersion, VersionHash};
 use crate::endpoints::directory::ServiceEndpoints;
 use crate::endpoints::endpoint::Endpoint;
 use crate::endpoints::selection::VersionFilter;
@@ -12,13 +12,36 @@
 use crate::requests::inbound::TakenUpStream;
 use bridgevane_events::{Event, event};
 use bridgevane_types::DurationMs;
+use derive_more::Display;
 use http::HeaderValue;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// The longest time for which an answer is held until another daemon knows the version. A report is
 /// sent 20 ms after the request, and most engines need longer to their first event.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(50);
 
+/// How this daemon knows at which version a stream began. The text stands in logs.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum KnownBy {
+    /// The daemon that forwards the request names the version.
+    #[display("named")]
+    Named,
+    /// This daemon began the stream, or another one has reported it.
+    #[display("report")]
+    Report,
+    /// No other version is registered.
+    #[display("only_version")]
+    OnlyVersion,
+}
+
+/// The version at which a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct KnownVersion {
+    version: VersionHash,
+    known_by: KnownBy,
+}
+
 impl Exchange {
     /// Restricts a request that takes up a stream to the version that began the stream.
     ///
@@ -28,9 +51,9 @@
         let Some(stream) = self.inbound.taken_up.clone() else {
             return Ok(());
         };
-        let version = self.version_of_taken_up(&stream).await;
-        self.log_taken_up(&stream, version);
-        self.restrict_to(version)
+        let known = self.version_of_taken_up(&stream).await;
+        self.log_taken_up(&stream, known);
+        self.restrict_to(known.map(|known| known.version))
     }
 
     /// Restricts further attempts to the version that began the stream of this request; `began_at`
@@ -47,7 +70,10 @@
         }
         let version = match began_at {
             Some(version) => Some(version),
-            None => self.begun_version(&self.inbound.id).await,
+            None => {
+                let known = self.begun_version(&self.inbound.id).await;
+                known.map(|known| known.version)
+            }
         };
         self.restrict_to(version)
     }
@@ -59,38 +85,96 @@
         Ok(())
     }
 
-    async fn version_of_taken_up(&self, stream: &TakenUpStream) -> Option<VersionHash> {
+    async fn version_of_taken_up(&self, stream: &TakenUpStream) -> Option<KnownVersion> {
         match (stream.version, &stream.first_attempt) {
-            (Some(version), _) => Some(version),
+            (Some(version), _) => Some(KnownVersion {
+                version,
+                known_by: KnownBy::Named,
+            }),
             (None, Some(first)) => self.begun_version(first).await,
             // Another daemon resumes a stream that it has begun under the same identifier. A client
             // that names no attempt takes up an unknown stream.
             (None, None) if self.inbound.origin.is_daemon() => {
                 self.begun_version(&self.inbound.id).await
             }
-            (None, None) => self.only_version(),
+            (None, None) => {
+                let concluded = timeout(self.version_wait(), self.concluded_version()).await;
+                // After a timeout the version is unknown.
+                concluded.ok()
+            }
         }
     }
 
     /// Returns the version at which the attempt with this identifier began a stream; waits for a
-    /// report of it for a limited time.
-    async fn begun_version(&self, attempt_id: &HeaderValue) -> Option<VersionHash> {
+    /// report of it, or for a newer proof, for a limited time.
+    async fn begun_version(&self, attempt_id: &HeaderValue) -> Option<KnownVersion> {
         let stream = StreamHash::new(attempt_id);
         let begun = &self.gateway.begun_streams;
-        if let Some(version) = begun.version(stream).or_else(|| self.only_version()) {
-            return Some(version);
+        let reported = |version| KnownVersion {
+            version,
+            known_by: KnownBy::Report,
+        };
+        tokio::select! {
+            biased;
+            version = begun.wait_for_version(stream, self.version_wait()) => version.map(reported),
+            concluded = self.concluded_version() => Some(concluded),
         }
+    }
+
+    /// Returns how long the request waits for what it needs to know of versions.
+    fn version_wait(&self) -> Duration {
         let remaining = DurationMs(self.inbound.remaining().as_millis() as u64);
-        let reported = begun.wait_for_version(stream, startup_wait(Some(remaining)));
-        reported.await.or_else(|| self.only_version())
+        startup_wait(Some(remaining))
     }
 
-    fn only_version(&self) -> Option<VersionHash> {
+    /// Waits until the version of a stream that nobody reported is known; forever if it can't be.
+    async fn concluded_version(&self) -> KnownVersion {
         let control = &self.gateway.control;
+        let taken_up_at = self.gateway.clock.now();
+        let mut progress = control.progress();
+        loop {
+            let unreported = control.unreported_version(&self.inbound.service, taken_up_at);
+            if let UnreportedVersion::Known(version) = unreported {
+                let known_by = KnownBy::OnlyVersion;
+                return KnownVersion { version, known_by };
+            }
+            // This can't fail: the gateway owns the sender.
+            let _ = progress.changed().await;
+        }
+    }
+
+    /// Waits for a limited time until a resumable stream may begin at one of its service's endpoints:
+    /// all of them may run a version that is being registered.
+    pub(super) async fn wait_for_active_version(&self) {
+        if !self.inbound.route.is_resumable() || matches!(self.versions, VersionFilter::Only(_)) {
+            return;
+        }
+        let mut progress = self.gateway.control.progress();
+        let waited = timeout(self.version_wait(), async {
+            while self.lacks_active_version() {
+                // This can't fail: the gateway owns the sender.
+                let _ = progress.changed().await;
+            }
+        })
+        .await;
+        if waited.is_err() {
+            self.gateway.control.versions().on_missed();
+        }
+    }
+
+    /// Returns whether the service has endpoints, and none runs a version at which streams may begin.
+    fn lacks_active_version(&self) -> bool {
         let service = &self.inbound.service;
-        control
-            .versions()
-            .only_version(service, control.proof_age())
+        let directory = self.gateway.control.directory();
+        let Some(endpoints) = directory.service(service) else {
+            return false;
+        };
+        let registered = self.gateway.control.versions().versions(service);
+        let is_active = |version| {
+            let registered = registered.as_ref();
+            registered.is_some_and(|registered| registered.active.contains(&version))
+        };
+        !endpoints.all.iter().any(|each| is_active(each.version))
     }
 
     /// Returns the version that began the stream, if it has begun.
@@ -106,9 +190,10 @@
         if !self.inbound.route.is_resumable() || matches!(self.versions, VersionFilter::Only(_)) {
             return;
         }
-        let history = self.gateway.control.versions();
-        let established = history.may_begin(&self.inbound.service);
-        self.versions = established.map_or(VersionFilter::Any, VersionFilter::Among);
+        let registered = self.gateway.control.versions();
+        let registered = registered.versions(&self.inbound.service);
+        let active = registered.map_or_else(Vec::new, |registered| registered.active.clone());
+        self.versions = VersionFilter::Among(active);
     }
 
     /// Checks that an endpoint is left at which the stream may go on.
@@ -136,11 +221,7 @@
             return;
         }
         let control = &self.gateway.control;
-        let service = &self.inbound.service;
-        if !control
-            .versions()
-            .needs_reports(service, control.proof_age())
-        {
+        if !control.needs_stream_reports(&self.inbound.service) {
             return;
         }
         let reported = self.gateway.begun_streams.add([BegunStream {
@@ -164,14 +245,15 @@
         }
     }
 
-    fn log_taken_up(&self, stream: &TakenUpStream, version: Option<VersionHash>) {
+    fn log_taken_up(&self, stream: &TakenUpStream, known: Option<KnownVersion>) {
         let text = |value: &HeaderValue| value.to_str().unwrap_or("?").to_owned();
         event!(
             Event::StreamTakenUp,
             request = self.inbound.id_text(),
             resumes = stream.first_attempt.as_ref().map_or("-".into(), text),
             after = text(&stream.last_event_id),
-            version = version.map_or("-".into(), |version| self.version_name(version)),
+            version = known.map_or("-".into(), |known| self.version_name(known.version)),
+            known_by = known.map_or("-".into(), |known| known.known_by.to_string()),
             route = self.inbound.route.name,
             customer = self.inbound.customer_text(),
             waited_ms = self.inbound.arrived.elapsed().as_millis()
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -15,9 +15,9 @@
 use argh::FromArgs;
 use bridgevane_events::{Event, event};
 use bridgevane_gateway::{
-    Gateway, GatewaySettings, follow_control_source, hold_duties, log_try_counts,
-    report_final_usage, report_usage, serve_clients, serve_peers, serve_readiness, stop_gracefully,
-    store_quarantine, watch_suspension,
+    Gateway, GatewaySettings, follow_control_source, hold_duties, log_try_counts, prove_on_demand,
+    register_versions, report_final_usage, report_usage, serve_clients, serve_peers,
+    serve_readiness, stop_gracefully, store_quarantine, watch_suspension,
 };
 use bridgevane_platform::{DutyApi, LeaseStore, Store, header_names};
 use std::time::Duration;
@@ -222,6 +222,10 @@
     tokio::spawn(follow_control_source(gateway.clone(), store));
     let leases = LeaseStore::new(config.store_address, STORE_CONNECT_TIMEOUT);
     tokio::spawn(store_quarantine(gateway.clone(), leases));
+    let versions = LeaseStore::new(config.store_address, STORE_CONNECT_TIMEOUT);
+    tokio::spawn(register_versions(gateway.clone(), versions));
+    let proofs = Store::new(config.store_address, STORE_CONNECT_TIMEOUT);
+    tokio::spawn(prove_on_demand(gateway.clone(), proofs));
     if let Some(address) = config.duty_address {
         let leases = LeaseStore::new(config.store_address, STORE_CONNECT_TIMEOUT);
         let platform = DutyApi::new(address, STORE_CONNECT_TIMEOUT);
