fix(gateway): a retry before the first event stays at the version that was reported

What callers may have seen: a stream joined from two versions (ORDER) although its version was reported: a daemon that was cut off, or stood still, between two reports had the first one alone. By reading; no run of processes showed it.

Cause: a request that failed before its first event could be sent again to an endpoint of another version. The report of the later attempt replaces that of the earlier one, but the answer passes when one other daemon has it, not when all have it.

Change: once an attempt of a stream was reported, later attempts go to the same version; if no endpoint of it takes the request, it is refused and the client begins anew under another identifier.

Evidence: a_retry_before_the_first_event_stays_at_the_version_that_was_reported failed without the change (v1, then v2), and passes with it.

--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -19,6 +19,7 @@
 use crate::decisions::admission::load_shedding::{self, QueuedRequest};
 use crate::decisions::admission::refusal::{NoEndpointLeft, Refusal, RefusalReason};
 use crate::decisions::eligibility::region_limits::RegionLimits;
+use crate::decisions::eligibility::stream_version::VersionHash;
 use crate::decisions::endpoint::quiet_engines::PauseTargets;
 use crate::decisions::resend::{self, AttemptError, Failure, hedging};
 use crate::endpoints::connection;
@@ -72,6 +73,15 @@
     },
 }
 
+/// A report that a stream is about to begin.
+#[derive(Clone, Copy, Debug)]
+struct ReportedBegin {
+    /// The position of the report.
+    cursor: StreamCursor,
+    /// The software version.
+    version: VersionHash,
+}
+
 /// A request and the state of its attempts.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -89,8 +99,8 @@
     attempts: u32,
     /// The software versions at which it may run.
     versions: VersionFilter,
-    /// The position of the report of its last attempt, if other daemons have to know the version.
-    reported: Option<StreamCursor>,
+    /// The report of its last attempt, if other daemons have to know the version.
+    reported: Option<ReportedBegin>,
     /// The daemons that it was forwarded to.
     daemons_asked: Vec<SocketAddr>,
     /// Whether its newest answer came through another daemon.
--- a/crates/gateway/src/requests/exchange/stream_version.rs
+++ b/crates/gateway/src/requests/exchange/stream_version.rs
@@ -1,7 +1,7 @@
 //! The software version of a resumable stream: where it may begin, and where it may go on. The rule is
 //! [`crate::decisions::eligibility::stream_version`].
 
-use super::Exchange;
+use super::{Exchange, ReportedBegin};
 use crate::decisions::admission::freshness::startup_wait;
 use crate::decisions::admission::refusal::{Refusal, RefusalReason};
 use crate::decisions::eligibility::stream_version::{UnreportedVersion, VersionHash};
@@ -185,15 +185,22 @@
         }
     }
 
-    /// Sets the versions at which a resumable stream that hasn't begun may begin.
+    /// Sets the versions at which a resumable stream that hasn't begun may begin. Another daemon may
+    /// have the report of an earlier attempt and lack that of a later one, so that a later attempt goes
+    /// to the same version.
     pub(super) fn refresh_version_filter(&mut self) {
         if !self.inbound.route.is_resumable() || matches!(self.versions, VersionFilter::Only(_)) {
             return;
         }
-        let registered = self.gateway.control.versions();
-        let registered = registered.versions(&self.inbound.service);
-        let active = registered.map_or_else(Vec::new, |registered| registered.active.clone());
-        self.versions = VersionFilter::Among(active);
+        let versions = match self.reported {
+            Some(reported) => vec![reported.version],
+            None => {
+                let registered = self.gateway.control.versions();
+                let registered = registered.versions(&self.inbound.service);
+                registered.map_or_else(Vec::new, |registered| registered.active.clone())
+            }
+        };
+        self.versions = VersionFilter::Among(versions);
     }
 
     /// Checks that an endpoint is left at which the stream may go on.
@@ -215,32 +222,36 @@
     /// Reports to the other daemons at which version the stream of this request is about to begin, if
     /// they may need it.
     pub(super) fn report_begun(&mut self, endpoint: &Endpoint) {
-        self.reported = None;
         let is_new = !matches!(self.versions, VersionFilter::Only(_));
         if !is_new || !self.inbound.route.is_resumable() {
+            self.reported = None;
             return;
         }
         let control = &self.gateway.control;
-        if !control.needs_stream_reports(&self.inbound.service) {
+        // Once an attempt was reported, the later ones are, too.
+        if self.reported.is_none() && !control.needs_stream_reports(&self.inbound.service) {
             return;
         }
-        let reported = self.gateway.begun_streams.add([BegunStream {
+        let cursor = self.gateway.begun_streams.add([BegunStream {
             stream: StreamHash::new(&self.inbound.id),
             version: endpoint.version,
             attempt: self.attempts,
             at: self.gateway.clock.now(),
         }]);
-        self.reported = Some(reported);
+        self.reported = Some(ReportedBegin {
+            cursor,
+            version: endpoint.version,
+        });
     }
 
     /// Waits for a limited time until another daemon knows at which version the stream begins: the
     /// client may come back to any daemon once it has the first event.
     pub(super) async fn wait_until_reported(&self) {
         let has_others = !self.gateway.settings.seed_addresses.is_empty();
-        if let Some(cursor) = self.reported.filter(|_| has_others) {
+        if let Some(reported) = self.reported.filter(|_| has_others) {
             let begun = &self.gateway.begun_streams;
             begun
-                .wait_until_known_elsewhere(cursor, MAX_REPORT_WAIT)
+                .wait_until_known_elsewhere(reported.cursor, MAX_REPORT_WAIT)
                 .await;
         }
     }
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -16,12 +16,14 @@
 use support::{RunningGateway, settings, start_daemon, start_fleet, start_with};
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// The number of streams of a test.
 const STREAMS: usize = 24;
 /// The least share of streams that go on while engines of their version serve.
 const MIN_GOING_ON: f64 = 0.95;
+/// The time within which a stream begins, if it isn't refused.
+const BEGIN_LIMIT: Duration = Duration::from_millis(200);
 /// The number of streams of a test in which each is refused after a wait.
 const FEW_STREAMS: usize = 6;
 /// The time after which streams begin at every version, and a daemon that is cut off has no proof any
@@ -296,6 +298,35 @@
     }
 }
 
+/// Guards against a daemon that has the report of a stream's first attempt alone, takes the stream for one
+/// of that version, and sends it there although a later attempt began it at another one.
+#[tokio::test]
+async fn a_retry_before_the_first_event_stays_at_the_version_that_was_reported() {
+    let source = source();
+    let versions = ["v1", "v2", "v1", "v2"];
+    let engines = VersionedEngines::start(&source, &versions, AfterFirstEvent::RefuseFirst).await;
+    let settings = GatewaySettings {
+        retry_ratio: Share(2.0),
+        ..settings()
+    };
+    let running = start_with(source, settings).await;
+    sleep(NOTICE_TIME).await;
+    let mut retried = 0;
+    for at in 0..STREAMS {
+        let id = format!("a{at}");
+        // A request that is refused keeps its connection open.
+        let beginning = timeout(BEGIN_LIMIT, begin_and_leave(running.address, &id)).await;
+        let begun = beginning.unwrap_or_default();
+        let versions = engines.versions_with("x-id", &id);
+        retried += usize::from(begun && versions.len() > 1);
+        assert!(
+            versions.iter().all(|each| *each == versions[0]),
+            "{versions:?}"
+        );
+    }
+    assert!(retried > 0, "some are sent twice");
+}
+
 /// Guards against a daemon that is cut off from the control source, may go on serving, and takes the
 /// only version that it knows for the only one there is.
 #[tokio::test]
--- a/crates/gateway/tests/support/versions.rs
+++ b/crates/gateway/tests/support/versions.rs
@@ -7,6 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The answer of an engine that didn't run the request.
+const NOT_RUN: &str = "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
 /// The number of events of a stream.
 const EVENTS: u64 = 3;
 
@@ -17,6 +19,8 @@
     BreakOff,
     /// It sends nothing more until the client leaves.
     Stall,
+    /// It refuses every other request that begins a stream, and otherwise stalls.
+    RefuseFirst,
 }
 
 /// Engines of the service "model", with the software version of each.
@@ -55,7 +59,10 @@
         version: &'static str,
         after_first: AfterFirstEvent,
     ) {
-        let engine = Endpoint::start_by_request(move |_, request| {
+        let engine = Endpoint::start_by_request(move |at, request| {
+            if after_first == AfterFirstEvent::RefuseFirst && at % 2 == 0 {
+                return vec![Action::Send(NOT_RUN.to_owned())];
+            }
             let last = request.header("last-event-id");
             stream_after(last.and_then(|id| id.parse().ok()), after_first)
         })
@@ -111,7 +118,7 @@
     let Some(last) = last else {
         let end = match after_first {
             AfterFirstEvent::BreakOff => Action::Close,
-            AfterFirstEvent::Stall => Action::Hang,
+            AfterFirstEvent::Stall | AfterFirstEvent::RefuseFirst => Action::Hang,
         };
         return vec![stream_head(), event(1), end];
     };
