fix(gateway): a stream that is taken up goes to the service that began it

What callers may have seen: a stream joined from the answers of two services (ORDER), without any fault, on a route that leads to several services with resumable streams, or that was moved to another one while the stream ran.

Cause: each attempt draws one of the route's services, also one that takes up a stream, and the version that began it was asked of the drawn service. Reports named a version, not a service, so that equal names were one version.

Change: a version is one of a service; the record of versions is that of a host, which is what stays when routes are moved or split; a request that takes up a stream goes to the service of its version, if its route leads there. Daemons whose requests wait in vain for a registration write records as well, and one whose state has no record at all (a fleet that starts, or an upstream of an earlier version) begins streams at any version, reports them and concludes nothing. A read for a proof that failed is repeated after 0.2 s.

The test of a new version waits until the first one is registered.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -73,9 +73,9 @@
     1215 DenialsPaused Warn "the source came back from a copy; unknown routes and keys are not denied until the operators write";
     1216 StateUnwitnessed Warn "the state may be an older copy's; requests are refused until another daemon or the operators confirm it";
     1217 ProofAging Warn "the configuration may lack a change that must be in force; unknown routes and keys are not denied";
-    1218 VersionsWritten Info "the software versions at which streams of a service may have begun were registered";
-    1219 VersionsNotWritten Warn "the software versions of a service could not be registered; new versions begin no resumable streams";
-    1220 VersionRecordRejected Warn "the record of a service's software versions is invalid; it is written again";
+    1218 VersionsWritten Info "the software versions at which streams of a host's routes may have begun were registered";
+    1219 VersionsNotWritten Warn "the software versions of a host's routes could not be registered; new versions begin no resumable streams";
+    1220 VersionRecordRejected Warn "the record of a host's software versions is invalid; it is written again";
     1301 RequestRefused Debug "a request was refused";
     1302 RequestFailed Warn "a request failed";
     1303 PieceDropped Warn "a piece of an answer was dropped: it was repeated, or belongs to another request or attempt";
--- a/crates/gateway/src/control/endpoint_registry.rs
+++ b/crates/gateway/src/control/endpoint_registry.rs
@@ -151,7 +151,7 @@
                 );
                 return;
             }
-            let version = VersionHash::new(record.version.as_ref());
+            let version = VersionHash::new(&record.service, record.version.as_ref());
             let is_same_version = version == entry.endpoint.version;
             if is_same_version && !order.is_newer_incarnation(&entry.order) {
                 let change = entry.update(record, order, revision);
--- a/crates/gateway/src/control/routing_table.rs
+++ b/crates/gateway/src/control/routing_table.rs
@@ -24,10 +24,10 @@
     resumable: ResumableServices,
 }
 
-/// The services of routes whose streams may be resumed.
+/// The services of routes whose streams may be resumed, by host.
 #[derive(Clone, Debug, Default)]
 struct ResumableServices {
-    services: BTreeSet<ServiceName>,
+    by_host: HashMap<String, BTreeSet<ServiceName>>,
     longest_timeout: DurationMs,
 }
 
@@ -77,9 +77,9 @@
         }
     }
 
-    /// Returns the services of routes whose streams may be resumed.
-    pub(crate) fn resumable_services(&self) -> impl Iterator<Item = &ServiceName> {
-        self.resumable.services.iter()
+    /// Returns the services of routes whose streams may be resumed, by host.
+    pub(crate) fn resumable_services(&self) -> &HashMap<String, BTreeSet<ServiceName>> {
+        &self.resumable.by_host
     }
 
     /// Returns the longest timeout of a route whose streams may be resumed; 0 if there is none.
@@ -141,7 +141,8 @@
     let mut resumable = ResumableServices::default();
     for route in routes.iter().filter(|route| route.is_resumable()) {
         let services = route.targets.iter().map(|target| target.service.clone());
-        resumable.services.extend(services);
+        let of_host = resumable.by_host.entry(route.host.clone()).or_default();
+        of_host.extend(services);
         resumable.longest_timeout = resumable.longest_timeout.max(route.timeout_ms);
     }
     resumable
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -3,7 +3,7 @@
 
 use crate::control::holder_record::HolderRecord;
 use crate::control::routing_table::RoutingTable;
-use crate::decisions::eligibility::stream_version::{RegisteredVersions, ServiceHash};
+use crate::decisions::eligibility::stream_version::{HostHash, RegisteredVersions};
 use crate::endpoints::endpoint::EndpointRecord;
 use bridgevane_types::{CrashSuspect, DataCentreId, DurationMs, EndpointId};
 use bytes::Bytes;
@@ -102,12 +102,12 @@
     Quarantined(CrashSuspect),
     /// The quarantine of a request has ended.
     QuarantineEnded(CrashSuspect),
-    /// The software versions at which streams of a service may have begun.
-    VersionsRegistered(ServiceHash, RegisteredVersions),
-    /// The record of a service's versions was removed.
-    VersionsRemoved(ServiceHash),
-    /// The record of a service's versions can't be decoded.
-    InvalidVersions(ServiceHash),
+    /// The software versions at which streams of a host's routes may have begun.
+    VersionsRegistered(HostHash, RegisteredVersions),
+    /// The record of a host's versions was removed.
+    VersionsRemoved(HostHash),
+    /// The record of a host's versions can't be decoded.
+    InvalidVersions(HostHash),
     /// A record of this kind can't be decoded; it is logged and ignored.
     Unreadable(&'static str),
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -28,9 +28,7 @@
 use crate::control::version_registry::VersionRegistry;
 use crate::decisions::admission::freshness::{Freshness, FreshnessPolicy};
 use crate::decisions::eligibility::evacuation::Evacuations;
-use crate::decisions::eligibility::stream_version::{
-    ServiceHash, UnreportedVersion, VersionEvidence,
-};
+use crate::decisions::eligibility::stream_version::{HostHash, UnreportedVersion, VersionEvidence};
 use crate::decisions::eligibility::version_registration::version_memory;
 use crate::decisions::replication::completeness::{Completeness, EraKnowledge};
 use crate::decisions::replication::record_expiry::{Removal, SourceOutage};
@@ -249,16 +247,12 @@
         self.versions.may_lack_versions(self.version_memory())
     }
 
-    /// Returns what is known of the version of a stream that was taken up at this time and that nobody
-    /// reported. If it depends on a newer proof, one is requested.
-    pub(crate) fn unreported_version(
-        &self,
-        service: &ServiceName,
-        taken_up_at: TimeMs,
-    ) -> UnreportedVersion {
+    /// Returns what is known of the version of a host's stream that was taken up at this time and that
+    /// nobody reported. If it depends on a newer proof, one is requested.
+    pub(crate) fn unreported_version(&self, host: &str, taken_up_at: TimeMs) -> UnreportedVersion {
         // Read before the versions: a proof is stored after the state that it proves.
         let proved_at = self.proved_at();
-        let Some(versions) = self.versions.versions(service) else {
+        let Some(versions) = self.versions.versions(host) else {
             return UnreportedVersion::Unknown;
         };
         let unreported = versions.unreported(VersionEvidence {
@@ -276,9 +270,9 @@
         unreported
     }
 
-    /// Returns whether streams of the service that begin are reported to all daemons.
-    pub(crate) fn needs_stream_reports(&self, service: &ServiceName) -> bool {
-        let versions = self.versions.versions(service).unwrap_or_default();
+    /// Returns whether streams of the host that begin are reported to all daemons.
+    pub(crate) fn needs_stream_reports(&self, host: &str) -> bool {
+        let versions = self.versions.versions(host).unwrap_or_default();
         let lifetime = self.freshness_policy.proof_lifetime_ms;
         versions.needs_reports(self.proof_age(), lifetime, self.may_lack_versions())
     }
@@ -548,17 +542,17 @@
                 // Applied above, all at once.
                 Change::Quarantined(_) | Change::QuarantineEnded(_) => {}
                 Change::DutyHolderRemoved => self.on_duty_holder_removed(revision),
-                Change::VersionsRegistered(service, versions) => {
-                    self.versions.set(service, revision, Some(versions));
+                Change::VersionsRegistered(host, versions) => {
+                    self.versions.set(host, revision, Some(versions));
                 }
-                Change::VersionsRemoved(service) => self.versions.remove(service, revision),
-                Change::InvalidVersions(service) => {
+                Change::VersionsRemoved(host) => self.versions.remove(host, revision),
+                Change::InvalidVersions(host) => {
                     event!(
                         Event::VersionRecordRejected,
-                        service = service,
+                        host = host,
                         revision = revision
                     );
-                    self.versions.set(service, revision, None);
+                    self.versions.set(host, revision, None);
                 }
                 Change::Unreadable(what) => {
                     event!(Event::ConfigRejected, what = what, revision = revision);
@@ -707,12 +701,12 @@
     data_centres.collect()
 }
 
-fn listed_versions(records: &[ChangeAt]) -> Vec<ServiceHash> {
-    let services = records.iter().filter_map(|record| match &record.change {
-        Change::VersionsRegistered(service, _) | Change::InvalidVersions(service) => Some(*service),
+fn listed_versions(records: &[ChangeAt]) -> Vec<HostHash> {
+    let hosts = records.iter().filter_map(|record| match &record.change {
+        Change::VersionsRegistered(host, _) | Change::InvalidVersions(host) => Some(*host),
         _ => None,
     });
-    services.collect()
+    hosts.collect()
 }
 
 fn names_duty_holder(records: &[ChangeAt]) -> bool {
--- a/crates/gateway/src/control/version_registry.rs
+++ b/crates/gateway/src/control/version_registry.rs
@@ -1,5 +1,5 @@
-//! The version registry: the software versions at which streams of each service may have begun, as the
-//! source's records name them.
+//! The version registry: the software versions at which streams of each host's routes may have begun, as
+//! the source's records name them.
 //!
 //! Written by [`crate::control::state`] with each applied state; requests read it without locks. The
 //! records are kept by [`crate::replication::version_registrar`]; the rules are
@@ -8,7 +8,7 @@
 
 use crate::clock::{AtomicTime, Clock};
 use crate::control::source::{Revision, SourceError};
-use crate::decisions::eligibility::stream_version::{RegisteredVersions, ServiceHash, VersionHash};
+use crate::decisions::eligibility::stream_version::{HostHash, RegisteredVersions, VersionHash};
 use arc_swap::ArcSwap;
 use bridgevane_protocol::RegisteredVersions as RegisteredVersionsMessage;
 use bridgevane_types::{DurationMs, ServiceName, TimeMs};
@@ -18,7 +18,7 @@
 use std::future::Future;
 use std::sync::{Arc, Mutex, MutexGuard};
 
-/// The outcome of writing a service's record.
+/// The outcome of writing a host's record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VersionWrite {
     /// The record was written.
@@ -27,11 +27,11 @@
     Conflict,
 }
 
-/// A conditional write of a service's record.
+/// A conditional write of a host's record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VersionRecordWrite {
-    /// The service.
-    pub service: ServiceHash,
+    /// The host.
+    pub host: HostHash,
     /// The revision that the record must have; its counter is 0 if there must be none.
     pub expected: Revision,
     /// The new versions.
@@ -41,7 +41,7 @@
 /// A store for the records of software versions. Stored records come back through the control source as
 /// [`crate::Change::VersionsRegistered`]. Calls have no timeout of their own: the caller drops them.
 pub trait VersionStore: Send + Sync + 'static {
-    /// Replaces the record of a service.
+    /// Replaces the record of a host.
     ///
     /// # Errors
     /// [`SourceError`] when it isn't known whether it was written, or will be later.
@@ -76,7 +76,7 @@
     }
 }
 
-/// The record of one service.
+/// The record of one host.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct VersionRecord {
     /// The revision that wrote it, or removed it; 0 if there has never been one.
@@ -90,8 +90,9 @@
 }
 
 /// When endpoints of a version were last known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct LastSeen {
+    pub(crate) service: ServiceName,
     pub(crate) at: TimeMs,
     pub(crate) is_present: bool,
 }
@@ -104,13 +105,13 @@
 /// have missed: those that do may not reach the endpoints.
 const MISSED_PERIOD: DurationMs = DurationMs(2_000);
 
-type SeenVersions = HashMap<ServiceHash, HashMap<VersionHash, LastSeen>>;
+type SeenVersions = HashMap<VersionHash, LastSeen>;
 
-/// The registered versions of all services.
+/// The registered versions of all hosts.
 #[derive(Debug)]
 pub(crate) struct VersionRegistry {
     clock: Clock,
-    records: ArcSwap<HashMap<ServiceHash, VersionRecord>>,
+    records: ArcSwap<HashMap<HostHash, VersionRecord>>,
     seen: Mutex<SeenVersions>,
     /// When this daemon read the first state after the newest return of the source from a copy.
     restored_at: AtomicTime,
@@ -133,17 +134,29 @@
         self.seen.lock().expect("no panic under this lock")
     }
 
-    /// Returns the record of a service.
-    pub(crate) fn record(&self, service: &ServiceName) -> VersionRecord {
+    /// Returns the record of a host.
+    pub(crate) fn record(&self, host: HostHash) -> VersionRecord {
+        let records = self.records.load();
+        records.get(&host).cloned().unwrap_or_default()
+    }
+
+    /// Returns the hosts that have a record.
+    pub(crate) fn hosts(&self) -> Vec<HostHash> {
         let records = self.records.load();
-        let record = records.get(&ServiceHash::new(service));
-        record.cloned().unwrap_or_default()
+        let existing = records.iter().filter(|(_, record)| record.exists);
+        existing.map(|(host, _)| *host).collect()
+    }
+
+    /// Returns whether the state has no record of any host: nothing has been registered yet, or this
+    /// daemon follows one of an earlier version, which doesn't pass records on.
+    pub(crate) fn is_empty(&self) -> bool {
+        !self.records.load().values().any(|record| record.exists)
     }
 
-    /// Returns the registered versions of a service; `None` without a readable record.
-    pub(crate) fn versions(&self, service: &ServiceName) -> Option<Arc<RegisteredVersions>> {
+    /// Returns the registered versions of a host; `None` without a readable record.
+    pub(crate) fn versions(&self, host: &str) -> Option<Arc<RegisteredVersions>> {
         let records = self.records.load();
-        records.get(&ServiceHash::new(service))?.versions.clone()
+        records.get(&HostHash::new(host))?.versions.clone()
     }
 
     /// Returns whether registrations may be missing, since the source came back from a copy less than
@@ -156,12 +169,12 @@
     /// Stores the versions of a record, unless a newer one is known; `None` if it can't be read.
     pub(crate) fn set(
         &self,
-        service: ServiceHash,
+        host: HostHash,
         revision: Revision,
         versions: Option<RegisteredVersions>,
     ) {
         self.store(
-            service,
+            host,
             VersionRecord {
                 revision,
                 exists: true,
@@ -172,9 +185,9 @@
     }
 
     /// Stores that a record was removed, unless a newer one is known.
-    pub(crate) fn remove(&self, service: ServiceHash, revision: Revision) {
+    pub(crate) fn remove(&self, host: HostHash, revision: Revision) {
         self.store(
-            service,
+            host,
             VersionRecord {
                 revision,
                 applied_at: self.clock.now(),
@@ -183,20 +196,20 @@
         );
     }
 
-    fn store(&self, service: ServiceHash, record: VersionRecord) {
+    fn store(&self, host: HostHash, record: VersionRecord) {
         self.records.rcu(|records| {
-            let known = records.get(&service);
+            let known = records.get(&host);
             if known.is_some_and(|known| known.revision >= record.revision) {
                 return records.clone();
             }
             let mut records = HashMap::clone(records);
-            records.insert(service, record.clone());
+            records.insert(host, record.clone());
             Arc::new(records)
         });
     }
 
     /// Forgets the records that a full state at `revision` doesn't list.
-    pub(crate) fn remove_unlisted(&self, listed: &[ServiceHash], revision: Revision) {
+    pub(crate) fn remove_unlisted(&self, listed: &[HostHash], revision: Revision) {
         self.records.rcu(|records| {
             let mut records = HashMap::clone(records);
             records
@@ -205,7 +218,7 @@
         });
         // Endpoints may have come and gone between the last state and this one.
         let now = self.clock.now();
-        for seen in self.seen().values_mut().flat_map(HashMap::values_mut) {
+        for seen in self.seen().values_mut() {
             seen.at = now;
         }
     }
@@ -230,28 +243,23 @@
     pub(crate) fn observe(&self, endpoints: &[(ServiceName, VersionHash)]) {
         let now = self.clock.now();
         let mut seen = self.seen();
-        for versions in seen.values_mut() {
-            versions.retain(|_, last| last.is_present || now.since(last.at) < MAX_ABSENCE);
-            for last in versions.values_mut().filter(|last| last.is_present) {
-                last.at = now;
-                last.is_present = false;
-            }
+        seen.retain(|_, last| last.is_present || now.since(last.at) < MAX_ABSENCE);
+        for last in seen.values_mut().filter(|last| last.is_present) {
+            last.at = now;
+            last.is_present = false;
         }
         for (service, version) in endpoints {
-            let versions = seen.entry(ServiceHash::new(service)).or_default();
-            let present = LastSeen {
+            let last = seen.entry(*version).or_insert_with(|| LastSeen {
+                service: service.clone(),
                 at: now,
                 is_present: true,
-            };
-            versions.insert(*version, present);
+            });
+            last.is_present = true;
         }
     }
 
-    /// Returns the versions of a service that have endpoints, or had some lately, and when these were
-    /// last known.
-    pub(crate) fn last_seen(&self, service: &ServiceName) -> HashMap<VersionHash, LastSeen> {
-        let seen = self.seen();
-        let versions = seen.get(&ServiceHash::new(service));
-        versions.cloned().unwrap_or_default()
+    /// Returns the versions that have endpoints, or had some lately, and when these were last known.
+    pub(crate) fn last_seen(&self) -> HashMap<VersionHash, LastSeen> {
+        self.seen().clone()
     }
 }
--- a/crates/gateway/src/decisions/eligibility/stream_version.rs
+++ b/crates/gateway/src/decisions/eligibility/stream_version.rs
@@ -1,6 +1,6 @@
 //! Stream version: at which software version may a stream begin, and at which may it go on?
 //!
-//! Inputs: the versions that are registered for the service ([`RegisteredVersions`]), when the stream
+//! Inputs: the versions that are registered for the request's host ([`RegisteredVersions`]), when the stream
 //! was taken up and when the newest proof was requested (ms of this daemon's clock), the age of that
 //! proof (ms), and whether a registration may be missing after a return of the source from a copy.
 //!
@@ -14,8 +14,9 @@
 //!
 //! Reason: what two versions write doesn't fit together, and endpoints don't check it. A client takes
 //! up what has begun, so its version was registered before; a state that was the newest later than
-//! that has the registration, also on a daemon that has just started or was cut off. How long a version
-//! stays registered is the rule [`super::version_registration`].
+//! that has the registration, also on a daemon that has just started or was cut off. Routes may lead to
+//! several services, be moved and be split while a stream runs; its host stays. How long a version stays
+//! registered is the rule [`super::version_registration`].
 //!
 //! Tests: `stream_version_rule.rs`, `stream_versions.rs`.
 
@@ -28,51 +29,57 @@
 const MAX_SILENT_PROOF_AGE: DurationMs = DurationMs(2_000);
 /// The share of a proof's lifetime from which on streams are reported at the latest.
 const MAX_SILENT_SHARE: f64 = 2.0 / 3.0;
+/// Separates the names of a service and its version, which don't contain it.
+const SEPARATOR: char = '\0';
 
-/// The identifier of a software version in messages between daemons and in the source: the upper half
-/// of a 64-bit hash. Endpoints that report no version have one of their own in common.
+/// The identifier of a service's software version in messages between daemons and in the source: the
+/// upper half of a 64-bit hash of both names. Endpoints of a service that report no version have one of
+/// their own in common; equal versions of two services differ.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[display("{_0:08x}")]
 pub struct VersionHash(pub u32);
 
 impl VersionHash {
-    /// Returns the hash of a version.
-    pub fn new(version: Option<&SoftwareVersion>) -> Self {
-        let text = version.map_or("", SoftwareVersion::as_str);
-        Self(short_hash(text.as_bytes()))
+    /// Returns the hash of a version of a service.
+    pub fn new(service: &ServiceName, version: Option<&SoftwareVersion>) -> Self {
+        let version = version.map_or("", SoftwareVersion::as_str);
+        let service = service.as_str();
+        Self(short_hash(
+            format!("{service}{SEPARATOR}{version}").as_bytes(),
+        ))
     }
 }
 
-/// The identifier of a service in the source's record of versions: the upper half of a 64-bit hash of
-/// its name.
+/// The identifier of a host of routes in the source's records of versions: the upper half of a 64-bit
+/// hash of its name.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[display("{_0:08x}")]
-pub struct ServiceHash(pub u32);
+pub struct HostHash(pub u32);
 
-impl ServiceHash {
-    /// Returns the hash of a service's name.
-    pub fn new(service: &ServiceName) -> Self {
-        Self(short_hash(service.as_str().as_bytes()))
+impl HostHash {
+    /// Returns the hash of a host's name, which is in lower case.
+    pub fn new(host: &str) -> Self {
+        Self(short_hash(host.as_bytes()))
     }
 }
 
-/// The error for a text that isn't a service's hash.
+/// The error for a text that isn't a host's hash.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
-#[display("a service's hash has eight hexadecimal digits")]
-pub struct InvalidServiceHash;
+#[display("a host's hash has eight hexadecimal digits")]
+pub struct InvalidHostHash;
 
-impl FromStr for ServiceHash {
-    type Err = InvalidServiceHash;
+impl FromStr for HostHash {
+    type Err = InvalidHostHash;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let hash = u32::from_str_radix(text, 16).map_err(|_| InvalidServiceHash)?;
-        // Other spellings of a number name no service.
+        let hash = u32::from_str_radix(text, 16).map_err(|_| InvalidHostHash)?;
+        // Other spellings of a number name no host.
         let is_canonical = Self(hash).to_string() == text;
-        is_canonical.then_some(Self(hash)).ok_or(InvalidServiceHash)
+        is_canonical.then_some(Self(hash)).ok_or(InvalidHostHash)
     }
 }
 
-/// The software versions of one service at which streams may have begun.
+/// The software versions of services at which streams of one host's routes may have begun.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RegisteredVersions {
     /// Those at which streams may begin.
--- a/crates/gateway/src/decisions/eligibility/version_registration.rs
+++ b/crates/gateway/src/decisions/eligibility/version_registration.rs
@@ -1,13 +1,13 @@
-//! Version registration: which software versions of a service does the source's record name?
+//! Version registration: which software versions does the source's record of a host name?
 //!
 //! Inputs: the record ([`RegisteredVersions`]), and what the daemon that keeps it knows of each version
-//! ([`VersionSight`]): whether an endpoint accepted a connection, for how long no endpoint has been
-//! known, and for how long the version has been retired (ms of this daemon's clock); and the longest
+//! ([`VersionSight`]): whether an endpoint accepted a connection, for how long no endpoint of a service
+//! to which a resumable route of the host leads has been known, and for how long the version has been retired (ms of this daemon's clock); and the longest
 //! timeout of a resumable route (ms).
 //!
 //! Rules:
 //! - A version becomes active once one of its endpoints accepts a connection. A record of another
-//!   writer, at whose address nobody listens, must not make a service one of several versions.
+//!   writer, at whose address nobody listens, must not make a host one of several versions.
 //! - A version without endpoints is retired after [`RETIRE_AFTER`]: no more streams begin there.
 //! - A retired version is removed after [`version_memory`], in which all streams that it began have
 //!   ended with all attempts of their clients.
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -30,7 +30,7 @@
 //! | how many requests does an endpoint get that announces a limit? | [`eligibility::rate_limit`] |
 //! | which requests does a brittle endpoint get? | [`eligibility::brittle`] |
 //! | at which software version does a stream begin and go on? | [`eligibility::stream_version`] |
-//! | which software versions does the source's record of a service name? | [`eligibility::version_registration`] |
+//! | which software versions does the source's record of a host name? | [`eligibility::version_registration`] |
 //! | which endpoints asked this daemon to back off, and when may a refused request be retried? | [`eligibility::backoff`] |
 //! | does this daemon reach a service at all? | [`endpoint::reachability`] |
 //! | which request goes through another daemon, and through which one? | [`forwarding`] |
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -96,7 +96,7 @@
         Self {
             index,
             hash: EndpointHash::of_incarnation(&record.id, record.started_at),
-            version: VersionHash::new(record.version.as_ref()),
+            version: VersionHash::new(&record.service, record.version.as_ref()),
             record: ArcSwap::from_pointee(record),
             load: EndpointLoad::default(),
             health: EndpointHealth::default(),
--- a/crates/gateway/src/replication/proof_on_demand.rs
+++ b/crates/gateway/src/replication/proof_on_demand.rs
@@ -15,6 +15,8 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(450);
 /// The shortest time between two reads.
 const READ_INTERVAL: Duration = Duration::from_millis(50);
+/// The delay after a read that failed: the source may refuse reads because all daemons make many.
+const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 /// The resolution of the gateway's clock.
 const CLOCK_RESOLUTION: Duration = Duration::from_millis(1);
 /// The time after which no request waits for a proof any more.
@@ -32,7 +34,13 @@
             let result = read(&gateway, &source).await;
             let cause = SourceCause::ProofOnDemand;
             gateway.metrics.source_called(cause, result);
-            sleep(READ_INTERVAL).await;
+            let is_failed = result.is_err();
+            sleep(if is_failed {
+                FAILURE_PAUSE
+            } else {
+                READ_INTERVAL
+            })
+            .await;
         }
     }
 }
--- a/crates/gateway/src/replication/version_registrar.rs
+++ b/crates/gateway/src/replication/version_registrar.rs
@@ -1,13 +1,17 @@
-//! Keeps the source's records of the software versions at which streams of each service may have begun.
+//! Keeps the source's records of the software versions at which streams of each host's routes may have
+//! begun.
 //!
 //! Every daemon runs it; those that follow the source themselves write, and those whose requests wait
 //! in vain for a registration. Of several writes of one record the source carries out one, and the
 //! others learn of it with its changes. The rule is
 //! [`crate::decisions::eligibility::version_registration`].
 
+use crate::control::routing_table::RoutingTable;
 use crate::control::source::Revision;
-use crate::control::version_registry::{VersionRecordWrite, VersionStore, VersionWrite};
-use crate::decisions::eligibility::stream_version::{ServiceHash, VersionHash};
+use crate::control::version_registry::{
+    LastSeen, VersionRecord, VersionRecordWrite, VersionStore, VersionWrite,
+};
+use crate::decisions::eligibility::stream_version::{HostHash, VersionHash};
 use crate::decisions::eligibility::version_registration::{
     VersionSight, contact_delay, next_record,
 };
@@ -18,6 +22,7 @@
 use bridgevane_events::{Event, event};
 use bridgevane_types::{DurationMs, ServiceName, TimeMs};
 use futures_util::future::join_all;
+use rand::RngExt;
 use rand::seq::SliceRandom;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -36,6 +41,8 @@
 const WRITE_INTERVAL: DurationMs = DurationMs(500);
 /// The delay after a round with writes, in which the source's changes arrive.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
+/// The mean number of daemons that help at a time.
+const HELPERS: u32 = 8;
 /// The maximum number of endpoints of a version to which connections are opened at a time.
 const MAX_CONTACTS: usize = 3;
 
@@ -43,6 +50,7 @@
 pub async fn run<S: VersionStore>(gateway: Arc<Gateway>, store: S) {
     let mut registrar = Registrar {
         progress_pause: CHECK_INTERVAL,
+        hosts: HashMap::new(),
         contacts: HashMap::new(),
         writes: HashMap::new(),
         gateway: gateway.clone(),
@@ -52,12 +60,20 @@
     loop {
         // After a timeout the records are checked by time.
         let _ = timeout(registrar.progress_pause, progress.changed()).await;
-        if gateway.fleet.follows_source() || gateway.control.versions().was_missed() {
+        if gateway.fleet.follows_source() || is_helping(&gateway) {
             registrar.check().await;
         }
     }
 }
 
+/// Returns whether this daemon registers versions although it doesn't follow the source itself: its
+/// requests wait in vain, and it is one of the few that are drawn.
+fn is_helping(gateway: &Gateway) -> bool {
+    let daemons = gateway.fleet_size().unwrap_or(1).max(1);
+    let is_drawn = || rand::rng().random_ratio(HELPERS.min(daemons), daemons);
+    gateway.control.versions().was_missed() && is_drawn()
+}
+
 /// The connections that were tried to endpoints of a version.
 #[derive(Clone, Copy, Debug, Default)]
 struct Contact {
@@ -67,39 +83,48 @@
     next_at: TimeMs,
 }
 
+/// The services to which resumable routes of a host lead.
+#[derive(Clone, Debug)]
+struct HostServices {
+    services: BTreeSet<ServiceName>,
+    /// When this daemon learned of them.
+    since: TimeMs,
+}
+
 struct Registrar<S> {
     gateway: Arc<Gateway>,
     store: S,
     /// The longest time until the next check.
     progress_pause: Duration,
-    contacts: HashMap<(ServiceHash, VersionHash), Contact>,
-    /// The newest write of each service's record: the revision that it expected, and when it was made.
-    writes: HashMap<ServiceHash, (Revision, TimeMs)>,
+    hosts: HashMap<HostHash, HostServices>,
+    contacts: HashMap<VersionHash, Contact>,
+    /// The newest write of each host's record: the revision that it expected, and when it was made.
+    writes: HashMap<HostHash, (Revision, TimeMs)>,
 }
 
 impl<S: VersionStore> Registrar<S> {
-    /// Checks the record of each service, and writes those that have to change.
+    /// Checks the record of each host, and writes those that have to change.
     async fn check(&mut self) {
         let Some(table) = self.gateway.control.routing_table() else {
             return;
         };
-        let services: Vec<ServiceName> = table.resumable_services().cloned().collect();
-        self.contact_new_versions(&services).await;
+        self.refresh_hosts(&table);
+        self.contact_new_versions().await;
+        let due: Vec<VersionRecordWrite> = (self.hosts.iter())
+            .filter_map(|(host, services)| self.due_write(*host, services))
+            .collect();
         let mut has_written = false;
-        for service in &services {
-            let Some(write) = self.due_write(service) else {
-                continue;
-            };
+        for write in due {
             let now = self.gateway.clock.now();
-            let before = self.writes.get(&write.service);
+            let before = self.writes.get(&write.host);
             let is_under_way = |(expected, at): &(Revision, TimeMs)| {
                 *expected == write.expected && now.since(*at) < WRITE_INTERVAL
             };
             if before.is_some_and(is_under_way) {
                 continue;
             }
-            self.writes.insert(write.service, (write.expected, now));
-            self.write(service, &write).await;
+            self.writes.insert(write.host, (write.expected, now));
+            self.write(&write).await;
             has_written = true;
         }
         if has_written {
@@ -107,27 +132,46 @@
         }
     }
 
-    /// Opens connections to endpoints of versions that aren't active, where that is due.
-    async fn contact_new_versions(&mut self, services: &[ServiceName]) {
+    /// Updates the services of all hosts that have resumable routes, or had some.
+    fn refresh_hosts(&mut self, table: &RoutingTable) {
         let now = self.gateway.clock.now();
+        let routes = table.resumable_services().iter();
+        let mut current: HashMap<HostHash, BTreeSet<ServiceName>> = routes
+            .map(|(host, services)| (HostHash::new(host), services.clone()))
+            .collect();
+        for host in self.gateway.control.versions().hosts() {
+            current.entry(host).or_default();
+        }
+        self.hosts.retain(|host, _| current.contains_key(host));
+        for (host, services) in current {
+            let known = self.hosts.get(&host);
+            if known.is_none_or(|known| known.services != services) {
+                let since = now;
+                self.hosts.insert(host, HostServices { services, since });
+            }
+        }
+    }
+
+    /// Opens connections to endpoints of versions that aren't active, where that is due.
+    async fn contact_new_versions(&mut self) {
         let gateway = &self.gateway;
+        let now = gateway.clock.now();
+        let versions = gateway.control.versions();
+        let is_active_for = |host: &HostHash, version: VersionHash| {
+            let registered = versions.record(*host).versions;
+            registered.is_some_and(|registered| registered.active.contains(&version))
+        };
         let mut unreached = Vec::new();
-        for service in services {
-            let registered = gateway
-                .control
-                .versions()
-                .versions(service)
-                .unwrap_or_default();
-            for (version, seen) in gateway.control.versions().last_seen(service) {
-                let key = (ServiceHash::new(service), version);
-                if !seen.is_present {
-                    self.contacts.remove(&key);
-                } else if !registered.active.contains(&version) {
-                    let contact = self.contacts.entry(key).or_default();
-                    if !contact.was_accepted {
-                        unreached.push((service, version, contact.next_at));
-                    }
-                }
+        for (version, seen) in versions.last_seen() {
+            let mut of_service = (self.hosts.iter())
+                .filter(|(_, known)| seen.is_present && known.services.contains(&seen.service));
+            if of_service.all(|(host, _)| is_active_for(host, version)) {
+                self.contacts.remove(&version);
+                continue;
+            }
+            let contact = self.contacts.entry(version).or_default();
+            if !contact.was_accepted {
+                unreached.push((seen.service, version, contact.next_at));
             }
         }
         let has_unreached = !unreached.is_empty();
@@ -135,11 +179,11 @@
         let tries = unreached
             .into_iter()
             .map(|(service, version, _)| async move {
-                let is_accepted = accepts_connection(gateway, service, version).await;
-                ((ServiceHash::new(service), version), is_accepted)
+                let is_accepted = accepts_connection(gateway, &service, version).await;
+                (version, is_accepted)
             });
-        for (key, is_accepted) in join_all(tries).await {
-            let contact = self.contacts.entry(key).or_default();
+        for (version, is_accepted) in join_all(tries).await {
+            let contact = self.contacts.entry(version).or_default();
             contact.was_accepted = is_accepted;
             contact.failures += 1;
             contact.next_at = now + contact_delay(contact.failures);
@@ -151,28 +195,18 @@
         };
     }
 
-    /// Returns the write of a service's record that is due.
-    fn due_write(&self, service: &ServiceName) -> Option<VersionRecordWrite> {
+    /// Returns the write of a host's record that is due.
+    fn due_write(&self, host: HostHash, known: &HostServices) -> Option<VersionRecordWrite> {
         let control = &self.gateway.control;
-        let now = self.gateway.clock.now();
-        let record = control.versions().record(service);
-        let registered = record.versions.unwrap_or_default();
-        let seen = control.versions().last_seen(service);
-        let hash = ServiceHash::new(service);
-        let known: BTreeSet<VersionHash> = registered.all().chain(seen.keys().copied()).collect();
-        let sights: Vec<VersionSight> = (known.into_iter())
-            .map(|version| {
-                let last = seen.get(&version);
-                let is_present = last.is_some_and(|last| last.is_present);
-                let absent_since = last.map_or(record.applied_at, |last| last.at);
-                let contact = self.contacts.get(&(hash, version));
-                VersionSight {
-                    version,
-                    absent_for: (!is_present).then(|| now.since(absent_since)),
-                    was_reached: contact.is_some_and(|contact| contact.was_accepted),
-                    retired_for: now.since(record.applied_at),
-                }
-            })
+        let record = control.versions().record(host);
+        let registered = record.versions.clone().unwrap_or_default();
+        let seen = control.versions().last_seen();
+        let of_host = (seen.iter()).filter(|(_, last)| known.services.contains(&last.service));
+        let versions: BTreeSet<VersionHash> = (registered.all())
+            .chain(of_host.map(|(version, _)| *version))
+            .collect();
+        let sights: Vec<VersionSight> = (versions.into_iter())
+            .map(|version| self.sight(version, seen.get(&version), known, &record))
             .collect();
         let versions = next_record(&registered, &sights, control.version_memory())?;
         let expected = if record.exists {
@@ -181,18 +215,42 @@
             Revision::new(control.source_era(), 0)
         };
         Some(VersionRecordWrite {
-            service: hash,
+            host,
             expected,
             versions,
         })
     }
 
-    async fn write(&self, service: &ServiceName, write: &VersionRecordWrite) {
+    /// Returns what this daemon knows of a version for one host.
+    fn sight(
+        &self,
+        version: VersionHash,
+        last: Option<&LastSeen>,
+        known: &HostServices,
+        record: &VersionRecord,
+    ) -> VersionSight {
+        let now = self.gateway.clock.now();
+        let leads_there = last.is_some_and(|last| known.services.contains(&last.service));
+        let is_present = leads_there && last.is_some_and(|last| last.is_present);
+        let mut absent_since = last.map_or(record.applied_at, |last| last.at);
+        if !leads_there {
+            absent_since = absent_since.max(known.since);
+        }
+        let contact = self.contacts.get(&version);
+        VersionSight {
+            version,
+            absent_for: (!is_present).then(|| now.since(absent_since)),
+            was_reached: contact.is_some_and(|contact| contact.was_accepted),
+            retired_for: now.since(record.applied_at),
+        }
+    }
+
+    async fn write(&self, write: &VersionRecordWrite) {
         let writing = timeout(WRITE_TIMEOUT, self.store.write_versions(write)).await;
         match writing {
             Ok(Ok(VersionWrite::Written)) => event!(
                 Event::VersionsWritten,
-                service = service,
+                host = write.host,
                 active = list(&write.versions.active),
                 retired = list(&write.versions.retired),
                 revision = write.expected
@@ -200,11 +258,11 @@
             // Another daemon was first.
             Ok(Ok(VersionWrite::Conflict)) => {}
             Ok(Err(error)) => {
-                event!(Event::VersionsNotWritten, service = service, cause = error);
+                event!(Event::VersionsNotWritten, host = write.host, cause = error);
             }
             Err(_) => {
                 let cause = "no answer in time";
-                event!(Event::VersionsNotWritten, service = service, cause = cause);
+                event!(Event::VersionsNotWritten, host = write.host, cause = cause);
             }
         }
     }
--- a/crates/gateway/src/requests/exchange/stream_version.rs
+++ b/crates/gateway/src/requests/exchange/stream_version.rs
@@ -11,7 +11,7 @@
 use crate::requests::begun_streams::{BegunStream, StreamHash};
 use crate::requests::inbound::TakenUpStream;
 use bridgevane_events::{Event, event};
-use bridgevane_types::DurationMs;
+use bridgevane_types::{DurationMs, ServiceName};
 use derive_more::Display;
 use http::HeaderValue;
 use std::time::Duration;
@@ -82,9 +82,27 @@
         let version = version
             .ok_or_else(|| RefusalReason::StreamVersionUnknown.or_unknown_if_run(self.runs))?;
         self.versions = VersionFilter::Only(version);
+        self.choose_service_of(version);
         Ok(())
     }
 
+    /// Chooses the service that runs the version, if another one of the route was drawn.
+    fn choose_service_of(&mut self, version: VersionHash) {
+        let directory = self.gateway.control.directory();
+        let runs_version = |service: &ServiceName| {
+            let endpoints = directory.service(service).into_iter();
+            let mut all = endpoints.flat_map(|endpoints| &endpoints.all);
+            all.any(|endpoint| endpoint.version == version)
+        };
+        if runs_version(&self.inbound.service) {
+            return;
+        }
+        let mut targets = self.inbound.route.targets.iter();
+        if let Some(target) = targets.find(|target| runs_version(&target.service)) {
+            self.inbound.service = target.service.clone();
+        }
+    }
+
     async fn version_of_taken_up(&self, stream: &TakenUpStream) -> Option<KnownVersion> {
         match (stream.version, &stream.first_attempt) {
             (Some(version), _) => Some(KnownVersion {
@@ -133,7 +151,7 @@
         let taken_up_at = self.gateway.clock.now();
         let mut progress = control.progress();
         loop {
-            let unreported = control.unreported_version(&self.inbound.service, taken_up_at);
+            let unreported = control.unreported_version(&self.inbound.route.host, taken_up_at);
             if let UnreportedVersion::Known(version) = unreported {
                 let known_by = KnownBy::OnlyVersion;
                 return KnownVersion { version, known_by };
@@ -169,7 +187,11 @@
         let Some(endpoints) = directory.service(service) else {
             return false;
         };
-        let registered = self.gateway.control.versions().versions(service);
+        let versions = self.gateway.control.versions();
+        if versions.is_empty() {
+            return false;
+        }
+        let registered = versions.versions(&self.inbound.route.host);
         let is_active = |version| {
             let registered = registered.as_ref();
             registered.is_some_and(|registered| registered.active.contains(&version))
@@ -185,22 +207,23 @@
         }
     }
 
-    /// Sets the versions at which a resumable stream that hasn't begun may begin. Another daemon may
-    /// have the report of an earlier attempt and lack that of a later one, so that a later attempt goes
-    /// to the same version.
+    /// Sets the versions at which a resumable stream that hasn't begun may begin: any while nothing is
+    /// registered, since nothing is concluded then. Another daemon may have the report of an earlier
+    /// attempt and lack that of a later one, so that a later attempt goes to the same version.
     pub(super) fn refresh_version_filter(&mut self) {
         if !self.inbound.route.is_resumable() || matches!(self.versions, VersionFilter::Only(_)) {
             return;
         }
-        let versions = match self.reported {
-            Some(reported) => vec![reported.version],
+        let versions = self.gateway.control.versions();
+        self.versions = match self.reported {
+            Some(reported) => VersionFilter::Among(vec![reported.version]),
+            None if versions.is_empty() => VersionFilter::Any,
             None => {
-                let registered = self.gateway.control.versions();
-                let registered = registered.versions(&self.inbound.service);
-                registered.map_or_else(Vec::new, |registered| registered.active.clone())
+                let registered = versions.versions(&self.inbound.route.host);
+                let active = registered.map(|registered| registered.active.clone());
+                VersionFilter::Among(active.unwrap_or_default())
             }
         };
-        self.versions = VersionFilter::Among(versions);
     }
 
     /// Checks that an endpoint is left at which the stream may go on.
@@ -229,7 +252,7 @@
         }
         let control = &self.gateway.control;
         // Once an attempt was reported, the later ones are, too.
-        if self.reported.is_none() && !control.needs_stream_reports(&self.inbound.service) {
+        if self.reported.is_none() && !control.needs_stream_reports(&self.inbound.route.host) {
             return;
         }
         let cursor = self.gateway.begun_streams.add([BegunStream {
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -26,8 +26,6 @@
         stream_route("stream", true, 2),
     ];
     source.publish_configuration(1, routes, &[KEY]);
-    // Daemons with different addresses of one endpoint stand for a fleet with one source.
-    source.register_unversioned("model");
     for (service, addresses) in [("plain", plain), ("model", model)] {
         for (at, address) in addresses.iter().enumerate() {
             let id = format!("{service}-{at}");
--- a/crates/gateway/tests/stream_version_rule.rs
+++ b/crates/gateway/tests/stream_version_rule.rs
@@ -3,8 +3,7 @@
 #![allow(missing_docs)]
 
 use bridgevane_gateway::decisions::eligibility::stream_version::{
-    InvalidServiceHash, RegisteredVersions, ServiceHash, UnreportedVersion, VersionEvidence,
-    VersionHash,
+    HostHash, InvalidHostHash, RegisteredVersions, UnreportedVersion, VersionEvidence, VersionHash,
 };
 use bridgevane_types::{DurationMs, TimeMs};
 use bytes::Bytes;
@@ -136,11 +135,20 @@
     assert!(RegisteredVersions::decode(&Bytes::from_static(b"odd")).is_err());
 }
 
-/// Guards against two keys of the source that count as one service's.
+/// Guards against a stream that goes on at another service because its version has the same name there.
 #[test]
-fn a_services_hash_has_one_spelling() {
-    let service = ServiceHash::new(&"model".into());
-    assert_eq!(service.to_string().parse(), Ok(service));
+fn equal_versions_of_two_services_differ() {
+    let version = |service: &str| VersionHash::new(&service.into(), Some(&"v1".into()));
+    assert_ne!(version("model"), version("model-2"));
+    let unversioned = |service: &str| VersionHash::new(&service.into(), None);
+    assert_ne!(unversioned("model"), unversioned("model-2"));
+}
+
+/// Guards against two keys of the source that count as one host's.
+#[test]
+fn a_hosts_hash_has_one_spelling() {
+    let host = HostHash::new("host.example");
+    assert_eq!(host.to_string().parse(), Ok(host));
     for text in [
         "",
         "1",
@@ -150,10 +158,6 @@
         "000000001",
         "ABCDEF01",
     ] {
-        assert_eq!(
-            text.parse::<ServiceHash>(),
-            Err(InvalidServiceHash),
-            "{text}"
-        );
+        assert_eq!(text.parse::<HostHash>(), Err(InvalidHostHash), "{text}");
     }
 }
--- a/crates/gateway/tests/stream_versions.rs
+++ b/crates/gateway/tests/stream_versions.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
-use bridgevane_gateway::{GatewaySettings, SourceError};
+use bridgevane_gateway::{GatewaySettings, Route, RouteTarget, SourceError};
 use bridgevane_types::{DurationMs, Share};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -245,6 +245,7 @@
     let mut engines = VersionedEngines::none_in("dc-2");
     engines.add(&source, "v1", AfterFirstEvent::Stall).await;
     let running = start_with(source.clone(), settings()).await;
+    sleep(NOTICE_TIME).await;
     assert!(begin_and_leave(running.address, "a0").await);
     source.refuse_version_writes(true);
     engines.data_centre = "dc-1";
@@ -265,6 +266,7 @@
     let source = source();
     let mut engines = VersionedEngines::start(&source, &["v1"], AfterFirstEvent::Stall).await;
     let running = start_with(source.clone(), settings()).await;
+    sleep(NOTICE_TIME).await;
     assert!(begin_and_leave(running.address, "a0").await);
     engines.remove(&source, "v1");
     engines.add(&source, "v2", AfterFirstEvent::Stall).await;
@@ -284,6 +286,7 @@
     drop(unreachable);
     source.publish_version(VersionRecord {
         id: "e-odd",
+        service: "model",
         address,
         data_centre: "dc-2",
         version: "v9",
@@ -448,3 +451,74 @@
         }
     });
 }
+
+/// Publishes a configuration whose streams go to these services.
+fn lead_to(source: &ScriptedSource, version: u64, services: &[&str]) {
+    let target = |service: &&str| RouteTarget {
+        service: (*service).into(),
+        weight: 1,
+    };
+    let route = Route {
+        targets: services.iter().map(target).collect(),
+        ..stream_route("resume", true, 2)
+    };
+    source.publish_configuration(version, vec![route], &[KEY]);
+}
+
+/// Starts an engine of each of two services, of equal versions.
+async fn start_two_services(source: &ScriptedSource) -> [VersionedEngines; 2] {
+    let mut engines = ["model", "model-2"].map(VersionedEngines::none_of);
+    for of_service in &mut engines {
+        of_service.add(source, "v1", AfterFirstEvent::Stall).await;
+    }
+    engines
+}
+
+/// Guards against a route that leads to two services, of which each attempt draws one: a stream that
+/// began at one of them goes on at the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_at_the_service_that_began_it() {
+    let source = ScriptedSource::new();
+    lead_to(&source, 1, &["model", "model-2"]);
+    let engines = start_two_services(&source).await;
+    let fleet = start_fleet(&source, 2).await;
+    sleep(NOTICE_TIME).await;
+    let got = |id: &str| {
+        engines
+            .each_ref()
+            .map(|each| !each.versions_with("x-id", id).is_empty())
+    };
+    let mut gone_on = 0;
+    for at in 0..STREAMS {
+        let (first, second) = (format!("a{at}"), format!("b{at}"));
+        assert!(begin_and_leave(fleet[0].address, &first).await);
+        let answer = take_up(fleet[1].address, &second, &first).await;
+        assert_eq!(got(&first), got(&second), "{}", answer.body);
+        gone_on += usize::from(answer.status == 200 && answer.is_whole);
+    }
+    assert!(
+        gone_on as f64 >= MIN_GOING_ON * STREAMS as f64,
+        "{gone_on} went on"
+    );
+}
+
+/// Guards against a route that is moved to another service while its streams run: the new service has
+/// one version, and none of the streams began there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_does_not_go_on_at_the_service_to_which_its_route_was_moved() {
+    let source = ScriptedSource::new();
+    lead_to(&source, 1, &["model"]);
+    let engines = start_two_services(&source).await;
+    let fleet = start_fleet(&source, 2).await;
+    sleep(NOTICE_TIME).await;
+    assert!(begin_and_leave(fleet[0].address, "a").await);
+    lead_to(&source, 2, &["model-2"]);
+    sleep(NOTICE_TIME).await;
+    let answer = take_up(fleet[1].address, "b", "a").await;
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert!(engines[1].versions_with("x-id", "b").is_empty());
+    assert!(
+        begin_and_leave(fleet[0].address, "c").await,
+        "new ones begin"
+    );
+}
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -1,8 +1,6 @@
 //! A control source whose records and faults tests control.
 
-use bridgevane_gateway::decisions::eligibility::stream_version::{
-    RegisteredVersions, ServiceHash, VersionHash,
-};
+use bridgevane_gateway::decisions::eligibility::stream_version::HostHash;
 use bridgevane_gateway::{
     Change, Changes, ClientLimits, ControlSource, Customer, EndpointRecord, FullState,
     QuarantineStore, ReadProgress, Repeatability, Revision, Route, RouteTarget, RoutingParts,
@@ -43,6 +41,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct VersionRecord<'a> {
     pub id: &'a str,
+    pub service: &'a str,
     pub address: SocketAddr,
     pub data_centre: &'a str,
     pub version: &'a str,
@@ -107,10 +106,10 @@
             Change::EvacuationStarted(data_centre) => (evacuation_key(data_centre), false),
             Change::InvalidEvacuation(data_centre) => (evacuation_key(data_centre), false),
             Change::EvacuationEnded(data_centre) => (evacuation_key(data_centre), true),
-            Change::VersionsRegistered(service, _) | Change::InvalidVersions(service) => {
-                (format!("{VERSIONS_PREFIX}{service}"), false)
+            Change::VersionsRegistered(host, _) | Change::InvalidVersions(host) => {
+                (format!("{VERSIONS_PREFIX}{host}"), false)
             }
-            Change::VersionsRemoved(service) => (format!("{VERSIONS_PREFIX}{service}"), true),
+            Change::VersionsRemoved(host) => (format!("{VERSIONS_PREFIX}{host}"), true),
         };
         let value = (!is_removed).then(|| state.decoded.len().to_string().into());
         let record = SourceRecord {
@@ -169,6 +168,7 @@
     pub fn publish_version(&self, endpoint: VersionRecord<'_>) {
         let VersionRecord {
             id,
+            service,
             address,
             data_centre,
             version,
@@ -176,7 +176,7 @@
         self.put(Change::Endpoint(EndpointRecord {
             version: Some(version.into()),
             data_centre: data_centre.into(),
-            ..record(id, "model", address, false)
+            ..record(id, service, address, false)
         }));
     }
 
@@ -215,25 +215,15 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    /// Registers that endpoints of a service which report no version may begin streams.
-    pub fn register_unversioned(&self, service: &str) {
-        let versions = RegisteredVersions {
-            active: vec![VersionHash::new(None)],
-            retired: Vec::new(),
-        };
-        let service = ServiceHash::new(&service.into());
-        self.put(Change::VersionsRegistered(service, versions));
-    }
-
     /// Refuses all writes of versions from now on, or accepts them again.
     pub fn refuse_version_writes(&self, is_refused: bool) {
         self.calls.lock().unwrap().refuses_version_writes = is_refused;
     }
 
-    /// Returns the revision of a service's record of versions, with the counter 0 if there is none.
-    fn version_revision(&self, service: ServiceHash) -> Revision {
+    /// Returns the revision of a host's record of versions, with the counter 0 if there is none.
+    fn version_revision(&self, host: HostHash) -> Revision {
         let state = self.state.lock().unwrap();
-        let key = format!("{VERSIONS_PREFIX}{service}");
+        let key = format!("{VERSIONS_PREFIX}{host}");
         let newest = state.log.iter().rev().find(|record| record.key == key);
         let stored = newest.filter(|record| record.value.is_some());
         stored.map_or(Revision::new(state.era, 0), |record| record.revision)
@@ -416,8 +406,8 @@
 
     fn decode(&self, record: &SourceRecord) -> Option<Change> {
         let Some(value) = &record.value else {
-            if let Some(service) = record.key.strip_prefix(VERSIONS_PREFIX) {
-                return Some(Change::VersionsRemoved(service.parse().ok()?));
+            if let Some(host) = record.key.strip_prefix(VERSIONS_PREFIX) {
+                return Some(Change::VersionsRemoved(host.parse().ok()?));
             }
             return Some(match record.key.strip_prefix(EVACUATION_PREFIX) {
                 Some(data_centre) => Change::EvacuationEnded(data_centre.into()),
@@ -455,11 +445,11 @@
         if let Some(fault) = fault.or(is_refused.then_some(SourceError::Refused)) {
             return Err(fault);
         }
-        if self.version_revision(write.service) != write.expected {
+        if self.version_revision(write.host) != write.expected {
             return Ok(VersionWrite::Conflict);
         }
         self.put(Change::VersionsRegistered(
-            write.service,
+            write.host,
             write.versions.clone(),
         ));
         Ok(VersionWrite::Written)
--- a/crates/gateway/tests/support/versions.rs
+++ b/crates/gateway/tests/support/versions.rs
@@ -23,15 +23,16 @@
     RefuseFirst,
 }
 
-/// Engines of the service "model", with the software version of each.
+/// Engines of one service, with the software version of each.
 pub struct VersionedEngines {
     engines: Vec<(&'static str, Endpoint)>,
+    service: &'static str,
     /// The data centre of engines that are added.
     pub data_centre: &'static str,
 }
 
 impl VersionedEngines {
-    /// Starts an engine for each of `versions` and publishes its record.
+    /// Starts an engine of the service "model" for each of `versions` and publishes its record.
     pub async fn start(
         source: &ScriptedSource,
         versions: &[&'static str],
@@ -47,8 +48,17 @@
     /// Returns no engines yet; those that are added are in this data centre.
     pub fn none_in(data_centre: &'static str) -> Self {
         Self {
-            engines: Vec::new(),
             data_centre,
+            ..Self::none_of("model")
+        }
+    }
+
+    /// Returns no engines of a service yet.
+    pub fn none_of(service: &'static str) -> Self {
+        Self {
+            engines: Vec::new(),
+            service,
+            data_centre: "dc-1",
         }
     }
 
@@ -67,9 +77,10 @@
             stream_after(last.and_then(|id| id.parse().ok()), after_first)
         })
         .await;
-        let id = format!("e-{}", self.engines.len());
+        let id = self.id(self.engines.len());
         source.publish_version(VersionRecord {
             id: &id,
+            service: self.service,
             address: engine.address,
             data_centre: self.data_centre,
             version,
@@ -77,11 +88,15 @@
         self.engines.push((version, engine));
     }
 
+    fn id(&self, at: usize) -> String {
+        format!("{}-{at}", self.service)
+    }
+
     /// Removes the records of all engines of a version.
     pub fn remove(&self, source: &ScriptedSource, version: &str) {
         for (at, (own, _)) in self.engines.iter().enumerate() {
             if *own == version {
-                source.remove_endpoint(&format!("e-{at}"));
+                source.remove_endpoint(&self.id(at));
             }
         }
     }
