test(soak): play resumable streams over rollouts

Cause: streams that clients take up at another daemon were played with gateways in one process only, without kills, freezes and cuts of real processes around a rollout. `--row` plays one fixed order.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,7 +7,8 @@
 //! come back from copies, and checks the duties of the fleet ([`copy_plan`], [`copy_checks`]). One of a
 //! fourth kind replaces daemons around such returns, stops, freezes and cuts them off, and checks which
 //! routes and keys daemons serve and deny ([`replacement_plan`], [`interruption_plan`],
-//! [`confirmed_versions`]).
+//! [`confirmed_versions`]). One of a fifth kind replaces workers by such of other software versions, and
+//! checks the streams that clients take up ([`rollout_plan`], [`stream_checks`]).
 
 mod callers;
 pub mod checks;
@@ -33,11 +34,17 @@
 pub mod proxy;
 pub mod replacement_plan;
 mod replacement_run;
+mod rollout_environment;
+pub mod rollout_plan;
+mod rollout_run;
 mod run;
+pub mod stream_checks;
+mod stream_clients;
 
 pub use copy_run::{CopyOutcome, run_store_copies};
 pub use cut_run::{CutOutcome, run_cut_off};
 pub use options::SoakOptions;
 pub use plot::PlotError;
 pub use replacement_run::{ProbeCounts, ReplacementOutcome, WrongAnswer, run_replacements};
+pub use rollout_run::{RolloutOutcome, run_rollouts};
 pub use run::{SoakError, SoakOutcome, run};
--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -5,6 +5,7 @@
 use bridgevane_soak::daemon_group::DaemonGroup;
 use bridgevane_soak::plan::RunSize;
 use bridgevane_soak::replacement_plan::FixedRounds;
+use bridgevane_soak::rollout_plan::RolloutRow;
 use bridgevane_soak::{SoakError, SoakOptions, SoakOutcome};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -30,12 +31,13 @@
     /// seconds of calls per seed (default: 20)
     #[argh(option, default = "20")]
     pub seconds: u64,
-    /// number of gateways (default: 4, at most 24; with --store-copies or --replacements 6 and 64)
+    /// number of gateways (default: 4, at most 24; with --store-copies, --replacements or --rollouts 6 and
+    /// 64)
     #[argh(option)]
     pub processes: Option<usize>,
-    /// number of callers (default: 12)
-    #[argh(option, default = "12")]
-    pub callers: usize,
+    /// number of callers (default: 12; with --rollouts 30)
+    #[argh(option)]
+    pub callers: Option<usize>,
     /// cut daemons off from workers in place of the other faults
     #[argh(switch)]
     pub cut_off: bool,
@@ -62,6 +64,13 @@
     /// with --replacements: the store never comes back from a copy
     #[argh(switch)]
     pub no_returns: bool,
+    /// replace workers by such of other software versions, and check the streams that clients take up
+    #[argh(switch)]
+    pub rollouts: bool,
+    /// with --rollouts: calm, killed-after-leaving, killed-while-replaced, one-version-killed,
+    /// out-of-step-cut or out-of-step-frozen (default: drawn)
+    #[argh(option)]
+    pub row: Option<RolloutRow>,
     /// daemons keep serving while the store is unavailable (--strict-key-removal false)
     #[argh(switch)]
     pub serve_stale: bool,
@@ -88,9 +97,10 @@
         arguments.cut_off,
         arguments.store_copies,
         arguments.replacements,
+        arguments.rollouts,
     ];
     if kinds.into_iter().filter(|is_given| *is_given).count() > 1 {
-        eprintln!("give one of --cut-off, --store-copies and --replacements");
+        eprintln!("give one of --cut-off, --store-copies, --replacements and --rollouts");
         return exit::USAGE;
     }
     let failed = block_on(soak_until_stopped(arguments)).map_err(SoakError::from);
@@ -106,7 +116,7 @@
 
 /// Returns whether a run plays a whole fleet.
 fn plays_fleet(arguments: &SoakArguments) -> bool {
-    arguments.store_copies || arguments.replacements
+    arguments.store_copies || arguments.replacements || arguments.rollouts
 }
 
 fn processes(arguments: &SoakArguments) -> usize {
@@ -114,6 +124,16 @@
     arguments.processes.unwrap_or(default)
 }
 
+fn callers(arguments: &SoakArguments) -> usize {
+    let default = if arguments.rollouts { 30 } else { 12 };
+    arguments.callers.unwrap_or(default)
+}
+
+/// Returns the number of workers that serve at a time.
+fn workers(arguments: &SoakArguments) -> usize {
+    if arguments.rollouts { 8 } else { 6 }
+}
+
 /// Runs all seeds and returns the number with a broken promise, or `None` if a signal stopped the
 /// run. Processes end with the run.
 async fn soak_until_stopped(arguments: &SoakArguments) -> Result<Option<u64>, SoakError> {
@@ -137,10 +157,10 @@
             seed,
             size: RunSize {
                 daemons: processes(arguments),
-                workers: 6,
+                workers: workers(arguments),
                 duration: Duration::from_secs(arguments.seconds),
             },
-            callers: arguments.callers,
+            callers: callers(arguments),
             serves_stale: arguments.serve_stale,
         };
         if arguments.cut_off {
@@ -155,6 +175,10 @@
             failed += u64::from(!is_kept_under_replacements(arguments, &options).await?);
             continue;
         }
+        if arguments.rollouts {
+            failed += u64::from(!is_kept_under_rollouts(arguments.row, &options).await?);
+            continue;
+        }
         let outcome = bridgevane_soak::run(&options).await?;
         print_line!("{}", outcome.summary());
         if !outcome.violations.is_empty() {
@@ -246,6 +270,30 @@
     Ok(is_kept)
 }
 
+/// Runs one seed in which workers are replaced by such of other software versions; returns whether all
+/// streams were whole and of one version.
+async fn is_kept_under_rollouts(
+    row: Option<RolloutRow>,
+    options: &SoakOptions,
+) -> Result<bool, SoakError> {
+    let outcome = bridgevane_soak::run_rollouts(options, row).await?;
+    print_line!("{}", outcome.summary());
+    let is_kept = outcome.violations.is_empty();
+    if !is_kept {
+        for rollout in &outcome.plan.rollouts {
+            print_line!("  {rollout}");
+        }
+        for disruption in &outcome.plan.disruptions {
+            print_line!("  {disruption}");
+        }
+        for violation in &outcome.violations {
+            print_line!("  BROKEN {violation}");
+        }
+        print_line!("logs: {}", options.folder.display());
+    }
+    Ok(is_kept)
+}
+
 /// Prints the planned faults and the broken promises.
 fn print_failure(outcome: &SoakOutcome) {
     for event in &outcome.plan.events {
