test(soak): a frozen daemon may find take-ups in its socket

Cause: in `out-of-step-frozen` the daemon went on at the moment at which the others were killed, before clients came to it. Change: it goes on 0 to 0.3 s later. Rows and drawn plans share how a daemon gets out of step.

--- a/crates/soak/src/rollout_environment.rs
+++ b/crates/soak/src/rollout_environment.rs
@@ -18,8 +18,9 @@
 
 /// The time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
-/// The operator's limits for streams: a whole one takes four seconds.
+/// The longest time that the operator wants a request held: that of a client's deadline.
 const ROUTE_TIMEOUT_MS: u64 = 9_000;
+/// The operator's objective for the first event; clients wait four times as long between events.
 const ROUTE_OBJECTIVE_MS: u64 = 500;
 /// The data centre of all daemons and workers.
 const DATA_CENTRE: &str = "z";
--- a/crates/soak/src/rollout_plan.rs
+++ b/crates/soak/src/rollout_plan.rs
@@ -16,6 +16,8 @@
 const GAP_MS: RangeInclusive<u64> = 2_500..=9_000;
 /// How long workers of both versions serve if new ones join first, in milliseconds.
 const BOTH_SERVE_MS: RangeInclusive<u64> = 500..=5_000;
+/// The same in a row: longer than the notice time after which the new version begins streams.
+const ROW_BOTH_SERVE: Duration = Duration::from_millis(5_000);
 /// The time from a rollout to a kill of all daemons that belongs to it, in milliseconds.
 const KILL_AFTER_MS: RangeInclusive<u64> = 100..=1_000;
 /// The number of other disruptions around a rollout.
@@ -30,6 +32,9 @@
 const AROUND: Duration = Duration::from_millis(3_000);
 /// The time from a rollout to the kill of the other daemons in rows with a daemon that is out of step.
 const OUT_OF_STEP: Duration = Duration::from_millis(1_000);
+/// How long a daemon that is out of step stays frozen after the others were killed, in milliseconds: take-ups
+/// may wait in its socket when it goes on.
+const FROZEN_AFTER_KILL_MS: RangeInclusive<u64> = 0..=300;
 
 /// Which part of the workers a rollout replaces.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -313,7 +318,9 @@
             _ => self.add_replacement_while_killed(at),
         }
         if self.random.random_ratio(1, 4) {
-            self.add_daemon_out_of_step(at);
+            let daemon = self.draw_seed_daemon();
+            let is_cut_off = self.random.random_ratio(1, 2);
+            self.add_daemon_out_of_step(at, daemon, is_cut_off);
         }
         for _ in 0..self.random.random_range(DISRUPTIONS) {
             let from = at.saturating_sub(AROUND);
@@ -336,18 +343,14 @@
     }
 
     /// Cuts off or freezes a daemon around a rollout, and kills the others.
-    fn add_daemon_out_of_step(&mut self, at: Duration) {
-        let daemon = self.draw_seed_daemon();
-        if self.random.random_ratio(1, 2) {
+    fn add_daemon_out_of_step(&mut self, at: Duration, daemon: usize, is_cut_off: bool) {
+        if is_cut_off {
             self.cut_off_around(daemon, at);
         } else {
             self.freeze_around(daemon, at);
         }
-        self.disrupt(
-            at + OUT_OF_STEP,
-            OTHERS_DOWN,
-            DisruptionKind::OthersKilled(daemon),
-        );
+        let kind = DisruptionKind::OthersKilled(daemon);
+        self.disrupt(at + OUT_OF_STEP, OTHERS_DOWN, kind);
     }
 
     fn cut_off_around(&mut self, daemon: usize, at: Duration) {
@@ -359,8 +362,9 @@
 
     fn freeze_around(&mut self, daemon: usize, at: Duration) {
         let before = self.draw_ms(20..=100);
+        let after_kill = self.draw_ms(FROZEN_AFTER_KILL_MS);
         let kind = DisruptionKind::Frozen(daemon);
-        self.disrupt(at - before, before + OUT_OF_STEP, kind);
+        self.disrupt(at - before, before + OUT_OF_STEP + after_kill, kind);
     }
 
     fn add_disruption(&mut self, at: Duration) {
@@ -392,9 +396,8 @@
                 self.replace_all(at, both_serve);
             }
             RolloutRow::KilledAfterLeaving => {
-                let left_at = at + Duration::from_millis(*BOTH_SERVE_MS.end());
-                self.replace_all(at, left_at - at);
-                let killed_at = left_at + self.draw_ms(KILL_AFTER_MS);
+                self.replace_all(at, ROW_BOTH_SERVE);
+                let killed_at = at + ROW_BOTH_SERVE + self.draw_ms(KILL_AFTER_MS);
                 self.disrupt(killed_at, DOWN, DisruptionKind::AllKilled);
             }
             RolloutRow::KilledWhileReplaced => {
@@ -403,14 +406,10 @@
             }
             RolloutRow::OneVersionKilled => self.disrupt(at, DOWN, DisruptionKind::AllKilled),
             RolloutRow::OutOfStepCut | RolloutRow::OutOfStepFrozen => {
-                let daemon = self.draw_seed_daemon();
                 self.replace_all(at, Duration::ZERO);
-                match row {
-                    RolloutRow::OutOfStepCut => self.cut_off_around(daemon, at),
-                    _ => self.freeze_around(daemon, at),
-                }
-                let kind = DisruptionKind::OthersKilled(daemon);
-                self.disrupt(at + OUT_OF_STEP, OTHERS_DOWN, kind);
+                let daemon = self.draw_seed_daemon();
+                let is_cut_off = row == RolloutRow::OutOfStepCut;
+                self.add_daemon_out_of_step(at, daemon, is_cut_off);
             }
         }
     }
--- a/crates/soak/src/stream_checks.rs
+++ b/crates/soak/src/stream_checks.rs
@@ -140,7 +140,7 @@
         attempts.any(|attempt| attempt.end == AttemptEnd::Whole)
     }
 
-    /// Returns whether the answer with the first event broke.
+    /// Returns whether an answer broke after it had brought an event.
     pub fn is_broken(&self) -> bool {
         let mut attempts = self.attempts.iter();
         attempts.any(|attempt| !attempt.events.is_empty() && attempt.end == AttemptEnd::Broken)
