fix(gateway): a newer document is adopted while nobody else writes the state

Reading a proof on demand made a second writer of the state; between the comparison of versions and the write, it could apply a newer document, whose bytes the older one then replaced for daemons that follow this one. Found by a reviewer, by reading; no test and no run shows it: both writers run on one thread in the daemon, and neither waits in between.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -420,6 +420,7 @@
     /// Adopts the document in another daemon's full state if its version is higher than the active
     /// one: the source came back from a copy, and this daemon has read the copy's.
     pub(crate) fn adopt_newer_document(&self, source: &impl ControlSource, state: &FullState) {
+        let _writing = self.lock_writing();
         let Some((at, listed)) = document(source, &state.records) else {
             return;
         };
