fix(gateway): age and hold time of an answer are of one reading of the clock

A process that was stopped between two readings of the clock sent a hold time that was longer than the age of its proof allowed for, by up to the follower's timeout of a second: the follower took the proof for younger than it was. Found by a reviewer, by reading; no run shows it.

--- a/crates/gateway/src/replication/server.rs
+++ b/crates/gateway/src/replication/server.rs
@@ -214,7 +214,7 @@
         at: at.counter(),
         era: Some(at.era().0),
         data_centre: gateway.settings.data_centre.to_string(),
-        proof_age_ms: proof_age_ms(gateway, proved_at),
+        proof_age_ms: proof_age_ms(gateway.clock.now(), proved_at),
         path: Some(encode_path(&path)),
         work: encode_work(&subtree.work),
         endpoint_notices: endpoint_notices::current(gateway),
@@ -239,8 +239,8 @@
 }
 
 /// Returns the current age of a proof, never less than the actual age.
-fn proof_age_ms(gateway: &Gateway, proved_at: Option<TimeMs>) -> Option<u64> {
-    let age = gateway.clock.now().since(proved_at?);
+fn proof_age_ms(now: TimeMs, proved_at: Option<TimeMs>) -> Option<u64> {
+    let age = now.since(proved_at?);
     Some(age.0 + CLOCK_RESOLUTION_MS)
 }
 
@@ -341,8 +341,9 @@
     let mut parts = packed_state.parts(update, poll.takes_parts);
     drop(packed_state);
     // Age and hold time refer to the same moment: the follower subtracts one from the other.
-    let proof_age_ms = proof_age_ms(gateway, proved_at);
-    let held = gateway.clock.now().since(asked_at);
+    let now = gateway.clock.now();
+    let proof_age_ms = proof_age_ms(now, proved_at);
+    let held = now.since(asked_at);
     let total_work = gateway.fleet.total_work(&gateway.control.directory());
     let path = gateway.fleet.path();
     // There is at least one part.
