--- a/crates/gateway/tests/support/tree_sim/mod.rs
+++ b/crates/gateway/tests/support/tree_sim/mod.rs
@@ -6,6 +6,7 @@
 //! arrive late or never. Each daemon's clock is the fleet's. Every proof is checked against the
 //! state that the source held when it was polled.
 
+pub mod disruptions;
 mod peers;
 mod returns;
 mod source;
--- a/crates/gateway/tests/support/tree_sim/returns.rs
+++ b/crates/gateway/tests/support/tree_sim/returns.rs
@@ -107,6 +107,15 @@
         };
     }
 
+    /// Reads the source on demand, like `replication::proof_on_demand`; returns the version of its
+    /// configuration, which the daemon doesn't keep.
+    pub fn read_on_demand(&self, at: usize) -> Option<u64> {
+        // The first state comes through the tree.
+        let has_state = self.daemons[at].knowledge.state.is_some();
+        let can_read = has_state && self.is_awake(at) && self.is_served[at];
+        can_read.then_some(self.stored.version.0)
+    }
+
     pub(super) fn learn_from_source(&mut self, at: usize) {
         let stored = self.stored;
         self.learn(at, stored);
--- a/crates/gateway/tests/support/tree_sim/views.rs
+++ b/crates/gateway/tests/support/tree_sim/views.rs
@@ -33,6 +33,11 @@
         ages.collect::<Option<Vec<u64>>>()?.into_iter().max()
     }
 
+    /// Returns whether a daemon's process runs and isn't frozen.
+    pub fn is_awake(&self, at: usize) -> bool {
+        self.daemons[at].is_alive && !self.is_frozen(at)
+    }
+
     pub fn all(&self) -> Vec<usize> {
         (0..self.len()).collect()
     }
