fix(gateway): a moment at the end of the clock's range can be stored

Callers saw a daemon that never became ready, or that didn't learn of any change any more, beside a record whose remaining cold time was 1e308 ms (builds that check for overflow). Other builds used the worker as if it were warm.

Cause: the moment now + remaining time is the last one that a `TimeMs` holds, since the addition saturates; `AtomicTime` stores a moment plus one, which overflowed. The panic ended the task that follows the store; without the check the stored value was 0, which means no moment.

Change: the addition saturates, so that the last moment is stored as the one before it. No rule distinguishes the two. The other fields of a record were looked at: slots are only divided by, compared, or summed in 64 bits or as floats; start time and sequence are only compared and hashed; moments and durations elsewhere add and subtract saturating.

The tests' daemons before the emulated store are in `platform/tests/support`.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -151,13 +151,13 @@
 /// An optional moment that is read and written without a lock.
 #[derive(Debug, Default)]
 pub(crate) struct AtomicTime {
-    /// The moment in milliseconds plus one; 0 if unset.
+    /// The moment in milliseconds plus one; 0 if unset. The last moment of all counts as the one before it.
     millis_plus_one: AtomicU64,
 }
 
 impl AtomicTime {
     fn encode(at: TimeMs) -> u64 {
-        at.0 + 1
+        at.0.saturating_add(1)
     }
 
     pub(crate) fn get(&self) -> Option<TimeMs> {
