--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -117,6 +117,9 @@
     /// The state is unknown.
     #[display("an unknown state")]
     UnknownState,
+    /// No request can name the id in a header.
+    #[display("an id that requests can't name")]
+    UnusableId,
 }
 
 /// A record in the source's own encoding. Daemons forward it to each other without decoding it.
