test(soak): real processes run on and restart beside odd records

Four daemons as processes, three of which read the store and the fourth follows: another writer leaves the odd records of every kind among those of the workers, one of them with the largest value. No process may end by itself, each has a later configuration in force, and two that are restarted beside the records become ready and follow.

Not in this run: 18 values of 1 MiB at once.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,7 +7,8 @@
 //! come back from copies, and checks the duties of the fleet ([`copy_plan`], [`copy_checks`]). One of a
 //! fourth kind replaces daemons around such returns, stops, freezes and cuts them off, and checks which
 //! routes and keys daemons serve and deny ([`replacement_plan`], [`interruption_plan`],
-//! [`confirmed_versions`]).
+//! [`confirmed_versions`]). One of a fifth kind leaves odd records among those of the workers
+//! ([`run_odd_records`]).
 
 mod callers;
 pub mod checks;
@@ -25,6 +26,7 @@
 mod environment;
 pub mod history;
 pub mod interruption_plan;
+mod odd_records_run;
 mod operator;
 mod options;
 pub mod plan;
@@ -37,6 +39,7 @@
 
 pub use copy_run::{CopyOutcome, run_store_copies};
 pub use cut_run::{CutOutcome, run_cut_off};
+pub use odd_records_run::{OddRecordsOutcome, run_odd_records};
 pub use options::SoakOptions;
 pub use plot::PlotError;
 pub use replacement_run::{ProbeCounts, ReplacementOutcome, WrongAnswer, run_replacements};
