fix(gateway): a stream isn't resumed after an event without a number

An endpoint sent an event without a numeric id and broke off; the stream was resumed after an older id, or from its start, where the version isn't even restricted.

Cause: the splitter forwards such an event, and its comment says that a stream can't be resumed after it, but the relay only asked whether the stream is split.

Change: a stream that has forwarded an event without a number isn't resumed (not_resumable). An event with a number behind it doesn't make it resumable again: an endpoint that resumes may begin at the start, the events with numbers are dropped then, but the one without can't be told from a new one. Comments and blank lines are no events: clients ignore them, so they may be lost or repeated, and a stream with keep-alives is resumed as before.

Evidence: a_stream_with_an_event_that_has_no_number_is_not_resumed failed without the change (its first case: the client got a whole answer with the event twice), and passes with it. It fails too if a later number makes the stream resumable again; a_stream_with_comments_and_blank_lines_is_resumed passed before, and fails if comments count as events.

--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -222,9 +222,11 @@
             }
         }
         let resend = match &self.splitter {
-            Some(_) => self.exchange.may_resend(Failure::StreamBroken),
+            Some(splitter) if splitter.is_resumable() => {
+                self.exchange.may_resend(Failure::StreamBroken)
+            }
             // Only streams that are split into events can be resumed.
-            None => Err(NoResend::NotResumable),
+            _ => Err(NoResend::NotResumable),
         };
         self.log_broken_off(cause, resend);
         let from = self.answer.as_ref().map(Answer::version_text);
--- a/crates/gateway/src/requests/server_events.rs
+++ b/crates/gateway/src/requests/server_events.rs
@@ -16,6 +16,8 @@
     /// Where the search for the end of that event goes on.
     searched: usize,
     last_event_id: Option<u64>,
+    /// Whether an event without a number was returned.
+    has_unnamed_event: bool,
     /// The bytes of the events that were returned.
     returned_bytes: usize,
     /// The bytes of the events that were dropped since one was returned.
@@ -40,6 +42,7 @@
             self.returned_bytes += event.len();
             self.repeated_bytes = 0;
             self.last_event_id = id.or(self.last_event_id);
+            self.has_unnamed_event |= id.is_none() && has_event(&event);
             whole.unsplit(event);
         }
         whole.freeze()
@@ -73,6 +76,13 @@
             || self.repeated_bytes > self.returned_bytes + MAX_EVENT_BYTES
     }
 
+    /// Returns whether another endpoint can continue the stream. It can't after an event without a
+    /// number, even if one with a number followed: an endpoint may begin at the start of the stream,
+    /// and that event would be returned again.
+    pub(crate) fn is_resumable(&self) -> bool {
+        !self.has_unnamed_event
+    }
+
     /// Returns the identifier of the last whole event.
     pub(crate) fn last_event_id(&self) -> Option<u64> {
         self.last_event_id
@@ -128,6 +138,13 @@
     bytes.iter().position(|byte| *byte == b'\n')
 }
 
+/// Returns whether bytes hold an event. Comments and blank lines are none: a client ignores them, so
+/// they may be lost or repeated.
+fn has_event(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Returns the number in an event's `id` line. An event with a non-numeric identifier or none is
 /// forwarded, but a stream can't be resumed after it.
 fn event_id(event: &[u8]) -> Option<u64> {
--- /dev/null
+++ b/crates/gateway/tests/stream_events.rs
@@ -0,0 +1,84 @@
+//! Which events of a resumable stream a client gets: each once, and the last bytes before the end.
+
+mod support;
+
+use support::client::{Client, ClientAnswer, request};
+use support::endpoint::{Action, Endpoint, chunk, event, last_chunk, stream_head};
+use support::{RunningGateway, start_before_twin_endpoints};
+
+const COMMENT: &str = ": keep-alive\n\n";
+
+fn stream_of(events: &[&str], end: Action) -> Vec<Action> {
+    let chunks = events.iter().map(|text| chunk(text));
+    let head = [stream_head()].into_iter();
+    head.chain(chunks).chain([end]).collect()
+}
+
+/// Starts a gateway before an endpoint that answers the first request of all by one script, and others
+/// by another.
+async fn start_gateway(first: Vec<Action>, others: Vec<Action>) -> (RunningGateway, Endpoint) {
+    start_before_twin_endpoints(move |at, _| match at {
+        0 => first.clone(),
+        _ => others.clone(),
+    })
+    .await
+}
+
+async fn send(running: &RunningGateway, extra: &str) -> ClientAnswer {
+    let mut client = Client::connect(running.address).await;
+    let extra = format!("x-deadline: 1500\r\n{extra}");
+    let text = request("POST", "/resume/x", "a1", &extra, "");
+    client.send(&text).await;
+    client.answer().await.expect("an answer")
+}
+
+/// Guards against events that a client gets twice: a stream that is resumed although it had an event that
+/// no identifier names begins anew, or after an earlier event.
+#[tokio::test]
+async fn a_stream_with_an_event_that_has_no_number_is_not_resumed() {
+    let cases: [&[&str]; 6] = [
+        &["data: a\n\n"],
+        &["id: x\ndata: a\n\n"],
+        &["id: 1\ndata: a\n\n", "data: b\n\n"],
+        &["id: 1\ndata: a\n\n", "id: x\r\ndata: b\r\n\r\n"],
+        &["id: 1\ndata: a\n\n", ": comment\nevent: b\n\n"],
+        &["data: a\n\n", "id: 2\ndata: b\n\n"],
+    ];
+    for events in cases {
+        let first = stream_of(events, Action::Close);
+        let others = stream_of(events, last_chunk());
+        let (running, endpoint) = start_gateway(first, others).await;
+        let got = send(&running, "").await;
+        assert_eq!((got.status, got.is_whole), (200, false), "{events:?}");
+        assert_eq!(got.body, events.concat());
+        assert_eq!(endpoint.request_count(), 1);
+    }
+}
+
+/// Guards against comments and blank lines that count as events without an identifier, so that a stream
+/// with keep-alives isn't resumed.
+#[tokio::test]
+async fn a_stream_with_comments_and_blank_lines_is_resumed() {
+    let cases: [&[&str]; 4] = [
+        &[COMMENT],
+        &["\n\n", "\r\n\r\n"],
+        &["id: 1\ndata: piece 1\n\n", COMMENT],
+        &[
+            COMMENT,
+            "id: 1\ndata: piece 1\n\n",
+            ": a\r\n:\r\n\r\n",
+            "\n\n",
+        ],
+    ];
+    for events in cases {
+        let first = stream_of(events, Action::Close);
+        let others = vec![stream_head(), event(1), event(2), last_chunk()];
+        let (running, endpoint) = start_gateway(first, others).await;
+        let got = send(&running, "").await;
+        assert_eq!((got.status, got.is_whole), (200, true), "{events:?}");
+        for piece in ["piece 1", "piece 2"] {
+            assert_eq!(got.body.matches(piece).count(), 1, "{}", got.body);
+        }
+        assert_eq!(endpoint.request_count(), 2);
+    }
+}
