fix(gateway): the bytes behind the last blank line of a stream are forwarded before its proper end

What callers may have seen (by reading; no run of processes showed it): a resumable stream that ends as complete without its last bytes (ORDER, an end before the last piece): an endpoint that sends its last event without the blank line and then ends the body properly, by the last chunk or its length.

Cause: a stream that is split is forwarded in whole events, and what the splitter still held at the end was dropped.

Change: at a proper end the rest is forwarded, and the answer ends after it; a rest that repeats an event which the client has is dropped, as a whole event is. A body that ends only with its connection stays broken off, as before.

Evidence: the_bytes_behind_the_last_blank_line_arrive_before_a_proper_end failed without the change (the client got a whole answer without event 2), and passes with it, by chunks in one part and two and by a length. a_repeated_event_without_its_blank_line_is_dropped passed before, and fails if the rest is forwarded unchecked. unframed_answers.rs, which has the ends by the connection, is unchanged and passes.

--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -118,7 +118,10 @@
                     StreamError::WithoutEnd
                 }
                 Ok(None) if self.ends_inside_event() => StreamError::EndpointBrokeOff,
-                Ok(None) => return self.finish(),
+                Ok(None) => {
+                    self.finish();
+                    return self.take_rest().map(Ok);
+                }
                 Ok(Some(Err(error))) if is_without_end(&error) => StreamError::WithoutEnd,
                 Ok(Some(Err(_))) => StreamError::EndpointBrokeOff,
                 Err(_) => StreamError::OutOfTime,
@@ -196,8 +199,16 @@
             && response_head::ends_with_connection(&answer.head().headers)
     }
 
-    fn finish(&mut self) -> Option<Result<Bytes, StreamError>> {
-        let answer = self.answer.take()?;
+    /// Returns the last bytes of a stream that ended properly; `None` if all were forwarded.
+    fn take_rest(&mut self) -> Option<Bytes> {
+        let rest = self.splitter.as_mut()?.take_rest();
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    fn finish(&mut self) {
+        let Some(answer) = self.answer.take() else {
+            return;
+        };
         let now = self.exchange.gateway.clock.now();
         if answer.head().status.is_success()
             && let Some(endpoint) = answer.endpoint()
@@ -206,7 +217,6 @@
         }
         self.exchange.on_served(&answer, self.timing.timing());
         self.exchange.keep_connection(answer);
-        None
     }
 
     /// Resumes the stream at another endpoint, if that is allowed.
--- a/crates/gateway/src/requests/server_events.rs
+++ b/crates/gateway/src/requests/server_events.rs
@@ -35,7 +35,7 @@
             let event = self.partial.split_to(end);
             self.searched = 0;
             let id = event_id(&event);
-            if id.is_some() && id <= self.last_event_id {
+            if self.is_repeated(id) {
                 self.repeated_bytes += event.len();
                 continue;
             }
@@ -48,6 +48,20 @@
         whole.freeze()
     }
 
+    /// Returns the bytes behind the last blank line of a body that ended properly, unless they repeat
+    /// an event.
+    pub(crate) fn take_rest(&mut self) -> Bytes {
+        let rest = std::mem::take(&mut self.partial);
+        if self.is_repeated(event_id(&rest)) {
+            return Bytes::new();
+        }
+        rest.freeze()
+    }
+
+    fn is_repeated(&self, id: Option<u64>) -> bool {
+        id.is_some() && id <= self.last_event_id
+    }
+
     /// Returns the end of the first event, after its blank line. Each byte is searched about once,
     /// however small the parts are in which the event arrives.
     fn event_end(&mut self) -> Option<usize> {
--- a/crates/gateway/tests/stream_events.rs
+++ b/crates/gateway/tests/stream_events.rs
@@ -82,3 +82,47 @@
         assert_eq!(endpoint.request_count(), 2);
     }
 }
+
+/// Guards against an answer that looks complete without its last bytes, because the blank line is missing
+/// behind its last event.
+#[tokio::test]
+async fn the_bytes_behind_the_last_blank_line_arrive_before_a_proper_end() {
+    let rests = [
+        "id: 2\ndata: b\n",
+        "id: 2\r\ndata: b\r\n\r",
+        "data: [DONE]",
+        ": c\n",
+    ];
+    for rest in rests {
+        let body = format!("id: 1\ndata: a\n\n{rest}");
+        let with_length = format!(
+            "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let answers = [
+            stream_of(&[&body], last_chunk()),
+            stream_of(&["id: 1\ndata: a\n\n", rest], last_chunk()),
+            vec![Action::Send(with_length)],
+        ];
+        for answer in answers {
+            let (running, endpoint) = start_gateway(answer.clone(), answer).await;
+            let got = send(&running, "").await;
+            assert_eq!((got.status, got.is_whole), (200, true));
+            assert_eq!(got.body, body);
+            assert_eq!(endpoint.request_count(), 1);
+        }
+    }
+}
+
+/// Guards against an event that a client gets twice because the endpoint that resumes the stream repeats it
+/// last, without its blank line.
+#[tokio::test]
+async fn a_repeated_event_without_its_blank_line_is_dropped() {
+    let first = vec![stream_head(), event(1), event(2), Action::Close];
+    let others = stream_of(&["id: 2\ndata: piece 2\n"], last_chunk());
+    let (running, endpoint) = start_gateway(first, others).await;
+    let got = send(&running, "").await;
+    assert_eq!((got.status, got.is_whole), (200, true));
+    assert_eq!(got.body.matches("piece 2").count(), 1, "{}", got.body);
+    assert_eq!(endpoint.request_count(), 2);
+}
