fix(gateway): a stream that a client takes up has no events that the client has

What callers may have seen (by reading; no run of processes showed it): events twice (ORDER) in a stream that they take up with Last-Event-Id: N, if the endpoint begins at the start of the stream. The daemon drops such events when it resumes a stream itself.

Cause: the splitter began empty, whatever the client's request said.

Change: it begins at the client's last event if that is a number. Another identifier can't be compared, and the stream passes as before. What is repeated was bounded by the bytes that were returned, of which there are none here: a long stream that is taken up would count as one without end.

Evidence: events_that_a_client_has_are_dropped_from_the_stream_that_it_takes_up and a_long_stream_that_is_taken_up_may_be_repeated_from_its_start failed without the change (the client got events 1 and 2 again, and 40 events of 20 KB), and pass with it; the latter also fails with the change if rising identifiers don't reset the count. The floods of answers_without_end.rs are unchanged and pass, among them the event that is repeated without end.

--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -69,8 +69,10 @@
     pub(crate) fn new(exchange: Exchange, answer: Answer, read: Bytes) -> Self {
         let is_resumable = exchange.inbound.route.is_resumable();
         let is_success = answer.head().status.is_success();
+        let taken_up = exchange.inbound.taken_up.as_ref();
+        let client_has = taken_up.and_then(|stream| event_number(&stream.last_event_id));
         Self {
-            splitter: (is_resumable && is_success).then(EventSplitter::default),
+            splitter: (is_resumable && is_success).then(|| EventSplitter::after(client_has)),
             exchange,
             answer: Some(answer),
             has_first_chunk: false,
@@ -266,7 +268,7 @@
             endpoint = answer.source_text(),
             from = from.unwrap_or_default(),
             to = answer.version_text(),
-            // -1 means that no event had arrived.
+            // -1 means that the client has no event with a number.
             after = last_event_id.map_or(-1, |id| id as i64)
         );
         self.answer = Some(answer);
@@ -294,3 +296,8 @@
         );
     }
 }
+
+/// Returns the number of the last event that a client has; `None` if its identifier is no number.
+fn event_number(last_event_id: &HeaderValue) -> Option<u64> {
+    last_event_id.to_str().ok()?.trim().parse().ok()
+}
--- a/crates/gateway/src/requests/server_events.rs
+++ b/crates/gateway/src/requests/server_events.rs
@@ -18,16 +18,24 @@
     last_event_id: Option<u64>,
     /// Whether an event without a number was returned.
     has_unnamed_event: bool,
-    /// The bytes of the events that were returned.
-    returned_bytes: usize,
-    /// The bytes of the events that were dropped since one was returned.
+    /// The highest identifier of the events that were dropped since the stream was begun or resumed.
+    repeated_id: Option<u64>,
+    /// The bytes of the events that were dropped since it rose, or since one was returned.
     repeated_bytes: usize,
 }
 
 impl EventSplitter {
+    /// Splits a stream whose events up to this one the client has.
+    pub(crate) fn after(last_event_id: Option<u64>) -> Self {
+        Self {
+            last_event_id,
+            ..Self::default()
+        }
+    }
+
     /// Adds bytes and returns the events that they complete. A partial event is kept until the rest
-    /// of it arrives. An event whose identifier isn't above the last one is dropped: it was returned
-    /// before the stream was resumed.
+    /// of it arrives. An event whose identifier isn't above the last one is dropped: the client has
+    /// it.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         let mut whole = BytesMut::new();
@@ -36,10 +44,9 @@
             self.searched = 0;
             let id = event_id(&event);
             if self.is_repeated(id) {
-                self.repeated_bytes += event.len();
+                self.count_repeated(id, event.len());
                 continue;
             }
-            self.returned_bytes += event.len();
             self.repeated_bytes = 0;
             self.last_event_id = id.or(self.last_event_id);
             self.has_unnamed_event |= id.is_none() && has_event(&event);
@@ -58,6 +65,16 @@
         rest.freeze()
     }
 
+    /// Counts an event that was dropped. An endpoint that resumes a stream may begin at its start, and
+    /// gets nearer to the end of what it repeats with each identifier that rises.
+    fn count_repeated(&mut self, id: Option<u64>, bytes: usize) {
+        if id > self.repeated_id {
+            self.repeated_id = id;
+            self.repeated_bytes = 0;
+        }
+        self.repeated_bytes += bytes;
+    }
+
     fn is_repeated(&self, id: Option<u64>) -> bool {
         id.is_some() && id <= self.last_event_id
     }
@@ -83,11 +100,10 @@
         None
     }
 
-    /// Returns whether the incomplete event is longer than an event may be, or more was repeated than
-    /// was ever returned: an endpoint that resumes a stream may begin at its start.
+    /// Returns whether the incomplete event is longer than an event may be, or more than that was
+    /// repeated while no identifier rose.
     pub(crate) fn is_without_end(&self) -> bool {
-        self.partial.len() > MAX_EVENT_BYTES
-            || self.repeated_bytes > self.returned_bytes + MAX_EVENT_BYTES
+        self.partial.len().max(self.repeated_bytes) > MAX_EVENT_BYTES
     }
 
     /// Returns whether another endpoint can continue the stream. It can't after an event without a
@@ -111,6 +127,7 @@
     pub(crate) fn drop_partial_event(&mut self) {
         self.partial.clear();
         self.searched = 0;
+        self.repeated_id = None;
         self.repeated_bytes = 0;
     }
 }
--- a/crates/gateway/tests/stream_events.rs
+++ b/crates/gateway/tests/stream_events.rs
@@ -126,3 +126,47 @@
     assert_eq!(got.body.matches("piece 2").count(), 1, "{}", got.body);
     assert_eq!(endpoint.request_count(), 2);
 }
+
+/// Guards against events that a client gets again when it takes up a stream at an endpoint that repeats
+/// them.
+#[tokio::test]
+async fn events_that_a_client_has_are_dropped_from_the_stream_that_it_takes_up() {
+    let whole: Vec<Action> = [stream_head()]
+        .into_iter()
+        .chain((1..=4).map(event))
+        .chain([last_chunk()])
+        .collect();
+    let broken = vec![stream_head(), event(1), Action::Close];
+    // The client's last event, and the first one that it gets.
+    let cases = [("2", 3), ("4", 5), ("0", 1), ("x", 1)];
+    for (last, next) in cases {
+        let expected: String = (next..=4)
+            .map(|id| format!("id: {id}\ndata: piece {id}\n\n"))
+            .collect();
+        for (first, requests) in [(&whole, 1), (&broken, 2)] {
+            let (running, endpoint) = start_gateway(first.clone(), whole.clone()).await;
+            let got = send(&running, &format!("last-event-id: {last}\r\n")).await;
+            assert_eq!((got.status, got.is_whole), (200, true), "{last}");
+            assert_eq!(got.body, expected, "{last}");
+            assert_eq!(endpoint.request_count(), requests, "{last}");
+        }
+    }
+}
+
+/// Guards against a long stream that is taken for one without end because the client takes it up at an
+/// endpoint that repeats it from its start.
+#[tokio::test]
+async fn a_long_stream_that_is_taken_up_may_be_repeated_from_its_start() {
+    let long = |id| chunk(&format!("id: {id}\ndata: {}\n\n", "l".repeat(20_000)));
+    let repeated: Vec<Action> = [stream_head()]
+        .into_iter()
+        .chain((1..=40).map(long))
+        .chain([event(41), last_chunk()])
+        .collect();
+    let (running, endpoint) = start_gateway(repeated.clone(), repeated).await;
+    let got = send(&running, "last-event-id: 40\r\n").await;
+    assert_eq!((got.status, got.is_whole), (200, true));
+    let is_rest = got.body == "id: 41\ndata: piece 41\n\n";
+    assert!(is_rest, "{} bytes", got.body.len());
+    assert_eq!(endpoint.request_count(), 1);
+}
