--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -69,8 +69,10 @@
     pub(crate) fn new(exchange: Exchange, answer: Answer, read: Bytes) -> Self {
         let is_resumable = exchange.inbound.route.is_resumable();
         let is_success = answer.head().status.is_success();
+        let taken_up = exchange.inbound.taken_up.as_ref();
+        let client_has = taken_up.and_then(|stream| event_number(&stream.last_event_id));
         Self {
-            splitter: (is_resumable && is_success).then(EventSplitter::default),
+            splitter: (is_resumable && is_success).then(|| EventSplitter::after(client_has)),
             exchange,
             answer: Some(answer),
             has_first_chunk: false,
@@ -118,7 +120,10 @@
                     StreamError::WithoutEnd
                 }
                 Ok(None) if self.ends_inside_event() => StreamError::EndpointBrokeOff,
-                Ok(None) => return self.finish(),
+                Ok(None) => {
+                    self.finish();
+                    return self.take_rest().map(Ok);
+                }
                 Ok(Some(Err(error))) if is_without_end(&error) => StreamError::WithoutEnd,
                 Ok(Some(Err(_))) => StreamError::EndpointBrokeOff,
                 Err(_) => StreamError::OutOfTime,
@@ -196,8 +201,16 @@
             && response_head::ends_with_connection(&answer.head().headers)
     }
 
-    fn finish(&mut self) -> Option<Result<Bytes, StreamError>> {
-        let answer = self.answer.take()?;
+    /// Returns the last bytes of a stream that ended properly; `None` if all were forwarded.
+    fn take_rest(&mut self) -> Option<Bytes> {
+        let rest = self.splitter.as_mut()?.take_rest();
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    fn finish(&mut self) {
+        let Some(answer) = self.answer.take() else {
+            return;
+        };
         let now = self.exchange.gateway.clock.now();
         if answer.head().status.is_success()
             && let Some(endpoint) = answer.endpoint()
@@ -206,7 +219,6 @@
         }
         self.exchange.on_served(&answer, self.timing.timing());
         self.exchange.keep_connection(answer);
-        None
     }
 
     /// Resumes the stream at another endpoint, if that is allowed.
@@ -222,9 +234,11 @@
             }
         }
         let resend = match &self.splitter {
-            Some(_) => self.exchange.may_resend(Failure::StreamBroken),
+            Some(splitter) if splitter.is_resumable() => {
+                self.exchange.may_resend(Failure::StreamBroken)
+            }
             // Only streams that are split into events can be resumed.
-            None => Err(NoResend::NotResumable),
+            _ => Err(NoResend::NotResumable),
         };
         self.log_broken_off(cause, resend);
         let from = self.answer.as_ref().map(Answer::version_text);
@@ -254,7 +268,7 @@
             endpoint = answer.source_text(),
             from = from.unwrap_or_default(),
             to = answer.version_text(),
-            // -1 means that no event had arrived.
+            // -1 means that the client has no event with a number.
             after = last_event_id.map_or(-1, |id| id as i64)
         );
         self.answer = Some(answer);
@@ -282,3 +296,8 @@
         );
     }
 }
+
+/// Returns the number of the last event that a client has; `None` if its identifier is no number.
+fn event_number(last_event_id: &HeaderValue) -> Option<u64> {
+    last_event_id.to_str().ok()?.trim().parse().ok()
+}
