--- a/crates/soak/src/stream_clients.rs
+++ b/crates/soak/src/stream_clients.rs
@@ -5,7 +5,7 @@
 use crate::connections::Connections;
 use crate::environment::KEYS;
 use crate::stream_checks::{AttemptEnd, RecordedStream, Refusal, StreamAttempt};
-use bridgevane_platform_emulator::keyed_request;
+use bridgevane_platform_emulator::{PROMPT_PARTS, keyed_request};
 use http::{HeaderMap, Request};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -220,7 +220,7 @@
         let value = value.parse().expect("the value is ASCII");
         head.headers.insert(name, value);
     };
-    insert("prompt-prefix", &format!("{:x}:100", request.prompt));
+    insert(PROMPT_PARTS, &format!("{:x}:100", request.prompt));
     if let Some(begun_by) = &request.begun_by {
         insert("resumes", begun_by);
         insert("last-event-id", &request.after.to_string());
