--- a/review/stand-ins-2/src/clients.rs
+++ b/review/stand-ins-2/src/clients.rs
@@ -24,6 +24,8 @@
     pub result: String,
     /// The signature of the answer.
     pub signature: String,
+    /// The length of its body, in bytes.
+    pub body_bytes: usize,
 }
 
 /// Returns the operator's configuration: one route for bookings, which may run once, without keys.
@@ -89,6 +91,7 @@
     let signature = answer.as_ref().map_or("", |answer| answer.header("response-signature"));
     Booking {
         sent_at,
+        body_bytes: answer.as_ref().map_or(0, |answer| answer.body.len()),
         signature: signature.to_owned(),
         result: answer.as_ref().map_or_else(Clone::clone, |answer| answer.status.to_string()),
         id,
--- a/review/stand-ins-2/src/gateway.rs
+++ b/review/stand-ins-2/src/gateway.rs
@@ -102,7 +102,6 @@
         Some(kilobytes / 1024.0)
     }
 
-
     /// Kills the process, as the platform does with one above its memory.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -123,14 +123,6 @@
         self.inner.1.notify_all();
     }
 
-    /// Removes a key.
-    pub fn remove(&self, key: &str) {
-        let mut inner = self.lock();
-        inner.revision += 1;
-        inner.write(key, None, 0);
-        self.inner.1.notify_all();
-    }
-
     fn answer(&self, request: &Request) -> Answer {
         self.lock().end_expired();
         let body = String::from_utf8_lossy(&request.body);
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -2,6 +2,7 @@
 
 use crate::http::{self, Answer, Request};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -15,9 +16,17 @@
     pub id: String,
     pub address: SocketAddr,
     ran: Arc<Mutex<Vec<String>>>,
+    /// Of how many answers one is spoiled; 0: of none.
+    spoiled_of: Arc<AtomicUsize>,
+    answered: Arc<AtomicUsize>,
 }
 
 impl Worker {
+    /// Spoils one of this number of answers from now on; 0: none.
+    pub fn spoil(&self, one_of: usize) {
+        self.spoiled_of.store(one_of, Ordering::Relaxed);
+    }
+
     /// Starts a worker on a free port.
     pub fn start(id: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -25,6 +34,8 @@
             id: id.to_owned(),
             address: listener.local_addr().expect("a bound listener"),
             ran: Arc::default(),
+            spoiled_of: Arc::default(),
+            answered: Arc::default(),
         };
         let served = worker.clone();
         http::serve(listener, move |request| served.answer(&request));
@@ -46,6 +57,12 @@
             .expect("no panic under this lock")
             .push(id.clone());
         thread::sleep(WORK);
+        let answered = self.answered.fetch_add(1, Ordering::Relaxed) + 1;
+        let spoiled_of = self.spoiled_of.load(Ordering::Relaxed);
+        if spoiled_of > 0 && answered.is_multiple_of(spoiled_of) {
+            // Wrong bytes: neither the signature nor the body of an answer.
+            return Answer::new(200, "\u{1}\u{2}\u{3}\u{4}").with("Attempt-Id", &id);
+        }
         Answer::new(200, format!("booked {id}\n"))
             .with("Attempt-Id", &id)
             .with("Response-Signature", format!("{}.{id}", self.id))
