--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod incomplete_record;
 pub mod large_records;
+pub mod unmarked_failures;
 pub mod unsigned_answers;
 
 use crate::gateway::{Gateway, ZONES};
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -21,6 +21,7 @@
     let result = match case.as_str() {
         "incomplete-record" => cases::incomplete_record::run(&folder, !is_quiet),
         "large-records" => cases::large_records::run(&folder, !is_quiet),
+        "unmarked-failures" => cases::unmarked_failures::run(&folder, !is_quiet),
         "unsigned-answers" => cases::unsigned_answers::run(&folder, !is_quiet),
         _ => Err(format!("unknown case {case:?}")),
     };
