--- a/review/stand-ins-2/src/cases/incomplete_record.rs
+++ b/review/stand-ins-2/src/cases/incomplete_record.rs
@@ -50,12 +50,19 @@
     for booking in &bookings {
         *ends.entry(&booking.result).or_default() += 1;
     }
-    record.line(format!("sent: {} bookings; answered: {ends:?}", bookings.len()));
+    record.line(format!(
+        "sent: {} bookings; answered: {ends:?}",
+        bookings.len()
+    ));
     for worker in &workers {
         record.line(format!("worker {} ran {}", worker.id, worker.ran().len()));
     }
     let elsewhere: BTreeSet<String> = other.ran().into_iter().collect();
-    record.line(format!("{}, which is no worker, ran {}", other.id, elsewhere.len()));
+    record.line(format!(
+        "{}, which is no worker, ran {}",
+        other.id,
+        elsewhere.len()
+    ));
     let lost = bookings
         .iter()
         .filter(|booking| booking.result == "200" && elsewhere.contains(&booking.id));
--- a/review/stand-ins-2/src/cases/large_records.rs
+++ b/review/stand-ins-2/src/cases/large_records.rs
@@ -110,9 +110,15 @@
         for booking in &part {
             *results.entry(&booking.result).or_default() += 1;
         }
-        record.line(format!("{name}: sent {} bookings; answered {results:?}", part.len()));
+        record.line(format!(
+            "{name}: sent {} bookings; answered {results:?}",
+            part.len()
+        ));
     }
     let machines = ends.iter().filter(|ends| **ends >= FAULT_ENDS).count();
-    record.line(format!("machines whose processes ended {FAULT_ENDS} times: {machines} of {}", ends.len()));
+    record.line(format!(
+        "machines whose processes ended {FAULT_ENDS} times: {machines} of {}",
+        ends.len()
+    ));
     Ok(machines >= FAULT_MACHINES)
 }
--- a/review/stand-ins-2/src/cases/unmarked_failures.rs
+++ b/review/stand-ins-2/src/cases/unmarked_failures.rs
@@ -55,14 +55,17 @@
     for booking in &bookings {
         *ends.entry(&booking.result).or_default() += 1;
     }
-    record.line(format!("sent: {} bookings; answered: {ends:?}", bookings.len()));
+    record.line(format!(
+        "sent: {} bookings; answered: {ends:?}",
+        bookings.len()
+    ));
     for worker in &workers {
         record.line(format!("worker {} ran {}", worker.id, worker.ran().len()));
     }
     let ran: BTreeSet<String> = workers.iter().flat_map(Worker::ran).collect();
-    let broken = bookings.iter().filter(|booking| {
-        PROMISES.contains(&booking.result.as_str()) && ran.contains(&booking.id)
-    });
+    let broken = bookings
+        .iter()
+        .filter(|booking| PROMISES.contains(&booking.result.as_str()) && ran.contains(&booking.id));
     for booking in broken.clone() {
         record.line(format!(
             "{:.3} s: booking {} was answered {}, signature {:?}, and has run",
--- a/review/stand-ins-2/src/cases/unsigned_answers.rs
+++ b/review/stand-ins-2/src/cases/unsigned_answers.rs
@@ -59,7 +59,10 @@
     for booking in &bookings {
         *ends.entry(&booking.result).or_default() += 1;
     }
-    record.line(format!("sent: {} bookings; answered: {ends:?}", bookings.len()));
+    record.line(format!(
+        "sent: {} bookings; answered: {ends:?}",
+        bookings.len()
+    ));
     for worker in &workers {
         record.line(format!("worker {} ran {}", worker.id, worker.ran().len()));
     }
--- a/review/stand-ins-2/src/clients.rs
+++ b/review/stand-ins-2/src/clients.rs
@@ -105,13 +105,17 @@
     );
     let limit = DEADLINE + Duration::from_millis(100);
     let answer = http::call(front, &head, b"saturday 10:00, violin", limit);
-    let signature = answer.as_ref().map_or("", |answer| answer.header("response-signature"));
+    let signature = answer
+        .as_ref()
+        .map_or("", |answer| answer.header("response-signature"));
     Booking {
         sent_at,
         repeats,
         body_bytes: answer.as_ref().map_or(0, |answer| answer.body.len()),
         signature: signature.to_owned(),
-        result: answer.as_ref().map_or_else(Clone::clone, |answer| answer.status.to_string()),
+        result: answer
+            .as_ref()
+            .map_or_else(Clone::clone, |answer| answer.status.to_string()),
         id,
     }
 }
--- a/review/stand-ins-2/src/gateway.rs
+++ b/review/stand-ins-2/src/gateway.rs
@@ -74,9 +74,16 @@
         let run = run.lines().find_map(|line| line.strip_prefix("run = \""));
         let run = run.expect("a command").trim_end_matches('"');
         let words: Vec<String> = run.split(' ').map(|word| filled(word, &gaps)).collect();
-        let regions: Vec<String> = ZONES.iter().map(|zone| format!("{zone}=mu-central")).collect();
+        let regions: Vec<String> = ZONES
+            .iter()
+            .map(|zone| format!("{zone}=mu-central"))
+            .collect();
         let mut log = File::options();
-        let log = log.create(true).append(true).open(&self.log).expect("a log file");
+        let log = log
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log file");
         let mut command = Command::new(&words[0]);
         command
             .args(&words[1..])
@@ -97,7 +104,9 @@
             return None;
         }
         let status = fs::read_to_string(format!("/proc/{}/status", process.id())).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("RssAnon:"))?;
         let kilobytes: f64 = line.trim().trim_end_matches(" kB").parse().ok()?;
         Some(kilobytes / 1024.0)
     }
--- a/review/stand-ins-2/src/json.rs
+++ b/review/stand-ins-2/src/json.rs
@@ -42,7 +42,11 @@
         let bits = u32::from_be_bytes([0, group[0], group[1], group[2]]);
         for position in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * position)) as usize & 63];
-            text.push(if position <= chunk.len() { digit as char } else { '=' });
+            text.push(if position <= chunk.len() {
+                digit as char
+            } else {
+                '='
+            });
         }
     }
     text
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -25,7 +25,13 @@
 
 impl Item {
     fn json(&self) -> String {
-        let Item { key, revision, made, lease, .. } = self;
+        let Item {
+            key,
+            revision,
+            made,
+            lease,
+            ..
+        } = self;
         match &self.value {
             Some(value) => format!(
                 r#"{{"key":"{key}","value":"{value}","revision":{revision},"made":{made},"lease":{lease}}}"#
@@ -169,7 +175,10 @@
         }
         let at = inner.revision;
         let items = page.join(",");
-        (200, format!(r#"{{"items":[{items}],"more":{more},"at":{at}}}"#))
+        (
+            200,
+            format!(r#"{{"items":[{items}],"more":{more},"at":{at}}}"#),
+        )
     }
 
     fn watch(&self, request: &Request) -> (u16, String) {
@@ -204,7 +213,10 @@
 
     fn keep(&self, lease: &str) -> (u16, String) {
         let mut inner = self.lock();
-        let lease = lease.parse().ok().and_then(|id: u64| inner.leases.get_mut(&id));
+        let lease = lease
+            .parse()
+            .ok()
+            .and_then(|id: u64| inner.leases.get_mut(&id));
         let Some(lease) = lease else {
             return (404, "{}".to_owned());
         };
