review: case 8, bookings behind an unread body reach workers after their clients left

A worker answers a long request early and reads on later; the gateway sends the next request on the same connection.

--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, and what they have in common.
 
+pub mod early_answers;
 pub mod incomplete_record;
 pub mod large_records;
 pub mod unmarked_failures;
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -96,10 +96,10 @@
     }
 }
 
-type Head = (String, Vec<(String, String)>);
+pub type Head = (String, Vec<(String, String)>);
 
 /// Reads the first line and the headers; `None` at the end of the connection.
-fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
+pub fn read_head(reader: &mut impl BufRead) -> io::Result<Option<Head>> {
     let mut first = String::new();
     if reader.read_line(&mut first)? == 0 {
         return Ok(None);
@@ -120,7 +120,7 @@
     }
 }
 
-fn content_length(headers: &[(String, String)]) -> usize {
+pub fn content_length(headers: &[(String, String)]) -> usize {
     let length = headers.iter().find(|(name, _)| name == "content-length");
     length.map_or(0, |(_, value)| value.parse().unwrap_or(0))
 }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -19,6 +19,7 @@
     let folder = PathBuf::from(arguments.next().unwrap_or_default());
     let is_quiet = std::env::var("TROUBLE").is_ok_and(|value| value == "0");
     let result = match case.as_str() {
+        "early-answers" => cases::early_answers::run(&folder, !is_quiet),
         "incomplete-record" => cases::incomplete_record::run(&folder, !is_quiet),
         "large-records" => cases::large_records::run(&folder, !is_quiet),
         "unmarked-failures" => cases::unmarked_failures::run(&folder, !is_quiet),
