--- a/review/stand-ins-2/platform/src/cases/mod.rs
+++ b/review/stand-ins-2/platform/src/cases/mod.rs
@@ -3,8 +3,8 @@
 pub mod early_answers;
 pub mod incomplete_record;
 pub mod large_records;
-pub mod unmarked_failures;
 pub mod unsigned_answers;
+pub mod upgraded_in_place;
 
 use crate::gateway::{Gateway, ZONES};
 use crate::http;
--- a/review/stand-ins-2/platform/src/clients.rs
+++ b/review/stand-ins-2/platform/src/clients.rs
@@ -9,10 +9,6 @@
 
 /// The deadline of a booking, by the site's sheet.
 const DEADLINE: Duration = Duration::from_millis(600);
-/// How often a client repeats a booking that was refused, by the site's sheet.
-const RETRIES: usize = 1;
-/// The statuses that promise that a request has not run and never will.
-pub const PROMISES: [&str; 4] = ["408", "421", "429", "503"];
 /// The path of the bookings' route.
 pub const ROUTE: &str = "/puxa403/";
 /// The host of the bookings' route.
@@ -24,8 +20,6 @@
     /// When it was sent, from the start of the clients.
     pub sent_at: Duration,
     pub id: String,
-    /// The attempt before, which got a promise that it has not run.
-    pub repeats: Option<String>,
     /// The status, or why there was none.
     pub result: String,
     /// The signature of the answer.
@@ -64,21 +58,10 @@
             let is_stopped = clients.is_stopped.clone();
             clients.threads.push(thread::spawn(move || {
                 while !is_stopped.load(Ordering::Relaxed) {
-                    let mut attempts = Vec::new();
-                    let mut repeats = None;
-                    loop {
-                        let number = numbers.fetch_add(1, Ordering::Relaxed);
-                        let id = format!("{number:016x}");
-                        let booking = book(front, started.elapsed(), id.clone(), repeats.take());
-                        let is_promise = PROMISES.contains(&booking.result.as_str());
-                        attempts.push(booking);
-                        if !is_promise || attempts.len() > RETRIES {
-                            break;
-                        }
-                        repeats = Some(id);
-                    }
+                    let number = numbers.fetch_add(1, Ordering::Relaxed);
+                    let booking = book(front, started.elapsed(), format!("{number:016x}"));
                     let mut bookings = bookings.lock().expect("no panic under this lock");
-                    bookings.extend(attempts);
+                    bookings.push(booking);
                     drop(bookings);
                     thread::sleep(pause);
                 }
@@ -98,7 +81,7 @@
     }
 }
 
-fn book(front: SocketAddr, sent_at: Duration, id: String, repeats: Option<String>) -> Booking {
+fn book(front: SocketAddr, sent_at: Duration, id: String) -> Booking {
     let head = format!(
         "POST {ROUTE}2f HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: {}\r\nConnection: close\r\n",
         DEADLINE.as_millis()
@@ -110,7 +93,6 @@
         .map_or("", |answer| answer.header("response-signature"));
     Booking {
         sent_at,
-        repeats,
         body_bytes: answer.as_ref().map_or(0, |answer| answer.body.len()),
         signature: signature.to_owned(),
         result: answer
--- a/review/stand-ins-2/platform/src/main.rs
+++ b/review/stand-ins-2/platform/src/main.rs
@@ -22,7 +22,7 @@
         "early-answers" => cases::early_answers::run(&folder, !is_quiet),
         "incomplete-record" => cases::incomplete_record::run(&folder, !is_quiet),
         "large-records" => cases::large_records::run(&folder, !is_quiet),
-        "unmarked-failures" => cases::unmarked_failures::run(&folder, !is_quiet),
+        "upgraded-in-place" => cases::upgraded_in_place::run(&folder, !is_quiet),
         "unsigned-answers" => cases::unsigned_answers::run(&folder, !is_quiet),
         _ => Err(format!("unknown case {case:?}")),
     };
--- a/review/stand-ins-2/platform/src/store.rs
+++ b/review/stand-ins-2/platform/src/store.rs
@@ -54,6 +54,7 @@
     revision: u64,
     leases: BTreeMap<u64, Lease>,
     last_lease: u64,
+    is_silent: bool,
 }
 
 impl Inner {
@@ -129,7 +130,27 @@
         self.inner.1.notify_all();
     }
 
+    /// Lets the store answer no call until it is set to false again; calls that came meanwhile are
+    /// answered then.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.lock().is_silent = is_silent;
+        self.inner.1.notify_all();
+    }
+
+    fn wait_while_silent(&self) {
+        let inner = self.lock();
+        let waited = self.inner.1.wait_while(inner, |inner| inner.is_silent);
+        drop(waited.expect("no panic under this lock"));
+    }
+
     fn answer(&self, request: &Request) -> Answer {
+        self.wait_while_silent();
+        let answer = self.answer_now(request);
+        self.wait_while_silent();
+        answer
+    }
+
+    fn answer_now(&self, request: &Request) -> Answer {
         self.lock().end_expired();
         let body = String::from_utf8_lossy(&request.body);
         let path = request.path();
--- a/review/stand-ins-2/platform/src/worker.rs
+++ b/review/stand-ins-2/platform/src/worker.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{self, Answer, Request};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -18,8 +18,6 @@
     ran: Arc<Mutex<Vec<String>>>,
     /// Of how many answers one is spoiled; 0: of none.
     spoiled_of: Arc<AtomicUsize>,
-    /// Whether it fails two of five requests after it ran them.
-    is_failing: Arc<AtomicBool>,
     answered: Arc<AtomicUsize>,
 }
 
@@ -29,11 +27,6 @@
         self.spoiled_of.store(one_of, Ordering::Relaxed);
     }
 
-    /// Lets two of five requests fail after they ran, with a 503 that doesn't say "not executed".
-    pub fn set_failing(&self, is_failing: bool) {
-        self.is_failing.store(is_failing, Ordering::Relaxed);
-    }
-
     /// Starts a worker on a free port.
     pub fn start(id: &str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -42,7 +35,6 @@
             address: listener.local_addr().expect("a bound listener"),
             ran: Arc::default(),
             spoiled_of: Arc::default(),
-            is_failing: Arc::default(),
             answered: Arc::default(),
         };
         let served = worker.clone();
@@ -71,13 +63,7 @@
             // Wrong bytes: neither the signature nor the body of an answer.
             return Answer::new(200, "\u{1}\u{2}\u{3}\u{4}").with("Attempt-Id", &id);
         }
-        let fails = self.is_failing.load(Ordering::Relaxed) && answered % 5 < 2;
-        let answer = if fails {
-            Answer::new(503, "the booking was made, its confirmation failed\n")
-        } else {
-            Answer::new(200, format!("booked {id}\n"))
-        };
-        answer
+        Answer::new(200, format!("booked {id}\n"))
             .with("Attempt-Id", &id)
             .with("Response-Signature", format!("{}.{id}", self.id))
             .with("Instance-Load", "1,0,6")
