--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-stand-ins-2
 [ -x "$program" ] && [ -x target/release/bridgevane ] || exit 2
-exec "$program" upgraded-in-place review/7
+exec "$program" unsigned-answers review/7
