fix(gateway): a success without its endpoint's signature is no answer

The check of a head asked whom the answer is for, and never whether it is one; a status of 101, 600 or 999 passed the same way.

An answer now has a status from 200 to 599, a certain end, and as a success one signature that isn't empty. Anything else counts as a request that may have run: 502, or sent again where the route allows it. Refusals and failures need no signature: endpoints send them without one.

Sound answers of older tests' endpoints are signed now; no check of theirs changed.

--- a/crates/answer-limits/src/lib.rs
+++ b/crates/answer-limits/src/lib.rs
@@ -1,4 +1,5 @@
-//! Bounds on what a client reads from an HTTP/1.1 connection without getting an answer from it.
+//! What a client takes from an HTTP/1.1 connection: bounds on what it reads without getting an answer,
+//! and the statuses of final answers.
 //!
 //! Input: the bytes read from the socket since the caller last got a part of an answer: the head of a
 //! final answer, a piece of its body, or its trailers.
@@ -13,10 +14,12 @@
 
 mod body;
 mod progress;
+mod status;
 mod stream;
 
 pub use body::AnswerBody;
 pub use progress::{AnswerProgress, AnswerWithoutEnd, is_without_end};
+pub use status::is_final_status;
 pub use stream::CountedStream;
 
 /// The size of the buffer with which the HTTP library reads answers on a [`CountedStream`], in bytes. A
--- a/crates/gateway/src/decisions/duties/usage_start.rs
+++ b/crates/gateway/src/decisions/duties/usage_start.rs
@@ -80,6 +80,8 @@
         run.error,
         AttemptError::Broken
             | AttemptError::Misframed
+            | AttemptError::InvalidStatus
+            | AttemptError::Unsigned
             | AttemptError::WithoutEnd
             | AttemptError::TimedOut
             | AttemptError::Silent
--- a/crates/gateway/src/decisions/resend/mod.rs
+++ b/crates/gateway/src/decisions/resend/mod.rs
@@ -71,6 +71,12 @@
     /// The answer's end can't be known from its head: the request may have run.
     #[display("misframed")]
     Misframed,
+    /// The status isn't one of a final answer: the request may have run.
+    #[display("invalid_status")]
+    InvalidStatus,
+    /// A success without the endpoint's signature: the request may have run.
+    #[display("unsigned")]
+    Unsigned,
     /// Bytes that are no answer arrived without end: the request may have run.
     #[display("without_end")]
     WithoutEnd,
@@ -91,6 +97,8 @@
             Self::Broken
                 | Self::Crossed
                 | Self::Misframed
+                | Self::InvalidStatus
+                | Self::Unsigned
                 | Self::WithoutEnd
                 | Self::TimedOut
                 | Self::Silent
--- a/crates/gateway/src/forwarding/attempt.rs
+++ b/crates/gateway/src/forwarding/attempt.rs
@@ -13,7 +13,7 @@
 use crate::forwarding::daemons::{ChosenDaemon, DaemonConnections};
 use crate::forwarding::{connection, headers};
 use crate::gateway::Gateway;
-use crate::requests::answer_framing;
+use crate::requests::answer_validity;
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head::retry_after;
 use bridgevane_answer_limits::AnswerBody;
@@ -92,9 +92,7 @@
         let (connection, response) = self.send(connection).await?;
         connections.on_activity(self.gateway.clock.now());
         let (mut head, body) = response.into_parts();
-        if !answer_framing::is_valid(&head) {
-            return Err(ForwardingError::Failed(AttemptError::Misframed));
-        }
+        answer_validity::check_status_and_framing(&head).map_err(ForwardingError::Failed)?;
         if let Some(reason) = headers::refusal_reason(&head.headers) {
             let retry_after = retry_after(&self.gateway.endpoint_headers(&head.headers));
             connections.put_idle(self.gateway.clock.now(), connection);
@@ -108,6 +106,7 @@
         if head.headers.get(&names.request_id) != Some(&self.inbound.id) {
             return Err(ForwardingError::Failed(AttemptError::Crossed));
         }
+        answer_validity::check_signature(names, &head).map_err(ForwardingError::Failed)?;
         Ok(ForwardedAnswer {
             daemon: self.daemon.address,
             head,
--- a/crates/gateway/src/header_names.rs
+++ b/crates/gateway/src/header_names.rs
@@ -10,6 +10,8 @@
 pub struct HeaderNames {
     /// Identifies one attempt of a client, on requests and answers.
     pub request_id: HeaderName,
+    /// On answers: the endpoint's signature of a success. A success without it isn't the endpoint's.
+    pub signature: HeaderName,
     /// How long the sender will wait for the answer, in milliseconds.
     pub deadline_ms: HeaderName,
     /// The parts of a prompt with their sizes in tokens.
--- a/crates/gateway/src/requests/attempt.rs
+++ b/crates/gateway/src/requests/attempt.rs
@@ -14,7 +14,7 @@
 use crate::endpoints::selection::Selected;
 use crate::header_names::HeaderNames;
 use crate::metrics::GatewayMetrics;
-use crate::requests::answer_framing;
+use crate::requests::answer_validity;
 use crate::requests::endpoint_signals::{AnswerOrigin, EndpointSignals};
 use crate::requests::in_flight::InFlight;
 use crate::requests::inbound::InboundRequest;
@@ -127,9 +127,7 @@
         let in_flight = InFlight::begin(self.clock, self.selected);
         let (connection, response) = self.send(request, hedge).await?;
         let (head, body) = response.into_parts();
-        if !answer_framing::is_valid(&head) {
-            return Err(AttemptError::Misframed);
-        }
+        answer_validity::check_status_and_framing(&head)?;
         let checked = response_head::check(self.names, &self.inbound.id, &head);
         // Nothing that another answer says is about the state of this endpoint now.
         if matches!(checked, Ok(()) | Err(AttemptError::NotExecuted)) {
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -4,9 +4,8 @@
 //! 2. [`admission`] reads and checks the request, and builds an [`inbound`] request from it
 //!    ([`request_headers`] decodes the headers, [`body_reader`] reads the body);
 //! 3. [`exchange`] selects endpoints until one answers, [`attempt`] sends the request to one of
-//!    them, [`answer_framing`] checks that the answer has a certain end and [`response_head`] that it
-//!    belongs to the request, [`endpoint_signals`]
-//!    applies what the answer's headers say about the endpoint, and [`in_flight`] counts the
+//!    them, [`answer_validity`] checks that what arrives is an answer ([`answer_framing`] that it has a
+//!    certain end) and [`response_head`] that it belongs to the request, [`endpoint_signals`] applies what the answer's headers say about the endpoint, and [`in_flight`] counts the
 //!    request while it is in flight;
 //! 4. [`relay`] forwards a stream and resumes it at another endpoint ([`server_events`] splits it
 //!    into events); [`answer_body`] is the body that the client reads.
@@ -23,6 +22,7 @@
 pub(crate) mod answer;
 pub(crate) mod answer_body;
 pub(crate) mod answer_framing;
+pub(crate) mod answer_validity;
 pub(crate) mod attempt;
 pub(crate) mod begun_streams;
 pub(crate) mod body_reader;
--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -10,6 +10,7 @@
 use crate::decisions::endpoint::load_report::ReportedLoad;
 use crate::decisions::resend::AttemptError;
 use crate::header_names::HeaderNames;
+use crate::requests::answer_validity;
 use crate::unreadable_headers::HeaderReader;
 use bridgevane_types::{DurationMs, RequestsPerSecond};
 use http::header::{CONNECTION, CONTENT_LENGTH, HeaderName, RETRY_AFTER, TRANSFER_ENCODING};
@@ -22,7 +23,7 @@
 /// The longest accepted `Retry-After`, in seconds. Longer ones count as errors of the endpoint.
 const MAX_RETRY_AFTER_S: f64 = 3_600.0;
 
-/// Checks that an answer belongs to the request, and that the request ran.
+/// Checks that an answer belongs to the request, that the request ran, and that a success is signed.
 ///
 /// An identifier of another request goes before all else that the answer says: it is a late surplus
 /// answer, and the request that was sent may run. A refusal without an identifier is believed, on a
@@ -30,8 +31,8 @@
 /// theirs.
 ///
 /// # Errors
-/// [`AttemptError`] if the answer belongs to another request, or the endpoint says that it did not
-/// run this one.
+/// [`AttemptError`] if the answer belongs to another request, the endpoint says that it did not run
+/// this one, or it is a success without a signature.
 pub(crate) fn check(
     names: &HeaderNames,
     request_id: &HeaderValue,
@@ -52,7 +53,7 @@
     if !head.headers.contains_key(&names.request_id) {
         return Err(AttemptError::Crossed);
     }
-    Ok(())
+    answer_validity::check_signature(names, head)
 }
 
 /// The error for a `Retry-After` header outside of the accepted range.
--- a/crates/gateway/tests/answer_framing.rs
+++ b/crates/gateway/tests/answer_framing.rs
@@ -42,7 +42,8 @@
 async fn an_answer_with_an_ambiguous_end_reaches_no_client() {
     for (framing, body) in AMBIGUOUS {
         for path in ["/once/x", "/stream/x"] {
-            let text = format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{framing}\r\n\r\n{body}");
+            let text =
+                format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-sign: s\r\n{framing}\r\n\r\n{body}");
             let script = move |at, _: &ReceivedRequest| match at {
                 0 => vec![Action::Send(text.clone()), Action::Close],
                 _ => vec![answer("200 OK", "next")],
@@ -67,7 +68,7 @@
 #[tokio::test]
 async fn after_an_ambiguous_answer_the_request_is_repeated_on_another_connection() {
     let (framing, body) = AMBIGUOUS[0];
-    let text = format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{framing}\r\n\r\n{body}");
+    let text = format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-sign: s\r\n{framing}\r\n\r\n{body}");
     let script = move |at, _: &ReceivedRequest| match at {
         0 => vec![Action::Send(text.clone()), Action::Hang],
         _ => vec![answer("200 OK", "second")],
@@ -90,7 +91,7 @@
 /// The length in an endpoint's head isn't that of a stream that another endpoint goes on with.
 #[tokio::test]
 async fn a_stream_that_is_resumed_is_not_told_the_length_of_its_first_part() {
-    let first = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\
+    let first = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-type: text/event-stream\r\n\
                  content-length: 120\r\n\r\nid: 1\ndata: a\n\n";
     let script = move |_, request: &ReceivedRequest| {
         if request.header("last-event-id").is_some() {
@@ -119,7 +120,7 @@
         ("/stream/x", "id: 1\ndata: a\n\n"),
         ("/once/x", large.as_str()),
     ] {
-        let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 400000\r\n\r\n";
+        let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-length: 400000\r\n\r\n";
         let text = format!("{head}{body}");
         let script = move |_, _: &ReceivedRequest| vec![Action::Send(text.clone()), Action::Close];
         let (running, _endpoint) = start_before_twin_endpoints(script).await;
@@ -144,7 +145,7 @@
             body.len()
         );
         for rest in [chunked, length, twice] {
-            let text = format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{rest}");
+            let text = format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-sign: s\r\n{rest}");
             let script = move |_, _: &ReceivedRequest| vec![Action::Send(text.clone())];
             let (running, _endpoint) = start_before_twin_endpoints(script).await;
             let mut client = Client::connect(running.address).await;
@@ -168,7 +169,7 @@
         ("GET", "204 No Content", "", None),
     ];
     for (method, status, length, told) in cases {
-        let text = format!("HTTP/1.1 {status}\r\nx-id: {{id}}\r\n{length}\r\n");
+        let text = format!("HTTP/1.1 {status}\r\nx-id: {{id}}\r\nx-sign: s\r\n{length}\r\n");
         let script = move |_, _: &ReceivedRequest| vec![Action::Send(text.clone())];
         let (running, _endpoint) = start_before_twin_endpoints(script).await;
         let mut client = Client::connect(running.address).await;
--- a/crates/gateway/tests/answers_without_end.rs
+++ b/crates/gateway/tests/answers_without_end.rs
@@ -50,10 +50,13 @@
     flood("", "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n"),
     flood("", "HTTP/1.1 102 Processing\r\nx-id: a1\r\n\r\n"),
     flood("HTTP/1.1 200 ", "x"),
-    flood("HTTP/1.1 200 OK\r\nx-id: {id}\r\n", "x-a: b\r\n"),
-    flood("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-a: ", "b"),
-    flood("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-a:", " "),
-    flood("HTTP/1.1 200 OK\r\nx-id: {id}\r\n", "n"),
+    flood(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\n",
+        "x-a: b\r\n",
+    ),
+    flood("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\nx-a: ", "b"),
+    flood("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\nx-a:", " "),
+    flood("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\n", "n"),
     flood("", "\0no answer"),
     flood("", "\r\n"),
 ];
@@ -71,22 +74,25 @@
 /// Floods behind a whole answer.
 const BEHIND_ANSWERS: [Flood; 5] = [
     flood(
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 4\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-length: 4\r\n\r\nfine",
         "x",
     ),
     flood(
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 4\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-length: 4\r\n\r\nfine",
         "HTTP/1.1 100 Continue\r\n\r\n",
     ),
     flood(
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 4\r\n\r\nfine",
-        "HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-length: 4\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nx-id: other\r\nx-sign: s\r\ncontent-length: 0\r\n\r\n",
     ),
     flood(
-        "HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
         "\r\n",
     ),
-    flood("HTTP/1.1 204 No Content\r\nx-id: {id}\r\n\r\n", "x"),
+    flood(
+        "HTTP/1.1 204 No Content\r\nx-id: {id}\r\nx-sign: s\r\n\r\n",
+        "x",
+    ),
 ];
 
 /// A gateway before three endpoints of each service, of which the first to get a request follows a
@@ -173,7 +179,7 @@
 /// Returns the head of a chunked answer with the bytes that follow it.
 fn chunked(after: &str) -> Action {
     Action::Send(format!(
-        "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\ntransfer-encoding: chunked\r\n\r\n{after}"
+        "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-sign: s\r\ntransfer-encoding: chunked\r\n\r\n{after}"
     ))
 }
 
@@ -301,7 +307,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sound_answers_of_any_form_arrive_whole() {
     let long_head = format!(
-        "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-a: {}\r\ncontent-length: 4\r\n\r\nfine",
+        "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-sign: s\r\nx-a: {}\r\ncontent-length: 4\r\n\r\nfine",
         "a".repeat(30_000)
     );
     let interims = "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n".repeat(100);
--- a/crates/gateway/tests/brittle_endpoint.rs
+++ b/crates/gateway/tests/brittle_endpoint.rs
@@ -77,7 +77,7 @@
     let source = ScriptedSource::new();
     source.publish_configuration(1, vec![plain_route("once", AtMostOnce, 1)], &[KEY]);
     let endpoint = Endpoint::start(|_| {
-        let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-brittle: 1\r\ncontent-length: 4\r\n\r\nfine";
+        let head = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\nx-brittle: 1\r\ncontent-length: 4\r\n\r\nfine";
         vec![Action::Send(head.into())]
     })
     .await;
--- a/crates/gateway/tests/engine_pace.rs
+++ b/crates/gateway/tests/engine_pace.rs
@@ -96,7 +96,7 @@
 async fn endpoint_reporting(load: &str) -> (Arc<GatewayEndpoint>, TimeMs) {
     let source = ScriptedSource::new();
     source.publish_configuration(1, vec![plain_route("once", AtMostOnce, 1)], &[KEY]);
-    let head = format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-load: {load}\r\n");
+    let head = format!("HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-sign: s\r\nx-load: {load}\r\n");
     let answer = Action::Send(format!("{head}content-length: 4\r\n\r\nfine"));
     let endpoint = Endpoint::start(move |_| vec![answer.clone()]).await;
     source.publish_endpoint("e-0", "plain", endpoint.address);
--- a/crates/gateway/tests/exchange.rs
+++ b/crates/gateway/tests/exchange.rs
@@ -64,8 +64,10 @@
     // The behaviour of the endpoints, then the expected status and number of runs for a request that
     // may run once, and for one that may be repeated.
     let not_run = "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".to_owned();
-    let crossed = "HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 2\r\n\r\nno".to_owned();
-    let short = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 9\r\n\r\nfine".to_owned();
+    let crossed =
+        "HTTP/1.1 200 OK\r\nx-id: other\r\nx-sign: s\r\ncontent-length: 2\r\n\r\nno".to_owned();
+    let short =
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-length: 9\r\n\r\nfine".to_owned();
     let garbage = "SMTP ready\r\n\r\n".to_owned();
     type Outcome = (u16, usize, u16, usize);
     let cases: Vec<(&str, Vec<Action>, Outcome)> = vec![
@@ -248,7 +250,7 @@
 /// connection is its end.
 #[tokio::test]
 async fn an_answer_that_ends_with_its_connection_is_forwarded_completely() {
-    let unframed = "HTTP/1.1 200 OK\r\nx-id: {id}\r\n\r\nfine".to_owned();
+    let unframed = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\n\r\nfine".to_owned();
     let (running, _) =
         start_gateway(vec![Action::Send(unframed), Action::Close], unused_model).await;
     let got = send_request(&running, "POST", "/once/x")
@@ -360,7 +362,7 @@
 }
 
 fn ends_inside_an_event_without_a_length(_: usize) -> Vec<Action> {
-    let text = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-type: text/event-stream\r\n\r\n\
+    let text = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-sign: s\r\ncontent-type: text/event-stream\r\n\r\n\
                 id: 1\ndata: piece 1\n\nid: 2\nda";
     vec![Action::Send(text.into()), Action::Close]
 }
--- a/crates/gateway/tests/stream_events.rs
+++ b/crates/gateway/tests/stream_events.rs
@@ -96,7 +96,7 @@
     for rest in rests {
         let body = format!("id: 1\ndata: a\n\n{rest}");
         let with_length = format!(
-            "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\ncontent-length: {}\r\n\r\n{body}",
+            "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-sign: s\r\ncontent-length: {}\r\n\r\n{body}",
             body.len()
         );
         let answers = [
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -36,6 +36,7 @@
 pub fn names() -> HeaderNames {
     HeaderNames {
         request_id: name("x-id"),
+        signature: name("x-sign"),
         deadline_ms: name("x-deadline"),
         prompt_parts: name("x-parts"),
         last_event_id: name("last-event-id"),
--- a/crates/gateway/tests/surplus_answers.rs
+++ b/crates/gateway/tests/surplus_answers.rs
@@ -73,7 +73,7 @@
 /// Returns a surplus answer to the request `id`.
 fn surplus(id: &str, says: &str) -> Action {
     Action::Send(format!(
-        "HTTP/1.1 {says}\r\nx-id: {id}\r\ncontent-length: 0\r\n\r\n"
+        "HTTP/1.1 {says}\r\nx-id: {id}\r\nx-sign: s\r\ncontent-length: 0\r\n\r\n"
     ))
 }
 
--- a/crates/gateway/tests/uneven_connections.rs
+++ b/crates/gateway/tests/uneven_connections.rs
@@ -33,7 +33,7 @@
     for at in 0..ENDPOINTS {
         let endpoint = Endpoint::start(move |_| {
             let head = format!(
-                "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\n{headers}content-length: 4\r\n\r\nfine"
+                "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-sign: s\r\n{headers}content-length: 4\r\n\r\nfine"
             );
             vec![Action::Wait(RUN), Action::Send(head)]
         })
