fix(serve): an answer whose status isn't final is no answer

A plain service's answer with status 101 or 600 to 999 reached the caller as it came. The client of the adapters now takes 200 to 599 for an answer; after another status the call counts as one that may have run. The rule is the gateway's, shared in bridgevane-answer-limits.

odd_statuses.rs failed before (101 was returned as an answer).

--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -2,7 +2,7 @@
 //! [`bridgevane_answer_limits`].
 
 use crate::counted_connector::CountedConnector;
-use bridgevane_answer_limits::{AnswerBody, AnswerProgress, READ_BUFFER_BYTES};
+use bridgevane_answer_limits::{AnswerBody, AnswerProgress, READ_BUFFER_BYTES, is_final_status};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full, Limited};
@@ -77,10 +77,11 @@
             .uri(format!("http://{}{}", self.address, path))
     }
 
-    /// Sends a request and returns the answer's head and unread body, with any status.
+    /// Sends a request and returns the answer's head and unread body, with any final status.
     ///
     /// # Errors
-    /// [`HttpError::NotConnected`] when nothing was sent, else [`HttpError::Broken`].
+    /// [`HttpError::NotConnected`] when nothing was sent, [`HttpError::Malformed`] when the status isn't
+    /// one of a final answer, else [`HttpError::Broken`].
     pub async fn send(
         &self,
         request: http::Request<Full<Bytes>>,
@@ -92,6 +93,9 @@
             }
             HttpError::Broken
         })?;
+        if !is_final_status(answer.status()) {
+            return Err(HttpError::Malformed);
+        }
         let progress: AnswerProgress = answer.extensions_mut().remove().unwrap_or_default();
         progress.reset();
         Ok(answer.map(|body| AnswerBody::new(body, progress)))
