--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -127,6 +127,20 @@
     /// No request can name the id in a header.
     #[display("an id that requests can't name")]
     UnusableId,
+    /// The value is longer than a record may be.
+    #[display("too long")]
+    TooLong,
+}
+
+impl RecordFault {
+    /// All faults.
+    pub const ALL: [Self; 5] = [
+        Self::Unreadable,
+        Self::IncompleteRecord,
+        Self::UnknownState,
+        Self::UnusableId,
+        Self::TooLong,
+    ];
 }
 
 /// A record in the source's own encoding. Daemons forward it to each other without decoding it.
