fix(gateway): an endpoint whose record is gone is used for the grace after it was last known to be there

The grace now runs from that proof, or from the last request that the endpoint answered without announcing the end of its connection, as one that leaves does; the last endpoints of a service are used as before.

--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -97,7 +97,7 @@
     1402 EndpointSeen Info "an endpoint was added or changed";
     1403 EndpointGone Info "an endpoint was removed";
     1404 EndpointEjected Warn "an endpoint was ejected and gets no requests for some time";
-    1405 EndpointLapsed Info "an endpoint's record expired during an outage of the control source; the endpoint stays in use for a short time";
+    1405 EndpointLapsed Info "an endpoint's record is gone after an outage of the control source, and may be lost; the endpoint stays in use for usable_ms, longer while it answers";
     1406 EndpointCrashed Warn "an endpoint crashed while it was processing requests";
     1407 EndpointRecordLate Info "a late record of an older incarnation of an endpoint was ignored";
     1408 EndpointRecordRejected Warn "an endpoint's record is invalid; the endpoint is removed";
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -175,20 +175,4 @@
         self.millis_plus_one
             .fetch_max(Self::encode(at), Ordering::AcqRel);
     }
-
-    /// Sets the moment unless one is set.
-    pub(crate) fn set_if_unset(&self, at: TimeMs) {
-        let unset = 0;
-        // On an error a moment was set before, and stays.
-        let _ = self.millis_plus_one.compare_exchange(
-            unset,
-            Self::encode(at),
-            Ordering::AcqRel,
-            Ordering::Relaxed,
-        );
-    }
-
-    pub(crate) fn clear(&self) {
-        self.millis_plus_one.store(0, Ordering::Release);
-    }
 }
--- a/crates/gateway/src/control/endpoint_registry.rs
+++ b/crates/gateway/src/control/endpoint_registry.rs
@@ -12,7 +12,7 @@
 use crate::decisions::eligibility::evacuation::Evacuations;
 use crate::decisions::eligibility::leaving::LeavingIncarnations;
 use crate::decisions::eligibility::stream_version::VersionHash;
-use crate::decisions::replication::record_expiry::Removal;
+use crate::decisions::replication::record_expiry::{LostRecord, Removal};
 use crate::endpoints::directory::Directory;
 use crate::endpoints::endpoint::{Endpoint, EndpointRecord};
 use bridgevane_decisions::EndpointIx;
@@ -32,6 +32,14 @@
     endpoint: Arc<Endpoint>,
 }
 
+/// A record that was removed in the current batch and may be lost.
+#[derive(Clone, Debug)]
+struct RemovedRecord {
+    id: EndpointId,
+    revision: Revision,
+    lost: LostRecord,
+}
+
 /// The maximum number of log lines about endpoints per batch of records. The log buffer holds some
 /// 1,000 lines; more lines would be dropped and would delay a daemon that starts.
 const MAX_LOG_LINES_PER_BATCH: usize = 256;
@@ -58,6 +66,8 @@
     unlogged_endpoints: usize,
     /// The number of log lines left for the current batch.
     log_lines_left: usize,
+    /// The records of the current batch that may be lost.
+    removed: Vec<RemovedRecord>,
     /// Whether endpoints were added or removed, or became eligible or ineligible for requests.
     needs_directory: bool,
 }
@@ -69,8 +79,10 @@
         self.unlogged_endpoints = 0;
     }
 
-    /// Ends the batch and logs how many endpoints weren't logged individually.
-    pub(crate) fn end_batch(&mut self) {
+    /// Ends the batch: decides how long endpoints are used whose records may be lost, and logs how many
+    /// endpoints weren't logged individually.
+    pub(crate) fn end_batch(&mut self, now: TimeMs) {
+        self.apply_removed(now);
         let endpoints = std::mem::take(&mut self.unlogged_endpoints);
         if endpoints > 0 {
             event!(Event::EndpointsSeen, endpoints = endpoints);
@@ -198,14 +210,59 @@
         let is_leaving = entry.endpoint.is_leaving();
         match removal {
             // An endpoint that announced that it leaves isn't expected back.
-            Removal::ExpiresAt(at) if !is_leaving => {
-                entry.endpoint.expire_at(at);
-                event!(Event::EndpointLapsed, endpoint = id, revision = revision);
-            }
+            Removal::MayBeLost(lost) if !is_leaving => self.removed.push(RemovedRecord {
+                id: id.clone(),
+                revision,
+                lost,
+            }),
             _ => self.drop_entry(id),
         }
     }
 
+    /// Decides how long endpoints are used whose records were removed in this batch and may be lost. Only
+    /// the whole batch shows which services have other endpoints.
+    fn apply_removed(&mut self, now: TimeMs) {
+        let removed = std::mem::take(&mut self.removed);
+        let is_current = |removed: &RemovedRecord| {
+            let entry = self.entries.get(&removed.id);
+            entry.is_some_and(|entry| entry.revision == removed.revision)
+        };
+        let removed: Vec<RemovedRecord> = removed.into_iter().filter(is_current).collect();
+        if removed.is_empty() {
+            return;
+        }
+        let services = self.services_without(&removed);
+        for RemovedRecord { id, revision, lost } in removed {
+            let Some(entry) = self.entries.get(&id) else {
+                continue;
+            };
+            let has_others = services.contains(&entry.endpoint.record.load().service);
+            entry.endpoint.on_record_lost(if has_others {
+                lost
+            } else {
+                lost.of_last_endpoint(now)
+            });
+            event!(
+                Event::EndpointLapsed,
+                endpoint = id,
+                usable_ms = entry.endpoint.usable_without_record(now),
+                revision = revision
+            );
+        }
+    }
+
+    /// Returns the services that have endpoints with records, and which don't leave, beside those whose
+    /// records were removed.
+    fn services_without(&self, removed: &[RemovedRecord]) -> HashSet<ServiceName> {
+        let removed: HashSet<&EndpointId> = removed.iter().map(|removed| &removed.id).collect();
+        let others = self.entries.iter().filter(|(id, entry)| {
+            let endpoint = &entry.endpoint;
+            endpoint.has_record() && !endpoint.is_leaving() && !removed.contains(id)
+        });
+        let service = |entry: &RegistryEntry| entry.endpoint.record.load().service.clone();
+        others.map(|(_, entry)| service(entry)).collect()
+    }
+
     /// Removes every endpoint that a full state at `revision` doesn't list.
     pub(crate) fn remove_unlisted(
         &mut self,
@@ -225,7 +282,7 @@
     /// Drops endpoints whose records didn't come back in time; returns false when there are none.
     pub(crate) fn drop_expired(&mut self, now: TimeMs) -> bool {
         let entries = self.entries.iter();
-        let expired = entries.filter(|(_, entry)| entry.endpoint.has_expired(now));
+        let expired = entries.filter(|(_, entry)| entry.endpoint.is_record_overdue(now));
         let expired: Vec<EndpointId> = expired.map(|(id, _)| id.clone()).collect();
         for id in &expired {
             self.drop_entry(id);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -482,10 +482,9 @@
 
     /// Returns how endpoints whose records are removed now are treated.
     fn removal(&self) -> Removal {
-        let proof_age = self.proof_age();
-        let now = self.clock.now();
+        let (now, proved_at) = (self.clock.now(), self.proved_at());
         self.outage()
-            .removal(now, proof_age, self.expired_record_grace_ms)
+            .removal(now, proved_at, self.expired_record_grace_ms)
     }
 
     fn outage(&self) -> MutexGuard<'_, SourceOutage> {
@@ -561,7 +560,7 @@
                 }
             }
         }
-        registry.end_batch();
+        registry.end_batch(self.clock.now());
         self.rebuild_directory(registry);
     }
 
--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -8,6 +8,7 @@
 use crate::decisions::eligibility::brittle::{BrittleLoad, has_room};
 use crate::decisions::eligibility::leaving::EndpointIncarnation;
 use crate::decisions::eligibility::stream_version::VersionHash;
+use crate::decisions::replication::record_expiry::LostRecord;
 use crate::endpoints::brittle_state::BrittleState;
 use crate::endpoints::cold_state::ColdState;
 use crate::endpoints::health::EndpointHealth;
@@ -17,14 +18,15 @@
 use crate::endpoints::pace_state::PaceState;
 use crate::endpoints::rate_limit::RateLimitState;
 use crate::work_by_endpoint::EndpointHash;
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use bridgevane_decisions::EndpointIx;
 use bridgevane_types::{
     DataCentreId, DurationMs, EndpointId, ServiceName, SoftwareVersion, TimeMs, WallTimeMs,
 };
 use std::net::SocketAddr;
-use std::sync::OnceLock;
+
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
 /// The record that an endpoint publishes of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -86,8 +88,10 @@
     /// Created when a connection breaks for the first time: most endpoints never need it, and a
     /// daemon may know thousands.
     lost_requests: OnceLock<Box<LostRequests>>,
-    /// When it counts as gone, if its record was removed during an outage of the source.
-    expires_at: AtomicTime,
+    /// The last time at which it showed that it isn't leaving.
+    stayed_at: AtomicTime,
+    /// Set while its record is gone and may be lost.
+    lost_record: ArcSwapOption<LostRecord>,
 }
 
 impl Endpoint {
@@ -108,7 +112,8 @@
             is_leaving: AtomicBool::new(false),
             backoff_until: AtomicTime::default(),
             lost_requests: OnceLock::new(),
-            expires_at: AtomicTime::default(),
+            stayed_at: AtomicTime::default(),
+            lost_record: ArcSwapOption::empty(),
         }
     }
 
@@ -182,19 +187,51 @@
         self.lost_requests.get_or_init(Box::default)
     }
 
-    /// Records that its record was removed: it may still be used until `at`, or until an earlier
-    /// time set before.
-    pub(crate) fn expire_at(&self, at: TimeMs) {
-        self.expires_at.set_if_unset(at);
+    /// Records that it answered a request that was sent at `sent_at`, and didn't announce the end of its
+    /// connection, as an endpoint that is leaving does.
+    pub(crate) fn on_stays(&self, sent_at: TimeMs) {
+        self.stayed_at.set_if_later(sent_at);
+    }
+
+    /// Records that its record is gone and may be lost, unless that is known.
+    pub(crate) fn on_record_lost(&self, lost: LostRecord) {
+        if self.lost_record.load().is_none() {
+            self.lost_record.store(Some(Arc::new(lost)));
+        }
+    }
+
+    /// Returns whether its record is there.
+    pub(crate) fn has_record(&self) -> bool {
+        self.lost_record.load().is_none()
     }
 
     /// Records that its record has returned.
     pub(crate) fn renew(&self) {
-        self.expires_at.clear();
+        self.lost_record.store(None);
     }
 
-    /// Returns whether its record was removed and did not return in time.
+    /// Returns whether its record is gone, and it may not be used without one any more.
     pub(crate) fn has_expired(&self, now: TimeMs) -> bool {
-        self.expires_at.get().is_some_and(|at| now >= at)
+        let expires_at = self.expires_at();
+        expires_at.is_some_and(|expires_at| now >= expires_at)
+    }
+
+    /// Returns how much longer it may be used without its record; 0 if its record isn't lost.
+    pub(crate) fn usable_without_record(&self, now: TimeMs) -> DurationMs {
+        let expires_at = self.expires_at();
+        expires_at.map_or(DurationMs(0), |expires_at| expires_at.since(now))
+    }
+
+    fn expires_at(&self) -> Option<TimeMs> {
+        let lost = self.lost_record.load();
+        let lost = lost.as_ref()?;
+        Some(lost.expires_at(self.stayed_at.get()))
+    }
+
+    /// Returns whether its record was lost and is not expected back any more. Until then what is known of
+    /// it is kept, also while it isn't used.
+    pub(crate) fn is_record_overdue(&self, now: TimeMs) -> bool {
+        let lost = self.lost_record.load();
+        lost.as_ref().is_some_and(|lost| now >= lost.restored_by)
     }
 }
--- a/crates/gateway/src/requests/attempt.rs
+++ b/crates/gateway/src/requests/attempt.rs
@@ -150,6 +150,9 @@
         let now = self.clock.now();
         let headers = self.unreadable.reader(Sender::Endpoint, &head.headers);
         endpoint.load.on_activity(now);
+        if !response_head::closes_connection(&headers) {
+            endpoint.on_stays(sent_at);
+        }
         if let Some(reported) = response_head::reported_load(self.names, &headers) {
             endpoint.load.on_report(now, reported);
             if let Some(work_time) = reported.work_time {
--- a/crates/gateway/src/requests/response_head.rs
+++ b/crates/gateway/src/requests/response_head.rs
@@ -172,10 +172,15 @@
     !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Returns whether the endpoint announces the end of the connection.
+pub(crate) fn closes_connection(headers: &HeaderReader<'_>) -> bool {
+    let closes = headers.text(&CONNECTION);
+    closes.is_some_and(|value| value.eq_ignore_ascii_case("close"))
+}
+
 /// Returns how long the answer's connection may be idle; `None` if it can't be reused.
 pub(crate) fn idle_timeout(headers: &HeaderReader<'_>) -> Option<DurationMs> {
-    let closes = headers.text(&CONNECTION);
-    if closes.is_some_and(|value| value.eq_ignore_ascii_case("close")) {
+    if closes_connection(headers) {
         return None;
     }
     idle_connections::idle_timeout(announced_idle_timeout(headers))
