fix(gateway): daemons ask the source as soon as their parent has been silent for longer than in a calm fleet

Where the source refuses the seeds, nobody else asked it until a proof was 2.4 s old and a search had failed.

A daemon whose parent brings no newer proof for 2.0 s (1.4 s where changes must be in force within 2 s) now asks the source once, beside its polls of the parent: sixteen daemons in the first quarter of a second, then four a second, in a fleet of any size. The first that is answered takes the place of its parent, as before.

--- a/crates/gateway/src/decisions/replication/source_pacing.rs
+++ b/crates/gateway/src/decisions/replication/source_pacing.rs
@@ -8,7 +8,9 @@
 //! daemon polls only when it has found no daemon to follow:
 //! - one that lost its parent, within `ORPHAN_SPREAD`: its followers wait for it;
 //! - while its parent answers, but has nothing new either, all daemons together poll
-//!   `FLEET_CALLS_PER_S` times a second: a daemon that succeeds passes the state on to the others.
+//!   `FLEET_CALLS_PER_S` times a second: a daemon that succeeds passes the state on to the others. Each
+//!   asks once when its proof is as old as [`ProofLimits::ask_from`], and polls again after a search
+//!   without a result.
 //!
 //! Reason: the source can serve a few callers, not one for each daemon, and never the whole fleet
 //! in one second: without pacing 116 to 295 daemons of a fleet of 295 polled it in the same second.
@@ -35,8 +37,8 @@
 /// reading and the way down the tree.
 const MAX_SEED_PAUSE: DurationMs = DurationMs(1_000);
 /// The pause after a response of the source to a daemon that is no seed, as a share of the age at
-/// which a proof's followers leave. The rest must cover a slow source (0.24 s at the slowest known
-/// sites) and the way down the tree.
+/// which other daemons poll the source themselves. The rest must cover a slow source (0.24 s at the
+/// slowest known sites) and the way down the tree.
 const POLL_SHARE: f64 = 0.7;
 /// Polls a second of all daemons whose parents answer, but have nothing new. One success in some 30
 /// ms is soon enough, since a proof lasts another second and more by then, and an outage of a
@@ -45,6 +47,14 @@
 /// The time over which daemons that lost their parents spread their polls: a tenth of a proof's
 /// lifetime.
 const ORPHAN_SPREAD: DurationMs = DurationMs(400);
+/// The number of daemons that ask the source first. If it refuses half of the fleet, all of them fail once
+/// in 65,000 times.
+const FIRST_QUESTIONS: f64 = 16.0;
+/// The time over which the first questions are spread: some are answered before the others are sent.
+const FIRST_QUESTIONS_SPREAD: DurationMs = DurationMs(250);
+/// Questions a second of all daemons after the first ones. With those that lost their parents, 50 daemons
+/// a second call the source at most.
+const QUESTIONS_PER_S: f64 = 4.0;
 /// The number of daemons that is assumed while none is reported, between the smallest and largest
 /// known fleets.
 const UNKNOWN_FLEET_SIZE: u32 = 100;
@@ -72,6 +82,14 @@
     DurationMs(watch_wait.0 * rank)
 }
 
+/// Returns how long a daemon waits with its question if this many ask before it.
+fn question_delay(asked_before: f64) -> DurationMs {
+    let first = asked_before.min(FIRST_QUESTIONS) / FIRST_QUESTIONS;
+    let later = (asked_before - FIRST_QUESTIONS).max(0.0);
+    let delay_ms = first * FIRST_QUESTIONS_SPREAD.0 as f64 + later / QUESTIONS_PER_S * 1_000.0;
+    DurationMs(delay_ms as u64)
+}
+
 /// A daemon that polls the source for changes.
 #[derive(Clone, Copy, Debug)]
 pub struct SourceCaller {
@@ -99,6 +117,10 @@
     /// The pause after a response to a daemon that is no seed: others may follow it, and must not
     /// leave it meanwhile.
     poll_pause: DurationMs,
+    /// The age of a proof from which on the source is asked.
+    ask_from: DurationMs,
+    /// The proof after which the source was asked last.
+    asked_after: Option<TimeMs>,
 }
 
 impl SourcePacing {
@@ -111,7 +133,9 @@
             not_before_adoption: TimeMs(0),
             has_failed: false,
             retry_pause: FIRST_PAUSE,
-            poll_pause: DurationMs((limits.leave_from.0 as f64 * POLL_SHARE) as u64),
+            poll_pause: DurationMs((limits.ask_from.0 as f64 * POLL_SHARE) as u64),
+            ask_from: limits.ask_from,
+            asked_after: None,
         }
     }
 
@@ -182,6 +206,21 @@
         self.not_before = self.not_before.max(now + DurationMs(delay as u64));
     }
 
+    /// Returns when the source is asked if no newer proof than this one arrives; `None` if it was asked.
+    pub(super) fn question_at(&self, proved_at: TimeMs) -> Option<TimeMs> {
+        if self.asked_after == Some(proved_at) {
+            return None;
+        }
+        let daemons = f64::from(self.fleet_size.unwrap_or(UNKNOWN_FLEET_SIZE));
+        let asked_before = daemons * self.random_fraction(proved_at);
+        Some(proved_at + self.ask_from + question_delay(asked_before))
+    }
+
+    /// Records that the source is asked after this proof.
+    pub(super) fn on_asked(&mut self, proved_at: Option<TimeMs>) {
+        self.asked_after = proved_at;
+    }
+
     /// Returns the time in which each daemon polls the source once.
     fn polling_cycle(&self) -> DurationMs {
         let daemons = self.fleet_size.unwrap_or(UNKNOWN_FLEET_SIZE);
--- a/crates/gateway/src/decisions/replication/upstream.rs
+++ b/crates/gateway/src/decisions/replication/upstream.rs
@@ -14,6 +14,9 @@
 //!   daemon.
 //! - Its parent is polled again after each probe that fails: the parent may have found a fresh
 //!   upstream meanwhile.
+//! - One whose parent brings no newer proof for [`ProofLimits::ask_from`] asks the source once, at a
+//!   moment that differs between daemons, and goes on polling its parent meanwhile: the source may refuse
+//!   the seeds, and answer others.
 //! - Without a parent, and with a proof as old as [`ProofLimits::leave_from`], it polls the source
 //!   before it probes any more daemons.
 //! - If no daemon can be adopted, it polls the source in its slot ([`super::source_pacing`]), and
@@ -225,6 +228,26 @@
         slot_at.filter(|slot_at| *slot_at > now)
     }
 
+    /// Returns when this daemon asks the source beside its polls of the parent, if the parent brings no
+    /// newer proof until then; `None` if it has asked after this proof.
+    pub fn question_at(&self) -> Option<TimeMs> {
+        if self.is_seed() || self.parent.is_none() {
+            return None;
+        }
+        self.source_pacing.question_at(self.proved_at?)
+    }
+
+    /// Records that the source is asked.
+    pub fn on_asked(&mut self) {
+        self.source_pacing.on_asked(self.proved_at);
+    }
+
+    /// Returns whether this daemon takes the place of its parent once the source has answered it: the
+    /// parent has brought no newer proof.
+    pub fn is_parent_stale(&self, now: TimeMs) -> bool {
+        self.parent.is_some() && !self.is_proof_younger(now, self.limits.ask_from)
+    }
+
     /// Returns true once after a step without a result: the next step should wait a little.
     pub fn take_pause_request(&mut self) -> bool {
         std::mem::take(&mut self.must_pause)
@@ -320,8 +343,9 @@
     /// Records that the source answered a poll sent at `asked_at`.
     pub fn on_source_answered(&mut self, now: TimeMs, asked_at: TimeMs) {
         self.source_pacing.on_answered(now);
+        let is_parent_stale = self.failed_searches > 0 || self.is_parent_stale(now);
         let former = self.parent.take();
-        if !self.is_seed && self.failed_searches > 0 {
+        if !self.is_seed && is_parent_stale {
             self.stale_parent = former.map(|parent| parent.address);
         }
         self.search = None;
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -12,17 +12,23 @@
 };
 use crate::decisions::admission::freshness::Freshness;
 use crate::decisions::replication::source_pacing::{SourceCaller, watch_wait};
-use crate::decisions::replication::upstream::{PeerReport, Upstream, UpstreamSelector};
+use crate::decisions::replication::upstream::{
+    PeerReport, SourceCause, Upstream, UpstreamSelector,
+};
 use crate::gateway::Gateway;
 use crate::replication::client::{PeerAnswer, PeerClient};
 use crate::replication::message::MessageError;
 use crate::replication::peer_error::PeerError;
-use crate::replication::{seed_exchange, seed_reports, state_reports, stream_reports};
+use crate::replication::{
+    proof_on_demand, seed_exchange, seed_reports, state_reports, stream_reports,
+};
 use bridgevane_events::{Event, event};
 use bridgevane_types::{ConfigVersion, DurationMs, TimeMs};
+use futures_util::FutureExt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 /// The delay after the first failed step; it doubles. The upstream selector has its own, longer
@@ -70,7 +76,8 @@
     let mut follower = SourceFollower {
         upstreams,
         gateway,
-        source,
+        source: Arc::new(source),
+        question: None,
         parent_client: PeerClient::default(),
         probe_client: PeerClient::default(),
         logged_upstream: None,
@@ -89,7 +96,9 @@
 
 struct SourceFollower<S> {
     gateway: Arc<Gateway>,
-    source: S,
+    source: Arc<S>,
+    /// A call of the source beside the polls of the parent.
+    question: Option<JoinHandle<Result<TimeMs, SourceError>>>,
     upstreams: UpstreamSelector,
     parent_client: PeerClient,
     probe_client: PeerClient,
@@ -112,6 +121,9 @@
     /// Selects an upstream and polls it once.
     async fn step(&mut self) {
         let now = self.gateway.clock.now();
+        if let Some(asked_at) = answer(&mut self.question).now_or_never() {
+            self.on_question_answered(asked_at);
+        }
         // Other seeds' proofs are stored by another task.
         let proved_at = self.gateway.control.proved_at();
         self.upstreams.on_proved(now, proved_at);
@@ -218,7 +230,7 @@
             revision = state.revision,
             records = state.records.len()
         );
-        let is_applied = self.gateway.control.replace(&self.source, &state);
+        let is_applied = self.gateway.control.replace(&*self.source, &state);
         // A state that is older than the replica proves nothing.
         is_applied.then_some(()).ok_or(SourceError::HistoryLost)
     }
@@ -240,7 +252,7 @@
         let waiting = timeout(limit, self.source.changes(at, wait)).await;
         let changes = waiting.map_err(|_| SourceError::NoAnswer)??;
         let has_changes = !changes.records.is_empty();
-        self.gateway.control.apply(&self.source, changes);
+        self.gateway.control.apply(&*self.source, changes);
         if has_changes && self.upstreams.is_seed() {
             sleep(CHANGE_BURST_DELAY).await;
         }
@@ -258,9 +270,13 @@
             .upstreams
             .source_slot_at(now)
             .map(|slot| slot.since(now));
+        let until_question = self.upstreams.question_at();
+        let until_question = until_question.map(|question_at| question_at.since(now));
         let gateway = self.gateway.clone();
         let polled = tokio::select! {
             polled = self.parent_client.poll(&gateway, peer, after) => polled,
+            asked_at = answer(&mut self.question) => return self.on_question_answered(asked_at),
+            () = wait_for_slot(until_question) => return self.ask_source(),
             // The poll is dropped with its connection; the parent is kept.
             () = gateway.fleet.wait_for_fresher_daemon() => return,
             () = gateway.resumed_from_suspension.notified() => return,
@@ -282,6 +298,26 @@
         }
     }
 
+    /// Calls the source beside the polls of the parent. Not called before the first state was read.
+    fn ask_source(&mut self) {
+        self.upstreams.on_asked();
+        let (gateway, source) = (self.gateway.clone(), self.source.clone());
+        let question = tokio::spawn(async move {
+            let result = proof_on_demand::read(&gateway, &*source).await;
+            let cause = SourceCause::StaleParent;
+            gateway.metrics.source_called(cause, result.map(|_| ()));
+            result
+        });
+        self.question = Some(question);
+    }
+
+    fn on_question_answered(&mut self, asked_at: TimeMs) {
+        if self.upstreams.is_parent_stale(self.gateway.clock.now()) {
+            self.parent_client.close();
+            self.on_source_answered(asked_at);
+        }
+    }
+
     /// Reads the full state of a daemon with a newer configuration, for its document.
     async fn fetch_configuration(&mut self, daemon: SocketAddr) {
         let polled = self.probe_client.fetch(&self.gateway, daemon).await;
@@ -403,11 +439,11 @@
         let control = &self.gateway.control;
         if is_whole {
             let state = FullState { revision, records };
-            if !control.replace(&self.source, &state) {
-                control.adopt_newer_document(&self.source, &state);
+            if !control.replace(&*self.source, &state) {
+                control.adopt_newer_document(&*self.source, &state);
             }
         } else {
-            control.apply(&self.source, Changes { revision, records });
+            control.apply(&*self.source, Changes { revision, records });
         }
         Ok(())
     }
@@ -479,6 +515,18 @@
     sleep(wait.as_std()).await;
 }
 
+/// Waits until the source answers a question; forever if there is none, or it fails.
+async fn answer(question: &mut Option<JoinHandle<Result<TimeMs, SourceError>>>) -> TimeMs {
+    if let Some(asked) = question {
+        let result = asked.await;
+        *question = None;
+        if let Ok(Ok(asked_at)) = result {
+            return asked_at;
+        }
+    }
+    std::future::pending().await
+}
+
 /// Waits for the given time; forever if there is none.
 async fn wait_for_slot(until_slot: Option<DurationMs>) {
     match until_slot {
--- a/crates/gateway/src/replication/proof_on_demand.rs
+++ b/crates/gateway/src/replication/proof_on_demand.rs
@@ -31,7 +31,7 @@
         while is_due(&gateway, *wanted.borrow_and_update()) {
             // A proof of the same millisecond may be older than the request.
             sleep(CLOCK_RESOLUTION).await;
-            let result = read(&gateway, &source).await;
+            let result = read(&gateway, &source).await.map(|_| ());
             let cause = SourceCause::ProofOnDemand;
             gateway.metrics.source_called(cause, result);
             let is_failed = result.is_err();
@@ -54,7 +54,11 @@
     is_awaited && gateway.control.proved_at() <= Some(wanted)
 }
 
-async fn read(gateway: &Gateway, source: &impl ControlSource) -> Result<(), SourceError> {
+/// Reads the changes that the source has now, and stores the proof; returns when it was asked.
+pub(super) async fn read(
+    gateway: &Gateway,
+    source: &impl ControlSource,
+) -> Result<TimeMs, SourceError> {
     let asked_at = gateway.clock.now();
     let after = gateway.control.replica().revision();
     // The first state is read by the task that follows the source.
@@ -68,5 +72,5 @@
         gateway.control.apply(source, changes);
         gateway.control.store_proof(asked_at);
     }
-    Ok(())
+    Ok(asked_at)
 }
--- a/crates/gateway/tests/follow_tree.rs
+++ b/crates/gateway/tests/follow_tree.rs
@@ -280,6 +280,36 @@
     }
 }
 
+/// The age of a proof from which on a record that is gone may count as lost in an outage
+/// (`record_expiry.rs`).
+const OUTAGE_MS: u64 = 2_500;
+
+/// Guards against a change that waits for 2.7 s where 3 s are allowed, and an endpoint that left and counts
+/// as one whose record lapsed in an outage: the source refused the seeds and half of the others, and
+/// those that it served didn't ask before.
+#[test]
+fn proofs_stay_younger_than_an_outage_while_the_source_refuses_the_seeds_and_half_of_the_others() {
+    let sizes = [(&[6; 4][..], 40), (&[15, 15, 15, 14], 20), (&[197; 5], 2)];
+    for (sizes, seeds) in sizes {
+        for seed in 0..seeds {
+            let mut fleet = Fleet::with_bound(sizes, 3, seed, DurationMs(3_000));
+            fleet.run(10_000 + 37 * seed);
+            // Twice, with a pause between them.
+            for _ in 0..2 {
+                fleet.is_served[..3].fill(false);
+                for at in 3..fleet.len() {
+                    fleet.is_served[at] = fleet.random_below(2) == 0;
+                }
+                let all = fleet.all();
+                let oldest = oldest_proof_during(&mut fleet, &all, 9_000);
+                assert!(oldest < OUTAGE_MS, "{sizes:?}, seed {seed}: {oldest} ms");
+                fleet.is_served.fill(true);
+                fleet.run(3_000);
+            }
+        }
+    }
+}
+
 /// Of 87 daemons 39 were frozen for six seconds, and some others handled requests by a
 /// configuration that had been replaced over three seconds before: each had lost its parent after a
 /// second of silence, and then polled three more frozen daemons for a second each.
--- a/crates/gateway/tests/support/tree_sim/mod.rs
+++ b/crates/gateway/tests/support/tree_sim/mod.rs
@@ -134,6 +134,18 @@
         poll: u64,
         revision: Option<u64>,
     },
+    /// A daemon asks the source beside its poll of the parent.
+    Question {
+        daemon: usize,
+        incarnation: u32,
+        poll: u64,
+    },
+    QuestionAnswered {
+        daemon: usize,
+        incarnation: u32,
+        asked_at: u64,
+        revision: u64,
+    },
     SourceChanges,
     /// Seeds exchange their work and their proofs.
     SeedExchange,
@@ -415,6 +427,17 @@
             } => {
                 self.on_source(daemon, incarnation, poll, revision);
             }
+            Event::Question {
+                daemon,
+                incarnation,
+                poll,
+            } => self.ask_source(daemon, incarnation, poll),
+            Event::QuestionAnswered {
+                daemon,
+                incarnation,
+                asked_at,
+                revision,
+            } => self.on_question_answered(daemon, incarnation, asked_at, revision),
             Event::SeedExchange => {
                 self.exchange_between_seeds();
                 self.schedule(SEED_EXCHANGE_MS, Event::SeedExchange);
@@ -486,6 +509,14 @@
                     };
                     self.schedule(slot_at.since(now).0, event);
                 }
+                if let Some(question_at) = self.daemons[at].selector.question_at() {
+                    let event = Event::Question {
+                        daemon: at,
+                        incarnation,
+                        poll,
+                    };
+                    self.schedule(question_at.since(now).0, event);
+                }
                 self.poll_peer(at, incarnation, peer, poll, false);
             }
             Upstream::Probe(peer) => self.poll_peer(at, incarnation, peer, poll, true),
--- a/crates/gateway/tests/support/tree_sim/source.rs
+++ b/crates/gateway/tests/support/tree_sim/source.rs
@@ -90,6 +90,63 @@
         self.end_step(at, incarnation);
     }
 
+    /// Asks the source beside a poll of the parent, like `follow::ask_source`.
+    pub(super) fn ask_source(&mut self, at: usize, incarnation: u32, poll: u64) {
+        let asking = &mut self.daemons[at];
+        let is_current =
+            asking.incarnation == incarnation && asking.poll == poll && asking.is_polling;
+        if !is_current || self.is_frozen(at) {
+            return;
+        }
+        self.daemons[at].selector.on_asked();
+        self.source_polls.push((self.now / 1_000, at));
+        if self.is_served[at] {
+            let event = Event::QuestionAnswered {
+                daemon: at,
+                incarnation,
+                asked_at: self.now,
+                revision: self.revisions.len() as u64,
+            };
+            self.schedule(4, event);
+        }
+    }
+
+    pub(super) fn on_question_answered(
+        &mut self,
+        at: usize,
+        incarnation: u32,
+        asked_at: u64,
+        revision: u64,
+    ) {
+        if self.daemons[at].incarnation != incarnation {
+            return;
+        }
+        if self.is_frozen(at) {
+            let event = Event::QuestionAnswered {
+                daemon: at,
+                incarnation,
+                asked_at,
+                revision,
+            };
+            return self.postpone(at, event);
+        }
+        let now = TimeMs(self.now);
+        let fleet_size = self.estimated_size(at);
+        let daemon = &mut self.daemons[at];
+        daemon.revision = daemon.revision.max(revision);
+        let is_parent_stale = daemon.selector.is_parent_stale(now);
+        if is_parent_stale {
+            daemon.selector.on_source_answered(now, TimeMs(asked_at));
+            daemon.selector.on_fleet_size(fleet_size);
+        }
+        self.learn_from_source(at);
+        self.prove(at, TimeMs(asked_at));
+        if is_parent_stale && self.daemons[at].is_polling {
+            self.cancel_poll(at);
+            self.daemons[at].parent = None;
+        }
+    }
+
     /// Returns the size of the fleet as a daemon knows it. Seeds know the size of their trees and
     /// pass it on; here every daemon knows it once it is fresh.
     pub(super) fn estimated_size(&self, at: usize) -> u32 {
