fix(gateway): a stop begins no request that may run once and that it could cut

Reported by another operator: requests that came late in a planned stop were passed on and cut at its end, among them such that may not be repeated. Here nothing compared a request's time limit with the end of the process. A plain request that may run once now gets 503 (stopping, Retry-After 0) if its limit lies behind the end; it has not run. Requests that may be repeated and streams are begun as before.

stopping.rs: the new test failed before (200 instead of 503).

--- a/crates/gateway/src/decisions/admission/mod.rs
+++ b/crates/gateway/src/decisions/admission/mod.rs
@@ -7,4 +7,5 @@
 pub mod load_shedding;
 pub mod priority;
 pub mod refusal;
+pub mod stopping;
 pub mod traffic_split;
--- a/crates/gateway/src/decisions/admission/refusal.rs
+++ b/crates/gateway/src/decisions/admission/refusal.rs
@@ -48,6 +48,9 @@
     /// The configuration is not proved to be current.
     #[display("not_ready")]
     NotReady,
+    /// This daemon is stopping, and the request could be cut at its end.
+    #[display("stopping")]
+    Stopping,
     /// No endpoint of the service may get requests.
     #[display("no_endpoint")]
     NoEndpoint,
@@ -82,7 +85,7 @@
 }
 
 impl RefusalReason {
-    const ALL: [Self; 17] = [
+    const ALL: [Self; 18] = [
         Self::Malformed,
         Self::NoRoute,
         Self::UnknownKey,
@@ -90,6 +93,7 @@
         Self::BodyTimeout,
         Self::BodyBroken,
         Self::NotReady,
+        Self::Stopping,
         Self::NoEndpoint,
         Self::EndpointsUnreachable,
         Self::Overloaded,
@@ -117,6 +121,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NotReady
+            | Self::Stopping
             | Self::NoEndpoint
             | Self::EndpointsUnreachable
             | Self::Overloaded
@@ -138,6 +143,8 @@
     fn default_retry_after(self) -> Option<DurationMs> {
         match self {
             Self::NotReady => Some(NOT_READY_RETRY_AFTER),
+            // A new connection leads to another daemon.
+            Self::Stopping => Some(DurationMs(0)),
             Self::NoEndpoint | Self::EndpointsUnreachable => Some(NO_ENDPOINT_RETRY_AFTER),
             Self::Overloaded | Self::MemoryFull => Some(OVERLOADED_RETRY_AFTER),
             _ => None,
--- a/crates/gateway/src/forwarding/attempt.rs
+++ b/crates/gateway/src/forwarding/attempt.rs
@@ -183,6 +183,7 @@
         | RefusalReason::BodyTimeout
         | RefusalReason::BodyBroken
         | RefusalReason::NotReady
+        | RefusalReason::Stopping
         | RefusalReason::NoEndpoint
         | RefusalReason::EndpointsUnreachable
         | RefusalReason::MemoryFull
--- a/crates/gateway/src/lifecycle/shutdown.rs
+++ b/crates/gateway/src/lifecycle/shutdown.rs
@@ -3,6 +3,8 @@
 //! Owns the steps as flags and notifications; [`super::stop`] executes them in order. The client
 //! listener and the client connections wait for them.
 
+use crate::clock::AtomicTime;
+use bridgevane_types::TimeMs;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -27,6 +29,8 @@
 #[derive(Debug)]
 pub struct Shutdown {
     is_stopping: AtomicBool,
+    /// When the process ends at the latest.
+    ends_at: AtomicTime,
     closes_idle: AtomicBool,
     idle_closing: Notify,
     listener: watch::Sender<ListenerState>,
@@ -36,6 +40,7 @@
     pub(crate) fn new() -> Self {
         Self {
             is_stopping: AtomicBool::new(false),
+            ends_at: AtomicTime::default(),
             closes_idle: AtomicBool::new(false),
             idle_closing: Notify::new(),
             listener: watch::Sender::new(ListenerState::Open),
@@ -47,8 +52,15 @@
         self.is_stopping.load(Ordering::Relaxed)
     }
 
-    /// First step: marks the daemon as not ready, and makes connections close after their answers.
-    pub fn begin(&self) {
+    /// Returns when the process ends at the latest, if a stop has begun.
+    pub(crate) fn ends_at(&self) -> Option<TimeMs> {
+        self.ends_at.get()
+    }
+
+    /// First step: marks the daemon as not ready, and makes connections close after their answers. The
+    /// process ends at `ends_at` at the latest.
+    pub fn begin(&self, ends_at: TimeMs) {
+        self.ends_at.set(ends_at);
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
--- a/crates/gateway/src/lifecycle/stop.rs
+++ b/crates/gateway/src/lifecycle/stop.rs
@@ -8,6 +8,9 @@
 //! | idle connections close | after that | their clients would send requests to a daemon that is about to exit |
 //! | the process ends | when no connection is open, at the latest after `stop_ms` | |
 //!
+//! A request that may run once isn't begun if its time limit lies behind the end of the process
+//! ([`crate::decisions::admission::stopping`]): nobody would learn how it ended.
+//!
 //! Without these steps, stops lost requests (docs/findings). Tests: `stopping.rs`.
 
 use crate::gateway::Gateway;
@@ -24,7 +27,7 @@
     let settings = &gateway.settings;
     let shutdown = &gateway.shutdown;
     let end = gateway.clock.now() + settings.stop_ms;
-    shutdown.begin();
+    shutdown.begin(end);
     event!(Event::Stopping, in_progress = gateway.in_progress());
     sleep(settings.balancer_delay_ms.min(settings.stop_ms).as_std()).await;
     shutdown.close_listener().await;
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::decisions::admission::load_shedding::{self, QueuedRequest};
 use crate::decisions::admission::refusal::{NoEndpointLeft, Refusal, RefusalReason};
+use crate::decisions::admission::stopping::{self, LateRequest};
 use crate::decisions::eligibility::region_limits::RegionLimits;
 use crate::decisions::eligibility::stream_version::VersionHash;
 use crate::decisions::endpoint::quiet_engines::PauseTargets;
@@ -226,9 +227,28 @@
         if !self.gateway.control.freshness().may_serve() {
             return Err(RefusalReason::NotReady.or_unknown_if_run(self.runs));
         }
+        if !self.may_begin() {
+            return Err(RefusalReason::Stopping);
+        }
         Ok(())
     }
 
+    /// Returns whether the request was begun, or may be in spite of a stop.
+    fn may_begin(&self) -> bool {
+        let Some(ends_at) = self.gateway.shutdown.ends_at() else {
+            return true;
+        };
+        let route = &self.inbound.route;
+        let remaining = self.inbound.remaining();
+        self.runs > 0
+            || stopping::may_begin(LateRequest {
+                until_end: ends_at.since(self.gateway.clock.now()),
+                until_limit: DurationMs(remaining.as_millis() as u64),
+                may_run_again: route.may_run_again(),
+                is_stream: route.stream.is_some(),
+            })
+    }
+
     /// Selects an endpoint if the request may be sent.
     fn select(&mut self) -> Result<Selected, Refusal> {
         self.check_may_send()?;
--- a/crates/gateway/tests/resend.rs
+++ b/crates/gateway/tests/resend.rs
@@ -248,6 +248,7 @@
     }
     for reason in [
         RefusalReason::NotReady,
+        RefusalReason::Stopping,
         RefusalReason::NoEndpoint,
         RefusalReason::Overloaded,
     ] {
--- a/crates/gateway/tests/stopping.rs
+++ b/crates/gateway/tests/stopping.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
-use bridgevane_gateway::{Repeatability::AtMostOnce, SourceError, stop_gracefully};
+use bridgevane_gateway::Repeatability::{AtMostOnce, Idempotent};
+use bridgevane_gateway::{GatewaySettings, SourceError, stop_gracefully};
+use bridgevane_types::DurationMs;
 use std::time::Duration;
 use support::client::{Client, request};
 use support::endpoint::{Action, Endpoint, answer};
 use support::source::{KEY, ScriptedSource, plain_route};
-use support::{RunningGateway, start};
+use support::{RunningGateway, settings, start, start_with};
 
 /// Starts a gateway with one endpoint, which handles every request by `actions`.
 async fn start_gateway(actions: Vec<Action>) -> (RunningGateway, Endpoint) {
@@ -157,3 +159,49 @@
     );
     assert_eq!(running.gateway.open_connections(), 0);
 }
+
+/// Guards against a request that may run once, is begun late in a stop and cut at its end: its client never
+/// learns whether it ran.
+#[tokio::test]
+async fn a_request_that_may_run_once_is_not_begun_if_the_stop_could_cut_it() {
+    let routes = vec![
+        plain_route("once", AtMostOnce, 1),
+        plain_route("often", Idempotent, 2),
+    ];
+    let source = ScriptedSource::new();
+    source.publish_configuration(1, routes, &[KEY]);
+    let slow = vec![
+        Action::Wait(Duration::from_millis(60)),
+        answer("200 OK", "fine"),
+    ];
+    let endpoint = Endpoint::start(move |_| slow.clone()).await;
+    source.publish_endpoint("e-0", "plain", endpoint.address);
+    let settings = GatewaySettings {
+        stop_ms: DurationMs(1_500),
+        balancer_delay_ms: DurationMs(1_000),
+        ..settings()
+    };
+    let running = start_with(source, settings).await;
+    let mut clients = Vec::new();
+    for _ in 0..3 {
+        clients.push(Client::connect(running.address).await);
+    }
+    tokio::spawn(stop_gracefully(running.gateway.clone()));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let requests = [
+        request("POST", "/once/x", "a1", "x-deadline: 1400\r\n", ""),
+        request("POST", "/once/x", "a2", "x-deadline: 1000\r\n", ""),
+        request("GET", "/often/x", "a3", "x-deadline: 1400\r\n", ""),
+    ];
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        client.send(request).await;
+    }
+    let mut answers = Vec::new();
+    for client in &mut clients {
+        answers.push(client.answer().await.expect("an answer"));
+    }
+    let statuses: Vec<u16> = answers.iter().map(|answer| answer.status).collect();
+    assert_eq!(statuses, [503, 200, 200]);
+    assert!(answers[0].header("retry-after").is_some());
+    assert_eq!(endpoint.request_count(), 2, "the refused one has not run");
+}
