--- a/crates/gateway/tests/answer_validity.rs
+++ b/crates/gateway/tests/answer_validity.rs
@@ -134,7 +134,7 @@
 #[tokio::test]
 async fn refusals_and_failures_pass_without_a_signature() {
     for status in [
-        "304 Not Modified",
+        "300 Multiple Choices",
         "400 Bad Request",
         "404 Not Found",
         "500 Internal Server Error",
@@ -161,3 +161,36 @@
     let got = send(&mut client, "POST", "/once/x", "a1").await;
     assert_eq!((got.status, got.body.as_str()), (200, "ran"));
 }
+
+/// Guards against a head that stops anywhere and looks like a whole answer with an empty or a short body:
+/// the endpoint closed its connection in the middle of it.
+#[tokio::test]
+async fn an_answer_that_stops_anywhere_is_never_whole() {
+    let framings = [
+        "content-length: 4\r\n\r\nfine",
+        "transfer-encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+    ];
+    for framing in framings {
+        let whole = format!("HTTP/1.1 200 OK\r\nx-id: a1\r\nx-sign: s\r\n{framing}");
+        let script = {
+            let whole = whole.clone();
+            move |at: usize, _: &ReceivedRequest| {
+                let end = (at / 2).min(whole.len());
+                vec![Action::Send(whole[..end].to_owned()), Action::Close]
+            }
+        };
+        let (running, endpoint) = start_before_twin_endpoints(script).await;
+        for end in 0..whole.len() {
+            for path in ["/once/x", "/stream/x"] {
+                let mut client = Client::connect(running.address).await;
+                let text = request("POST", path, "a1", "x-deadline: 1500\r\n", "");
+                client.send(&text).await;
+                // A stream may end before its head was written.
+                let got = client.answer().await;
+                let is_whole = got.is_some_and(|got| got.is_whole && got.status != 502);
+                assert!(!is_whole, "{path}, {end} bytes");
+            }
+        }
+        assert_eq!(endpoint.request_count(), 2 * whole.len());
+    }
+}
