test(soak): workers leave while the store refuses daemons (--departures)

Real processes: a worker of six leaves each 1.5 s and serves on, the store refuses the seeds and half of the others in series, single daemons are frozen and stopped.

--- a/crates/gateway/tests/duties_events.rs
+++ b/crates/gateway/tests/duties_events.rs
@@ -175,7 +175,10 @@
             Step::Stop => {
                 let vm = self.draw_vm();
                 if let Some(daemon) = self.fleet.daemon(&vm) {
-                    daemon.gateway.shutdown.begin(bridgevane_types::TimeMs(u64::MAX));
+                    daemon
+                        .gateway
+                        .shutdown
+                        .begin(bridgevane_types::TimeMs(u64::MAX));
                 }
                 let time = self.milliseconds(300, 1_500);
                 sleep(time).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,7 +9,8 @@
 //! routes and keys daemons serve and deny ([`replacement_plan`], [`interruption_plan`],
 //! [`confirmed_versions`]). One of a fifth kind replaces workers by such of other software versions, and
 //! checks the streams that clients take up ([`rollout_plan`], [`stream_checks`]). One of a sixth kind
-//! leaves odd records among those of the workers ([`run_odd_records`]).
+//! leaves odd records among those of the workers ([`run_odd_records`]). One of a seventh kind lets workers
+//! leave while the store refuses daemons ([`departure_plan`], [`run_departures`]).
 
 mod callers;
 pub mod checks;
@@ -24,6 +25,8 @@
 pub mod cut_plan;
 mod cut_run;
 pub mod daemon_group;
+pub mod departure_plan;
+mod departure_run;
 mod environment;
 pub mod history;
 pub mod interruption_plan;
@@ -45,6 +48,7 @@
 
 pub use copy_run::{CopyOutcome, run_store_copies};
 pub use cut_run::{CutOutcome, run_cut_off};
+pub use departure_run::{DRAIN_BOUND, DepartureOutcome, LateRequest, run_departures};
 pub use odd_records_run::{OddRecordsOutcome, run_odd_records};
 pub use options::SoakOptions;
 pub use plot::PlotError;
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -17,6 +17,8 @@
     pub(crate) key_removal: Duration,
     /// For other changes; `None`: the default of the program.
     pub(crate) config_apply: Option<Duration>,
+    /// For endpoints that leave; `None`: the default of the program.
+    pub(crate) drain: Option<Duration>,
 }
 
 impl Default for DaemonBounds {
@@ -24,6 +26,7 @@
         Self {
             key_removal: KEY_REMOVAL_BOUND,
             config_apply: None,
+            drain: None,
         }
     }
 }
@@ -129,6 +132,9 @@
     if let Some(bound) = settings.bounds.config_apply {
         command.args(["--config-apply-ms", &bound.as_millis().to_string()]);
     }
+    if let Some(bound) = settings.bounds.drain {
+        command.args(["--drain-ms", &bound.as_millis().to_string()]);
+    }
     if let Some(address) = settings.duties {
         add_duties(&mut command, address);
     }
--- a/crates/soak/src/replacement_run.rs
+++ b/crates/soak/src/replacement_run.rs
@@ -25,6 +25,7 @@
 const BOUNDS: DaemonBounds = DaemonBounds {
     key_removal: KEY_BOUND,
     config_apply: Some(APPLY_BOUND),
+    drain: None,
 };
 /// The time that daemons have to become ready.
 const START_LIMIT: Duration = Duration::from_secs(30);
--- a/crates/soak/src/rollout_environment.rs
+++ b/crates/soak/src/rollout_environment.rs
@@ -28,6 +28,7 @@
 const BOUNDS: DaemonBounds = DaemonBounds {
     key_removal: KEY_BOUND,
     config_apply: Some(APPLY_BOUND),
+    drain: None,
 };
 
 /// A worker behind a path that is closed when the worker ends.
--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -31,7 +31,7 @@
     /// seconds of calls per seed (default: 20)
     #[argh(option, default = "20")]
     pub seconds: u64,
-    /// number of gateways (default: 4, at most 24; with --store-copies, --replacements or --rollouts 6 and
+    /// number of gateways (default: 4, at most 24; with --store-copies, --replacements, --rollouts or --departures 6 and
     /// 64)
     #[argh(option)]
     pub processes: Option<usize>,
@@ -67,6 +67,9 @@
     /// replace workers by such of other software versions, and check the streams that clients take up
     #[argh(switch)]
     pub rollouts: bool,
+    /// let workers leave while the store refuses daemons, and check which requests reach them
+    #[argh(switch)]
+    pub departures: bool,
     /// with --rollouts: calm, killed-after-leaving, killed-while-replaced, one-version-killed,
     /// out-of-step-cut or out-of-step-frozen (default: drawn)
     #[argh(option)]
@@ -98,9 +101,12 @@
         arguments.store_copies,
         arguments.replacements,
         arguments.rollouts,
+        arguments.departures,
     ];
     if kinds.into_iter().filter(|is_given| *is_given).count() > 1 {
-        eprintln!("give one of --cut-off, --store-copies, --replacements and --rollouts");
+        eprintln!(
+            "give one of --cut-off, --store-copies, --replacements, --rollouts and --departures"
+        );
         return exit::USAGE;
     }
     let failed = block_on(soak_until_stopped(arguments)).map_err(SoakError::from);
@@ -116,7 +122,13 @@
 
 /// Returns whether a run plays a whole fleet.
 fn plays_fleet(arguments: &SoakArguments) -> bool {
-    arguments.store_copies || arguments.replacements || arguments.rollouts
+    let kinds = [
+        arguments.store_copies,
+        arguments.replacements,
+        arguments.rollouts,
+        arguments.departures,
+    ];
+    kinds.contains(&true)
 }
 
 fn processes(arguments: &SoakArguments) -> usize {
@@ -131,7 +143,14 @@
 
 /// Returns the number of workers that serve at a time.
 fn workers(arguments: &SoakArguments) -> usize {
-    if arguments.rollouts { 8 } else { 6 }
+    match arguments {
+        SoakArguments { rollouts: true, .. } => 8,
+        // Half of them belong to the service whose workers leave.
+        SoakArguments {
+            departures: true, ..
+        } => 12,
+        _ => 6,
+    }
 }
 
 /// Runs all seeds and returns the number with a broken promise, or `None` if a signal stopped the
@@ -179,6 +198,10 @@
             failed += u64::from(!is_kept_under_rollouts(arguments.row, &options).await?);
             continue;
         }
+        if arguments.departures {
+            failed += u64::from(!is_kept_at_departures(&options).await?);
+            continue;
+        }
         let outcome = bridgevane_soak::run(&options).await?;
         print_line!("{}", outcome.summary());
         if !outcome.violations.is_empty() {
@@ -294,6 +317,26 @@
     Ok(is_kept)
 }
 
+/// Runs one seed in which workers leave; returns whether no request reached one too late.
+async fn is_kept_at_departures(options: &SoakOptions) -> Result<bool, SoakError> {
+    let outcome = bridgevane_soak::run_departures(options).await?;
+    print_line!("{}", outcome.summary());
+    let is_kept = outcome.late.is_empty();
+    if !is_kept {
+        for refusal in &outcome.plan.refusals {
+            print_line!("  {refusal:?}");
+        }
+        for (at, daemon, interruption) in &outcome.plan.interruptions {
+            print_line!("  {} ms  daemon {daemon} {interruption}", at.as_millis());
+        }
+        for late in &outcome.late {
+            print_line!("  LATE {late}");
+        }
+        print_line!("logs: {}", options.folder.display());
+    }
+    Ok(is_kept)
+}
+
 /// Prints the planned faults and the broken promises.
 fn print_failure(outcome: &SoakOutcome) {
     for event in &outcome.plan.events {
