fix: no request waits behind a long body that was answered and not read

A worker that answers a long request early reads on later. The next request on that connection waited behind the body, got 504 and reached the worker after its client had left. An answer doesn't show that the body was read, and nothing else does: the other side's system has acknowledged it. A connection that carried more than 16 KiB, what servers read with a head, is closed after the answer; in serve's client, too.

--- a/crates/adapters/src/http_client.rs
+++ b/crates/adapters/src/http_client.rs
@@ -2,9 +2,13 @@
 //! [`bridgevane_answer_limits`].
 
 use crate::counted_connector::CountedConnector;
-use bridgevane_answer_limits::{AnswerBody, AnswerProgress, READ_BUFFER_BYTES, is_final_status};
+use bridgevane_answer_limits::{
+    AnswerBody, AnswerProgress, READ_BUFFER_BYTES, is_final_status, is_read_once_answered,
+};
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use http::header::{CONNECTION, HeaderValue};
+use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::TokioExecutor;
@@ -84,8 +88,13 @@
     /// one of a final answer, else [`HttpError::Broken`].
     pub async fn send(
         &self,
-        request: http::Request<Full<Bytes>>,
+        mut request: http::Request<Full<Bytes>>,
     ) -> Result<http::Response<AnswerBody>, HttpError> {
+        let body_bytes = request.body().size_hint().upper();
+        if !body_bytes.is_some_and(is_read_once_answered) {
+            let close = HeaderValue::from_static("close");
+            request.headers_mut().insert(CONNECTION, close);
+        }
         let answer = self.client.request(request).await;
         let mut answer = answer.map_err(|error| {
             if error.is_connect() {
--- a/crates/answer-limits/src/lib.rs
+++ b/crates/answer-limits/src/lib.rs
@@ -1,5 +1,5 @@
 //! What a client takes from an HTTP/1.1 connection: bounds on what it reads without getting an answer,
-//! and the statuses of final answers.
+//! the statuses of final answers, and when a connection may carry another request.
 //!
 //! Input: the bytes read from the socket since the caller last got a part of an answer: the head of a
 //! final answer, a piece of its body, or its trailers.
@@ -13,11 +13,13 @@
 //! the library reads ahead by less than the bound.
 
 mod body;
+mod early;
 mod progress;
 mod status;
 mod stream;
 
 pub use body::AnswerBody;
+pub use early::is_read_once_answered;
 pub use progress::{AnswerProgress, AnswerWithoutEnd, is_without_end};
 pub use status::is_final_status;
 pub use stream::CountedStream;
--- a/crates/gateway/src/decisions/endpoint/idle_connections.rs
+++ b/crates/gateway/src/decisions/endpoint/idle_connections.rs
@@ -7,11 +7,13 @@
 //! Rules:
 //! - A daemon keeps its share of half of the connections that the endpoint accepts, at least one.
 //! - A connection is closed before its endpoint closes it.
+//! - A connection that carried a long body isn't used again
+//!   ([`bridgevane_answer_limits::is_read_once_answered`]).
 //! - A request that may run only once goes on an idle connection only if bytes arrived from the
 //!   endpoint recently. Otherwise it gets a new connection, which shows that the endpoint is
 //!   reachable before a byte is sent that may not be sent twice.
 //!
-//! Tests: `decisions.rs::all_daemons_together_keep_at_most_half_of_an_endpoints_connections_idle`.
+//! Tests: `early_answers.rs`, `decisions.rs::all_daemons_together_keep_at_most_half_of_an_endpoints_connections_idle`.
 
 use bridgevane_types::{DurationMs, TimeMs};
 use std::time::Duration;
--- a/crates/gateway/src/requests/exchange/mod.rs
+++ b/crates/gateway/src/requests/exchange/mod.rs
@@ -36,7 +36,7 @@
 use crate::requests::crash_check;
 use crate::requests::inbound::InboundRequest;
 use crate::requests::response_head;
-use bridgevane_answer_limits::AnswerBody;
+use bridgevane_answer_limits::{AnswerBody, is_read_once_answered};
 use bridgevane_events::{Event, event};
 use bridgevane_types::{DataCentreId, DurationMs, TimeMs};
 use bytes::{Bytes, BytesMut};
@@ -436,7 +436,8 @@
             Answer::Daemon(answer) => return answer.keep_connection(&self.gateway),
         };
         let headers = self.gateway.endpoint_headers(&answer.head.headers);
-        let idle_timeout = response_head::idle_timeout(&headers);
+        let idle_timeout = response_head::idle_timeout(&headers)
+            .filter(|_| is_read_once_answered(self.inbound.body_bytes().0));
         let max_idle = self.gateway.max_idle_connections(answer.endpoint());
         let now = self.gateway.clock.now();
         let expires_at = idle_timeout.map(|timeout| now + timeout);
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -80,6 +80,13 @@
         by_timer.min(by_clock.as_std())
     }
 
+    /// Returns the length of the body.
+    pub(crate) fn body_bytes(&self) -> bridgevane_types::Bytes {
+        let segments = self.body.content.segments().iter();
+        let bytes: usize = segments.map(|segment| segment.len()).sum();
+        bridgevane_types::Bytes(bytes as u64)
+    }
+
     /// Returns the hash that identifies the request across the attempts of its client.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
         *(self.fingerprint).get_or_init(|| {
