--- a/crates/gateway/src/endpoints/endpoint.rs
+++ b/crates/gateway/src/endpoints/endpoint.rs
@@ -24,7 +24,6 @@
     DataCentreId, DurationMs, EndpointId, ServiceName, SoftwareVersion, TimeMs, WallTimeMs,
 };
 use std::net::SocketAddr;
-
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 
--- a/crates/gateway/src/replication/follow.rs
+++ b/crates/gateway/src/replication/follow.rs
@@ -121,7 +121,7 @@
     /// Selects an upstream and polls it once.
     async fn step(&mut self) {
         let now = self.gateway.clock.now();
-        if let Some(asked_at) = answer(&mut self.question).now_or_never() {
+        if let Some(asked_at) = answered_question(&mut self.question).now_or_never() {
             self.on_question_answered(asked_at);
         }
         // Other seeds' proofs are stored by another task.
@@ -275,7 +275,7 @@
         let gateway = self.gateway.clone();
         let polled = tokio::select! {
             polled = self.parent_client.poll(&gateway, peer, after) => polled,
-            asked_at = answer(&mut self.question) => return self.on_question_answered(asked_at),
+            asked_at = answered_question(&mut self.question) => return self.on_question_answered(asked_at),
             () = wait_for_slot(until_question) => return self.ask_source(),
             // The poll is dropped with its connection; the parent is kept.
             () = gateway.fleet.wait_for_fresher_daemon() => return,
@@ -516,7 +516,9 @@
 }
 
 /// Waits until the source answers a question; forever if there is none, or it fails.
-async fn answer(question: &mut Option<JoinHandle<Result<TimeMs, SourceError>>>) -> TimeMs {
+async fn answered_question(
+    question: &mut Option<JoinHandle<Result<TimeMs, SourceError>>>,
+) -> TimeMs {
     if let Some(asked) = question {
         let result = asked.await;
         *question = None;
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -12,7 +12,9 @@
 use crate::prompt::Prompt;
 use crate::requests::body_reader::ReadBody;
 use crate::route::{Customer, Route};
-use bridgevane_types::{CrashSuspect, PartFingerprint, RequestFingerprint, ServiceName, TimeMs};
+use bridgevane_types::{
+    Bytes, CrashSuspect, PartFingerprint, RequestFingerprint, ServiceName, TimeMs,
+};
 use http::header::AUTHORIZATION;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Request, Uri};
@@ -81,10 +83,10 @@
     }
 
     /// Returns the length of the body.
-    pub(crate) fn body_bytes(&self) -> bridgevane_types::Bytes {
+    pub(crate) fn body_bytes(&self) -> Bytes {
         let segments = self.body.content.segments().iter();
         let bytes: usize = segments.map(|segment| segment.len()).sum();
-        bridgevane_types::Bytes(bytes as u64)
+        Bytes(bytes as u64)
     }
 
     /// Returns the hash that identifies the request across the attempts of its client.
