fix(gateway): questions to the source begin above the age of calm proofs, whatever their lifetime

The limit is a time now, 2,020 ms, or leave_from where that is shorter; with the bounds of all deployments it is what it was (2.0 s, and 1.4 s where changes must be in force within 2 s).

--- a/crates/gateway/src/decisions/replication/proof_limits.rs
+++ b/crates/gateway/src/decisions/replication/proof_limits.rs
@@ -8,7 +8,7 @@
 //! | limit | of L | left of C | at 4.7 and 2 s | at 4.7 and 3 s | at 4.7 and 4 s | reason |
 //! |---|---|---|---|---|---|---|
 //! | adopt below | 0.34 | 0.8 s | 1.2 s | 1.6 s | 1.6 s | a seed's proof is up to 1 s old, each level adds only the latency; an adopted upstream must last a while |
-//! | ask from | 0.43 | 0.6 s | 1.4 s | 2.0 s | 2.0 s | proofs of a calm fleet of 985 daemons are up to 1.9 s old |
+//! | ask from | at most 2.0 s | as leave from | 1.4 s | 2.0 s | 2.0 s | proofs of a calm fleet of 985 daemons are up to 1.9 s old |
 //! | leave from | 0.6 | 0.6 s | 1.4 s | 2.4 s | 2.8 s | an upstream that lost its own one has found another by then: 1 s without a response, an unreachable daemon (0.3 s), the latency |
 //! | source at the latest | 0.7 | 0.4 s | 1.6 s | 2.6 s | 3.2 s | for a daemon without any peer that answers: the rest is left for a slow source |
 //!
@@ -29,8 +29,9 @@
 /// The limit `adopt_below` as a share of the proof's lifetime. A seed's proof is up to 1 s old, and
 /// an adopted upstream must last a while.
 const ADOPT_SHARE: f64 = 0.34;
-/// The limit `ask_from` as a share of the proof's lifetime: above the age of proofs in a calm fleet.
-const ASK_SHARE: f64 = 0.43;
+/// The limit `ask_from`, unless `leave_from` is shorter: above the age of proofs in a calm fleet, which
+/// doesn't depend on their lifetime.
+const ASK_FROM: DurationMs = DurationMs(2_020);
 /// The limit `leave_from` as a share of the proof's lifetime. 0.34 sent 116 of 295 daemons to the
 /// source at once.
 const LEAVE_SHARE: f64 = 0.6;
@@ -74,10 +75,11 @@
             let by_config_apply = config_apply.0 as f64 - margin_base.0 as f64 * margin_share;
             DurationMs(by_lifetime.min(by_config_apply) as u64)
         };
+        let leave_from = limit(LEAVE_SHARE, LEAVE_MARGIN);
         Self {
             adopt_below: limit(ADOPT_SHARE, ADOPT_MARGIN),
-            ask_from: limit(ASK_SHARE, LEAVE_MARGIN),
-            leave_from: limit(LEAVE_SHARE, LEAVE_MARGIN),
+            ask_from: ASK_FROM.min(leave_from),
+            leave_from,
             source_from: limit(SOURCE_SHARE, SOURCE_MARGIN),
         }
     }
