--- a/crates/gateway/tests/early_answers.rs
+++ b/crates/gateway/tests/early_answers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use support::client::{Client, request};
 use support::source::{KEY, ScriptedSource, plain_route};
-use support::start;
+use support::{RunningGateway, start};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
@@ -84,15 +84,20 @@
     Some(())
 }
 
-/// Guards against a request that waits behind a long body which its endpoint has answered and not read: its
-/// client left, and the request reached the endpoint all the same.
-#[tokio::test]
-async fn no_request_waits_behind_a_long_body_that_was_answered_early() {
+/// Starts a gateway before one such endpoint.
+async fn start_gateway() -> (RunningGateway, EarlyEndpoint) {
     let source = ScriptedSource::new();
     source.publish_configuration(1, vec![plain_route("once", AtMostOnce, 1)], &[KEY]);
     let endpoint = EarlyEndpoint::start().await;
     source.publish_endpoint("e-0", "plain", endpoint.address);
-    let running = start(source).await;
+    (start(source).await, endpoint)
+}
+
+/// Guards against a request that waits behind a long body which its endpoint has answered and not read: its
+/// client left, and the request reached the endpoint all the same.
+#[tokio::test]
+async fn no_request_waits_behind_a_long_body_that_was_answered_early() {
+    let (running, _endpoint) = start_gateway().await;
     let mut client = Client::connect(running.address).await;
     let long = "x".repeat(60_000);
     for (id, body) in [("a1", long.as_str()), ("a2", "short")] {
@@ -108,11 +113,7 @@
 /// Guards against a new connection for each request, also where the body came with the head.
 #[tokio::test]
 async fn a_connection_is_used_again_after_short_bodies() {
-    let source = ScriptedSource::new();
-    source.publish_configuration(1, vec![plain_route("once", AtMostOnce, 1)], &[KEY]);
-    let endpoint = EarlyEndpoint::start().await;
-    source.publish_endpoint("e-0", "plain", endpoint.address);
-    let running = start(source).await;
+    let (running, endpoint) = start_gateway().await;
     let mut client = Client::connect(running.address).await;
     for id in ["a1", "a2", "a3"] {
         let text = request("POST", "/once/x", id, "x-deadline: 2500\r\n", "short");
