--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -118,9 +118,20 @@
     data_centre: &str,
     platform: SocketAddr,
     seeds: &[SocketAddr],
+) -> Process {
+    start_daemon_of(Command::new(BINARY), vm, data_centre, platform, seeds)
+}
+
+/// The same for a command that runs the program with the arguments that are added.
+pub fn start_daemon_of(
+    mut program: Command,
+    vm: &str,
+    data_centre: &str,
+    platform: SocketAddr,
+    seeds: &[SocketAddr],
 ) -> Process {
     let seeds: Vec<String> = seeds.iter().map(ToString::to_string).collect();
-    let mut child = Command::new(BINARY)
+    let mut child = program
         .args(["serve", "--vm-id", vm, "--data-centre", data_centre])
         .args(["--caller-address", "127.0.0.1:0"])
         .args(["--operator-address", "127.0.0.1:0"])
@@ -370,6 +381,16 @@
 
 impl Fleet {
     pub async fn start(name: &str, engines: usize, daemons: usize) -> Self {
+        Self::start_of(|| Command::new(BINARY), name, engines, daemons).await
+    }
+
+    /// The same with daemons that are started by the commands of `program`.
+    pub async fn start_of(
+        program: impl Fn() -> Command,
+        name: &str,
+        engines: usize,
+        daemons: usize,
+    ) -> Self {
         let engines: Vec<Process> = (0..engines)
             .map(|_| start_standin(&["engine", "--ends-on", CRASHING_PROMPT]))
             .collect();
@@ -386,7 +407,7 @@
             daemons: Vec::new(),
         };
         for at in 0..daemons {
-            fleet.add_daemon(&format!("vm-{at}"));
+            fleet.add_daemon_of(program(), &format!("vm-{at}"));
         }
         for daemon in &fleet.daemons {
             wait_until_ready(daemon).await;
@@ -396,8 +417,13 @@
     }
 
     pub fn add_daemon(&mut self, vm: &str) {
+        self.add_daemon_of(Command::new(BINARY), vm);
+    }
+
+    fn add_daemon_of(&mut self, program: Command, vm: &str) {
         let seeds: Vec<SocketAddr> = self.daemons.iter().map(|daemon| daemon.peers).collect();
-        let started = start_daemon(vm, DATA_CENTRE, self.platform.address, &seeds);
+        let platform = self.platform.address;
+        let started = start_daemon_of(program, vm, DATA_CENTRE, platform, &seeds);
         self.daemons.push(started);
     }
 
