--- a/crates/gateway/src/decisions/admission/body_limits.rs
+++ b/crates/client-limits/src/body_limits.rs
@@ -5,25 +5,30 @@
 //!
 //! Rules:
 //! 1. A body longer than the limit for one body is refused for good.
-//! 2. Memory is reserved before bytes are taken, and given back at the end of the request. A small body
+//! 2. Memory is reserved before bytes are taken, and given back at the end of the request. The first
+//!    [`INLINE_BODY`] bytes of each body are part of what its connection holds. Beyond them, a small body
 //!    reserves its length, from a part of the memory that large ones can't use. Any other one reserves
 //!    a step after the other as it arrives, so that a slow one uses no more than it has sent.
 //! 3. A large body starts only if there is room for all of it now; until then it waits unread, for
 //!    `START_WAIT` at the most. One that is arriving waits for its steps for `GROWTH_WAIT` altogether.
 //!    After that it is refused, and its client is told when to come back.
-//! 4. While others wait for memory, a body that arrives too slowly to be whole by its deadline is
+//! 4. While others wait for room, a body that arrives too slowly to be whole by its deadline is
 //!    refused at once.
 //!
 //! Reason: bodies are read whole before they are sent, so that an incomplete one never reaches an
 //! endpoint; the memory of the VM that they use must be bounded.
 //!
-//! Tests: `admission.rs`, `uploads.rs`,
+//! Tests: `admission.rs`, `uploads.rs`, `client_crowds.rs`,
 //! `exchange.rs::invalid_requests_get_an_error_code_and_reach_no_endpoint`.
 
-use super::refusal::RefusalReason;
 use bridgevane_types::Bytes;
+use derive_more::{Display, Error};
 use std::time::Duration;
 
+/// The part of each body that needs no memory beside that of its connection. Most requests that aren't
+/// prompts are shorter, so that no other body can keep them out.
+pub const INLINE_BODY: Bytes = Bytes(4 * 1024);
+
 /// The longest body that counts as small.
 pub const MAX_SMALL_BODY: Bytes = Bytes(64 * 1024);
 /// The part of the memory that is kept for small bodies, as a divisor.
@@ -39,6 +44,25 @@
 pub const GROWTH_WAIT: Duration = Duration::from_millis(1_000);
 /// How long a body may take to arrive before its pace counts.
 const PACE_GRACE: Duration = Duration::from_millis(500);
+/// How often it is checked whether a body arrives in time.
+pub(crate) const PROGRESS_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The reason why a body is refused.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum BodyError {
+    /// The body is longer than allowed.
+    #[display("body_too_large")]
+    TooLarge,
+    /// The body was not received in time.
+    #[display("body_timeout")]
+    Timeout,
+    /// The body was incomplete.
+    #[display("body_broken")]
+    Broken,
+    /// With this body, the process would hold more than clients may make it hold.
+    #[display("memory_full")]
+    MemoryFull,
+}
 
 /// The size of a body as it is known before it is read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,10 +94,10 @@
 /// Checks the length that a body announces.
 ///
 /// # Errors
-/// [`RefusalReason::BodyTooLarge`], which is final.
-pub fn check(announced: Option<Bytes>, max_body: Bytes) -> Result<(), RefusalReason> {
+/// [`BodyError::TooLarge`], which is final.
+pub fn check(announced: Option<Bytes>, max_body: Bytes) -> Result<(), BodyError> {
     if announced.is_some_and(|length| length > max_body) {
-        return Err(RefusalReason::BodyTooLarge);
+        return Err(BodyError::TooLarge);
     }
     Ok(())
 }
@@ -91,14 +115,13 @@
     pub remaining: Duration,
 }
 
-/// Checks whether a body of which nothing has arrived for a moment is awaited further; `has_waiting`:
-/// others wait for memory.
+/// Checks whether a body is awaited further; `has_waiting`: others wait for room.
 ///
 /// # Errors
-/// [`RefusalReason::BodyTimeout`] if it isn't.
-pub fn check_progress(progress: BodyProgress, has_waiting: bool) -> Result<(), RefusalReason> {
+/// [`BodyError::Timeout`] if it isn't.
+pub fn check_progress(progress: BodyProgress, has_waiting: bool) -> Result<(), BodyError> {
     if progress.remaining.is_zero() || (has_waiting && is_too_slow(progress)) {
-        return Err(RefusalReason::BodyTimeout);
+        return Err(BodyError::Timeout);
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/client-limits/src/body_reader.rs
@@ -0,0 +1,111 @@
+//! Reads the bodies of requests into memory that is reserved before their bytes are taken.
+//!
+//! The rules are in [`crate::body_limits`].
+
+use crate::body_limits::{self, BodyError, BodyProgress, BodySize, PROGRESS_CHECK_INTERVAL};
+use crate::body_memory::{BodyMemory, Reservation};
+use crate::request_body::{ReceivedBody, RequestBody};
+use bridgevane_types::Bytes as ByteCount;
+use bytes::Bytes;
+use http_body::Body;
+use http_body_util::BodyExt;
+use std::time::Duration;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// A body that was read, with its memory.
+#[derive(Debug)]
+pub struct ReadBody {
+    /// The body.
+    pub content: RequestBody,
+    /// Given back when it is dropped, at the end of the request.
+    _memory: Reservation,
+}
+
+/// The inputs for reading one body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyRequest {
+    /// The announced length, 0 for a request without a body; `None` for a chunked one.
+    pub announced: Option<ByteCount>,
+    /// The longest body that is allowed.
+    pub max_body: ByteCount,
+    /// Until when the body must have arrived.
+    pub deadline: Instant,
+}
+
+/// Reads a body. One that is refused for want of memory is read on and dropped, so that its client gets the
+/// refusal.
+///
+/// # Errors
+/// The reason for the refusal.
+pub async fn read_body<B>(
+    memory: &BodyMemory,
+    request: BodyRequest,
+    mut body: B,
+) -> Result<ReadBody, BodyError>
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Send,
+{
+    let reading = read_reserved(memory, request, &mut body);
+    let read = timeout_at(request.deadline, reading).await;
+    let read = read.unwrap_or(Err(BodyError::Timeout));
+    if matches!(read, Err(BodyError::MemoryFull)) {
+        tokio::spawn(drop_rest(body, request.deadline));
+    }
+    read
+}
+
+async fn read_reserved<B>(
+    memory: &BodyMemory,
+    request: BodyRequest,
+    body: &mut B,
+) -> Result<ReadBody, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    body_limits::check(request.announced, request.max_body)?;
+    let size = BodySize::new(request.announced);
+    let mut reservation = memory.start(size).await?;
+    let started = Instant::now();
+    let mut content = ReceivedBody::default();
+    let mut waited = Duration::ZERO;
+    loop {
+        let frame = match timeout(PROGRESS_CHECK_INTERVAL, body.frame()).await {
+            Ok(None) => break,
+            Ok(Some(frame)) => frame.map_err(|_| BodyError::Broken)?,
+            Err(_) => {
+                let progress = BodyProgress {
+                    size,
+                    received: ByteCount(content.len() as u64),
+                    elapsed: started.elapsed(),
+                    remaining: request.deadline.saturating_duration_since(Instant::now()),
+                };
+                body_limits::check_progress(progress, memory.has_waiting())?;
+                continue;
+            }
+        };
+        // Trailers aren't forwarded.
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = (content.len() + data.len()) as u64;
+        if length > request.max_body.0 {
+            return Err(BodyError::TooLarge);
+        }
+        while length > reservation.max_length() {
+            memory.grow(size, &mut reservation, &mut waited).await?;
+        }
+        content.extend(&data);
+    }
+    Ok(ReadBody {
+        content: content.finish(),
+        _memory: reservation,
+    })
+}
+
+/// Reads the rest of a body and drops it. The end of the connection ends it as well.
+async fn drop_rest<B: Body + Unpin>(mut body: B, deadline: Instant) {
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    // On a timeout the library closes the connection.
+    let _ = timeout_at(deadline, reading).await;
+}
--- a/crates/gateway/src/endpoints/request_body.rs
+++ b/crates/client-limits/src/request_body.rs
@@ -24,7 +24,7 @@
 
 impl RequestBody {
     /// Returns the bytes in their order.
-    pub(crate) fn segments(&self) -> &[Bytes] {
+    pub fn segments(&self) -> &[Bytes] {
         &self.segments
     }
 }
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -93,6 +93,7 @@
     1315 RequestForwarded Info "a request was sent through another daemon";
     1316 StreamTakenUp Info "a client takes up a stream that an earlier attempt began";
     1317 TriesCounted Info "the numbers of clients' requests that ended, by outcome";
+    1318 ClientsTurnedAway Warn "connections of clients were closed or refused to make room for others";
     1401 EngineUnreachable Warn "an engine's load report could not be read";
     1402 EndpointSeen Info "an endpoint was added or changed";
     1403 EndpointGone Info "an endpoint was removed";
--- a/crates/gateway/src/decisions/admission/mod.rs
+++ b/crates/gateway/src/decisions/admission/mod.rs
@@ -2,7 +2,6 @@
 //!
 //! Each returns a [`refusal::RefusalReason`] or a value that is used to forward the request.
 
-pub mod body_limits;
 pub mod freshness;
 pub mod load_shedding;
 pub mod priority;
--- a/crates/gateway/src/decisions/admission/refusal.rs
+++ b/crates/gateway/src/decisions/admission/refusal.rs
@@ -9,6 +9,7 @@
 //! `invalid_requests_get_an_error_code_and_reach_no_endpoint`.
 
 use crate::decisions::resend::AttemptError;
+use bridgevane_client_limits::BodyError;
 use bridgevane_types::DurationMs;
 use derive_more::Display;
 use http::StatusCode;
@@ -60,7 +61,7 @@
     /// All endpoints that were tried are full, or the queue is too long.
     #[display("overloaded")]
     Overloaded,
-    /// With this body, the daemon would hold more bytes of bodies than it may.
+    /// With this body, the daemon would hold more than clients may make it hold.
     #[display("memory_full")]
     MemoryFull,
     /// The client's timeout has passed, and the request has not run.
@@ -167,6 +168,17 @@
     }
 }
 
+impl From<BodyError> for RefusalReason {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::BodyTooLarge,
+            BodyError::Timeout => Self::BodyTimeout,
+            BodyError::Broken => Self::BodyBroken,
+            BodyError::MemoryFull => Self::MemoryFull,
+        }
+    }
+}
+
 /// A refusal, with a retry time if the endpoint or the rule gives one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
--- a/crates/gateway/src/decisions/mod.rs
+++ b/crates/gateway/src/decisions/mod.rs
@@ -7,7 +7,7 @@
 //! | question | module |
 //! |---|---|
 //! | is the configuration recent enough to act on? | [`admission::freshness`] |
-//! | is the body too large, for now or for good? | [`admission::body_limits`] |
+//! | is the body too large, for now or for good? | [`bridgevane_client_limits::body_limits`] |
 //! | which of a route's services gets the request? | [`admission::traffic_split`] |
 //! | which request goes first? | [`admission::priority`] |
 //! | is the request refused now instead of served late? | [`admission::load_shedding`] |
--- a/crates/gateway/src/endpoints/connection.rs
+++ b/crates/gateway/src/endpoints/connection.rs
@@ -4,11 +4,11 @@
 //! answer in it is bounded by [`bridgevane_answer_limits`].
 
 use crate::decisions::resend::{AttemptError, OpenError};
-use crate::endpoints::request_body::RequestBody;
 use crate::sockets::set_options;
 use bridgevane_answer_limits::{
     AnswerBody, AnswerProgress, CountedStream, READ_BUFFER_BYTES, is_without_end,
 };
+use bridgevane_client_limits::RequestBody;
 use derive_more::{Display, Error};
 use http::{Request, Response};
 use hyper::client::conn::http1::{self, SendRequest};
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -18,5 +18,4 @@
 pub(crate) mod prompt_locations;
 pub(crate) mod rate_limit;
 pub(crate) mod reachability;
-pub(crate) mod request_body;
 pub(crate) mod selection;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,8 @@
 //! | [`RetryBudgets`] | this daemon's requests and retries of the last two windows |
 //! | [`TryCounts`] | how clients' requests ended since the last log lines |
 //! | [`Shutdown`] | the progress of a planned stop |
-//! | counters | requests in progress, client connections, buffered bytes |
+//! | [`ClientConnections`], [`BodyMemory`] | what clients make this process hold |
+//! | counters | requests in progress, client connections |
 //!
 //! Each component has its own locks or atomics, and none calls another. No state outlives the
 //! process.
@@ -38,12 +39,12 @@
 use crate::replication::fleet::Fleet;
 use crate::replication::packed_state::PackedState;
 use crate::requests::begun_streams::BegunStreams;
-use crate::requests::body_reader::BodyMemory;
 use crate::requests::quarantine::Quarantine;
 use crate::requests::retry_budgets::RetryBudgets;
 use crate::requests::try_counts::TryCounts;
 use crate::settings::GatewaySettings;
 use crate::unreadable_headers::{HeaderReader, Sender, UnreadableHeaders};
+use bridgevane_client_limits::{BodyMemory, ClientConnections, ClientMemory};
 use bridgevane_types::{ServiceName, TimeMs};
 use http::HeaderMap;
 use opentelemetry::metrics::Meter;
@@ -51,6 +52,9 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// How many times a byte of a body is held: all attempts share it.
+const BODY_COPIES: u64 = 1;
+
 /// The gateway's state.
 #[derive(Debug)]
 pub struct Gateway {
@@ -89,6 +93,7 @@
     pub(crate) open_connections: Counter,
     /// The connections on which other daemons forward requests.
     pub(crate) forwarded_connections: Counter,
+    pub(crate) client_connections: Arc<ClientConnections>,
     pub(crate) body_memory: BodyMemory,
     pub(crate) unreadable_headers: UnreadableHeaders,
     pub(crate) metrics: GatewayMetrics,
@@ -107,7 +112,10 @@
         meter: &Meter,
         clock: Clock,
     ) -> Arc<Self> {
-        let max_buffered = settings.max_buffered_bytes;
+        let max_held = settings.max_client_bytes;
+        let max_connections = settings.max_client_connections;
+        let connections = ClientConnections::new(ClientMemory::new(max_held), max_connections);
+        let max_bodies = settings.max_buffered_bytes;
         Arc::new(Self {
             control: ControlState::new(clock, &settings),
             fleet: Fleet::new(clock, &settings),
@@ -135,7 +143,8 @@
             requests_in_progress: Counter::default(),
             open_connections: Counter::default(),
             forwarded_connections: Counter::default(),
-            body_memory: BodyMemory::new(max_buffered),
+            body_memory: BodyMemory::new(max_bodies, BODY_COPIES, connections.clone()),
+            client_connections: connections,
             unreadable_headers: UnreadableHeaders::new(clock),
             metrics: GatewayMetrics::new(meter),
         })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod work_by_endpoint;
 
 // The tasks of the daemon, which the command starts.
+pub use bridgevane_client_limits::RequestBody;
 pub use duties::holder::run as hold_duties;
 pub use duties::reporter::{report_final as report_final_usage, run as report_usage};
 pub use gateway::Gateway;
@@ -80,7 +81,6 @@
 pub use endpoints::pace_state::PaceState;
 pub use endpoints::prompt_locations::PromptLocations;
 pub use endpoints::rate_limit::RateLimitState;
-pub use endpoints::request_body::RequestBody;
 pub use endpoints::selection::{Selected, SelectionRequest, VersionFilter, select_endpoint};
 pub use forwarding::daemons::{ChosenDaemon, Daemons};
 pub use prompt::{Prompt, PromptPart};
--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -9,10 +9,10 @@
 use crate::decisions::forwarding::RequestOrigin;
 use crate::gateway::Gateway;
 use crate::prompt::Prompt;
-use crate::requests::body_reader::{self, BodyLimits};
 use crate::requests::inbound::InboundRequest;
 use crate::requests::request_headers as decode;
 use crate::route::{Customer, Route};
+use bridgevane_client_limits::{BodyRequest, read_body};
 use bridgevane_types::{Bytes as ByteCount, DurationMs, ServiceName};
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, HeaderValue, Request};
@@ -54,14 +54,14 @@
     } else {
         Prompt::default()
     };
-    let limits = BodyLimits {
+    let wanted = BodyRequest {
         announced: body.size_hint().exact().map(ByteCount),
         max_body: table.limits().body_bytes,
         deadline,
     };
-    let body = body_reader::read(&gateway.body_memory, limits, body)
+    let body = read_body(&gateway.body_memory, wanted, body)
         .await
-        .map_err(|reason| denials.reason(reason))?;
+        .map_err(|error| denials.reason(error.into()))?;
     let service = draw_service(&route);
     let key = key_header(&head.headers);
     let taken_up = route
--- a/crates/gateway/src/requests/inbound.rs
+++ b/crates/gateway/src/requests/inbound.rs
@@ -7,11 +7,11 @@
 use crate::decisions::eligibility::region_limits::{RegionLimits, RegionMap};
 use crate::decisions::eligibility::stream_version::VersionHash;
 use crate::decisions::forwarding::RequestOrigin;
-use crate::endpoints::request_body::RequestBody;
 use crate::header_names::HeaderNames;
 use crate::prompt::Prompt;
-use crate::requests::body_reader::ReadBody;
 use crate::route::{Customer, Route};
+use bridgevane_client_limits::ReadBody;
+use bridgevane_client_limits::RequestBody;
 use bridgevane_types::{
     Bytes, CrashSuspect, PartFingerprint, RequestFingerprint, ServiceName, TimeMs,
 };
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! 1. [`client_listener`] accepts a connection, and [`handler`] handles each request on it;
 //! 2. [`admission`] reads and checks the request, and builds an [`inbound`] request from it
-//!    ([`request_headers`] decodes the headers, [`body_reader`] reads the body);
+//!    ([`request_headers`] decodes the headers, [`bridgevane_client_limits`] reads the body);
 //! 3. [`exchange`] selects endpoints until one answers, [`attempt`] sends the request to one of
 //!    them, [`answer_validity`] checks that what arrives is an answer ([`answer_framing`] that it has a
 //!    certain end) and [`response_head`] that it belongs to the request, [`endpoint_signals`] applies what the answer's headers say about the endpoint, and [`in_flight`] counts the
@@ -25,7 +25,6 @@
 pub(crate) mod answer_validity;
 pub(crate) mod attempt;
 pub(crate) mod begun_streams;
-pub(crate) mod body_reader;
 pub(crate) mod client_listener;
 pub(crate) mod crash_check;
 pub(crate) mod endpoint_signals;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -47,8 +47,12 @@
     /// How long a client may read nothing, or leave sent bytes unacknowledged, before its connection is
     /// closed. The two can't be told apart by the system.
     pub client_stall_ms: DurationMs,
+    /// The maximum memory that clients' connections and their bodies may use together.
+    pub max_client_bytes: Bytes,
     /// The maximum size of all request bodies in memory.
     pub max_buffered_bytes: Bytes,
+    /// The maximum number of clients' connections.
+    pub max_client_connections: usize,
     /// The duties of the fleet; `None` if it has none.
     pub duties: Option<DutySettings>,
 }
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -1,10 +1,9 @@
 //! Tests of the rules before a request is sent: load shedding, body limits, freshness, the split of
 //! a route's traffic; and of records that expire after an outage of the source.
 
-use bridgevane_gateway::decisions::admission::body_limits::{self, BodyProgress, BodySize};
+use bridgevane_client_limits::body_limits::{self, BodyError, BodyProgress, BodySize};
 use bridgevane_gateway::decisions::admission::freshness::{self, Freshness, FreshnessPolicy};
 use bridgevane_gateway::decisions::admission::load_shedding::{self, QueuedRequest};
-use bridgevane_gateway::decisions::admission::refusal::RefusalReason;
 use bridgevane_gateway::decisions::admission::traffic_split;
 use bridgevane_gateway::decisions::replication::completeness::Completeness;
 use bridgevane_gateway::decisions::replication::record_expiry::{Removal, SourceOutage};
@@ -58,7 +57,7 @@
     let max_body = Bytes(100);
     assert_eq!(body_limits::check(Some(Bytes(100)), max_body), Ok(()));
     assert_eq!(body_limits::check(None, max_body), Ok(()));
-    let too_large = Err(RefusalReason::BodyTooLarge);
+    let too_large = Err(BodyError::TooLarge);
     assert_eq!(body_limits::check(Some(Bytes(101)), max_body), too_large);
 }
 
@@ -71,7 +70,7 @@
         elapsed: Duration::from_millis(elapsed_ms),
         remaining: Duration::from_millis(4_000 - elapsed_ms),
     };
-    let given_up = Err(RefusalReason::BodyTimeout);
+    let given_up = Err(BodyError::Timeout);
     // Half of the time is over.
     assert_eq!(
         body_limits::check_progress(progress(499_000, 2_000), true),
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -87,6 +87,9 @@
     /// memory available to the process in megabytes (default: 128)
     #[argh(option)]
     pub memory_mb: Option<String>,
+    /// maximum number of open descriptors (default: what the system grants the process)
+    #[argh(option)]
+    pub max_descriptors: Option<String>,
     /// milliseconds for which a client may read nothing, or leave sent bytes unacknowledged (default: 6000)
     #[argh(option)]
     pub client_stall_ms: Option<String>,
@@ -135,6 +138,7 @@
     retry_slack,
     retry_window_s,
     memory_mb,
+    max_descriptors,
     client_stall_ms,
     duty_address,
     duties,
--- a/src/configs/gateway.rs
+++ b/src/configs/gateway.rs
@@ -4,15 +4,17 @@
 //! The platform's time limits (for a key's removal, an endpoint's leaving and a stop) are converted
 //! here to the gateway's shorter limits, which leave a margin for the time after a decision.
 
+use crate::configs::clients;
 use crate::configs::log::LogConfig;
 use crate::configs::settings_reader::{
     ADDRESS, NAME, SettingProblems, SettingReader, SettingSource,
 };
+use bridgevane_client_limits::ClientShares;
 use bridgevane_gateway::decisions::admission::freshness::FreshnessPolicy;
 use bridgevane_gateway::decisions::duties::usage_window::UsageCalendar;
 use bridgevane_gateway::{DutySettings, GatewaySettings};
 use bridgevane_platform::Duty;
-use bridgevane_types::{Bytes, DataCentreId, DurationMs, RegionId, Share};
+use bridgevane_types::{DataCentreId, DurationMs, RegionId, Share};
 use derive_more::{Display, Error};
 use std::net::SocketAddr;
 
@@ -36,8 +38,6 @@
 /// The number of milliseconds in a second: some settings are in seconds, the gateway's are in
 /// milliseconds.
 const MS_PER_S: f64 = 1_000.0;
-/// The number of bytes in a megabyte, the unit of the settings.
-const BYTES_PER_MB: u64 = 1 << 20;
 
 /// The default of `--key-removal-ms`, from the users' small sites; the deploy file sets it per
 /// site.
@@ -76,9 +76,6 @@
 /// The default of `--client-stall-ms`: clients pause for up to 5 s while they read; the host of one that
 /// is gone holds its request for as long.
 const DEFAULT_CLIENT_STALL_MS: u64 = 6_000;
-/// The default of `--memory-mb`, for the VM size that the product is designed for. See
-/// docs/CAPACITY.md.
-const DEFAULT_MEMORY_MB: u64 = 128;
 
 /// The part of `--key-removal-ms` that is reserved for sending a request: it covers the time that a
 /// slow VM takes between the last check of the proof and the send.
@@ -96,9 +93,12 @@
 /// The part of `--stop-s` that is reserved for the end of the process, which waits up to 350 ms until
 /// the last lines of the log are written.
 const STOP_MARGIN_MS: u64 = 400;
-/// The part of the memory that is available for the bodies of requests, in percent. A daemon itself needs 5
-/// to 8 MB (see docs/CAPACITY.md), and connections have buffers in addition to the bodies.
-const BODY_MEMORY_PERCENT: u64 = 60;
+/// The parts of the memory that clients may use. The rest is for the daemon itself, which needs 5 to 24 MB (see
+/// docs/CAPACITY.md), and for what the allocator can't use.
+const CLIENT_SHARES: ClientShares = ClientShares {
+    all_percent: 70,
+    bodies_percent: 60,
+};
 
 impl GatewayConfig {
     /// Reads and checks all settings.
@@ -120,11 +120,10 @@
         let retries = RetrySettings::read(&mut reader);
         let duty_address = reader.optional("duty-address", ADDRESS);
         let duties = duty_settings(&mut reader);
-        let memory_mb = reader.optional("memory-mb", "a number of megabytes");
+        let clients = clients::read_plan(&mut reader, CLIENT_SHARES);
         let client_stall_ms = reader.optional("client-stall-ms", "a number of milliseconds");
         let log = LogConfig::read(&mut reader);
         let read = reader.finish()?;
-        let memory_bytes = memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * BYTES_PER_MB;
         Ok(Self {
             gateway: GatewaySettings {
                 vm: vm.value(&read),
@@ -143,7 +142,9 @@
                 retry_slack: retries.slack,
                 retry_window_ms: retries.window_ms,
                 client_stall_ms: DurationMs(client_stall_ms.unwrap_or(DEFAULT_CLIENT_STALL_MS)),
-                max_buffered_bytes: Bytes(memory_bytes * BODY_MEMORY_PERCENT / 100),
+                max_client_bytes: clients.all,
+                max_buffered_bytes: clients.bodies,
+                max_client_connections: clients.max_connections,
                 duties: duty_address.and(duties),
             },
             duty_address,
--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -1,5 +1,6 @@
 //! Typed settings with defaults.
 
+pub mod clients;
 pub mod gateway;
 pub mod log;
 pub mod operators;
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -114,7 +114,6 @@
 /// Guards against a gateway that goes over its memory because of many bodies of allowed size that stop short
 /// of their end: connections weren't bounded beside the bodies.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn a_gateway_stays_within_its_memory_beside_bodies_that_stop_short() {
     let crowds: [(&str, &[Sends]); 3] = [
         ("whole", &[Sends::WholeBody]),
@@ -126,7 +125,6 @@
 
 /// Guards against the same with chunked bodies, whose lengths aren't known before they end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn a_gateway_stays_within_its_memory_beside_chunks_that_stop_short() {
     let crowds: [(&str, &[Sends]); 2] = [
         ("large chunks", &[Sends::LargeChunks]),
@@ -137,7 +135,6 @@
 
 /// Guards against a gateway that takes in bodies beyond the limit on one body.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn a_gateway_stays_within_its_memory_beside_bodies_far_over_the_limit() {
     let crowds: [(&str, &[Sends]); 2] = [
         ("announced", &[Sends::OverLimitAnnounced]),
@@ -157,7 +154,6 @@
 
 /// Guards against the memory of connections that never send a whole head.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn a_gateway_stays_within_its_memory_beside_connections_without_a_request() {
     let crowds: [(&str, &[Sends]); 2] = [
         ("heads without end", &[Sends::HeadWithoutEnd]),
@@ -177,7 +173,6 @@
 /// Guards against clients that take all descriptors: the gateway reached no endpoint any more and accepted
 /// no connection.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn a_gateway_keeps_descriptors_beside_connections_without_a_request() {
     let crowds: [(&str, &[Sends]); 1] = [("nothing", &[Sends::Nothing])];
     check_gateway(&crowds, DESCRIPTOR_CLIENTS, FEW_DESCRIPTORS).await;
