--- a/crates/client-limits/src/body_memory.rs
+++ b/crates/client-limits/src/body_memory.rs
@@ -149,7 +149,7 @@
 
 /// The memory that is reserved for one body, given back when this is dropped.
 #[derive(Debug, Default)]
-pub(crate) struct Reservation {
+pub struct Reservation {
     room: Option<OwnedSemaphorePermit>,
     held: Option<HeldMemory>,
 }
--- a/crates/client-limits/src/body_reader.rs
+++ b/crates/client-limits/src/body_reader.rs
@@ -2,7 +2,9 @@
 //!
 //! The rules are in [`crate::body_limits`].
 
-use crate::body_limits::{self, BodyError, BodyProgress, BodySize, PROGRESS_CHECK_INTERVAL};
+use crate::body_limits::{
+    self, BodyError, BodyProgress, BodySize, Discard, PROGRESS_CHECK_INTERVAL,
+};
 use crate::body_memory::{BodyMemory, Reservation};
 use crate::request_body::{ReceivedBody, RequestBody};
 use bridgevane_types::Bytes as ByteCount;
@@ -18,7 +20,14 @@
     /// The body.
     pub content: RequestBody,
     /// Given back when it is dropped, at the end of the request.
-    _memory: Reservation,
+    memory: Reservation,
+}
+
+impl ReadBody {
+    /// Returns the body as one block, and what it has reserved.
+    pub fn join(self) -> (Bytes, Reservation) {
+        (self.content.joined(), self.memory)
+    }
 }
 
 /// The inputs for reading one body.
@@ -30,10 +39,11 @@
     pub max_body: ByteCount,
     /// Until when the body must have arrived.
     pub deadline: Instant,
+    /// Whether the client sends its body only after it was told to.
+    pub awaits_continue: bool,
 }
 
-/// Reads a body. One that is refused for want of memory is read on and dropped, so that its client gets the
-/// refusal.
+/// Reads a body. Of one that is refused, the rest is dropped for a while, so that its client gets the refusal.
 ///
 /// # Errors
 /// The reason for the refusal.
@@ -46,19 +56,26 @@
     B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Send,
 {
-    let reading = read_reserved(memory, request, &mut body);
+    let mut has_begun = false;
+    let reading = read_reserved(memory, request, &mut body, &mut has_begun);
     let read = timeout_at(request.deadline, reading).await;
     let read = read.unwrap_or(Err(BodyError::Timeout));
-    if matches!(read, Err(BodyError::MemoryFull)) {
-        tokio::spawn(drop_rest(body, request.deadline));
+    if let Err(error) = read
+        && let Some(discard) = body_limits::discard(error, request.max_body)
+        // A client that waits for its turn to send isn't given it.
+        && (has_begun || !request.awaits_continue)
+    {
+        tokio::spawn(drop_rest(body, request.deadline, discard));
     }
     read
 }
 
+/// Reads a body; `has_begun` is set before its first bytes are awaited.
 async fn read_reserved<B>(
     memory: &BodyMemory,
     request: BodyRequest,
     body: &mut B,
+    has_begun: &mut bool,
 ) -> Result<ReadBody, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -66,6 +83,7 @@
     body_limits::check(request.announced, request.max_body)?;
     let size = BodySize::new(request.announced);
     let mut reservation = memory.start(size).await?;
+    *has_begun = true;
     let mut content = ReceivedBody::default();
     let mut waited = Duration::ZERO;
     let mut pace = Pace::start();
@@ -96,7 +114,7 @@
     }
     Ok(ReadBody {
         content: content.finish(),
-        _memory: reservation,
+        memory: reservation,
     })
 }
 
@@ -143,8 +161,19 @@
 }
 
 /// Reads the rest of a body and drops it. The end of the connection ends it as well.
-async fn drop_rest<B: Body + Unpin>(mut body: B, deadline: Instant) {
-    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+async fn drop_rest<B>(mut body: B, deadline: Instant, discard: Discard)
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let reading = async {
+        let mut dropped = 0;
+        // Read beyond the last byte that counts: the end of a chunked body comes after it.
+        while dropped <= discard.bytes.0
+            && let Some(Ok(frame)) = body.frame().await
+        {
+            dropped += frame.data_ref().map_or(0, Bytes::len) as u64;
+        }
+    };
     // On a timeout the library closes the connection.
-    let _ = timeout_at(deadline, reading).await;
+    let _ = timeout_at(deadline, timeout(discard.time, reading)).await;
 }
--- a/crates/client-limits/src/lib.rs
+++ b/crates/client-limits/src/lib.rs
@@ -26,7 +26,7 @@
 mod stream;
 
 pub use body_limits::BodyError;
-pub use body_memory::BodyMemory;
+pub use body_memory::{BodyMemory, Reservation};
 pub use body_reader::{BodyRequest, ReadBody, read_body};
 pub use connections::{ClientConnection, ClientConnections, RequestInProgress};
 pub use guarded_body::GuardedBody;
--- a/crates/client-limits/src/request_body.rs
+++ b/crates/client-limits/src/request_body.rs
@@ -27,6 +27,18 @@
     pub fn segments(&self) -> &[Bytes] {
         &self.segments
     }
+
+    /// Returns the bytes as one block.
+    pub(crate) fn joined(&self) -> Bytes {
+        if let [only] = self.segments() {
+            return only.clone();
+        }
+        let mut joined = BytesMut::with_capacity(self.unsent_bytes as usize);
+        for segment in self.segments() {
+            joined.extend_from_slice(segment);
+        }
+        joined.freeze()
+    }
 }
 
 impl From<Bytes> for RequestBody {
--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -14,7 +14,7 @@
 use crate::route::{Customer, Route};
 use bridgevane_client_limits::{BodyRequest, read_body};
 use bridgevane_types::{Bytes as ByteCount, DurationMs, ServiceName};
-use http::header::AUTHORIZATION;
+use http::header::{AUTHORIZATION, EXPECT};
 use http::{HeaderMap, HeaderValue, Request};
 use http_body::Body;
 use hyper::body::Incoming;
@@ -58,6 +58,7 @@
         announced: body.size_hint().exact().map(ByteCount),
         max_body: table.limits().body_bytes,
         deadline,
+        awaits_continue: head.headers.contains_key(EXPECT),
     };
     let body = read_body(&gateway.body_memory, wanted, body)
         .await
