--- a/crates/client-limits/src/body_reader.rs
+++ b/crates/client-limits/src/body_reader.rs
@@ -6,11 +6,13 @@
     self, BodyError, BodyProgress, BodySize, Discard, PROGRESS_CHECK_INTERVAL,
 };
 use crate::body_memory::{BodyMemory, Reservation};
+use crate::connections::ClientConnection;
 use crate::request_body::{ReceivedBody, RequestBody};
 use bridgevane_types::Bytes as ByteCount;
 use bytes::Bytes;
 use http_body::Body;
 use http_body_util::BodyExt;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -31,7 +33,7 @@
 }
 
 /// The inputs for reading one body.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct BodyRequest {
     /// The announced length, 0 for a request without a body; `None` for a chunked one.
     pub announced: Option<ByteCount>,
@@ -41,6 +43,8 @@
     pub deadline: Instant,
     /// Whether the client sends its body only after it was told to.
     pub awaits_continue: bool,
+    /// The connection on which it arrives.
+    pub connection: Option<Arc<ClientConnection>>,
 }
 
 /// Reads a body. Of one that is refused, the rest is dropped for a while, so that its client gets the refusal.
@@ -57,7 +61,7 @@
     B::Error: Send,
 {
     let mut has_begun = false;
-    let reading = read_reserved(memory, request, &mut body, &mut has_begun);
+    let reading = read_reserved(memory, &request, &mut body, &mut has_begun);
     let read = timeout_at(request.deadline, reading).await;
     let read = read.unwrap_or(Err(BodyError::Timeout));
     if let Err(error) = read
@@ -65,7 +69,12 @@
         // A client that waits for its turn to send isn't given it.
         && (has_begun || !request.awaits_continue)
     {
-        tokio::spawn(drop_rest(body, request.deadline, discard));
+        let connection = request.connection.as_ref();
+        let dropping = connection.map(ClientConnection::begin_body_drop);
+        tokio::spawn(async move {
+            drop_rest(body, request.deadline, discard).await;
+            drop(dropping);
+        });
     }
     read
 }
@@ -73,7 +82,7 @@
 /// Reads a body; `has_begun` is set before its first bytes are awaited.
 async fn read_reserved<B>(
     memory: &BodyMemory,
-    request: BodyRequest,
+    request: &BodyRequest,
     body: &mut B,
     has_begun: &mut bool,
 ) -> Result<ReadBody, BodyError>
--- a/crates/client-limits/src/connections.rs
+++ b/crates/client-limits/src/connections.rs
@@ -64,6 +64,8 @@
     must_close: Notify,
     /// Whether its client hasn't taken all that was written.
     has_unsent: AtomicBool,
+    /// Whether the rest of a refused body is read and dropped, also after the answer.
+    drops_body: AtomicBool,
     head: Mutex<Head>,
 }
 
@@ -269,8 +271,17 @@
         RequestInProgress(self.clone())
     }
 
+    /// Records that the rest of a refused body is dropped, which is no head, until the guard is dropped.
+    pub(crate) fn begin_body_drop(self: &Arc<Self>) -> BodyDrop {
+        self.shared.drops_body.store(true, Ordering::Relaxed);
+        BodyDrop(self.clone())
+    }
+
     /// Records that bytes have arrived.
     pub(crate) fn on_read(&self) {
+        if self.shared.drops_body.load(Ordering::Relaxed) {
+            return;
+        }
         let mut head = self.shared.head();
         if let Head::Awaited = *head {
             *head = Head::BeganAt(Instant::now());
@@ -314,3 +325,14 @@
         connection.begin_wait(&mut connection.connections.state());
     }
 }
+
+/// The rest of a refused body that is dropped.
+#[derive(Debug)]
+pub(crate) struct BodyDrop(Arc<ClientConnection>);
+
+impl Drop for BodyDrop {
+    fn drop(&mut self) {
+        let shared = &self.0.shared;
+        shared.drops_body.store(false, Ordering::Relaxed);
+    }
+}
--- a/crates/gateway/src/requests/admission.rs
+++ b/crates/gateway/src/requests/admission.rs
@@ -59,6 +59,7 @@
         max_body: table.limits().body_bytes,
         deadline,
         awaits_continue: head.headers.contains_key(EXPECT),
+        connection: head.extensions.get().cloned(),
     };
     let body = read_body(&gateway.body_memory, wanted, body)
         .await
--- a/crates/gateway/src/requests/client_listener.rs
+++ b/crates/gateway/src/requests/client_listener.rs
@@ -11,6 +11,8 @@
 use bridgevane_client_limits::{ClientConnection, ClientStream, GuardedBody};
 use bridgevane_types::Bytes;
 use futures_util::FutureExt;
+use http::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -117,8 +119,9 @@
     connection: Arc<ClientConnection>,
 ) {
     let limits = ConnectionLimits::current(gateway);
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
         let gateway = gateway.clone();
+        request.extensions_mut().insert(connection.clone());
         let in_progress = connection.begin_request();
         async move {
             let response = handler::handle(gateway, request, caller).await;
@@ -169,7 +172,7 @@
         let limits = table.limits();
         Self {
             max_head: limits.head_bytes.max(MIN_BUFFER),
-            head_timeout: limits.idle_timeout_ms.as_std(),
+            head_timeout: limits.head_timeout_ms.as_std(),
             idle_timeout: limits.idle_timeout_ms.as_std(),
         }
     }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -143,6 +143,8 @@
     pub head_bytes: Bytes,
     /// The maximum size of a request body.
     pub body_bytes: Bytes,
-    /// The timeout of an idle connection, and of a request head.
+    /// The time from the first byte of a request head to its last one.
+    pub head_timeout_ms: DurationMs,
+    /// The timeout of an idle connection.
     pub idle_timeout_ms: DurationMs,
 }
--- a/crates/gateway/tests/support/duty_sim/store.rs
+++ b/crates/gateway/tests/support/duty_sim/store.rs
@@ -640,6 +640,7 @@
         limits: ClientLimits {
             head_bytes: Size(16_384),
             body_bytes: Size(100_000),
+            head_timeout_ms: DurationMs(3_000),
             idle_timeout_ms: DurationMs(5_000),
         },
     })
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -153,6 +153,7 @@
             limits: ClientLimits {
                 head_bytes: Bytes(16_384),
                 body_bytes: Bytes(100_000),
+                head_timeout_ms: DurationMs(1_000),
                 idle_timeout_ms: DurationMs(5_000),
             },
         });
