--- a/crates/client-limits/src/body_limits.rs
+++ b/crates/client-limits/src/body_limits.rs
@@ -15,8 +15,8 @@
 //! 4. While others wait for room, a body that arrives too slowly to be whole by its deadline is
 //!    refused at once. So is one of which nothing has arrived for `MAX_STALL`, however little is missing, also
 //!    if others were refused for want of room a moment ago.
-//! 5. A client that is refused while it sends may go on for a while: what it sends is dropped, so that it
-//!    reads the answer and not a reset.
+//! 5. A client that is refused while it sends may go on for a while, by as much as a body may have: what it
+//!    sends is dropped, so that it reads the answer and not a reset.
 //!
 //! Reason: bodies are read whole before they are sent, so that an incomplete one never reaches an
 //! endpoint; the memory of the VM that they use must be bounded.
@@ -52,9 +52,8 @@
 const MAX_STALL: Duration = Duration::from_millis(2_000);
 /// How often it is checked whether a body arrives in time.
 pub(crate) const PROGRESS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// How long, and how much, a client may go on to send after an answer that is final for its body.
+/// How long a client may go on to send after an answer that is final for its body.
 const DISCARD_TIME: Duration = Duration::from_millis(1_000);
-const DISCARD_BYTES: Bytes = Bytes(256 * 1024);
 
 /// The reason why a body is refused.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -73,26 +72,13 @@
     MemoryFull,
 }
 
-/// What is read and dropped of a refused body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Discard {
-    /// The longest time; the body's deadline bounds it, too.
-    pub(crate) time: Duration,
-    pub(crate) bytes: Bytes,
-}
-
-/// Returns what is dropped of a body that was refused for this reason; `None`: its connection is closed.
-pub(crate) fn discard(error: BodyError, max_body: Bytes) -> Option<Discard> {
+/// Returns how long the rest of a body is read and dropped that was refused for this reason, until its
+/// deadline at most; `None`: its connection is closed. As much is dropped as a body may have.
+pub(crate) fn discard_time(error: BodyError) -> Option<Duration> {
     match error {
         // It may be sent again, so that its client must get to know when.
-        BodyError::MemoryFull => Some(Discard {
-            time: Duration::MAX,
-            bytes: max_body,
-        }),
-        BodyError::TooLarge | BodyError::Timeout => Some(Discard {
-            time: DISCARD_TIME,
-            bytes: DISCARD_BYTES,
-        }),
+        BodyError::MemoryFull => Some(Duration::MAX),
+        BodyError::TooLarge | BodyError::Timeout => Some(DISCARD_TIME),
         BodyError::Broken => None,
     }
 }
--- a/crates/client-limits/src/body_reader.rs
+++ b/crates/client-limits/src/body_reader.rs
@@ -2,9 +2,7 @@
 //!
 //! The rules are in [`crate::body_limits`].
 
-use crate::body_limits::{
-    self, BodyError, BodyProgress, BodySize, Discard, PROGRESS_CHECK_INTERVAL,
-};
+use crate::body_limits::{self, BodyError, BodyProgress, BodySize, PROGRESS_CHECK_INTERVAL};
 use crate::body_memory::{BodyMemory, Reservation};
 use crate::connections::ClientConnection;
 use crate::request_body::{ReceivedBody, RequestBody};
@@ -65,14 +63,14 @@
     let read = timeout_at(request.deadline, reading).await;
     let read = read.unwrap_or(Err(BodyError::Timeout));
     if let Err(error) = read
-        && let Some(discard) = body_limits::discard(error, request.max_body)
+        && let Some(time) = body_limits::discard_time(error)
         // A client that waits for its turn to send isn't given it.
         && (has_begun || !request.awaits_continue)
     {
         let connection = request.connection.as_ref();
         let dropping = connection.map(ClientConnection::begin_body_drop);
         tokio::spawn(async move {
-            drop_rest(body, request.deadline, discard).await;
+            drop_rest(body, &request, time).await;
             drop(dropping);
         });
     }
@@ -170,19 +168,19 @@
 }
 
 /// Reads the rest of a body and drops it. The end of the connection ends it as well.
-async fn drop_rest<B>(mut body: B, deadline: Instant, discard: Discard)
+async fn drop_rest<B>(mut body: B, request: &BodyRequest, time: Duration)
 where
     B: Body<Data = Bytes> + Unpin,
 {
     let reading = async {
         let mut dropped = 0;
         // Read beyond the last byte that counts: the end of a chunked body comes after it.
-        while dropped <= discard.bytes.0
+        while dropped <= request.max_body.0
             && let Some(Ok(frame)) = body.frame().await
         {
             dropped += frame.data_ref().map_or(0, Bytes::len) as u64;
         }
     };
     // On a timeout the library closes the connection.
-    let _ = timeout_at(deadline, timeout(discard.time, reading)).await;
+    let _ = timeout_at(request.deadline, timeout(time, reading)).await;
 }
