--- a/benches/latency.rs
+++ b/benches/latency.rs
@@ -13,8 +13,9 @@
 use axum::routing::post;
 use bridgevane::modules::process::http_serve::Servers;
 use bridgevane_adapters::HttpClient;
+use bridgevane_client_limits::{ClientConnections, ClientMemory};
 use bridgevane_coordination::home_of;
-use bridgevane_types::VmId;
+use bridgevane_types::{Bytes, VmId};
 use http_body_util::{BodyExt, Full};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -43,6 +44,10 @@
     response.map(Body::new)
 }
 
+/// What the connections of the bench may use; more than it opens.
+const CLIENT_MEMORY: Bytes = Bytes(256 << 20);
+const MAX_CONNECTIONS: usize = 1_024;
+
 /// Starts the minimal proxy; it serves until the servers are dropped.
 async fn start_minimal_proxy(engine: SocketAddr) -> (Servers, SocketAddr) {
     let router = Router::new()
@@ -53,7 +58,8 @@
         .expect("a port");
     let address = listener.local_addr().expect("an address");
     let mut servers = Servers::default();
-    servers.serve(listener, router);
+    let connections = ClientConnections::new(ClientMemory::new(CLIENT_MEMORY), MAX_CONNECTIONS);
+    servers.serve(listener, router, connections);
     (servers, address)
 }
 
--- a/src/commands/demo/system.rs
+++ b/src/commands/demo/system.rs
@@ -2,9 +2,10 @@
 
 use super::{FaultKind, User};
 use crate::commands::serve;
+use crate::configs::clients;
 use crate::configs::log::LogConfig;
 use crate::configs::peers::PeersConfig;
-use crate::configs::serve::{Secret, ServeConfig};
+use crate::configs::serve::{CLIENT_SHARES, Secret, ServeConfig};
 use crate::configs::serving::ServingConfig;
 use crate::modules::process::http_serve::Servers;
 use crate::modules::serve::configuration::watch::CONFIG_KEY;
@@ -257,6 +258,7 @@
             .iter()
             .filter_map(|text| text.parse().ok())
             .collect(),
+        clients: clients::default_plan(CLIENT_SHARES),
         log: LogConfig::default(),
         serving: ServingConfig::default(),
     }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -17,11 +17,17 @@
 use crate::modules::serve::requests::routes;
 use crate::modules::serve::rollouts::runner;
 use argh::FromArgs;
+use bridgevane_client_limits::{ClientConnections, ClientMemory};
 use bridgevane_events::{Event, event};
-use bridgevane_types::Incarnation;
+use bridgevane_types::{Bytes, Incarnation};
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// The maximum number of operators' connections: each operator uses one or two.
+const MAX_OPERATOR_CONNECTIONS: usize = 32;
+/// The memory for operators' connections; their requests are counted by their number alone.
+const OPERATOR_MEMORY: Bytes = Bytes(8 << 20);
+
 /// Run the daemon. Each flag has an environment variable, such as BRIDGEVANE_VM_ID for --vm-id;
 /// flags take precedence. All settings are checked at the start, and all problems are printed.
 #[derive(Debug, Default, FromArgs)]
@@ -54,6 +60,12 @@
     /// operators as name:token, comma-separated; prefer BRIDGEVANE_OPERATOR_TOKENS
     #[argh(option)]
     pub operator_tokens: Option<String>,
+    /// memory available to the process in megabytes (default: 128)
+    #[argh(option)]
+    pub memory_mb: Option<String>,
+    /// maximum number of open descriptors (default: what the system grants the process)
+    #[argh(option)]
+    pub max_descriptors: Option<String>,
     /// log format: json (default) or text
     #[argh(option)]
     pub log_format: Option<String>,
@@ -75,6 +87,8 @@
     peer_seeds,
     peer_key,
     operator_tokens,
+    memory_mb,
+    max_descriptors,
     log_format,
     log_level,
 );
@@ -159,8 +173,15 @@
     tokio::spawn(runner::run(context.clone()));
     tokio::spawn(watch::run(context.clone()));
     let mut servers = Servers::default();
-    servers.serve(operators, interface::router(context.clone()));
-    servers.serve(callers, routes::router(context.clone()));
+    let operator_memory = ClientMemory::new(OPERATOR_MEMORY);
+    let operator_connections = ClientConnections::new(operator_memory, MAX_OPERATOR_CONNECTIONS);
+    let caller_connections = context.caller_connections.clone();
+    servers.serve(
+        operators,
+        interface::router(context.clone()),
+        operator_connections,
+    );
+    servers.serve(callers, routes::router(context.clone()), caller_connections);
     event!(
         Event::Started,
         vm = context.config.vm,
--- a/src/configs/clients.rs
+++ b/src/configs/clients.rs
@@ -10,6 +10,11 @@
 /// docs/CAPACITY.md.
 const DEFAULT_MEMORY: Bytes = Bytes(128 * BYTES_PER_MB);
 
+/// Returns what clients may make a process hold that has the default memory.
+pub(crate) fn default_plan(shares: ClientShares) -> ClientPlan {
+    ClientPlan::new(DEFAULT_MEMORY, descriptor_limit(), shares)
+}
+
 /// Reads the memory and the descriptors of the process, and derives what clients may make it hold.
 pub(crate) fn read_plan(
     reader: &mut SettingReader<'_, impl SettingSource>,
--- a/src/configs/serve.rs
+++ b/src/configs/serve.rs
@@ -1,6 +1,7 @@
 //! Settings of `serve`, read from flags, then environment variables, then defaults, and checked
 //! together.
 
+use crate::configs::clients;
 use crate::configs::log::LogConfig;
 use crate::configs::operators::OperatorToken;
 use crate::configs::peers::PeersConfig;
@@ -8,11 +9,18 @@
 use crate::configs::settings_reader::{
     ADDRESS, NAME, Required, SettingProblems, SettingReader, SettingSource,
 };
+use bridgevane_client_limits::{ClientPlan, ClientShares};
 use bridgevane_types::{DataCentreId, VmId};
 use std::net::SocketAddr;
 
 /// The minimum length of the daemons' shared key; shorter keys can be guessed by trial.
 const MIN_PEER_KEY_LEN: usize = 16;
+/// The parts of the memory that callers may use. The rest is for the daemon itself: with the homes of two
+/// pools it needs some 73 MB (see docs/CAPACITY.md).
+pub(crate) const CLIENT_SHARES: ClientShares = ClientShares {
+    all_percent: 40,
+    bodies_percent: 32,
+};
 
 /// All settings of `serve`.
 #[derive(Clone, Debug)]
@@ -33,6 +41,8 @@
     pub peer_key: Secret,
     /// The operators and their tokens.
     pub operators: Vec<OperatorToken>,
+    /// What callers may make the process hold.
+    pub clients: ClientPlan,
     /// The settings of logs.
     pub log: LogConfig,
     /// The settings of request handling.
@@ -66,6 +76,7 @@
         let peer_key: Required<String> =
             reader.required("peer-key", "a key of 16 characters or more");
         let operators = reader.list("operator-tokens", "name:token pairs, separated by commas");
+        let clients = clients::read_plan(&mut reader, CLIENT_SHARES);
         let log = LogConfig::read(&mut reader);
         if let Some(key) = peer_key.get()
             && key.len() < MIN_PEER_KEY_LEN
@@ -85,6 +96,7 @@
             peers: PeersConfig::new(peer_address.value(&read), seeds),
             peer_key: Secret(peer_key.value(&read)),
             operators,
+            clients,
             log,
             serving: ServingConfig::default(),
         })
--- a/src/modules/serve/context.rs
+++ b/src/modules/serve/context.rs
@@ -17,12 +17,17 @@
 use crate::modules::serve::pools::remote_requests::RemoteRequests;
 use crate::modules::serve::rollouts::held_rollouts::Rollouts;
 use bridgevane_adapters::HttpPlatform;
+use bridgevane_client_limits::{BodyMemory, ClientConnections, ClientMemory};
 use bridgevane_coordination::KeyMember;
 use bridgevane_types::{Incarnation, RequestId, TimeMs, boot_time};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::mpsc::UnboundedReceiver;
 
+/// How many times a byte of a body is held: as it was received, as its call was parsed, and as it is sent to
+/// an endpoint.
+const BODY_COPIES: u64 = 3;
+
 /// The daemon's shared state. The path of a request reads all of it without locks.
 pub struct Context {
     /// The settings that the daemon was started with.
@@ -51,6 +56,10 @@
     pub metrics: Metrics,
     /// The service levels by class.
     pub service_levels: ServiceLevels,
+    /// The connections of callers.
+    pub caller_connections: Arc<ClientConnections>,
+    /// The memory for the bodies of callers' requests.
+    pub body_memory: BodyMemory,
     /// Whether this VM is leaving, and the requests in progress.
     pub leaving: Leaving,
     /// The incarnation of this daemon.
@@ -72,6 +81,9 @@
             vm: config.vm.clone(),
             incarnation,
         };
+        let plan = config.clients;
+        let caller_connections =
+            ClientConnections::new(ClientMemory::new(plan.all), plan.max_connections);
         let context = Arc::new(Self {
             platform: HttpPlatform::new(config.platform_address),
             in_force: ConfigInForce::default(),
@@ -85,6 +97,8 @@
             queries: Queries::default(),
             metrics: Metrics::new(),
             service_levels: ServiceLevels::default(),
+            body_memory: BodyMemory::new(plan.bodies, BODY_COPIES, caller_connections.clone()),
+            caller_connections,
             leaving: Leaving::default(),
             incarnation,
             started: boot_time(),
--- a/src/modules/serve/requests/caller.rs
+++ b/src/modules/serve/requests/caller.rs
@@ -4,13 +4,17 @@
 use crate::modules::serve::context::Context;
 use crate::modules::serve::requests::refusal::{BadRequest, CallerRefusal};
 use axum::body::{Body, Bytes};
+use axum::http::request::Parts;
 use axum::http::{HeaderMap, header};
+use bridgevane_client_limits::{self as client_limits, BodyRequest, Reservation};
 use bridgevane_config::ClassConfig;
 use bridgevane_types::{
-    ClassName, CustomerId, DurationMs, KindName, Outcome, RefusalCode, RequestId,
+    Bytes as ByteCount, ClassName, CustomerId, DurationMs, KindName, Outcome, RefusalCode,
+    RequestId,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body::Body as _;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// The request header that names the request kind.
 const KIND_HEADER: &str = "x-bridgevane-kind";
@@ -61,26 +65,25 @@
     })
 }
 
-/// Reads the request body, limited in size and time by the settings.
+/// Reads the request body, limited in size and time by the settings, and together with others in memory.
+/// Returns it with what it has reserved, which the request keeps to its end.
 pub(crate) async fn read_body(
     context: &Context,
     request: RequestId,
+    head: &Parts,
     body: Body,
-) -> Result<Bytes, CallerRefusal> {
+) -> Result<(Bytes, Reservation), CallerRefusal> {
     let serving = &context.config.serving;
-    let reading = Limited::new(body, serving.max_body_bytes).collect();
-    let read = tokio::time::timeout(serving.body_timeout_ms.as_std(), reading).await;
-    let Ok(read) = read else {
-        return Err(CallerRefusal::bad_request(request, BadRequest::BodyTimeout));
+    let wanted = BodyRequest {
+        announced: body.size_hint().exact().map(ByteCount),
+        max_body: ByteCount(serving.max_body_bytes as u64),
+        deadline: Instant::now() + serving.body_timeout_ms.as_std(),
+        awaits_continue: head.headers.contains_key(header::EXPECT),
+        connection: head.extensions.get().cloned(),
     };
-    read.map(|body| body.to_bytes()).map_err(|error| {
-        let bad = if error.is::<LengthLimitError>() {
-            BadRequest::BodyTooLarge
-        } else {
-            BadRequest::MalformedBody
-        };
-        CallerRefusal::bad_request(request, bad)
-    })
+    let read = client_limits::read_body(&context.body_memory, wanted, body).await;
+    let read = read.map_err(|error| CallerRefusal::bad_request(request, error.into()))?;
+    Ok(read.join())
 }
 
 impl Caller {
--- a/src/modules/serve/requests/model_call.rs
+++ b/src/modules/serve/requests/model_call.rs
@@ -49,7 +49,7 @@
     let caller = identify(context, &head.headers)?;
     let (kind, class) = caller.kind_and_class(&head.headers)?;
     let class_config = caller.class_config(&class)?;
-    let body = read_body(context, caller.request, body).await?;
+    let (body, body_memory) = read_body(context, caller.request, &head, body).await?;
     let fingerprint = RequestFingerprint::new(
         Some(&caller.customer),
         head.method.as_str(),
@@ -92,6 +92,7 @@
         model: call.model.clone(),
         prompt,
         targets: LatencyTargets::of_class(class_config),
+        _body_memory: body_memory,
     };
     let answers = model_request::spawn(context.clone(), model_request);
     Ok((format, call, answers))
--- a/src/modules/serve/requests/model_request.rs
+++ b/src/modules/serve/requests/model_request.rs
@@ -12,6 +12,7 @@
 use crate::modules::serve::requests::refusal::CallerRefusal;
 use crate::modules::serve::requests::targets::LatencyTargets;
 use bridgevane_adapters::EndReason;
+use bridgevane_client_limits::Reservation;
 use bridgevane_decisions::{AttemptEnd, CancelCause};
 use bridgevane_types::{
     AttemptNumber, ClassName, ModelName, Outcome, RefusalCode, RequestId, Tier, TimeMs, Tokens,
@@ -40,6 +41,8 @@
     pub prompt: String,
     /// The latency targets of the class.
     pub targets: LatencyTargets,
+    /// Given back at the end of the request.
+    pub _body_memory: Reservation,
 }
 
 /// The result of reading an attempt's stream.
--- a/src/modules/serve/requests/plain_call.rs
+++ b/src/modules/serve/requests/plain_call.rs
@@ -49,7 +49,7 @@
     let caller = identify(context, &head.headers)?;
     let path = format!("/{path}");
     let (route, targets) = route_of(&caller, &service, &path)?;
-    let body = read_body(context, caller.request, body).await?;
+    let (body, body_memory) = read_body(context, caller.request, &head, body).await?;
     let call = plain_call(&caller, head, &path, body);
     let key = call.idempotency_key.clone().filter(|_| !route.repeatable);
     let key = key.map(|key| KeyedCall {
@@ -64,6 +64,7 @@
         call,
         key,
         targets,
+        _body_memory: body_memory,
     };
     // The call runs in its own task: a caller that disconnects must not cut it.
     let running = tokio::spawn(plain_request::run(context.clone(), plain_request));
--- a/src/modules/serve/requests/plain_request.rs
+++ b/src/modules/serve/requests/plain_request.rs
@@ -12,6 +12,7 @@
 use crate::modules::serve::requests::targets::LatencyTargets;
 use axum::http::StatusCode;
 use bridgevane_adapters::{PlainAnswer, PlainCall, PlainCallError, PlainService};
+use bridgevane_client_limits::Reservation;
 use bridgevane_coordination::{KeyEnd, StoredAnswer, Verdict};
 use bridgevane_decisions::AttemptEnd;
 use bridgevane_events::{Event, event};
@@ -29,6 +30,8 @@
     pub key: Option<KeyedCall>,
     /// The latency targets of the class.
     pub targets: LatencyTargets,
+    /// Given back at the end of the request.
+    pub _body_memory: Reservation,
 }
 
 /// Runs a call, at most once per idempotency key. The call runs to its end even if the caller
--- a/src/modules/serve/requests/refusal.rs
+++ b/src/modules/serve/requests/refusal.rs
@@ -3,6 +3,7 @@
 use axum::Json;
 use axum::http::{HeaderValue, StatusCode, header::RETRY_AFTER};
 use axum::response::{IntoResponse, Response};
+use bridgevane_client_limits::BodyError;
 use bridgevane_types::{DurationMs, Outcome, RefusalCode, RequestId};
 use serde_json::{Value, json};
 
@@ -21,6 +22,9 @@
     /// The body did not arrive in time.
     #[display("body_timeout")]
     BodyTimeout,
+    /// With this body, the daemon would hold more than callers may make it hold.
+    #[display("memory_full")]
+    MemoryFull,
     /// No service serves the model.
     #[display("model_not_found")]
     UnknownModel,
@@ -59,6 +63,17 @@
     pub retry_after_ms: Option<DurationMs>,
 }
 
+impl From<BodyError> for BadRequest {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::BodyTooLarge,
+            BodyError::Timeout => Self::BodyTimeout,
+            BodyError::Broken => Self::MalformedBody,
+            BodyError::MemoryFull => Self::MemoryFull,
+        }
+    }
+}
+
 /// The typed code of a final answer.
 #[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
 pub(crate) enum ErrorCode {
@@ -70,8 +85,8 @@
     Refused(RefusalCode),
 }
 
-/// The retry time of a request that is refused only for now: the daemon isn't ready, or a call with
-/// the same idempotency key is in progress. A starting daemon has its configuration within a second.
+/// The retry time of a request that is refused only for now: the daemon isn't ready, has no memory for the
+/// body, or a call with the same idempotency key is in progress. A starting daemon has its configuration within a second.
 const TEMPORARY_RETRY: DurationMs = DurationMs(1_000);
 
 impl CallerRefusal {
@@ -88,9 +103,12 @@
             BadRequest::KindNotAllowed => StatusCode::FORBIDDEN,
             BadRequest::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             BadRequest::KeyInProgress => StatusCode::CONFLICT,
-            BadRequest::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            BadRequest::NotReady | BadRequest::MemoryFull => StatusCode::SERVICE_UNAVAILABLE,
         };
-        let is_temporary = matches!(bad, BadRequest::NotReady | BadRequest::KeyInProgress);
+        let is_temporary = matches!(
+            bad,
+            BadRequest::NotReady | BadRequest::KeyInProgress | BadRequest::MemoryFull
+        );
         Self {
             request,
             status,
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -239,7 +239,6 @@
 /// Guards against `serve` going over its memory because of many bodies of allowed size that stop short of
 /// their end: nothing bounded their sum.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn serve_stays_within_its_memory_beside_bodies_that_stop_short() {
     let crowds: [(&str, &[Sends]); 3] = [
         ("whole", &[Sends::WholeBody]),
@@ -251,7 +250,6 @@
 
 /// Guards against the same with chunked bodies: each chunk was kept with the buffer that it was cut from.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn serve_stays_within_its_memory_beside_chunks_that_stop_short() {
     let crowds: [(&str, &[Sends]); 2] = [
         ("large chunks", &[Sends::LargeChunks]),
@@ -262,7 +260,6 @@
 
 /// Guards against `serve` taking in bodies beyond the limit on one body.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn serve_stays_within_its_memory_beside_bodies_far_over_the_limit() {
     let crowds: [(&str, &[Sends]); 2] = [
         ("announced", &[Sends::OverLimitAnnounced]),
@@ -273,7 +270,6 @@
 
 /// Guards against the memory of connections that never send a whole head or a whole small body.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn serve_stays_within_its_memory_beside_connections_without_a_request() {
     let crowds: [(&str, &[Sends]); 3] = [
         ("heads without end", &[Sends::HeadWithoutEnd]),
@@ -285,7 +281,6 @@
 
 /// Guards against bounds that hold for each kind of client alone, and not for their sum.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn serve_stays_within_its_memory_beside_clients_of_all_kinds() {
     let crowds: [(&str, &[Sends]); 2] = [("all", &Sends::ALL), ("all again", &Sends::ALL)];
     check_serve("crowd_all", &crowds, SERVE_CLIENTS, MANY_DESCRIPTORS).await;
@@ -294,7 +289,6 @@
 /// Guards against clients that take all descriptors: `serve` reached no engine any more and accepted no
 /// connection.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-#[ignore = "listed in KNOWN-RED.txt"]
 async fn serve_keeps_descriptors_beside_connections_without_a_request() {
     let crowds: [(&str, &[Sends]); 1] = [("nothing", &[Sends::Nothing])];
     check_serve(
--- a/tests/http_serve.rs
+++ b/tests/http_serve.rs
@@ -3,12 +3,17 @@
 use axum::Router;
 use axum::routing::get;
 use bridgevane::modules::process::http_serve::{Servers, listen};
+use bridgevane_client_limits::{ClientConnections, ClientMemory};
+use bridgevane_types::Bytes;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
+/// More than the few connections of a test need.
+const CLIENT_MEMORY: Bytes = Bytes(64 << 20);
+const MAX_CONNECTIONS: usize = 64;
 /// More than the buffers of both sockets can hold.
 const LONG_ANSWER_BYTES: usize = 32 << 20;
 
@@ -18,7 +23,8 @@
     let address = listener.local_addr().unwrap();
     let mut servers = Servers::default();
     let router = Router::new().route("/long", get(|| async { vec![b'x'; LONG_ANSWER_BYTES] }));
-    servers.serve(listener, router);
+    let connections = ClientConnections::new(ClientMemory::new(CLIENT_MEMORY), MAX_CONNECTIONS);
+    servers.serve(listener, router, connections);
     (servers, address)
 }
 
