--- a/crates/client-limits/src/body_memory.rs
+++ b/crates/client-limits/src/body_memory.rs
@@ -113,7 +113,9 @@
     ) -> Result<(), BodyError> {
         let step = RESERVE_STEP.0 as usize;
         if reservation.room.is_none() {
+            let began = Instant::now();
             *reservation = self.reserve_first(size, step as u32).await?;
+            *waited += began.elapsed();
             return Ok(());
         }
         let pool = self.pool(size).clone();
--- a/crates/client-limits/src/body_reader.rs
+++ b/crates/client-limits/src/body_reader.rs
@@ -95,29 +95,29 @@
     let mut waited = Duration::ZERO;
     let mut pace = Pace::start();
     loop {
-        let frame = timeout(PROGRESS_CHECK_INTERVAL, body.frame()).await;
-        if pace.must_check() {
-            let progress = pace.progress(size, content.len(), request.deadline);
-            body_limits::check_progress(progress, memory.contention())?;
-        }
-        let frame = match frame {
+        match timeout(PROGRESS_CHECK_INTERVAL, body.frame()).await {
             Ok(None) => break,
-            Ok(Some(frame)) => frame.map_err(|_| BodyError::Broken)?,
-            Err(_) => continue,
-        };
-        // Trailers aren't forwarded.
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let length = (content.len() + data.len()) as u64;
-        if length > request.max_body.0 {
-            return Err(BodyError::TooLarge);
+            Ok(Some(frame)) => {
+                let frame = frame.map_err(|_| BodyError::Broken)?;
+                // Trailers aren't forwarded.
+                if let Ok(data) = frame.into_data() {
+                    let length = (content.len() + data.len()) as u64;
+                    if length > request.max_body.0 {
+                        return Err(BodyError::TooLarge);
+                    }
+                    while length > reservation.max_length() {
+                        memory.grow(size, &mut reservation, &mut waited).await?;
+                    }
+                    content.extend(&data);
+                    pace.on_arrival();
+                }
+            }
+            Err(_) => {}
         }
-        while length > reservation.max_length() {
-            memory.grow(size, &mut reservation, &mut waited).await?;
+        if pace.must_check() {
+            let progress = pace.progress(size, content.len(), request.deadline, waited);
+            body_limits::check_progress(progress, memory.contention())?;
         }
-        content.extend(&data);
-        pace.on_arrival();
     }
     Ok(ReadBody {
         content: content.finish(),
@@ -156,11 +156,18 @@
         is_due
     }
 
-    fn progress(&self, size: BodySize, received: usize, deadline: Instant) -> BodyProgress {
+    /// `waited` is how long the body has waited for memory, in which it could not arrive.
+    fn progress(
+        &self,
+        size: BodySize,
+        received: usize,
+        deadline: Instant,
+        waited: Duration,
+    ) -> BodyProgress {
         BodyProgress {
             size,
             received: ByteCount(received as u64),
-            elapsed: self.started.elapsed(),
+            elapsed: self.started.elapsed().saturating_sub(waited),
             stalled: self.last_arrival.elapsed(),
             remaining: deadline.saturating_duration_since(Instant::now()),
         }
