--- a/src/modules/serve/requests/chat_format.rs
+++ b/src/modules/serve/requests/chat_format.rs
@@ -1,5 +1,6 @@
 //! The OpenAI-style JSON formats of model calls and answers.
 
+use crate::modules::serve::requests::prompt_text::PromptText;
 use bridgevane_adapters::EndReason;
 use bridgevane_types::{ModelName, RequestId, Tokens};
 use serde::Deserialize;
@@ -24,7 +25,7 @@
     messages: Vec<Message>,
     /// The prompt of a completion.
     #[serde(default)]
-    prompt: Option<Value>,
+    prompt: Option<PromptText>,
     /// Whether the answer is streamed; absent: no.
     #[serde(default)]
     pub stream: Option<bool>,
@@ -46,19 +47,7 @@
 struct Message {
     role: String,
     #[serde(default)]
-    content: Value,
-}
-
-/// Returns the text of a message content, which is a string or a list of parts.
-fn text_in(content: &Value) -> String {
-    match content {
-        Value::String(text) => text.clone(),
-        Value::Array(parts) => parts
-            .iter()
-            .map(|part| part.get("text").map_or_else(|| text_in(part), text_in))
-            .collect(),
-        _ => String::new(),
-    }
+    content: PromptText,
 }
 
 impl ModelCall {
@@ -72,16 +61,14 @@
         has_input.then_some(call)
     }
 
-    /// Returns the prompt as one text.
-    pub(crate) fn prompt_text(&self, api: ModelApi) -> String {
+    /// Takes the prompt out of the call, as one text.
+    pub(crate) fn take_prompt(&mut self, api: ModelApi) -> String {
         match api {
             // `parse` refuses a completion without a prompt.
-            ModelApi::Completion => self.prompt.as_ref().map(text_in).unwrap_or_default(),
+            ModelApi::Completion => self.prompt.take().unwrap_or_default().into(),
             ModelApi::Chat => {
-                let line = |message: &Message| {
-                    format!("{}: {}\n", message.role, text_in(&message.content))
-                };
-                self.messages.iter().map(line).collect()
+                let line = |message: Message| format!("{}: {}\n", message.role, message.content);
+                self.messages.drain(..).map(line).collect()
             }
         }
     }
--- a/src/modules/serve/requests/mod.rs
+++ b/src/modules/serve/requests/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod plain_call;
 pub(crate) mod plain_request;
 pub(crate) mod progress_reporter;
+pub(crate) mod prompt_text;
 pub(crate) mod refusal;
 pub(crate) mod routes;
 pub(crate) mod targets;
--- a/src/modules/serve/requests/model_call.rs
+++ b/src/modules/serve/requests/model_call.rs
@@ -57,13 +57,14 @@
         &body,
     );
     let parsed = ModelCall::parse(api, &body);
-    let call = parsed.ok_or_else(|| caller.bad_request(BadRequest::MalformedBody))?;
+    drop(body);
+    let mut call = parsed.ok_or_else(|| caller.bad_request(BadRequest::MalformedBody))?;
     let served = caller
         .in_force
         .document
         .service_of_model(call.model.as_str());
     let (service, _) = served.ok_or_else(|| caller.bad_request(BadRequest::UnknownModel))?;
-    let prompt = call.prompt_text(api);
+    let prompt = call.take_prompt(api);
     let prompt_tokens = Tokens((prompt.len() as u64).div_ceil(CHARS_PER_TOKEN).max(1));
     let (blocks, block_tokens) = prefix_blocks(&prompt);
     let offer = NamedOffer {
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -10,7 +10,7 @@
 mod support;
 
 use bridgevane_platform_emulator::{CONFIG_KEY, document, unframed_head};
-use crowd::{CrowdOutcome, Sends, Target, UsageBounds, meet, only_crowd};
+use crowd::{CrowdOutcome, Sends, Target, UsageBounds, UsageWatch, meet, only_crowd};
 use gateways::{
     Gateway, GatewayFleet, has_ended, is_ready, spawn_gateway_of, start_fleet, wait_for,
 };
@@ -18,6 +18,8 @@
 use serde_json::json;
 use std::process::{Command, Stdio};
 use support::Fleet;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// The memory of a gateway. A test's build needs some 10 MB without any client.
 const GATEWAY_MEMORY_MB: u64 = 48;
@@ -39,6 +41,10 @@
 /// The longest body that `serve` allows.
 const SERVE_BODY_BYTES: usize = 4 << 20;
 
+/// The number of clients that send bodies of many small values, and the number of these.
+const CLIENTS_WITH_VALUES: usize = 12;
+const VALUES: usize = 160_000;
+
 /// The descriptors of a process that has few of them.
 const FEW_DESCRIPTORS: usize = 256;
 /// The number of clients of a crowd that uses them up.
@@ -279,6 +285,43 @@
     check_serve("crowd_heads", &crowds, 20 * SERVE_CLIENTS, MANY_DESCRIPTORS).await;
 }
 
+/// Guards against bodies of allowed size that take many times their length once they are parsed, for as long
+/// as their requests run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn serve_stays_within_its_memory_beside_bodies_of_many_small_values() {
+    let _only = only_crowd().await;
+    let mut fleet = start_serve("crowd_values", MANY_DESCRIPTORS).await;
+    let target = serve_target(&fleet);
+    let usage = UsageWatch::start(fleet.daemons[0].id());
+    let (before, after) = (
+        r#"{"model":"tutor","max_tokens":200,"prompt":["#,
+        r#""[tokens=200]"]}"#,
+    );
+    let values = "[],".repeat(VALUES);
+    let head = (target.head)("values");
+    let length = before.len() + values.len() + after.len();
+    let request = format!("{head}content-length: {length}\r\n\r\n{before}{values}{after}");
+    let mut clients = Vec::new();
+    for _ in 0..CLIENTS_WITH_VALUES {
+        let mut client = TcpStream::connect(target.address)
+            .await
+            .expect("a connection");
+        client
+            .write_all(request.as_bytes())
+            .await
+            .expect("it is read");
+        clients.push(client);
+    }
+    for client in &mut clients {
+        let begun = client.read_u8().await;
+        begun.expect("an answer or a refusal");
+    }
+    assert!(target.serves().await);
+    let peak_mb = usage.peak().memory_bytes.div_ceil(1 << 20);
+    assert!(fleet.daemons[0].exit_status().is_none());
+    assert!(peak_mb < SERVE_MEMORY_MB, "{peak_mb} MB");
+}
+
 /// Guards against bounds that hold for each kind of client alone, and not for their sum.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn serve_stays_within_its_memory_beside_clients_of_all_kinds() {
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -164,6 +164,38 @@
     assert_serves(&fleet).await;
 }
 
+/// Guards against parts of a message that are lost, or that change the prompt, because of what stands between
+/// them.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_text_of_a_message_is_that_of_its_parts() {
+    let fleet = Fleet::start("parts", 1, 1).await;
+    let address = fleet.daemons[0].address;
+    let contents = [
+        serde_json::json!("one two [tokens=4]"),
+        serde_json::json!(["one ", "two ", "[tokens=4]"]),
+        serde_json::json!([
+            { "type": "text", "text": "one " }, { "type": "image_url", "image_url": { "url": "x" } },
+            [["two "], 5, null, true, -1, 0.5], { "text": ["[tokens=4]"], "cache": { "text": "no" } },
+        ]),
+    ];
+    let mut answers = Vec::new();
+    for content in contents {
+        let messages = [
+            serde_json::json!({ "role": "system", "content": null }),
+            serde_json::json!({ "role": "tool", "content": { "text": "not a part" } }),
+            serde_json::json!({ "role": "user", "content": content }),
+        ];
+        let body = serde_json::json!({ "model": "tutor", "max_tokens": 9, "messages": messages });
+        let answer = post(address, "/v1/chat/completions", body).await;
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        answers.push(answer.json()["choices"][0]["message"]["content"].clone());
+    }
+    assert!(
+        answers.iter().all(|answer| *answer == answers[0]),
+        "{answers:?}"
+    );
+}
+
 /// Guards against request smuggling, and against answers to pipelined requests in the wrong order.
 #[tokio::test(flavor = "multi_thread")]
 async fn smuggled_requests_are_not_run_and_pipelined_ones_are_answered_in_order() {
