--- a/crates/soak/src/departure_run.rs
+++ b/crates/soak/src/departure_run.rs
@@ -27,6 +27,7 @@
     key_removal: Duration::from_millis(5_000),
     config_apply: Some(Duration::from_millis(3_000)),
     drain: Some(DRAIN_BOUND),
+    memory_mb: None,
 };
 /// The number of workers of the plain service at a time.
 const PLAIN_WORKERS: usize = 6;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,7 +10,8 @@
 //! [`confirmed_versions`]). One of a fifth kind replaces workers by such of other software versions, and
 //! checks the streams that clients take up ([`rollout_plan`], [`stream_checks`]). One of a sixth kind
 //! leaves odd records among those of the workers ([`run_odd_records`]). One of a seventh kind lets workers
-//! leave while the store refuses daemons ([`departure_plan`], [`run_departures`]).
+//! leave while the store refuses daemons ([`departure_plan`], [`run_departures`]). One of an eighth kind lets
+//! crowds of clients that stay outside of the limits meet daemons ([`crowd`], [`crowd_plan`], [`run_crowds`]).
 
 mod callers;
 pub mod checks;
@@ -20,6 +21,9 @@
 mod copy_environment;
 pub mod copy_plan;
 mod copy_run;
+pub mod crowd;
+pub mod crowd_plan;
+mod crowd_run;
 pub mod cut_checks;
 pub mod cut_path;
 pub mod cut_plan;
@@ -47,6 +51,7 @@
 mod stream_clients;
 
 pub use copy_run::{CopyOutcome, run_store_copies};
+pub use crowd_run::{CrowdsOutcome, run_crowds};
 pub use cut_run::{CutOutcome, run_cut_off};
 pub use departure_run::{DRAIN_BOUND, DepartureOutcome, LateRequest, run_departures};
 pub use odd_records_run::{OddRecordsOutcome, run_odd_records};
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::process::{Child, Command};
 
-/// The times within which daemons have changes in force.
+/// The times within which daemons have changes in force, and their memory.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DaemonBounds {
     /// For removed keys.
@@ -19,6 +19,8 @@
     pub(crate) config_apply: Option<Duration>,
     /// For endpoints that leave; `None`: the default of the program.
     pub(crate) drain: Option<Duration>,
+    /// The memory of the process in megabytes; `None`: the default of the program.
+    pub(crate) memory_mb: Option<u64>,
 }
 
 impl Default for DaemonBounds {
@@ -27,6 +29,7 @@
             key_removal: KEY_REMOVAL_BOUND,
             config_apply: None,
             drain: None,
+            memory_mb: None,
         }
     }
 }
@@ -84,6 +87,11 @@
         Ok(())
     }
 
+    /// Returns the id of the process; `None` if it was waited for.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.process.id()
+    }
+
     /// Sends a signal to the process if it still runs.
     pub(crate) fn signal(&self, signal: Signal) {
         let id = self.process.id().and_then(|id| Pid::from_raw(id as i32));
@@ -135,6 +143,9 @@
     if let Some(bound) = settings.bounds.drain {
         command.args(["--drain-ms", &bound.as_millis().to_string()]);
     }
+    if let Some(memory_mb) = settings.bounds.memory_mb {
+        command.args(["--memory-mb", &memory_mb.to_string()]);
+    }
     if let Some(address) = settings.duties {
         add_duties(&mut command, address);
     }
--- a/crates/soak/src/replacement_run.rs
+++ b/crates/soak/src/replacement_run.rs
@@ -26,6 +26,7 @@
     key_removal: KEY_BOUND,
     config_apply: Some(APPLY_BOUND),
     drain: None,
+    memory_mb: None,
 };
 /// The time that daemons have to become ready.
 const START_LIMIT: Duration = Duration::from_secs(30);
--- a/crates/soak/src/rollout_environment.rs
+++ b/crates/soak/src/rollout_environment.rs
@@ -29,6 +29,7 @@
     key_removal: KEY_BOUND,
     config_apply: Some(APPLY_BOUND),
     drain: None,
+    memory_mb: None,
 };
 
 /// A worker behind a path that is closed when the worker ends.
--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -31,8 +31,8 @@
     /// seconds of calls per seed (default: 20)
     #[argh(option, default = "20")]
     pub seconds: u64,
-    /// number of gateways (default: 4, at most 24; with --store-copies, --replacements, --rollouts or --departures 6 and
-    /// 64)
+    /// number of gateways (default: 4, at most 24; with --store-copies, --replacements, --rollouts, --departures or
+    /// --crowds 6 and 64)
     #[argh(option)]
     pub processes: Option<usize>,
     /// number of callers (default: 12; with --rollouts 30)
@@ -70,6 +70,9 @@
     /// let workers leave while the store refuses daemons, and check which requests reach them
     #[argh(switch)]
     pub departures: bool,
+    /// let crowds of clients that send too much or stop short meet gateways with little memory
+    #[argh(switch)]
+    pub crowds: bool,
     /// with --rollouts: calm, killed-after-leaving, killed-while-replaced, one-version-killed,
     /// out-of-step-cut or out-of-step-frozen (default: drawn)
     #[argh(option)]
@@ -102,10 +105,11 @@
         arguments.replacements,
         arguments.rollouts,
         arguments.departures,
+        arguments.crowds,
     ];
     if kinds.into_iter().filter(|is_given| *is_given).count() > 1 {
         eprintln!(
-            "give one of --cut-off, --store-copies, --replacements, --rollouts and --departures"
+            "give one of --cut-off, --store-copies, --replacements, --rollouts, --departures and --crowds"
         );
         return exit::USAGE;
     }
@@ -127,6 +131,7 @@
         arguments.replacements,
         arguments.rollouts,
         arguments.departures,
+        arguments.crowds,
     ];
     kinds.contains(&true)
 }
@@ -198,6 +203,10 @@
             failed += u64::from(!is_kept_under_rollouts(arguments.row, &options).await?);
             continue;
         }
+        if arguments.crowds {
+            failed += u64::from(!is_kept_beside_crowds(&options).await?);
+            continue;
+        }
         if arguments.departures {
             failed += u64::from(!is_kept_at_departures(&options).await?);
             continue;
@@ -337,6 +346,24 @@
     Ok(is_kept)
 }
 
+/// Runs one seed with crowds of clients; returns whether all daemons lived, stayed within their memory and
+/// served.
+async fn is_kept_beside_crowds(options: &SoakOptions) -> Result<bool, SoakError> {
+    let outcome = bridgevane_soak::run_crowds(options).await?;
+    print_line!("{}", outcome.summary());
+    let is_kept = outcome.is_sound();
+    if !is_kept {
+        for crowd in &outcome.plan.crowds {
+            print_line!("  {crowd}");
+        }
+        for (at, daemon, interruption) in &outcome.plan.interruptions {
+            print_line!("  {} ms  daemon {daemon} {interruption}", at.as_millis());
+        }
+        print_line!("logs: {}", options.folder.display());
+    }
+    Ok(is_kept)
+}
+
 /// Prints the planned faults and the broken promises.
 fn print_failure(outcome: &SoakOutcome) {
     for event in &outcome.plan.events {
--- a/tests/client_crowds.rs
+++ b/tests/client_crowds.rs
@@ -10,7 +10,8 @@
 mod support;
 
 use bridgevane_platform_emulator::{CONFIG_KEY, document, unframed_head};
-use crowd::{CrowdOutcome, Sends, Target, UsageBounds, UsageWatch, meet, only_crowd};
+use bridgevane_soak::crowd::{Crowd, Sends, Target, UsageWatch};
+use crowd::{CrowdOutcome, UsageBounds, meet, only_crowd};
 use gateways::{
     Gateway, GatewayFleet, has_ended, is_ready, spawn_gateway_of, start_fleet, wait_for,
 };
@@ -188,7 +189,7 @@
     let _only = only_crowd().await;
     let mut fleet = start_gateway(MANY_DESCRIPTORS).await;
     let target = gateway_target(&fleet.gateways[0]);
-    let mut crowd = crowd::Crowd::start(&target, &Sends::ALL, MIXED_CLIENTS);
+    let mut crowd = Crowd::start(&target, &Sends::ALL, MIXED_CLIENTS);
     crowd.sent().await;
     gateways::signal(&fleet.gateways[0], Signal::TERM);
     let status = fleet.gateways[0].process.wait().await.expect("its status");
