--- a/crates/client-limits/src/connections.rs
+++ b/crates/client-limits/src/connections.rs
@@ -43,7 +43,6 @@
     state: Mutex<State>,
     /// Notified when a connection has ended.
     ended: Notify,
-    /// Since the last log line.
     closed: AtomicU64,
     refused: AtomicU64,
     late_heads: AtomicU64,
@@ -58,6 +57,21 @@
     waiting: BTreeMap<u64, Arc<Shared>>,
 }
 
+/// What clients make a process hold, and how many connections were turned away since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClientUsage {
+    /// The open connections.
+    pub open: usize,
+    /// What connections and bodies hold.
+    pub held: Bytes,
+    /// The connections that were closed in favour of others.
+    pub closed: u64,
+    /// The connections that found no room.
+    pub refused: u64,
+    /// The connections that were closed since a head arrived too slowly.
+    pub late_heads: u64,
+}
+
 /// What is known of one connection.
 #[derive(Debug, Default)]
 struct Shared {
@@ -121,10 +135,9 @@
         timeout(ROOM_TIMEOUT, making).await.unwrap_or(None)
     }
 
-    /// Admits the connection of another daemon, which is never closed for others; `None` if there is no room
-    /// now.
-    pub fn admit_daemon(self: &Arc<Self>, max_head: Bytes) -> Option<ClientConnection> {
-        self.try_admit(max_head, false)
+    /// Admits the connection of another daemon, which is never closed for others; `None` if there is no room.
+    pub async fn admit_daemon(self: &Arc<Self>, max_head: Bytes) -> Option<ClientConnection> {
+        self.make_room(|| self.try_admit(max_head, false)).await
     }
 
     fn try_admit(self: &Arc<Self>, max_head: Bytes, is_closable: bool) -> Option<ClientConnection> {
@@ -174,12 +187,27 @@
     /// process ends. `head_timeout` returns the time that a head may take.
     pub async fn watch(self: Arc<Self>, head_timeout: impl Fn() -> Duration) {
         let mut checks = interval(HEAD_CHECK_INTERVAL);
+        let mut logged = ClientUsage::default();
         loop {
             for _ in 0..CHECKS_PER_LOG {
                 checks.tick().await;
                 self.close_late_heads(head_timeout());
             }
-            self.log();
+            let usage = self.usage();
+            log_turned_away(logged, usage);
+            logged = usage;
+        }
+    }
+
+    /// Returns what clients make the process hold, and how many connections were turned away.
+    pub fn usage(&self) -> ClientUsage {
+        let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        ClientUsage {
+            open: self.state().open,
+            held: self.memory.held(),
+            closed: count(&self.closed),
+            refused: count(&self.refused),
+            late_heads: count(&self.late_heads),
         }
     }
 
@@ -199,31 +227,30 @@
         });
     }
 
-    /// Writes a line if connections were closed or refused since the last one.
-    fn log(&self) {
-        let take = |count: &AtomicU64| count.swap(0, Ordering::Relaxed);
-        let closed = take(&self.closed);
-        let refused = take(&self.refused);
-        let late_heads = take(&self.late_heads);
-        if closed + refused + late_heads == 0 {
-            return;
-        }
-        event!(
-            Event::ClientsTurnedAway,
-            closed = closed,
-            refused = refused,
-            late_heads = late_heads,
-            open = self.state().open,
-            held_bytes = self.memory.held()
-        );
-    }
-
     fn state(&self) -> MutexGuard<'_, State> {
         // No code panics while it holds the lock.
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Writes a line if connections were turned away since the last one.
+fn log_turned_away(last: ClientUsage, now: ClientUsage) {
+    let closed = now.closed - last.closed;
+    let refused = now.refused - last.refused;
+    let late_heads = now.late_heads - last.late_heads;
+    if closed + refused + late_heads == 0 {
+        return;
+    }
+    event!(
+        Event::ClientsTurnedAway,
+        closed = closed,
+        refused = refused,
+        late_heads = late_heads,
+        open = now.open,
+        held_bytes = now.held
+    );
+}
+
 impl Shared {
     fn head(&self) -> MutexGuard<'_, Head> {
         // No code panics while it holds the lock.
--- a/crates/client-limits/src/lib.rs
+++ b/crates/client-limits/src/lib.rs
@@ -28,7 +28,7 @@
 pub use body_limits::BodyError;
 pub use body_memory::{BodyMemory, Reservation};
 pub use body_reader::{BodyRequest, ReadBody, read_body};
-pub use connections::{ClientConnection, ClientConnections, RequestInProgress};
+pub use connections::{ClientConnection, ClientConnections, ClientUsage, RequestInProgress};
 pub use guarded_body::GuardedBody;
 pub use memory::{ClientMemory, HeldMemory};
 pub use plan::{ClientPlan, ClientShares, descriptor_limit};
--- a/crates/client-limits/tests/connections.rs
+++ b/crates/client-limits/tests/connections.rs
@@ -96,11 +96,16 @@
     assert_eq!(memory.held(), Bytes(0));
 }
 
-/// Guards against forwarded requests that are cut in favour of clients: their daemon has taken them on.
+/// Guards against forwarded requests that are cut in favour of clients: their daemon has taken them on. Guards
+/// also against daemons that are kept out by clients that send nothing.
 #[tokio::test(start_paused = true)]
 async fn the_connection_of_another_daemon_is_never_closed_for_others() {
     let connections = connections(PLENTY, 1);
-    let daemon = connections.admit_daemon(MAX_HEAD).expect("room");
+    let client = admit(&connections).await.expect("room");
+    let serving = serve(&client);
+    drop(client);
+    let daemon = connections.admit_daemon(MAX_HEAD).await.expect("room");
+    assert!(serving.is_finished());
     assert!(admit(&connections).await.is_none());
     assert!(!must_close(&daemon).await);
 }
--- a/crates/gateway/src/lifecycle/readiness.rs
+++ b/crates/gateway/src/lifecycle/readiness.rs
@@ -32,6 +32,7 @@
             let service = service_fn(|request: Request<Incoming>| {
                 let response = if request.uri().path() == METRICS_PATH {
                     gateway.metrics.proof_age(gateway.control.proof_age());
+                    gateway.metrics.clients(gateway.client_connections.usage());
                     Response::new(Full::new(Bytes::from(metrics_page())))
                 } else {
                     readiness(&gateway)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 use crate::decisions::replication::upstream::SourceCause;
 use crate::decisions::resend::AttemptError;
 use crate::replication::peer_error::PeerError;
+use bridgevane_client_limits::ClientUsage;
 use bridgevane_types::{DurationMs, ServiceName};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
@@ -43,6 +44,9 @@
     quiet_streams: Gauge<u64>,
     out_of_reach: Gauge<u64>,
     forwarded: Counter<u64>,
+    client_connections: Gauge<u64>,
+    client_memory_bytes: Gauge<u64>,
+    clients_turned_away: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -75,6 +79,15 @@
             quiet_streams: meter.u64_gauge("bridgevane_gateway_quiet_streams").build(),
             out_of_reach: meter.u64_gauge("bridgevane_gateway_out_of_reach").build(),
             forwarded: counter("bridgevane_gateway_forwarded"),
+            client_connections: meter
+                .u64_gauge("bridgevane_gateway_client_connections")
+                .build(),
+            client_memory_bytes: meter
+                .u64_gauge("bridgevane_gateway_client_memory_bytes")
+                .build(),
+            clients_turned_away: meter
+                .u64_gauge("bridgevane_gateway_clients_turned_away")
+                .build(),
         }
     }
 
@@ -86,6 +99,21 @@
         }
     }
 
+    /// Records what clients make the process hold, and how many connections were turned away.
+    pub(crate) fn clients(&self, usage: ClientUsage) {
+        self.client_connections.record(usage.open as u64, &[]);
+        self.client_memory_bytes.record(usage.held.0, &[]);
+        let turned_away = [
+            ("closed_for_others", usage.closed),
+            ("no_room", usage.refused),
+            ("late_head", usage.late_heads),
+        ];
+        for (reason, count) in turned_away {
+            let reason = KeyValue::new("reason", reason);
+            self.clients_turned_away.record(count, &[reason]);
+        }
+    }
+
     /// Counts a completed answer of an endpoint.
     pub(crate) fn served(&self, service: &ServiceName, status: u16, first_byte: Duration) {
         let service = KeyValue::new("service", service.as_str().to_owned());
--- a/crates/gateway/src/requests/client_listener.rs
+++ b/crates/gateway/src/requests/client_listener.rs
@@ -74,7 +74,11 @@
 /// Serves the requests that another daemon forwards on a connection, if there is room for it.
 pub(crate) async fn serve_daemon(gateway: Arc<Gateway>, stream: TcpStream) {
     let limits = ConnectionLimits::current(&gateway);
-    if let Some(connection) = gateway.client_connections.admit_daemon(limits.max_head) {
+    let admitted = gateway
+        .client_connections
+        .admit_daemon(limits.max_head)
+        .await;
+    if let Some(connection) = admitted {
         serve_connection(gateway, stream, Caller::Daemon, connection).await;
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -54,6 +54,9 @@
         "reason=\"overloaded\"",
         "cause=\"not_executed\"",
         "bridgevane_gateway_broken_off_total",
+        "bridgevane_gateway_client_connections",
+        "bridgevane_gateway_client_memory_bytes",
+        "bridgevane_gateway_clients_turned_away",
         "bridgevane_gateway_first_byte_seconds_bucket{",
     ] {
         assert!(page.contains(row), "{row} in {page}");
