--- a/crates/client-limits/src/connections.rs
+++ b/crates/client-limits/src/connections.rs
@@ -280,8 +280,9 @@
     pub async fn must_close(&self) {
         loop {
             self.shared.must_close.notified().await;
-            // A request that has begun meanwhile is served.
-            if self.wait.load(Ordering::Relaxed) != NO_WAIT {
+            // A request that has begun meanwhile is served, and an answer that has begun is sent.
+            let is_waiting = self.wait.load(Ordering::Relaxed) != NO_WAIT;
+            if is_waiting && !self.shared.has_unsent.load(Ordering::Relaxed) {
                 return;
             }
         }
--- a/crates/soak/src/crowd_run.rs
+++ b/crates/soak/src/crowd_run.rs
@@ -2,7 +2,7 @@
 //! and reconfigured. No process may end by itself, hang, or go over its memory, and each serves afterwards.
 
 use crate::callers::{self, CallPace, Calls};
-use crate::copy_environment::CopyEnvironment;
+use crate::copy_environment::{CopyEnvironment, time_until_ready};
 use crate::crowd::{Crowd, PeakUsage, Target};
 use crate::crowd_plan::{CrowdInterruption, CrowdPlan, PlannedCrowd};
 use crate::environment::KEYS;
@@ -10,7 +10,7 @@
 use crate::options::SoakOptions;
 use crate::processes::{DaemonBounds, DaemonProcess};
 use crate::run::SoakError;
-use bridgevane_platform_emulator::{CONFIG_KEY, document_with_keys, unframed_head};
+use bridgevane_platform_emulator::{CONFIG_KEY, document_with_customers, unframed_head};
 use rustix::process::Signal;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -145,11 +145,9 @@
 
 /// Writes a configuration of this number; its limit for bodies takes turns.
 fn write_config(environment: &CopyEnvironment, number: usize) {
-    let mut document = document_with_keys(2 + number as u64, &KEYS);
     // The crowd and ordinary requests after it use another key than the callers.
-    if let Some(tenants) = document["tenants"].as_array_mut() {
-        tenants.push(json!({ "name": "crowd", "apiKeys": ["k"], "priority": 0 }));
-    }
+    let customers: [(&str, &[&str]); 2] = [("callers", &KEYS), ("crowd", &["k"])];
+    let mut document = document_with_customers(2 + number as u64, &customers);
     document["limits"]["bodyBytes"] = json!(BODY_BYTES[number % BODY_BYTES.len()]);
     document["routes"][0]["timeoutMs"] = json!(CROWD_DEADLINE_MS);
     environment.store.put(CONFIG_KEY, &document);
@@ -211,7 +209,11 @@
             sleep(lasts).await;
             daemon.signal(Signal::CONT);
         }
-        CrowdInterruption::Reloaded => daemon.signal(Signal::HUP),
+        CrowdInterruption::Reloaded => {
+            // Before it listens, a process has no handler yet and the signal ends it.
+            time_until_ready(daemon.settings.ready, Instant::now() + START_LIMIT).await;
+            daemon.signal(Signal::HUP);
+        }
         CrowdInterruption::Stopped => {
             daemon.signal(Signal::TERM);
             if timeout(STOP_LIMIT, daemon.wait_for_end()).await.is_err() {
