--- a/crates/client-limits/src/body_reader.rs
+++ b/crates/client-limits/src/body_reader.rs
@@ -67,12 +67,11 @@
         // A client that waits for its turn to send isn't given it.
         && (has_begun || !request.awaits_continue)
     {
-        let connection = request.connection.as_ref();
-        let dropping = connection.map(ClientConnection::begin_body_drop);
-        tokio::spawn(async move {
-            drop_rest(body, &request, time).await;
-            drop(dropping);
-        });
+        tokio::spawn(drop_rest(body, request, time));
+    } else if let Some(connection) = &request.connection
+        && read.is_ok()
+    {
+        connection.on_body_read();
     }
     read
 }
@@ -175,7 +174,7 @@
 }
 
 /// Reads the rest of a body and drops it. The end of the connection ends it as well.
-async fn drop_rest<B>(mut body: B, request: &BodyRequest, time: Duration)
+async fn drop_rest<B>(mut body: B, request: BodyRequest, time: Duration)
 where
     B: Body<Data = Bytes> + Unpin,
 {
--- a/crates/client-limits/src/connections.rs
+++ b/crates/client-limits/src/connections.rs
@@ -10,7 +10,8 @@
 //!    its last answer yet, is never closed for that.
 //!    Neither is that of another daemon: it holds requests back which that daemon has taken on.
 //! 3. If no connection can be closed, the new one is, before a byte of it is read.
-//! 4. A head that doesn't arrive within its time ends its connection.
+//! 4. A head that doesn't arrive within its time ends its connection. Behind a body that wasn't read to its end
+//!    the time doesn't count, since what arrives may be the rest of that body.
 //!
 //! Reason: a client that sends its request at once is served whatever others do, since those that send
 //! nothing, or no end of a head, wait longest; a client whose resting connection is closed opens another one.
@@ -73,20 +74,21 @@
 }
 
 /// What is known of one connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Shared {
     must_close: Notify,
     /// Whether its client hasn't taken all that was written.
     has_unsent: AtomicBool,
-    /// Whether the rest of a refused body is read and dropped, also after the answer.
-    drops_body: AtomicBool,
+    /// Whether all of the last request's body was read. What arrives is the rest of it otherwise, also after
+    /// the answer.
+    has_read_body: AtomicBool,
     head: Mutex<Head>,
 }
 
 /// How the head of the next request arrives.
 #[derive(Clone, Copy, Debug, Default)]
 enum Head {
-    /// A request is in progress.
+    /// A request is in progress, or the rest of its body may arrive.
     #[default]
     NotAwaited,
     Awaited,
@@ -149,7 +151,7 @@
         state.open += 1;
         let connection = ClientConnection {
             connections: self.clone(),
-            shared: Arc::default(),
+            shared: Arc::new(Shared::new()),
             is_closable,
             wait: AtomicU64::new(NO_WAIT),
             memory: Some(memory),
@@ -252,6 +254,16 @@
 }
 
 impl Shared {
+    /// Returns what is known of a new connection.
+    fn new() -> Self {
+        Self {
+            must_close: Notify::new(),
+            has_unsent: AtomicBool::new(false),
+            has_read_body: AtomicBool::new(true),
+            head: Mutex::default(),
+        }
+    }
+
     fn head(&self) -> MutexGuard<'_, Head> {
         // No code panics while it holds the lock.
         self.head.lock().unwrap_or_else(PoisonError::into_inner)
@@ -288,9 +300,11 @@
         }
     }
 
-    /// Records that a whole head has arrived. The connection counts as waiting again once the guard is
-    /// dropped.
-    pub fn begin_request(self: &Arc<Self>) -> RequestInProgress {
+    /// Records that a whole head has arrived; `has_body`: a body follows it. The connection counts as waiting
+    /// again once the guard is dropped.
+    pub fn begin_request(self: &Arc<Self>, has_body: bool) -> RequestInProgress {
+        let has_read_body = &self.shared.has_read_body;
+        has_read_body.store(!has_body, Ordering::Relaxed);
         let mut state = self.connections.state();
         state
             .waiting
@@ -299,17 +313,13 @@
         RequestInProgress(self.clone())
     }
 
-    /// Records that the rest of a refused body is dropped, which is no head, until the guard is dropped.
-    pub(crate) fn begin_body_drop(self: &Arc<Self>) -> BodyDrop {
-        self.shared.drops_body.store(true, Ordering::Relaxed);
-        BodyDrop(self.clone())
+    /// Records that the body of the request was read to its end.
+    pub(crate) fn on_body_read(&self) {
+        self.shared.has_read_body.store(true, Ordering::Relaxed);
     }
 
     /// Records that bytes have arrived.
     pub(crate) fn on_read(&self) {
-        if self.shared.drops_body.load(Ordering::Relaxed) {
-            return;
-        }
         let mut head = self.shared.head();
         if let Head::Awaited = *head {
             *head = Head::BeganAt(Instant::now());
@@ -328,7 +338,12 @@
         state.waits += 1;
         state.waiting.insert(state.waits, self.shared.clone());
         self.wait.store(state.waits, Ordering::Relaxed);
-        *self.shared.head() = Head::Awaited;
+        let has_read_body = self.shared.has_read_body.load(Ordering::Relaxed);
+        *self.shared.head() = if has_read_body {
+            Head::Awaited
+        } else {
+            Head::NotAwaited
+        };
     }
 }
 
@@ -353,14 +368,3 @@
         connection.begin_wait(&mut connection.connections.state());
     }
 }
-
-/// The rest of a refused body that is dropped.
-#[derive(Debug)]
-pub(crate) struct BodyDrop(Arc<ClientConnection>);
-
-impl Drop for BodyDrop {
-    fn drop(&mut self) {
-        let shared = &self.0.shared;
-        shared.drops_body.store(false, Ordering::Relaxed);
-    }
-}
--- a/crates/gateway/src/requests/client_listener.rs
+++ b/crates/gateway/src/requests/client_listener.rs
@@ -12,6 +12,7 @@
 use bridgevane_types::Bytes;
 use futures_util::FutureExt;
 use http::Request;
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -126,7 +127,7 @@
     let service = service_fn(|mut request: Request<Incoming>| {
         let gateway = gateway.clone();
         request.extensions_mut().insert(connection.clone());
-        let in_progress = connection.begin_request();
+        let in_progress = connection.begin_request(!request.body().is_end_stream());
         async move {
             let response = handler::handle(gateway, request, caller).await;
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, in_progress)))
--- a/crates/gateway/tests/client_heads.rs
+++ b/crates/gateway/tests/client_heads.rs
@@ -57,3 +57,24 @@
     client.send_part(framing, 10).await;
     assert_eq!(client.answer().await.expect("an answer").status, 200);
 }
+
+/// Guards against a connection that is closed for a late head though its client rests: what had arrived after
+/// the answer was the rest of a body that wasn't read, since its request was refused by its head.
+#[tokio::test]
+async fn the_rest_of_an_unread_body_is_no_head() {
+    let (running, _endpoint) = start_gateway().await;
+    for (path, status, length) in [("/often/x", 413, 100_010), ("/nowhere/x", 404, 9_000)] {
+        let mut client = Client::connect(running.address).await;
+        let framing = format!("content-length: {length}\r\n");
+        client
+            .send(&request("POST", path, "a1", &framing, ""))
+            .await;
+        client.send_part(&framing, length).await;
+        assert_eq!(client.answer().await.expect("an answer").status, status);
+        sleep(AFTER_HEAD_TIMEOUT).await;
+        client
+            .send(&request("POST", "/often/x", "a2", "", "small"))
+            .await;
+        assert_eq!(client.answer().await.expect("an answer").status, 200);
+    }
+}
--- a/src/modules/process/http_serve.rs
+++ b/src/modules/process/http_serve.rs
@@ -8,6 +8,7 @@
 use bridgevane_gateway::accept;
 use bridgevane_types::Bytes;
 use http::Request;
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
@@ -114,7 +115,7 @@
     let router = TowerToHyperService::new(router);
     let service = service_fn(|mut request: Request<Incoming>| {
         request.extensions_mut().insert(connection.clone());
-        let in_progress = connection.begin_request();
+        let in_progress = connection.begin_request(!request.body().is_end_stream());
         let answering = router.call(request);
         async move {
             let response = answering.await?;
